--- /dev/null
+++ b/cmd/bergamotctl/main.go
@@ -0,0 +1,4 @@
+// Command bergamotctl is the operators' and callers' tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/bergamotstall/main.go
@@ -0,0 +1,4 @@
+// Command bergamotstall runs one role of the load balancer.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/events/process.go
@@ -0,0 +1,11 @@
+package events
+
+import "github.com/sirupsen/logrus"
+
+// Events of every role's process, 100 to 199.
+var (
+	ProcessStarted  = define(100, logrus.InfoLevel, "process started")
+	ProcessStopping = define(101, logrus.InfoLevel, "graceful stop begun")
+	ProcessStopped  = define(102, logrus.InfoLevel, "process stopped")
+	SettingsRefused = define(103, logrus.ErrorLevel, "settings refused")
+)
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,93 @@
+// Package metrics publishes a process's counters through expvar. Each instance
+// of a role owns one Set, so that several roles can run in one process (the
+// demo) without sharing names.
+package metrics
+
+import (
+	"expvar"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/go-faster/errors"
+)
+
+// Set is one instance's counters.
+type Set struct {
+	mu   sync.Mutex
+	vars *expvar.Map
+}
+
+// New returns an empty set that nothing publishes yet.
+func New() *Set { return &Set{vars: new(expvar.Map).Init()} }
+
+// Counter returns the counter with the given name and makes it on first use.
+// Callers on a hot path keep the result.
+func (s *Set) Counter(name string) *expvar.Int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if v, ok := s.vars.Get(name).(*expvar.Int); ok {
+		return v
+	}
+	v := new(expvar.Int)
+	s.vars.Set(name, v)
+	return v
+}
+
+// Gauge publishes the value that read returns at each look.
+func (s *Set) Gauge(name string, read func() int64) {
+	s.vars.Set(name, expvar.Func(func() any { return read() }))
+}
+
+// Text publishes the text that read returns at each look.
+func (s *Set) Text(name string, read func() string) {
+	s.vars.Set(name, expvar.Func(func() any { return read() }))
+}
+
+// Value returns a counter's or gauge's value, 0 where the name is unknown.
+func (s *Set) Value(name string) int64 {
+	switch v := s.vars.Get(name).(type) {
+	case *expvar.Int:
+		return v.Value()
+	case expvar.Func:
+		n, _ := v().(int64)
+		return n
+	}
+	return 0
+}
+
+// Counters returns every integer counter's value by name.
+func (s *Set) Counters() []Reading {
+	var out []Reading
+	s.vars.Do(func(kv expvar.KeyValue) {
+		if v, ok := kv.Value.(*expvar.Int); ok {
+			out = append(out, Reading{Name: kv.Key, Value: v.Value()})
+		}
+	})
+	return out
+}
+
+// Reading is one counter at one moment.
+type Reading struct {
+	Name  string
+	Value int64
+}
+
+// String returns the set as JSON, as expvar wants it.
+func (s *Set) String() string { return s.vars.String() }
+
+// Listen serves the set under /debug/vars on the given TCP address until the
+// returned listener is closed.
+func (s *Set) Listen(address string) (net.Listener, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "metrics: listen")
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		_, _ = w.Write([]byte(s.String()))
+	})
+	go func() { _ = http.Serve(ln, mux) }()
+	return ln, nil
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,44 @@
+package wire
+
+import (
+	"net"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"github.com/tinylib/msgp/msgp"
+)
+
+func TestFramesKeepTheirBounds(t *testing.T) {
+	is := is.New(t)
+	a, b := net.Pipe()
+	defer a.Close()
+	defer b.Close()
+	left, right := NewConn(a, 64, 0), NewConn(b, 64, 0)
+
+	go func() {
+		_, _ = left.Write(7, msgp.Raw(msgp.AppendString(nil, "one")))
+		_, _ = left.Write(8, msgp.Raw(msgp.AppendString(nil, "two")))
+	}()
+	for i, want := range []string{"one", "two"} {
+		f, err := right.Read()
+		is.NoErr(err)
+		is.Equal(f.Kind, Kind(7+i))
+		got, _, err := msgp.ReadStringBytes(f.Body)
+		is.NoErr(err)
+		is.Equal(got, want)
+	}
+
+	_, err := left.Write(9, msgp.Raw(make([]byte, 65)))
+	is.True(errors.Is(err, ErrTooLarge)) // nothing of an over-large frame is sent
+}
+
+func TestForgedLengthIsRefusedBeforeAllocation(t *testing.T) {
+	is := is.New(t)
+	a, b := net.Pipe()
+	defer a.Close()
+	defer b.Close()
+	go func() { _, _ = a.Write([]byte{0xff, 0xff, 0xff, 0xff, 1}) }()
+	_, err := NewConn(b, 64, 0).Read()
+	is.True(errors.Is(err, ErrTooLarge))
+}
