Announcements carry an attachment; key sets can be pending; cluster keys and self-signed certificates

Cause: a silence report that comes late from a control VM its subscriber has left would take out a live agent; a rotation needs everyone to know a key before anyone signs with it. Conclusion: types for control, demo and agents to build on.

--- /dev/null
+++ b/internal/keys/selfsigned.go
@@ -0,0 +1,67 @@
+package keys
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// selfSignedLife is short because such a certificate serves a demo or a test.
+const selfSignedLife = 30 * 24 * time.Hour
+
+// SelfSigned makes a certificate that callers of the demo and of tests can
+// trust through its pool. Hosts are names or IP numbers.
+func SelfSigned(hosts ...string) (tls.Certificate, *x509.CertPool, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return tls.Certificate{}, nil, errors.Wrap(err, "keys: generate")
+	}
+	serial, err := newSerial()
+	if err != nil {
+		return tls.Certificate{}, nil, err
+	}
+	now := time.Now()
+	template := &x509.Certificate{
+		SerialNumber:          serial,
+		Subject:               pkix.Name{CommonName: "bergamotstall self-signed"},
+		NotBefore:             now.Add(-clockSkew),
+		NotAfter:              now.Add(selfSignedLife),
+		KeyUsage:              x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage:           []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
+		BasicConstraintsValid: true,
+		IsCA:                  true,
+	}
+	for _, h := range hosts {
+		if ip := net.ParseIP(h); ip != nil {
+			template.IPAddresses = append(template.IPAddresses, ip)
+			continue
+		}
+		template.DNSNames = append(template.DNSNames, h)
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return tls.Certificate{}, nil, errors.Wrap(err, "keys: sign")
+	}
+	leaf, err := x509.ParseCertificate(der)
+	if err != nil {
+		return tls.Certificate{}, nil, errors.Wrap(err, "keys: parse")
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(leaf)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key, Leaf: leaf}, pool, nil
+}
+
+// newSerial returns a random positive certificate serial number of 127 bits.
+func newSerial() (*big.Int, error) {
+	limit := new(big.Int).Lsh(big.NewInt(1), 127)
+	n, err := rand.Int(rand.Reader, limit)
+	return n, errors.Wrap(err, "keys: serial")
+}
--- /dev/null
+++ b/internal/spread/messages.go
@@ -0,0 +1,78 @@
+package spread
+
+import (
+	"bergamotstall/internal/table"
+	"bergamotstall/internal/wire"
+)
+
+// Kinds of frames on a subscriber's stream.
+const (
+	// Subscriber to server.
+	kindHello    wire.Kind = iota + 1 // hello, first frame
+	kindAnnounce                      // Announcement, again
+	kindBeat                          // beat, both ways
+	// Server to subscriber.
+	kindWelcome // welcome, first frame
+	kindNumber  // number
+	kindRefusal // refusal, last frame
+	kindPart    // part
+	// Subscriber to server: the table it holds isn't what the server thinks.
+	kindResync // beat
+)
+
+// hello opens a stream.
+type hello struct {
+	Role         Role         `msg:"r"`
+	Announcement Announcement `msg:"a"`
+	// Have is the revision the subscriber holds, 0 for none.
+	Have table.Revision `msg:"h"`
+}
+
+// welcome answers a hello.
+type welcome struct {
+	Control string `msg:"n"`
+	beat
+}
+
+// beat says that its sender is alive, and where it stands.
+type beat struct {
+	// Revision is what the server has, or what the subscriber has applied.
+	Revision table.Revision `msg:"r"`
+	// ContactAgeMS is the server's quorum contact age in milliseconds.
+	ContactAgeMS int64 `msg:"c"`
+}
+
+// number tells an agent the number of its incarnation.
+type number struct {
+	Agent table.AgentNumber `msg:"g"`
+}
+
+// refusalReason says why a server ends a stream.
+type refusalReason uint8
+
+const (
+	refusedBusy refusalReason = iota + 1
+	refusedIdentity
+	refusedLeaving
+	refusedProtocol
+)
+
+// refusal ends a stream.
+type refusal struct {
+	Reason refusalReason `msg:"r"`
+	// RetryAfterMS is how long to keep away from this VM, in milliseconds.
+	RetryAfterMS int64 `msg:"w"`
+}
+
+// part is a piece of an update. A large update travels in pieces, so that a
+// heartbeat never waits behind it and the byte budget paces it.
+type part struct {
+	// From is the revision the update builds on; 0 marks a whole table.
+	From table.Revision `msg:"f"`
+	To   table.Revision `msg:"t"`
+	// Total is the update's encoded size in bytes, the same in each part.
+	Total int `msg:"n"`
+	// Deflated updates are compressed as a whole.
+	Deflated bool   `msg:"z"`
+	Data     []byte `msg:"d"`
+}
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -11,6 +11,31 @@
 	"bergamotstall/internal/table"
 )
 
+//go:generate env GOWORK=off go -C ../../tools tool msgp -file ../internal/spread/spread.go -o ../internal/spread/spread_gen.go -tests=false
+//go:generate env GOWORK=off go -C ../../tools tool msgp -file ../internal/spread/messages.go -o ../internal/spread/messages_gen.go -tests=false -unexported
+
+// Role is what a subscriber is; it decides which part of the table it gets.
+type Role uint8
+
+const (
+	// RoleBalancer subscribers get the whole table.
+	RoleBalancer Role = iota + 1
+	// RoleAgent subscribers get their own service and its targets, the balancers
+	// and the keys.
+	RoleAgent
+)
+
+// String returns the role's name as certificates and settings write it.
+func (r Role) String() string {
+	switch r {
+	case RoleBalancer:
+		return "balancer"
+	case RoleAgent:
+		return "agent"
+	}
+	return "unknown"
+}
+
 // Source is where a server finds the table to distribute.
 type Source interface {
 	// Table returns the newest table that this control VM has applied.
@@ -29,7 +54,16 @@
 	Name string `msg:"n"`
 	// Incarnation differs at each start of the process.
 	Incarnation uint64 `msg:"i"`
-	DataCentre  string `msg:"d"`
+	// Attachment counts the announcements of one incarnation, from 1. A subscriber
+	// that moves to another control VM announces itself there with a higher one,
+	// so the state can ignore what the first VM says late: an announcement or a
+	// Silence with a lower attachment of the same incarnation is void.
+	Attachment uint64 `msg:"a"`
+	// Via is the control VM that took the announcement; the server sets it. A VM
+	// that restarts, or one that takes over from a dead VM, learns from it whose
+	// streams are missing.
+	Via        string `msg:"v"`
+	DataCentre string `msg:"d"`
 	// Tunnel is the UDP address for envelopes, "ip:port".
 	Tunnel string `msg:"t"`
 
@@ -45,16 +79,33 @@
 	Draining bool `msg:"x"`
 }
 
+// Silence says that a subscriber's stream has been gone for the damped time. It
+// is void unless the state's last announcement of that subscriber has the same
+// incarnation and no higher attachment: otherwise the subscriber has come back,
+// here or at another control VM.
+//
+// The state takes a silent agent out of new work only. Its open flows may well
+// be alive, because a lost control stream says nothing of the data path.
+type Silence struct {
+	Name string `msg:"n"`
+	// Agent is 0 for a balancer, and for an agent that never got a number.
+	Agent       table.AgentNumber `msg:"g"`
+	Incarnation uint64            `msg:"i"`
+	Attachment  uint64            `msg:"a"`
+}
+
 // Registrar takes announcements and damped changes of liveness into the
-// replicated state. It is the control role's.
+// replicated state. It is the control role's. Its methods return once the
+// command is committed; the server repeats those that fail.
 type Registrar interface {
 	// AnnounceAgent registers an incarnation and returns its number. The same
-	// incarnation announced again gets the same number.
+	// incarnation announced again gets the same number; that alone changes no
+	// table revision.
 	AnnounceAgent(ctx context.Context, a Announcement) (table.AgentNumber, error)
 	// AnnounceBalancer registers a balancer's return-path address.
 	AnnounceBalancer(ctx context.Context, a Announcement) error
 	// AgentSilent reports that an agent has been silent for the damped time.
-	AgentSilent(ctx context.Context, agent table.AgentNumber) error
-	// BalancerSilent reports the same of a balancer, by name.
-	BalancerSilent(ctx context.Context, name string) error
+	AgentSilent(ctx context.Context, s Silence) error
+	// BalancerSilent reports the same of a balancer.
+	BalancerSilent(ctx context.Context, s Silence) error
 }
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -89,8 +89,8 @@
 	Tunnel string `msg:"t"`
 }
 
-// KeySet is one generation of the cluster keys. Two generations are valid while
-// a rotation runs; the highest generation signs and encrypts.
+// KeySet is one generation of the cluster keys. Several generations are valid
+// while a rotation runs; the highest that isn't pending signs and encrypts.
 type KeySet struct {
 	// Generation picks the key set in a connection ID; only its low three bits
 	// travel there.
@@ -105,6 +105,9 @@
 	Token []byte `msg:"t"`
 	// Hash is the 16-byte key of the placement hash of new flows.
 	Hash []byte `msg:"h"`
+	// Pending key sets decrypt and verify but don't sign yet: everyone must know
+	// a key before the first packet carries it.
+	Pending bool `msg:"p"`
 }
 
 // Table is the whole of what the data path knows.
@@ -161,15 +164,19 @@
 
 // CurrentKeys returns the key set that signs and encrypts.
 func (t *Table) CurrentKeys() (KeySet, error) {
-	if len(t.Keys) == 0 {
-		return KeySet{}, ErrNoKeys
-	}
-	best := t.Keys[0]
-	for _, k := range t.Keys[1:] {
-		if newer(k.Generation, best.Generation) {
-			best = k
+	var best KeySet
+	found := false
+	for _, k := range t.Keys {
+		if k.Pending {
+			continue
+		}
+		if !found || newer(k.Generation, best.Generation) {
+			best, found = k, true
 		}
 	}
+	if !found {
+		return KeySet{}, ErrNoKeys
+	}
 	return best, nil
 }
 
--- a/internal/table/table_gen.go
+++ b/internal/table/table_gen.go
@@ -265,6 +265,12 @@
 				err = msgp.WrapError(err, "Hash")
 				return
 			}
+		case "p":
+			z.Pending, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Pending")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -278,9 +284,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *KeySet) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
+	// map header, size 7
 	// write "g"
-	err = en.Append(0x86, 0xa1, 0x67)
+	err = en.Append(0x87, 0xa1, 0x67)
 	if err != nil {
 		return
 	}
@@ -339,15 +345,25 @@
 		err = msgp.WrapError(err, "Hash")
 		return
 	}
+	// write "p"
+	err = en.Append(0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Pending)
+	if err != nil {
+		err = msgp.WrapError(err, "Pending")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *KeySet) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "g"
-	o = append(o, 0x86, 0xa1, 0x67)
+	o = append(o, 0x87, 0xa1, 0x67)
 	o = msgp.AppendUint8(o, z.Generation)
 	// string "c"
 	o = append(o, 0xa1, 0x63)
@@ -364,6 +380,9 @@
 	// string "h"
 	o = append(o, 0xa1, 0x68)
 	o = msgp.AppendBytes(o, z.Hash)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendBool(o, z.Pending)
 	return
 }
 
@@ -421,6 +440,12 @@
 				err = msgp.WrapError(err, "Hash")
 				return
 			}
+		case "p":
+			z.Pending, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pending")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -435,7 +460,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *KeySet) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint8Size + 2 + msgp.BytesPrefixSize + len(z.ConnID) + 2 + msgp.BytesPrefixSize + len(z.Envelope) + 2 + msgp.BytesPrefixSize + len(z.Reset) + 2 + msgp.BytesPrefixSize + len(z.Token) + 2 + msgp.BytesPrefixSize + len(z.Hash)
+	s = 1 + 2 + msgp.Uint8Size + 2 + msgp.BytesPrefixSize + len(z.ConnID) + 2 + msgp.BytesPrefixSize + len(z.Envelope) + 2 + msgp.BytesPrefixSize + len(z.Reset) + 2 + msgp.BytesPrefixSize + len(z.Token) + 2 + msgp.BytesPrefixSize + len(z.Hash) + 2 + msgp.BoolSize
 	return
 }
 
