Checkers for the promises, with a planted violation for each

Cause: runs need a verdict that can fail, before anything can be claimed. Change: internal/check judges attempts, runs, flows, drains and revisions. Figures: 13 planted violations, each caught by its own promise only.

--- /dev/null
+++ b/internal/check/check_test.go
@@ -0,0 +1,83 @@
+package check
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var began = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+
+// sound is a run in which every promise has something to judge and holds.
+func sound() Record {
+	return Record{
+		Attempts: []Attempt{
+			{ID: "d1", Service: "archive", Outcome: Answered, AnsweredBy: "archive", Began: began},
+			{ID: "s1-1", Submission: "s1", Service: "desk", Outcome: NotRun, Reason: "queue-full", Began: began},
+			{ID: "s1-2", Submission: "s1", Service: "desk", Outcome: Answered, AnsweredBy: "desk", Began: began},
+		},
+		Runs: []Run{
+			{ID: "d1", Service: "archive", Host: "a1", At: began},
+			{ID: "s1-2", Submission: "s1", Service: "desk", Host: "d1", At: began.Add(time.Second)},
+		},
+		Flows:    []Flow{{Service: "desk", Opened: began}},
+		Drains:   []Drain{{Host: "d1", At: began}},
+		Looks:    []InForce{{Balancer: "b1", Revision: 4}, {Balancer: "b1", Revision: 5}},
+		Switches: []Switch{{Preset: "peak", Took: time.Second}},
+	}
+}
+
+func TestSoundRunHoldsAndEachPromiseLooked(t *testing.T) {
+	is := is.New(t)
+	for _, v := range All(sound(), DefaultLimits()) {
+		is.True(v.Held())
+		is.True(v.Looked > 0) // a verdict over nothing proves nothing
+	}
+}
+
+// Each planted violation must fail its own promise and no other; a checker that
+// can't fail would let every run pass.
+func TestPlantedViolationsAreCaught(t *testing.T) {
+	for _, c := range []struct {
+		promise string
+		plant   func(*Record)
+	}{
+		{"flows survive planned change", func(r *Record) { r.Flows[0].Broken = true }},
+		{"work reaches its own service only", func(r *Record) { r.Attempts[0].AnsweredBy = "desk" }},
+		{"work reaches its own service only", func(r *Record) { r.Runs[0].Service = "desk" }},
+		{"whole answer to one's own request", func(r *Record) { r.Attempts[0].Damaged = true }},
+		{"not run means not run", func(r *Record) { r.Runs = append(r.Runs, Run{ID: "s1-1", Service: "desk", Host: "d2", At: began}) }},
+		{"at most once", func(r *Record) {
+			r.Runs = append(r.Runs, Run{ID: "s1-2", Submission: "s1", Service: "desk", Host: "d2", At: began})
+		}},
+		{"an answered submission ran", func(r *Record) { r.Runs = r.Runs[:1] }},
+		{"a leaving target gets nothing new", func(r *Record) { r.Runs[1].At = began.Add(4 * time.Second) }},
+		{"a planned stop cuts nothing", func(r *Record) { r.Attempts = append(r.Attempts, Attempt{ID: "d2", Outcome: Cut}) }},
+		{"a planned stop cuts nothing", func(r *Record) { r.Attempts = append(r.Attempts, Attempt{ID: "d2", Outcome: Unknown}) }},
+		{"a switch is in force within seconds", func(r *Record) { r.Switches[0].Took = 10 * time.Second }},
+		{"a switch is in force within seconds", func(r *Record) { r.Switches[0].Took = 0 }},
+		{"revisions never fall", func(r *Record) { r.Looks[1].Revision = 3 }},
+	} {
+		t.Run(c.promise, func(t *testing.T) {
+			is := is.New(t)
+			r := sound()
+			c.plant(&r)
+			for _, v := range All(r, DefaultLimits()) {
+				is.Equal(v.Held(), v.Promise != c.promise)
+			}
+		})
+	}
+}
+
+func TestImbalance(t *testing.T) {
+	is := is.New(t)
+	var runs []Run
+	for _, host := range []string{"h1", "h1", "h1", "h2"} {
+		runs = append(runs, Run{Service: "desk", Host: host})
+	}
+	got := Imbalances(Shares(runs))
+	is.Equal(len(got), 1)
+	is.Equal(got[0].MaxToMean, 1.5)
+	is.Equal(got[0].Variation, 0.5)
+}
