--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -39,8 +39,10 @@
 
 // Decode reads the frame's body into m.
 func (f Frame) Decode(m msgp.Unmarshaler) error {
-	_, err := m.UnmarshalMsg(f.Body)
-	return errors.Wrapf(err, "wire: frame kind %d", f.Kind)
+	if _, err := m.UnmarshalMsg(f.Body); err != nil {
+		return errors.Wrapf(err, "wire: frame kind %d", f.Kind)
+	}
+	return nil
 }
 
 // Conn sends and receives frames. One goroutine may read while others write.
@@ -92,7 +94,10 @@
 		}
 	}
 	n, err := c.raw.Write(buf)
-	return n, errors.Wrap(err, "wire: write")
+	if err != nil {
+		return n, errors.Wrap(err, "wire: write")
+	}
+	return n, nil
 }
 
 // Read waits for the next frame, at most until the deadline set on Raw.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -16,9 +16,12 @@
 	defer b.Close()
 	left, right := NewConn(a, 64, 0), NewConn(b, 64, 0)
 
+	written := make(chan error, 2)
 	go func() {
-		_, _ = left.Write(7, msgp.Raw(msgp.AppendString(nil, "one")))
-		_, _ = left.Write(8, msgp.Raw(msgp.AppendString(nil, "two")))
+		_, err := left.Write(7, msgp.Raw(msgp.AppendString(nil, "one")))
+		written <- err
+		_, err = left.Write(8, msgp.Raw(msgp.AppendString(nil, "two")))
+		written <- err
 	}()
 	for i, want := range []string{"one", "two"} {
 		f, err := right.Read()
@@ -27,6 +30,9 @@
 		got, _, err := msgp.ReadStringBytes(f.Body)
 		is.NoErr(err)
 		is.Equal(got, want)
+		var whole msgp.Raw
+		is.NoErr(f.Decode(&whole)) // a good body is no error
+		is.NoErr(<-written)        // nor is a good write
 	}
 
 	_, err := left.Write(9, msgp.Raw(make([]byte, 65)))
