--- /dev/null
+++ b/internal/load/flow.go
@@ -0,0 +1,201 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"bergamotstall/internal/check"
+)
+
+const (
+	handshakeTimeout = 5 * time.Second
+	idleTimeout      = 30 * time.Second
+	keepAlive        = 5 * time.Second
+	// dialAttempts is how often a caller tries to open a flow before it gives
+	// up; a failed handshake is no broken flow, since nothing was open yet.
+	dialAttempts = 3
+	dialPause    = 100 * time.Millisecond
+	// closedByCaller is the code of an end that nobody minds, either side's.
+	closedByCaller = quic.ApplicationErrorCode(http3.ErrCodeNoError)
+)
+
+// flow is one QUIC connection with its caller.
+type flow struct {
+	spec    Spec
+	rec     *Recorder
+	rng     *rand.Rand
+	id      string
+	service string
+	conn    *quic.Conn
+	socket  *net.UDPConn
+	client  *http3.ClientConn
+	opened  time.Time
+	// inProgress tells whether a request was under way when the flow ended.
+	inProgress bool
+}
+
+// errGoingAway is what a flow reports when the other end shuts it down
+// gracefully: its caller opens another.
+var errGoingAway = errors.New("load: flow is going away")
+
+// open dials a flow. A flow has its own socket, like a caller of its own.
+func open(ctx context.Context, spec Spec, rec *Recorder, id string, rng *rand.Rand) (*flow, error) {
+	var last error
+	for range dialAttempts {
+		f, err := dial(ctx, spec, rec, id, rng)
+		if err == nil {
+			return f, nil
+		}
+		last = err
+		if !sleep(ctx, dialPause) {
+			break
+		}
+	}
+	return nil, last
+}
+
+func dial(ctx context.Context, spec Spec, rec *Recorder, id string, rng *rand.Rand) (*flow, error) {
+	addr, err := net.ResolveUDPAddr("udp", spec.Address)
+	if err != nil {
+		return nil, errors.Wrap(err, "load: address")
+	}
+	socket, err := net.ListenUDP("udp", nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "load: socket")
+	}
+	conn, err := quic.Dial(ctx, socket, addr, spec.TLS, &quic.Config{
+		HandshakeIdleTimeout: handshakeTimeout,
+		MaxIdleTimeout:       idleTimeout,
+		KeepAlivePeriod:      keepAlive,
+		InitialPacketSize:    1200,
+	})
+	if err != nil {
+		_ = socket.Close()
+		return nil, errors.Wrap(err, "load: handshake")
+	}
+	rec.flowOpened()
+	transport := &http3.Transport{DisableCompression: true}
+	return &flow{
+		spec: spec, rec: rec, rng: rng, id: id, service: spec.Service,
+		conn: conn, socket: socket, client: transport.NewClientConn(conn), opened: time.Now(),
+	}, nil
+}
+
+// carry plays the flow's requests and closes it.
+func (f *flow) carry(ctx context.Context) {
+	defer f.close()
+	for n := range f.spec.RequestsPerFlow {
+		if ctx.Err() != nil || f.conn.Context().Err() != nil {
+			return
+		}
+		kind := f.pick()
+		if err := f.request(ctx, kind, fmt.Sprintf("%s-%d", f.id, n)); err != nil {
+			return
+		}
+		if !sleep(ctx, f.spec.Pause) {
+			return
+		}
+	}
+}
+
+func (f *flow) pick() Kind {
+	m := f.spec.Mix
+	at := f.rng.IntN(m.Download + m.Feed + m.Submit)
+	switch {
+	case at < m.Download:
+		return Download
+	case at < m.Download+m.Feed:
+		return Feed
+	default:
+		return Submit
+	}
+}
+
+func (f *flow) request(ctx context.Context, kind Kind, id string) error {
+	switch kind {
+	case Download:
+		return f.download(ctx, id)
+	case Feed:
+		return f.feed(ctx, id)
+	default:
+		return f.submit(ctx, id)
+	}
+}
+
+// close ends the flow and records whether the system had broken it before.
+func (f *flow) close() {
+	broken, reason := f.state()
+	_ = f.conn.CloseWithError(closedByCaller, "")
+	_ = f.socket.Close()
+	f.rec.flowEnded(check.Flow{Service: f.service, Opened: f.opened, Broken: broken, Reason: reason})
+}
+
+// state tells whether the flow ended other than by a graceful shutdown with
+// nothing in progress.
+func (f *flow) state() (broken bool, reason string) {
+	if f.conn.Context().Err() == nil {
+		return false, ""
+	}
+	cause := context.Cause(f.conn.Context())
+	var app *quic.ApplicationError
+	graceful := errors.As(cause, &app) && app.ErrorCode == closedByCaller
+	if graceful && !f.inProgress {
+		return false, ""
+	}
+	return true, reasonOf(cause)
+}
+
+// reasonOf names an error by its kind, so that reports can count it.
+func reasonOf(err error) string {
+	var (
+		reset *quic.StatelessResetError
+		idle  *quic.IdleTimeoutError
+		hand  *quic.HandshakeTimeoutError
+		app   *quic.ApplicationError
+		h3    *http3.Error
+	)
+	switch {
+	case err == nil:
+		return ""
+	case errors.As(err, &reset):
+		return "stateless reset"
+	case errors.As(err, &idle):
+		return "idle timeout"
+	case errors.As(err, &hand):
+		return "handshake timeout"
+	case errors.As(err, &h3):
+		return "stream: " + h3.ErrorCode.String()
+	case errors.As(err, &app):
+		return "closed: " + http3.ErrCode(app.ErrorCode).String()
+	case errors.Is(err, context.DeadlineExceeded):
+		return "timeout"
+	}
+	return err.Error()
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// credential is the caller's own, as the service would check it.
+func (f *flow) credential(r *http.Request) {
+	r.Header.Set("Authorization", "Bearer caller-"+f.id)
+}
