Reports: a Markdown page with plots for a run

Cause: an operator must see what a switch or a drain did to callers. Change: internal/report writes answer times, broken flows and work per target with the run's events marked.

--- a/internal/load/recorder.go
+++ b/internal/load/recorder.go
@@ -142,5 +142,22 @@
 }
 
 func quantile(h *hdrhistogram.Histogram, q float64) time.Duration {
+	if h == nil {
+		return 0
+	}
 	return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
 }
+
+// Seconds returns the run second by second.
+func (r *Recorder) Seconds() []Second {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Second(nil), r.seconds...)
+}
+
+// Marks returns the events noted so far.
+func (r *Recorder) Marks() []Mark {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Mark(nil), r.events...)
+}
--- /dev/null
+++ b/internal/report/plots.go
@@ -0,0 +1,140 @@
+package report
+
+import (
+	"image/color"
+
+	"github.com/go-faster/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+
+	"bergamotstall/internal/load"
+)
+
+const (
+	plotWidth  = 9 * vg.Inch
+	plotHeight = 4 * vg.Inch
+	barWidth   = 14 * vg.Millimeter / 2
+)
+
+var (
+	blue  = color.RGBA{R: 31, G: 119, B: 180, A: 255}
+	red   = color.RGBA{R: 214, G: 39, B: 40, A: 255}
+	green = color.RGBA{R: 44, G: 160, B: 44, A: 255}
+	grey  = color.RGBA{R: 150, G: 150, B: 150, A: 255}
+)
+
+// series is one line of a plot.
+type series struct {
+	name  string
+	color color.Color
+	value func(load.Second) float64
+}
+
+func plotTimes(path string, p Page) error {
+	return plotSeconds(path, p, "Answer times (downloads and submissions)", "ms", []series{
+		{"p50", blue, func(s load.Second) float64 { return s.P50().Seconds() * 1000 }},
+		{"p99", red, func(s load.Second) float64 { return s.P99().Seconds() * 1000 }},
+	})
+}
+
+func plotBroken(path string, p Page) error {
+	return plotSeconds(path, p, "Broken flows, cut and refused requests", "a second", []series{
+		{"flows broken", red, func(s load.Second) float64 { return float64(s.Broken) }},
+		{"requests cut", blue, func(s load.Second) float64 { return float64(s.Cut) }},
+		{"requests refused", green, func(s load.Second) float64 { return float64(s.Refused) }},
+	})
+}
+
+func plotSeconds(path string, p Page, title, unit string, all []series) error {
+	pl := plot.New()
+	pl.Title.Text = title
+	pl.X.Label.Text = "seconds"
+	pl.Y.Label.Text = unit
+	pl.Y.Min = 0
+	pl.Legend.Top = true
+	top := 1.0
+	for _, s := range all {
+		points := make(plotter.XYs, len(p.Seconds))
+		for i, sec := range p.Seconds {
+			points[i] = plotter.XY{X: float64(sec.At), Y: s.value(sec)}
+			top = max(top, points[i].Y)
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return errors.Wrap(err, "report: line")
+		}
+		line.Color = s.color
+		pl.Add(line)
+		pl.Legend.Add(s.name, line)
+	}
+	if err := addMarks(pl, p.Marks, top); err != nil {
+		return err
+	}
+	pl.Y.Max = top * 1.1
+	return save(pl, path)
+}
+
+// addMarks draws a grey line with its text at each event.
+func addMarks(pl *plot.Plot, marks []load.Mark, top float64) error {
+	if len(marks) == 0 {
+		return nil
+	}
+	var at plotter.XYs
+	var texts []string
+	for i, m := range marks {
+		x := m.At.Seconds()
+		line, err := plotter.NewLine(plotter.XYs{{X: x, Y: 0}, {X: x, Y: top}})
+		if err != nil {
+			return errors.Wrap(err, "report: mark")
+		}
+		line.Color = grey
+		line.Dashes = []vg.Length{vg.Points(2), vg.Points(2)}
+		pl.Add(line)
+		at = append(at, plotter.XY{X: x, Y: top * (1 - 0.07*float64(i%8))})
+		texts = append(texts, m.What)
+	}
+	labels, err := plotter.NewLabels(plotter.XYLabels{XYs: at, Labels: texts})
+	if err != nil {
+		return errors.Wrap(err, "report: labels")
+	}
+	for i := range labels.TextStyle {
+		labels.TextStyle[i].Font.Size = vg.Points(7)
+		labels.TextStyle[i].XAlign = draw.XLeft
+	}
+	pl.Add(labels)
+	return nil
+}
+
+func plotShares(path string, p Page) error {
+	pl := plot.New()
+	pl.Title.Text = "Work per target"
+	pl.Y.Label.Text = "requests run"
+	values := make(plotter.Values, len(p.Shares))
+	names := make([]string, len(p.Shares))
+	for i, s := range p.Shares {
+		values[i] = float64(s.Runs)
+		names[i] = s.Host
+	}
+	if len(values) > 0 {
+		bars, err := plotter.NewBarChart(values, barWidth)
+		if err != nil {
+			return errors.Wrap(err, "report: bars")
+		}
+		bars.Color = blue
+		pl.Add(bars)
+		pl.NominalX(names...)
+		pl.X.Tick.Label.Rotation = 0.6
+		pl.X.Tick.Label.XAlign = draw.XRight
+	}
+	pl.Y.Min = 0
+	return save(pl, path)
+}
+
+func save(pl *plot.Plot, path string) error {
+	if err := pl.Save(plotWidth, plotHeight, path); err != nil {
+		return errors.Wrap(err, "report: plot")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/report/report_test.go
@@ -0,0 +1,38 @@
+package report
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bergamotstall/internal/check"
+	"bergamotstall/internal/load"
+)
+
+func TestReportHasPageAndPlots(t *testing.T) {
+	is := is.New(t)
+	folder := filepath.Join(t.TempDir(), "run")
+	rec := load.NewRecorder()
+	rec.Mark("switch to peak")
+	page := Page{
+		Title: "Trial", Machine: "test", Summary: rec.Report(),
+		Seconds: []load.Second{{At: 0, Broken: 1}, {At: 1}},
+		Marks:   append(rec.Marks(), load.Mark{At: time.Second, What: "drain desk-1"}),
+		Shares:  []check.Share{{Service: "desk", Host: "desk-1", Runs: 3}, {Service: "desk", Host: "desk-2", Runs: 1}},
+	}
+	is.NoErr(Write(folder, page))
+	text, err := os.ReadFile(filepath.Join(folder, "report.md"))
+	is.NoErr(err)
+	is.True(strings.Contains(string(text), "| desk | 2 | 1.500 | 0.500 |"))
+	is.True(strings.Contains(string(text), "drain desk-1"))
+	for _, name := range []string{timesFile, brokenFile, sharesFile} {
+		data, err := os.ReadFile(filepath.Join(folder, name))
+		is.NoErr(err)
+		is.True(bytes.HasPrefix(data, []byte("\x89PNG")))
+	}
+}
