--- /dev/null
+++ b/internal/spread/client_metrics.go
@@ -0,0 +1,67 @@
+package spread
+
+import (
+	"context"
+	"expvar"
+	"io"
+	"net"
+	"os"
+
+	"github.com/go-faster/errors"
+
+	"bergamotstall/internal/metrics"
+)
+
+// clientCounters count what a subscriber's streams do.
+type clientCounters struct {
+	set *metrics.Set
+
+	attempts, attached              *expvar.Int
+	snapshots, deltas, lower        *expvar.Int
+	resyncs, bytesIn, bytesOut      *expvar.Int
+	stateFileErrors, refusedByState *expvar.Int
+}
+
+func newClientCounters(m *metrics.Set) clientCounters {
+	return clientCounters{
+		set:             m,
+		attempts:        m.Counter("control_attempts"),
+		attached:        m.Counter("control_attached"),
+		snapshots:       m.Counter("control_snapshots"),
+		deltas:          m.Counter("control_deltas"),
+		lower:           m.Counter("control_lower_revision_ignored"),
+		resyncs:         m.Counter("control_resyncs"),
+		bytesIn:         m.Counter("control_bytes_in"),
+		bytesOut:        m.Counter("control_bytes_out"),
+		stateFileErrors: m.Counter("control_state_file_errors"),
+		refusedByState:  m.Counter("control_state_file_refused"),
+	}
+}
+
+// ended counts the reason for which a stream ended or wasn't made.
+func (c clientCounters) ended(err error) {
+	c.set.Counter("control_ended_" + endReason(err)).Add(1)
+}
+
+func endReason(err error) string {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, errStale):
+		return "stale"
+	case errors.Is(err, errBehind):
+		return "behind"
+	case errors.Is(err, errRefused):
+		return "refused"
+	case errors.Is(err, errMismatch):
+		return "mismatch"
+	case errors.Is(err, errProtocol), errors.Is(err, errBody):
+		return "protocol"
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return "closed"
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
+		return "silent"
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return "silent"
+	}
+	return "unreachable"
+}
--- /dev/null
+++ b/internal/spread/fakes_test.go
@@ -0,0 +1,277 @@
+package spread
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"bergamotstall/internal/metrics"
+	"bergamotstall/internal/table"
+)
+
+// fakeControl is a control VM's state: Source and Registrar in one.
+type fakeControl struct {
+	mu      sync.Mutex
+	table   *table.Table
+	changed chan struct{}
+	// contact is when a quorum was last heard; zero means always fresh.
+	contact time.Time
+	fail    bool
+
+	agents      map[string]Announcement
+	next        table.AgentNumber
+	numbers     map[string]table.AgentNumber
+	silent      []Silence
+	transitions int
+}
+
+func newFakeControl(t *table.Table) *fakeControl {
+	return &fakeControl{
+		table: t, changed: make(chan struct{}),
+		agents: map[string]Announcement{}, numbers: map[string]table.AgentNumber{}, next: 1000,
+	}
+}
+
+func (f *fakeControl) Table() *table.Table {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table
+}
+
+func (f *fakeControl) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+func (f *fakeControl) ContactAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.contact.IsZero() {
+		return 0
+	}
+	return time.Since(f.contact)
+}
+
+func (f *fakeControl) setContact(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.contact = at
+}
+
+func (f *fakeControl) set(t *table.Table) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.table = t
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fakeControl) AnnounceAgent(_ context.Context, a Announcement) (table.AgentNumber, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fail {
+		return 0, errors.New("no quorum")
+	}
+	key := fmt.Sprintf("%s/%d", a.Name, a.Incarnation)
+	if f.numbers[key] == 0 {
+		f.next++
+		f.numbers[key] = f.next
+		f.transitions++
+	}
+	if old := f.agents[a.Name]; old.Incarnation != a.Incarnation || old.Attachment < a.Attachment {
+		f.agents[a.Name] = a
+	}
+	return f.numbers[key], nil
+}
+
+func (f *fakeControl) AnnounceBalancer(ctx context.Context, a Announcement) error {
+	_, err := f.AnnounceAgent(ctx, a)
+	return err
+}
+
+// AgentSilent follows the contract of Silence.
+func (f *fakeControl) AgentSilent(_ context.Context, s Silence) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fail {
+		return errors.New("no quorum")
+	}
+	a := f.agents[s.Name]
+	if a.Incarnation != s.Incarnation || a.Attachment > s.Attachment {
+		return nil
+	}
+	f.silent = append(f.silent, s)
+	return nil
+}
+
+func (f *fakeControl) BalancerSilent(ctx context.Context, s Silence) error {
+	return f.AgentSilent(ctx, s)
+}
+
+func (f *fakeControl) announced(name string) Announcement {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.agents[name]
+}
+
+func (f *fakeControl) silenced() []Silence {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.silent)
+}
+
+// smallTable has two services with ten hosts between them.
+func smallTable(revision table.Revision) *table.Table {
+	t := &table.Table{Revision: revision, Preset: "ordinary", Keys: []table.KeySet{{Generation: 1, ConnID: make([]byte, 16)}}}
+	t.Services = []table.Service{
+		{ID: 1, Name: "commissions", Address: "127.0.0.1:4433"},
+		{ID: 2, Name: "cartoons", Address: "127.0.0.1:4434"},
+	}
+	for i := range 10 {
+		service := table.ServiceID(1 + i/7)
+		t.Targets = append(t.Targets, table.Target{
+			Agent: table.AgentNumber(i + 1), Service: service, Host: fmt.Sprintf("host-%d", i), DataCentre: "brescia-fornace",
+			Tunnel: fmt.Sprintf("127.0.1.%d:7001", i+1), Peer: fmt.Sprintf("127.0.1.%d:7002", i+1),
+			Slots: 7, Connections: 2000, Weight: 100, PreviousWeight: 100, JoinedAtMS: 1, State: table.Active,
+		})
+	}
+	for i := range 3 {
+		t.Balancers = append(t.Balancers, table.Balancer{Name: fmt.Sprintf("balancer-%d", i), Tunnel: fmt.Sprintf("127.0.2.%d:7000", i+1)})
+	}
+	return t
+}
+
+// withWeight returns the next revision, in which one target's weight differs.
+func withWeight(t *table.Table, index int, weight uint32) *table.Table {
+	next := *t
+	next.Revision++
+	next.Targets = slices.Clone(t.Targets)
+	next.Targets[index].PreviousWeight = next.Targets[index].Weight
+	next.Targets[index].Weight = weight
+	return &next
+}
+
+func quiet() logrus.FieldLogger {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return l
+}
+
+// testBeat keeps tests quick; three missed ones end a stream.
+const testBeat = 100 * time.Millisecond
+
+// running is a served control VM.
+type running struct {
+	*Server
+	control *fakeControl
+	address string
+	metrics *metrics.Set
+}
+
+func serveControl(t testing.TB, control *fakeControl, change func(*ServerConfig)) *running {
+	t.Helper()
+	m := metrics.New()
+	cfg := ServerConfig{Name: "control-1", Source: control, Registrar: control, Beat: testBeat, Log: quiet(), Metrics: m}
+	if change != nil {
+		change(&cfg)
+	}
+	s := NewServer(cfg)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() { defer close(done); _ = s.Serve(ln) }()
+	t.Cleanup(func() { s.Close(); <-done })
+	return &running{Server: s, control: control, address: ln.Addr().String(), metrics: m}
+}
+
+// follower is a running client with all it applied.
+type follower struct {
+	*Client
+	metrics *metrics.Set
+	stop    func()
+
+	mu      sync.Mutex
+	applied []*table.Table
+}
+
+func (f *follower) tables() []*table.Table {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.applied)
+}
+
+func (f *follower) latest() *table.Table {
+	all := f.tables()
+	if len(all) == 0 {
+		return &table.Table{}
+	}
+	return all[len(all)-1]
+}
+
+func (f *follower) falls() int {
+	n := 0
+	all := f.tables()
+	for i := 1; i < len(all); i++ {
+		if all[i].Revision < all[i-1].Revision {
+			n++
+		}
+	}
+	return n
+}
+
+func follow1(t testing.TB, name string, change func(*ClientConfig), controls ...string) *follower {
+	t.Helper()
+	m := metrics.New()
+	cfg := ClientConfig{
+		Controls: controls, Role: RoleBalancer, Beat: testBeat, Seed: 1, Log: quiet(), Metrics: m,
+		Announcement: Announcement{Name: name, Incarnation: 1, DataCentre: "brescia-fornace", Tunnel: "127.0.0.1:7000"},
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	f := &follower{metrics: m}
+	f.Client = NewClient(cfg, func(tb *table.Table) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.applied = append(f.applied, tb)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = f.Run(ctx) }()
+	f.stop = sync.OnceFunc(func() { cancel(); <-done })
+	t.Cleanup(f.stop)
+	return f
+}
+
+// asAgent turns a client's configuration into an agent's.
+func asAgent(service string) func(*ClientConfig) {
+	return func(c *ClientConfig) {
+		c.Role = RoleAgent
+		c.Announcement.Service = service
+		c.Announcement.Host = c.Announcement.Name
+	}
+}
+
+// eventually polls with a generous limit; it never judges by time being short.
+func eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(60 * time.Second)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within a minute: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- a/internal/spread/messages.go
+++ b/internal/spread/messages.go
@@ -1,6 +1,8 @@
 package spread
 
 import (
+	"github.com/tinylib/msgp/msgp"
+
 	"bergamotstall/internal/table"
 	"bergamotstall/internal/wire"
 )
@@ -20,18 +22,26 @@
 	kindResync // beat
 )
 
+// frameHeader is the bytes of a frame beside its body.
+const frameHeader = 5
+
+// encodable is a message that can be sent.
+type encodable = msgp.Marshaler
+
 // hello opens a stream.
 type hello struct {
 	Role         Role         `msg:"r"`
 	Announcement Announcement `msg:"a"`
 	// Have is the revision the subscriber holds, 0 for none.
 	Have table.Revision `msg:"h"`
+	// Digest is that of the table held.
+	Digest uint64 `msg:"d"`
 }
 
 // welcome answers a hello.
 type welcome struct {
 	Control string `msg:"n"`
-	beat
+	Beat    beat   `msg:"b"`
 }
 
 // beat says that its sender is alive, and where it stands.
@@ -57,6 +67,21 @@
 	refusedProtocol
 )
 
+// String returns the reason as counters name it.
+func (r refusalReason) String() string {
+	switch r {
+	case refusedBusy:
+		return "busy"
+	case refusedIdentity:
+		return "identity"
+	case refusedLeaving:
+		return "leaving"
+	case refusedProtocol:
+		return "protocol"
+	}
+	return "unknown"
+}
+
 // refusal ends a stream.
 type refusal struct {
 	Reason refusalReason `msg:"r"`
--- a/internal/spread/messages_gen.go
+++ b/internal/spread/messages_gen.go
@@ -174,6 +174,12 @@
 				err = msgp.WrapError(err, "Have")
 				return
 			}
+		case "d":
+			z.Digest, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -187,9 +193,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *hello) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+	// map header, size 4
 	// write "r"
-	err = en.Append(0x83, 0xa1, 0x72)
+	err = en.Append(0x84, 0xa1, 0x72)
 	if err != nil {
 		return
 	}
@@ -218,15 +224,25 @@
 		err = msgp.WrapError(err, "Have")
 		return
 	}
+	// write "d"
+	err = en.Append(0xa1, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Digest)
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *hello) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "r"
-	o = append(o, 0x83, 0xa1, 0x72)
+	o = append(o, 0x84, 0xa1, 0x72)
 	o, err = z.Role.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Role")
@@ -246,6 +262,9 @@
 		err = msgp.WrapError(err, "Have")
 		return
 	}
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendUint64(o, z.Digest)
 	return
 }
 
@@ -285,6 +304,12 @@
 				err = msgp.WrapError(err, "Have")
 				return
 			}
+		case "d":
+			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -299,7 +324,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *hello) Msgsize() (s int) {
-	s = 1 + 2 + z.Role.Msgsize() + 2 + z.Announcement.Msgsize() + 2 + z.Have.Msgsize()
+	s = 1 + 2 + z.Role.Msgsize() + 2 + z.Announcement.Msgsize() + 2 + z.Have.Msgsize() + 2 + msgp.Uint64Size
 	return
 }
 
@@ -833,37 +858,37 @@
 				err = msgp.WrapError(err, "Control")
 				return
 			}
-		case "beat":
+		case "b":
 			var zb0002 uint32
 			zb0002, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "beat")
+				err = msgp.WrapError(err, "Beat")
 				return
 			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "beat")
+					err = msgp.WrapError(err, "Beat")
 					return
 				}
 				switch msgp.UnsafeString(field) {
 				case "r":
-					err = z.beat.Revision.DecodeMsg(dc)
+					err = z.Beat.Revision.DecodeMsg(dc)
 					if err != nil {
-						err = msgp.WrapError(err, "beat", "Revision")
+						err = msgp.WrapError(err, "Beat", "Revision")
 						return
 					}
 				case "c":
-					z.beat.ContactAgeMS, err = dc.ReadInt64()
+					z.Beat.ContactAgeMS, err = dc.ReadInt64()
 					if err != nil {
-						err = msgp.WrapError(err, "beat", "ContactAgeMS")
+						err = msgp.WrapError(err, "Beat", "ContactAgeMS")
 						return
 					}
 				default:
 					err = dc.Skip()
 					if err != nil {
-						err = msgp.WrapError(err, "beat")
+						err = msgp.WrapError(err, "Beat")
 						return
 					}
 				}
@@ -892,8 +917,8 @@
 		err = msgp.WrapError(err, "Control")
 		return
 	}
-	// write "beat"
-	err = en.Append(0xa4, 0x62, 0x65, 0x61, 0x74)
+	// write "b"
+	err = en.Append(0xa1, 0x62)
 	if err != nil {
 		return
 	}
@@ -903,9 +928,9 @@
 	if err != nil {
 		return
 	}
-	err = z.beat.Revision.EncodeMsg(en)
+	err = z.Beat.Revision.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "beat", "Revision")
+		err = msgp.WrapError(err, "Beat", "Revision")
 		return
 	}
 	// write "c"
@@ -913,9 +938,9 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteInt64(z.beat.ContactAgeMS)
+	err = en.WriteInt64(z.Beat.ContactAgeMS)
 	if err != nil {
-		err = msgp.WrapError(err, "beat", "ContactAgeMS")
+		err = msgp.WrapError(err, "Beat", "ContactAgeMS")
 		return
 	}
 	return
@@ -928,19 +953,19 @@
 	// string "n"
 	o = append(o, 0x82, 0xa1, 0x6e)
 	o = msgp.AppendString(o, z.Control)
-	// string "beat"
-	o = append(o, 0xa4, 0x62, 0x65, 0x61, 0x74)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	// map header, size 2
 	// string "r"
 	o = append(o, 0x82, 0xa1, 0x72)
-	o, err = z.beat.Revision.MarshalMsg(o)
+	o, err = z.Beat.Revision.MarshalMsg(o)
 	if err != nil {
-		err = msgp.WrapError(err, "beat", "Revision")
+		err = msgp.WrapError(err, "Beat", "Revision")
 		return
 	}
 	// string "c"
 	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendInt64(o, z.beat.ContactAgeMS)
+	o = msgp.AppendInt64(o, z.Beat.ContactAgeMS)
 	return
 }
 
@@ -968,37 +993,37 @@
 				err = msgp.WrapError(err, "Control")
 				return
 			}
-		case "beat":
+		case "b":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "beat")
+				err = msgp.WrapError(err, "Beat")
 				return
 			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "beat")
+					err = msgp.WrapError(err, "Beat")
 					return
 				}
 				switch msgp.UnsafeString(field) {
 				case "r":
-					bts, err = z.beat.Revision.UnmarshalMsg(bts)
+					bts, err = z.Beat.Revision.UnmarshalMsg(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "beat", "Revision")
+						err = msgp.WrapError(err, "Beat", "Revision")
 						return
 					}
 				case "c":
-					z.beat.ContactAgeMS, bts, err = msgp.ReadInt64Bytes(bts)
+					z.Beat.ContactAgeMS, bts, err = msgp.ReadInt64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "beat", "ContactAgeMS")
+						err = msgp.WrapError(err, "Beat", "ContactAgeMS")
 						return
 					}
 				default:
 					bts, err = msgp.Skip(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "beat")
+						err = msgp.WrapError(err, "Beat")
 						return
 					}
 				}
@@ -1017,6 +1042,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *welcome) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Control) + 5 + 1 + 2 + z.beat.Revision.Msgsize() + 2 + msgp.Int64Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Control) + 2 + 1 + 2 + z.Beat.Revision.Msgsize() + 2 + msgp.Int64Size
 	return
 }
--- /dev/null
+++ b/internal/spread/server_metrics.go
@@ -0,0 +1,40 @@
+package spread
+
+import (
+	"expvar"
+
+	"bergamotstall/internal/metrics"
+)
+
+// serverCounters count what a server does.
+type serverCounters struct {
+	set *metrics.Set
+
+	accepted, snapshots, deltas, resyncs *expvar.Int
+	bytesOut, announced, announceErrors  *expvar.Int
+	held, silent, silentErrors           *expvar.Int
+}
+
+func newServerCounters(m *metrics.Set) serverCounters {
+	return serverCounters{
+		set:            m,
+		accepted:       m.Counter("spread_accepted"),
+		snapshots:      m.Counter("spread_snapshots"),
+		deltas:         m.Counter("spread_deltas"),
+		resyncs:        m.Counter("spread_resyncs"),
+		bytesOut:       m.Counter("spread_bytes_out"),
+		announced:      m.Counter("spread_announced"),
+		announceErrors: m.Counter("spread_announce_errors"),
+		held:           m.Counter("spread_announce_held"),
+		silent:         m.Counter("spread_reported_silent"),
+		silentErrors:   m.Counter("spread_report_errors"),
+	}
+}
+
+func (c serverCounters) refused(r refusalReason) {
+	c.set.Counter("spread_refused_" + r.String()).Add(1)
+}
+
+func (c serverCounters) ended(err error) {
+	c.set.Counter("spread_ended_" + endReason(err)).Add(1)
+}
