--- a/internal/spread/client.go
+++ b/internal/spread/client.go
@@ -41,6 +41,7 @@
 	// ErrNoControls is returned for a client without control VMs.
 	ErrNoControls = errors.New("spread: no control VMs given")
 
+	errTLS      = errors.New("spread: TLS with a control VM failed")
 	errStale    = errors.New("spread: control VM is out of touch with a quorum")
 	errBehind   = errors.New("spread: control VM is behind the revision held")
 	errRefused  = errors.New("spread: control VM refused the stream")
--- a/internal/spread/client_metrics.go
+++ b/internal/spread/client_metrics.go
@@ -45,7 +45,11 @@
 
 func endReason(err error) string {
 	var timeout net.Error
+	var op *net.OpError
 	switch {
+	// A peer that refuses our certificate says so after our handshake is done.
+	case errors.Is(err, errTLS), errors.As(err, &op) && op.Op == "remote error":
+		return "tls"
 	case errors.Is(err, errStale):
 		return "stale"
 	case errors.Is(err, errBehind):
--- a/internal/spread/client_stream.go
+++ b/internal/spread/client_stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"time"
 
@@ -10,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bergamotstall/internal/events"
+	"bergamotstall/internal/keys"
 	"bergamotstall/internal/table"
 	"bergamotstall/internal/wire"
 )
@@ -65,26 +65,17 @@
 	if c.cfg.TLS == nil {
 		return raw, nil
 	}
-	conn := tls.Client(raw, tlsFor(c.cfg.TLS, address))
-	if err := conn.HandshakeContext(ctx); err != nil {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
 		_ = raw.Close()
-		return nil, errors.Wrap(err, "spread: TLS")
+		return nil, errors.Wrap(err, "spread: address")
 	}
-	return conn, nil
-}
-
-// tlsFor names the VM that the certificate must be for.
-func tlsFor(cfg *tls.Config, address string) *tls.Config {
-	if cfg.ServerName != "" {
-		return cfg
-	}
-	host, _, err := net.SplitHostPort(address)
+	conn, err := keys.Client(ctx, raw, c.cfg.TLS, host)
 	if err != nil {
-		return cfg
+		_ = raw.Close()
+		return nil, errors.Wrap(errTLS, err.Error())
 	}
-	cfg = cfg.Clone()
-	cfg.ServerName = host
-	return cfg
+	return conn, nil
 }
 
 func (s *clientStream) send(kind wire.Kind, m encodable) error {
--- a/internal/spread/server_stream.go
+++ b/internal/spread/server_stream.go
@@ -139,7 +139,7 @@
 	if s.cfg.TLS != nil {
 		secured := tls.Server(raw, s.cfg.TLS)
 		if err := secured.HandshakeContext(ctx); err != nil {
-			return nil, errors.Wrap(err, "spread: TLS")
+			return nil, errors.Wrap(errTLS, err.Error())
 		}
 		raw = secured
 	}
