Distribution: failure tests

Cause: what distribution does when VMs, paths and peers fail had no proof. Change: tests with loopback streams, a relay that can go silent, generated tables; subscribers keep away from a stopping VM for one second, not five, so that a single VM's restart is over within nine.

--- /dev/null
+++ b/internal/spread/failure_test.go
@@ -0,0 +1,300 @@
+package spread
+
+import (
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bergamotstall/internal/keys"
+	"bergamotstall/internal/liveness"
+	"bergamotstall/internal/metrics"
+	"bergamotstall/internal/table"
+)
+
+// A balancer is stopped while operators make four hundred changes, some to
+// targets that are gone by then. It starts with its last table in use, and one
+// merged delta later it has the newest; no whole table travels.
+func TestAwayForHundredsOfRevisions(t *testing.T) {
+	is := is.New(t)
+	control := newFakeControl(largeTable(5, 600))
+	server := serveControl(t, control, nil)
+	keep := func(c *ClientConfig) { c.StateFile = filepath.Join(c.StateFile, t.TempDir(), "table") }
+	var path string
+	first := follow1(t, "balancer-0", func(c *ClientConfig) { keep(c); path = c.StateFile }, server.address)
+	eventually(t, "first table", func() bool { return first.latest().Revision == 5 })
+	first.stop()
+
+	for i := range 400 {
+		next := withWeight(control.Table(), i%100, uint32(i))
+		if i%10 == 0 {
+			next.Targets = next.Targets[:len(next.Targets)-1]
+		}
+		control.set(next)
+	}
+	eventually(t, "server follows", func() bool { r, _ := server.publisher.state(); return r == 405 })
+	again := follow1(t, "balancer-0", func(c *ClientConfig) { c.StateFile = path; c.Announcement.Incarnation = 2 }, server.address)
+	eventually(t, "newest table", func() bool { return again.latest().Revision == 405 })
+	is.Equal(again.tables()[0].Revision, table.Revision(5)) // the kept table came first
+	is.Equal(digest(again.latest()), digest(control.Table()))
+	is.Equal(again.metrics.Value("control_snapshots"), int64(0))
+	is.Equal(again.metrics.Value("control_deltas"), int64(1))
+}
+
+// A control VM is cut off from the quorum but still serves. The operator sees
+// the subscriber leave it for a VM in touch, and a change made there arrives.
+func TestStaleVMIsLeft(t *testing.T) {
+	is := is.New(t)
+	cutOff, inTouch := newFakeControl(smallTable(5)), newFakeControl(smallTable(5))
+	a, b := serveControl(t, cutOff, nil), serveControl(t, inTouch, nil)
+	f := follow1(t, "balancer-0", nil, a.address, b.address)
+	eventually(t, "attached", func() bool { return f.Status().Control != "" && f.latest().Revision == 5 })
+	if f.Status().Control == b.address {
+		a, b, cutOff, inTouch = b, a, inTouch, cutOff
+	}
+	cutOff.setContact(time.Now().Add(-time.Minute))
+	inTouch.set(withWeight(inTouch.Table(), 0, 7))
+	eventually(t, "change from the VM in touch", func() bool { return f.latest().Revision == 6 })
+	is.Equal(f.Status().Control, b.address)
+	is.True(f.metrics.Value("control_ended_stale") >= 1)
+	eventually(t, "fresh word", func() bool { return f.Status().WithoutControlSince.IsZero() })
+}
+
+// The whole cluster has lost its quorum. The data path keeps its table, status
+// and metrics say since when, and the subscriber stays with a VM; when a quorum
+// is back, so is control's word.
+func TestNoQuorumAnywhere(t *testing.T) {
+	is := is.New(t)
+	control := newFakeControl(smallTable(5))
+	a, b := serveControl(t, control, nil), serveControl(t, control, nil)
+	f := follow1(t, "balancer-0", nil, a.address, b.address)
+	eventually(t, "fresh word", func() bool { return f.Status().WithoutControlSince.IsZero() })
+	control.setContact(time.Now().Add(-time.Minute))
+	eventually(t, "told", func() bool { return !f.Status().WithoutControlSince.IsZero() })
+	is.True(f.metrics.Value("control_without_since_unix_ms") > 0)
+	is.Equal(f.latest().Revision, table.Revision(5))
+	eventually(t, "settled", func() bool { return f.Status().Control != "" })
+	control.setContact(time.Time{})
+	eventually(t, "back", func() bool { return f.Status().WithoutControlSince.IsZero() })
+}
+
+// A balancer meets a control VM that is behind what it holds: first after its
+// own VM died, then after a restart, when only its file remembers. It never goes
+// back to an older table, and takes the VM's word again once that has caught up.
+func TestRevisionNeverFalls(t *testing.T) {
+	is := is.New(t)
+	ahead, behind := newFakeControl(smallTable(50)), newFakeControl(smallTable(40))
+	a, b := serveControl(t, ahead, nil), serveControl(t, behind, nil)
+	path := filepath.Join(t.TempDir(), "table")
+	keep := func(c *ClientConfig) { c.StateFile = path }
+	f := follow1(t, "balancer-0", keep, a.address)
+	eventually(t, "table 50", func() bool { return f.latest().Revision == 50 })
+	f.stop()
+
+	again := follow1(t, "balancer-0", keep, b.address)
+	eventually(t, "attached to the VM behind", func() bool { return again.Status().Control == b.address })
+	behind.set(smallTable(41))
+	eventually(t, "left for being behind, or tried again", func() bool { return again.metrics.Value("control_bytes_in") > 200 })
+	is.Equal(again.latest().Revision, table.Revision(50))
+	behind.set(withWeight(smallTable(60), 0, 9))
+	eventually(t, "table 61", func() bool { return again.latest().Revision == 61 })
+	is.Equal(again.falls(), 0)
+	is.Equal(digest(again.latest()), digest(behind.Table()))
+}
+
+// The state file is of another cluster whose table happened to have the same
+// revision. Control notices by the digest and sends the whole table.
+func TestForeignStateFileIsReplaced(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "table")
+	foreign := smallTable(5)
+	foreign.Targets = foreign.Targets[:4]
+	is.NoErr(saveState(path, view{role: RoleBalancer}, foreign))
+	control := newFakeControl(smallTable(5))
+	server := serveControl(t, control, nil)
+	f := follow1(t, "balancer-0", func(c *ClientConfig) { c.StateFile = path }, server.address)
+	eventually(t, "control's table", func() bool { return digest(f.latest()) == digest(control.Table()) })
+	is.Equal(server.metrics.Value("spread_resyncs"), int64(1))
+}
+
+// Control is stopped altogether and comes back after a change. Meanwhile the
+// table stays in use and status says since when; afterwards the change arrives.
+func TestControlGoneAndBack(t *testing.T) {
+	is := is.New(t)
+	control := newFakeControl(smallTable(5))
+	server := serveControl(t, control, nil)
+	f := follow1(t, "balancer-0", func(c *ClientConfig) { c.StaleBound = 300 * time.Millisecond }, server.address)
+	eventually(t, "first table", func() bool { return f.latest().Revision == 5 && f.Status().WithoutControlSince.IsZero() })
+	server.Close()
+	eventually(t, "told", func() bool { return !f.Status().WithoutControlSince.IsZero() })
+	is.Equal(f.latest().Revision, table.Revision(5))
+	is.Equal(len(control.silenced()), 0) // a VM that stops reports nobody
+
+	control.set(withWeight(control.Table(), 0, 7))
+	serveAt(t, server.address, control, nil)
+	eventually(t, "change", func() bool { return f.latest().Revision == 6 })
+	eventually(t, "fresh word", func() bool { return f.Status().WithoutControlSince.IsZero() })
+}
+
+// A path goes silent without a FIN. Neither end is told by its kernel; both see
+// the missed heartbeats. The subscriber moves to the other VM, and the first
+// VM's late report finds its attachment outdated: nobody is taken out.
+func TestHalfOpenPathIsLeftByBothEnds(t *testing.T) {
+	is := is.New(t)
+	control := newFakeControl(smallTable(5))
+	a := serveControl(t, control, func(c *ServerConfig) { c.Name = "control-a" })
+	b := serveControl(t, control, func(c *ServerConfig) { c.Name = "control-b" })
+	toA, toB := newRelay(t, a.address), newRelay(t, b.address)
+	f := follow1(t, "agent-1", asAgent("cartoons"), toA.address, toB.address)
+	eventually(t, "attached and announced", func() bool { return f.AgentNumber() != 0 })
+	first, path := a, toA
+	if f.Status().Control == toB.address {
+		first, path = b, toB
+	}
+	path.frozen.Store(true)
+	eventually(t, "moved", func() bool {
+		s := f.Status().Control
+		return s != "" && s != path.address
+	})
+	eventually(t, "server let go", func() bool { return len(first.Subscribers()) == 0 })
+	eventually(t, "report made", func() bool { return first.metrics.Value("spread_reported_silent") == 1 })
+	is.Equal(len(control.silenced()), 0)
+	is.True(f.metrics.Value("control_ended_silent") >= 1)
+}
+
+// An agent's process dies for good. It is reported silent once, by number,
+// incarnation and attachment; and taken back when it returns.
+func TestDeadAgentIsReportedAndComesBack(t *testing.T) {
+	is := is.New(t)
+	control := newFakeControl(smallTable(5))
+	server := serveControl(t, control, nil)
+	f := follow1(t, "agent-1", asAgent("cartoons"), server.address)
+	eventually(t, "a number", func() bool { return f.AgentNumber() != 0 })
+	n := f.AgentNumber()
+	f.stop()
+	eventually(t, "reported", func() bool { return len(control.silenced()) == 1 })
+	is.Equal(control.silenced()[0], Silence{Name: "agent-1", Agent: n, Incarnation: 1, Attachment: 1})
+
+	again := follow1(t, "agent-1", func(c *ClientConfig) { asAgent("cartoons")(c); c.Announcement.Incarnation = 2 }, server.address)
+	eventually(t, "another number", func() bool { return again.AgentNumber() != 0 })
+	is.True(again.AgentNumber() != n) // a new incarnation never gets an old number
+}
+
+// The replicated state takes no commands for a while: the agent gets its table
+// all the same, and its number as soon as the announcement can be committed.
+func TestAnnouncementsAreRepeated(t *testing.T) {
+	is := is.New(t)
+	control := newFakeControl(smallTable(5))
+	control.fail = true
+	server := serveControl(t, control, nil)
+	f := follow1(t, "agent-1", asAgent("cartoons"), server.address)
+	eventually(t, "table without a number", func() bool { return f.latest().Revision == 5 })
+	eventually(t, "failures", func() bool { return server.metrics.Value("spread_announce_errors") > 1 })
+	is.Equal(f.AgentNumber(), table.AgentNumber(0))
+	control.mu.Lock()
+	control.fail = false
+	control.mu.Unlock()
+	eventually(t, "a number", func() bool { return f.AgentNumber() != 0 })
+}
+
+// A balancer has stopped reading but its heartbeats still come. The others get
+// every change meanwhile, and the server queues nothing for it but one update.
+func TestSlowSubscriberHoldsNobodyUp(t *testing.T) {
+	is := is.New(t)
+	control := newFakeControl(largeTable(5, 300))
+	server := serveControl(t, control, func(c *ServerConfig) { c.BytesPerSecond, c.SnapshotBytesPerSecond = 1<<20, 1<<20 })
+	stuck := dialRaw(t, server.address, hello{Role: RoleBalancer, Announcement: Announcement{Name: "stuck", Incarnation: 1}})
+	stop := stuck.beatForever(t)
+	defer stop()
+	f := follow1(t, "balancer-0", nil, server.address)
+	for range 50 {
+		control.set(switched(control.Table(), "peak"))
+		want := control.Table().Revision
+		eventually(t, "change", func() bool { return f.latest().Revision == want })
+	}
+	for _, s := range server.Subscribers() {
+		if s.Name == "stuck" {
+			is.Equal(s.Revision, table.Revision(0)) // operators see who lags
+		}
+	}
+	is.Equal(len(server.Subscribers()), 2)
+	is.Equal(server.metrics.Value("spread_snapshots"), int64(2)) // the stuck one has one update, no queue of them
+}
+
+// All three hundred balancers lose their VM and hold no table. Whole tables go
+// out a few at a time, those over the line are told when to come again, and all
+// have the table in the end.
+func TestAllReconnectAtOnce(t *testing.T) {
+	is := is.New(t)
+	control := newFakeControl(largeTable(5, 1200))
+	server := serveControl(t, control, func(c *ServerConfig) {
+		c.Snapshots, c.Waiting = 4, 16
+		c.SnapshotBytesPerSecond = 4 << 20
+		c.Liveness = liveness.DefaultConfig()
+	})
+	// All places are taken until the line is full, so that the verdict doesn't
+	// hang on how fast three hundred arrive.
+	for range 4 {
+		server.line.places <- struct{}{}
+	}
+	var all []*follower
+	for i := range 300 {
+		all = append(all, follow1(t, "balancer-"+string(rune('a'+i%26))+string(rune('a'+i/26)), func(c *ClientConfig) { c.Seed = uint64(i + 1) }, server.address))
+	}
+	eventually(t, "line full", func() bool { return server.metrics.Value("spread_refused_busy") > 0 })
+	for range 4 {
+		server.line.done()
+	}
+	most := 0
+	eventually(t, "everyone has the table", func() bool {
+		most = max(most, server.line.active())
+		for _, f := range all {
+			if f.latest().Revision != 5 {
+				return false
+			}
+		}
+		return true
+	})
+	is.True(most <= 4)
+	is.True(server.metrics.Value("spread_snapshots") >= 300)
+	eventually(t, "empty line", func() bool { return server.line.active() == 0 && server.line.waiting() == 0 })
+}
+
+// A process with an agent's certificate says it is a balancer, or another agent.
+// It is refused and counted, and control hears no announcement from it; the
+// agent that the certificate is for is served.
+func TestPeerIsHeldToItsCertificate(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	is.NoErr(keys.Init(folder))
+	load := func(role keys.Role, name string) *keys.Store {
+		files, err := keys.Issue(folder, role, name, loopback)
+		is.NoErr(err)
+		s, err := keys.Load(files, quiet(), metrics.New())
+		is.NoErr(err)
+		return s
+	}
+	control := newFakeControl(smallTable(5))
+	server := serveControl(t, control, func(c *ServerConfig) {
+		c.TLS = load(keys.Control, "control-1").Server(keys.Agent, keys.Balancer)
+	})
+	mine := load(keys.Agent, "agent-1").Client(keys.Control)
+	honest := follow1(t, "agent-1", func(c *ClientConfig) { asAgent("cartoons")(c); c.TLS = mine }, server.address)
+	eventually(t, "served", func() bool { return honest.AgentNumber() != 0 && honest.latest().Revision == 5 })
+
+	other := follow1(t, "agent-2", func(c *ClientConfig) { asAgent("cartoons")(c); c.TLS = mine }, server.address)
+	balancer := follow1(t, "balancer-0", func(c *ClientConfig) { c.TLS = mine }, server.address)
+	eventually(t, "both refused", func() bool {
+		return other.metrics.Value("control_refused_identity") > 0 && balancer.metrics.Value("control_refused_identity") > 0
+	})
+	operator := follow1(t, "agent-3", func(c *ClientConfig) {
+		asAgent("cartoons")(c)
+		c.TLS = load(keys.Operator, "rosa").Client(keys.Control)
+	}, server.address)
+	eventually(t, "wrong role refused", func() bool { return operator.metrics.Value("control_ended_tls") > 0 })
+	is.Equal(control.announced("agent-2").Name, "")
+	is.Equal(control.announced("agent-3").Name, "")
+	is.Equal(control.announced("balancer-0").Name, "")
+	is.Equal(len(balancer.tables()), 0)
+}
--- a/internal/spread/fakes_test.go
+++ b/internal/spread/fakes_test.go
@@ -4,10 +4,11 @@
 	"context"
 	"fmt"
 	"io"
-
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 
 	"bergamotstall/internal/metrics"
 	"bergamotstall/internal/table"
+	"bergamotstall/internal/wire"
 )
 
 // fakeControl is a control VM's state: Source and Registrar in one.
@@ -179,6 +181,11 @@
 }
 
 func serveControl(t testing.TB, control *fakeControl, change func(*ServerConfig)) *running {
+	t.Helper()
+	return serveAt(t, "127.0.0.1:0", control, change)
+}
+
+func serveAt(t testing.TB, address string, control *fakeControl, change func(*ServerConfig)) *running {
 	t.Helper()
 	m := metrics.New()
 	cfg := ServerConfig{Name: "control-1", Source: control, Registrar: control, Beat: testBeat, Log: quiet(), Metrics: m}
@@ -186,7 +193,7 @@
 		change(&cfg)
 	}
 	s := NewServer(cfg)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -275,3 +282,142 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// relay is a TCP path that can go silent without a FIN, as when a VM loses power
+// or a device between the ends forgets its connections.
+type relay struct {
+	address string
+	frozen  atomic.Bool
+}
+
+func newRelay(t testing.TB, target string) *relay {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	r := &relay{address: ln.Addr().String()}
+	go func() {
+		for {
+			near, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = near.Close()
+				continue
+			}
+			t.Cleanup(func() { _ = near.Close(); _ = far.Close() })
+			go r.copy(near, far)
+			go r.copy(far, near)
+		}
+	}()
+	return r
+}
+
+// copy swallows what comes while the relay is frozen, FINs included.
+func (r *relay) copy(from, to net.Conn) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if r.frozen.Load() {
+			if err != nil {
+				return
+			}
+			continue
+		}
+		if n > 0 {
+			_, _ = to.Write(buf[:n])
+		}
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+	}
+}
+
+// largeTable has the given number of hosts over a few data centres.
+func largeTable(revision table.Revision, hosts int) *table.Table {
+	r := rand.New(rand.NewPCG(1, uint64(hosts)))
+	t := &table.Table{Revision: revision, Preset: "ordinary", Keys: smallTable(1).Keys}
+	for i := range max(1, hosts*2100/12000) {
+		t.Services = append(t.Services, table.Service{
+			ID: table.ServiceID(i + 1), Name: fmt.Sprintf("service-%d", i), Address: fmt.Sprintf("10.200.%d.%d:443", i/250, i%250+1),
+			FlowLimit: 2000, QueueLimit: 64, RetryPercent: 10, KeyWindowMS: 86_400_000,
+		})
+	}
+	const now = 1_796_000_000_000
+	var agent table.AgentNumber
+	for i := range hosts {
+		agent += table.AgentNumber(1 + r.IntN(8))
+		centre := r.IntN(17)
+		ip := fmt.Sprintf("10.%d.%d.%d", centre, r.IntN(4), 1+r.IntN(250))
+		t.Targets = append(t.Targets, table.Target{
+			Agent: agent, Service: table.ServiceID(1 + i%len(t.Services)), Host: fmt.Sprintf("host-%05d", r.IntN(2*hosts)),
+			DataCentre: fmt.Sprintf("region-%d-dc-%02d", centre/4, centre), Tunnel: ip + ":7001", Peer: ip + ":7002",
+			Slots: []int{4, 7}[r.IntN(2)], Connections: 2000, Weight: 100, PreviousWeight: 100, State: table.Active,
+			ChangedAtMS: now - r.Int64N(5*86_400_000), JoinedAtMS: now - r.Int64N(30*86_400_000),
+		})
+	}
+	for i := range hosts / 10 {
+		centre := r.IntN(17)
+		t.Balancers = append(t.Balancers, table.Balancer{
+			Name: fmt.Sprintf("balancer-%04d", i), DataCentre: fmt.Sprintf("region-%d-dc-%02d", centre/4, centre),
+			Tunnel: fmt.Sprintf("10.%d.%d.%d:7000", centre, 200+r.IntN(4), 1+r.IntN(250)),
+		})
+	}
+	return t
+}
+
+// switched returns the next revision, in which a switch of preset has given
+// every target one of a few weights.
+func switched(t *table.Table, preset string) *table.Table {
+	next := *t
+	next.Revision++
+	next.Preset = preset
+	next.Targets = slices.Clone(t.Targets)
+	for i := range next.Targets {
+		x := &next.Targets[i]
+		x.PreviousWeight, x.Weight = x.Weight, x.Weight%300+uint32(10*(1+i%7))
+		x.ChangedAtMS = 1_796_000_000_000 + int64(next.Revision)
+	}
+	return &next
+}
+
+var loopback = net.IPv4(127, 0, 0, 1)
+
+// rawPeer speaks the protocol by hand.
+type rawPeer struct{ *wire.Conn }
+
+func dialRaw(t testing.TB, address string, opening hello) rawPeer {
+	t.Helper()
+	raw, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = raw.Close() })
+	p := rawPeer{wire.NewConn(raw, frameLimit, 0)}
+	if _, err := p.Write(kindHello, &opening); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// beatForever sends heartbeats and reads nothing.
+func (p rawPeer) beatForever(t testing.TB) (stop func()) {
+	t.Helper()
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(testBeat):
+				_, _ = p.Write(kindBeat, &beat{})
+			}
+		}
+	}()
+	return func() { close(done) }
+}
--- /dev/null
+++ b/internal/spread/history_test.go
@@ -0,0 +1,204 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"bergamotstall/internal/table"
+)
+
+// mutate draws the next revision: a few elements come, go or change.
+func mutate(rt *rapid.T, t *table.Table, nextAgent *table.AgentNumber) *table.Table {
+	next := &table.Table{Revision: t.Revision + table.Revision(rapid.IntRange(1, 3).Draw(rt, "step")), Preset: t.Preset, Keys: t.Keys}
+	for _, x := range t.Targets {
+		switch rapid.IntRange(0, 9).Draw(rt, "target") {
+		case 0: // gone
+		case 1, 2:
+			x.PreviousWeight, x.Weight = x.Weight, uint32(rapid.IntRange(0, 200).Draw(rt, "weight"))
+			next.Targets = append(next.Targets, x)
+		case 3:
+			x.Peer = fmt.Sprintf("10.0.0.%d:9", rapid.IntRange(1, 9).Draw(rt, "peer"))
+			next.Targets = append(next.Targets, x)
+		default:
+			next.Targets = append(next.Targets, x)
+		}
+	}
+	for range rapid.IntRange(0, 2).Draw(rt, "joins") {
+		*nextAgent++
+		next.Targets = append(next.Targets, table.Target{
+			Agent: *nextAgent, Service: table.ServiceID(rapid.IntRange(1, 3).Draw(rt, "service")),
+			Host: fmt.Sprint("h", *nextAgent), Tunnel: "10.0.0.1:7", Peer: "10.0.0.1:8", State: table.Active,
+		})
+	}
+	for i := range 4 {
+		if rapid.Bool().Draw(rt, "has service") {
+			next.Services = append(next.Services, table.Service{ID: table.ServiceID(i + 1), Name: fmt.Sprint("s", i+1), QueueLimit: rapid.IntRange(0, 2).Draw(rt, "queue")})
+		}
+		if rapid.Bool().Draw(rt, "has balancer") {
+			next.Balancers = append(next.Balancers, table.Balancer{Name: fmt.Sprint("b", i), Tunnel: fmt.Sprint(rapid.IntRange(0, 2).Draw(rt, "port"))})
+		}
+	}
+	if rapid.IntRange(0, 4).Draw(rt, "preset") == 0 {
+		next.Preset = rapid.SampledFrom([]string{"ordinary", "peak"}).Draw(rt, "name")
+	}
+	if rapid.IntRange(0, 4).Draw(rt, "keys") == 0 {
+		next.Keys = []table.KeySet{{Generation: uint8(rapid.IntRange(1, 3).Draw(rt, "generation")), Reset: []byte{1}}}
+	}
+	return next
+}
+
+// only returns the part of a table that a view is for, computed the plain way.
+func only(t *table.Table, v view) *table.Table {
+	if v.role == RoleBalancer {
+		return t
+	}
+	out := &table.Table{Revision: t.Revision, Preset: t.Preset, Keys: t.Keys, Balancers: t.Balancers}
+	s, ok := t.ServiceNamed(v.service)
+	if !ok {
+		// A service may lose its entry while targets of it stand.
+		return out
+	}
+	out.Services = []table.Service{s}
+	out.Targets = t.TargetsOf(s.ID)
+	return out
+}
+
+// A subscriber that was away for any number of revisions, with any mix of
+// changes between, holds control's table after one delta; where a delta can't do
+// it, the digest says so and it gets the whole table. It never holds a mixture.
+func TestAnyDeltaEndsAtControlsTable(t *testing.T) {
+	views := []view{{role: RoleBalancer}, {role: RoleAgent, service: "s1"}, {role: RoleAgent, service: "s4"}}
+	rapid.Check(t, func(rt *rapid.T) {
+		h := newHistory()
+		next := table.AgentNumber(0)
+		newest := mutate(rt, &table.Table{Preset: "ordinary"}, &next)
+		h.advance(newest)
+		held := make([]*table.Table, len(views))
+		for range rapid.IntRange(1, 12).Draw(rt, "revisions") {
+			newest = mutate(rt, newest, &next)
+			h.advance(newest)
+			i := rapid.IntRange(0, len(views)-1).Draw(rt, "who")
+			if held[i] == nil {
+				held[i] = &table.Table{}
+			}
+			held[i] = catchUp(rt, h, views[i], held[i])
+			if digest(held[i]) != digest(only(newest, views[i])) || held[i].Revision != newest.Revision {
+				rt.Fatalf("view %v differs from control's table", views[i])
+			}
+		}
+	})
+}
+
+// catchUp brings a table to the newest revision the way the stream does.
+func catchUp(rt *rapid.T, h *history, v view, held *table.Table) *table.Table {
+	next, err := applyUpdate(held, overTheWire(rt, h.since(v, held.Revision)))
+	if errors.Is(err, errDigest) && held.Revision != 0 {
+		next, err = applyUpdate(held, overTheWire(rt, h.since(v, 0)))
+	}
+	if err != nil {
+		rt.Fatalf("view %v: %v", v, err)
+	}
+	return next
+}
+
+func overTheWire(rt *rapid.T, u *update) *update {
+	data, deflated, err := encodeUpdate(u)
+	if err != nil {
+		rt.Fatal(err)
+	}
+	out, err := decodeUpdate(u.From, u.To, data, deflated)
+	if err != nil {
+		rt.Fatal(err)
+	}
+	return out
+}
+
+// A balancer's deltas never need a second try: only a view whose service loses
+// its entry does.
+func TestBalancersDeltasAlwaysFit(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		h := newHistory()
+		next := table.AgentNumber(0)
+		newest := mutate(rt, &table.Table{}, &next)
+		h.advance(newest)
+		held, err := applyUpdate(&table.Table{}, h.since(view{role: RoleBalancer}, 0))
+		if err != nil {
+			rt.Fatal(err)
+		}
+		for range 10 {
+			newest = mutate(rt, newest, &next)
+			h.advance(newest)
+			u := h.since(view{role: RoleBalancer}, held.Revision)
+			if u.From == 0 {
+				rt.Fatal("history should reach")
+			}
+			if held, err = applyUpdate(held, u); err != nil {
+				rt.Fatal(err)
+			}
+		}
+	})
+}
+
+// More removals than are remembered: whoever holds a revision from before gets
+// the whole table instead of a delta that would keep removed targets alive.
+func TestForgottenRemovalsForceAWholeTable(t *testing.T) {
+	is := is.New(t)
+	h := newHistory()
+	full := &table.Table{Revision: 1}
+	for i := range tombstoneLimit + 10 {
+		full.Targets = append(full.Targets, table.Target{Agent: table.AgentNumber(i + 1), Service: 1})
+	}
+	h.advance(full)
+	half := &table.Table{Revision: 2, Targets: full.Targets[20:]}
+	h.advance(half)
+	is.Equal(h.since(view{role: RoleBalancer}, 1).From, table.Revision(1))
+	h.advance(&table.Table{Revision: 3})
+	is.Equal(h.since(view{role: RoleBalancer}, 1).From, table.Revision(0))
+	is.Equal(len(h.goneTargets), tombstoneLimit)
+}
+
+// Control's own state machine is wrong, or restarted from an old copy: a table
+// that isn't newer is never handed out.
+func TestHistoryNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	h := newHistory()
+	is.True(h.advance(smallTable(5)))
+	is.True(!h.advance(smallTable(4)))
+	is.True(!h.advance(smallTable(5)))
+	is.Equal(h.revision, table.Revision(5))
+}
+
+// A peer sends an update that lies about its sizes: it is refused, and takes
+// neither memory nor the process with it.
+func TestForgedUpdatesAreRefused(t *testing.T) {
+	is := is.New(t)
+	h := newHistory()
+	h.advance(smallTable(5))
+	u := h.since(view{role: RoleBalancer}, 0)
+	good, deflated, err := encodeUpdate(u)
+	is.NoErr(err)
+	is.True(deflated)
+	for cut := range len(good) {
+		_, err := decodeUpdate(0, 5, good[:cut], true)
+		is.True(err != nil)
+	}
+	c := sharesOf(u.Targets)
+	c.Count = 1 << 40
+	_, err = c.targets()
+	is.True(errors.Is(err, errBody))
+
+	bomb, err := deflate(make([]byte, bodyLimit+1))
+	is.NoErr(err)
+	_, err = decodeUpdate(0, 5, bomb, true)
+	is.True(errors.Is(err, errBody))
+
+	var a assembly
+	_, _, err = a.add(&part{From: 1, To: 2, Total: bodyLimit + 1})
+	is.True(errors.Is(err, errProtocol))
+	_, _, err = a.add(&part{From: 1, To: 2, Total: 3, Data: make([]byte, 4)})
+	is.True(errors.Is(err, errProtocol))
+}
--- a/internal/spread/server_stream.go
+++ b/internal/spread/server_stream.go
@@ -23,6 +23,11 @@
 // closeTimeout is how long Close lets a stream say good-bye.
 const closeTimeout = time.Second
 
+// leavingFor is how long subscribers keep away from a VM that stops: about the
+// time of its restart. Where it is the only one, changes must reach them within
+// nine seconds of its return.
+const leavingFor = time.Second
+
 // subscriber is one stream at the server.
 type subscriber struct {
 	server *Server
@@ -172,7 +177,11 @@
 
 // refuse tells the peer why its stream ends, and when to come again.
 func (s *Server) refuse(conn *wire.Conn, reason refusalReason) error {
-	return s.refuseFor(conn, reason, retryCap)
+	after := retryCap
+	if reason == refusedLeaving {
+		after = leavingFor
+	}
+	return s.refuseFor(conn, reason, after)
 }
 
 func (s *Server) refuseFor(conn *wire.Conn, reason refusalReason, after time.Duration) error {
--- a/internal/spread/server_write.go
+++ b/internal/spread/server_write.go
@@ -182,8 +182,8 @@
 		w.queue(e, w.changes)
 		return nil
 	}
-	sub.server.count.snapshots.Add(1)
 	if e.size <= smallSnapshot {
+		sub.server.count.snapshots.Add(1)
 		w.queue(e, w.tables)
 		return nil
 	}
@@ -207,6 +207,7 @@
 // loses its place in the end, or a few such could hold all places.
 func (w *writer) admitted(now time.Time) {
 	w.sub.server.line.left()
+	w.sub.server.count.snapshots.Add(1)
 	w.inLine, w.hasPlace = false, true
 	w.giveUp = now.Add(4*w.tableTime(w.snapshot) + writeTimeout)
 	w.queue(w.snapshot, w.tables)
