--- a/internal/spread/body.go
+++ b/internal/spread/body.go
@@ -248,9 +248,9 @@
 	return s
 }
 
-// encodeUpdate returns the update's bytes, compressed where that is shorter.
-func encodeUpdate(u *update) (data []byte, deflated bool, err error) {
-	b := body{
+// bodyOf returns the update as it travels.
+func bodyOf(u *update) *body {
+	b := &body{
 		Digest: u.Digest, Preset: u.Preset, Services: u.Services, Balancers: u.Balancers,
 		Keys: u.Keys, Rekeyed: u.Rekeyed,
 		GoneServices: u.GoneServices, GoneTargets: u.GoneTargets, GoneBalancers: u.GoneBalancers,
@@ -263,7 +263,12 @@
 		c := sharesOf(u.Shifts)
 		b.Shifts = &c
 	}
-	raw, err := b.MarshalMsg(nil)
+	return b
+}
+
+// encodeUpdate returns the update's bytes, compressed where that is shorter.
+func encodeUpdate(u *update) (data []byte, deflated bool, err error) {
+	raw, err := bodyOf(u).MarshalMsg(nil)
 	if err != nil {
 		return nil, false, errors.Wrap(err, "spread: encode update")
 	}
--- a/internal/spread/fakes_test.go
+++ b/internal/spread/fakes_test.go
@@ -211,6 +211,8 @@
 
 	mu      sync.Mutex
 	applied []*table.Table
+	// onApply, where set, takes tables instead of applied.
+	onApply func(*table.Table)
 }
 
 func (f *follower) tables() []*table.Table {
@@ -252,6 +254,10 @@
 	f.Client = NewClient(cfg, func(tb *table.Table) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
+		if f.onApply != nil {
+			f.onApply(tb)
+			return
+		}
 		f.applied = append(f.applied, tb)
 	})
 	ctx, cancel := context.WithCancel(context.Background())
