--- /dev/null
+++ b/internal/admit/admit_test.go
@@ -0,0 +1,145 @@
+package admit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const ms = time.Millisecond
+
+func offer(q *Queue, now time.Duration, t Ticket, caller string) Verdict {
+	return q.Offer(now, Request{Ticket: t, Caller: caller})
+}
+
+// A burst of twice the slots: the first ones run at once, the rest wait and run
+// in the order of their coming; nobody is refused.
+func TestBurstWaitsInOrder(t *testing.T) {
+	is := is.New(t)
+	q := New(Config{Slots: 4, Queue: 8})
+	for i := Ticket(1); i <= 8; i++ {
+		want := Enter
+		if i > 4 {
+			want = Wait
+		}
+		is.Equal(offer(q, 0, i, fmt.Sprint("c", i)).Answer, want)
+	}
+	for i := Ticket(1); i <= 4; i++ {
+		is.Equal(q.Leave(10*ms, i).Start, []Ticket{i + 4})
+	}
+	is.Equal(q.InFlight(), 4)
+}
+
+// One caller has filled the slots and the whole queue. Others come later with
+// one request each: each of them gets a place, and the next free slots.
+func TestHeavyCallerCantStarveOthers(t *testing.T) {
+	is := is.New(t)
+	q := New(Config{Slots: 2, Queue: 10})
+	for i := Ticket(1); i <= 12; i++ {
+		is.True(offer(q, 0, i, "heavy").Answer != TurnAway) // alone it may use all
+	}
+	v := offer(q, ms, 20, "light-a")
+	is.Equal(v, Verdict{Answer: Wait, Displaced: 12}) // the heavy caller's newest goes
+	is.Equal(offer(q, ms, 21, "light-b").Answer, Wait)
+	is.Equal(offer(q, ms, 22, "heavy"), Verdict{Answer: TurnAway, Reason: QueueFull})
+
+	is.Equal(q.Leave(2*ms, 1).Start, []Ticket{20})
+	is.Equal(q.Leave(2*ms, 2).Start, []Ticket{3}) // the heavy one holds none now
+	is.Equal(q.Leave(3*ms, 20).Start, []Ticket{21})
+}
+
+// Caller "long" holds its slots for ever, "short" for a moment. A freed slot
+// goes to who holds fewer, so the short work passes although it came later.
+func TestLongWorkLeavesRoomForShort(t *testing.T) {
+	is := is.New(t)
+	q := New(Config{Slots: 3, Queue: 10})
+	for i := Ticket(1); i <= 6; i++ {
+		offer(q, 0, i, "long")
+	}
+	offer(q, ms, 10, "short")
+	offer(q, ms, 11, "short")
+	is.Equal(q.Leave(2*ms, 1).Start, []Ticket{10})
+	is.Equal(q.Leave(3*ms, 10).Start, []Ticket{11})
+	is.Equal(q.Leave(4*ms, 11).Start, []Ticket{4})
+}
+
+// At three times the capacity for two seconds, callers with a second of
+// patience: with the switch of order the host's answers go to callers that
+// still wait; the old ones are dropped without running.
+func TestSustainedOverloadServesFreshRequests(t *testing.T) {
+	is := is.New(t)
+	q := New(Config{Slots: 1, Queue: 1000, Patience: 100 * ms})
+	next := Ticket(1)
+	var running Ticket
+	var started, dropped int
+	offered := map[Ticket]time.Duration{}
+	var age time.Duration
+	for now := time.Duration(0); now < 2*time.Second; now += 10 * ms {
+		r := Request{Ticket: next, Caller: fmt.Sprint(next), Deadline: now + time.Second}
+		offered[next] = now
+		next++
+		if q.Offer(now, r).Answer == Enter {
+			running = r.Ticket
+		}
+		if now%(30*ms) != 0 || running == 0 {
+			continue
+		}
+		change := q.Leave(now, running)
+		running = 0
+		dropped += len(change.Drop)
+		for _, s := range change.Start {
+			running = s
+			started++
+			age = max(age, now-offered[s])
+		}
+	}
+	is.True(started > 50)
+	is.True(age <= 300*ms) // nobody who was served had waited long
+}
+
+func TestDeadlineInTheQueue(t *testing.T) {
+	is := is.New(t)
+	q := New(Config{Slots: 1, Queue: 10})
+	offer(q, 0, 1, "a")
+	q.Leave(100*ms, 1) // the host has seen that work takes 100 ms
+	offer(q, 100*ms, 2, "a")
+
+	late := q.Offer(100*ms, Request{Ticket: 3, Caller: "b", Deadline: 150 * ms})
+	is.Equal(late, Verdict{Answer: TurnAway, Reason: TooLate}) // told at once
+	is.Equal(q.Offer(100*ms, Request{Ticket: 4, Caller: "b", Deadline: 250 * ms}).Answer, Wait)
+	is.Equal(offer(q, 100*ms, 5, "c").Answer, Wait)
+
+	change := q.Leave(300*ms, 2) // the work took longer than usual
+	is.Equal(change, Change{Start: []Ticket{5}, Drop: []Ticket{4}})
+	is.Equal(q.Offer(300*ms, Request{Ticket: 6, Deadline: 300 * ms}).Reason, TooLate)
+}
+
+// A feed gives its slot back at the first byte and stays a connection; the
+// connection limit holds over running, waiting and streaming requests.
+func TestStreamsHoldConnectionsNotSlots(t *testing.T) {
+	is := is.New(t)
+	q := New(Config{Slots: 1, Queue: 10, Connections: 3})
+	is.Equal(offer(q, 0, 1, "a").Answer, Enter)
+	is.Equal(offer(q, 0, 2, "b").Answer, Wait)
+	is.Equal(q.Stream(ms, 1).Start, []Ticket{2})
+	is.Equal(offer(q, ms, 3, "c").Answer, Wait)
+	is.Equal(offer(q, ms, 4, "d"), Verdict{Answer: TurnAway, Reason: Connections})
+	q.Leave(2*ms, 1)
+	is.Equal(offer(q, 2*ms, 5, "d").Answer, Wait)
+	q.Leave(2*ms, 5)
+	q.Leave(2*ms, 3)
+	q.Leave(2*ms, 2)
+	is.Equal(q.InFlight(), 0)
+	is.Equal(len(q.callers), 0) // memory follows the load
+}
+
+func TestMoreSlotsStartWaitingRequests(t *testing.T) {
+	is := is.New(t)
+	q := New(Config{Slots: 1, Queue: 10})
+	offer(q, 0, 1, "a")
+	offer(q, 0, 2, "b")
+	is.Equal(q.Configure(ms, Config{Slots: 2, Queue: 10}).Start, []Ticket{2})
+	is.Equal(q.Free(), 0)
+}
