Data path: connection IDs, envelope, steering, flow endpoint, balancer, fabric stand-in

Cause: any packet of a flow may reach any balancer, and tables reach balancers and agents unevenly. Change: connid, envelope, steer, flow, standin/fabric, balancer (forwarder).

--- /dev/null
+++ b/balancer/workers.go
@@ -0,0 +1,170 @@
+package balancer
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/net/ipv4"
+
+	"bergamotstall/internal/envelope"
+	"bergamotstall/internal/steer"
+	"bergamotstall/internal/table"
+)
+
+// inBatch is the memory that a worker reads into.
+type inBatch struct {
+	messages []ipv4.Message
+}
+
+func newInBatch() *inBatch {
+	b := &inBatch{messages: make([]ipv4.Message, batchSize)}
+	for i := range b.messages {
+		b.messages[i].Buffers = [][]byte{make([]byte, bufferSize)}
+	}
+	return b
+}
+
+// read waits for packets, and returns false once the socket is closed.
+func (b *inBatch) read(s *socket) ([]ipv4.Message, bool) {
+	for {
+		n, err := s.batch.ReadBatch(b.messages, 0)
+		if err == nil {
+			return b.messages[:n], true
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return nil, false
+		}
+		// The kernel reports unreachable receivers of earlier packets here; they
+		// say nothing about this socket.
+	}
+}
+
+// forward moves callers' packets to agents, for one of a service's sockets.
+func (f *Forwarder) forward(x *front, in, out *socket) {
+	w := &forwardWorker{forwarder: f, front: x, batch: newOutBatch()}
+	buffers := newInBatch()
+	for {
+		messages, ok := buffers.read(in)
+		if !ok {
+			return
+		}
+		v := f.view.Load()
+		service, ok := v.steering.ServiceByID(x.id)
+		if !ok {
+			continue
+		}
+		for i := range messages {
+			w.one(v, service, &messages[i])
+		}
+		f.counts.sendFailed.Add(int64(w.batch.flush(out)))
+		w.tally.flush(f.counts)
+	}
+}
+
+// forwardWorker is the memory of one forward worker.
+type forwardWorker struct {
+	forwarder *Forwarder
+	front     *front
+	router    steer.Router
+	header    envelope.Header
+	batch     *outBatch
+	tally     tally
+}
+
+func (w *forwardWorker) one(v *view, service *steer.Service, m *ipv4.Message) {
+	caller := unmap(m.Addr.(*net.UDPAddr).AddrPort())
+	out, agent, outcome := w.wrap(v.steering, service, caller, m.Buffers[0][:m.N])
+	w.tally.outcomes[outcome]++
+	if outcome.Dropped() {
+		return
+	}
+	w.tally.bytes += int64(m.N)
+	w.batch.add(out, agent.Tunnel)
+}
+
+// wrap steers a packet and puts it into an envelope.
+func (w *forwardWorker) wrap(m *steer.Map, service *steer.Service, caller netip.AddrPort, packet []byte) ([]byte, *steer.Agent, steer.Outcome) {
+	if len(packet) > envelope.MaxPayload {
+		return nil, nil, steer.DropOversize
+	}
+	agent, outcome := w.router.Route(m, service, caller, packet)
+	if outcome.Dropped() {
+		return nil, nil, outcome
+	}
+	w.header = envelope.Header{
+		Kind:       envelope.Forward,
+		Generation: m.Generation,
+		Service:    service.ID,
+		Agent:      agent.Number,
+		Caller:     caller,
+		Revision:   m.Revision,
+	}
+	out, err := m.Envelopes.Append(w.batch.next(), &w.header, packet)
+	if err != nil {
+		return nil, nil, steer.DropMalformed
+	}
+	return out, agent, outcome
+}
+
+// backward moves agents' answers to callers, for one of the tunnel's sockets.
+func (f *Forwarder) backward(index int, in *socket) {
+	w := &backwardWorker{forwarder: f, index: index, batch: newOutBatch()}
+	buffers := newInBatch()
+	for {
+		messages, ok := buffers.read(in)
+		if !ok {
+			return
+		}
+		if v := f.view.Load(); v != nil {
+			w.all(v, messages)
+		}
+		w.tally.flush(f.counts)
+	}
+}
+
+// backwardWorker is the memory of one backward worker.
+type backwardWorker struct {
+	forwarder *Forwarder
+	index     int
+	header    envelope.Header
+	batch     *outBatch
+	// service is whose answers the batch holds.
+	service table.ServiceID
+	tally   tally
+}
+
+func (w *backwardWorker) all(v *view, messages []ipv4.Message) {
+	for i := range messages {
+		datagram := messages[i].Buffers[0][:messages[i].N]
+		packet, err := v.steering.Envelopes.Open(datagram, &w.header)
+		if err != nil || w.header.Kind != envelope.Return {
+			w.tally.refused(err)
+			continue
+		}
+		if w.header.Service != w.service {
+			w.send(v)
+			w.service = w.header.Service
+		}
+		w.tally.returned++
+		w.tally.returnedBytes += int64(len(packet))
+		w.batch.add(append(w.batch.next(), packet...), w.header.Caller)
+	}
+	w.send(v)
+}
+
+// send writes the batch from the service's own address, as callers take packets
+// from no other.
+func (w *backwardWorker) send(v *view) {
+	if w.batch.count == 0 {
+		return
+	}
+	x := v.fronts[w.service]
+	if x == nil {
+		w.tally.noService += int64(w.batch.count)
+		w.batch.count = 0
+		return
+	}
+	failed := w.batch.flush(x.sockets[w.index%len(x.sockets)])
+	w.tally.sendFailed += int64(failed)
+}
--- /dev/null
+++ b/internal/flow/counts.go
@@ -0,0 +1,79 @@
+package flow
+
+import (
+	"expvar"
+
+	"github.com/go-faster/errors"
+
+	"bergamotstall/internal/envelope"
+	"bergamotstall/internal/metrics"
+)
+
+// counts are the endpoint's counters, one for each reason.
+type counts struct {
+	malformed, forged, unknownKey          *expvar.Int
+	wrongKind, wrongService, wrongAgent    *expvar.Int
+	noEnd, tooManyPaths, queueFull, noPath *expvar.Int
+	oversize, sendFailed, handOverLost     *expvar.Int
+	pathReplaced, tableRefused             *expvar.Int
+	opened, refused                        *expvar.Int
+
+	delivered, handedOver, reset, refuse, dropped [reasons]*expvar.Int
+}
+
+func newCounts(s *metrics.Set) *counts {
+	c := &counts{
+		malformed:    s.Counter("flow_envelope_malformed"),
+		forged:       s.Counter("flow_envelope_forged"),
+		unknownKey:   s.Counter("flow_envelope_unknown_key"),
+		wrongKind:    s.Counter("flow_envelope_wrong_kind"),
+		wrongService: s.Counter("flow_envelope_wrong_service"),
+		wrongAgent:   s.Counter("flow_envelope_other_agent"),
+		noEnd:        s.Counter("flow_drop_no_key_generation"),
+		tooManyPaths: s.Counter("flow_drop_too_many_paths"),
+		queueFull:    s.Counter("flow_drop_queue_full"),
+		noPath:       s.Counter("flow_answer_drop_no_path"),
+		oversize:     s.Counter("flow_answer_drop_oversize"),
+		sendFailed:   s.Counter("flow_send_failed"),
+		handOverLost: s.Counter("flow_hand_over_lost"),
+		pathReplaced: s.Counter("flow_path_replaced"),
+		tableRefused: s.Counter("flow_table_refused"),
+		opened:       s.Counter("flow_opened"),
+		refused:      s.Counter("flow_refused"),
+	}
+	for r := range reasons {
+		c.delivered[r] = s.Counter("flow_deliver_" + r.String())
+		c.handedOver[r] = s.Counter("flow_hand_over_" + r.String())
+		c.reset[r] = s.Counter("flow_reset_" + r.String())
+		c.refuse[r] = s.Counter("flow_refuse_" + r.String())
+		c.dropped[r] = s.Counter("flow_drop_" + r.String())
+	}
+	return c
+}
+
+// refusal counts a datagram that is no valid envelope.
+func (c *counts) refusal(err error) {
+	switch {
+	case errors.Is(err, envelope.ErrForged):
+		c.forged.Add(1)
+	case errors.Is(err, envelope.ErrGeneration):
+		c.unknownKey.Add(1)
+	default:
+		c.malformed.Add(1)
+	}
+}
+
+func (c *counts) verdict(v Verdict) {
+	switch v.Action {
+	case Deliver:
+		c.delivered[v.Reason].Add(1)
+	case HandOver:
+		c.handedOver[v.Reason].Add(1)
+	case Reset:
+		c.reset[v.Reason].Add(1)
+	case Refuse:
+		c.refuse[v.Reason].Add(1)
+	case Drop:
+		c.dropped[v.Reason].Add(1)
+	}
+}
--- /dev/null
+++ b/internal/steer/chooser.go
@@ -0,0 +1,107 @@
+package steer
+
+import (
+	"math"
+
+	"bergamotstall/internal/table"
+)
+
+// Candidate is one target that may be chosen for new flows.
+type Candidate struct {
+	Agent table.AgentNumber
+	// Share is its part of the new flows, in any unit; 0 or less is none.
+	Share float64
+}
+
+// Chooser picks the target of a new flow by weighted rendezvous hashing: each
+// target draws an exponential variate from the hash of flow and target, divided
+// by its share, and the smallest wins. The order of all targets that the draws
+// give is what a refusal falls back along.
+type Chooser struct {
+	slots []chooserSlot
+}
+
+type chooserSlot struct {
+	agent   table.AgentNumber
+	seed    uint64
+	inverse float64
+}
+
+// NewChooser returns a chooser over the candidates with a share.
+func NewChooser(candidates []Candidate) *Chooser {
+	c := &Chooser{slots: make([]chooserSlot, 0, len(candidates))}
+	for _, x := range candidates {
+		if x.Share <= 0 {
+			continue
+		}
+		c.slots = append(c.slots, chooserSlot{
+			agent:   x.Agent,
+			seed:    mix(uint64(x.Agent) * goldenGamma),
+			inverse: 1 / x.Share,
+		})
+	}
+	return c
+}
+
+// Len returns the number of targets with a share.
+func (c *Chooser) Len() int { return len(c.slots) }
+
+// Choose returns the first choice for a flow, and false where no target has a
+// share.
+func (c *Chooser) Choose(flow uint64) (table.AgentNumber, bool) {
+	return c.ChooseExcept(flow, 0)
+}
+
+// ChooseExcept returns the first choice other than the given agent.
+func (c *Chooser) ChooseExcept(flow uint64, except table.AgentNumber) (table.AgentNumber, bool) {
+	best, lowest := table.AgentNumber(0), math.Inf(1)
+	for i := range c.slots {
+		s := &c.slots[i]
+		if s.agent == except {
+			continue
+		}
+		if d := s.draw(flow); d < lowest {
+			best, lowest = s.agent, d
+		}
+	}
+	return best, best != 0
+}
+
+// After returns the choice that follows the given agent in the flow's order,
+// and false after the last. An agent without a share comes before all others.
+func (c *Chooser) After(flow uint64, agent table.AgentNumber) (table.AgentNumber, bool) {
+	floor := math.Inf(-1)
+	for i := range c.slots {
+		if c.slots[i].agent == agent {
+			floor = c.slots[i].draw(flow)
+		}
+	}
+	best, lowest := table.AgentNumber(0), math.Inf(1)
+	for i := range c.slots {
+		s := &c.slots[i]
+		d := s.draw(flow)
+		if d > floor && d < lowest {
+			best, lowest = s.agent, d
+		}
+	}
+	return best, best != 0
+}
+
+// draw returns the slot's exponential variate for a flow, scaled by its share.
+func (s *chooserSlot) draw(flow uint64) float64 {
+	h := mix(flow ^ s.seed)
+	// 53 bits, shifted off zero so that the logarithm is finite.
+	u := (float64(h>>11) + 0.5) * (1.0 / (1 << 53))
+	return -math.Log(u) * s.inverse
+}
+
+const goldenGamma = 0x9e3779b97f4a7c15
+
+// mix is the finalizer of SplitMix64. The flow is keyed by siphash before, so
+// that this needs to spread, not to resist.
+func mix(x uint64) uint64 {
+	x += goldenGamma
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/steer/header.go
@@ -0,0 +1,76 @@
+package steer
+
+import "bergamotstall/internal/connid"
+
+// Shape is what QUIC promises never to change about a packet (RFC 8999): the
+// form bit, the version, and the destination connection ID.
+type Shape struct {
+	// Long is set for packets that open a flow or finish its handshake.
+	Long    bool
+	Version uint32
+	// Destination is the connection ID that the packet is meant for. It is a
+	// part of the packet.
+	Destination []byte
+	// Opening is set for first flights, Initial and 0-RTT, in versions 1 and 2;
+	// of other versions it is set for every long header, as the agent answers
+	// them with version negotiation.
+	Opening bool
+}
+
+const (
+	formBit       = 0x80
+	longHeaderMin = 7
+	version1      = 0x00000001
+	version2      = 0x6b3343cf
+	typeShift     = 4
+	typeMask      = 0x03
+)
+
+// ReadShape reads the invariant part of a packet, and returns false for one
+// that has none.
+func ReadShape(packet []byte, shape *Shape) bool {
+	if len(packet) == 0 {
+		return false
+	}
+	if packet[0]&formBit == 0 {
+		return readShort(packet, shape)
+	}
+	return readLong(packet, shape)
+}
+
+func readShort(packet []byte, shape *Shape) bool {
+	if len(packet) < 1+connid.Size {
+		return false
+	}
+	*shape = Shape{Destination: packet[1 : 1+connid.Size]}
+	return true
+}
+
+func readLong(packet []byte, shape *Shape) bool {
+	if len(packet) < longHeaderMin {
+		return false
+	}
+	length := int(packet[5])
+	if len(packet) < longHeaderMin-1+length {
+		return false
+	}
+	version := uint32(packet[1])<<24 | uint32(packet[2])<<16 | uint32(packet[3])<<8 | uint32(packet[4])
+	*shape = Shape{
+		Long:        true,
+		Version:     version,
+		Destination: packet[6 : 6+length],
+		Opening:     opening(version, packet[0]>>typeShift&typeMask),
+	}
+	return true
+}
+
+// opening judges the packet type. Version 2 shifts the types by one.
+func opening(version uint32, kind byte) bool {
+	switch version {
+	case version1:
+		return kind <= 1
+	case version2:
+		return kind == 1 || kind == 2
+	}
+	return true
+}
