--- /dev/null
+++ b/internal/flow/rig_test.go
@@ -0,0 +1,280 @@
+package flow_test
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"github.com/sirupsen/logrus"
+
+	"bergamotstall/balancer"
+	"bergamotstall/internal/flow"
+	"bergamotstall/internal/keys"
+	"bergamotstall/internal/metrics"
+	"bergamotstall/internal/standin/fabric"
+	"bergamotstall/internal/table"
+)
+
+const (
+	deskID    table.ServiceID = 1
+	archiveID table.ServiceID = 2
+	desk                      = "commission-desk"
+	archive                   = "cartoon-archive"
+	// patience is how long a test waits for what must happen. No verdict depends
+	// on its being short.
+	patience = 30 * time.Second
+)
+
+var rigCount atomic.Int32
+
+// rig is a fabric, balancers and agents on loopback addresses of their own. The
+// test is its control: it changes the table and applies it to whom it likes.
+type rig struct {
+	*testing.T
+	is        *is.I
+	network   string
+	fabric    *fabric.Fabric
+	table     table.Table
+	balancers map[string]*rigBalancer
+	agents    map[table.AgentNumber]*rigAgent
+	cert      tls.Certificate
+	pool      *x509.CertPool
+	hosts     int
+}
+
+type rigBalancer struct {
+	*balancer.Forwarder
+	ip      netip.Addr
+	metrics *metrics.Set
+}
+
+type rigAgent struct {
+	*flow.Endpoint
+	number  table.AgentNumber
+	metrics *metrics.Set
+	cancel  context.CancelFunc
+	done    chan error
+}
+
+func newRig(t *testing.T) *rig {
+	pid, n := os.Getpid(), rigCount.Add(1)
+	r := &rig{
+		T:         t,
+		is:        is.New(t),
+		network:   fmt.Sprintf("127.%d.%d.", 64+(pid+int(n)>>8)%128, (pid+int(n))%256),
+		fabric:    fabric.New(1),
+		balancers: make(map[string]*rigBalancer),
+		agents:    make(map[table.AgentNumber]*rigAgent),
+	}
+	var err error
+	r.cert, r.pool, err = keys.SelfSigned(desk, archive)
+	r.is.NoErr(err)
+	r.table.Preset = "ordinary"
+	r.addKeys(1)
+	r.addService(deskID, desk)
+	t.Cleanup(r.fabric.Close)
+	return r
+}
+
+// ip returns an address of the rig's own.
+func (r *rig) ip() netip.Addr {
+	r.hosts++
+	return netip.MustParseAddr(r.network + strconv.Itoa(r.hosts))
+}
+
+func (r *rig) addKeys(generation uint8) {
+	set, err := keys.NewKeySet(generation, rand.Reader)
+	r.is.NoErr(err)
+	r.table.Keys = append(r.table.Keys, set)
+}
+
+func (r *rig) addService(id table.ServiceID, name string) {
+	address := netip.AddrPortFrom(r.ip(), 20000+uint16(id))
+	r.is.NoErr(r.fabric.Open(address))
+	r.table.Services = append(r.table.Services, table.Service{ID: id, Name: name, Address: address.String()})
+}
+
+func (r *rig) addBalancer(name string) *rigBalancer {
+	ip := r.ip()
+	set := metrics.New()
+	f, err := balancer.NewForwarder(balancer.ForwarderConfig{
+		Bind: ip, Tunnel: netip.AddrPortFrom(ip, 19000), Log: quiet(), Metrics: set,
+	})
+	r.is.NoErr(err)
+	b := &rigBalancer{Forwarder: f, ip: ip, metrics: set}
+	r.balancers[name] = b
+	r.table.Balancers = append(r.table.Balancers, table.Balancer{Name: name, Tunnel: f.Tunnel().String()})
+	r.fabric.AddBalancer(ip)
+	r.Cleanup(f.Close)
+	return b
+}
+
+// addAgent starts an agent, with the number given, on a tunnel address, or on
+// one of its own where that is empty.
+func (r *rig) addAgent(number table.AgentNumber, service string, tunnel string, handler http.Handler) *rigAgent {
+	if tunnel == "" {
+		tunnel = netip.AddrPortFrom(r.ip(), 19001).String()
+	}
+	set := metrics.New()
+	e, err := flow.New(flow.Config{
+		Service: service, Tunnel: tunnel, Handler: handler, Log: quiet(), Metrics: set,
+		TLS: &tls.Config{Certificates: []tls.Certificate{r.cert}},
+	})
+	r.is.NoErr(err)
+	a := &rigAgent{Endpoint: e, number: number, metrics: set, done: make(chan error, 1)}
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	go func() { a.done <- e.Run(ctx) }()
+	e.SetAgent(number)
+	r.agents[number] = a
+	owner, _ := r.table.ServiceNamed(service)
+	r.table.Targets = append(r.table.Targets, table.Target{
+		Agent: number, Service: owner.ID, Host: fmt.Sprintf("host-%d", number),
+		Tunnel: e.Tunnel().String(), Weight: 100, State: table.Active, Connections: 2000,
+	})
+	r.Cleanup(a.stop)
+	return a
+}
+
+// stop ends an agent at once, as if its process had died.
+func (a *rigAgent) stop() {
+	a.cancel()
+	if a.done != nil {
+		<-a.done
+		a.done = nil
+	}
+}
+
+func (r *rig) target(number table.AgentNumber) *table.Target {
+	for i := range r.table.Targets {
+		if r.table.Targets[i].Agent == number {
+			return &r.table.Targets[i]
+		}
+	}
+	r.Fatalf("no target %d", number)
+	return nil
+}
+
+// revise gives the table its next revision and returns a copy of it.
+func (r *rig) revise() *table.Table {
+	r.table.Revision++
+	data, err := r.table.MarshalMsg(nil)
+	r.is.NoErr(err)
+	out := new(table.Table)
+	_, err = out.UnmarshalMsg(data)
+	r.is.NoErr(err)
+	return out
+}
+
+// apply gives the table to everyone.
+func (r *rig) apply() {
+	t := r.revise()
+	r.applyAgents(t)
+	r.applyBalancers(t)
+}
+
+func (r *rig) applyAgents(t *table.Table) {
+	for _, a := range r.agents {
+		r.is.NoErr(a.Apply(t))
+	}
+}
+
+func (r *rig) applyBalancers(t *table.Table) {
+	for _, b := range r.balancers {
+		r.is.NoErr(b.Apply(t))
+	}
+}
+
+// killBalancer ends a balancer as if its process had died. The fabric goes on
+// handing it packets until it is told.
+func (r *rig) killBalancer(name string) *rigBalancer {
+	b := r.balancers[name]
+	b.Close()
+	delete(r.balancers, name)
+	for i, x := range r.table.Balancers {
+		if x.Name == name {
+			r.table.Balancers = append(r.table.Balancers[:i:i], r.table.Balancers[i+1:]...)
+			break
+		}
+	}
+	return b
+}
+
+// standard is a rig with three balancers and agents for the desk.
+func standard(t *testing.T, agents int, handler func(table.AgentNumber) http.Handler) *rig {
+	r := newRig(t)
+	for i := range 3 {
+		r.addBalancer(fmt.Sprintf("balancer-%d", i))
+	}
+	for i := range agents {
+		number := table.AgentNumber(i + 1)
+		r.addAgent(number, desk, "", handler(number))
+	}
+	r.apply()
+	return r
+}
+
+// caller is one HTTP/3 client with a flow of its own.
+type caller struct {
+	*http.Client
+	transport *http3.Transport
+	url       string
+}
+
+func (r *rig) caller(service string) *caller {
+	s, ok := r.table.ServiceNamed(service)
+	r.is.True(ok)
+	x := &http3.Transport{
+		TLSClientConfig: &tls.Config{RootCAs: r.pool, ServerName: service},
+		QUICConfig:      &quic.Config{MaxIdleTimeout: 20 * time.Second},
+	}
+	r.Cleanup(func() { _ = x.Close() })
+	return &caller{Client: &http.Client{Transport: x}, transport: x, url: "https://" + s.Address}
+}
+
+// get returns the answer's body and the agent that sent it.
+func (c *caller) get(path string) (body []byte, agent string, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url+path, nil)
+	if err != nil {
+		return nil, "", err
+	}
+	resp, err := c.Do(q)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	body, err = io.ReadAll(resp.Body)
+	return body, resp.Header.Get("Agent"), err
+}
+
+// eventually waits for what must come true.
+func (r *rig) eventually(what string, done func() bool) {
+	r.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	r.Fatalf("never came true: %s", what)
+}
+
+func quiet() logrus.FieldLogger {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return l
+}
--- a/internal/keys/selfsigned.go
+++ b/internal/keys/selfsigned.go
@@ -63,5 +63,8 @@
 func newSerial() (*big.Int, error) {
 	limit := new(big.Int).Lsh(big.NewInt(1), 127)
 	n, err := rand.Int(rand.Reader, limit)
-	return n, errors.Wrap(err, "keys: serial")
+	if err != nil {
+		return nil, errors.Wrap(err, "keys: serial")
+	}
+	return n, nil
 }
--- a/internal/steer/map.go
+++ b/internal/steer/map.go
@@ -101,8 +101,10 @@
 	if m.ConnIDs, err = connid.NewRing(t.Keys); err != nil {
 		return errors.Wrap(err, "steer: keys")
 	}
-	m.Envelopes, err = envelope.NewRing(t.Keys)
-	return errors.Wrap(err, "steer: keys")
+	if m.Envelopes, err = envelope.NewRing(t.Keys); err != nil {
+		return errors.Wrap(err, "steer: keys")
+	}
+	return nil
 }
 
 func (m *Map) setBalancers(t *table.Table) error {
