Failure tests of the data path: balancers replaced, agents drained, stopped, restarted, address reused

Cause: an agent restarted at its old address handed first packets to its own earlier incarnation until their hops were spent; callers waited 15 s for a new flow while the table named both. Change: a choice that shares this agent's tunnel counts as this agent; tests.

--- /dev/null
+++ b/internal/flow/agents_test.go
@@ -0,0 +1,159 @@
+package flow_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"bergamotstall/internal/table"
+)
+
+// flowAt opens flows until one is at the agent, and returns its caller.
+func (r *rig) flowAt(number table.AgentNumber) *caller {
+	r.Helper()
+	for range 64 {
+		c := r.caller(desk)
+		_, agent, err := c.get("/")
+		r.is.NoErr(err)
+		if agent == strconv.Itoa(int(number)) {
+			return c
+		}
+	}
+	r.Fatalf("no flow at agent %d", number)
+	return nil
+}
+
+// The caller's feed and download go on to their end when their target is drained
+// by the table; nothing new reaches that target, not even by balancers that
+// still have the table from before the drain.
+func TestDrainedTargetKeepsFeedAndDownload(t *testing.T) {
+	r := standard(t, 2, target)
+	feed := r.openFeed(r.flowAt(1))
+	running := r.startDownload(r.flowAt(1))
+	r.target(1).State = table.Draining
+	r.applyAgents(r.revise())
+	for range 20 {
+		_, agent, err := r.caller(desk).get("/")
+		r.is.NoErr(err)
+		r.is.Equal(agent, "2")
+	}
+	r.is.True(r.agents[1].metrics.Value("flow_hand_over_draining") > 0)
+	r.goesOn(feed)
+	r.whole(running)
+}
+
+// The caller's download is whole although its agent stops meanwhile: the agent
+// sends GOAWAY, hands new flows on, and ends once the last request has. A feed
+// that nobody closes would hold it; this one's caller leaves.
+func TestStopCutsNoRequest(t *testing.T) {
+	r := standard(t, 2, target)
+	feed := r.openFeed(r.flowAt(1))
+	idle := r.flowAt(1)
+	running := r.startDownload(r.flowAt(1))
+	stopped := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		stopped <- r.agents[1].Shutdown(ctx)
+	}()
+	r.whole(running)
+	r.goesOn(feed)
+	_, agent, err := idle.get("/")
+	r.is.NoErr(err)
+	r.is.Equal(agent, "2")
+	feed.close()
+	r.is.NoErr(<-stopped)
+	r.is.Equal(r.agents[1].Flows(), 0)
+}
+
+// A caller whose agent's process died and came back at the same address is told
+// at its next packet, by a stateless reset: the new incarnation doesn't have the
+// flow, and the cluster's key lets it say so. The table still names the old one.
+func TestRestartedAgentResetsOldFlows(t *testing.T) {
+	r := standard(t, 2, target)
+	c := r.flowAt(1)
+	tunnel := r.agents[1].Tunnel().String()
+	r.agents[1].stop()
+	delete(r.agents, 1)
+	r.addAgent(7, desk, tunnel, target(7))
+	r.applyAgents(r.revise())
+	r.isReset(c)
+	r.eventually("a new flow works", func() bool {
+		_, _, err := r.caller(desk).get("/")
+		return err == nil
+	})
+}
+
+// A caller whose agent died for good is told at its next packet once control has
+// retired the agent: any other agent of the service answers for it.
+func TestRetiredAgentsFlowsAreReset(t *testing.T) {
+	r := standard(t, 2, target)
+	c := r.flowAt(1)
+	r.agents[1].stop()
+	delete(r.agents, 1)
+	r.target(1).State = table.Retired
+	r.apply()
+	r.isReset(c)
+	r.is.True(r.agents[2].metrics.Value("flow_reset_gone_agent") > 0)
+}
+
+// isReset makes a request on an open flow, and fails unless the flow ends by a
+// stateless reset, which no time-out can be taken for.
+func (r *rig) isReset(c *caller) {
+	r.Helper()
+	_, _, err := c.get("/")
+	var reset *quic.StatelessResetError
+	if !errors.As(err, &reset) {
+		r.Fatalf("got %v, want a stateless reset", err)
+	}
+}
+
+// No request of the commission desk ever reaches the archive. The desk's agent
+// dies, an agent of the archive gets its address, and the balancers' tables
+// don't know: they send the desk's packets to the archive's agent, which refuses
+// and counts them.
+func TestReusedAddressRefusesOtherService(t *testing.T) {
+	r := standard(t, 2, target)
+	r.addService(archiveID, archive)
+	c := r.flowAt(1)
+	tunnel := r.agents[1].Tunnel().String()
+	r.agents[1].stop()
+	delete(r.agents, 1)
+	var served atomic.Int64
+	other := r.addAgent(8, archive, tunnel, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }))
+	r.applyAgents(r.revise())
+
+	go func() { _, _, _ = c.get("/") }()
+	r.eventually("packets are refused", func() bool {
+		return other.metrics.Value("flow_envelope_wrong_service") >= 3
+	})
+	r.is.Equal(served.Load(), int64(0))
+	r.is.Equal(other.Flows(), 0)
+}
+
+// Every caller gets its answer while one target is at its flow limit: the agent
+// hands new flows to the next in their order. Where all are full, callers are
+// refused at once rather than left to time out.
+func TestFullTargetHandsNewFlowsOn(t *testing.T) {
+	r := standard(t, 2, target)
+	r.table.Services[0].FlowLimit = 3
+	r.apply()
+	for range 6 {
+		_, _, err := r.caller(desk).get("/")
+		r.is.NoErr(err)
+	}
+	r.is.Equal(r.agents[1].Flows(), 3)
+	r.is.Equal(r.agents[2].Flows(), 3)
+	start := time.Now()
+	_, _, err := r.caller(desk).get("/")
+	var refused *quic.TransportError
+	r.is.True(errors.As(err, &refused))
+	r.is.Equal(refused.ErrorCode, quic.ConnectionRefused)
+	r.is.True(time.Since(start) < patience)
+}
--- a/internal/flow/deflect.go
+++ b/internal/flow/deflect.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"net/netip"
 	"time"
 
 	"bergamotstall/internal/connid"
@@ -43,7 +44,9 @@
 // Standing is what the agent is and knows when the packet arrives.
 type Standing struct {
 	Self table.AgentNumber
-	Map  *steer.Map
+	// Tunnel is where packets for this agent arrive.
+	Tunnel netip.AddrPort
+	Map    *steer.Map
 	// Service is the agent's own, as the table has it.
 	Service *steer.Service
 	// Draining is set while the agent takes no new flows.
@@ -183,11 +186,17 @@
 
 // sharesTunnel tells whether an older agent has this one's address.
 func (s *Standing) sharesTunnel(other *steer.Agent) bool {
-	if other.Number > s.Self {
-		return false
+	return other.Number < s.Self && other.Tunnel == s.Tunnel
+}
+
+// isSelf tells whether packets for an agent arrive here. A packet handed to an
+// earlier incarnation at this address would go round until its hops are spent.
+func (s *Standing) isSelf(number table.AgentNumber) bool {
+	if number == s.Self {
+		return true
 	}
-	self, ok := s.Map.Agent(s.Self)
-	return ok && self.Tunnel == other.Tunnel
+	other, ok := s.Map.Agent(number)
+	return ok && s.sharesTunnel(other)
 }
 
 // gone answers for a flow that nobody has. A long header can't be answered with
@@ -242,7 +251,7 @@
 // on is kept: that agent refused it for a reason of its own.
 func newerChoice(s *Standing, a *Arrival) Verdict {
 	choice, ok := s.Service.Chooser().Choose(a.Key)
-	if !ok || choice == s.Self {
+	if !ok || s.isSelf(choice) {
 		return Verdict{Action: Deliver, Reason: OpenedHere}
 	}
 	return Verdict{Action: HandOver, Reason: NewerChoice, Agent: choice}
@@ -260,6 +269,9 @@
 	if a.Hops > 0 {
 		next, ok = chooser.After(a.Key, s.Self)
 	}
+	for ok && s.isSelf(next) {
+		next, ok = chooser.After(a.Key, next)
+	}
 	if !ok {
 		return Verdict{Action: Refuse, Reason: NobodyElse}
 	}
--- a/internal/flow/download_test.go
+++ b/internal/flow/download_test.go
@@ -1,68 +1,114 @@
 package flow_test
 
 import (
-	"bytes"
-	"crypto/sha256"
 	"fmt"
-	"math/rand/v2"
-	"net/http"
-	"strconv"
-	"sync"
+	"net/netip"
 	"testing"
+	"time"
 
-	"github.com/matryer/is"
-
-	"bergamotstall/internal/table"
+	"bergamotstall/internal/standin/fabric"
 )
 
-// drawing returns content that no shift or mix-up leaves intact.
-func drawing(size int) []byte {
-	out := make([]byte, size)
-	r := rand.New(rand.NewPCG(7, uint64(size)))
-	for i := range out {
-		out[i] = byte(r.Uint32())
-	}
-	return out
-}
-
-// archiveHandler serves drawings of ?size= bytes under /drawing and its number.
-func archiveHandler(number table.AgentNumber) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Agent", strconv.Itoa(int(number)))
-		size, err := strconv.Atoi(r.URL.Query().Get("size"))
-		if err != nil {
-			_, _ = fmt.Fprintf(w, "agent %d", number)
-			return
-		}
-		_, _ = w.Write(drawing(size))
-	})
-}
-
 // A caller's download is whole although each of its packets crosses a balancer
 // picked at random, and every flow stays with the one agent it opened at.
 func TestDownloadsAreWholeWhenPacketsAreSprayed(t *testing.T) {
-	is := is.New(t)
-	r := standard(t, 2, archiveHandler)
-	const size = 3 << 20
-	want := sha256.Sum256(drawing(size))
-	var callers sync.WaitGroup
+	r := standard(t, 2, target)
 	for range 4 {
 		c := r.caller(desk)
-		callers.Go(func() {
-			body, first, err := c.get("/drawing?size=" + strconv.Itoa(size))
-			if err != nil || sha256.Sum256(body) != want {
-				t.Errorf("download of %d bytes: %v", len(body), err)
-			}
-			again, agent, err := c.get("/")
-			if err != nil || agent != first || !bytes.Equal(again, []byte("agent "+first)) {
-				t.Errorf("flow moved from agent %s to %s: %v", first, agent, err)
-			}
-		})
+		_, first, err := c.get("/")
+		r.is.NoErr(err)
+		r.whole(r.startDownload(c))
+		_, again, err := c.get("/")
+		r.is.NoErr(err)
+		r.is.Equal(first, again)
+	}
+	for _, b := range r.balancers {
+		r.is.True(b.metrics.Value("balancer_forward_named") > 100)
+		r.is.Equal(b.metrics.Value("balancer_forward_drop_foreign"), int64(0))
+	}
+}
+
+// The caller's downloads go on to their whole end. A balancer dies while they
+// run: packets on their way to it are lost, and agents that answered by it
+// switch to another; then one joins that has seen none of the flows.
+func TestDownloadSurvivesBalancerDeathAndJoin(t *testing.T) {
+	r := standard(t, 2, target)
+	var running []*download
+	for range 3 {
+		running = append(running, r.startDownload(r.caller(desk)))
 	}
-	callers.Wait()
-	for name, b := range r.balancers {
-		is.True(b.metrics.Value("balancer_forward_named") > 100)             // every balancer carried the flows
-		is.Equal(b.metrics.Value("balancer_forward_drop_foreign"), int64(0)) // name
-		_ = name
+	time.Sleep(200 * time.Millisecond)
+	dead := r.killBalancer("balancer-0")
+	time.Sleep(200 * time.Millisecond)
+	r.fabric.RemoveBalancer(dead.ip)
+	r.addBalancer("balancer-new")
+	r.apply()
+	for _, d := range running {
+		r.whole(d)
+	}
+	r.is.True(r.balancers["balancer-new"].metrics.Value("balancer_forward_named") > 0)
+}
+
+// The caller's feed shows every line, and its download is whole, while each
+// balancer in turn is replaced by a new one at another address. No balancer that
+// knew the flow's beginning is left at the end.
+func TestFeedSurvivesReplacementOfEveryBalancer(t *testing.T) {
+	r := standard(t, 2, target)
+	feed := r.openFeed(r.caller(desk))
+	running := r.startDownload(r.caller(desk))
+	for i := range 3 {
+		r.addBalancer(fmt.Sprintf("new-%d", i))
+		old := r.balancers[fmt.Sprintf("balancer-%d", i)]
+		r.fabric.RemoveBalancer(old.ip)
+		r.apply()
+		r.goesOn(feed)
+		r.killBalancer(fmt.Sprintf("balancer-%d", i))
+		r.apply()
+		r.goesOn(feed)
+	}
+	r.whole(running)
+}
+
+// The caller's feed and download go on where packets come late, twice and out
+// of order, and some not at all.
+func TestLateReorderedDuplicatedPackets(t *testing.T) {
+	r := standard(t, 2, target)
+	r.fabric.SetFaults(fabric.Faults{
+		Loss: 0.02, Duplicate: 0.1, Reorder: 0.1,
+		Hold: 15 * time.Millisecond, Delay: time.Millisecond,
+	})
+	feed := r.openFeed(r.caller(desk))
+	r.whole(r.startDownload(r.caller(desk)))
+	r.goesOn(feed)
+	r.is.True(r.fabric.Stats().Lost > 0)
+}
+
+// The caller's feed goes on while one of three balancers is cut off from the
+// fabric: a third of its packets vanish, both ways, until the partition heals.
+func TestFeedSurvivesPartitionedBalancer(t *testing.T) {
+	r := standard(t, 2, target)
+	feed := r.openFeed(r.caller(desk))
+	cut := r.balancers["balancer-1"].ip
+	r.fabric.Partition(cut)
+	r.goesOn(feed)
+	r.fabric.Heal(cut)
+	r.goesOn(feed)
+}
+
+// A caller whose flow goes silent for good in the middle, both ways, learns of
+// it within the idle timeout, as does the agent, which frees the flow's place;
+// meanwhile a new flow works.
+func TestSilentFlowIsNoticedAtBothEnds(t *testing.T) {
+	r := standard(t, 1, target)
+	feed := r.openFeed(r.caller(desk))
+	r.goesOn(feed)
+	var from netip.AddrPort
+	for _, from = range r.fabric.Callers() {
+		r.fabric.Silence(from)
 	}
+	r.is.Equal(r.agents[1].Flows(), 1)
+	_, _, err := r.caller(desk).get("/")
+	r.is.NoErr(err)
+	r.eventually("caller is told", func() bool { return feed.err.Load() != nil })
+	r.eventually("agent frees the flow", func() bool { return r.agents[1].Flows() == 1 })
 }
--- a/internal/flow/endpoint.go
+++ b/internal/flow/endpoint.go
@@ -35,10 +35,9 @@
 	// idleTimeout ends a flow that nothing was heard of. It bounds how long a
 	// flow that went silent can look alive at either end.
 	idleTimeout = 15 * time.Second
-	// keepAlive leaves three tries within the idle timeout, so that two lost
-	// packets in a row don't end an open feed. At 2,000 flows it costs an agent
-	// 400 packets a second.
-	keepAlive = 5 * time.Second
+	// keepAlives within an idle timeout: two lost in a row don't end an open
+	// feed. At 2,000 flows it costs an agent 400 packets a second.
+	keepAlives = 3
 	// handshakeIdle bounds a handshake of which nothing is heard.
 	handshakeIdle = 5 * time.Second
 	// packetSize is the smallest that QUIC allows. The envelope is added to it
@@ -63,6 +62,8 @@
 	TLS *tls.Config
 	// Connections bounds the open flows; 0 means 2,000.
 	Connections int
+	// IdleTimeout ends a flow of which nothing is heard; 0 means 15 s.
+	IdleTimeout time.Duration
 	Log         logrus.FieldLogger
 	Metrics     *metrics.Set
 }
@@ -138,6 +139,9 @@
 	if c.Connections == 0 {
 		c.Connections = defaultConnections
 	}
+	if c.IdleTimeout == 0 {
+		c.IdleTimeout = idleTimeout
+	}
 	address, err := net.ResolveUDPAddr("udp", c.Tunnel)
 	if err != nil {
 		return nil, errors.Wrapf(ErrTunnel, "%q: %v", c.Tunnel, err)
--- a/internal/flow/ends.go
+++ b/internal/flow/ends.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"crypto/tls"
 	"net"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/quic-go/quic-go"
@@ -80,7 +81,7 @@
 		TokenGeneratorKey:     &token,
 		ConnContext:           e.admit,
 	}
-	x.listener, err = x.transport.Listen(e.tlsConfig(), quicConfig())
+	x.listener, err = x.transport.Listen(e.tlsConfig(), quicConfig(e.config.IdleTimeout))
 	if err != nil {
 		return nil, errors.Wrapf(ErrTable, "generation %d: %v", k.Generation, err)
 	}
@@ -103,11 +104,11 @@
 	return http3.ConfigureTLSConfig(e.config.TLS)
 }
 
-func quicConfig() *quic.Config {
+func quicConfig(idle time.Duration) *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout: handshakeIdle,
-		MaxIdleTimeout:       idleTimeout,
-		KeepAlivePeriod:      keepAlive,
+		MaxIdleTimeout:       idle,
+		KeepAlivePeriod:      idle / keepAlives,
 		InitialPacketSize:    packetSize,
 		// The envelope hides the path's limit from QUIC's probes.
 		DisablePathMTUDiscovery: true,
--- a/internal/flow/receive.go
+++ b/internal/flow/receive.go
@@ -85,6 +85,7 @@
 	}
 	r.standing = Standing{
 		Self:       table.AgentNumber(e.self.Load()),
+		Tunnel:     e.tunnel,
 		Map:        v.steering,
 		Service:    v.service,
 		Draining:   e.draining(),
--- a/internal/flow/rig_test.go
+++ b/internal/flow/rig_test.go
@@ -35,6 +35,8 @@
 	archive                   = "cartoon-archive"
 	// patience is how long a test waits for what must happen. No verdict depends
 	// on its being short.
+	// idle is short, as a test waits for it; the balancers' silence is a second.
+	idle     = 3 * time.Second
 	patience = 30 * time.Second
 )
 
@@ -131,7 +133,8 @@
 	set := metrics.New()
 	e, err := flow.New(flow.Config{
 		Service: service, Tunnel: tunnel, Handler: handler, Log: quiet(), Metrics: set,
-		TLS: &tls.Config{Certificates: []tls.Certificate{r.cert}},
+		IdleTimeout: idle,
+		TLS:         &tls.Config{Certificates: []tls.Certificate{r.cert}},
 	})
 	r.is.NoErr(err)
 	a := &rigAgent{Endpoint: e, number: number, metrics: set, done: make(chan error, 1)}
