Control, thin: catalogue, operators' protocol, control role, both commands

Change: internal/catalogue (the replicated state machine: services, presets, targets with numbers never reused, drains, keys, outcomes by identity, audit record, table), internal/operator (wire protocol, server, client that asks each control VM in turn), control (settings, role), cmd/bergamotctl (operators' commands, exit codes 2 to 6), cmd/bergamotstall (table of roles, control). The log is one replica in memory until package replica is plugged in, and no subscriber is served until package spread's server is.

--- a/cmd/bergamotctl/main.go
+++ b/cmd/bergamotctl/main.go
@@ -1,4 +1,112 @@
 // Command bergamotctl is the operators' and callers' tool.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// Exit codes, for scripts. The text of -help has the same table.
+const (
+	exitOK          = 0
+	exitFailed      = 1
+	exitUsage       = 2
+	exitRefused     = 3
+	exitConflict    = 4
+	exitUnreachable = 5
+	exitLagging     = 6
+)
+
+const (
+	usageHeading = `bergamotctl drives bergamotstall.
+
+usage: bergamotctl COMMAND [arguments] [flags]
+
+commands:
+`
+	usageTail = `
+bergamotctl COMMAND -h explains a command's flags.
+
+exit codes:
+  0  done
+  1  failed in another way
+  2  bad usage, bad settings or a bad catalogue file; nothing was sent
+  3  refused: the state doesn't allow it, or a name is unknown
+  4  conflict: another change came first; the current version is printed
+  5  unreachable: no control VM with a quorum answered; a command may have been
+     accepted, and is safe to send again with its printed -command-id
+  6  accepted, but not yet in force on every balancer; those that lag are named
+`
+)
+
+// command is one subcommand.
+type command struct {
+	name string
+	// args shows the arguments in usage lines.
+	args string
+	help string
+	run  func(ctx context.Context, c *call) int
+}
+
+// call is one invocation of a command.
+type call struct {
+	command command
+	args    []string
+	out     io.Writer
+	errOut  io.Writer
+}
+
+// commands are the subcommands; each group is built in a file of its own.
+var commands = []command{
+	{"apply", "-f FILE", "replace all services and presets by the file's", runApply},
+	{"services", "", "list the services", runServices},
+	{"presets", "", "list the presets and the one in force", runPresets},
+	{"switch", "PRESET", "put another preset in force", runSwitch},
+	{"targets", "", "list the targets that announced themselves", runTargets},
+	{"drain", "HOST", "take a host out of new work", runDrain},
+	{"undrain", "HOST", "give a host new work again", runUndrain},
+	{"members", "list|add|remove|replace", "list or change the control VMs", runMembers},
+	{"keys", "rotate", "rotate the cluster keys", runKeys},
+	{"history", "", "show the audit record", runHistory},
+	{"status", "", "show control VMs, balancers and what is in force", runStatus},
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	code := dispatch(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// dispatch runs the named command and returns the exit code.
+func dispatch(ctx context.Context, args []string, out, errOut io.Writer) int {
+	if len(args) == 0 {
+		usage(errOut)
+		return exitUsage
+	}
+	for _, c := range commands {
+		if c.name == args[0] {
+			return c.run(ctx, &call{command: c, args: args[1:], out: out, errOut: errOut})
+		}
+	}
+	switch args[0] {
+	case "-h", "-help", "--help", "help":
+		usage(out)
+		return exitOK
+	}
+	fmt.Fprintf(errOut, "bergamotctl: no command %q\n\n", args[0])
+	usage(errOut)
+	return exitUsage
+}
+
+func usage(w io.Writer) {
+	fmt.Fprint(w, usageHeading)
+	for _, c := range commands {
+		fmt.Fprintf(w, "  %-9s %-24s %s\n", c.name, c.args, c.help)
+	}
+	fmt.Fprint(w, usageTail)
+}
--- /dev/null
+++ b/cmd/bergamotctl/options.go
@@ -0,0 +1,178 @@
+package main
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"flag"
+	"fmt"
+	"os"
+	"os/user"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotstall/internal/operator"
+	"bergamotstall/internal/settings"
+)
+
+// defaultTimeout bounds a command over all control addresses.
+const defaultTimeout = 30 * time.Second
+
+// toolSettings is the tool's optional YAML file.
+type toolSettings struct {
+	// Control are the operator addresses of the control VMs, "ip:port".
+	Control []string  `yaml:"control"`
+	TLS     *tlsFiles `yaml:"tls"`
+}
+
+// tlsFiles name the files that bergamotctl keys made.
+type tlsFiles struct {
+	CA          string `yaml:"ca"`
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+}
+
+// Problems implements settings.Checked.
+func (s *toolSettings) Problems() []settings.Problem {
+	var c settings.Checker
+	if len(s.Control) == 0 {
+		c.Add("control", "missing", "at least one ip:port; set it in the file or with -control")
+	}
+	for i, a := range s.Control {
+		c.Address(fmt.Sprintf("control[%d]", i), a)
+	}
+	if s.TLS != nil {
+		c.File("tls.ca", s.TLS.CA)
+		c.File("tls.certificate", s.TLS.Certificate)
+		c.File("tls.key", s.TLS.Key)
+	}
+	return c.Problems()
+}
+
+// options are the flags that every command to control VMs takes.
+type options struct {
+	flags    *flag.FlagSet
+	file     string
+	control  string
+	files    tlsFiles
+	operator string
+	json     bool
+	timeout  time.Duration
+	client   *operator.Client
+	args     []string
+}
+
+// options declares the common flags. The command adds its own, then parses.
+func (c *call) options() *options {
+	o := &options{flags: flag.NewFlagSet("bergamotctl "+c.command.name, flag.ContinueOnError)}
+	o.flags.SetOutput(c.errOut)
+	o.flags.StringVar(&o.file, "settings", "", "YAML `file` with control addresses and TLS files")
+	o.flags.StringVar(&o.control, "control", "", "operator `addresses` of the control VMs, ip:port,ip:port")
+	o.flags.StringVar(&o.files.CA, "tls-ca", "", "`file` of the certificate authority")
+	o.flags.StringVar(&o.files.Certificate, "tls-cert", "", "`file` of the operator's certificate")
+	o.flags.StringVar(&o.files.Key, "tls-key", "", "`file` of the operator's key")
+	o.flags.StringVar(&o.operator, "operator", userName(), "operator's `name` where control runs without TLS")
+	o.flags.BoolVar(&o.json, "json", false, "print JSON")
+	o.flags.DurationVar(&o.timeout, "timeout", defaultTimeout, "give up after this `time`")
+	o.flags.Usage = func() {
+		fmt.Fprintf(c.errOut, "usage: bergamotctl %s %s [flags]\n%s\n\nflags:\n", c.command.name, c.command.args, c.command.help)
+		o.flags.PrintDefaults()
+	}
+	return o
+}
+
+func userName() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+// parse reads flags and arguments in any order, as in "switch peak -wait 5s",
+// and prepares the client. A code other than exitOK ends the command; done is
+// set where help was asked for.
+func (o *options) parse(c *call, arguments int) (code int, done bool) {
+	if err := o.mixed(c.args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return exitOK, true
+		}
+		return exitUsage, true
+	}
+	if len(o.args) != arguments {
+		fmt.Fprintf(c.errOut, "bergamotctl %s: %d arguments, expected %d\n", c.command.name, len(o.args), arguments)
+		o.flags.Usage()
+		return exitUsage, true
+	}
+	if err := o.connect(); err != nil {
+		fmt.Fprintln(c.errOut, err)
+		return exitUsage, true
+	}
+	return exitOK, false
+}
+
+// mixed parses flags that stand before, between and after the arguments.
+func (o *options) mixed(args []string) error {
+	for {
+		if err := o.flags.Parse(args); err != nil {
+			return err
+		}
+		if o.flags.NArg() == 0 {
+			return nil
+		}
+		o.args = append(o.args, o.flags.Arg(0))
+		args = o.flags.Args()[1:]
+	}
+}
+
+// connect builds the client from the file and the flags; flags go first.
+func (o *options) connect() error {
+	var s toolSettings
+	if o.control != "" {
+		s.Control = strings.Split(o.control, ",")
+	}
+	if o.files != (tlsFiles{}) {
+		s.TLS = &o.files
+	}
+	switch {
+	case o.file != "":
+		var f toolSettings
+		if err := settings.Load(o.file, &f); err != nil {
+			return err
+		}
+		if s.Control == nil {
+			s.Control = f.Control
+		}
+		if s.TLS == nil {
+			s.TLS = f.TLS
+		}
+	default:
+		if problems := s.Problems(); len(problems) > 0 {
+			p := problems[0]
+			return errors.Errorf("%s: %s (allowed: %s)", p.Path, p.What, p.Allowed)
+		}
+	}
+	o.client = &operator.Client{Addresses: s.Control, Operator: o.operator}
+	if s.TLS == nil {
+		return nil
+	}
+	conf, err := s.TLS.config()
+	o.client.TLS = conf
+	return err
+}
+
+func (f *tlsFiles) config() (*tls.Config, error) {
+	pair, err := tls.LoadX509KeyPair(f.Certificate, f.Key)
+	if err != nil {
+		return nil, errors.Wrap(err, "operator's certificate")
+	}
+	pem, err := os.ReadFile(f.CA)
+	if err != nil {
+		return nil, errors.Wrap(err, "certificate authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.Errorf("%s: no certificate in it", f.CA)
+	}
+	return &tls.Config{Certificates: []tls.Certificate{pair}, RootCAs: pool, MinVersion: tls.VersionTLS13}, nil
+}
--- /dev/null
+++ b/cmd/bergamotstall/control.go
@@ -0,0 +1,19 @@
+package main
+
+import (
+	"context"
+	"io"
+
+	"github.com/sirupsen/logrus"
+
+	"bergamotstall/control"
+)
+
+func runControl(ctx context.Context, args []string, out, errOut io.Writer) int {
+	s := new(control.Settings)
+	return roleOf{
+		name:     "control",
+		settings: s,
+		build:    func(log logrus.FieldLogger) (runner, error) { return control.New(*s, log) },
+	}.run(ctx, args, out, errOut)
+}
--- /dev/null
+++ b/control/registrar.go
@@ -0,0 +1,114 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"bergamotstall/internal/catalogue"
+	"bergamotstall/internal/events"
+	"bergamotstall/internal/metrics"
+	"bergamotstall/internal/spread"
+	"bergamotstall/internal/table"
+)
+
+// Log is the replicated log as this role uses it.
+type Log interface {
+	// Propose returns the outcome that the state machine gave the command.
+	Propose(ctx context.Context, command []byte) ([]byte, error)
+	// Barrier returns once this VM has applied all that was committed before.
+	Barrier(ctx context.Context) error
+	// ContactAge tells how long ago this VM was in touch with a quorum.
+	ContactAge() time.Duration
+}
+
+// ErrSilenceDisputed is returned for a silence that isn't believed, because too
+// much of the service is silent. The report is worth repeating later.
+var ErrSilenceDisputed = errors.New("control: silence not believed: too many are silent")
+
+// registrar turns what subscribers say into commands of the log.
+type registrar struct {
+	vm      string
+	log     Log
+	now     func() time.Time
+	logger  logrus.FieldLogger
+	metrics *metrics.Set
+}
+
+var _ spread.Registrar = (*registrar)(nil)
+
+// submit proposes a command under this VM's name and clock.
+func (r *registrar) submit(ctx context.Context, cmd *catalogue.Command) (catalogue.Outcome, error) {
+	cmd.Via = r.vm
+	cmd.AtMS = r.now().UnixMilli()
+	var out catalogue.Outcome
+	data, err := cmd.MarshalMsg(nil)
+	if err != nil {
+		return out, errors.Wrap(err, "control: encode command")
+	}
+	answer, err := r.log.Propose(ctx, data)
+	if err != nil {
+		r.metrics.Counter("proposals_failed").Add(1)
+		return out, errors.Wrap(err, "control: propose")
+	}
+	if _, err := out.UnmarshalMsg(answer); err != nil {
+		return out, errors.Wrap(err, "control: decode outcome")
+	}
+	return out, nil
+}
+
+// AnnounceAgent implements spread.Registrar.
+func (r *registrar) AnnounceAgent(ctx context.Context, a spread.Announcement) (table.AgentNumber, error) {
+	out, err := r.submit(ctx, &catalogue.Command{AnnounceAgent: &catalogue.AnnounceAgent{Announcement: a}})
+	if err != nil {
+		return 0, err
+	}
+	r.note(out, a.Name)
+	return out.Agent, out.Err()
+}
+
+// AnnounceBalancer implements spread.Registrar.
+func (r *registrar) AnnounceBalancer(ctx context.Context, a spread.Announcement) error {
+	out, err := r.submit(ctx, &catalogue.Command{AnnounceBalancer: &catalogue.AnnounceBalancer{Announcement: a}})
+	if err != nil {
+		return err
+	}
+	r.note(out, a.Name)
+	return out.Err()
+}
+
+// AgentSilent implements spread.Registrar.
+func (r *registrar) AgentSilent(ctx context.Context, s spread.Silence) error {
+	out, err := r.submit(ctx, &catalogue.Command{AgentSilent: &s})
+	return r.silence(out, err, s.Name)
+}
+
+// BalancerSilent implements spread.Registrar.
+func (r *registrar) BalancerSilent(ctx context.Context, s spread.Silence) error {
+	out, err := r.submit(ctx, &catalogue.Command{BalancerSilent: &s})
+	return r.silence(out, err, s.Name)
+}
+
+// silence turns the outcome of a report into an error that asks for another.
+func (r *registrar) silence(out catalogue.Outcome, err error, name string) error {
+	if err != nil {
+		return err
+	}
+	var refusal *catalogue.Refusal
+	if errors.As(out.Err(), &refusal) {
+		r.metrics.Counter("silence_disputed").Add(1)
+		events.Log(r.logger, events.SilenceDisputed, logrus.Fields{"process": name, "why": out.Text})
+		return ErrSilenceDisputed
+	}
+	r.note(out, name)
+	return out.Err()
+}
+
+func (r *registrar) note(out catalogue.Outcome, name string) {
+	if out.Code != catalogue.Done {
+		r.metrics.Counter("announcements_refused").Add(1)
+	}
+	events.Log(r.logger, events.FleetChanged, logrus.Fields{"process": name, "outcome": out.Text, "revision": out.Revision})
+}
--- /dev/null
+++ b/internal/catalogue/agents.go
@@ -0,0 +1,250 @@
+package catalogue
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+
+	"bergamotstall/internal/spread"
+	"bergamotstall/internal/table"
+)
+
+// announceAgent registers an incarnation, or finds it again.
+func (c *Catalogue) announceAgent(cmd *Command) Outcome {
+	a := cmd.AnnounceAgent.Announcement
+	service, ok := c.serviceNamed(a.Service)
+	if !ok {
+		out := c.outcome(NoService, fmt.Sprintf("no service %q", a.Service))
+		out.Subject = a.Service
+		return out
+	}
+	if why := announcementFault(&a); why != "" {
+		return c.outcome(NotValid, why)
+	}
+	if known := c.incarnation(&a); known != nil {
+		return c.announceAgain(known, service.ID, &a, cmd.Via)
+	}
+	return c.register(service, &a, cmd.Via)
+}
+
+// announcementFault says what an agent's announcement lacks.
+func announcementFault(a *spread.Announcement) string {
+	switch {
+	case a.Name == "" || len(a.Name) > maxNameLength:
+		return fmt.Sprintf("an agent's name has 1 to %d bytes", maxNameLength)
+	case a.Host == "" || len(a.Host) > maxNameLength:
+		return fmt.Sprintf("a host's name has 1 to %d bytes", maxNameLength)
+	case !validAddress(a.Tunnel) || !validAddress(a.Peer):
+		return fmt.Sprintf("tunnel %q and peer %q must be ip:port", a.Tunnel, a.Peer)
+	case a.Slots < 1 || a.Connections < 1:
+		return fmt.Sprintf("%d slots and %d connections: both are at least 1", a.Slots, a.Connections)
+	}
+	return ""
+}
+
+func validAddress(s string) bool {
+	a, err := netip.ParseAddrPort(s)
+	return err == nil && a.Port() != 0
+}
+
+// incarnation finds the record of an incarnation that announced itself before.
+// Only retired records are looked through beside the name's current one.
+func (c *Catalogue) incarnation(a *spread.Announcement) *Agent {
+	for i := len(c.state.Agents) - 1; i >= 0; i-- {
+		x := &c.state.Agents[i]
+		if x.Incarnation == a.Incarnation && x.Name == a.Name {
+			return x
+		}
+	}
+	return nil
+}
+
+// announceAgain brings a known incarnation up to date. Its number stays; one
+// that went out on silence comes back, since nobody else ever got its number.
+func (c *Catalogue) announceAgain(x *Agent, service table.ServiceID, a *spread.Announcement, via string) Outcome {
+	if x.Service != service || x.Host != a.Host {
+		return c.outcome(NotValid, fmt.Sprintf("agent %d is bound to its service and host", x.Number))
+	}
+	if x.Replaced {
+		out := c.outcome(Superseded, fmt.Sprintf("agent %d was replaced by a later incarnation", x.Number))
+		out.Agent = x.Number
+		return out
+	}
+	if a.Attachment < x.Attachment {
+		// A control VM that the agent has left speaks late.
+		out := c.outcome(Done, fmt.Sprintf("agent %d has announced itself since", x.Number))
+		out.Agent = x.Number
+		return out
+	}
+	before := *x
+	x.Tunnel, x.Peer = a.Tunnel, a.Peer
+	x.Slots, x.Connections = a.Slots, a.Connections
+	x.DataCentre, x.Leaving = a.DataCentre, a.Draining
+	x.Retired, x.RetiredAtMS = false, 0
+	x.Silence, x.SilentAtMS = Heard, 0
+	c.weigh(x)
+	before.Silence, before.SilentAtMS = suspicionOnly(before.Silence), 0
+	if *x != before {
+		c.altered = true
+	}
+	x.Via, x.Attachment = via, a.Attachment
+	out := c.outcome(Done, fmt.Sprintf("agent %d announced again", x.Number))
+	out.Agent = x.Number
+	return out
+}
+
+// suspicionOnly forgets a suspicion, which the table doesn't show.
+func suspicionOnly(s Silence) Silence {
+	if s == Suspect {
+		return Heard
+	}
+	return s
+}
+
+// register gives a new incarnation its number and retires the one before it.
+func (c *Catalogue) register(service Service, a *spread.Announcement, via string) Outcome {
+	c.replace(c.agents[a.Name])
+	c.replace(c.hostOf[place{service.ID, a.Host}])
+	c.state.LastAgent++
+	x := Agent{
+		Number: c.state.LastAgent, Service: service.ID, Name: a.Name, Incarnation: a.Incarnation,
+		Attachment: a.Attachment, Host: a.Host, DataCentre: a.DataCentre, Tunnel: a.Tunnel, Peer: a.Peer,
+		Slots: a.Slots, Connections: a.Connections, Leaving: a.Draining, Via: via,
+		ChangedAtMS: c.state.ClockMS, JoinedAtMS: c.state.ClockMS,
+	}
+	x.Weight = c.effectiveWeight(&x)
+	x.PreviousWeight = x.Weight
+	c.state.Agents = append(c.state.Agents, x)
+	c.index(&x)
+	c.altered = true
+	out := c.outcome(Done, fmt.Sprintf("agent %d registered for %s on %s", x.Number, service.Spec.Name, a.Host))
+	out.Agent = x.Number
+	return out
+}
+
+// replace retires an incarnation for good: a later one has its place.
+func (c *Catalogue) replace(number table.AgentNumber) {
+	x := c.agent(number)
+	if x == nil {
+		return
+	}
+	x.Replaced = true
+	c.retire(x)
+}
+
+func (c *Catalogue) retire(x *Agent) {
+	if !x.Retired {
+		x.Retired, x.RetiredAtMS = true, c.state.ClockMS
+		c.altered = true
+	}
+}
+
+// agent finds an agent by number, nil where there is none.
+func (c *Catalogue) agent(number table.AgentNumber) *Agent {
+	i, ok := slices.BinarySearchFunc(c.state.Agents, number, func(a Agent, n table.AgentNumber) int {
+		return cmp.Compare(a.Number, n)
+	})
+	if !ok {
+		return nil
+	}
+	return &c.state.Agents[i]
+}
+
+// agentSilent takes a silent agent out of new work, or suspects it only.
+func (c *Catalogue) agentSilent(cmd *Command) Outcome {
+	report := cmd.AgentSilent
+	x := c.agent(report.Agent)
+	switch {
+	case x == nil || x.Retired:
+		return c.outcome(Done, "gone already")
+	case x.Incarnation != report.Incarnation || x.Attachment > report.Attachment:
+		// The agent has come back, here or at another control VM; the report is of
+		// a stream that it left.
+		return c.outcome(Done, "heard since by "+x.Via)
+	case x.Silence == Out:
+		return c.outcome(Done, "out already")
+	case x.Leaving || c.drains[x.Host]:
+		c.retire(x)
+		return c.outcome(Done, fmt.Sprintf("agent %d left as planned", x.Number))
+	case !c.agentWave(x.Service).believe():
+		x.Silence, x.SilentAtMS = Suspect, c.state.ClockMS
+		return c.outcome(Refused, fmt.Sprintf("agent %d is silent, but too much of its service is; it stays in", x.Number))
+	}
+	x.Silence, x.SilentAtMS = Out, c.state.ClockMS
+	c.altered = true
+	return c.outcome(Done, fmt.Sprintf("agent %d is out of new work", x.Number))
+}
+
+// agentWave counts a service's targets for the silence decision.
+func (c *Catalogue) agentWave(service table.ServiceID) wave {
+	var w wave
+	for i := range c.state.Agents {
+		x := &c.state.Agents[i]
+		if x.Service != service || x.Replaced {
+			continue
+		}
+		switch {
+		case x.Silence == Out:
+			if c.state.ClockMS-x.SilentAtMS < silenceWindow.Milliseconds() {
+				w.out++
+			}
+		case !x.Retired && !x.Leaving && !c.drains[x.Host]:
+			w.live++
+		}
+	}
+	return w
+}
+
+// expire takes the steps that the state's clock has made due.
+func (c *Catalogue) expire() {
+	c.expireBalancers()
+	retired := 0
+	for i := range c.state.Agents {
+		x := &c.state.Agents[i]
+		if x.Silence == Out && !x.Retired && c.due(x.SilentAtMS, retireAfter.Milliseconds()) {
+			c.retire(x)
+		}
+		if x.Retired {
+			retired++
+		}
+	}
+	if retired == 0 {
+		return
+	}
+	over := retired - maxRetired
+	c.dropAgents(func(x *Agent) bool {
+		if !x.Retired {
+			return false
+		}
+		over--
+		return over >= 0 || c.due(x.RetiredAtMS, RetiredKept.Milliseconds())
+	})
+}
+
+func (c *Catalogue) due(sinceMS, afterMS int64) bool { return c.state.ClockMS-sinceMS >= afterMS }
+
+// dropAgents forgets agents; their numbers stay used.
+func (c *Catalogue) dropAgents(gone func(*Agent) bool) {
+	before := len(c.state.Agents)
+	c.state.Agents = slices.DeleteFunc(c.state.Agents, func(x Agent) bool {
+		if !gone(&x) {
+			return false
+		}
+		c.unindex(&x)
+		return true
+	})
+	if len(c.state.Agents) != before {
+		c.altered = true
+	}
+}
+
+// unindex forgets a dropped agent where it still is its name's current one.
+func (c *Catalogue) unindex(x *Agent) {
+	if c.agents[x.Name] == x.Number {
+		delete(c.agents, x.Name)
+	}
+	if at := (place{x.Service, x.Host}); c.hostOf[at] == x.Number {
+		delete(c.hostOf, at)
+	}
+}
--- /dev/null
+++ b/internal/catalogue/balancers.go
@@ -0,0 +1,91 @@
+package catalogue
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
+
+// announceBalancer registers a balancer, brings it up to date, or takes it out
+// where it says that it leaves.
+func (c *Catalogue) announceBalancer(cmd *Command) Outcome {
+	a := cmd.AnnounceBalancer.Announcement
+	if a.Name == "" || len(a.Name) > maxNameLength || !validAddress(a.Tunnel) {
+		return c.outcome(NotValid, fmt.Sprintf("balancer %q with tunnel %q: a name of 1 to %d bytes and ip:port", a.Name, a.Tunnel, maxNameLength))
+	}
+	at, known := c.balancerAt(a.Name)
+	if known && c.state.Balancers[at].Incarnation == a.Incarnation && a.Attachment < c.state.Balancers[at].Attachment {
+		return c.outcome(Done, "balancer "+a.Name+" has announced itself since")
+	}
+	if a.Draining {
+		if known {
+			c.state.Balancers = slices.Delete(c.state.Balancers, at, at+1)
+			c.altered = true
+		}
+		return c.outcome(Done, "balancer "+a.Name+" left as planned")
+	}
+	next := BalancerRecord{Name: a.Name, Incarnation: a.Incarnation, Attachment: a.Attachment, DataCentre: a.DataCentre, Tunnel: a.Tunnel, Via: cmd.Via}
+	if !known {
+		c.state.Balancers = slices.Insert(c.state.Balancers, at, next)
+		c.altered = true
+		return c.outcome(Done, "balancer "+a.Name+" registered")
+	}
+	old := c.state.Balancers[at]
+	c.state.Balancers[at] = next
+	if old.Silence == Out || old.Tunnel != next.Tunnel || old.DataCentre != next.DataCentre {
+		c.altered = true
+	}
+	return c.outcome(Done, "balancer "+a.Name+" announced again")
+}
+
+func (c *Catalogue) balancerAt(name string) (int, bool) {
+	return slices.BinarySearchFunc(c.state.Balancers, name, func(b BalancerRecord, n string) int {
+		return cmp.Compare(b.Name, n)
+	})
+}
+
+// balancerSilent takes a silent balancer off the return path. The same share
+// holds as for targets: agents that are cut off from callers by a list of
+// balancers that control wrongly emptied would answer nobody.
+func (c *Catalogue) balancerSilent(cmd *Command) Outcome {
+	report := cmd.BalancerSilent
+	at, known := c.balancerAt(report.Name)
+	if !known {
+		return c.outcome(Done, "gone already")
+	}
+	b := &c.state.Balancers[at]
+	switch {
+	case b.Incarnation != report.Incarnation || b.Attachment > report.Attachment:
+		return c.outcome(Done, "heard since by "+b.Via)
+	case b.Silence == Out:
+		return c.outcome(Done, "out already")
+	case !c.balancerWave().believe():
+		b.Silence, b.SilentAtMS = Suspect, c.state.ClockMS
+		return c.outcome(Refused, fmt.Sprintf("balancer %s is silent, but too many are; it stays in", b.Name))
+	}
+	b.Silence, b.SilentAtMS = Out, c.state.ClockMS
+	c.altered = true
+	return c.outcome(Done, "balancer "+b.Name+" is off the return path")
+}
+
+func (c *Catalogue) balancerWave() wave {
+	var w wave
+	for i := range c.state.Balancers {
+		b := &c.state.Balancers[i]
+		if b.Silence != Out {
+			w.live++
+			continue
+		}
+		if !c.due(b.SilentAtMS, silenceWindow.Milliseconds()) {
+			w.out++
+		}
+	}
+	return w
+}
+
+// expireBalancers forgets balancers that have been out for the whole window.
+func (c *Catalogue) expireBalancers() {
+	c.state.Balancers = slices.DeleteFunc(c.state.Balancers, func(b BalancerRecord) bool {
+		return b.Silence == Out && c.due(b.SilentAtMS, silenceWindow.Milliseconds())
+	})
+}
--- /dev/null
+++ b/internal/catalogue/definition.go
@@ -0,0 +1,180 @@
+package catalogue
+
+import (
+	"fmt"
+	"time"
+
+	"bergamotstall/internal/settings"
+)
+
+//go:generate env GOWORK=off go -C ../../tools tool msgp -file ../internal/catalogue/definition.go -o ../internal/catalogue/definition_gen.go -tests=false -io=false
+
+// Bounds of what operators may write.
+const (
+	maxWeight       = 1000
+	defaultWeight   = 100
+	maxFlowLimit    = 1_000_000
+	maxQueueLimit   = 100_000
+	maxRetryPercent = 100
+	maxKeyWindow    = 7 * 24 * time.Hour
+	maxNameLength   = 64
+)
+
+// Definition is what an operator writes and applies whole: every service and
+// every preset. What it leaves out is removed.
+type Definition struct {
+	Services []ServiceSpec `yaml:"services" msg:"s"`
+	// Presets in the operator's order. The first one of the very first
+	// definition is in force until the first switch.
+	Presets []Preset `yaml:"presets" msg:"p"`
+}
+
+// ServiceSpec is one service as operators write it.
+type ServiceSpec struct {
+	Name string `yaml:"name" msg:"n"`
+	// Address is the UDP address callers use, "ip:port".
+	Address string `yaml:"address" msg:"a"`
+	// FlowLimit bounds one target's open flows; 0 leaves it to the host's limit.
+	FlowLimit int `yaml:"flowLimit" msg:"f"`
+	// QueueLimit bounds the requests waiting at one agent.
+	QueueLimit int `yaml:"queueLimit" msg:"q"`
+	// RetryPercent is the retry budget, in percent of fresh requests.
+	RetryPercent int `yaml:"retryPercent" msg:"r"`
+	// KeyWindow is how long an idempotency key stays valid.
+	KeyWindow time.Duration `yaml:"keyWindow" msg:"k"`
+}
+
+// Preset is a named set of weights. A service, data centre or host that it
+// doesn't name has weight 100.
+type Preset struct {
+	Name     string          `yaml:"name" msg:"n"`
+	Services []PresetService `yaml:"services" msg:"s"`
+}
+
+// PresetService is a preset's weights for one service. A target's share of new
+// work is its data centre's weight times its host's.
+type PresetService struct {
+	Service     string             `yaml:"service" msg:"s"`
+	DataCentres []DataCentreWeight `yaml:"dataCentres" msg:"d"`
+	Hosts       []HostWeight       `yaml:"hosts" msg:"h"`
+}
+
+// DataCentreWeight weighs each target of one data centre, 0 to 1000.
+type DataCentreWeight struct {
+	Name   string `yaml:"name" msg:"n"`
+	Weight uint32 `yaml:"weight" msg:"w"`
+}
+
+// HostWeight weighs one host, 0 to 1000.
+type HostWeight struct {
+	Host   string `yaml:"host" msg:"h"`
+	Weight uint32 `yaml:"weight" msg:"w"`
+}
+
+// Problems implements settings.Checked.
+func (d *Definition) Problems() []settings.Problem {
+	var c settings.Checker
+	if len(d.Services) == 0 {
+		c.Add("services", "missing", "at least one service")
+	}
+	if len(d.Presets) == 0 {
+		c.Add("presets", "missing", "at least one preset")
+	}
+	services := d.checkServices(&c)
+	d.checkPresets(&c, services)
+	return c.Problems()
+}
+
+// checkServices judges each service and returns the set of their names.
+func (d *Definition) checkServices(c *settings.Checker) map[string]bool {
+	names := make(map[string]bool, len(d.Services))
+	addresses := make(map[string]string, len(d.Services))
+	for i, s := range d.Services {
+		at := fmt.Sprintf("services[%d].", i)
+		checkName(c, at+"name", s.Name, names)
+		c.Address(at+"address", s.Address)
+		if other, ok := addresses[s.Address]; ok {
+			c.Add(at+"address", fmt.Sprintf("%q is service %q's", s.Address, other), "an address of its own for each service")
+		}
+		addresses[s.Address] = s.Name
+		c.Range(at+"flowLimit", s.FlowLimit, 0, maxFlowLimit)
+		c.Range(at+"queueLimit", s.QueueLimit, 0, maxQueueLimit)
+		c.Range(at+"retryPercent", s.RetryPercent, 0, maxRetryPercent)
+		c.Duration(at+"keyWindow", s.KeyWindow, 0, maxKeyWindow)
+	}
+	return names
+}
+
+func (d *Definition) checkPresets(c *settings.Checker, services map[string]bool) {
+	names := make(map[string]bool, len(d.Presets))
+	for i, p := range d.Presets {
+		at := fmt.Sprintf("presets[%d].", i)
+		checkName(c, at+"name", p.Name, names)
+		seen := make(map[string]bool, len(p.Services))
+		for j, s := range p.Services {
+			in := fmt.Sprintf("%sservices[%d].", at, j)
+			if !services[s.Service] {
+				c.Add(in+"service", fmt.Sprintf("no service %q in this file", s.Service), "a name under services")
+			}
+			if seen[s.Service] {
+				c.Add(in+"service", fmt.Sprintf("%q appears twice", s.Service), "each service once in a preset")
+			}
+			seen[s.Service] = true
+			s.check(c, in)
+		}
+	}
+}
+
+func (s *PresetService) check(c *settings.Checker, at string) {
+	centres := make(map[string]bool, len(s.DataCentres))
+	for i, d := range s.DataCentres {
+		in := fmt.Sprintf("%sdataCentres[%d].", at, i)
+		checkName(c, in+"name", d.Name, centres)
+		c.Range(in+"weight", int(d.Weight), 0, maxWeight)
+	}
+	hosts := make(map[string]bool, len(s.Hosts))
+	for i, h := range s.Hosts {
+		in := fmt.Sprintf("%shosts[%d].", at, i)
+		checkName(c, in+"host", h.Host, hosts)
+		c.Range(in+"weight", int(h.Weight), 0, maxWeight)
+	}
+}
+
+// checkName reports a name that is empty, too long or taken, and takes it.
+func checkName(c *settings.Checker, at, name string, taken map[string]bool) {
+	c.Required(at, name)
+	if len(name) > maxNameLength {
+		c.Add(at, fmt.Sprintf("%d bytes long", len(name)), fmt.Sprintf("at most %d bytes", maxNameLength))
+	}
+	if name != "" && taken[name] {
+		c.Add(at, fmt.Sprintf("%q appears twice", name), "each name once")
+	}
+	taken[name] = true
+}
+
+// weight is a target's share of new work for one service under the preset.
+func (p *Preset) weight(service, dataCentre, host string) uint32 {
+	centre, own := uint32(defaultWeight), uint32(defaultWeight)
+	for i := range p.Services {
+		if p.Services[i].Service == service {
+			centre, own = p.Services[i].factors(dataCentre, host)
+			break
+		}
+	}
+	return centre * own
+}
+
+func (s *PresetService) factors(dataCentre, host string) (centre, own uint32) {
+	centre, own = defaultWeight, defaultWeight
+	for _, d := range s.DataCentres {
+		if d.Name == dataCentre {
+			centre = d.Weight
+		}
+	}
+	for _, h := range s.Hosts {
+		if h.Host == host {
+			own = h.Weight
+		}
+	}
+	return centre, own
+}
--- /dev/null
+++ b/internal/catalogue/derive.go
@@ -0,0 +1,103 @@
+package catalogue
+
+import (
+	"bergamotstall/internal/table"
+)
+
+// reweigh brings every agent's weight in line with the preset in force.
+func (c *Catalogue) reweigh() {
+	for i := range c.state.Agents {
+		c.weigh(&c.state.Agents[i])
+	}
+}
+
+// weigh sets one agent's weight and, where it changes, the start of its ramp.
+func (c *Catalogue) weigh(a *Agent) {
+	weight := c.effectiveWeight(a)
+	if weight == a.Weight {
+		return
+	}
+	a.PreviousWeight = a.Weight
+	a.Weight = weight
+	a.ChangedAtMS = c.state.ClockMS
+	c.altered = true
+}
+
+func (c *Catalogue) effectiveWeight(a *Agent) uint32 {
+	preset, ok := c.preset(c.state.InForce)
+	if !ok {
+		return 0
+	}
+	return preset.weight(c.serviceName(a.Service), a.DataCentre, a.Host)
+}
+
+func (c *Catalogue) serviceName(id table.ServiceID) string {
+	for i := range c.state.Services {
+		if c.state.Services[i].ID == id {
+			return c.state.Services[i].Spec.Name
+		}
+	}
+	return ""
+}
+
+// Table returns the table of the current revision. Callers don't change it.
+func (c *Catalogue) Table() *table.Table {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.built == nil {
+		c.built = c.derive()
+	}
+	return c.built
+}
+
+// derive builds the table from the state, in the state's order.
+func (c *Catalogue) derive() *table.Table {
+	t := &table.Table{
+		Revision: c.state.Revision,
+		Preset:   c.state.InForce,
+		Services: make([]table.Service, 0, len(c.state.Services)),
+		Targets:  make([]table.Target, 0, len(c.state.Agents)),
+	}
+	for i := range c.state.Services {
+		t.Services = append(t.Services, c.state.Services[i].entry())
+	}
+	for i := range c.state.Agents {
+		t.Targets = append(t.Targets, c.target(&c.state.Agents[i]))
+	}
+	for _, b := range c.state.Balancers {
+		if b.Silence != Out {
+			t.Balancers = append(t.Balancers, table.Balancer{Name: b.Name, DataCentre: b.DataCentre, Tunnel: b.Tunnel})
+		}
+	}
+	for _, k := range c.state.Keys {
+		t.Keys = append(t.Keys, k.Set)
+	}
+	return t
+}
+
+func (s *Service) entry() table.Service {
+	return table.Service{
+		ID: s.ID, Name: s.Spec.Name, Address: s.Spec.Address, FlowLimit: s.Spec.FlowLimit,
+		QueueLimit: s.Spec.QueueLimit, RetryPercent: s.Spec.RetryPercent,
+		KeyWindowMS: s.Spec.KeyWindow.Milliseconds(),
+	}
+}
+
+func (c *Catalogue) target(a *Agent) table.Target {
+	return table.Target{
+		Agent: a.Number, Service: a.Service, Host: a.Host, DataCentre: a.DataCentre,
+		Tunnel: a.Tunnel, Peer: a.Peer, Slots: a.Slots, Connections: a.Connections,
+		Weight: a.Weight, PreviousWeight: a.PreviousWeight, ChangedAtMS: a.ChangedAtMS,
+		JoinedAtMS: a.JoinedAtMS, State: c.targetState(a),
+	}
+}
+
+func (c *Catalogue) targetState(a *Agent) table.State {
+	switch {
+	case a.Retired:
+		return table.Retired
+	case a.Leaving || a.Silence == Out || c.drains[a.Host]:
+		return table.Draining
+	}
+	return table.Active
+}
--- /dev/null
+++ b/internal/catalogue/silence.go
@@ -0,0 +1,53 @@
+package catalogue
+
+import "time"
+
+// A process that is silent for the damped time is taken out of new work, unless
+// too many are. The load pattern is a wave: a partition of the control VM's own
+// makes a third, a half or all of its processes fall silent in one moment while
+// they go on serving. Without a bound, control would empty a service that works,
+// and balancers that still hear control would have nowhere to send new flows.
+const (
+	// silenceShare is the part of a service, one in so many, that may be out on
+	// silence alone within silenceWindow, rounded up. Users spread a service over
+	// three data centres, so one in three is the loss of a whole data centre, the
+	// largest ordinary failure. More than that at once is likelier to be control's
+	// own fault, and the targets stay in; a dead one among them costs a caller
+	// one handshake's retry, an empty service costs every caller.
+	silenceShare = 3
+	// silenceWindow is how long a target that went out counts. Three failures of
+	// single hosts in a service are weeks apart; a partition hits at once.
+	silenceWindow = 15 * time.Minute
+	// retireAfter is how long a silent target keeps its open flows. If only its
+	// way to control is cut, callers notice nothing; if it is dead, its callers
+	// have been told by then through resets or time-outs of their own.
+	retireAfter = 20 * time.Second
+	// RetiredKept is how long a retired number stays in the table, so that any
+	// agent answers its packets with a stateless reset. Callers give a flow up
+	// after their idle time-out, half a minute; the rest covers processes whose
+	// table is behind. Its length equals silenceWindow: the count of what is out
+	// reads these records.
+	RetiredKept = silenceWindow
+	// maxRetired bounds the retired numbers in the table: a mass restart of the
+	// fleet must not double it for a quarter of an hour. Oldest go first.
+	maxRetired = 4096
+)
+
+// wave is what the silence decision looks at: one service, or the balancers.
+type wave struct {
+	// live counts processes that are in, those under suspicion among them.
+	live int
+	// out counts those taken out on silence within the window.
+	out int
+}
+
+// believe decides whether one more silent process is taken out. It never takes
+// the last one: with nothing else to send to, a silent target is the better bet.
+func (w wave) believe() bool {
+	if w.live <= 1 {
+		return false
+	}
+	known := w.live + w.out
+	allowed := (known + silenceShare - 1) / silenceShare
+	return w.out+1 <= allowed
+}
--- /dev/null
+++ b/internal/events/control.go
@@ -0,0 +1,16 @@
+package events
+
+import "github.com/sirupsen/logrus"
+
+// Events of the control role: catalogue, distribution, keys, 600 to 649.
+var (
+	CommandApplied   = define(600, logrus.InfoLevel, "operator command")
+	FleetChanged     = define(601, logrus.InfoLevel, "fleet change")
+	SilenceDisputed  = define(602, logrus.WarnLevel, "silence not believed")
+	OperatorDenied   = define(603, logrus.WarnLevel, "operator connection denied")
+	MembersChanged   = define(604, logrus.InfoLevel, "control members changed")
+	QuorumLost       = define(605, logrus.ErrorLevel, "no contact with a quorum")
+	QuorumRegained   = define(606, logrus.InfoLevel, "contact with a quorum regained")
+	FirstKeysMade    = define(607, logrus.InfoLevel, "first cluster keys made")
+	UnsecuredControl = define(608, logrus.WarnLevel, "control runs without TLS")
+)
--- /dev/null
+++ b/internal/operator/fleet.go
@@ -0,0 +1,127 @@
+package operator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotstall/internal/table"
+)
+
+// Fleet is what the given control VMs know together. A VM learns the revision
+// of a subscriber only from the subscriber's own stream, and the streams are
+// spread over all VMs; so the operator's tool asks every VM and merges. The
+// ways weighed: acknowledgements through the log (13,200 subscribers would
+// write an entry each per change), and VMs that exchange summaries (one more
+// protocol, for an answer that is wanted a few times a day).
+type Fleet struct {
+	VMs []VMStatus `json:"vms"`
+	// Balancers are those that the catalogue knows, each with its newest word.
+	Balancers []BalancerStatus `json:"balancers"`
+	// View is the catalogue's summary as of now; nil where no quorum answered.
+	View *View `json:"current,omitempty"`
+	// NoQuorum says why there is no View.
+	NoQuorum string `json:"noQuorum,omitempty"`
+}
+
+// VMStatus is one control VM's word, or why there is none.
+type VMStatus struct {
+	Address string       `json:"address"`
+	Local   *LocalStatus `json:"local,omitempty"`
+	Err     string       `json:"error,omitempty"`
+}
+
+// BalancerStatus is one balancer's place in the distribution.
+type BalancerStatus struct {
+	Balancer
+	// Heard is false where no asked VM has the balancer's stream.
+	Heard bool `json:"heard"`
+	// Revision is the newest that it acknowledged, AgeMS how old that word is.
+	Revision table.Revision `json:"revision"`
+	AgeMS    int64          `json:"ageMs"`
+}
+
+// Fleet asks every VM at once and merges their words.
+func (c *Client) Fleet(ctx context.Context) *Fleet {
+	f := &Fleet{VMs: make([]VMStatus, len(c.Addresses))}
+	var asked sync.WaitGroup
+	for i, address := range c.Addresses {
+		asked.Go(func() {
+			f.VMs[i] = VMStatus{Address: address}
+			local, err := c.Local(ctx, address)
+			if err != nil {
+				f.VMs[i].Err = err.Error()
+				return
+			}
+			f.VMs[i].Local = &local
+		})
+	}
+	asked.Wait()
+	view, err := c.Read(ctx, PartFleetState)
+	if err != nil {
+		f.NoQuorum = err.Error()
+		return f
+	}
+	f.View = view
+	for _, b := range view.Balancers {
+		f.Balancers = append(f.Balancers, f.newest(b))
+	}
+	return f
+}
+
+// newest finds a balancer's newest word among the VMs'. A balancer that moved
+// may still stand in its old VM's list for a while.
+func (f *Fleet) newest(b Balancer) BalancerStatus {
+	out := BalancerStatus{Balancer: b}
+	for _, vm := range f.VMs {
+		if vm.Local == nil {
+			continue
+		}
+		for _, s := range vm.Local.Subscribers {
+			if s.Role != "balancer" || s.Name != b.Name || (out.Heard && s.AgeMS >= out.AgeMS) {
+				continue
+			}
+			out.Heard, out.Revision, out.AgeMS = true, s.Revision, s.AgeMS
+		}
+	}
+	return out
+}
+
+// Lagging returns the live balancers that haven't acknowledged the revision.
+func (f *Fleet) Lagging(revision table.Revision) []BalancerStatus {
+	var out []BalancerStatus
+	for _, b := range f.Balancers {
+		if b.State != "out" && (!b.Heard || b.Revision < revision) {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// ErrLagging is returned where balancers haven't acknowledged a revision in time.
+var ErrLagging = errors.New("operator: not in force on every balancer yet")
+
+// waitStep is the pause between two looks at the fleet.
+const waitStep = 50 * time.Millisecond
+
+// WaitInForce returns once every live balancer has acknowledged the revision.
+// When ctx ends first, it returns ErrLagging and the last look at the fleet.
+func (c *Client) WaitInForce(ctx context.Context, revision table.Revision) (*Fleet, error) {
+	last := &Fleet{NoQuorum: "not asked"}
+	for {
+		f := c.Fleet(ctx)
+		if f.View != nil {
+			last = f
+			if len(f.Lagging(revision)) == 0 {
+				return f, nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return last, ErrLagging
+		case <-time.After(waitStep):
+		}
+	}
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,229 @@
+package operator
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/tinylib/msgp/msgp"
+
+	"bergamotstall/internal/catalogue"
+	"bergamotstall/internal/events"
+	"bergamotstall/internal/metrics"
+	"bergamotstall/internal/wire"
+)
+
+const (
+	// maxConnections bounds the operators served at once: each may hold a frame
+	// of frameLimit, and a script that leaks connections must not take the
+	// control VM's memory.
+	maxConnections = 32
+	// idleLimit closes a connection that asks nothing; half-open ones go so too.
+	idleLimit = time.Minute
+	// answerLimit bounds the wait for a quorum. An election takes a second or
+	// two; after that the operator's tool does better to ask another VM.
+	answerLimit  = 4 * time.Second
+	writeTimeout = 5 * time.Second
+)
+
+// ErrNoQuorum is what a Backend returns where it can't reach a majority.
+var ErrNoQuorum = errors.New("operator: no quorum")
+
+// Backend is what a server needs of its control VM.
+type Backend interface {
+	// Submit runs a command through the log. An error other than ErrNoQuorum is
+	// a refusal.
+	Submit(ctx context.Context, cmd *catalogue.Command) (catalogue.Outcome, error)
+	// Barrier returns once this VM has applied all that was committed before the
+	// call, or ErrNoQuorum.
+	Barrier(ctx context.Context) error
+	// Catalogue is this VM's copy of the state.
+	Catalogue() *catalogue.Catalogue
+	// Local is what this VM knows by itself.
+	Local() LocalStatus
+	// ChangeMembers changes the control VMs and returns when it is committed.
+	ChangeMembers(ctx context.Context, change MembersChange) error
+}
+
+// Server answers operators at one control VM.
+type Server struct {
+	// VM is the name that replies carry.
+	VM      string
+	Backend Backend
+	// TLS is nil only in tests and the demo; operators then name themselves.
+	TLS *tls.Config
+	// Identify returns the operator's name for a verified certificate, and an
+	// error where its role isn't operator.
+	Identify func(tls.ConnectionState) (string, error)
+	Log      logrus.FieldLogger
+	Metrics  *metrics.Set
+}
+
+// Serve answers on ln until ctx is done, lets requests in progress end, and
+// closes ln.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	var running sync.WaitGroup
+	defer running.Wait()
+	stop := context.AfterFunc(ctx, func() { ln.Close() })
+	defer stop()
+	slots := make(chan struct{}, maxConnections)
+	for {
+		raw, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return errors.Wrap(err, "operator: accept")
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			s.Metrics.Counter("operator_busy").Add(1)
+			raw.Close()
+			continue
+		}
+		running.Go(func() {
+			defer func() { <-slots }()
+			s.connection(ctx, raw)
+		})
+	}
+}
+
+// connection serves one operator's requests in turn.
+func (s *Server) connection(ctx context.Context, raw net.Conn) {
+	defer raw.Close()
+	name, secured, err := s.identify(ctx, raw)
+	if err != nil {
+		s.Metrics.Counter("operator_denied").Add(1)
+		events.Log(s.Log, events.OperatorDenied, logrus.Fields{"from": raw.RemoteAddr().String(), "why": err.Error()})
+		if secured != nil {
+			conn := wire.NewConn(secured, frameLimit, writeTimeout)
+			_, _ = conn.Write(kindFailure, s.failure(Denied, err.Error()))
+		}
+		return
+	}
+	conn := wire.NewConn(secured, frameLimit, writeTimeout)
+	// A graceful stop wakes the read between requests; one in progress ends.
+	stop := context.AfterFunc(ctx, func() { _ = secured.SetReadDeadline(time.Unix(1, 0)) })
+	defer stop()
+	for ctx.Err() == nil {
+		if err := secured.SetReadDeadline(time.Now().Add(idleLimit)); err != nil {
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		frame, err := conn.Read()
+		if err != nil {
+			return
+		}
+		kind, reply := s.answer(frame, name)
+		if _, err := conn.Write(kind, reply); err != nil {
+			return
+		}
+	}
+}
+
+// identify completes TLS and finds the operator's name; without TLS the name
+// is empty and requests carry it.
+func (s *Server) identify(ctx context.Context, raw net.Conn) (string, net.Conn, error) {
+	if s.TLS == nil {
+		return "", raw, nil
+	}
+	secured := tls.Server(raw, s.TLS)
+	within, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if err := secured.HandshakeContext(within); err != nil {
+		return "", nil, errors.Wrap(err, "operator: TLS")
+	}
+	name, err := s.Identify(secured.ConnectionState())
+	return name, secured, err
+}
+
+// answer runs one request.
+func (s *Server) answer(frame wire.Frame, name string) (wire.Kind, msgp.Marshaler) {
+	// Requests in progress outlive a graceful stop, so they have a bound of
+	// their own.
+	ctx, cancel := context.WithTimeout(context.Background(), answerLimit)
+	defer cancel()
+	switch frame.Kind {
+	case kindCommand:
+		return s.command(ctx, frame, name)
+	case kindRead:
+		return s.read(ctx, frame)
+	case kindMembers:
+		return s.members(ctx, frame, name)
+	case kindLocal:
+		local := s.Backend.Local()
+		return kindLocalStatus, &local
+	}
+	return kindFailure, s.failure(Malformed, "this version of control doesn't know the request")
+}
+
+func (s *Server) command(ctx context.Context, frame wire.Frame, name string) (wire.Kind, msgp.Marshaler) {
+	var cmd catalogue.Command
+	if err := frame.Decode(&cmd); err != nil || !cmd.Operators() {
+		return kindFailure, s.failure(Malformed, "the command can't be read, or isn't an operator's")
+	}
+	if name != "" {
+		cmd.Operator = name
+	}
+	out, err := s.Backend.Submit(ctx, &cmd)
+	if err != nil {
+		return kindFailure, s.explain(err)
+	}
+	s.Metrics.Counter("operator_commands").Add(1)
+	return kindOutcome, &out
+}
+
+func (s *Server) read(ctx context.Context, frame wire.Frame) (wire.Kind, msgp.Marshaler) {
+	var read Read
+	if err := frame.Decode(&read); err != nil {
+		return kindFailure, s.failure(Malformed, "the read can't be read")
+	}
+	if err := s.Backend.Barrier(ctx); err != nil {
+		return kindFailure, s.explain(err)
+	}
+	view := viewOf(s.Backend.Catalogue(), read.Part)
+	view.VM = s.VM
+	return kindView, view
+}
+
+func (s *Server) members(ctx context.Context, frame wire.Frame, name string) (wire.Kind, msgp.Marshaler) {
+	var change MembersChange
+	if err := frame.Decode(&change); err != nil {
+		return kindFailure, s.failure(Malformed, "the change of members can't be read")
+	}
+	if name != "" {
+		change.Operator = name
+	}
+	if err := s.Backend.ChangeMembers(ctx, change); err != nil {
+		if isNoQuorum(err) {
+			return kindFailure, s.explain(err)
+		}
+		return kindFailure, s.failure(MembersRefused, err.Error())
+	}
+	local := s.Backend.Local()
+	return kindLocalStatus, &local
+}
+
+func isNoQuorum(err error) bool {
+	return errors.Is(err, ErrNoQuorum) || errors.Is(err, context.DeadlineExceeded)
+}
+
+// explain turns a backend's error into the reply.
+func (s *Server) explain(err error) *Failure {
+	if isNoQuorum(err) {
+		s.Metrics.Counter("operator_no_quorum").Add(1)
+		return s.failure(NoQuorum, "no majority of the control VMs answers; nothing here counts as current")
+	}
+	return s.failure(Malformed, err.Error())
+}
+
+func (s *Server) failure(code FailureCode, text string) *Failure {
+	return &Failure{Code: code, Text: text, VM: s.VM}
+}
