--- a/cmd/bergamotctl/change.go
+++ b/cmd/bergamotctl/change.go
@@ -36,6 +36,8 @@
 	InForce *bool `json:"inForce,omitempty"`
 	// AfterMS is how long that took, in milliseconds.
 	AfterMS int64 `json:"afterMs,omitempty"`
+	// Balancers is how many live balancers have it.
+	Balancers int `json:"balancers,omitempty"`
 	// Lagging are the balancers that don't have it.
 	Lagging []operator.BalancerStatus `json:"lagging,omitempty"`
 }
@@ -69,6 +71,7 @@
 	inForce := err == nil
 	r.InForce = &inForce
 	r.Lagging = fleet.Lagging(r.Revision)
+	r.Balancers = fleet.Live() - len(r.Lagging)
 	return err
 }
 
@@ -81,7 +84,7 @@
 	switch {
 	case r.InForce == nil:
 	case err == nil:
-		fmt.Fprintf(c.out, "in force on every balancer after %d ms\n", r.AfterMS)
+		fmt.Fprintf(c.out, "in force on all %d balancers after %d ms\n", r.Balancers, r.AfterMS)
 	default:
 		fmt.Fprintln(c.errOut, err)
 		for _, b := range r.Lagging {
--- /dev/null
+++ b/internal/catalogue/catalogue_test.go
@@ -0,0 +1,316 @@
+package catalogue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"bergamotstall/internal/spread"
+	"bergamotstall/internal/table"
+)
+
+// harness applies commands in log order to one replica.
+type harness struct {
+	*Catalogue
+	index uint64
+	nowMS int64
+	log   [][]byte
+}
+
+func newHarness() *harness { return &harness{Catalogue: New(), nowMS: 1_000_000} }
+
+// do applies one command at the harness's time and returns its outcome.
+func (h *harness) do(cmd Command) Outcome {
+	h.index++
+	cmd.AtMS = h.nowMS
+	if cmd.Via == "" {
+		cmd.Via = "control-a"
+	}
+	data, err := cmd.MarshalMsg(nil)
+	if err != nil {
+		panic(err)
+	}
+	h.log = append(h.log, data)
+	var out Outcome
+	if _, err := out.UnmarshalMsg(h.Apply(h.index, data)); err != nil {
+		panic(err)
+	}
+	return out
+}
+
+func (h *harness) pass(d time.Duration) { h.nowMS += d.Milliseconds() }
+
+func twoServices() Definition {
+	return Definition{
+		Services: []ServiceSpec{
+			{Name: "casework", Address: "127.0.0.1:8443"},
+			{Name: "map-documents", Address: "127.0.0.1:8444"},
+		},
+		Presets: []Preset{
+			{Name: "ordinary"},
+			{Name: "peak", Services: []PresetService{{
+				Service: "casework", DataCentres: []DataCentreWeight{{Name: "accra-a", Weight: 50}},
+				Hosts: []HostWeight{{Host: "casework-1", Weight: 10}},
+			}}},
+			{Name: "maintenance"},
+		},
+	}
+}
+
+func apply(id string, d Definition) Command {
+	return Command{ID: id, Operator: "ama", Apply: &ApplyCatalogue{Definition: d}}
+}
+
+func switchTo(id, preset string, expected uint64) Command {
+	return Command{ID: id, Operator: "ama", Expected: expected, Switch: &SwitchPreset{Preset: preset}}
+}
+
+func announce(service string, n int, incarnation uint64) Command {
+	return Command{AnnounceAgent: &AnnounceAgent{Announcement: agentOf(service, n, incarnation)}}
+}
+
+func agentOf(service string, n int, incarnation uint64) spread.Announcement {
+	return spread.Announcement{
+		Name: fmt.Sprintf("%s-agent-%d", service, n), Incarnation: incarnation, Attachment: 1,
+		DataCentre: fmt.Sprintf("accra-%c", 'a'+n%3), Tunnel: fmt.Sprintf("127.0.2.%d:9000", n+1),
+		Peer: fmt.Sprintf("127.0.2.%d:9001", n+1), Service: service, Host: fmt.Sprintf("%s-%d", service, n),
+		Slots: 4, Connections: 2000,
+	}
+}
+
+func silent(a *Agent) Command {
+	return Command{AgentSilent: &spread.Silence{Name: a.Name, Agent: a.Number, Incarnation: a.Incarnation, Attachment: a.Attachment}}
+}
+
+// withTargets is a catalogue with n casework targets.
+func withTargets(n int) *harness {
+	h := newHarness()
+	h.do(apply("first", twoServices()))
+	for i := range n {
+		h.do(announce("casework", i, 1))
+	}
+	return h
+}
+
+// Two operators look at version 2 and both switch. The faster one gets its
+// preset; the slower one is told the current version instead of silently
+// undoing the first. Afterwards the first preset is in force.
+func TestOfTwoOperatorsWithEqualVersionOneWins(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(0)
+	version := h.Summary().Version
+
+	first := h.do(switchTo("ama-1", "peak", version))
+	second := h.do(switchTo("kofi-1", "maintenance", version))
+
+	is.NoErr(first.Err())
+	var conflict *VersionConflict
+	is.True(errors.As(second.Err(), &conflict))
+	is.Equal(conflict.Current, first.Version)
+	is.Equal(h.Summary().InForce, "peak")
+	is.NoErr(new(Outcome).retry(h, conflict.Current)) // the current version is the one to retry with
+}
+
+// retry switches with the version that a conflict told.
+func (*Outcome) retry(h *harness, version uint64) error {
+	out := h.do(switchTo("kofi-2", "maintenance", version))
+	return out.Err()
+}
+
+// An operator's answer to "switch peak" is lost; a colleague then switches to
+// maintenance. The operator's tool sends the first command again. The operator
+// sees the first outcome, and maintenance stays in force.
+func TestResendReturnsTheFirstOutcomeAndChangesNothing(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(3)
+	first := h.do(switchTo("ama-1", "peak", 0))
+	h.do(switchTo("kofi-1", "maintenance", 0))
+	before := h.Summary()
+
+	resent := switchTo("ama-1", "peak", 0)
+	resent.Via = "control-b"
+	h.pass(time.Minute)
+	is.Equal(h.do(resent), first)
+	is.Equal(h.Summary(), before)
+}
+
+func TestRefusedCommandsKeepTheirOutcomeToo(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(0)
+	first := h.do(switchTo("ama-1", "holiday", 0))
+	is.Equal(first.Err().Error(), `catalogue: no preset "holiday"`)
+
+	d := twoServices()
+	d.Presets = append(d.Presets, Preset{Name: "holiday"})
+	h.do(apply("ama-2", d))
+	is.Equal(h.do(switchTo("ama-1", "holiday", 0)), first) // the operator was told no; it stays no
+}
+
+func TestIdentityForAnotherCommandIsAnError(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(0)
+	h.do(switchTo("ama-1", "peak", 0))
+	out := h.do(switchTo("ama-1", "maintenance", 0))
+	var reused *IdentityReused
+	is.True(errors.As(out.Err(), &reused))
+	is.Equal(h.Summary().InForce, "peak")
+	other := switchTo("ama-1", "peak", 0)
+	other.Operator = "kofi"
+	again := h.do(other)
+	is.True(errors.As(again.Err(), &reused)) // another operator's
+}
+
+func TestOutcomesAreForgottenByCountInLogOrder(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(0)
+	h.do(switchTo("old", "peak", 0))
+	for i := range OutcomesKept {
+		h.do(switchTo(fmt.Sprint("n", i), "peak", 0))
+	}
+	is.Equal(len(h.state.Outcomes), OutcomesKept)
+	_, known := h.outcomes["old"]
+	is.True(!known)
+	_, known = h.outcomes["n0"]
+	is.True(known)
+}
+
+func TestDefinitionsThatWouldLoseSomethingAreRefused(t *testing.T) {
+	withoutService := twoServices()
+	withoutService.Services = withoutService.Services[1:]
+	withoutService.Presets[1].Services = nil
+	withoutPreset := twoServices()
+	withoutPreset.Presets = withoutPreset.Presets[1:]
+	invalid := twoServices()
+	invalid.Services[0].Address = "here"
+
+	for _, c := range []struct {
+		name string
+		d    Definition
+		want string
+	}{
+		{"service with targets", withoutService, `catalogue: refused: service "casework" has 2 targets and is missing from the file; stop its agents first`},
+		{"preset in force", withoutPreset, `catalogue: refused: preset "ordinary" is in force and missing from the file; switch to another one first`},
+		{"invalid", invalid, `catalogue: invalid: services[0].address: "here" is no address (allowed: ip:port, port 1 to 65535)`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := withTargets(2)
+			before := h.Summary()
+			out := h.do(apply("second", c.d))
+			is.True(out.Err() != nil)
+			is.Equal(out.Err().Error(), c.want)
+			is.Equal(h.Summary(), before) // a bad file changes nothing
+		})
+	}
+}
+
+func TestServiceIDsAreNeverReused(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(0)
+	less := twoServices()
+	less.Services = less.Services[:1]
+	h.do(apply("less", less))
+	h.do(apply("again", twoServices()))
+	maps, ok := h.Table().ServiceNamed("map-documents")
+	is.True(ok)
+	is.Equal(maps.ID, table.ServiceID(3))
+}
+
+// An agent process restarts. Its host's target gets a new number, so that a
+// packet for the old process can't reach the new one, and the old number is
+// retired at once. A late announcement of the old process changes nothing.
+func TestRestartedAgentGetsANewNumber(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(2)
+	out := h.do(announce("casework", 0, 2))
+	is.NoErr(out.Err())
+	is.Equal(out.Agent, table.AgentNumber(3))
+	old, _ := h.Table().Target(1)
+	is.Equal(old.State, table.Retired)
+
+	before := h.Summary()
+	late := h.do(announce("casework", 0, 1))
+	var superseded *SupersededError
+	is.True(errors.As(late.Err(), &superseded))
+	is.Equal(h.Summary(), before)
+}
+
+func TestKnownIncarnationKeepsNumberAndRevision(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(2)
+	before := h.Summary()
+	again := announce("casework", 1, 1)
+	again.AnnounceAgent.Announcement.Attachment = 2
+	again.Via = "control-b"
+	out := h.do(again)
+	is.Equal(out.Agent, table.AgentNumber(2))
+	is.Equal(h.Summary(), before) // a reconnect is no change of the table
+}
+
+func TestWeightsFollowThePresetAndStampRamps(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(3)
+	h.pass(time.Hour)
+	h.do(switchTo("p", "peak", 0))
+	var weights []uint32
+	for _, x := range h.Table().Targets {
+		weights = append(weights, x.Weight)
+	}
+	is.Equal(weights, []uint32{50 * 100, 100 * 10, 100 * 100})
+	first := h.Table().Targets[0]
+	is.Equal(first.PreviousWeight, uint32(100*100))
+	is.Equal(first.ChangedAtMS, h.nowMS)
+	third := h.Table().Targets[2]
+	is.True(third.ChangedAtMS < h.nowMS) // its weight didn't change
+}
+
+func TestDrainHoldsForAllOfAHostAndBeforeItComes(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(2)
+	out := h.do(Command{ID: "d", Operator: "ama", Drain: &DrainHost{Host: "casework-2"}})
+	is.NoErr(out.Err())
+	h.do(announce("casework", 2, 1))
+	x, _ := h.Table().Target(3)
+	is.Equal(x.State, table.Draining)
+	h.do(Command{ID: "u", Operator: "ama", Undrain: &UndrainHost{Host: "casework-2"}})
+	x, _ = h.Table().Target(3)
+	is.Equal(x.State, table.Active)
+}
+
+func TestRotationInSteps(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(0)
+	step := func(id string, r RotateKeys) error {
+		out := h.do(Command{ID: id, Operator: "ama", RotateKeys: &r})
+		return out.Err()
+	}
+	signing := func() uint8 {
+		k, err := h.Table().CurrentKeys()
+		is.NoErr(err)
+		return k.Generation
+	}
+	is.True(step("p0", RotateKeys{Step: KeyPrepare, Keys: someKeys()}) != nil) // no first generation yet
+	is.NoErr(step("f", RotateKeys{Step: KeyFirst, Keys: someKeys()}))
+	is.True(step("f2", RotateKeys{Step: KeyFirst, Keys: someKeys()}) != nil)
+	is.True(step("s0", RotateKeys{Step: KeySign}) != nil) // nothing prepared
+	is.NoErr(step("p", RotateKeys{Step: KeyPrepare, Keys: someKeys()}))
+	is.Equal(signing(), uint8(1)) // known to all, used by none
+	is.Equal(len(h.Table().Keys), 2)
+	is.True(step("d0", RotateKeys{Step: KeyDrop}) != nil)
+	is.NoErr(step("s", RotateKeys{Step: KeySign}))
+	is.Equal(signing(), uint8(2))
+	is.True(step("d1", RotateKeys{Step: KeyDrop}) != nil) // open flows carry generation 1
+	h.pass(MinAcceptance)
+	is.NoErr(step("d", RotateKeys{Step: KeyDrop}))
+	is.Equal(len(h.Table().Keys), 1)
+}
+
+func someKeys() *table.KeySet {
+	return &table.KeySet{
+		ConnID: make([]byte, 16), Envelope: make([]byte, 32), Reset: make([]byte, 32),
+		Token: make([]byte, 32), Hash: make([]byte, 16),
+	}
+}
--- a/internal/catalogue/operators.go
+++ b/internal/catalogue/operators.go
@@ -69,10 +69,10 @@
 		return c.outcome(Refused, fmt.Sprintf("service %q has %d targets and is missing from the file; stop its agents first", name, targets))
 	}
 	c.replaceServices(d.Services)
+	c.altered = c.altered || inForce != c.state.InForce
 	c.state.Presets = d.Presets
 	c.state.InForce = inForce
 	c.reweigh()
-	c.altered = true
 	return c.outcome(Done, fmt.Sprintf("%d services, %d presets, %s in force", len(d.Services), len(d.Presets), inForce))
 }
 
@@ -111,6 +111,9 @@
 		kept[service.ID] = true
 		next = append(next, service)
 	}
+	if !slices.Equal(next, c.state.Services) {
+		c.altered = true
+	}
 	c.state.Services = next
 	c.dropAgents(func(a *Agent) bool { return !kept[a.Service] })
 }
@@ -162,8 +165,7 @@
 	at, _ := slices.BinarySearch(c.state.Drains, host)
 	c.state.Drains = slices.Insert(c.state.Drains, at, host)
 	c.drains[host] = true
-	c.altered = true
-	return c.outcome(Done, fmt.Sprintf("%s drains, %d targets on it", host, c.targetsOn(host)))
+	return c.drainChanged(host, "drains")
 }
 
 const maxDrains = 20_000
@@ -175,8 +177,17 @@
 	}
 	c.state.Drains = slices.Delete(c.state.Drains, at, at+1)
 	delete(c.drains, host)
-	c.altered = true
-	return c.outcome(Done, fmt.Sprintf("%s gets new work again, %d targets on it", host, c.targetsOn(host)))
+	return c.drainChanged(host, "gets new work again")
+}
+
+// drainChanged ends a change of a host's drain; only a host with targets shows
+// in the table.
+func (c *Catalogue) drainChanged(host, what string) Outcome {
+	targets := c.targetsOn(host)
+	if targets > 0 {
+		c.altered = true
+	}
+	return c.outcome(Done, fmt.Sprintf("%s %s, %d targets on it", host, what, targets))
 }
 
 func (c *Catalogue) targetsOn(host string) int {
--- /dev/null
+++ b/internal/catalogue/property_test.go
@@ -0,0 +1,172 @@
+package catalogue
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bergamotstall/internal/spread"
+	"bergamotstall/internal/table"
+)
+
+// randomCommand draws one command among few names, so that they collide.
+func randomCommand(t *rapid.T, h *harness) Command {
+	id := fmt.Sprint("id-", rapid.IntRange(0, 60).Draw(t, "id"))
+	host := rapid.IntRange(0, 5).Draw(t, "host")
+	expected := uint64(0)
+	if rapid.Bool().Draw(t, "guarded") {
+		expected = h.Summary().Version - uint64(rapid.IntRange(0, 1).Draw(t, "behind"))
+	}
+	cmd := Command{ID: id, Operator: "ama", Expected: expected}
+	switch rapid.IntRange(0, 11).Draw(t, "kind") {
+	case 0:
+		cmd.Apply = &ApplyCatalogue{Definition: randomDefinition(t)}
+	case 1, 2:
+		cmd.Switch = &SwitchPreset{Preset: rapid.SampledFrom([]string{"ordinary", "peak", "maintenance", "none"}).Draw(t, "preset")}
+	case 3:
+		cmd.Drain = &DrainHost{Host: fmt.Sprint("casework-", host)}
+	case 4:
+		cmd.Undrain = &UndrainHost{Host: fmt.Sprint("casework-", host)}
+	case 5:
+		step := rapid.SampledFrom([]KeyStep{KeyFirst, KeyPrepare, KeySign, KeyDrop}).Draw(t, "step")
+		cmd.RotateKeys = &RotateKeys{Step: step, Keys: someKeys(), Early: true}
+	case 6, 7:
+		service := rapid.SampledFrom([]string{"casework", "map-documents"}).Draw(t, "service")
+		a := agentOf(service, host, uint64(rapid.IntRange(1, 4).Draw(t, "incarnation")))
+		a.Attachment = uint64(rapid.IntRange(1, 3).Draw(t, "attachment"))
+		a.Draining = rapid.IntRange(0, 4).Draw(t, "leaving") == 0
+		return Command{AnnounceAgent: &AnnounceAgent{Announcement: a}}
+	case 8, 9:
+		if agents := h.Agents(); len(agents) > 0 {
+			return silent(&agents[rapid.IntRange(0, len(agents)-1).Draw(t, "silent")])
+		}
+		return Command{Sweep: &Sweep{}}
+	case 10:
+		name := fmt.Sprint("b", host)
+		return Command{AnnounceBalancer: &AnnounceBalancer{Announcement: spread.Announcement{Name: name, Incarnation: 1, Tunnel: "127.0.3.1:7000"}}}
+	case 11:
+		return Command{BalancerSilent: &spread.Silence{Name: fmt.Sprint("b", host), Incarnation: 1}}
+	}
+	return cmd
+}
+
+func randomDefinition(t *rapid.T) Definition {
+	d := twoServices()
+	if rapid.Bool().Draw(t, "one service") {
+		d.Services = d.Services[:1]
+	}
+	first := rapid.IntRange(0, 2).Draw(t, "first preset")
+	d.Presets = d.Presets[first:]
+	return d
+}
+
+// invariants are what must hold after each command, whatever it was.
+type invariants struct {
+	last    Summary
+	bound   map[table.AgentNumber]string
+	highest table.AgentNumber
+}
+
+func (v *invariants) check(t *rapid.T, h *harness) {
+	now := h.Summary()
+	if now.Version < v.last.Version || now.Revision < v.last.Revision {
+		t.Fatalf("fell from %+v to %+v", v.last, now)
+	}
+	if len(h.Services()) > 0 {
+		in := 0
+		for _, p := range h.Presets() {
+			if p.Name == now.InForce {
+				in++
+			}
+		}
+		if in != 1 {
+			t.Fatalf("%d presets named %q in force", in, now.InForce)
+		}
+	}
+	for _, a := range h.Agents() {
+		who := fmt.Sprint(a.Service, a.Host, a.Name, a.Incarnation)
+		if was, ok := v.bound[a.Number]; ok && was != who {
+			t.Fatalf("agent %d was %s and is %s", a.Number, was, who)
+		}
+		if _, ok := v.bound[a.Number]; !ok && a.Number <= v.highest {
+			t.Fatalf("agent number %d given out late", a.Number)
+		}
+		v.bound[a.Number] = who
+		v.highest = max(v.highest, a.Number)
+	}
+	v.last = now
+}
+
+// Replicas that took the log by different ways must hold the same state, byte
+// by byte: one applied every command, one was restored from a snapshot in the
+// middle and applied the rest.
+func TestReplayEqualsSnapshotAndRest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHarness()
+		h.do(apply("first", twoServices()))
+		v := &invariants{bound: map[table.AgentNumber]string{}}
+		n := rapid.IntRange(1, 120).Draw(t, "commands")
+		cut := rapid.IntRange(1, n).Draw(t, "snapshot after")
+		var middle []byte
+		var outcomes [][]byte
+		for i := range n {
+			h.pass(time.Duration(rapid.IntRange(0, 400).Draw(t, "seconds")) * time.Second)
+			out := h.do(randomCommand(t, h))
+			data, _ := out.MarshalMsg(nil)
+			outcomes = append(outcomes, data)
+			v.check(t, h)
+			if i+1 == cut {
+				middle = snapshotOf(t, h.Catalogue)
+			}
+		}
+		other := New()
+		if err := other.Restore(middle); err != nil {
+			t.Fatal(err)
+		}
+		for i := cut; i < n; i++ {
+			out := other.Apply(uint64(i+2), h.log[i+1])
+			if !slices.Equal(out, outcomes[i]) {
+				t.Fatalf("command %d has another outcome after a restore", i)
+			}
+		}
+		if !slices.Equal(snapshotOf(t, other), snapshotOf(t, h.Catalogue)) {
+			t.Fatal("states differ")
+		}
+		a, _ := other.Table().MarshalMsg(nil)
+		b, _ := h.Table().MarshalMsg(nil)
+		if !slices.Equal(a, b) {
+			t.Fatal("tables differ")
+		}
+	})
+}
+
+// One revision must stand for one table on every replica, also where a command
+// was refused or changed nothing in it.
+func TestOneRevisionOneTable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHarness()
+		h.do(apply("first", twoServices()))
+		seen := map[table.Revision][]byte{}
+		for range rapid.IntRange(1, 80).Draw(t, "commands") {
+			h.pass(time.Duration(rapid.IntRange(0, 400).Draw(t, "seconds")) * time.Second)
+			h.do(randomCommand(t, h))
+			h.built = nil // built anew, not remembered
+			x, _ := h.Table().MarshalMsg(nil)
+			if was, ok := seen[h.Table().Revision]; ok && !slices.Equal(was, x) {
+				t.Fatalf("revision %d has two tables", h.Table().Revision)
+			}
+			seen[h.Table().Revision] = x
+		}
+	})
+}
+
+func snapshotOf(t *rapid.T, c *Catalogue) []byte {
+	data, err := c.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
--- /dev/null
+++ b/internal/catalogue/silence_test.go
@@ -0,0 +1,163 @@
+package catalogue
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bergamotstall/internal/spread"
+	"bergamotstall/internal/table"
+)
+
+func TestShareThatSilenceAloneMayTakeOut(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		live, out int
+		want      bool
+	}{
+		{"one of seven", 7, 0, true},
+		{"third of seven: a data centre", 5, 2, true},
+		{"fourth of seven: a wave", 4, 3, false},
+		{"one of three", 3, 0, true},
+		{"second of three", 2, 1, false},
+		{"one of two", 2, 0, true},
+		{"the last one", 1, 0, false},
+		{"the last one, others long gone", 1, 1, false},
+		{"large service, a third", 667, 333, true},
+		{"large service, more", 666, 334, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(wave{live: c.live, out: c.out}.believe(), c.want)
+		})
+	}
+}
+
+// A control VM loses its link to the agents, though not to the other control
+// VMs, and reports one agent after another as silent. Callers see nothing: a
+// third of the targets drain at most, the others stay in, marked as suspects.
+func TestWaveOfSilenceDoesNotEmptyAService(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(7)
+	for _, a := range h.Agents() {
+		h.do(silent(&a))
+	}
+	is.Equal(countState(h, table.Active), 4)
+	is.Equal(countState(h, table.Draining), 3)
+
+	h.pass(time.Minute)
+	for _, a := range h.Agents() {
+		h.do(silent(&a)) // reported again and again
+	}
+	is.Equal(countState(h, table.Active), 4)
+
+	for i := range 7 { // the link is back
+		again := announce("casework", i, 1)
+		again.AnnounceAgent.Announcement.Attachment = 2
+		h.do(again)
+	}
+	is.Equal(countState(h, table.Active), 7)
+	is.Equal(h.Table().Targets[0].Agent, table.AgentNumber(1)) // open flows kept their number
+}
+
+func countState(h *harness, s table.State) int {
+	n := 0
+	for _, x := range h.Table().Targets {
+		if x.State == s {
+			n++
+		}
+	}
+	return n
+}
+
+// An agent dies. Its target gets no new work at once, its number is retired
+// after a further wait, and is dropped when no caller can still use it. The
+// number is never given out again.
+func TestSilentAgentIsRetiredAndDropped(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(3)
+	a := h.Agents()[0]
+	h.do(silent(&a))
+	x, _ := h.Table().Target(1)
+	is.Equal(x.State, table.Draining)
+	is.True(!h.SweepDue(time.UnixMilli(h.nowMS)))
+
+	h.pass(retireAfter)
+	is.True(h.SweepDue(time.UnixMilli(h.nowMS)))
+	h.do(Command{Sweep: &Sweep{}})
+	x, _ = h.Table().Target(1)
+	is.Equal(x.State, table.Retired)
+
+	h.pass(RetiredKept)
+	h.do(Command{Sweep: &Sweep{}})
+	_, known := h.Table().Target(1)
+	is.True(!known)
+	out := h.do(announce("casework", 0, 9))
+	is.Equal(out.Agent, table.AgentNumber(4))
+}
+
+// An agent moves to another control VM. The VM that it left reports it silent
+// a moment later, as does a VM that was partitioned for a minute. Callers see
+// nothing: the agent stays in.
+func TestSilenceOfAStreamThatWasLeftIsVoid(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(3)
+	left := h.Agents()[0]
+	moved := announce("casework", 0, 1)
+	moved.AnnounceAgent.Announcement.Attachment = 2
+	moved.Via = "control-b"
+	h.do(moved)
+	h.pass(time.Minute)
+	h.do(silent(&left))
+	x, _ := h.Table().Target(1)
+	is.Equal(x.State, table.Active)
+
+	stale := announce("casework", 0, 1) // nor does the VM that it left speak for it
+	stale.AnnounceAgent.Announcement.Draining = true
+	h.do(stale)
+	x, _ = h.Table().Target(1)
+	is.Equal(x.State, table.Active)
+}
+
+func TestPlannedLeaversDontCount(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(3)
+	for i := range 2 {
+		leaving := announce("casework", i, 1)
+		leaving.AnnounceAgent.Announcement.Draining = true
+		leaving.AnnounceAgent.Announcement.Attachment = 2
+		h.do(leaving)
+	}
+	for _, a := range h.Agents()[:2] {
+		out := h.do(silent(&a))
+		is.NoErr(out.Err())
+	}
+	is.Equal(countState(h, table.Retired), 2)
+	is.Equal(countState(h, table.Active), 1)
+}
+
+func TestMassRestartBoundsRetiredNumbers(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(1)
+	for i := range maxRetired + 10 {
+		h.do(announce("casework", 0, uint64(i+2)))
+	}
+	h.do(Command{Sweep: &Sweep{}})
+	is.Equal(countState(h, table.Retired), maxRetired)
+	is.Equal(countState(h, table.Active), 1)
+}
+
+// All balancers fall silent for control at once. Agents keep a list of most of
+// them, so answers still find a way.
+func TestBalancersAreNotAllTakenOff(t *testing.T) {
+	is := is.New(t)
+	h := newHarness()
+	for _, name := range []string{"b1", "b2", "b3"} {
+		h.do(Command{AnnounceBalancer: &AnnounceBalancer{Announcement: spread.Announcement{Name: name, Incarnation: 1, Attachment: 1, Tunnel: "127.0.3.1:7000"}}})
+	}
+	for _, name := range []string{"b1", "b2", "b3"} {
+		h.do(Command{BalancerSilent: &spread.Silence{Name: name, Incarnation: 1, Attachment: 1}})
+	}
+	is.Equal(len(h.Table().Balancers), 2)
+}
--- /dev/null
+++ b/internal/catalogue/size_test.go
@@ -0,0 +1,135 @@
+package catalogue
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"bergamotstall/internal/spread"
+)
+
+// sizes are hosts and services; the last is the letter's.
+var sizes = []struct{ hosts, services int }{{3_000, 525}, {6_000, 1_050}, {12_000, 2_100}}
+
+// fleet is a catalogue with hosts spread over services.
+func fleet(hosts, services int) *harness {
+	var d Definition
+	for i := range services {
+		d.Services = append(d.Services, ServiceSpec{
+			Name: fmt.Sprintf("service-%04d", i), Address: fmt.Sprintf("10.%d.%d.1:8443", i/256, i%256),
+		})
+	}
+	d.Presets = []Preset{{Name: "ordinary"}, {Name: "peak", Services: []PresetService{{
+		Service: "service-0000", DataCentres: []DataCentreWeight{{Name: "accra-a", Weight: 50}},
+	}}}}
+	h := newHarness()
+	h.do(apply("first", d))
+	for i := range hosts {
+		cmd := announce(fmt.Sprintf("service-%04d", i%services), i, 1)
+		a := &cmd.AnnounceAgent.Announcement
+		a.Tunnel = fmt.Sprintf("10.%d.%d.2:9000", i/256, i%256)
+		a.Peer = fmt.Sprintf("10.%d.%d.2:9001", i/256, i%256)
+		h.do(cmd)
+		h.log = nil
+	}
+	return h
+}
+
+func forSizes(b *testing.B, run func(b *testing.B, h *harness)) {
+	for _, s := range sizes {
+		h := fleet(s.hosts, s.services)
+		b.Run(fmt.Sprintf("hosts=%d", s.hosts), func(b *testing.B) { run(b, h) })
+	}
+}
+
+// BenchmarkTable measures building the table: time, allocations, encoded size
+// and the memory that it keeps.
+func BenchmarkTable(b *testing.B) {
+	forSizes(b, func(b *testing.B, h *harness) {
+		b.ReportAllocs()
+		for b.Loop() {
+			h.built = nil
+			h.Table()
+		}
+		data, err := h.Table().MarshalMsg(nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(data)), "encoded-B")
+		h.built = nil
+		before := heap()
+		kept := h.Table()
+		b.ReportMetric(float64(heap()-before), "kept-B")
+		runtime.KeepAlive(kept)
+	})
+}
+
+// BenchmarkState measures the memory that a replica's whole state keeps and the
+// size and cost of its snapshot.
+func BenchmarkState(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("hosts=%d", s.hosts), func(b *testing.B) {
+			before := heap()
+			h := fleet(s.hosts, s.services)
+			kept := heap() - before
+			var size int
+			for b.Loop() {
+				data, err := h.Snapshot()
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "snapshot-B")
+			b.ReportMetric(float64(kept), "kept-B")
+			runtime.KeepAlive(h)
+		})
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// BenchmarkApply measures one command of each common kind.
+func BenchmarkApply(b *testing.B) {
+	forSizes(b, func(b *testing.B, h *harness) {
+		n := 0
+		for _, k := range []struct {
+			name string
+			next func() Command
+		}{
+			{"switch", func() Command {
+				return switchTo(fmt.Sprint(b.Name(), n), []string{"peak", "ordinary"}[n%2], 0)
+			}},
+			{"reconnect", func() Command { return Command{AnnounceAgent: &AnnounceAgent{Announcement: announcementOf(h, n)}} }},
+			{"restart", func() Command {
+				a := announcementOf(h, n)
+				a.Incarnation = uint64(n + 2)
+				return Command{AnnounceAgent: &AnnounceAgent{Announcement: a}}
+			}},
+		} {
+			b.Run(k.name, func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					n++
+					h.do(k.next())
+					h.log = nil
+				}
+			})
+		}
+	})
+}
+
+// announcementOf repeats what one of the first agents announced.
+func announcementOf(h *harness, n int) spread.Announcement {
+	a := &h.state.Agents[n%len(h.state.Agents)]
+	return spread.Announcement{
+		Name: a.Name, Incarnation: a.Incarnation, Attachment: a.Attachment + 1, DataCentre: a.DataCentre,
+		Tunnel: a.Tunnel, Peer: a.Peer, Service: h.serviceName(a.Service), Host: a.Host,
+		Slots: a.Slots, Connections: a.Connections,
+	}
+}
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"bergamotstall/internal/spread"
 	"bergamotstall/internal/table"
 )
 
@@ -80,7 +81,7 @@
 			continue
 		}
 		for _, s := range vm.Local.Subscribers {
-			if s.Role != "balancer" || s.Name != b.Name || (out.Heard && s.AgeMS >= out.AgeMS) {
+			if s.Role != spread.RoleBalancer.String() || s.Name != b.Name || (out.Heard && s.AgeMS >= out.AgeMS) {
 				continue
 			}
 			out.Heard, out.Revision, out.AgeMS = true, s.Revision, s.AgeMS
@@ -93,13 +94,24 @@
 func (f *Fleet) Lagging(revision table.Revision) []BalancerStatus {
 	var out []BalancerStatus
 	for _, b := range f.Balancers {
-		if b.State != "out" && (!b.Heard || b.Revision < revision) {
+		if b.State != stateOut && (!b.Heard || b.Revision < revision) {
 			out = append(out, b)
 		}
 	}
 	return out
 }
 
+// Live counts the balancers that control takes to be alive.
+func (f *Fleet) Live() int {
+	n := 0
+	for _, b := range f.Balancers {
+		if b.State != stateOut {
+			n++
+		}
+	}
+	return n
+}
+
 // ErrLagging is returned where balancers haven't acknowledged a revision in time.
 var ErrLagging = errors.New("operator: not in force on every balancer yet")
 
--- a/internal/operator/view.go
+++ b/internal/operator/view.go
@@ -65,6 +65,9 @@
 	return "active", ""
 }
 
+// stateOut is a balancer's that control took off the return path.
+const stateOut = "out"
+
 func balancersOf(c *catalogue.Catalogue) []Balancer {
 	var out []Balancer
 	for _, b := range c.Balancers() {
@@ -73,7 +76,7 @@
 		case catalogue.Suspect:
 			state = "suspect"
 		case catalogue.Out:
-			state = "out"
+			state = stateOut
 		}
 		out = append(out, Balancer{Name: b.Name, DataCentre: b.DataCentre, Tunnel: b.Tunnel, Via: b.Via, State: state})
 	}
