Catalogue: a switch and a restart cost time in step with the hosts

Change: names and the preset in force are indexed; agents are filtered in place. The benchmark's preset names every service from here on.

--- a/internal/catalogue/agents.go
+++ b/internal/catalogue/agents.go
@@ -224,19 +224,27 @@
 
 func (c *Catalogue) due(sinceMS, afterMS int64) bool { return c.state.ClockMS-sinceMS >= afterMS }
 
-// dropAgents forgets agents; their numbers stay used.
+// dropAgents forgets agents; their numbers stay used. It copies only once it has
+// found one: it runs at every command.
 func (c *Catalogue) dropAgents(gone func(*Agent) bool) {
-	before := len(c.state.Agents)
-	c.state.Agents = slices.DeleteFunc(c.state.Agents, func(x Agent) bool {
-		if !gone(&x) {
-			return false
+	kept := 0
+	for i := range c.state.Agents {
+		x := &c.state.Agents[i]
+		if gone(x) {
+			c.unindex(x)
+			continue
 		}
-		c.unindex(&x)
-		return true
-	})
-	if len(c.state.Agents) != before {
-		c.altered = true
+		if kept < i {
+			c.state.Agents[kept] = *x
+		}
+		kept++
 	}
+	if kept == len(c.state.Agents) {
+		return
+	}
+	clear(c.state.Agents[kept:])
+	c.state.Agents = c.state.Agents[:kept]
+	c.altered = true
 }
 
 // unindex forgets a dropped agent where it still is its name's current one.
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -23,6 +23,8 @@
 	outcomes map[string]*OutcomeRecord
 	agents   map[string]table.AgentNumber
 	drains   map[string]bool
+	// names are the services' by ID: looked up for every target at a switch.
+	names map[table.ServiceID]string
 	// hostOf finds the current agent of a service's host.
 	hostOf map[place]table.AgentNumber
 
@@ -227,6 +229,7 @@
 	for _, host := range c.state.Drains {
 		c.drains[host] = true
 	}
+	c.indexServices()
 	c.agents = make(map[string]table.AgentNumber, len(c.state.Agents))
 	c.hostOf = make(map[place]table.AgentNumber, len(c.state.Agents))
 	for i := range c.state.Agents {
@@ -234,6 +237,13 @@
 	}
 }
 
+func (c *Catalogue) indexServices() {
+	c.names = make(map[table.ServiceID]string, len(c.state.Services))
+	for _, s := range c.state.Services {
+		c.names[s.ID] = s.Spec.Name
+	}
+}
+
 // index makes a the current agent of its name and host, unless it was replaced.
 func (c *Catalogue) index(a *Agent) {
 	if a.Replaced {
--- a/internal/catalogue/definition.go
+++ b/internal/catalogue/definition.go
@@ -152,20 +152,32 @@
 	taken[name] = true
 }
 
-// weight is a target's share of new work for one service under the preset.
-func (p *Preset) weight(service, dataCentre, host string) uint32 {
-	centre, own := uint32(defaultWeight), uint32(defaultWeight)
+// index finds a preset's weights by service.
+func (p *Preset) index() map[string]*PresetService {
+	out := make(map[string]*PresetService, len(p.Services))
+	for i := range p.Services {
+		out[p.Services[i].Service] = &p.Services[i]
+	}
+	return out
+}
+
+// service returns the preset's weights for a service, nil where it names none.
+func (p *Preset) service(name string) *PresetService {
 	for i := range p.Services {
-		if p.Services[i].Service == service {
-			centre, own = p.Services[i].factors(dataCentre, host)
-			break
+		if p.Services[i].Service == name {
+			return &p.Services[i]
 		}
 	}
-	return centre * own
+	return nil
 }
 
-func (s *PresetService) factors(dataCentre, host string) (centre, own uint32) {
-	centre, own = defaultWeight, defaultWeight
+// weight is a target's share of new work for the service. A nil s weighs all
+// targets alike.
+func (s *PresetService) weight(dataCentre, host string) uint32 {
+	centre, own := uint32(defaultWeight), uint32(defaultWeight)
+	if s == nil {
+		return centre * own
+	}
 	for _, d := range s.DataCentres {
 		if d.Name == dataCentre {
 			centre = d.Weight
@@ -176,5 +188,5 @@
 			own = h.Weight
 		}
 	}
-	return centre, own
+	return centre * own
 }
--- a/internal/catalogue/derive.go
+++ b/internal/catalogue/derive.go
@@ -4,16 +4,26 @@
 	"bergamotstall/internal/table"
 )
 
-// reweigh brings every agent's weight in line with the preset in force.
+// reweigh brings every agent's weight in line with the preset in force. The
+// preset is indexed once: a preset that names each of 2,100 services would else
+// be searched for each of 12,000 targets.
 func (c *Catalogue) reweigh() {
+	preset, ok := c.preset(c.state.InForce)
+	if !ok {
+		return
+	}
+	named := preset.index()
 	for i := range c.state.Agents {
-		c.weigh(&c.state.Agents[i])
+		a := &c.state.Agents[i]
+		c.setWeight(a, named[c.serviceName(a.Service)].weight(a.DataCentre, a.Host))
 	}
 }
 
-// weigh sets one agent's weight and, where it changes, the start of its ramp.
-func (c *Catalogue) weigh(a *Agent) {
-	weight := c.effectiveWeight(a)
+// weigh brings one agent's weight in line with the preset in force.
+func (c *Catalogue) weigh(a *Agent) { c.setWeight(a, c.effectiveWeight(a)) }
+
+// setWeight sets an agent's weight and, where it changes, the start of its ramp.
+func (c *Catalogue) setWeight(a *Agent, weight uint32) {
 	if weight == a.Weight {
 		return
 	}
@@ -28,17 +38,10 @@
 	if !ok {
 		return 0
 	}
-	return preset.weight(c.serviceName(a.Service), a.DataCentre, a.Host)
+	return preset.service(c.serviceName(a.Service)).weight(a.DataCentre, a.Host)
 }
 
-func (c *Catalogue) serviceName(id table.ServiceID) string {
-	for i := range c.state.Services {
-		if c.state.Services[i].ID == id {
-			return c.state.Services[i].Spec.Name
-		}
-	}
-	return ""
-}
+func (c *Catalogue) serviceName(id table.ServiceID) string { return c.names[id] }
 
 // Table returns the table of the current revision. Callers don't change it.
 func (c *Catalogue) Table() *table.Table {
--- a/internal/catalogue/operators.go
+++ b/internal/catalogue/operators.go
@@ -115,6 +115,7 @@
 		c.altered = true
 	}
 	c.state.Services = next
+	c.indexServices()
 	c.dropAgents(func(a *Agent) bool { return !kept[a.Service] })
 }
 
--- a/internal/catalogue/size_test.go
+++ b/internal/catalogue/size_test.go
@@ -19,9 +19,13 @@
 			Name: fmt.Sprintf("service-%04d", i), Address: fmt.Sprintf("10.%d.%d.1:8443", i/256, i%256),
 		})
 	}
-	d.Presets = []Preset{{Name: "ordinary"}, {Name: "peak", Services: []PresetService{{
-		Service: "service-0000", DataCentres: []DataCentreWeight{{Name: "accra-a", Weight: 50}},
-	}}}}
+	peak := Preset{Name: "peak"}
+	for _, s := range d.Services {
+		peak.Services = append(peak.Services, PresetService{
+			Service: s.Name, DataCentres: []DataCentreWeight{{Name: "accra-a", Weight: 50}},
+		})
+	}
+	d.Presets = []Preset{{Name: "ordinary"}, peak}
 	h := newHarness()
 	h.do(apply("first", d))
 	for i := range hosts {
