--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,7 +16,9 @@
 	"github.com/go-faster/errors"
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
 )
 
 // Problem is one impossible value in a decoded file.
@@ -56,7 +58,7 @@
 func Decode(file string, data []byte, out Checked) error {
 	dec := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
 	if err := dec.Decode(out); err != nil {
-		return &Error{File: file, Lines: []string{decodeLine(file, err)}}
+		return &Error{File: file, Lines: []string{decodeLine(file, data, err)}}
 	}
 	problems := out.Problems()
 	if len(problems) == 0 {
@@ -71,8 +73,12 @@
 }
 
 // decodeLine turns the YAML library's error into one line with file and line.
-func decodeLine(file string, err error) string {
+func decodeLine(file string, data []byte, err error) string {
 	var at yaml.Error
+	if value, ok := badDuration(err); ok {
+		line, field := whereIs(data, value)
+		return fmt.Sprintf("%s:%d: %s: %q is no duration (allowed: a number with a unit, as in 500ms, 10s or 24h)", file, line, field, value)
+	}
 	if !errors.As(err, &at) || at.GetToken() == nil {
 		return fmt.Sprintf("%s:1: %v (allowed: one YAML mapping)", file, err)
 	}
@@ -80,6 +86,31 @@
 	return fmt.Sprintf("%s:%d: %s: %s (allowed: see the examples directory)", file, tok.Position.Line, tok.Value, at.GetMessage())
 }
 
+// badDuration returns the text that time.ParseDuration refused. The YAML library
+// passes that error on without a position.
+func badDuration(err error) (string, bool) {
+	text := err.Error()
+	if !strings.HasPrefix(text, "time: ") || !strings.HasSuffix(text, `"`) {
+		return "", false
+	}
+	at := strings.LastIndex(text[:len(text)-1], `"`)
+	if at < 0 {
+		return "", false
+	}
+	return text[at+1 : len(text)-1], true
+}
+
+// whereIs finds the line and field of the first scalar with the given text.
+func whereIs(data []byte, value string) (line int, field string) {
+	for _, tok := range lexer.Tokenize(string(data)) {
+		if tok.Value != value || tok.Prev == nil || tok.Prev.Type != token.MappingValueType {
+			continue
+		}
+		return tok.Position.Line, tok.Prev.Prev.Value
+	}
+	return 1, "duration"
+}
+
 // lineOf finds the line of a field; a field that is missing has the line of the
 // nearest one that encloses it.
 func lineOf(tree *ast.File, field string) int {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -36,6 +36,8 @@
 		{"port", "listen: 127.0.0.1:0\nslots: 7\n", `f.yaml:1: listen: "127.0.0.1:0" is no address (allowed: ip:port, port 1 to 65535)`},
 		{"range", "listen: 127.0.0.1:1\nslots: 0\n", "f.yaml:2: slots: 0 (allowed: 1 to 100)"},
 		{"negative", "listen: 127.0.0.1:1\nslots: 1\nwait: -1s\n", "f.yaml:3: wait: -1s (allowed: 0s to 1m0s)"},
+		{"no duration", "listen: 127.0.0.1:1\nslots: 1\nwait: soon\n", `f.yaml:3: wait: "soon" is no duration (allowed: a number with a unit, as in 500ms, 10s or 24h)`},
+		{"duration without unit", "listen: 127.0.0.1:1\nslots: 1\nwait: 5\n", "f.yaml:3: 5: cannot unmarshal uint64 into Go struct field sample.Wait of type time.Duration (allowed: see the examples directory)"},
 		{"missing", "slots: 1\n", "f.yaml:1: listen: missing (allowed: ip:port, port 1 to 65535)"},
 		{"nested", good + "peers:\n  - address: here\n", `f.yaml:5: peers[0].address: "here" is no address (allowed: ip:port, port 1 to 65535)`},
 	} {
