--- a/agent/settings.go
+++ b/agent/settings.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"bergamotstall/internal/keys"
 	"bergamotstall/internal/settings"
 )
 
@@ -38,7 +39,7 @@
 	CallerTLS CallerTLS `yaml:"callerTLS"`
 	// TLS is this process's own certificate; without it connections to control
 	// and peers are plain, for trials on one machine only.
-	TLS TLS `yaml:"tls"`
+	TLS keys.Settings `yaml:"tls"`
 	// Metrics is the TCP address for /debug/vars, "ip:port"; empty serves none.
 	Metrics string `yaml:"metrics"`
 	// State is the file that keeps the last table across restarts; empty keeps
@@ -55,13 +56,6 @@
 	Key         string `yaml:"key"`
 }
 
-// TLS names the files of this process's identity, PEM.
-type TLS struct {
-	Authority   string `yaml:"authority"`
-	Certificate string `yaml:"certificate"`
-	Key         string `yaml:"key"`
-}
-
 func (s *Settings) setDefaults() {
 	if s.Name == "" {
 		s.Name = s.Service + "/" + s.Host
@@ -92,11 +86,7 @@
 	}
 	c.File("callerTLS.certificate", s.CallerTLS.Certificate)
 	c.File("callerTLS.key", s.CallerTLS.Key)
-	if s.TLS != (TLS{}) {
-		c.File("tls.authority", s.TLS.Authority)
-		c.File("tls.certificate", s.TLS.Certificate)
-		c.File("tls.key", s.TLS.Key)
-	}
+	s.TLS.Check(&c, "tls")
 	if s.Metrics != "" {
 		c.Address("metrics", s.Metrics)
 	}
--- a/internal/spread/client.go
+++ b/internal/spread/client.go
@@ -62,6 +62,9 @@
 	StaleBound time.Duration
 	// Beat is the pause between heartbeats; 0 means DefaultBeat.
 	Beat time.Duration
+	// Numbered is called with each number that control assigns to this agent;
+	// nil for nobody. AgentNumber tells the last one.
+	Numbered func(table.AgentNumber)
 	// StateFile keeps the last table across restarts; empty keeps none.
 	StateFile string
 	// Seed makes the order of waits repeatable; 0 takes a random one.
--- a/internal/spread/client_stream.go
+++ b/internal/spread/client_stream.go
@@ -159,6 +159,9 @@
 		s.client.mu.Lock()
 		s.client.number = n.Agent
 		s.client.mu.Unlock()
+		if s.client.cfg.Numbered != nil {
+			s.client.cfg.Numbered(n.Agent)
+		}
 		return nil
 	case kindPart:
 		var p part
