Balancer role: settings, subscription to control, stop with a grace

Cause: the forwarder had no process around it. Change: balancer.Settings, New, Run, Metrics over spread.Client.

--- /dev/null
+++ b/balancer/balancer.go
@@ -0,0 +1,103 @@
+// Package balancer is the role of an entry VM: it takes callers' packets from
+// the fabric, sends each to the agent that the packet names or, for a new flow,
+// to the flow's choice, and carries the answers back. It keeps nothing about
+// flows, so that any balancer can carry any packet and none is missed when it
+// dies.
+package balancer
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"bergamotstall/internal/events"
+	"bergamotstall/internal/metrics"
+	"bergamotstall/internal/spread"
+	"bergamotstall/internal/table"
+)
+
+// ErrSettings is returned for settings that can't be used.
+var ErrSettings = errors.New("balancer: unusable settings")
+
+// Balancer is one balancer process.
+type Balancer struct {
+	settings  Settings
+	log       logrus.FieldLogger
+	metrics   *metrics.Set
+	forwarder *Forwarder
+	client    *spread.Client
+}
+
+// New opens the tunnel and prepares the subscription to control.
+func New(s Settings, log logrus.FieldLogger) (*Balancer, error) {
+	if problems := s.Problems(); len(problems) > 0 {
+		return nil, errors.Wrapf(ErrSettings, "%s: %s", problems[0].Path, problems[0].What)
+	}
+	identity, err := s.TLS.load()
+	if err != nil {
+		return nil, err
+	}
+	if s.StopGrace == 0 {
+		s.StopGrace = defaultStopGrace
+	}
+	b := &Balancer{settings: s, log: log, metrics: metrics.New()}
+	config := ForwarderConfig{Sockets: s.Sockets, Log: log, Metrics: b.metrics}
+	config.Tunnel = netip.MustParseAddrPort(s.Tunnel)
+	if s.Bind != "" {
+		config.Bind = netip.MustParseAddr(s.Bind)
+	}
+	if b.forwarder, err = NewForwarder(config); err != nil {
+		return nil, err
+	}
+	b.client = spread.NewClient(spread.ClientConfig{
+		Controls: s.Controls,
+		TLS:      identity,
+		Role:     spread.RoleBalancer,
+		Announcement: spread.Announcement{
+			Name:        s.Name,
+			Incarnation: uint64(time.Now().UnixNano()),
+			DataCentre:  s.DataCentre,
+			Tunnel:      b.forwarder.Tunnel().String(),
+		},
+		StateFile: s.State,
+		Log:       log,
+		Metrics:   b.metrics,
+	}, b.apply)
+	return b, nil
+}
+
+// apply takes a table over. A refused one is logged and counted; the table
+// before stays in force.
+func (b *Balancer) apply(t *table.Table) { _ = b.forwarder.Apply(t) }
+
+// Metrics returns the balancer's counters.
+func (b *Balancer) Metrics() *metrics.Set { return b.metrics }
+
+// Run forwards until ctx is done, and for the stop's grace after that: control
+// is told at once, and packets that the fabric still sends here go through.
+func (b *Balancer) Run(ctx context.Context) error {
+	defer b.forwarder.Close()
+	if b.settings.Metrics != "" {
+		ln, err := b.metrics.Listen(b.settings.Metrics)
+		if err != nil {
+			return errors.Wrap(err, "balancer: metrics")
+		}
+		defer ln.Close()
+	}
+	events.Log(b.log, events.ProcessStarted, logrus.Fields{"role": "balancer", "name": b.settings.Name})
+	subscription, unsubscribe := context.WithCancel(context.WithoutCancel(ctx))
+	ended := make(chan error, 1)
+	go func() { ended <- b.client.Run(subscription) }()
+
+	<-ctx.Done()
+	events.Log(b.log, events.ProcessStopping, logrus.Fields{"role": "balancer", "grace": b.settings.StopGrace.String()})
+	b.client.SetDraining(true)
+	time.Sleep(b.settings.StopGrace)
+	unsubscribe()
+	err := <-ended
+	events.Log(b.log, events.ProcessStopped, logrus.Fields{"role": "balancer", "name": b.settings.Name})
+	return err
+}
--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -1,9 +1,14 @@
 package balancer
 
 import (
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
+	"os"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"bergamotstall/internal/settings"
 )
 
@@ -17,26 +22,27 @@
 	Bind string `yaml:"bind"`
 	// Tunnel is the UDP address for envelopes of agents, "ip:port".
 	Tunnel string `yaml:"tunnel"`
-	// Control are the control VMs' addresses for subscribers, "ip:port".
-	Control []string `yaml:"control"`
+	// Controls are the control VMs' addresses for subscribers, "ip:port".
+	Controls []string `yaml:"controls"`
 	// Metrics is where the counters are read, "ip:port"; empty for nowhere.
 	Metrics string `yaml:"metrics"`
 	// Sockets is how many sockets, each with a worker, share one address; 0
 	// means 1.
 	Sockets int `yaml:"sockets"`
-	// StateFile keeps the last table across restarts, so that its revision can't
-	// fall; empty for nowhere.
-	StateFile string `yaml:"stateFile"`
+	// State is the file that keeps the last table across restarts, so that its
+	// revision can't fall; empty keeps none.
+	State string `yaml:"state"`
 	// StopGrace is how long packets are still forwarded after a stop was
 	// ordered, while the fabric takes the balancer out; 0 means 5 s.
 	StopGrace time.Duration `yaml:"stopGrace"`
-	// TLS may be left out for tests and the demo only.
-	TLS *TLSSettings `yaml:"tls"`
+	// TLS is this process's own certificate; without it connections to control
+	// are plain, for trials on one machine only.
+	TLS TLS `yaml:"tls"`
 }
 
-// TLSSettings name the files that bergamotctl keys made.
-type TLSSettings struct {
-	CA          string `yaml:"ca"`
+// TLS names the files of this process's identity, PEM.
+type TLS struct {
+	Authority   string `yaml:"authority"`
 	Certificate string `yaml:"certificate"`
 	Key         string `yaml:"key"`
 }
@@ -58,21 +64,45 @@
 		c.IP("bind", s.Bind)
 	}
 	c.Address("tunnel", s.Tunnel)
-	if len(s.Control) == 0 {
-		c.Add("control", "missing", "one address or more, ip:port")
+	if len(s.Controls) == 0 {
+		c.Add("controls", "missing", "one address or more, ip:port")
 	}
-	for i, a := range s.Control {
-		c.Address(fmt.Sprintf("control[%d]", i), a)
+	for i, a := range s.Controls {
+		c.Address(fmt.Sprintf("controls[%d]", i), a)
 	}
 	if s.Metrics != "" {
 		c.Address("metrics", s.Metrics)
 	}
 	c.Range("sockets", s.Sockets, 0, maxSockets)
 	c.Duration("stopGrace", s.StopGrace, 0, maxStopGrace)
-	if s.TLS != nil {
-		c.File("tls.ca", s.TLS.CA)
+	if s.TLS != (TLS{}) {
+		c.File("tls.authority", s.TLS.Authority)
 		c.File("tls.certificate", s.TLS.Certificate)
 		c.File("tls.key", s.TLS.Key)
 	}
 	return c.Problems()
 }
+
+// load reads the identity's files, and returns nil where none are set.
+func (t TLS) load() (*tls.Config, error) {
+	if t == (TLS{}) {
+		return nil, nil
+	}
+	own, err := tls.LoadX509KeyPair(t.Certificate, t.Key)
+	if err != nil {
+		return nil, errors.Wrapf(ErrSettings, "tls: %v", err)
+	}
+	authority, err := os.ReadFile(t.Authority)
+	if err != nil {
+		return nil, errors.Wrapf(ErrSettings, "tls: %v", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return nil, errors.Wrapf(ErrSettings, "tls: no certificate in %s", t.Authority)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{own},
+		RootCAs:      pool,
+		MinVersion:   tls.VersionTLS13,
+	}, nil
+}
