Control serves subscribers; a disputed silence is reported again when believable

Cause: the distribution server is there; and a registrar that answers a disputed silence with an error makes the server repeat it twice a second, which in a wave of thousands would fill the log. Change: spread.Server runs in the control role, Local shows its subscribers; the state keeps a suspicion and one watch asks for those that the share would allow by now. Event 604 renamed (replicas log their own). Conclusion: a suspicion costs one log entry, not two a second.

--- a/control/backend.go
+++ b/control/backend.go
@@ -38,11 +38,17 @@
 // Local implements operator.Backend.
 func (c *Control) Local() operator.LocalStatus {
 	sum := c.catalogue.Summary()
-	return operator.LocalStatus{
+	out := operator.LocalStatus{
 		VM: c.settings.Name, DataCentre: c.settings.DataCentre,
 		ContactAgeMS: c.log.ContactAge().Milliseconds(),
 		Version:      sum.Version, Revision: sum.Revision, InForce: sum.InForce,
 	}
+	for _, s := range c.spread.Subscribers() {
+		out.Subscribers = append(out.Subscribers, operator.Subscriber{
+			Name: s.Name, Role: s.Role.String(), Revision: s.Revision, AgeMS: s.Age.Milliseconds(),
+		})
+	}
+	return out
 }
 
 // ChangeMembers implements operator.Backend.
--- a/control/control.go
+++ b/control/control.go
@@ -16,6 +16,7 @@
 	"bergamotstall/internal/events"
 	"bergamotstall/internal/metrics"
 	"bergamotstall/internal/operator"
+	"bergamotstall/internal/spread"
 	"bergamotstall/internal/table"
 )
 
@@ -27,6 +28,7 @@
 	catalogue *catalogue.Catalogue
 	log       Log
 	registrar *registrar
+	spread    *spread.Server
 }
 
 // New opens the VM's state. Run serves it.
@@ -45,6 +47,9 @@
 func (c *Control) open(log Log) {
 	c.log = log
 	c.registrar = &registrar{vm: c.settings.Name, log: log, now: time.Now, logger: c.logger, metrics: c.metrics}
+	c.spread = spread.NewServer(spread.ServerConfig{
+		Name: c.settings.Name, Source: c, Registrar: c.registrar, Log: c.logger, Metrics: c.metrics,
+	})
 	c.metrics.Gauge("table_revision", func() int64 { return int64(c.catalogue.Summary().Revision) })
 	c.metrics.Gauge("catalogue_version", func() int64 { return int64(c.catalogue.Summary().Version) })
 	c.metrics.Gauge("quorum_contact_age_ms", func() int64 { return log.ContactAge().Milliseconds() })
@@ -65,11 +70,17 @@
 
 // Run serves until ctx is done and requests in progress have ended.
 func (c *Control) Run(ctx context.Context) error {
+	defer c.spread.Close()
 	operators, err := net.Listen("tcp", c.settings.Operators)
 	if err != nil {
 		return errors.Wrap(err, "control: listen for operators")
 	}
 	defer operators.Close()
+	subscribers, err := net.Listen("tcp", c.settings.Subscribers)
+	if err != nil {
+		return errors.Wrap(err, "control: listen for subscribers")
+	}
+	defer subscribers.Close()
 	if c.settings.Metrics != "" {
 		served, err := c.metrics.Listen(c.settings.Metrics)
 		if err != nil {
@@ -80,11 +91,25 @@
 	if c.settings.TLS == nil {
 		events.Log(c.logger, events.UnsecuredControl, nil)
 	}
+	return c.serve(ctx, operators, subscribers)
+}
+
+// serve runs the VM's servers until ctx is done or one of them fails.
+func (c *Control) serve(ctx context.Context, operators, subscribers net.Listener) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		server := &operator.Server{VM: c.settings.Name, Backend: c, Log: c.logger, Metrics: c.metrics}
 		return server.Serve(ctx, operators)
 	})
+	group.Go(func() error {
+		// Subscribers are told to go elsewhere.
+		stop := context.AfterFunc(ctx, c.spread.Close)
+		defer stop()
+		if err := c.spread.Serve(subscribers); !errors.Is(err, spread.ErrClosed) {
+			return err
+		}
+		return nil
+	})
 	group.Go(func() error {
 		c.watch(ctx)
 		return nil
--- a/control/registrar.go
+++ b/control/registrar.go
@@ -24,10 +24,6 @@
 	ContactAge() time.Duration
 }
 
-// ErrSilenceDisputed is returned for a silence that isn't believed, because too
-// much of the service is silent. The report is worth repeating later.
-var ErrSilenceDisputed = errors.New("control: silence not believed: too many are silent")
-
 // registrar turns what subscribers say into commands of the log.
 type registrar struct {
 	vm      string
@@ -91,7 +87,8 @@
 	return r.silence(out, err, s.Name)
 }
 
-// silence turns the outcome of a report into an error that asks for another.
+// silence notes the outcome of a report. One that wasn't believed is in the
+// state as a suspicion; watch reports it again once it would be believed.
 func (r *registrar) silence(out catalogue.Outcome, err error, name string) error {
 	if err != nil {
 		return err
@@ -100,7 +97,7 @@
 	if errors.As(out.Err(), &refusal) {
 		r.metrics.Counter("silence_disputed").Add(1)
 		events.Log(r.logger, events.SilenceDisputed, logrus.Fields{"process": name, "why": out.Text})
-		return ErrSilenceDisputed
+		return nil
 	}
 	r.note(out, name)
 	return out.Err()
--- a/control/watch.go
+++ b/control/watch.go
@@ -30,6 +30,7 @@
 		if c.catalogue.SweepDue(time.Now()) {
 			_, _ = c.registrar.submit(ctx, &catalogue.Command{Sweep: &catalogue.Sweep{}})
 		}
+		c.reportSuspects(ctx)
 		stale = c.noteContact(stale)
 		select {
 		case <-ctx.Done():
@@ -39,6 +40,18 @@
 	}
 }
 
+// reportSuspects reports processes again that are still silent and that the
+// state would now believe to be gone.
+func (c *Control) reportSuspects(ctx context.Context) {
+	agents, balancers := c.catalogue.BelievableSuspects(time.Now())
+	for _, s := range agents {
+		_ = c.registrar.AgentSilent(ctx, s)
+	}
+	for _, s := range balancers {
+		_ = c.registrar.BalancerSilent(ctx, s)
+	}
+}
+
 // noteContact logs the moments at which contact with a quorum ends and returns.
 func (c *Control) noteContact(stale bool) bool {
 	age := c.log.ContactAge()
--- a/internal/catalogue/agents.go
+++ b/internal/catalogue/agents.go
@@ -167,8 +167,10 @@
 	case x.Leaving || c.drains[x.Host]:
 		c.retire(x)
 		return c.outcome(Done, fmt.Sprintf("agent %d left as planned", x.Number))
-	case !c.agentWave(x.Service).believe():
-		x.Silence, x.SilentAtMS = Suspect, c.state.ClockMS
+	case !c.agentWave(x.Service, c.state.ClockMS).believe():
+		if x.Silence != Suspect {
+			x.Silence, x.SilentAtMS = Suspect, c.state.ClockMS
+		}
 		return c.outcome(Refused, fmt.Sprintf("agent %d is silent, but too much of its service is; it stays in", x.Number))
 	}
 	x.Silence, x.SilentAtMS = Out, c.state.ClockMS
@@ -176,8 +178,8 @@
 	return c.outcome(Done, fmt.Sprintf("agent %d is out of new work", x.Number))
 }
 
-// agentWave counts a service's targets for the silence decision.
-func (c *Catalogue) agentWave(service table.ServiceID) wave {
+// agentWave counts a service's targets at nowMS for the silence decision.
+func (c *Catalogue) agentWave(service table.ServiceID, nowMS int64) wave {
 	var w wave
 	for i := range c.state.Agents {
 		x := &c.state.Agents[i]
@@ -186,7 +188,7 @@
 		}
 		switch {
 		case x.Silence == Out:
-			if c.state.ClockMS-x.SilentAtMS < silenceWindow.Milliseconds() {
+			if nowMS-x.SilentAtMS < silenceWindow.Milliseconds() {
 				w.out++
 			}
 		case !x.Retired && !x.Leaving && !c.drains[x.Host]:
--- a/internal/catalogue/balancers.go
+++ b/internal/catalogue/balancers.go
@@ -59,7 +59,7 @@
 		return c.outcome(Done, "heard since by "+b.Via)
 	case b.Silence == Out:
 		return c.outcome(Done, "out already")
-	case !c.balancerWave().believe():
+	case !c.balancerWave(c.state.ClockMS).believe():
 		b.Silence, b.SilentAtMS = Suspect, c.state.ClockMS
 		return c.outcome(Refused, fmt.Sprintf("balancer %s is silent, but too many are; it stays in", b.Name))
 	}
@@ -68,7 +68,7 @@
 	return c.outcome(Done, "balancer "+b.Name+" is off the return path")
 }
 
-func (c *Catalogue) balancerWave() wave {
+func (c *Catalogue) balancerWave(nowMS int64) wave {
 	var w wave
 	for i := range c.state.Balancers {
 		b := &c.state.Balancers[i]
@@ -76,7 +76,7 @@
 			w.live++
 			continue
 		}
-		if !c.due(b.SilentAtMS, silenceWindow.Milliseconds()) {
+		if nowMS-b.SilentAtMS < silenceWindow.Milliseconds() {
 			w.out++
 		}
 	}
--- a/internal/catalogue/read.go
+++ b/internal/catalogue/read.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"bergamotstall/internal/spread"
 	"bergamotstall/internal/table"
 )
 
@@ -96,3 +97,31 @@
 		return b.Silence == Out && nowMS-b.SilentAtMS >= silenceWindow.Milliseconds()
 	})
 }
+
+// BelievableSuspects returns, as new reports, the silences that weren't believed
+// and would be at now: at most one for each service, and one balancer's, since
+// each that goes out changes the count. A suspicion ends when its process
+// announces itself anywhere, so what is left has been silent ever since.
+func (c *Catalogue) BelievableSuspects(now time.Time) (agents, balancers []spread.Silence) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	nowMS := max(now.UnixMilli(), c.state.ClockMS)
+	seen := make(map[table.ServiceID]bool)
+	for i := range c.state.Agents {
+		a := &c.state.Agents[i]
+		if a.Silence != Suspect || a.Retired || seen[a.Service] {
+			continue
+		}
+		seen[a.Service] = true
+		if c.agentWave(a.Service, nowMS).believe() {
+			agents = append(agents, spread.Silence{Name: a.Name, Agent: a.Number, Incarnation: a.Incarnation, Attachment: a.Attachment})
+		}
+	}
+	for _, b := range c.state.Balancers {
+		if b.Silence == Suspect && c.balancerWave(nowMS).believe() {
+			balancers = append(balancers, spread.Silence{Name: b.Name, Incarnation: b.Incarnation, Attachment: b.Attachment})
+			break
+		}
+	}
+	return agents, balancers
+}
--- a/internal/events/control.go
+++ b/internal/events/control.go
@@ -8,7 +8,7 @@
 	FleetChanged     = define(601, logrus.InfoLevel, "fleet change")
 	SilenceDisputed  = define(602, logrus.WarnLevel, "silence not believed")
 	OperatorDenied   = define(603, logrus.WarnLevel, "operator connection denied")
-	MembersChanged   = define(604, logrus.InfoLevel, "control members changed")
+	MembersOrdered   = define(604, logrus.InfoLevel, "operator changed the control members")
 	QuorumLost       = define(605, logrus.ErrorLevel, "no contact with a quorum")
 	QuorumRegained   = define(606, logrus.InfoLevel, "contact with a quorum regained")
 	FirstKeysMade    = define(607, logrus.InfoLevel, "first cluster keys made")
