The whole path in one process: bergamotstall demo

The first run opened no flow: a server whose first table has revision 0 counted the preset twice in its digest, so every subscriber refused every table. Change: internal/demo plays callers and planned changes and judges the run; a history takes no table of revision 0; a request that meets a GOAWAY before it is sent goes over a new flow. One control VM with its log in memory so far. Conclusion: thin path stands; three replicas and TLS next.

--- /dev/null
+++ b/cmd/bergamotstall/agent.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"context"
+	"io"
+
+	"github.com/sirupsen/logrus"
+
+	"bergamotstall/agent"
+	"bergamotstall/balancer"
+)
+
+func runAgent(ctx context.Context, args []string, out, errOut io.Writer) int {
+	s := new(agent.Settings)
+	return roleOf{
+		name:     "agent",
+		settings: s,
+		build:    func(log logrus.FieldLogger) (runner, error) { return agent.New(*s, log) },
+	}.run(ctx, args, out, errOut)
+}
+
+func runBalancer(ctx context.Context, args []string, out, errOut io.Writer) int {
+	s := new(balancer.Settings)
+	return roleOf{
+		name:     "balancer",
+		settings: s,
+		build:    func(log logrus.FieldLogger) (runner, error) { return balancer.New(*s, log) },
+	}.run(ctx, args, out, errOut)
+}
--- a/cmd/bergamotstall/main.go
+++ b/cmd/bergamotstall/main.go
@@ -37,6 +37,9 @@
 
 // roles are the subcommands; each is built in a file of its own.
 var roles = []role{
+	{"demo", "every role on loopback in one process, with callers", runDemo},
+	{"balancer", "an entry VM: sends each packet to the agent it names", runBalancer},
+	{"agent", "beside each target: flows and requests", runAgent},
 	{"control", "a control VM: replicated catalogue, distribution, operators", runControl},
 }
 
--- a/internal/keys/selfsigned.go
+++ b/internal/keys/selfsigned.go
@@ -7,8 +7,10 @@
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
+	"encoding/pem"
 	"math/big"
 	"net"
+	"os"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -68,3 +70,23 @@
 	}
 	return n, nil
 }
+
+// WritePEM writes a certificate chain and its key to two files, the key readable
+// by their owner only.
+func WritePEM(cert tls.Certificate, certificate, key string) error {
+	var chain []byte
+	for _, der := range cert.Certificate {
+		chain = append(chain, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})...)
+	}
+	der, err := x509.MarshalPKCS8PrivateKey(cert.PrivateKey)
+	if err != nil {
+		return errors.Wrap(err, "keys: encode")
+	}
+	if err := os.WriteFile(certificate, chain, certMode); err != nil {
+		return errors.Wrap(err, "keys: write")
+	}
+	if err := os.WriteFile(key, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: der}), keyMode); err != nil {
+		return errors.Wrap(err, "keys: write")
+	}
+	return nil
+}
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -49,15 +50,29 @@
 		_ = resp.Body.Close()
 	}
 	f.inProgress = a.Outcome == check.Cut
+	if a.Outcome == notSent {
+		return a, wait
+	}
 	a.Took = time.Since(a.Began)
 	f.rec.attempt(kind, a, got)
 	return a, wait
 }
 
+// notSent is the outcome of a request that never left the caller, because the
+// other end had said goodbye (GOAWAY) before. It is no attempt: the caller
+// sends it over a new flow.
+const notSent = check.Outcome(0)
+
+// goneAway is how the HTTP/3 library words that; its error isn't exported.
+const goneAway = "connection in graceful shutdown"
+
 func failed(ctx context.Context, err error) (check.Outcome, string) {
 	if ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled) {
 		return check.Cancelled, "run ended"
 	}
+	if strings.Contains(err.Error(), goneAway) {
+		return notSent, goneAway
+	}
 	return check.Cut, reasonOf(err)
 }
 
@@ -155,10 +170,10 @@
 		if a.Outcome == check.Answered || a.Outcome == check.Refused || ctx.Err() != nil {
 			break
 		}
-		if a.Outcome != check.NotRun && !f.spec.Keyed {
+		if a.Outcome != check.NotRun && a.Outcome != notSent && !f.spec.Keyed {
 			break
 		}
-		if f.conn.Context().Err() != nil {
+		if a.Outcome == notSent || f.conn.Context().Err() != nil {
 			f.resendElsewhere(ctx, id, n+1, body)
 			return errGoingAway
 		}
@@ -169,12 +184,9 @@
 	return f.after(ctx, a, 0)
 }
 
-// resendElsewhere sends a keyed submission again over a new flow, after its own
-// flow broke before an answer came.
+// resendElsewhere sends a submission again over a new flow, after its own flow
+// went away before an answer came.
 func (f *flow) resendElsewhere(ctx context.Context, id string, from int, body []byte) {
-	if !f.spec.Keyed {
-		return
-	}
 	other, err := open(ctx, f.spec, f.rec, f.id, f.rng)
 	if err != nil {
 		return
@@ -228,7 +240,7 @@
 
 // after decides whether the flow goes on once a request has ended.
 func (f *flow) after(ctx context.Context, a check.Attempt, wait time.Duration) error {
-	if a.Outcome == check.Cut || f.conn.Context().Err() != nil {
+	if a.Outcome == check.Cut || a.Outcome == notSent || f.conn.Context().Err() != nil {
 		return errGoingAway
 	}
 	if a.Outcome == check.NotRun && !sleep(ctx, wait) {
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -88,8 +88,11 @@
 func WriteVerdicts(w io.Writer, all []check.Verdict) {
 	for _, v := range all {
 		word := "held  "
-		if !v.Held() {
+		switch {
+		case !v.Held():
 			word = "BROKEN"
+		case v.Looked == 0:
+			word = "empty "
 		}
 		fmt.Fprintf(w, "%s  %-38s %7d looked at, %d violations\n", word, v.Promise, v.Looked, v.Count)
 		for _, line := range v.Violations {
--- a/internal/spread/history.go
+++ b/internal/spread/history.go
@@ -66,9 +66,10 @@
 func newHistory() *history { return &history{byService: map[table.ServiceID]part64{}} }
 
 // advance takes in a newer table. The first one sets the floor. It returns
-// false, and changes nothing, for a table that isn't newer.
+// false, and changes nothing, for a table that isn't newer; revision 0 is a
+// state without any table.
 func (h *history) advance(t *table.Table) bool {
-	if t.Revision <= h.revision && h.revision != 0 {
+	if t.Revision <= h.revision {
 		return false
 	}
 	if h.revision == 0 {
--- a/internal/standin/target/ledger.go
+++ b/internal/standin/target/ledger.go
@@ -4,11 +4,14 @@
 	"encoding/json"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // Run is what the target did about one request identity.
 type Run struct {
 	RequestID string
+	// FirstSeen is when the first head arrived.
+	FirstSeen time.Time
 	// Seen counts requests whose head arrived, whatever came of them.
 	Seen int
 	// Runs counts how often the request's work began. Over one for a submission
@@ -38,7 +41,7 @@
 		}
 		i = len(l.runs)
 		l.index[id] = i
-		l.runs = append(l.runs, Run{RequestID: id})
+		l.runs = append(l.runs, Run{RequestID: id, FirstSeen: time.Now()})
 	}
 	f(&l.runs[i])
 }
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -105,6 +105,10 @@
 	_ = t.server.Close()
 }
 
+// EndFeeds gives open feeds their last event, as the first step of a planned
+// stop; new requests are still answered.
+func (t *Target) EndFeeds() { t.endFeeds() }
+
 func (t *Target) endFeeds() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
