--- a/internal/keys/settings.go
+++ b/internal/keys/settings.go
@@ -26,5 +26,5 @@
 
 // Files returns the paths as Load takes them.
 func (s Settings) Files() Files {
-	return Files{Authority: s.Authority, Certificate: s.Certificate, Key: s.Key}
+	return Files(s)
 }
