Dead agents are found by the data path: probes by balancers, a second opinion by an agent, then a reset

Cause: control takes a silent agent out of new work only, so callers of a dead one waited for their idle timeout. Change: package reach; balancers hand packets of an unreachable agent to another of the service, which probes for itself and answers with a stateless reset; a held packet is looked at again after the probes; new flows avoid the dead agent. A process that is paused for over a second loses its flows where both a balancer and a peer can't reach it.

--- a/balancer/counts.go
+++ b/balancer/counts.go
@@ -12,11 +12,11 @@
 
 // counts are a forwarder's counters.
 type counts struct {
-	outcomes                       [steer.Outcomes]*expvar.Int
-	bytes, returned, returnedBytes *expvar.Int
-	malformed, forged, unknownKey  *expvar.Int
-	noService, sendFailed          *expvar.Int
-	tableRefused, serviceFailed    *expvar.Int
+	outcomes                            [steer.Outcomes]*expvar.Int
+	bytes, returned, returnedBytes      *expvar.Int
+	malformed, forged, unknownKey       *expvar.Int
+	noService, sendFailed               *expvar.Int
+	tableRefused, serviceFailed, probes *expvar.Int
 }
 
 func newCounts(s *metrics.Set) *counts {
@@ -30,6 +30,7 @@
 		noService:     s.Counter("balancer_return_no_service"),
 		sendFailed:    s.Counter("balancer_send_failed"),
 		tableRefused:  s.Counter("balancer_table_refused"),
+		probes:        s.Counter("balancer_probes"),
 		serviceFailed: s.Counter("balancer_service_failed"),
 	}
 	for i := range c.outcomes {
--- a/balancer/forwarder.go
+++ b/balancer/forwarder.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -37,8 +38,10 @@
 	config  ForwarderConfig
 	counts  *counts
 	tunnels []*socket
+	tunnel  netip.AddrPort
 	view    atomic.Pointer[view]
 	workers sync.WaitGroup
+	done    chan struct{}
 
 	mu     sync.Mutex
 	closed bool
@@ -69,11 +72,13 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Forwarder{config: c, counts: newCounts(c.Metrics), tunnels: tunnels}
+	f := &Forwarder{config: c, counts: newCounts(c.Metrics), tunnels: tunnels, done: make(chan struct{})}
+	f.tunnel = unmap(tunnels[0].LocalAddr().(*net.UDPAddr).AddrPort())
 	c.Metrics.Gauge("balancer_revision", f.revision)
 	for i, s := range tunnels {
 		f.start(func() { f.backward(i, s) })
 	}
+	f.start(f.watch)
 	return f, nil
 }
 
@@ -94,9 +99,7 @@
 }
 
 // Tunnel returns the UDP address that agents answer to.
-func (f *Forwarder) Tunnel() netip.AddrPort {
-	return unmap(f.tunnels[0].LocalAddr().(interface{ AddrPort() netip.AddrPort }).AddrPort())
-}
+func (f *Forwarder) Tunnel() netip.AddrPort { return f.tunnel }
 
 // Front returns the address on which packets for a service are taken.
 func (f *Forwarder) Front(service table.ServiceID) (netip.AddrPort, bool) {
@@ -117,7 +120,11 @@
 	if f.closed || old != nil && old.steering.Revision >= t.Revision {
 		return nil
 	}
-	m, err := steer.Compile(t, steer.Weight)
+	var before *steer.Map
+	if old != nil {
+		before = old.steering
+	}
+	m, err := steer.Compile(t, steer.Weight, before)
 	if err != nil {
 		f.counts.tableRefused.Add(1)
 		events.Log(f.config.Log, events.BalancerTableRefused, logrus.Fields{"revision": t.Revision, "error": err})
@@ -187,7 +194,12 @@
 // Close ends all workers and returns once they have.
 func (f *Forwarder) Close() {
 	f.mu.Lock()
+	if f.closed {
+		f.mu.Unlock()
+		return
+	}
 	f.closed = true
+	close(f.done)
 	closeSockets(f.tunnels)
 	if v := f.view.Load(); v != nil {
 		for _, x := range v.fronts {
--- /dev/null
+++ b/balancer/watch.go
@@ -0,0 +1,43 @@
+package balancer
+
+import (
+	"time"
+
+	"bergamotstall/internal/envelope"
+	"bergamotstall/internal/reach"
+	"bergamotstall/internal/steer"
+)
+
+// watch probes the agents that don't answer, until the forwarder is closed.
+func (f *Forwarder) watch() {
+	tick := time.NewTicker(reach.Tick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-f.done:
+			return
+		case now := <-tick.C:
+			if v := f.view.Load(); v != nil {
+				v.steering.Probes(now, reach.Balancer, func(a *steer.Agent) { f.probe(v.steering, a) })
+			}
+		}
+	}
+}
+
+func (f *Forwarder) probe(m *steer.Map, a *steer.Agent) {
+	h := envelope.Header{
+		Kind:       envelope.Probe,
+		Generation: m.Generation,
+		Service:    a.Service,
+		Agent:      a.Number,
+		Revision:   m.Revision,
+	}
+	out, err := m.Envelopes.Append(nil, &h, nil)
+	if err != nil {
+		return
+	}
+	f.counts.probes.Add(1)
+	if _, err := f.tunnels[0].WriteToUDPAddrPort(out, a.Tunnel); err != nil {
+		f.counts.sendFailed.Add(1)
+	}
+}
--- a/balancer/workers.go
+++ b/balancer/workers.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/go-faster/errors"
 	"golang.org/x/net/ipv4"
@@ -54,8 +55,9 @@
 		if !ok {
 			continue
 		}
+		now := time.Now()
 		for i := range messages {
-			w.one(v, service, &messages[i])
+			w.one(now, v, service, &messages[i])
 		}
 		f.counts.sendFailed.Add(int64(w.batch.flush(out)))
 		w.tally.flush(f.counts)
@@ -72,13 +74,14 @@
 	tally     tally
 }
 
-func (w *forwardWorker) one(v *view, service *steer.Service, m *ipv4.Message) {
+func (w *forwardWorker) one(now time.Time, v *view, service *steer.Service, m *ipv4.Message) {
 	caller := unmap(m.Addr.(*net.UDPAddr).AddrPort())
 	out, agent, outcome := w.wrap(v.steering, service, caller, m.Buffers[0][:m.N])
 	w.tally.outcomes[outcome]++
 	if outcome.Dropped() {
 		return
 	}
+	agent.Reach.Sent(now)
 	w.tally.bytes += int64(m.N)
 	w.batch.add(out, agent.Tunnel)
 }
@@ -100,6 +103,14 @@
 		Caller:     caller,
 		Revision:   m.Revision,
 	}
+	switch outcome {
+	case steer.Unreachable:
+		w.header.Kind = envelope.Orphan
+	case steer.NewAvoiding:
+		// Counted as a hop, so that no agent hands it to the one avoided.
+		w.header.Hops = 1
+		w.header.Balancer = w.forwarder.tunnel
+	}
 	out, err := m.Envelopes.Append(w.batch.next(), &w.header, packet)
 	if err != nil {
 		return nil, nil, steer.DropMalformed
@@ -135,13 +146,17 @@
 }
 
 func (w *backwardWorker) all(v *view, messages []ipv4.Message) {
+	now := time.Now()
 	for i := range messages {
 		datagram := messages[i].Buffers[0][:messages[i].N]
 		packet, err := v.steering.Envelopes.Open(datagram, &w.header)
-		if err != nil || w.header.Kind != envelope.Return {
+		if err != nil {
 			w.tally.refused(err)
 			continue
 		}
+		if !w.heard(now, v) {
+			continue
+		}
 		if w.header.Service != w.service {
 			w.send(v)
 			w.service = w.header.Service
@@ -153,6 +168,25 @@
 	w.send(v)
 }
 
+// heard notes a sign of life, and tells whether it carries a packet.
+func (w *backwardWorker) heard(now time.Time, v *view) bool {
+	agent, known := v.steering.Agent(w.header.Agent)
+	switch w.header.Kind {
+	case envelope.Return:
+		if known {
+			agent.Reach.Heard(now)
+		}
+		return true
+	case envelope.Alive:
+		if known {
+			agent.Reach.Answered(now)
+		}
+		return false
+	}
+	w.tally.malformed++
+	return false
+}
+
 // send writes the batch from the service's own address, as callers take packets
 // from no other.
 func (w *backwardWorker) send(v *view) {
--- a/internal/envelope/envelope.go
+++ b/internal/envelope/envelope.go
@@ -29,6 +29,13 @@
 	Forward Kind = iota + 1
 	// Return carries an agent's packet to the balancer that sends it on.
 	Return
+	// Orphan is a Forward whose packet names an agent that the balancer can't
+	// reach. It goes to another agent of the service.
+	Orphan
+	// Probe asks an agent for a sign of life; it carries no packet.
+	Probe
+	// Alive answers a Probe.
+	Alive
 )
 
 const (
@@ -54,7 +61,8 @@
 	// Generation of the key that signed, low three bits.
 	Generation uint8
 	Service    table.ServiceID
-	// Agent is the receiver of a Forward, the sender of a Return.
+	// Agent is the receiver of a Forward, Orphan or Probe, the sender of a Return
+	// or Alive.
 	Agent table.AgentNumber
 	// Caller is the far end of the flow.
 	Caller netip.AddrPort
@@ -62,8 +70,8 @@
 	Revision table.Revision
 	// Hops counts the agents that handed the packet on.
 	Hops uint8
-	// Balancer is where answers go, set by the first agent that hands a packet
-	// on; a balancer leaves it out, as its packets come from that address.
+	// Balancer is where answers go, where that isn't the address that the
+	// envelope came from: agents that hand a packet on set it.
 	Balancer netip.AddrPort
 }
 
--- a/internal/flow/agents_test.go
+++ b/internal/flow/agents_test.go
@@ -157,3 +157,23 @@
 	r.is.Equal(refused.ErrorCode, quic.ConnectionRefused)
 	r.is.True(time.Since(start) < patience)
 }
+
+// A caller whose agent died for good is told within a second or two of its next
+// packet, though no table says so yet: the balancers' probes go unanswered, they
+// hand the flow's packets to another agent, whose own probes go unanswered too,
+// and that one answers with a stateless reset. New flows avoid the dead agent.
+func TestDeadAgentsFlowsAreResetBeforeControlKnows(t *testing.T) {
+	r := standard(t, 2, target)
+	c := r.flowAt(1)
+	r.agents[1].stop()
+	start := time.Now()
+	r.isReset(c)
+	r.Logf("told %v after the next packet", time.Since(start))
+	r.is.True(r.agents[2].metrics.Value("flow_reset_unreachable") > 0)
+	r.is.True(r.agents[2].metrics.Value("flow_probes") >= 3)
+	for range 10 {
+		_, agent, err := r.caller(desk).get("/")
+		r.is.NoErr(err)
+		r.is.Equal(agent, "2")
+	}
+}
--- a/internal/flow/counts.go
+++ b/internal/flow/counts.go
@@ -16,7 +16,7 @@
 	noEnd, tooManyPaths, queueFull, noPath *expvar.Int
 	oversize, sendFailed, handOverLost     *expvar.Int
 	pathReplaced, tableRefused             *expvar.Int
-	opened, refused                        *expvar.Int
+	opened, refused, probes                *expvar.Int
 
 	delivered, handedOver, reset, refuse, dropped [reasons]*expvar.Int
 }
@@ -39,6 +39,7 @@
 		pathReplaced: s.Counter("flow_path_replaced"),
 		tableRefused: s.Counter("flow_table_refused"),
 		opened:       s.Counter("flow_opened"),
+		probes:       s.Counter("flow_probes"),
 		refused:      s.Counter("flow_refused"),
 	}
 	for r := range reasons {
--- a/internal/flow/deflect.go
+++ b/internal/flow/deflect.go
@@ -35,6 +35,8 @@
 	Revision table.Revision
 	// Hops counts the agents that handed the packet on.
 	Hops uint8
+	// Orphan is set where a balancer can't reach the agent that the packet names.
+	Orphan bool
 	// Key is the flow's placement key under the agent's own table.
 	Key uint64
 	// Memory identifies the flow among the remembered choices.
@@ -86,6 +88,7 @@
 	NamedOther
 	GoneAgent
 	PreviousIncarnation
+	Unreachable
 	NobodyElse
 	AheadOfTable
 	TooManyHops
@@ -98,7 +101,7 @@
 
 var reasonNames = [reasons]string{
 	"own", "opened_here", "remembered", "draining", "over_limit", "newer_choice", "named_other",
-	"gone_agent", "previous_incarnation", "nobody_else", "ahead_of_table",
+	"gone_agent", "previous_incarnation", "unreachable", "nobody_else", "ahead_of_table",
 	"too_many_hops", "other_service", "not_ours", "no_number",
 }
 
@@ -178,6 +181,8 @@
 		// The table still has the incarnation that this one replaced at the
 		// same address; handing on would come straight back.
 		return gone(a, PreviousIncarnation)
+	case a.Orphan && named.Reach.Down():
+		return gone(a, Unreachable)
 	case a.Hops >= envelope.MaxHops:
 		return Verdict{Action: Drop, Reason: TooManyHops}
 	}
--- a/internal/flow/endpoint.go
+++ b/internal/flow/endpoint.go
@@ -89,6 +89,7 @@
 	self          atomic.Uint32
 	view          atomic.Pointer[view]
 	flows         atomic.Int64
+	held          atomic.Int64
 	stopping      atomic.Bool
 	tableDraining atomic.Bool
 
@@ -192,7 +193,11 @@
 	if v := e.view.Load(); v != nil && v.steering.Revision >= t.Revision {
 		return nil
 	}
-	m, err := steer.Compile(t, steer.Weight)
+	var before *steer.Map
+	if v := e.view.Load(); v != nil {
+		before = v.steering
+	}
+	m, err := steer.Compile(t, steer.Weight, before)
 	if err != nil {
 		e.counts.tableRefused.Add(1)
 		events.Log(e.config.Log, events.FlowTableRefused, logrus.Fields{"revision": t.Revision, "error": err})
@@ -223,6 +228,7 @@
 func (e *Endpoint) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, e.close)
 	defer stop()
+	go e.watch()
 	packet := make([]byte, bufferSize)
 	for {
 		n, from, err := e.socket.ReadFromUDPAddrPort(packet)
--- a/internal/flow/receive.go
+++ b/internal/flow/receive.go
@@ -25,19 +25,21 @@
 		e.counts.refusal(err)
 		return
 	}
+	if e.sign(now, v, from) {
+		return
+	}
 	balancer := from
-	if r.header.Hops > 0 {
+	if r.header.Balancer.IsValid() {
 		balancer = r.header.Balancer
 	}
-	if !balancer.IsValid() {
-		e.counts.refusal(envelope.ErrMalformed)
-		return
-	}
 	if !e.meantHere(v, &r.header) || !e.readArrival(now, v, packet) {
 		return
 	}
 	verdict := e.deflector.Decide(&r.standing, &r.arrival)
 	e.counts.verdict(verdict)
+	if r.arrival.Orphan && verdict.Action == HandOver {
+		e.askAbout(now, v, verdict.Agent, balancer, from, packet)
+	}
 	e.carryOut(now, v, verdict, balancer, packet)
 	e.paths.sweep(now)
 }
@@ -47,7 +49,7 @@
 // callers to another's target.
 func (e *Endpoint) meantHere(v *view, h *envelope.Header) bool {
 	switch {
-	case h.Kind != envelope.Forward:
+	case h.Kind != envelope.Forward && h.Kind != envelope.Orphan:
 		e.counts.wrongKind.Add(1)
 		return false
 	case v.service == nil || h.Service != v.service.ID:
@@ -78,6 +80,7 @@
 		Named:    named,
 		Revision: r.header.Revision,
 		Hops:     r.header.Hops,
+		Orphan:   r.header.Kind == envelope.Orphan,
 	}
 	if origin != connid.Ours && r.shape.Opening {
 		r.arrival.Key = v.steering.FlowKey(r.shape.Destination, r.header.Caller)
@@ -142,6 +145,7 @@
 	}
 	r := &e.router
 	h := r.header
+	h.Kind = envelope.Forward
 	h.Agent = to
 	h.Balancer = balancer
 	h.Hops++
--- a/internal/steer/map.go
+++ b/internal/steer/map.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"time"
 
 	"github.com/dchest/siphash"
 	"github.com/go-faster/errors"
 
 	"bergamotstall/internal/connid"
 	"bergamotstall/internal/envelope"
+	"bergamotstall/internal/reach"
 	"bergamotstall/internal/table"
 )
 
@@ -19,6 +21,8 @@
 	// Tunnel is where its envelopes go.
 	Tunnel netip.AddrPort
 	State  table.State
+	// Reach is what is known of its answers. It outlives the table.
+	Reach *reach.Record
 }
 
 // Service is one service, ready for steering.
@@ -61,8 +65,9 @@
 )
 
 // Compile prepares a table. shares gives each target's part of its service's
-// new flows. A table that can't be steered by is refused whole.
-func Compile(t *table.Table, shares func(table.Target) float64) (*Map, error) {
+// new flows. What old, which may be nil, knows of agents' answers is taken over.
+// A table that can't be steered by is refused whole.
+func Compile(t *table.Table, shares func(table.Target) float64, old *Map) (*Map, error) {
 	m := &Map{Revision: t.Revision, agents: make(map[table.AgentNumber]*Agent, len(t.Targets))}
 	if err := m.setKeys(t); err != nil {
 		return nil, err
@@ -76,7 +81,7 @@
 		}
 	}
 	for _, x := range t.Targets {
-		if err := m.addAgent(x); err != nil {
+		if err := m.addAgent(x, old); err != nil {
 			return nil, err
 		}
 	}
@@ -127,8 +132,8 @@
 	return nil
 }
 
-func (m *Map) addAgent(x table.Target) error {
-	a := &Agent{Number: x.Agent, Service: x.Service, State: x.State}
+func (m *Map) addAgent(x table.Target, old *Map) error {
+	a := &Agent{Number: x.Agent, Service: x.Service, State: x.State, Reach: old.record(x.Agent)}
 	m.newest = max(m.newest, x.Agent)
 	m.agents[x.Agent] = a
 	if x.State == table.Retired {
@@ -165,6 +170,25 @@
 	return a, ok
 }
 
+// record returns what is known of an agent's answers.
+func (m *Map) record(number table.AgentNumber) *reach.Record {
+	if m != nil {
+		if a, ok := m.agents[number]; ok {
+			return a.Reach
+		}
+	}
+	return new(reach.Record)
+}
+
+// Probes calls send for each agent that is due a probe under the limits.
+func (m *Map) Probes(now time.Time, l reach.Limits, send func(*Agent)) {
+	for _, a := range m.agents {
+		if a.State != table.Retired && a.Reach.Judge(now, l) {
+			send(a)
+		}
+	}
+}
+
 // Newest returns the highest agent number of the table. Control gives numbers
 // out in rising order, so that a higher one belongs to a newer table.
 func (m *Map) Newest() table.AgentNumber { return m.newest }
--- a/internal/steer/route.go
+++ b/internal/steer/route.go
@@ -25,12 +25,19 @@
 	Named Outcome = iota
 	// New packets open a flow and went to the flow's choice.
 	New
+	// NewAvoiding packets open a flow whose choice doesn't answer; they went to
+	// the next in the flow's order that does.
+	NewAvoiding
 	// Behind packets name an agent or a key that this table doesn't know; they
 	// go to any live agent of the service, which may know more.
 	Behind
 	// Gone packets name a retired agent; they go to any live agent of the
 	// service, which answers with a stateless reset.
 	Gone
+	// Unreachable packets name an agent that doesn't answer; they go to another
+	// of the service, which finds out for itself and answers with a stateless
+	// reset where it comes to the same.
+	Unreachable
 	// DropMalformed packets aren't QUIC.
 	DropMalformed
 	// DropForeign packets belong to no flow of ours and open none.
@@ -50,7 +57,7 @@
 const Outcomes = int(outcomes)
 
 var outcomeNames = [Outcomes]string{
-	"named", "new", "behind", "gone", "drop_malformed", "drop_foreign",
+	"named", "new", "new_avoiding", "behind", "gone", "unreachable", "drop_malformed", "drop_foreign",
 	"drop_other_service", "drop_no_target", "drop_oversize",
 }
 
@@ -93,21 +100,41 @@
 		return nil, DropOtherService
 	case agent.State == table.Retired:
 		return r.any(m, s, caller, Gone)
+	case agent.Reach.Down():
+		return r.any(m, s, caller, Unreachable)
 	}
 	return agent, Named
 }
 
-// any picks the flow's choice among the active agents; a packet that opens no
-// flow may go to a draining one too.
+// any picks the flow's choice among the active agents that answer; a packet that
+// opens no flow may go to a draining one too.
 func (r *Router) any(m *Map, s *Service, caller netip.AddrPort, outcome Outcome) (*Agent, Outcome) {
 	key := m.FlowKey(r.shape.Destination, caller)
-	number, ok := s.chooser.Choose(key)
-	if !ok && outcome != New {
-		number, ok = s.fallback.Choose(key)
+	agent, avoided := m.answering(s.chooser, key)
+	if agent == nil && outcome != New {
+		agent, _ = m.answering(s.fallback, key)
 	}
-	if !ok {
+	switch {
+	case agent == nil:
 		return nil, DropNoTarget
+	case avoided && outcome == New:
+		return agent, NewAvoiding
 	}
-	agent, _ := m.Agent(number)
 	return agent, outcome
 }
+
+// answering returns the first agent in a flow's order that isn't judged
+// unreachable, or the first of all where all are: the judgement may be wrong.
+func (m *Map) answering(c *Chooser, key uint64) (agent *Agent, avoided bool) {
+	number, ok := c.Choose(key)
+	if !ok {
+		return nil, false
+	}
+	first := m.agents[number]
+	for agent = first; agent.Reach.Down(); agent = m.agents[number] {
+		if number, ok = c.After(key, number); !ok {
+			return first, false
+		}
+	}
+	return agent, agent != first
+}
