--- /dev/null
+++ b/internal/events/replica.go
@@ -0,0 +1,21 @@
+package events
+
+import "github.com/sirupsen/logrus"
+
+// Events of control replicas and their journal, 500 to 599.
+var (
+	ReplicaStarted      = define(500, logrus.InfoLevel, "replica started")
+	ReplicaStopped      = define(501, logrus.InfoLevel, "replica stopped")
+	ReplicaFailed       = define(502, logrus.ErrorLevel, "replica takes no further part")
+	ClusterBootstrapped = define(503, logrus.WarnLevel, "new cluster made")
+	BootstrapSkipped    = define(504, logrus.WarnLevel, "bootstrap skipped, a peer already has a cluster")
+	LeaderChanged       = define(505, logrus.InfoLevel, "leader changed")
+	MembersChanged      = define(506, logrus.InfoLevel, "membership changed")
+	JoinWaits           = define(507, logrus.WarnLevel, "a new replica waits to replace a member")
+	SnapshotTaken       = define(508, logrus.InfoLevel, "snapshot taken")
+	SnapshotInstalled   = define(509, logrus.InfoLevel, "snapshot installed")
+	DiskSlow            = define(510, logrus.WarnLevel, "the disk is slow")
+	PeerRefused         = define(511, logrus.WarnLevel, "peer connection refused")
+	PeerUnreachable     = define(512, logrus.InfoLevel, "peer unreachable")
+	PeerReached         = define(513, logrus.InfoLevel, "peer connected")
+)
--- /dev/null
+++ b/internal/quorum/election.go
@@ -0,0 +1,204 @@
+package quorum
+
+import (
+	"time"
+)
+
+// resetElection draws the next moment at which silence means an election.
+func (c *Core) resetElection() {
+	spread := c.cfg.ElectionTimeout
+	if c.cfg.Rand != nil {
+		spread = time.Duration(c.cfg.Rand.Int64N(int64(c.cfg.ElectionTimeout)))
+	}
+	c.electionAt = c.now + c.cfg.ElectionTimeout + spread
+}
+
+func (c *Core) becomeFollower(t Term, lead ID) {
+	if t > c.term {
+		c.term = t
+		c.vote = 0
+	}
+	if c.lead != lead {
+		c.incoming = nil
+	}
+	c.state = Follower
+	c.lead = lead
+	c.votes = nil
+	c.handOver = false
+	c.progress = nil
+	c.rounds = nil
+	c.reads = nil
+	c.resetElection()
+}
+
+// campaign asks for votes. The pre-vote comes first and changes no state: a
+// replica that was cut off comes back without a higher term, so it doesn't
+// unseat a leader that the others hear well.
+func (c *Core) campaign(pre, handOver bool) {
+	c.resetElection()
+	if !c.members.isVoter(c.cfg.ID) {
+		return
+	}
+	c.lead = 0
+	c.votes = map[ID]bool{c.cfg.ID: true}
+	c.handOver = handOver
+	t := c.term + 1
+	kind := MsgPreVote
+	if pre {
+		c.state = PreCandidate
+	} else {
+		c.state = Candidate
+		c.term = t
+		c.vote = c.cfg.ID
+		kind = MsgVote
+	}
+	if c.won() {
+		c.electionWon()
+		return
+	}
+	for _, id := range c.electors() {
+		if id == c.cfg.ID {
+			continue
+		}
+		c.send(Message{Kind: kind, To: id, Term: t, Index: c.log.last(), LogTerm: c.log.lastTerm(), Forced: handOver})
+	}
+}
+
+// electors are the replicas whose votes count.
+func (c *Core) electors() []ID {
+	if !c.faults.learnersCount {
+		return c.members.Voters()
+	}
+	var out []ID
+	for _, x := range c.members.Members {
+		out = append(out, x.ID)
+	}
+	return out
+}
+
+func (c *Core) won() bool {
+	n := 0
+	for _, id := range c.electors() {
+		if c.votes[id] {
+			n++
+		}
+	}
+	return n >= c.quorum()
+}
+
+func (c *Core) lost() bool {
+	refused := 0
+	electors := c.electors()
+	for _, id := range electors {
+		if granted, ok := c.votes[id]; ok && !granted {
+			refused++
+		}
+	}
+	return refused > len(electors)-c.quorum()
+}
+
+func (c *Core) electionWon() {
+	if c.state == PreCandidate {
+		c.campaign(false, c.handOver)
+		return
+	}
+	c.becomeLeader()
+}
+
+// inLease says that a live leader is known: one heard within the shortest
+// election timeout. Votes are refused meanwhile, so that a replica which only
+// lost its own link, or was removed and doesn't know, can't unseat a leader.
+func (c *Core) inLease() bool {
+	if c.state == Leader {
+		return true
+	}
+	return c.lead != 0 && c.now-c.heardLead < c.cfg.ElectionTimeout
+}
+
+// handleVote answers both kinds of vote request. A vote is given once a term,
+// and only to a candidate whose log holds all that this replica's holds: any
+// quorum then includes a voter that refuses candidates without a committed
+// entry.
+func (c *Core) handleVote(m Message) {
+	reply := Message{Kind: MsgVoteReply, To: m.From, Term: c.term}
+	if m.Kind == MsgPreVote {
+		reply.Kind = MsgPreVoteReply
+	}
+	reply.Reject = !c.wouldVote(m)
+	if !reply.Reject && m.Kind == MsgPreVote {
+		reply.Term = m.Term
+	}
+	if !reply.Reject && m.Kind == MsgVote {
+		c.vote = m.From
+		c.resetElection()
+	}
+	c.send(reply)
+}
+
+func (c *Core) wouldVote(m Message) bool {
+	if c.isFresh() && !c.faults.emptyDiskVotes {
+		return false
+	}
+	if m.Kind == MsgPreVote && m.Term <= c.term {
+		return false
+	}
+	if m.Kind == MsgVote && !c.faults.voteTwice {
+		free := c.vote == 0 && c.lead == 0
+		if c.vote != m.From && !free {
+			return false
+		}
+	}
+	return c.faults.voteBehind || c.isUpToDate(m.LogTerm, m.Index)
+}
+
+// isFresh says that this replica has never held any entry: its folder is new,
+// or was lost. Whoever was told of a vote by an earlier owner of the folder
+// can't be contradicted by a replica that gives none.
+func (c *Core) isFresh() bool { return c.log.last() == 0 }
+
+func (c *Core) isUpToDate(t Term, i Index) bool {
+	mine := c.log.lastTerm()
+	return t > mine || t == mine && i >= c.log.last()
+}
+
+func (c *Core) handleVoteReply(m Message) {
+	wanted := Candidate
+	if m.Kind == MsgPreVoteReply {
+		wanted = PreCandidate
+	}
+	if c.state != wanted {
+		return
+	}
+	if _, ok := c.votes[m.From]; ok {
+		return
+	}
+	c.votes[m.From] = !m.Reject
+	switch {
+	case c.won():
+		c.electionWon()
+	case c.lost():
+		c.becomeFollower(c.term, 0)
+	}
+}
+
+// HandOver asks the most advanced voter to take the lead at once, so that a
+// planned stop costs commands no election timeout.
+func (c *Core) HandOver() bool {
+	if c.state != Leader {
+		return false
+	}
+	var best ID
+	for _, id := range c.members.Voters() {
+		if id == c.cfg.ID || c.now-c.progress[id].heardAt > c.cfg.ElectionTimeout {
+			continue
+		}
+		if c.progress[id].match == c.log.last() {
+			best = id
+		}
+	}
+	if best == 0 {
+		return false
+	}
+	c.send(Message{Kind: MsgElectNow, To: best})
+	return true
+}
--- /dev/null
+++ b/internal/quorum/probation.go
@@ -0,0 +1,153 @@
+package quorum
+
+import (
+	"fmt"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrRegressed marks a replica whose disk is older than what it once told the
+// others: it was restored from an old copy.
+var ErrRegressed = errors.New("quorum: this replica's disk is older than its word")
+
+// RegressionError says what another replica remembers of this one.
+type RegressionError struct {
+	By    ID
+	Known Known
+	// Term and Index are what this replica's disk held at its start.
+	Term  Term
+	Index Index
+}
+
+func (e *RegressionError) Error() string {
+	return fmt.Sprintf("quorum: disk holds term %d and index %d, but replica %s knows of term %d, index %d, committed index %d",
+		e.Term, e.Index, e.By, e.Known.Term, e.Known.Match, e.Known.Committed)
+}
+
+// Unwrap makes the error match ErrRegressed.
+func (e *RegressionError) Unwrap() error { return ErrRegressed }
+
+// startProbation begins a restarted replica's time of asking. A disk restored
+// from an old copy has forgotten votes and acknowledged entries: the replica
+// would vote twice in a term, or help to elect a leader without a committed
+// entry. Until as many replicas as make a quorum with it have said what they
+// know of it, it takes part in nothing. Nothing could be decided without that
+// many, so the wait costs no availability. One that finds itself behind its
+// own word stops for good.
+func (c *Core) startProbation(fresh bool) {
+	c.probation = !fresh && !c.faults.noProbation
+	c.helloAt = c.now
+	c.boot = Message{Kind: MsgHello, Index: c.log.last(), LogTerm: c.log.lastTerm(), Context: 1}
+	if c.cfg.Rand != nil {
+		c.boot.Context = c.cfg.Rand.Uint64() | 1
+	}
+	c.endProbation()
+}
+
+func (c *Core) tickProbation() {
+	if c.now < c.helloAt {
+		return
+	}
+	c.helloAt = c.now + c.cfg.Heartbeat
+	for _, x := range c.members.Members {
+		if x.ID != c.cfg.ID {
+			c.sendHello(x.ID)
+		}
+	}
+}
+
+func (c *Core) sendHello(to ID) {
+	m := c.boot
+	m.To = to
+	c.send(m)
+}
+
+// handleHello answers with what is remembered, and forgets the sender's clock,
+// which began anew.
+func (c *Core) handleHello(m Message) {
+	if p := c.progress[m.From]; p != nil {
+		p.stamp = 0
+	}
+	k := c.known[m.From]
+	k.Committed = min(k.Match, c.log.commit)
+	c.send(Message{Kind: MsgHelloReply, To: m.From, Context: m.Context, Known: &k})
+}
+
+func (c *Core) handleHelloReply(m Message) {
+	if m.Reject {
+		c.removed = true
+		c.becomeFollower(c.term, 0)
+		return
+	}
+	if !c.probation || m.Context != c.boot.Context || m.Known == nil {
+		return
+	}
+	if c.isBehind(*m.Known) {
+		c.regression = &RegressionError{By: m.From, Known: *m.Known, Term: c.term, Index: c.boot.Index}
+		return
+	}
+	c.helloFrom[m.From] = true
+	c.endProbation()
+}
+
+// isBehind holds if this replica's disk lacks what it once said to have. Its
+// entries may have been overwritten by a leader of a later term, but not within
+// one term, and never below what was committed.
+func (c *Core) isBehind(k Known) bool {
+	if k.Term > c.term || k.Committed > c.boot.Index {
+		return true
+	}
+	return k.AckTerm == c.term && k.Match > c.boot.Index
+}
+
+func (c *Core) endProbation() {
+	needed := c.quorum() - 1
+	if voters := c.members.Voters(); needed == 0 && !c.members.isVoter(c.cfg.ID) && len(voters) > 0 {
+		needed = 1
+	}
+	if len(c.helloFrom) >= needed {
+		c.probation = false
+		c.resetElection()
+	}
+}
+
+// learn remembers what a replica's message shows that its disk holds.
+func (c *Core) learn(m Message) {
+	if m.Kind == MsgPreVote || m.Kind == MsgPreVoteReply && !m.Reject {
+		return // names a term that the sender hasn't stored
+	}
+	k := c.known[m.From]
+	k.Term = max(k.Term, m.Term)
+	if m.Kind == MsgAppendReply && !m.Reject {
+		if m.Term > k.AckTerm {
+			k.AckTerm = m.Term
+			k.Match = 0
+		}
+		if m.Term == k.AckTerm {
+			k.Match = max(k.Match, m.Index)
+		}
+	}
+	c.known[m.From] = k
+}
+
+// tellRemoved answers a replica that doesn't know that it was removed.
+func (c *Core) tellRemoved(id ID) {
+	if c.membersIndex <= c.log.commit {
+		c.send(Message{Kind: MsgHelloReply, To: id, Reject: true})
+	}
+}
+
+// halted holds once this replica may take no further part.
+func (c *Core) halted() bool { return c.regression != nil || c.removed }
+
+// Err returns why this replica takes no further part: ErrRegressed or
+// ErrRemoved; nil if it does.
+func (c *Core) Err() error {
+	switch {
+	case c.regression != nil:
+		return c.regression
+	case c.removed:
+		return ErrRemoved
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/replica/cluster_test.go
@@ -0,0 +1,225 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"net"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"bergamotstall/internal/journal"
+	"bergamotstall/internal/quorum"
+)
+
+// patience bounds waits for what must happen; no verdict depends on its length.
+const patience = 8 * time.Second
+
+// register is a state machine that keeps all commands in order. A command that
+// comes again gets its first outcome.
+type register struct {
+	mu       sync.Mutex
+	Commands []string
+	Outcomes map[string]uint64
+}
+
+func newRegister() *register { return &register{Outcomes: map[string]uint64{}} }
+
+func (g *register) Apply(_ uint64, command []byte) []byte {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	place, ok := g.Outcomes[string(command)]
+	if !ok {
+		g.Commands = append(g.Commands, string(command))
+		place = uint64(len(g.Commands))
+		g.Outcomes[string(command)] = place
+	}
+	out, _ := json.Marshal(place)
+	return out
+}
+
+func (g *register) Snapshot() ([]byte, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return json.Marshal(g)
+}
+
+func (g *register) Restore(snapshot []byte) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Commands, g.Outcomes = nil, map[string]uint64{}
+	return json.Unmarshal(snapshot, g)
+}
+
+func (g *register) all() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]string(nil), g.Commands...)
+}
+
+// network lets replicas reach each other unless a test cuts them apart.
+type network struct {
+	mu    sync.Mutex
+	cut   map[[2]string]bool
+	mute  map[[2]string]bool
+	conns map[[2]string][]net.Conn
+}
+
+func newNetwork() *network {
+	return &network{cut: map[[2]string]bool{}, mute: map[[2]string]bool{}, conns: map[[2]string][]net.Conn{}}
+}
+
+// member is one VM of a test.
+type member struct {
+	t       *testing.T
+	net     *network
+	name    string
+	folder  string
+	address string
+	cfg     Config
+	sm      *register
+	*Replica
+}
+
+func quiet() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(os.Stderr)
+	return log
+}
+
+func newMember(t *testing.T, network *network, name string, peers ...string) *member {
+	t.Helper()
+	m := &member{t: t, net: network, name: name, folder: filepath.Join(t.TempDir(), name)}
+	m.cfg = Config{
+		Folder: m.folder, Name: name, Peers: peers, Listen: "127.0.0.1:0",
+		Heartbeat: 20 * time.Millisecond, Log: quiet(), FS: journal.Disk{},
+	}
+	m.cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		return network.dial(ctx, name, address)
+	}
+	return m
+}
+
+func (m *member) start() {
+	m.t.Helper()
+	m.sm = newRegister()
+	r, err := Open(m.cfg, m.sm)
+	if err != nil {
+		m.t.Fatalf("open %s: %v", m.name, err)
+	}
+	m.Replica = r
+	m.address = r.cfg.Advertise
+	m.cfg.Listen = m.address
+	m.t.Cleanup(func() { _ = r.Close() })
+}
+
+// trio starts three replicas, the first by bootstrap, and waits for three
+// voters.
+func trio(t *testing.T, change func(*Config)) []*member {
+	t.Helper()
+	network := newNetwork()
+	first := newMember(t, network, "a")
+	first.cfg.Bootstrap = true
+	if change != nil {
+		change(&first.cfg)
+	}
+	first.start()
+	members := []*member{first}
+	for _, name := range []string{"b", "c"} {
+		m := newMember(t, network, name, first.address)
+		if change != nil {
+			change(&m.cfg)
+		}
+		m.start()
+		members = append(members, m)
+	}
+	for _, m := range members {
+		m.cfg.Peers = []string{members[0].address, members[1].address, members[2].address}
+	}
+	waitVoters(t, members, 3)
+	return members
+}
+
+func waitVoters(t *testing.T, members []*member, want int) {
+	t.Helper()
+	await(t, "voters", func() bool {
+		for _, m := range members {
+			if voters(m.Status()) != want || m.Status().Leader == 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func voters(s Status) int {
+	n := 0
+	for _, m := range s.Members {
+		if m.Role == quorum.Voter {
+			n++
+		}
+	}
+	return n
+}
+
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func leaderOf(t *testing.T, members []*member) *member {
+	t.Helper()
+	var found *member
+	await(t, "a leader", func() bool {
+		for _, m := range members {
+			if m.Status().State == quorum.Leader && m.Err() == nil {
+				found = m
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+func within(t *testing.T, d time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// mustPropose resends a command until it has an outcome, as an operator does.
+func mustPropose(t *testing.T, m *member, command string) string {
+	t.Helper()
+	for {
+		out, err := m.Propose(within(t, patience), []byte(command))
+		if err == nil {
+			return string(out)
+		}
+		t.Logf("propose %q at %s: %v", command, m.name, err)
+		if m.Err() != nil {
+			t.Fatalf("%s: %v", m.name, m.Err())
+		}
+	}
+}
+
+func sameCommands(t *testing.T, members []*member, want []string) {
+	t.Helper()
+	is := is.New(t)
+	for _, m := range members {
+		is.NoErr(m.Barrier(within(t, patience)))
+		is.Equal(m.sm.all(), want)
+	}
+}
--- /dev/null
+++ b/internal/replica/link.go
@@ -0,0 +1,319 @@
+package replica
+
+import (
+	"context"
+	"crypto/tls"
+	mathrand "math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/tinylib/msgp/msgp"
+
+	"bergamotstall/internal/events"
+	"bergamotstall/internal/quorum"
+	"bergamotstall/internal/wire"
+)
+
+const (
+	// linkQueue bounds the frames that wait for one peer. Frames over it are
+	// dropped: the core sends again what it still needs.
+	linkQueue   = 512
+	dialTimeout = time.Second
+	// writeTimeout and pongTimeout bound how long a half-open connection, over
+	// which nothing comes back, can pass for a working one.
+	writeTimeout = 2 * time.Second
+	pingInterval = 500 * time.Millisecond
+	pongTimeout  = 2 * time.Second
+	// idleTimeout ends a connection that nothing was sent over.
+	idleTimeout = 30 * time.Second
+	backoffMin  = 50 * time.Millisecond
+	backoffMax  = 2 * time.Second
+	frameLimit  = 32 << 20
+)
+
+// outFrame is one frame to a peer.
+type outFrame struct {
+	kind wire.Kind
+	body msgp.Marshaler
+}
+
+// link is the outgoing connection to one address.
+type link struct {
+	links   *links
+	address string
+	queue   chan outFrame
+	up      bool // guarded by links.mu
+	// replica is who must answer there; 0 for anyone.
+	replica quorum.ID
+}
+
+// links are a replica's outgoing connections.
+type links struct {
+	r      *Replica
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+
+	mu sync.Mutex
+	// byReplica and byAddress hold links to members and to peers whose identity
+	// isn't known.
+	byReplica map[quorum.ID]*link
+	byAddress map[string]*link
+	// book holds where replicas said that they take connections.
+	book map[quorum.ID]string
+}
+
+func newLinks(r *Replica) *links {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &links{
+		r: r, ctx: ctx, cancel: cancel,
+		byReplica: map[quorum.ID]*link{},
+		byAddress: map[string]*link{},
+		book:      map[quorum.ID]string{},
+	}
+}
+
+// note records where a replica takes connections.
+func (l *links) note(id quorum.ID, address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if address != "" {
+		l.book[id] = address
+	}
+}
+
+func (l *links) sendQuorum(m *quorum.Message) { l.send(m.To, kindQuorum, m) }
+
+// send queues a frame for a replica. False means that it surely isn't sent;
+// true promises nothing. Only the loop calls it.
+func (l *links) send(to quorum.ID, kind wire.Kind, body msgp.Marshaler) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	address, ok := l.book[to]
+	if !ok {
+		member, _ := l.r.core.Members().Find(to)
+		address = member.Address
+	}
+	if address == "" {
+		l.r.count.dropped.Add(1)
+		return false
+	}
+	k := l.byReplica[to]
+	if k != nil && k.address != address {
+		close(k.queue) // it moved
+		k = nil
+	}
+	if k == nil {
+		k = l.open(address, to)
+		l.byReplica[to] = k
+	}
+	if kind == kindForward && !k.up {
+		return false
+	}
+	return l.enqueue(k, kind, body)
+}
+
+// sendTo queues a frame for whoever is at an address.
+func (l *links) sendTo(address string, kind wire.Kind, body msgp.Marshaler) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := l.byAddress[address]
+	if k == nil {
+		k = l.open(address, 0)
+		l.byAddress[address] = k
+	}
+	l.enqueue(k, kind, body)
+}
+
+func (l *links) open(address string, id quorum.ID) *link {
+	k := &link{links: l, address: address, replica: id, queue: make(chan outFrame, linkQueue)}
+	l.done.Add(1)
+	go k.run()
+	return k
+}
+
+func (l *links) enqueue(k *link, kind wire.Kind, body msgp.Marshaler) bool {
+	select {
+	case k.queue <- outFrame{kind: kind, body: body}:
+		return true
+	default:
+		l.r.count.dropped.Add(1)
+		return false
+	}
+}
+
+// forget drops an idle link; false if something was queued meanwhile.
+func (l *links) forget(k *link) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(k.queue) > 0 {
+		return false
+	}
+	if l.byReplica[k.replica] == k {
+		delete(l.byReplica, k.replica)
+	}
+	if l.byAddress[k.address] == k {
+		delete(l.byAddress, k.address)
+	}
+	return true
+}
+
+func (l *links) setUp(k *link, up bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k.up = up
+}
+
+func (l *links) close() {
+	l.cancel()
+	l.done.Wait()
+}
+
+// run keeps one connection, and makes it anew with growing pauses. The pauses
+// have jitter, so that replicas that lost each other don't dial in step.
+func (k *link) run() {
+	defer k.links.done.Done()
+	pause := backoffMin
+	for k.links.ctx.Err() == nil {
+		conn, err := k.connect()
+		if err == nil {
+			pause = backoffMin
+			k.links.setUp(k, true)
+			err = k.carry(conn)
+			k.links.setUp(k, false)
+			if errors.Is(err, errLinkEnds) {
+				return
+			}
+		}
+		k.links.r.count.reconnects.Add(1)
+		events.Log(k.links.r.cfg.Log, events.PeerUnreachable, logrus.Fields{"address": k.address, "error": err.Error()})
+		if !k.sleep(pause/2 + mathrand.N(pause)) {
+			return
+		}
+		pause = min(2*pause, backoffMax)
+	}
+}
+
+var errLinkEnds = errors.New("replica: link no longer needed")
+
+// sleep waits and drops what is queued meanwhile: a message that waited for a
+// connection is older than what the core sends once there is one.
+func (k *link) sleep(pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+			return true
+		case <-k.links.ctx.Done():
+			return false
+		case _, ok := <-k.queue:
+			if !ok {
+				return false
+			}
+			k.links.r.count.dropped.Add(1)
+		}
+	}
+}
+
+func (k *link) connect() (*wire.Conn, error) {
+	raw, err := k.links.r.dial(k.links.ctx, k.address)
+	if err != nil {
+		return nil, err
+	}
+	conn := wire.NewConn(raw, frameLimit, writeTimeout)
+	answer, err := k.links.r.greet(conn)
+	if err == nil && k.replica != 0 && answer.Replica != k.replica {
+		err = errors.Wrapf(errStranger, "%s is replica %s, not %s", k.address, answer.Replica, k.replica)
+		k.links.r.refusePeer(k.address, err)
+	}
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	k.links.r.count.connections.Add(1)
+	events.Log(k.links.r.cfg.Log, events.PeerReached, logrus.Fields{"address": k.address, "replica": answer.Replica.String()})
+	return conn, nil
+}
+
+// carry sends frames until the connection fails or nothing needs it.
+func (k *link) carry(conn *wire.Conn) error {
+	defer conn.Close()
+	failed := make(chan error, 1)
+	go func() { failed <- readPongs(conn) }()
+	ping := time.NewTicker(pingInterval)
+	defer ping.Stop()
+	used := time.Now()
+	for {
+		frame := outFrame{kind: kindPing, body: &pulse{}}
+		select {
+		case <-k.links.ctx.Done():
+			return errLinkEnds
+		case err := <-failed:
+			return err
+		case <-ping.C:
+			if time.Since(used) > idleTimeout && k.links.forget(k) {
+				return errLinkEnds
+			}
+		case f, ok := <-k.queue:
+			if !ok {
+				return errLinkEnds
+			}
+			frame = f
+			used = time.Now()
+		}
+		n, err := conn.Write(frame.kind, frame.body)
+		if err != nil {
+			return err
+		}
+		k.links.r.count.sent.Add(1)
+		k.links.r.count.bytesSent.Add(int64(n))
+	}
+}
+
+// readPongs returns once the peer no longer answers pings. Writing to a
+// half-open connection succeeds until the kernel's buffer is full, which at a
+// heartbeat's size takes minutes.
+func readPongs(conn *wire.Conn) error {
+	for {
+		if err := conn.Raw().SetReadDeadline(time.Now().Add(pongTimeout)); err != nil {
+			return errors.Wrap(err, "replica: read deadline")
+		}
+		if _, err := conn.Read(); err != nil {
+			return err
+		}
+	}
+}
+
+// dial connects, with TLS if configured.
+func (r *Replica) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	dial := r.cfg.Dial
+	if dial == nil {
+		dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return new(net.Dialer).DialContext(ctx, "tcp", address)
+		}
+	}
+	raw, err := dial(ctx, address)
+	if err != nil {
+		return nil, errors.Wrap(err, "replica: dial")
+	}
+	if r.cfg.TLS.Client == nil {
+		return raw, nil
+	}
+	cfg := r.cfg.TLS.Client
+	if cfg.ServerName == "" {
+		cfg = cfg.Clone()
+		cfg.ServerName, _, _ = net.SplitHostPort(address)
+	}
+	secure := tls.Client(raw, cfg)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, errors.Wrap(err, "replica: TLS")
+	}
+	return secure, nil
+}
--- /dev/null
+++ b/internal/replica/server.go
@@ -0,0 +1,222 @@
+package replica
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"bergamotstall/internal/events"
+	"bergamotstall/internal/quorum"
+	"bergamotstall/internal/wire"
+)
+
+const (
+	// maxPeers bounds incoming connections: nine members, each perhaps with a
+	// connection that the other end has given up.
+	maxPeers = 64
+	// peerTimeout ends an incoming connection over which nothing came, not even
+	// a ping.
+	peerTimeout = 10 * time.Second
+)
+
+// Errors of a refused peer.
+var (
+	errStranger = errors.New("replica: another replica answers there")
+	errCluster  = errors.New("replica: the peer belongs to another cluster")
+	errVersion  = errors.New("replica: the peer speaks another version")
+	errGreeting = errors.New("replica: no greeting")
+)
+
+// inbound is one frame from a peer, decoded.
+type inbound struct {
+	from    quorum.ID
+	cluster uint64
+	quorum  *quorum.Message
+	forward *forward
+	reply   *forwardReply
+	join    *join
+}
+
+// server takes peers' connections.
+type server struct {
+	r        *Replica
+	listener net.Listener
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
+	closed   bool
+	done     sync.WaitGroup
+}
+
+func newServer(r *Replica, listener net.Listener) *server {
+	s := &server{r: r, listener: listener, conns: map[net.Conn]bool{}}
+	s.done.Add(1)
+	return s
+}
+
+func (s *server) run() {
+	defer s.done.Done()
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			time.Sleep(backoffMin) // out of file descriptors, most likely
+			continue
+		}
+		if !s.admit(conn) {
+			_ = conn.Close()
+			continue
+		}
+		go s.serve(conn)
+	}
+}
+
+func (s *server) admit(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.conns) >= maxPeers {
+		s.r.count.peersRefused.Add(1)
+		return false
+	}
+	s.conns[conn] = true
+	s.done.Add(1)
+	return true
+}
+
+func (s *server) serve(raw net.Conn) {
+	defer s.done.Done()
+	defer func() {
+		_ = raw.Close()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, raw)
+	}()
+	if err := s.talk(raw); err != nil && isRefusal(err) {
+		s.r.refusePeer(raw.RemoteAddr().String(), err)
+	}
+}
+
+func isRefusal(err error) bool {
+	for _, x := range []error{errCluster, errVersion, errGreeting} {
+		if errors.Is(err, x) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Replica) refusePeer(address string, err error) {
+	r.count.peersRefused.Add(1)
+	events.Log(r.cfg.Log, events.PeerRefused, logrus.Fields{"address": address, "error": err.Error()})
+}
+
+func (s *server) talk(raw net.Conn) error {
+	if err := raw.SetDeadline(time.Now().Add(dialTimeout)); err != nil {
+		return err
+	}
+	if s.r.cfg.TLS.Server != nil {
+		secure := tls.Server(raw, s.r.cfg.TLS.Server)
+		if err := secure.HandshakeContext(context.Background()); err != nil {
+			return errors.Wrapf(errGreeting, "TLS: %v", err)
+		}
+		raw = secure
+	}
+	conn := wire.NewConn(raw, frameLimit, writeTimeout)
+	peer, err := s.r.answerGreeting(conn)
+	if err != nil {
+		return err
+	}
+	s.r.links.note(peer.Replica, peer.Address)
+	return s.receive(conn, peer)
+}
+
+// receive hands frames to the loop until the connection ends.
+func (s *server) receive(conn *wire.Conn, peer greeting) error {
+	for {
+		if err := conn.Raw().SetDeadline(time.Now().Add(peerTimeout)); err != nil {
+			return err
+		}
+		f, err := conn.Read()
+		if err != nil {
+			return err
+		}
+		s.r.count.received.Add(1)
+		if f.Kind == kindPing {
+			if _, err := conn.Write(kindPong, &pulse{}); err != nil {
+				return err
+			}
+			continue
+		}
+		in, err := decode(f, peer)
+		if err != nil {
+			return err
+		}
+		select {
+		case s.r.inbox <- in:
+		case <-s.r.stopping:
+			return nil
+		}
+	}
+}
+
+func decode(f wire.Frame, peer greeting) (inbound, error) {
+	in := inbound{from: peer.Replica, cluster: peer.Cluster}
+	switch f.Kind {
+	case kindQuorum:
+		in.quorum = new(quorum.Message)
+		return in, f.Decode(in.quorum)
+	case kindForward:
+		in.forward = new(forward)
+		return in, f.Decode(in.forward)
+	case kindForwardReply:
+		in.reply = new(forwardReply)
+		return in, f.Decode(in.reply)
+	case kindJoin:
+		in.join = new(join)
+		return in, f.Decode(in.join)
+	}
+	return in, errors.Errorf("replica: frame kind %d", f.Kind)
+}
+
+func (s *server) close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	s.closed = true
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	s.done.Wait()
+}
+
+// receive takes one frame in the loop. A peer speaks only for itself.
+func (r *Replica) receive(in inbound) {
+	switch {
+	case in.quorum != nil:
+		if in.quorum.From == in.from && r.joinCluster(in.cluster) {
+			r.core.Step(r.now(), *in.quorum)
+		}
+	case in.forward != nil:
+		r.takeForward(in.from, *in.forward)
+	case in.reply != nil:
+		r.takeForwardReply(*in.reply)
+	case in.join != nil:
+		r.takeJoin(*in.join)
+	}
+}
+
+// joinCluster records the cluster of the first replica that speaks to a new
+// one; from then on no other cluster's replica is listened to.
+func (r *Replica) joinCluster(cluster uint64) bool {
+	mine := r.cluster.Load()
+	if mine != 0 || cluster == 0 {
+		return mine == cluster && mine != 0
+	}
+	return r.setCluster(cluster) == nil // after a failure the next sync ends the replica
+}
