--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -64,6 +64,10 @@
 	}
 }
 
+func (c *Core) isOnlyVoter() bool {
+	return len(c.members.Voters()) == 1 && c.members.isVoter(c.cfg.ID)
+}
+
 // electors are the replicas whose votes count.
 func (c *Core) electors() []ID {
 	if !c.faults.learnersCount {
--- a/internal/quorum/probation.go
+++ b/internal/quorum/probation.go
@@ -109,6 +109,9 @@
 		c.probation = false
 		c.resetElection()
 	}
+	if !c.probation && c.isOnlyVoter() {
+		c.electionAt = c.now // there is no leader whose word could be under way
+	}
 }
 
 // learn remembers what a replica's message shows that its disk holds.
--- a/internal/replica/link.go
+++ b/internal/replica/link.go
@@ -189,7 +189,7 @@
 			}
 		}
 		k.links.r.count.reconnects.Add(1)
-		events.Log(k.links.r.cfg.Log, events.PeerUnreachable, logrus.Fields{"address": k.address, "error": err.Error()})
+		events.Log(k.links.r.cfg.Log, events.ReplicaPeerLost, logrus.Fields{"address": k.address, "error": err.Error()})
 		if !k.sleep(pause/2 + mathrand.N(pause)) {
 			return
 		}
@@ -235,7 +235,7 @@
 		return nil, err
 	}
 	k.links.r.count.connections.Add(1)
-	events.Log(k.links.r.cfg.Log, events.PeerReached, logrus.Fields{"address": k.address, "replica": answer.Replica.String()})
+	events.Log(k.links.r.cfg.Log, events.ReplicaPeerReached, logrus.Fields{"address": k.address, "replica": answer.Replica.String()})
 	return conn, nil
 }
 
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -205,7 +205,7 @@
 	}
 	if at := r.core.MembersIndex(); at != r.members {
 		r.members = at
-		events.Log(r.cfg.Log, events.MembersChanged, logrus.Fields{"members": describe(r.core.Members())})
+		events.Log(r.cfg.Log, events.ReplicaMembersChanged, logrus.Fields{"members": describe(r.core.Members())})
 	}
 }
 
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -113,7 +113,7 @@
 
 func (r *Replica) refusePeer(address string, err error) {
 	r.count.peersRefused.Add(1)
-	events.Log(r.cfg.Log, events.PeerRefused, logrus.Fields{"address": address, "error": err.Error()})
+	events.Log(r.cfg.Log, events.ReplicaPeerRefused, logrus.Fields{"address": address, "error": err.Error()})
 }
 
 func (s *server) talk(raw net.Conn) error {
