--- a/cmd/bergamotctl/files_test.go
+++ b/cmd/bergamotctl/files_test.go
@@ -105,7 +105,7 @@
 		{"bad flag value", []string{"switch", "peak", "-if-version", "three"}, exitUsage, `invalid value "three" for flag -if-version`},
 		{"no file to apply", []string{"apply", "-control", "127.0.0.1:1"}, exitUsage, "-f FILE is missing"},
 		{"no step", []string{"keys", "rotate", "-control", "127.0.0.1:1"}, exitUsage, "prepare|sign|drop"},
-		{"members without action", []string{"members"}, exitUsage, "members replace OLD NEW IP:PORT"},
+		{"members without action", []string{"members"}, exitUsage, "members replace VM"},
 		{"nobody there", []string{"switch", "peak", "-control", "127.0.0.1:1"}, exitUnreachable, "no control VM answered; 127.0.0.1:1: connect"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/cmd/bergamotctl/main.go
+++ b/cmd/bergamotctl/main.go
@@ -69,7 +69,7 @@
 	{"targets", "", "list the targets that announced themselves", runTargets},
 	{"drain", "HOST", "take a host out of new work", runDrain},
 	{"undrain", "HOST", "give a host new work again", runUndrain},
-	{"members", "list|add|remove|replace", "list or change the control VMs", runMembers},
+	{"members", "list|add|remove|replace VM", "list or change the control VMs", runMembers},
 	{"keys", "rotate", "rotate the cluster keys", runKeys},
 	{"history", "", "show the audit record", runHistory},
 	{"status", "", "show control VMs, balancers and what is in force", runStatus},
@@ -106,7 +106,7 @@
 func usage(w io.Writer) {
 	fmt.Fprint(w, usageHeading)
 	for _, c := range commands {
-		fmt.Fprintf(w, "  %-9s %-24s %s\n", c.name, c.args, c.help)
+		fmt.Fprintf(w, "  %-9s %-27s %s\n", c.name, c.args, c.help)
 	}
 	fmt.Fprint(w, usageTail)
 }
--- a/cmd/bergamotctl/options.go
+++ b/cmd/bergamotctl/options.go
@@ -2,16 +2,17 @@
 
 import (
 	"crypto/tls"
-	"crypto/x509"
 	"flag"
 	"fmt"
-	"os"
 	"os/user"
 	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
 
+	"bergamotstall/internal/keys"
+	"bergamotstall/internal/metrics"
 	"bergamotstall/internal/operator"
 	"bergamotstall/internal/settings"
 )
@@ -162,17 +163,10 @@
 }
 
 func (f *tlsFiles) config() (*tls.Config, error) {
-	pair, err := tls.LoadX509KeyPair(f.Certificate, f.Key)
+	files := keys.Files{Authority: f.CA, Certificate: f.Certificate, Key: f.Key}
+	store, err := keys.Load(files, logrus.StandardLogger(), metrics.New())
 	if err != nil {
-		return nil, errors.Wrap(err, "operator's certificate")
+		return nil, err
 	}
-	pem, err := os.ReadFile(f.CA)
-	if err != nil {
-		return nil, errors.Wrap(err, "certificate authority")
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, errors.Errorf("%s: no certificate in it", f.CA)
-	}
-	return &tls.Config{Certificates: []tls.Certificate{pair}, RootCAs: pool, MinVersion: tls.VersionTLS13}, nil
+	return store.Client(keys.Control), nil
 }
--- a/cmd/bergamotctl/show.go
+++ b/cmd/bergamotctl/show.go
@@ -179,16 +179,20 @@
 		if vm.Local == nil || vm.Local.Leader != vm.Local.VM {
 			continue
 		}
-		c.columns(func(row func(...any)) {
-			row("REPLICA", "ADDRESS", "ROLE", "ENTRIES BEHIND", "SILENT")
-			for _, r := range vm.Local.Replicas {
-				row(r.Name, r.Address, r.Role, orUnknown(r.Lag, ""), orUnknown(r.SilentMS, " ms"))
-			}
-		})
+		c.replicaRows(vm.Local.Replicas)
 		return
 	}
 }
 
+func (c *call) replicaRows(replicas []operator.Replica) {
+	c.columns(func(row func(...any)) {
+		row("REPLICA", "IDENTITY", "ADDRESS", "ROLE", "ENTRIES BEHIND", "SILENT")
+		for _, r := range replicas {
+			row(r.Name, r.ID, r.Address, r.Role, orUnknown(r.Lag, ""), orUnknown(r.SilentMS, " ms"))
+		}
+	})
+}
+
 func orUnknown(n int64, unit string) string {
 	if n < 0 {
 		return "unknown"
--- a/control/backend.go
+++ b/control/backend.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
 	"bergamotstall/internal/catalogue"
 	"bergamotstall/internal/events"
 	"bergamotstall/internal/operator"
+	"bergamotstall/internal/quorum"
+	"bergamotstall/internal/replica"
 )
 
 var _ operator.Backend = (*Control)(nil)
@@ -16,7 +19,7 @@
 func (c *Control) Submit(ctx context.Context, cmd *catalogue.Command) (catalogue.Outcome, error) {
 	out, err := c.registrar.submit(ctx, cmd)
 	if err != nil {
-		return out, operator.ErrNoQuorum
+		return out, operatorError(err)
 	}
 	events.Log(c.logger, events.CommandApplied, logrus.Fields{
 		"operator": cmd.Operator, "command": cmd.ID, "outcome": out.Text, "version": out.Version,
@@ -24,10 +27,22 @@
 	return out, nil
 }
 
+// operatorError turns the log's errors into the operators' protocol's. All but
+// an oversized command may fare better at another VM.
+func operatorError(err error) error {
+	switch {
+	case errors.Is(err, replica.ErrTooLarge):
+		return operator.ErrTooLarge
+	case errors.Is(err, replica.ErrBusy):
+		return operator.ErrBusy
+	}
+	return operator.ErrNoQuorum
+}
+
 // Barrier implements operator.Backend.
 func (c *Control) Barrier(ctx context.Context) error {
 	if err := c.log.Barrier(ctx); err != nil {
-		return operator.ErrNoQuorum
+		return operatorError(err)
 	}
 	return nil
 }
@@ -38,7 +53,9 @@
 // Local implements operator.Backend.
 func (c *Control) Local() operator.LocalStatus {
 	sum := c.catalogue.Summary()
+	status := c.log.Status()
 	out := operator.LocalStatus{
+		Leader: leaderName(status), Replicas: replicas(status),
 		VM: c.settings.Name, DataCentre: c.settings.DataCentre,
 		ContactAgeMS: c.log.ContactAge().Milliseconds(),
 		Version:      sum.Version, Revision: sum.Revision, InForce: sum.InForce,
@@ -51,7 +68,74 @@
 	return out
 }
 
-// ChangeMembers implements operator.Backend.
-func (c *Control) ChangeMembers(context.Context, operator.MembersChange) error {
-	return &catalogue.Refusal{Why: "the log of this process has one member"}
+// replicas lists the control VMs as this one knows them.
+func replicas(s replica.Status) []operator.Replica {
+	leads := s.Leader == s.ID
+	out := make([]operator.Replica, 0, len(s.Members))
+	for _, m := range s.Members {
+		r := operator.Replica{Name: m.Name, ID: m.ID.String(), Address: m.Address, Role: m.Role.String(), Lag: -1, SilentMS: -1}
+		if leads {
+			r.Lag, r.SilentMS = int64(s.Lag(m)), m.Silence.Milliseconds()
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// leaderName names the VM that this one follows; empty where it knows none.
+func leaderName(s replica.Status) string {
+	for _, m := range s.Members {
+		if m.ID == s.Leader {
+			return m.Name
+		}
+	}
+	return ""
+}
+
+// ChangeMembers implements operator.Backend. The operator names a VM; the
+// replica that it stands for is the one under that name in the membership.
+func (c *Control) ChangeMembers(ctx context.Context, change operator.MembersChange) error {
+	if err := c.log.Barrier(ctx); err != nil {
+		return operatorError(err)
+	}
+	id, ok := memberNamed(c.log.Status(), change.Name)
+	if !ok {
+		return errors.Errorf("no control VM named %q", change.Name)
+	}
+	var err error
+	switch change.Action {
+	case operator.RemoveMember:
+		err = c.log.RemoveMember(ctx, id)
+	case operator.ReplaceMember:
+		err = c.log.ReplaceMember(ctx, id)
+	default:
+		return errors.New("this version of control doesn't know the change")
+	}
+	if err != nil {
+		return memberError(err)
+	}
+	events.Log(c.logger, events.MembersOrdered, logrus.Fields{"operator": change.Operator, "vm": change.Name, "change": change.Action.String()})
+	return nil
+}
+
+func memberNamed(s replica.Status, name string) (quorum.ID, bool) {
+	for _, m := range s.Members {
+		if m.Name == name {
+			return m.ID, true
+		}
+	}
+	return 0, false
+}
+
+// memberError keeps the reason of a refusal; anything else is a lack of quorum.
+func memberError(err error) error {
+	for _, refusal := range []error{
+		replica.ErrNobody, quorum.ErrChangeOpen, quorum.ErrUnknown, quorum.ErrMember,
+		quorum.ErrRemoved, quorum.ErrTooMany, quorum.ErrLastVoter, quorum.ErrNameInUse,
+	} {
+		if errors.Is(err, refusal) {
+			return refusal
+		}
+	}
+	return operatorError(err)
 }
--- a/control/control.go
+++ b/control/control.go
@@ -16,10 +16,15 @@
 	"bergamotstall/internal/events"
 	"bergamotstall/internal/metrics"
 	"bergamotstall/internal/operator"
+	"bergamotstall/internal/replica"
 	"bergamotstall/internal/spread"
 	"bergamotstall/internal/table"
 )
 
+// commandLimit bounds one command. A definition of 2,100 services with three
+// presets that each name every service in 17 data centres takes about 3 MB.
+const commandLimit = 4 << 20
+
 // Control is one control VM.
 type Control struct {
 	settings  Settings
@@ -29,26 +34,60 @@
 	log       Log
 	registrar *registrar
 	spread    *spread.Server
+	security  security
 }
 
-// New opens the VM's state. Run serves it.
+// New opens the VM's state and takes part in the replicated log. Run serves it
+// and closes it; a Control that isn't run is closed by Close.
 func New(s Settings, logger logrus.FieldLogger) (*Control, error) {
+	return newWith(s, logger, nil)
+}
+
+// newWith lets a test put itself between the replicas.
+func newWith(s Settings, logger logrus.FieldLogger, dial dialFunc) (*Control, error) {
 	c := &Control{
 		settings:  s,
 		logger:    logger.WithField("control", s.Name),
 		metrics:   metrics.New(),
 		catalogue: catalogue.New(),
 	}
-	c.open(newSolo(c.catalogue))
+	var err error
+	if c.security, err = newSecurity(s.TLS, c.logger, c.metrics); err != nil {
+		return nil, err
+	}
+	if dial != nil {
+		c.security.dial = dial
+	}
+	log, err := replica.Open(c.replicaConfig(), c.catalogue)
+	if err != nil {
+		return nil, errors.Wrap(err, "control: open state")
+	}
+	c.open(log)
 	return c, nil
 }
 
+func (c *Control) replicaConfig() replica.Config {
+	cfg := replica.Config{
+		Folder: c.settings.Folder, Name: c.settings.Name, Listen: c.settings.Replica.Listen,
+		Advertise: c.settings.Replica.Listen, Bootstrap: c.settings.Replica.Bootstrap,
+		TLS: replica.TLS{Server: c.security.replicas}, Dial: c.security.dial,
+		CommandLimit: commandLimit, Log: c.logger, Metrics: c.metrics,
+	}
+	for _, p := range c.settings.Replica.Peers {
+		if p.Name != c.settings.Name {
+			cfg.Peers = append(cfg.Peers, p.Address)
+		}
+	}
+	return cfg
+}
+
 // open connects the parts that stand on the log.
 func (c *Control) open(log Log) {
 	c.log = log
 	c.registrar = &registrar{vm: c.settings.Name, log: log, now: time.Now, logger: c.logger, metrics: c.metrics}
 	c.spread = spread.NewServer(spread.ServerConfig{
-		Name: c.settings.Name, Source: c, Registrar: c.registrar, Log: c.logger, Metrics: c.metrics,
+		Name: c.settings.Name, Source: c, Registrar: c.registrar, TLS: c.security.subscribers,
+		Log: c.logger, Metrics: c.metrics,
 	})
 	c.metrics.Gauge("table_revision", func() int64 { return int64(c.catalogue.Summary().Revision) })
 	c.metrics.Gauge("catalogue_version", func() int64 { return int64(c.catalogue.Summary().Version) })
@@ -56,6 +95,12 @@
 	c.metrics.Text("preset_in_force", func() string { return c.catalogue.Summary().InForce })
 }
 
+// Close ends a Control that isn't running.
+func (c *Control) Close() error {
+	c.spread.Close()
+	return c.log.Close()
+}
+
 // Metrics returns the VM's counters.
 func (c *Control) Metrics() *metrics.Set { return c.metrics }
 
@@ -68,9 +113,14 @@
 // ContactAge tells how long ago this VM was in touch with a quorum.
 func (c *Control) ContactAge() time.Duration { return c.log.ContactAge() }
 
-// Run serves until ctx is done and requests in progress have ended.
-func (c *Control) Run(ctx context.Context) error {
-	defer c.spread.Close()
+// Run serves until ctx is done and requests in progress have ended, or until
+// the VM can take no further part, as after a failed sync of its disk.
+func (c *Control) Run(ctx context.Context) (err error) {
+	defer func() {
+		if closeErr := c.Close(); err == nil {
+			err = closeErr
+		}
+	}()
 	operators, err := net.Listen("tcp", c.settings.Operators)
 	if err != nil {
 		return errors.Wrap(err, "control: listen for operators")
@@ -98,7 +148,7 @@
 func (c *Control) serve(ctx context.Context, operators, subscribers net.Listener) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
-		server := &operator.Server{VM: c.settings.Name, Backend: c, Log: c.logger, Metrics: c.metrics}
+		server := &operator.Server{VM: c.settings.Name, Backend: c, TLS: c.security.operators, Log: c.logger, Metrics: c.metrics}
 		return server.Serve(ctx, operators)
 	})
 	group.Go(func() error {
@@ -114,5 +164,22 @@
 		c.watch(ctx)
 		return nil
 	})
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.log.Done():
+			return errors.Wrap(ErrReplicaEnded, c.log.Err().Error())
+		}
+	})
+	if c.security.store != nil {
+		group.Go(func() error {
+			c.security.store.Watch(ctx, reloadEvery)
+			return nil
+		})
+	}
 	return group.Wait()
 }
+
+// ErrReplicaEnded is returned by Run where the replica takes no further part.
+var ErrReplicaEnded = errors.New("control: the replica has ended")
--- a/control/registrar.go
+++ b/control/registrar.go
@@ -10,11 +10,13 @@
 	"bergamotstall/internal/catalogue"
 	"bergamotstall/internal/events"
 	"bergamotstall/internal/metrics"
+	"bergamotstall/internal/quorum"
+	"bergamotstall/internal/replica"
 	"bergamotstall/internal/spread"
 	"bergamotstall/internal/table"
 )
 
-// Log is the replicated log as this role uses it.
+// Log is the replicated log as this role uses it; replica.Replica is one.
 type Log interface {
 	// Propose returns the outcome that the state machine gave the command.
 	Propose(ctx context.Context, command []byte) ([]byte, error)
@@ -22,6 +24,14 @@
 	Barrier(ctx context.Context) error
 	// ContactAge tells how long ago this VM was in touch with a quorum.
 	ContactAge() time.Duration
+	// Status is this VM's view of the cluster.
+	Status() replica.Status
+	RemoveMember(ctx context.Context, id quorum.ID) error
+	ReplaceMember(ctx context.Context, old quorum.ID) error
+	// Done is closed once the replica has ended; Err then tells why.
+	Done() <-chan struct{}
+	Err() error
+	Close() error
 }
 
 // registrar turns what subscribers say into commands of the log.
@@ -35,7 +45,10 @@
 
 var _ spread.Registrar = (*registrar)(nil)
 
-// submit proposes a command under this VM's name and clock.
+// submit proposes a command under this VM's name and clock. Where the outcome
+// is unknown it proposes the same bytes again until ctx ends: an operator's
+// command has its identity, a process's its incarnation, so that the second run
+// brings the first one's outcome.
 func (r *registrar) submit(ctx context.Context, cmd *catalogue.Command) (catalogue.Outcome, error) {
 	cmd.Via = r.vm
 	cmd.AtMS = r.now().UnixMilli()
@@ -45,6 +58,10 @@
 		return out, errors.Wrap(err, "control: encode command")
 	}
 	answer, err := r.log.Propose(ctx, data)
+	for errors.Is(err, replica.ErrOutcomeUnknown) && ctx.Err() == nil {
+		r.metrics.Counter("proposals_repeated").Add(1)
+		answer, err = r.log.Propose(ctx, data)
+	}
 	if err != nil {
 		r.metrics.Counter("proposals_failed").Add(1)
 		return out, errors.Wrap(err, "control: propose")
--- /dev/null
+++ b/control/security.go
@@ -0,0 +1,74 @@
+package control
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"bergamotstall/internal/keys"
+	"bergamotstall/internal/metrics"
+)
+
+// dialFunc opens a connection to another control VM.
+type dialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// security is the TLS of a control VM's connections; all nil without TLS.
+type security struct {
+	store *keys.Store
+	// replicas secures what other control VMs open, dial what this one opens.
+	replicas *tls.Config
+	dial     dialFunc
+	// subscribers admits balancers and agents.
+	subscribers *tls.Config
+	// operators admits any role and leaves the verdict to the operators' server,
+	// which can say why in a reply; a refused handshake can't.
+	operators *tls.Config
+}
+
+// reloadEvery is how often the certificate files are looked at.
+const reloadEvery = 30 * time.Second
+
+func newSecurity(s *TLSSettings, log logrus.FieldLogger, m *metrics.Set) (security, error) {
+	if s == nil {
+		return security{}, nil
+	}
+	files := keys.Files{Authority: s.CA, Certificate: s.Certificate, Key: s.Key}
+	store, err := keys.Load(files, log, m)
+	if err != nil {
+		return security{}, errors.Wrap(err, "control: TLS")
+	}
+	if self := store.Self(); self.Role != keys.Control {
+		return security{}, errors.Errorf("control: TLS: the certificate is a %s's", self.Role)
+	}
+	client := store.Client(keys.Control)
+	return security{
+		store:       store,
+		replicas:    store.Server(keys.Control),
+		dial:        func(ctx context.Context, address string) (net.Conn, error) { return dialSecured(ctx, address, client) },
+		subscribers: store.Server(keys.Balancer, keys.Agent),
+		operators:   store.Server(keys.Roles()...),
+	}, nil
+}
+
+// dialSecured connects to another control VM and checks that its certificate is
+// a control VM's at that address.
+func dialSecured(ctx context.Context, address string, cfg *tls.Config) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, errors.Wrap(err, "control: peer's address")
+	}
+	raw, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "control: dial peer")
+	}
+	secured, err := keys.Client(ctx, raw, cfg, host)
+	if err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return secured, nil
+}
--- a/control/settings.go
+++ b/control/settings.go
@@ -30,11 +30,11 @@
 type ReplicaSettings struct {
 	// Listen is where the other control VMs connect, "ip:port".
 	Listen string `yaml:"listen"`
-	// Bootstrap starts a new cluster of the peers where the folder is empty. It
-	// is set on the first VMs' first start and never again: a VM whose disk was
-	// lost must join as a new replica, or it would vote as one that forgot.
+	// Bootstrap makes a new cluster where the folder is empty and no peer has a
+	// cluster. It is set on exactly one VM; the others join that one's cluster.
 	Bootstrap bool `yaml:"bootstrap"`
-	// Peers are the control VMs, this one among them.
+	// Peers are the control VMs, this one among them, or some of them: a VM asks
+	// them to be taken in.
 	Peers []Peer `yaml:"peers"`
 }
 
--- a/control/watch.go
+++ b/control/watch.go
@@ -10,27 +10,33 @@
 	"bergamotstall/internal/catalogue"
 	"bergamotstall/internal/events"
 	"bergamotstall/internal/keys"
+	"bergamotstall/internal/replica"
+	"bergamotstall/internal/spread"
 )
 
 const (
 	// watchStep is how often a VM looks whether time has made a step due.
-	watchStep = time.Second
+	watchStep = 250 * time.Millisecond
+	// leadLimit bounds the steps that a leader takes at one look.
+	leadLimit = time.Second
 	// staleAfter is when a VM logs that its word is no longer current.
 	staleAfter = 3 * time.Second
+	// orphanAfter is the leader's silence of a control VM after which its
+	// subscribers are taken over: its own subscribers leave it after two seconds
+	// without a quorum.
+	orphanAfter = 3 * time.Second
 )
 
-// watch lets time pass in the replicated state and makes the first cluster
-// keys. Several VMs may propose the same step; the state takes it once.
+// watch takes the steps that only time brings about.
 func (c *Control) watch(ctx context.Context) {
 	tick := time.NewTicker(watchStep)
 	defer tick.Stop()
 	stale := false
 	for {
-		c.makeFirstKeys(ctx)
-		if c.catalogue.SweepDue(time.Now()) {
-			_, _ = c.registrar.submit(ctx, &catalogue.Command{Sweep: &catalogue.Sweep{}})
+		c.adoptOrphans()
+		if status := c.log.Status(); status.Leader == status.ID {
+			c.lead(ctx)
 		}
-		c.reportSuspects(ctx)
 		stale = c.noteContact(stale)
 		select {
 		case <-ctx.Done():
@@ -40,6 +46,49 @@
 	}
 }
 
+// lead takes the steps that one VM takes for all. A leader that was replaced a
+// moment ago may take one too; the state takes each once.
+func (c *Control) lead(ctx context.Context) {
+	within, cancel := context.WithTimeout(ctx, leadLimit)
+	defer cancel()
+	if c.log.Barrier(within) != nil {
+		return
+	}
+	c.makeFirstKeys(within)
+	if c.catalogue.SweepDue(time.Now()) {
+		_, _ = c.registrar.submit(within, &catalogue.Command{Sweep: &catalogue.Sweep{}})
+	}
+	c.reportSuspects(within)
+}
+
+// adoptOrphans watches over subscribers whose control VM can't report them: it
+// died, was removed, or is this one before its restart. A data centre that is
+// lost takes the control VM in it along, and nobody else would report its
+// agents. The leader takes over the dead VMs', each VM its own; the distribution
+// gives them time to come back anywhere.
+func (c *Control) adoptOrphans() {
+	status := c.log.Status()
+	agents, balancers := c.catalogue.HeardVia(func(vm string) bool {
+		return vm == c.settings.Name || (status.Leader == status.ID && gone(status, vm))
+	})
+	if len(agents) > 0 {
+		c.spread.Adopt(spread.RoleAgent, agents)
+	}
+	if len(balancers) > 0 {
+		c.spread.Adopt(spread.RoleBalancer, balancers)
+	}
+}
+
+// gone tells whether a control VM is silent for the leader, or no member.
+func gone(s replica.Status, vm string) bool {
+	for _, m := range s.Members {
+		if m.Name == vm {
+			return m.Silence > orphanAfter
+		}
+	}
+	return true
+}
+
 // reportSuspects reports processes again that are still silent and that the
 // state would now believe to be gone.
 func (c *Control) reportSuspects(ctx context.Context) {
@@ -78,13 +127,11 @@
 		c.logger.WithError(err).Error("make cluster keys")
 		return
 	}
-	within, cancel := context.WithTimeout(ctx, watchStep)
-	defer cancel()
 	cmd := &catalogue.Command{
 		ID: firstKeysID, Operator: "control",
 		RotateKeys: &catalogue.RotateKeys{Step: catalogue.KeyFirst, Keys: &set},
 	}
-	if out, err := c.registrar.submit(within, cmd); err == nil && out.Err() == nil {
+	if out, err := c.registrar.submit(ctx, cmd); err == nil && out.Err() == nil {
 		events.Log(c.logger, events.FirstKeysMade, nil)
 	}
 }
--- a/internal/catalogue/read.go
+++ b/internal/catalogue/read.go
@@ -98,6 +98,32 @@
 	})
 }
 
+// HeardVia returns the subscribers that are in touch, as far as the state knows,
+// via one of the control VMs that the function picks.
+func (c *Catalogue) HeardVia(vm func(string) bool) (agents, balancers []spread.Silence) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	for i := range c.state.Agents {
+		if a := &c.state.Agents[i]; !a.Retired && a.Silence == Heard && vm(a.Via) {
+			agents = append(agents, a.report())
+		}
+	}
+	for i := range c.state.Balancers {
+		if b := &c.state.Balancers[i]; b.Silence == Heard && vm(b.Via) {
+			balancers = append(balancers, b.report())
+		}
+	}
+	return agents, balancers
+}
+
+func (a *Agent) report() spread.Silence {
+	return spread.Silence{Name: a.Name, Agent: a.Number, Incarnation: a.Incarnation, Attachment: a.Attachment}
+}
+
+func (b *BalancerRecord) report() spread.Silence {
+	return spread.Silence{Name: b.Name, Incarnation: b.Incarnation, Attachment: b.Attachment}
+}
+
 // BelievableSuspects returns, as new reports, the silences that weren't believed
 // and would be at now: at most one for each service, and one balancer's, since
 // each that goes out changes the count. A suspicion ends when its process
@@ -114,12 +140,12 @@
 		}
 		seen[a.Service] = true
 		if c.agentWave(a.Service, nowMS).believe() {
-			agents = append(agents, spread.Silence{Name: a.Name, Agent: a.Number, Incarnation: a.Incarnation, Attachment: a.Attachment})
+			agents = append(agents, a.report())
 		}
 	}
 	for _, b := range c.state.Balancers {
 		if b.Silence == Suspect && c.balancerWave(nowMS).believe() {
-			balancers = append(balancers, spread.Silence{Name: b.Name, Incarnation: b.Incarnation, Attachment: b.Attachment})
+			balancers = append(balancers, b.report())
 			break
 		}
 	}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -14,6 +14,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"bergamotstall/internal/catalogue"
+	"bergamotstall/internal/keys"
 	"bergamotstall/internal/wire"
 )
 
@@ -150,11 +151,24 @@
 	}
 	frame, err := conn.Read()
 	if err != nil {
-		return errors.Wrap(err, "no answer")
+		return noAnswer(err)
 	}
 	return decodeReply(frame, want, out)
 }
 
+// remoteError is the operation of a net.OpError that holds a peer's TLS alert.
+const remoteError = "remote error"
+
+// noAnswer tells a VM that refused the certificate from one that is silent: the
+// client's half of a TLS 1.3 handshake ends before the server has judged it.
+func noAnswer(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == remoteError {
+		return &Failure{Code: Denied, Text: "the certificate was refused: " + op.Err.Error(), VM: op.Addr.String()}
+	}
+	return errors.Wrap(err, "no answer")
+}
+
 func decodeReply(frame wire.Frame, want wire.Kind, out msgp.Unmarshaler) error {
 	switch frame.Kind {
 	case want:
@@ -169,11 +183,23 @@
 	return errors.Errorf("operator: reply of kind %d, expected %d", frame.Kind, want)
 }
 
+// dial connects and, with TLS, checks that the VM's certificate is a control
+// VM's at that address.
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
 	within, cancel := context.WithTimeout(ctx, dialLimit)
 	defer cancel()
-	if c.TLS == nil {
-		return new(net.Dialer).DialContext(within, "tcp", address)
+	raw, err := new(net.Dialer).DialContext(within, "tcp", address)
+	if err != nil || c.TLS == nil {
+		return raw, err
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	secured, err := keys.Client(within, raw, c.TLS, host)
+	if err != nil {
+		_ = raw.Close()
+		return nil, err
 	}
-	return (&tls.Dialer{Config: c.TLS}).DialContext(within, "tcp", address)
+	return secured, nil
 }
--- a/internal/operator/messages.go
+++ b/internal/operator/messages.go
@@ -41,8 +41,10 @@
 	Malformed
 	// MembersRefused: the change of members isn't possible now.
 	MembersRefused
-	// Busy: the VM serves as many operators as it can.
+	// Busy: the VM has too much to do; another may have less.
 	Busy
+	// TooLarge: the command is over the log's bound.
+	TooLarge
 )
 
 // Failure is a VM's reply in place of an answer.
@@ -134,22 +136,30 @@
 type MemberAction uint8
 
 const (
-	// AddMember takes one VM in, as a learner until it has caught up.
-	AddMember MemberAction = iota + 1
-	// RemoveMember takes one VM out.
-	RemoveMember
-	// ReplaceMember takes a VM out whose disk is lost and one in for it.
+	// RemoveMember takes a VM out for good.
+	RemoveMember MemberAction = iota + 1
+	// ReplaceMember lets the fresh replica that waits under a VM's name take the
+	// place of the one whose disk was lost.
 	ReplaceMember
 )
 
-// MembersChange asks for one change of the control VMs.
+// String returns the action as operators type it.
+func (a MemberAction) String() string {
+	switch a {
+	case RemoveMember:
+		return "remove"
+	case ReplaceMember:
+		return "replace"
+	}
+	return "unknown"
+}
+
+// MembersChange asks for one change of the control VMs. A new VM needs none: it
+// asks its peers to be taken in.
 type MembersChange struct {
 	Action MemberAction `msg:"a"`
-	// Old is the replica that leaves, by name.
-	Old string `msg:"o,omitempty"`
-	// New and Address are the replica that joins, "ip:port".
-	New      string `msg:"n,omitempty"`
-	Address  string `msg:"p,omitempty"`
+	// Name is the VM's.
+	Name     string `msg:"n"`
 	Operator string `msg:"w,omitempty"`
 }
 
@@ -173,7 +183,9 @@
 
 // Replica is one control VM as another sees it.
 type Replica struct {
-	Name    string `msg:"n" json:"name"`
+	Name string `msg:"n" json:"name"`
+	// ID is the identity that the data folder carries.
+	ID      string `msg:"i" json:"id"`
 	Address string `msg:"a" json:"address"`
 	// Role is voter or learner.
 	Role string `msg:"r" json:"role"`
@@ -184,6 +196,9 @@
 	SilentMS int64 `msg:"s" json:"silentMs"`
 }
 
+// RoleVoter is the role of replicas that count for the quorum.
+const RoleVoter = "voter"
+
 // Subscriber is a balancer or agent whose stream ends at a control VM.
 type Subscriber struct {
 	Name string `msg:"n" json:"name"`
--- a/internal/operator/messages_gen.go
+++ b/internal/operator/messages_gen.go
@@ -530,27 +530,15 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *MembersChange) MarshalMsg(b []byte) (o []byte, err error) {
+func (z MembersChange) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(5)
-	var zb0001Mask uint8 /* 5 bits */
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
 	_ = zb0001Mask
-	if z.Old == "" {
-		zb0001Len--
-		zb0001Mask |= 0x2
-	}
-	if z.New == "" {
-		zb0001Len--
-		zb0001Mask |= 0x4
-	}
-	if z.Address == "" {
-		zb0001Len--
-		zb0001Mask |= 0x8
-	}
 	if z.Operator == "" {
 		zb0001Len--
-		zb0001Mask |= 0x10
+		zb0001Mask |= 0x4
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -560,22 +548,10 @@
 		// string "a"
 		o = append(o, 0xa1, 0x61)
 		o = msgp.AppendUint8(o, uint8(z.Action))
-		if (zb0001Mask & 0x2) == 0 { // if not omitted
-			// string "o"
-			o = append(o, 0xa1, 0x6f)
-			o = msgp.AppendString(o, z.Old)
-		}
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendString(o, z.Name)
 		if (zb0001Mask & 0x4) == 0 { // if not omitted
-			// string "n"
-			o = append(o, 0xa1, 0x6e)
-			o = msgp.AppendString(o, z.New)
-		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
-			// string "p"
-			o = append(o, 0xa1, 0x70)
-			o = msgp.AppendString(o, z.Address)
-		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// string "w"
 			o = append(o, 0xa1, 0x77)
 			o = msgp.AppendString(o, z.Operator)
@@ -612,22 +588,10 @@
 				}
 				z.Action = MemberAction(zb0002)
 			}
-		case "o":
-			z.Old, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Old")
-				return
-			}
 		case "n":
-			z.New, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "New")
-				return
-			}
-		case "p":
-			z.Address, bts, err = msgp.ReadStringBytes(bts)
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Address")
+				err = msgp.WrapError(err, "Name")
 				return
 			}
 		case "w":
@@ -649,8 +613,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *MembersChange) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(z.Old) + 2 + msgp.StringPrefixSize + len(z.New) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Operator)
+func (z MembersChange) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Operator)
 	return
 }
 
@@ -741,10 +705,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Replica) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "n"
-	o = append(o, 0x85, 0xa1, 0x6e)
+	o = append(o, 0x86, 0xa1, 0x6e)
 	o = msgp.AppendString(o, z.Name)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.ID)
 	// string "a"
 	o = append(o, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Address)
@@ -784,6 +751,12 @@
 				err = msgp.WrapError(err, "Name")
 				return
 			}
+		case "i":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
 		case "a":
 			z.Address, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -822,7 +795,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Replica) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Role) + 2 + msgp.Int64Size + 2 + msgp.Int64Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Role) + 2 + msgp.Int64Size + 2 + msgp.Int64Size
 	return
 }
 
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -13,6 +13,7 @@
 
 	"bergamotstall/internal/catalogue"
 	"bergamotstall/internal/events"
+	"bergamotstall/internal/keys"
 	"bergamotstall/internal/metrics"
 	"bergamotstall/internal/wire"
 )
@@ -30,13 +31,19 @@
 	writeTimeout = 5 * time.Second
 )
 
-// ErrNoQuorum is what a Backend returns where it can't reach a majority.
-var ErrNoQuorum = errors.New("operator: no quorum")
+// Errors of a Backend.
+var (
+	// ErrNoQuorum: the VM can't reach a majority in time.
+	ErrNoQuorum = errors.New("operator: no quorum")
+	// ErrBusy: too many requests wait at this VM.
+	ErrBusy = errors.New("operator: too many requests wait")
+	// ErrTooLarge: the command is over the log's bound.
+	ErrTooLarge = errors.New("operator: command too large")
+)
 
 // Backend is what a server needs of its control VM.
 type Backend interface {
-	// Submit runs a command through the log. An error other than ErrNoQuorum is
-	// a refusal.
+	// Submit runs a command through the log.
 	Submit(ctx context.Context, cmd *catalogue.Command) (catalogue.Outcome, error)
 	// Barrier returns once this VM has applied all that was committed before the
 	// call, or ErrNoQuorum.
@@ -54,13 +61,11 @@
 	// VM is the name that replies carry.
 	VM      string
 	Backend Backend
-	// TLS is nil only in tests and the demo; operators then name themselves.
-	TLS *tls.Config
-	// Identify returns the operator's name for a verified certificate, and an
-	// error where its role isn't operator.
-	Identify func(tls.ConnectionState) (string, error)
-	Log      logrus.FieldLogger
-	Metrics  *metrics.Set
+	// TLS verifies certificates of any role; the server admits operators' only.
+	// It is nil only in tests and the demo; operators then name themselves.
+	TLS     *tls.Config
+	Log     logrus.FieldLogger
+	Metrics *metrics.Set
 }
 
 // Serve answers on ln until ctx is done, lets requests in progress end, and
@@ -140,8 +145,14 @@
 	if err := secured.HandshakeContext(within); err != nil {
 		return "", nil, errors.Wrap(err, "operator: TLS")
 	}
-	name, err := s.Identify(secured.ConnectionState())
-	return name, secured, err
+	peer, err := keys.PeerOf(secured.ConnectionState())
+	if err != nil {
+		return "", secured, err
+	}
+	if peer.Role != keys.Operator {
+		return "", secured, errors.Errorf("the certificate is a %s's, not an operator's", peer.Role)
+	}
+	return peer.Name, secured, nil
 }
 
 // answer runs one request.
@@ -202,7 +213,7 @@
 		change.Operator = name
 	}
 	if err := s.Backend.ChangeMembers(ctx, change); err != nil {
-		if isNoQuorum(err) {
+		if isNoQuorum(err) || errors.Is(err, ErrBusy) {
 			return kindFailure, s.explain(err)
 		}
 		return kindFailure, s.failure(MembersRefused, err.Error())
@@ -217,7 +228,13 @@
 
 // explain turns a backend's error into the reply.
 func (s *Server) explain(err error) *Failure {
-	if isNoQuorum(err) {
+	switch {
+	case errors.Is(err, ErrBusy):
+		s.Metrics.Counter("operator_busy").Add(1)
+		return s.failure(Busy, "too many requests wait here")
+	case errors.Is(err, ErrTooLarge):
+		return s.failure(TooLarge, "the command is too large for the log")
+	case isNoQuorum(err):
 		s.Metrics.Counter("operator_no_quorum").Add(1)
 		return s.failure(NoQuorum, "no majority of the control VMs answers; nothing here counts as current")
 	}
