Distribution: a process that is taken out wrongly announces itself again

Cause: an agent cut off together with its control VM is adopted by the leader and reported silent; its stream never breaks, so nothing made it announce itself, and it would have stayed out of new work for good. A second number given to one stream was never sent. Change: the client announces again when its table ceases to offer it; the server sends each new number.

--- a/internal/spread/client.go
+++ b/internal/spread/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -103,6 +104,8 @@
 	announcement Announcement
 	number       table.AgentNumber
 	control      string
+	// offered is set while the table offers this process new work.
+	offered      bool
 	wordAt       time.Time
 	withoutSince time.Time
 }
@@ -219,10 +222,7 @@
 	c.mu.Lock()
 	c.announcement.Draining = draining
 	c.mu.Unlock()
-	select {
-	case c.reannounce <- struct{}{}:
-	default:
-	}
+	c.announceAgain()
 }
 
 // nextAnnouncement returns what to announce, under a new attachment.
@@ -247,6 +247,39 @@
 	c.held = next
 	c.mu.Unlock()
 	c.apply(next)
+	c.noticeOwn(next)
+}
+
+// noticeOwn announces again when the table ceases to offer this process, which
+// is plainly alive: the control VM that it was attached to may have been cut off
+// together with it, and been taken for dead. An operator's drain looks the same
+// from here and isn't undone by an announcement.
+func (c *Client) noticeOwn(t *table.Table) {
+	c.mu.Lock()
+	was := c.offered
+	c.offered = c.offers(t)
+	lost := was && !c.offered && !c.announcement.Draining
+	c.mu.Unlock()
+	if lost {
+		c.count.takenOut.Add(1)
+		c.announceAgain()
+	}
+}
+
+func (c *Client) offers(t *table.Table) bool {
+	if c.cfg.Role == RoleAgent {
+		own, ok := t.Target(c.number)
+		return ok && own.State == table.Active
+	}
+	return slices.ContainsFunc(t.Balancers, func(b table.Balancer) bool { return b.Name == c.announcement.Name })
+}
+
+// announceAgain wakes the stream's sender; without a stream the next hello does.
+func (c *Client) announceAgain() {
+	select {
+	case c.reannounce <- struct{}{}:
+	default:
+	}
 }
 
 // heard notes how old control's word is.
--- a/internal/spread/client_metrics.go
+++ b/internal/spread/client_metrics.go
@@ -18,7 +18,8 @@
 
 	attempts, attached              *expvar.Int
 	snapshots, deltas, lower        *expvar.Int
-	resyncs, bytesIn, bytesOut      *expvar.Int
+	resyncs, takenOut               *expvar.Int
+	bytesIn, bytesOut               *expvar.Int
 	stateFileErrors, refusedByState *expvar.Int
 }
 
@@ -31,6 +32,7 @@
 		deltas:          m.Counter("control_deltas"),
 		lower:           m.Counter("control_lower_revision_ignored"),
 		resyncs:         m.Counter("control_resyncs"),
+		takenOut:        m.Counter("control_taken_out"),
 		bytesIn:         m.Counter("control_bytes_in"),
 		bytesOut:        m.Counter("control_bytes_out"),
 		stateFileErrors: m.Counter("control_state_file_errors"),
--- a/internal/spread/client_stream.go
+++ b/internal/spread/client_stream.go
@@ -156,9 +156,7 @@
 		if err := f.Decode(&n); err != nil {
 			return err
 		}
-		s.client.mu.Lock()
-		s.client.number = n.Agent
-		s.client.mu.Unlock()
+		s.client.numbered(n.Agent)
 		if s.client.cfg.Numbered != nil {
 			s.client.cfg.Numbered(n.Agent)
 		}
@@ -175,6 +173,14 @@
 	return errors.Wrapf(errProtocol, "kind %d", f.Kind)
 }
 
+// numbered notes the number. The table may have shown the target before.
+func (c *Client) numbered(n table.AgentNumber) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.number = n
+	c.offered = c.offers(c.held)
+}
+
 // beat takes the server's heartbeat.
 func (s *clientStream) beat(b beat) error {
 	age := time.Duration(b.ContactAgeMS) * time.Millisecond
--- a/internal/spread/server_stream.go
+++ b/internal/spread/server_stream.go
@@ -42,7 +42,7 @@
 	announcement Announcement
 	announcing   bool
 	number       table.AgentNumber
-	numberSent   bool
+	numberSent   table.AgentNumber
 	// held is what the subscriber said is in use, digest that of its table when
 	// the stream began.
 	held    table.Revision
--- a/internal/spread/server_write.go
+++ b/internal/spread/server_write.go
@@ -140,8 +140,8 @@
 	sub := w.sub
 	sub.mu.Lock()
 	n := sub.number
-	due := n != 0 && !sub.numberSent
-	sub.numberSent = sub.numberSent || due
+	due := n != sub.numberSent
+	sub.numberSent = n
 	sub.mu.Unlock()
 	if !due {
 		return nil
