Demo on three control VMs, TLS on every connection of the system's own

Change: one TLS settings type for all roles; an agent's name is service.host, which a certificate can carry; the demo takes a /24 of its own.

--- a/agent/settings.go
+++ b/agent/settings.go
@@ -17,7 +17,8 @@
 
 // Settings are an agent's, from its YAML file.
 type Settings struct {
-	// Name is unique among agents; the default is service/host.
+	// Name is unique among agents; the default is service.host. The
+	// process's certificate has this name.
 	Name string `yaml:"name"`
 	// Service and Host say which target the agent stands beside.
 	Service    string `yaml:"service"`
@@ -58,7 +59,7 @@
 
 func (s *Settings) setDefaults() {
 	if s.Name == "" {
-		s.Name = s.Service + "/" + s.Host
+		s.Name = s.Service + "." + s.Host
 	}
 	if s.StopGrace == 0 {
 		s.StopGrace = defaultGrace
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bergamotstall/internal/events"
+	"bergamotstall/internal/keys"
 	"bergamotstall/internal/metrics"
 	"bergamotstall/internal/spread"
 	"bergamotstall/internal/table"
@@ -22,11 +23,15 @@
 // ErrSettings is returned for settings that can't be used.
 var ErrSettings = errors.New("balancer: unusable settings")
 
+// certificateLook is how often certificate files are looked at.
+const certificateLook = 10 * time.Second
+
 // Balancer is one balancer process.
 type Balancer struct {
 	settings  Settings
 	log       logrus.FieldLogger
 	metrics   *metrics.Set
+	identity  *keys.Store
 	forwarder *Forwarder
 	client    *spread.Client
 }
@@ -36,25 +41,43 @@
 	if problems := s.Problems(); len(problems) > 0 {
 		return nil, errors.Wrapf(ErrSettings, "%s: %s", problems[0].Path, problems[0].What)
 	}
-	identity, err := s.TLS.load()
-	if err != nil {
-		return nil, err
-	}
 	if s.StopGrace == 0 {
 		s.StopGrace = defaultStopGrace
 	}
 	b := &Balancer{settings: s, log: log, metrics: metrics.New()}
+	if err := b.loadIdentity(); err != nil {
+		return nil, err
+	}
 	config := ForwarderConfig{Sockets: s.Sockets, Log: log, Metrics: b.metrics}
 	config.Tunnel = netip.MustParseAddrPort(s.Tunnel)
 	if s.Bind != "" {
 		config.Bind = netip.MustParseAddr(s.Bind)
 	}
+	var err error
 	if b.forwarder, err = NewForwarder(config); err != nil {
 		return nil, err
 	}
-	b.client = spread.NewClient(spread.ClientConfig{
+	b.client = spread.NewClient(b.clientConfig(), b.apply)
+	return b, nil
+}
+
+// loadIdentity reads the process's certificate, where one is set.
+func (b *Balancer) loadIdentity() error {
+	if b.settings.TLS.Absent() {
+		return nil
+	}
+	store, err := keys.Load(b.settings.TLS.Files(), b.log, b.metrics)
+	if err != nil {
+		return errors.Wrapf(ErrSettings, "tls: %v", err)
+	}
+	b.identity = store
+	return nil
+}
+
+func (b *Balancer) clientConfig() spread.ClientConfig {
+	s := b.settings
+	cfg := spread.ClientConfig{
 		Controls: s.Controls,
-		TLS:      identity,
 		Role:     spread.RoleBalancer,
 		Announcement: spread.Announcement{
 			Name:        s.Name,
@@ -63,10 +86,13 @@
 			Tunnel:      b.forwarder.Tunnel().String(),
 		},
 		StateFile: s.State,
-		Log:       log,
+		Log:       b.log,
 		Metrics:   b.metrics,
-	}, b.apply)
-	return b, nil
+	}
+	if b.identity != nil {
+		cfg.TLS = b.identity.Client(keys.Control)
+	}
+	return cfg
 }
 
 // apply takes a table over. A refused one is logged and counted; the table
@@ -89,6 +115,9 @@
 	}
 	events.Log(b.log, events.ProcessStarted, logrus.Fields{"role": "balancer", "name": b.settings.Name})
 	subscription, unsubscribe := context.WithCancel(context.WithoutCancel(ctx))
+	if b.identity != nil {
+		go b.identity.Watch(subscription, certificateLook)
+	}
 	ended := make(chan error, 1)
 	go func() { ended <- b.client.Run(subscription) }()
 
--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -1,14 +1,10 @@
 package balancer
 
 import (
-	"crypto/tls"
-	"crypto/x509"
 	"fmt"
-	"os"
 	"time"
 
-	"github.com/go-faster/errors"
-
+	"bergamotstall/internal/keys"
 	"bergamotstall/internal/settings"
 )
 
@@ -37,14 +33,7 @@
 	StopGrace time.Duration `yaml:"stopGrace"`
 	// TLS is this process's own certificate; without it connections to control
 	// are plain, for trials on one machine only.
-	TLS TLS `yaml:"tls"`
-}
-
-// TLS names the files of this process's identity, PEM.
-type TLS struct {
-	Authority   string `yaml:"authority"`
-	Certificate string `yaml:"certificate"`
-	Key         string `yaml:"key"`
+	TLS keys.Settings `yaml:"tls"`
 }
 
 const (
@@ -75,34 +64,6 @@
 	}
 	c.Range("sockets", s.Sockets, 0, maxSockets)
 	c.Duration("stopGrace", s.StopGrace, 0, maxStopGrace)
-	if s.TLS != (TLS{}) {
-		c.File("tls.authority", s.TLS.Authority)
-		c.File("tls.certificate", s.TLS.Certificate)
-		c.File("tls.key", s.TLS.Key)
-	}
+	s.TLS.Check(&c, "tls")
 	return c.Problems()
 }
-
-// load reads the identity's files, and returns nil where none are set.
-func (t TLS) load() (*tls.Config, error) {
-	if t == (TLS{}) {
-		return nil, nil
-	}
-	own, err := tls.LoadX509KeyPair(t.Certificate, t.Key)
-	if err != nil {
-		return nil, errors.Wrapf(ErrSettings, "tls: %v", err)
-	}
-	authority, err := os.ReadFile(t.Authority)
-	if err != nil {
-		return nil, errors.Wrapf(ErrSettings, "tls: %v", err)
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(authority) {
-		return nil, errors.Wrapf(ErrSettings, "tls: no certificate in %s", t.Authority)
-	}
-	return &tls.Config{
-		Certificates: []tls.Certificate{own},
-		RootCAs:      pool,
-		MinVersion:   tls.VersionTLS13,
-	}, nil
-}
--- a/cmd/bergamotstall/control_test.go
+++ b/cmd/bergamotstall/control_test.go
@@ -41,7 +41,7 @@
 		{"peer without port", "127.0.1.2:7101", "127.0.1.2", `:8: replica.peers[1].address: "127.0.1.2" is no address`},
 		{"not among its peers", "name: control-a\n", "name: control-c\n", `:7: replica.peers: "control-c" is not among them`},
 		{"no peers", "peers:\n    - {name: control-a, address: 127.0.1.1:7101}\n    - {name: control-b, address: 127.0.1.2:7101}", "peers: []", `:6: replica.peers: 0 peers (allowed: 1 to 9)`},
-		{"TLS file missing", "metrics: 127.0.1.1:7104", "tls: {ca: nowhere.pem, certificate: nowhere.pem, key: nowhere.key}", `:11: tls.ca: "nowhere.pem" can't be read`},
+		{"TLS file missing", "metrics: 127.0.1.1:7104", "tls: {authority: nowhere.pem, certificate: nowhere.pem, key: nowhere.key}", `:11: tls.authority: "nowhere.pem" can't be read`},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/cmd/bergamotstall/demo.go
+++ b/cmd/bergamotstall/demo.go
@@ -20,16 +20,18 @@
 	flags.StringVar(&o.Folder, "data", "", "`folder` for keys and control's state; a temporary one if not given")
 	flags.StringVar(&o.Report, "report", "", "`folder` for a page with plots")
 	flags.Uint64Var(&o.Seed, "seed", 1, "`seed` of callers and fabric")
+	net := flags.Uint("net", 0, "use the loopback addresses 127.0.`N`.0/24, N at most 255")
 	verbose := flags.Bool("v", false, "show the log events of all roles")
 	switch err := flags.Parse(args); {
 	case err == flag.ErrHelp:
 		return exitOK
 	case err != nil:
 		return exitUsage
-	case flags.NArg() > 0 || (o.For != 0 && o.For < demo.ShortestRun):
+	case *net > 255 || flags.NArg() > 0 || (o.For != 0 && o.For < demo.ShortestRun):
 		fmt.Fprintf(errOut, "usage: bergamotstall demo [-for TIME], TIME at least %v\n", demo.ShortestRun)
 		return exitUsage
 	}
+	o.Net = demo.Net(*net)
 	log := logrus.New()
 	log.SetOutput(errOut)
 	if !*verbose {
--- a/control/control.go
+++ b/control/control.go
@@ -138,7 +138,7 @@
 		}
 		defer served.Close()
 	}
-	if c.settings.TLS == nil {
+	if c.settings.TLS.Absent() {
 		events.Log(c.logger, events.UnsecuredControl, nil)
 	}
 	return c.serve(ctx, operators, subscribers)
--- a/control/security.go
+++ b/control/security.go
@@ -32,12 +32,11 @@
 // reloadEvery is how often the certificate files are looked at.
 const reloadEvery = 30 * time.Second
 
-func newSecurity(s *TLSSettings, log logrus.FieldLogger, m *metrics.Set) (security, error) {
-	if s == nil {
+func newSecurity(s keys.Settings, log logrus.FieldLogger, m *metrics.Set) (security, error) {
+	if s.Absent() {
 		return security{}, nil
 	}
-	files := keys.Files{Authority: s.CA, Certificate: s.Certificate, Key: s.Key}
-	store, err := keys.Load(files, log, m)
+	store, err := keys.Load(s.Files(), log, m)
 	if err != nil {
 		return security{}, errors.Wrap(err, "control: TLS")
 	}
--- a/control/settings.go
+++ b/control/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"bergamotstall/internal/keys"
 	"bergamotstall/internal/settings"
 )
 
@@ -23,7 +24,7 @@
 	Metrics string `yaml:"metrics"`
 	// TLS may be left out for tests and the demo only: without it, whoever
 	// reaches an address is trusted.
-	TLS *TLSSettings `yaml:"tls"`
+	TLS keys.Settings `yaml:"tls"`
 }
 
 // ReplicaSettings are the replicated log's.
@@ -45,13 +46,6 @@
 	Address string `yaml:"address"`
 }
 
-// TLSSettings name the files that bergamotctl keys made.
-type TLSSettings struct {
-	CA          string `yaml:"ca"`
-	Certificate string `yaml:"certificate"`
-	Key         string `yaml:"key"`
-}
-
 // maxPeers is how many VMs may be set aside for control.
 const maxPeers = 9
 
@@ -69,11 +63,7 @@
 		c.Address("metrics", s.Metrics)
 	}
 	s.checkDistinct(&c)
-	if s.TLS != nil {
-		c.File("tls.ca", s.TLS.CA)
-		c.File("tls.certificate", s.TLS.Certificate)
-		c.File("tls.key", s.TLS.Key)
-	}
+	s.TLS.Check(&c, "tls")
 	return c.Problems()
 }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -28,8 +28,10 @@
 	// Report is the folder for a page with plots; empty writes none.
 	Report string
 	Seed   uint64
-	Out    io.Writer
-	Log    logrus.FieldLogger
+	// Net is the /24 of 127.0.0.0/8 that is used.
+	Net Net
+	Out io.Writer
+	Log logrus.FieldLogger
 }
 
 // ErrPromise is returned where a promise did not hold in the run.
@@ -47,7 +49,7 @@
 		return err
 	}
 	defer remove()
-	f, err := open(l, folder, o.Seed, o.Log)
+	f, err := open(l, o.Net, folder, o.Seed, o.Log)
 	if f != nil {
 		defer func() {
 			if err := f.close(); err != nil {
@@ -84,7 +86,7 @@
 // ready applies the layout's catalogue and waits for every target.
 func (p *play) ready(ctx context.Context) error {
 	began := time.Now()
-	definition := p.layout.Definition()
+	definition := p.layout.Definition(p.net)
 	for {
 		_, err := p.command(ctx, catalogue.Command{Apply: &catalogue.ApplyCatalogue{Definition: definition}})
 		if err == nil {
@@ -107,10 +109,10 @@
 func (p *play) stayUp(ctx context.Context, w io.Writer) {
 	fmt.Fprintln(w, "\ncallers' addresses (certificate: "+p.path("callers.pem")+"):")
 	for _, s := range p.layout.Services {
-		fmt.Fprintf(w, "  %-18s https://%s\n", s.Name, s.Address())
+		fmt.Fprintf(w, "  %-18s https://%s\n", s.Name, s.Address(p.net))
 	}
 	fmt.Fprintf(w, "operators: bergamotctl status -control %s\n", join(p.operatorAddresses()))
-	fmt.Fprintln(w, "counters:  http://"+address(balancerFirst, balancerVars)+"/debug/vars and alike")
+	fmt.Fprintln(w, "counters:  http://"+p.net.address(balancerFirst, balancerVars)+"/debug/vars and alike")
 	fmt.Fprintln(w, "stop with Ctrl-C")
 	<-ctx.Done()
 }
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -15,6 +15,7 @@
 	"bergamotstall/balancer"
 	"bergamotstall/control"
 	"bergamotstall/internal/keys"
+	"bergamotstall/internal/metrics"
 	"bergamotstall/internal/operator"
 	"bergamotstall/internal/standin/fabric"
 	"bergamotstall/internal/standin/target"
@@ -37,7 +38,7 @@
 	balancerFirst = 21
 	hostFirst     = 31
 
-	controls  = 1
+	controls  = 3
 	balancers = 3
 	// stopGrace bounds a planned stop of an agent.
 	stopGrace = 20 * time.Second
@@ -46,7 +47,13 @@
 	folderMode    = 0o700
 )
 
-func address(last, port int) string { return fmt.Sprintf("127.0.0.%d:%d", last, port) }
+// Net is the /24 of 127.0.0.0/8 that a run uses, so that several can run beside
+// each other on one machine.
+type Net uint8
+
+func (n Net) ip(last int) string { return fmt.Sprintf("127.0.%d.%d", n, last) }
+
+func (n Net) address(last, port int) string { return fmt.Sprintf("%s:%d", n.ip(last), port) }
 
 // host is one VM with a target and the agent beside it.
 type host struct {
@@ -69,11 +76,12 @@
 	process    *process
 }
 
-func (e *entry) ip() netip.Addr { return netip.MustParseAddr(fmt.Sprintf("127.0.0.%d", e.last)) }
+func (f *fleet) ip(e *entry) netip.Addr { return netip.MustParseAddr(f.net.ip(e.last)) }
 
 // fleet is everything that the demo runs.
 type fleet struct {
 	layout   Layout
+	net      Net
 	folder   string
 	log      logrus.FieldLogger
 	fabric   *fabric.Fabric
@@ -85,8 +93,8 @@
 }
 
 // open starts the control VMs, the fabric, the balancers and the hosts.
-func open(l Layout, folder string, seed uint64, log logrus.FieldLogger) (*fleet, error) {
-	f := &fleet{layout: l, folder: folder, log: log, fabric: fabric.New(seed)}
+func open(l Layout, n Net, folder string, seed uint64, log logrus.FieldLogger) (*fleet, error) {
+	f := &fleet{layout: l, net: n, folder: folder, log: log, fabric: fabric.New(seed)}
 	if err := f.makeKeys(); err != nil {
 		return nil, err
 	}
@@ -100,7 +108,7 @@
 	}
 	f.fabric.SetFaults(fabric.Faults{Delay: l.Delay})
 	for _, s := range l.Services {
-		if err := f.fabric.Open(netip.MustParseAddrPort(s.Address())); err != nil {
+		if err := f.fabric.Open(netip.MustParseAddrPort(s.Address(f.net))); err != nil {
 			return f, errors.Wrap(err, "demo: fabric")
 		}
 	}
@@ -135,7 +143,7 @@
 	if err := keys.Init(f.path("keys")); err != nil {
 		return errors.Wrap(err, "demo: keys")
 	}
-	cert, pool, err := keys.SelfSigned("127.0.0.1", "localhost")
+	cert, pool, err := keys.SelfSigned(f.net.ip(1), "localhost")
 	if err != nil {
 		return errors.Wrap(err, "demo: callers' certificate")
 	}
@@ -147,18 +155,32 @@
 	return filepath.Join(append([]string{f.folder}, parts...)...)
 }
 
+// identity issues a certificate for one process of the demo.
+func (f *fleet) identity(role keys.Role, name string, last int) (keys.Settings, error) {
+	ip := netip.MustParseAddr(f.net.ip(last))
+	files, err := keys.Issue(f.path("keys"), role, name, ip.AsSlice())
+	if err != nil {
+		return keys.Settings{}, errors.Wrap(err, "demo: issue")
+	}
+	return keys.Settings(files), nil
+}
+
 func (f *fleet) startControl(i int) error {
 	name := fmt.Sprintf("control-%d", i+1)
 	last := controlFirst + i
+	identity, err := f.identity(keys.Control, name, last)
+	if err != nil {
+		return err
+	}
 	s := control.Settings{
 		Name: name, DataCentre: f.layout.DataCentres[i%len(f.layout.DataCentres)],
 		Folder:      f.path(name),
-		Replica:     control.ReplicaSettings{Listen: address(last, replicaPort), Bootstrap: true},
-		Subscribers: address(last, subscriberPort), Operators: address(last, operatorPort),
-		Metrics: address(last, controlMetrics),
+		Replica:     control.ReplicaSettings{Listen: f.net.address(last, replicaPort), Bootstrap: true},
+		Subscribers: f.net.address(last, subscriberPort), Operators: f.net.address(last, operatorPort),
+		Metrics: f.net.address(last, controlMetrics), TLS: identity,
 	}
 	for n := range controls {
-		s.Replica.Peers = append(s.Replica.Peers, control.Peer{Name: fmt.Sprintf("control-%d", n+1), Address: address(controlFirst+n, replicaPort)})
+		s.Replica.Peers = append(s.Replica.Peers, control.Peer{Name: fmt.Sprintf("control-%d", n+1), Address: f.net.address(controlFirst+n, replicaPort)})
 	}
 	if err := os.MkdirAll(s.Folder, folderMode); err != nil {
 		return errors.Wrap(err, "demo: folder")
@@ -172,7 +194,15 @@
 }
 
 func (f *fleet) openClient() error {
-	f.client = &operator.Client{Addresses: f.operatorAddresses(), Operator: "demo-operator"}
+	identity, err := f.identity(keys.Operator, "demo-operator", 1)
+	if err != nil {
+		return err
+	}
+	store, err := keys.Load(identity.Files(), f.log, metrics.New())
+	if err != nil {
+		return errors.Wrap(err, "demo: operator's identity")
+	}
+	f.client = &operator.Client{Addresses: f.operatorAddresses(), TLS: store.Client(keys.Control)}
 	return nil
 }
 
@@ -181,41 +211,49 @@
 func (f *fleet) controlAddresses(port int) []string {
 	var out []string
 	for i := range controls {
-		out = append(out, address(controlFirst+i, port))
+		out = append(out, f.net.address(controlFirst+i, port))
 	}
 	return out
 }
 
 func (f *fleet) startBalancer(e *entry) error {
+	identity, err := f.identity(keys.Balancer, e.name, e.last)
+	if err != nil {
+		return err
+	}
 	role, err := balancer.New(balancer.Settings{
-		Name: e.name, DataCentre: e.dataCentre, Bind: e.ip().String(), Tunnel: address(e.last, tunnelPort),
-		Controls: f.controlAddresses(subscriberPort), Metrics: address(e.last, balancerVars),
-		State: f.path(e.name + ".table"), StopGrace: balancerGrace,
+		Name: e.name, DataCentre: e.dataCentre, Bind: f.ip(e).String(), Tunnel: f.net.address(e.last, tunnelPort),
+		Controls: f.controlAddresses(subscriberPort), Metrics: f.net.address(e.last, balancerVars),
+		State: f.path(e.name + ".table"), StopGrace: balancerGrace, TLS: identity,
 	}, f.log)
 	if err != nil {
 		return errors.Wrap(err, "demo: balancer")
 	}
 	e.role = role
 	e.process = start(e.name, role)
-	f.fabric.AddBalancer(e.ip())
+	f.fabric.AddBalancer(f.ip(e))
 	return nil
 }
 
 func (f *fleet) startHost(h *host) error {
 	t, err := target.New(target.Config{
-		Service: h.service.Name, Host: h.name, Address: address(h.last, targetPort),
+		Service: h.service.Name, Host: h.name, Address: f.net.address(h.last, targetPort),
 		Faults: target.Faults{Slots: f.layout.Slots, Work: h.service.Work},
 	})
 	if err != nil {
 		return errors.Wrap(err, "demo: target")
 	}
 	h.target = t
+	identity, err := f.identity(keys.Agent, h.service.Name+"."+h.name, h.last)
+	if err != nil {
+		return err
+	}
 	role, err := agent.New(agent.Settings{
 		Service: h.service.Name, Host: h.name, DataCentre: h.dataCentre,
-		Target: address(h.last, targetPort), Tunnel: address(h.last, agentTunnel), Peer: address(h.last, agentPeer),
+		Target: f.net.address(h.last, targetPort), Tunnel: f.net.address(h.last, agentTunnel), Peer: f.net.address(h.last, agentPeer),
 		Slots: f.layout.Slots, Connections: f.layout.Connections, Controls: f.controlAddresses(subscriberPort),
 		CallerTLS: agent.CallerTLS{Certificate: f.path("callers.pem"), Key: f.path("callers-key.pem")},
-		Metrics:   address(h.last, agentVars), State: f.path(h.name + ".table"), StopGrace: stopGrace,
+		TLS:       identity, Metrics: f.net.address(h.last, agentVars), State: f.path(h.name + ".table"), StopGrace: stopGrace,
 	}, f.log)
 	if err != nil {
 		return errors.Wrap(err, "demo: agent")
--- a/internal/demo/layout.go
+++ b/internal/demo/layout.go
@@ -5,7 +5,6 @@
 package demo
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -77,7 +76,7 @@
 }
 
 // Address is where callers reach the service.
-func (s LayoutService) Address() string { return fmt.Sprintf("127.0.0.1:%d", s.Port) }
+func (s LayoutService) Address(n Net) string { return n.address(1, s.Port) }
 
 // Names of the layouts' presets.
 const (
@@ -88,14 +87,14 @@
 
 // Definition is the layout's catalogue: under the peak preset the last data
 // centre takes more, under maintenance it takes no new work.
-func (l Layout) Definition() catalogue.Definition {
+func (l Layout) Definition(n Net) catalogue.Definition {
 	var d catalogue.Definition
 	last := l.DataCentres[len(l.DataCentres)-1]
 	peak := catalogue.Preset{Name: Peak}
 	maintenance := catalogue.Preset{Name: Maintenance}
 	for _, s := range l.Services {
 		d.Services = append(d.Services, catalogue.ServiceSpec{
-			Name: s.Name, Address: s.Address(), FlowLimit: l.Connections,
+			Name: s.Name, Address: s.Address(n), FlowLimit: l.Connections,
 			QueueLimit: 4 * l.Slots, RetryPercent: 10, KeyWindow: keyWindow,
 		})
 		peak.Services = append(peak.Services, weighed(s.Name, last, 130))
--- a/internal/demo/play.go
+++ b/internal/demo/play.go
@@ -72,10 +72,10 @@
 // fabric notices.
 func (p *play) killBalancer(i int) error {
 	e := p.entries[i]
-	p.fabric.Partition(e.ip())
+	p.fabric.Partition(p.ip(e))
 	time.Sleep(noticeTime)
-	p.fabric.RemoveBalancer(e.ip())
-	p.fabric.Heal(e.ip())
+	p.fabric.RemoveBalancer(p.ip(e))
+	p.fabric.Heal(p.ip(e))
 	err := e.process.stop()
 	e.process = nil
 	return err
@@ -240,7 +240,7 @@
 func (p *play) specs(length time.Duration, seed uint64) []load.Spec {
 	var out []load.Spec
 	for i, s := range p.layout.Services {
-		base := load.Spec{Service: s.Name, Address: s.Address(), TLS: p.callers, Seed: seed + uint64(10*i)}
+		base := load.Spec{Service: s.Name, Address: s.Address(p.net), TLS: p.callers, Seed: seed + uint64(10*i)}
 		work, feeds, large := base, base, base
 		work.Flows, work.RequestsPerFlow, work.Pause = 24, 12, 20*time.Millisecond
 		work.Mix = load.Mix{Download: 2, Submit: 1}
