--- a/cmd/bergamotctl/main.go
+++ b/cmd/bergamotctl/main.go
@@ -72,6 +72,8 @@
 	{"members", "list|add|remove|replace VM", "list or change the control VMs", runMembers},
 	{"keys", "rotate", "rotate the cluster keys", runKeys},
 	{"history", "", "show the audit record", runHistory},
+	{"call", "URL", "send one HTTP/3 request as a caller", runCall},
+	{"load", "IP:PORT", "play callers against a service and report what they got", runLoad},
 	{"status", "", "show control VMs, balancers and what is in force", runStatus},
 }
 
