--- a/balancer/workers.go
+++ b/balancer/workers.go
@@ -109,7 +109,7 @@
 	case steer.NewAvoiding:
 		// Counted as a hop, so that no agent hands it to the one avoided.
 		w.header.Hops = 1
-		w.header.Balancer = w.forwarder.tunnel
+		w.header.HandedBy = w.router.Avoided
 	}
 	out, err := m.Envelopes.Append(w.batch.next(), &w.header, packet)
 	if err != nil {
--- a/internal/envelope/envelope.go
+++ b/internal/envelope/envelope.go
@@ -46,7 +46,7 @@
 
 	// Overhead bounds the bytes that an envelope adds to a packet: the MAC, and
 	// each header field at its longest.
-	Overhead = macSize + 1 + 5 + 5 + 2 + addrPortMax + 9 + 1 + 2 + addrPortMax
+	Overhead = macSize + 1 + 5 + 5 + 2 + addrPortMax + 9 + 1 + 5 + 2 + addrPortMax
 	// MaxPayload is the largest packet that an envelope carries: an Ethernet
 	// frame less IPv6, UDP and the envelope. Larger ones are dropped and
 	// counted; QUIC's path MTU discovery takes them for lost probes.
@@ -70,6 +70,9 @@
 	Revision table.Revision
 	// Hops counts the agents that handed the packet on.
 	Hops uint8
+	// HandedBy is the last agent that handed the packet on, or the one that a
+	// balancer avoids.
+	HandedBy table.AgentNumber
 	// Balancer is where answers go, where that isn't the address that the
 	// envelope came from: agents that hand a packet on set it.
 	Balancer netip.AddrPort
@@ -145,6 +148,7 @@
 	dst = appendAddrPort(dst, h.Caller)
 	dst = msgp.AppendUint64(dst, uint64(h.Revision))
 	dst = msgp.AppendUint8(dst, h.Hops)
+	dst = msgp.AppendUint32(dst, uint32(h.HandedBy))
 	return appendAddrPort(dst, h.Balancer)
 }
 
@@ -215,6 +219,11 @@
 	if h.Hops, b, err = msgp.ReadUint8Bytes(b); err != nil {
 		return nil, err
 	}
+	handedBy, b, err := msgp.ReadUint32Bytes(b)
+	if err != nil {
+		return nil, err
+	}
+	h.HandedBy = table.AgentNumber(handedBy)
 	h.Balancer, b, err = readAddrPort(b)
 	return b, err
 }
--- a/internal/flow/deflect.go
+++ b/internal/flow/deflect.go
@@ -33,8 +33,9 @@
 	Named  table.AgentNumber
 	// Revision is the table's that the last hop decided by.
 	Revision table.Revision
-	// Hops counts the agents that handed the packet on.
-	Hops uint8
+	// Hops counts the agents that handed the packet on, HandedBy is the last.
+	Hops     uint8
+	HandedBy table.AgentNumber
 	// Orphan is set where a balancer can't reach the agent that the packet names.
 	Orphan bool
 	// Key is the flow's placement key under the agent's own table.
@@ -262,19 +263,15 @@
 	return Verdict{Action: HandOver, Reason: NewerChoice, Agent: choice}
 }
 
-// elsewhere finds the agent that takes a flow in this one's place. After the
-// first hop only agents further down the flow's order are asked, so that a
-// packet never returns to one that refused it.
+// elsewhere finds the agent that takes a flow in this one's place: the first in
+// the flow's order that hasn't refused it.
 func elsewhere(s *Standing, a *Arrival, r Reason) Verdict {
 	if a.Hops >= envelope.MaxHops {
 		return Verdict{Action: Refuse, Reason: r}
 	}
 	chooser := s.Service.Chooser()
-	next, ok := chooser.ChooseExcept(a.Key, s.Self)
-	if a.Hops > 0 {
-		next, ok = chooser.After(a.Key, s.Self)
-	}
-	for ok && s.isSelf(next) {
+	next, ok := chooser.Choose(a.Key)
+	for ok && (next == a.HandedBy || s.isSelf(next)) {
 		next, ok = chooser.After(a.Key, next)
 	}
 	if !ok {
--- a/internal/flow/receive.go
+++ b/internal/flow/receive.go
@@ -80,6 +80,7 @@
 		Named:    named,
 		Revision: r.header.Revision,
 		Hops:     r.header.Hops,
+		HandedBy: r.header.HandedBy,
 		Orphan:   r.header.Kind == envelope.Orphan,
 	}
 	if origin != connid.Ours && r.shape.Opening {
@@ -148,6 +149,7 @@
 	h.Kind = envelope.Forward
 	h.Agent = to
 	h.Balancer = balancer
+	h.HandedBy = table.AgentNumber(e.self.Load())
 	h.Hops++
 	h.Revision = max(h.Revision, v.steering.Revision)
 	out, err := v.steering.Envelopes.Append(r.out[:0], &h, packet)
--- a/internal/steer/chooser.go
+++ b/internal/steer/chooser.go
@@ -49,18 +49,15 @@
 // Choose returns the first choice for a flow, and false where no target has a
 // share.
 func (c *Chooser) Choose(flow uint64) (table.AgentNumber, bool) {
-	return c.ChooseExcept(flow, 0)
-}
-
-// ChooseExcept returns the first choice other than the given agent.
-func (c *Chooser) ChooseExcept(flow uint64, except table.AgentNumber) (table.AgentNumber, bool) {
 	best, lowest := table.AgentNumber(0), math.Inf(1)
 	for i := range c.slots {
 		s := &c.slots[i]
-		if s.agent == except {
+		u := s.uniform(flow)
+		// -ln(u) is never below 1-u, which spares nearly all the logarithms.
+		if (1-u)*s.inverse >= lowest {
 			continue
 		}
-		if d := s.draw(flow); d < lowest {
+		if d := -math.Log(u) * s.inverse; d < lowest {
 			best, lowest = s.agent, d
 		}
 	}
@@ -89,10 +86,13 @@
 
 // draw returns the slot's exponential variate for a flow, scaled by its share.
 func (s *chooserSlot) draw(flow uint64) float64 {
-	h := mix(flow ^ s.seed)
+	return -math.Log(s.uniform(flow)) * s.inverse
+}
+
+// uniform returns the slot's uniform variate for a flow, over 0 and under 1.
+func (s *chooserSlot) uniform(flow uint64) float64 {
 	// 53 bits, shifted off zero so that the logarithm is finite.
-	u := (float64(h>>11) + 0.5) * (1.0 / (1 << 53))
-	return -math.Log(u) * s.inverse
+	return (float64(mix(flow^s.seed)>>11) + 0.5) * (1.0 / (1 << 53))
 }
 
 const goldenGamma = 0x9e3779b97f4a7c15
--- a/internal/steer/route.go
+++ b/internal/steer/route.go
@@ -71,6 +71,8 @@
 type Router struct {
 	scratch connid.Scratch
 	shape   Shape
+	// Avoided is the agent that the last NewAvoiding packet was kept from.
+	Avoided table.AgentNumber
 }
 
 // Route returns the agent that a packet to the service goes to, nil where it is
@@ -110,31 +112,33 @@
 // opens no flow may go to a draining one too.
 func (r *Router) any(m *Map, s *Service, caller netip.AddrPort, outcome Outcome) (*Agent, Outcome) {
 	key := m.FlowKey(r.shape.Destination, caller)
-	agent, avoided := m.answering(s.chooser, key)
+	first, agent := m.answering(s.chooser, key)
 	if agent == nil && outcome != New {
-		agent, _ = m.answering(s.fallback, key)
+		first, agent = m.answering(s.fallback, key)
 	}
 	switch {
 	case agent == nil:
 		return nil, DropNoTarget
-	case avoided && outcome == New:
+	case agent != first && outcome == New:
+		r.Avoided = first.Number
 		return agent, NewAvoiding
 	}
 	return agent, outcome
 }
 
-// answering returns the first agent in a flow's order that isn't judged
-// unreachable, or the first of all where all are: the judgement may be wrong.
-func (m *Map) answering(c *Chooser, key uint64) (agent *Agent, avoided bool) {
+// answering returns the first agent in a flow's order, and the first that isn't
+// judged unreachable. Where all are, that is the first of all: the judgement may
+// be wrong.
+func (m *Map) answering(c *Chooser, key uint64) (first, agent *Agent) {
 	number, ok := c.Choose(key)
 	if !ok {
-		return nil, false
+		return nil, nil
 	}
-	first := m.agents[number]
+	first = m.agents[number]
 	for agent = first; agent.Reach.Down(); agent = m.agents[number] {
 		if number, ok = c.After(key, number); !ok {
-			return first, false
+			return first, first
 		}
 	}
-	return agent, agent != first
+	return first, agent
 }
--- /dev/null
+++ b/internal/steer/route_test.go
@@ -0,0 +1,217 @@
+package steer
+
+import (
+	"flag"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"bergamotstall/internal/connid"
+	"bergamotstall/internal/reach"
+	"bergamotstall/internal/table"
+)
+
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+var someCaller = netip.MustParseAddrPort("192.0.2.7:4444")
+
+func keySet(generation uint8) table.KeySet {
+	fill := func(n int) []byte {
+		out := make([]byte, n)
+		for i := range out {
+			out[i] = byte(i) ^ generation
+		}
+		return out
+	}
+	return table.KeySet{Generation: generation, ConnID: fill(16), Envelope: fill(32), Reset: fill(32), Token: fill(32), Hash: fill(16)}
+}
+
+// twoServices has agents 1 to 3 for service 1, of which 3 is retired, and agent 4
+// for service 2.
+func twoServices() *table.Table {
+	return &table.Table{
+		Revision: 5,
+		Keys:     []table.KeySet{keySet(1)},
+		Services: []table.Service{
+			{ID: 1, Name: "desk", Address: "192.0.2.1:443"},
+			{ID: 2, Name: "archive", Address: "192.0.2.2:443"},
+		},
+		Targets: []table.Target{
+			{Agent: 1, Service: 1, Tunnel: "192.0.2.11:9", Weight: 1, State: table.Active},
+			{Agent: 2, Service: 1, Tunnel: "192.0.2.12:9", Weight: 1, State: table.Draining},
+			{Agent: 3, Service: 1, State: table.Retired},
+			{Agent: 4, Service: 2, Tunnel: "192.0.2.14:9", Weight: 1, State: table.Active},
+		},
+	}
+}
+
+func compiled(is *is.I, t *table.Table) *Map {
+	m, err := Compile(t, Weight, nil)
+	is.NoErr(err)
+	return m
+}
+
+func shortPacket(m *Map, agent table.AgentNumber) []byte {
+	id, _ := m.ConnIDs.Encode(m.Generation, agent, connid.Entropy{})
+	return append([]byte{0x40}, append(id[:], make([]byte, 40)...)...)
+}
+
+func longPacket(first byte, destination []byte) []byte {
+	out := []byte{first, 0, 0, 0, 1, byte(len(destination))}
+	return append(out, append(destination, make([]byte, 1200)...)...)
+}
+
+// Each kind of packet goes where its flow is, or to somebody who can say more,
+// or nowhere for a reason that is counted.
+func TestRouteByKindOfPacket(t *testing.T) {
+	is := is.New(t)
+	m := compiled(is, twoServices())
+	desk, _ := m.ServiceNamed("desk")
+	theirs := []byte{9, 9, 9, 9, 9, 9, 9, 9}
+	foreign := make([]byte, 17)
+	foreign[0] = 1
+	unknown := make([]byte, 17)
+	unknown[0] = 4
+	for _, x := range []struct {
+		name    string
+		packet  []byte
+		agent   table.AgentNumber
+		outcome Outcome
+	}{
+		{"flow of an active agent", shortPacket(m, 1), 1, Named},
+		{"flow of a draining agent", shortPacket(m, 2), 2, Named},
+		{"flow of a retired agent", shortPacket(m, 3), 1, Gone},
+		{"flow of an agent of another service", shortPacket(m, 4), 0, DropOtherService},
+		{"flow of an agent that came later", shortPacket(m, 77), 1, Behind},
+		{"first packet", longPacket(0xc0, theirs), 1, New},
+		{"0-RTT packet", longPacket(0xd0, theirs), 1, New},
+		{"handshake packet of nobody's flow", longPacket(0xe0, theirs), 0, DropForeign},
+		{"short packet of nobody's flow", append([]byte{0x40}, append(foreign, 1, 2, 3)...), 0, DropForeign},
+		{"short packet under a newer key", append([]byte{0x40}, append(unknown, 1, 2, 3)...), 1, Behind},
+		{"empty", nil, 0, DropMalformed},
+		{"cut in the connection ID", shortPacket(m, 1)[:10], 0, DropMalformed},
+		{"long, cut", longPacket(0xc0, theirs)[:9], 0, DropMalformed},
+	} {
+		var r Router
+		agent, outcome := r.Route(m, desk, someCaller, x.packet)
+		if outcome != x.outcome || (agent == nil) != (x.agent == 0) || agent != nil && agent.Number != x.agent {
+			t.Errorf("%s: got %v, %v", x.name, agent, outcome)
+		}
+	}
+}
+
+// New flows avoid an agent that doesn't answer, and its open flows' packets go
+// to another; where nobody answers, the judgement is not believed.
+func TestRouteAroundUnreachableAgent(t *testing.T) {
+	is := is.New(t)
+	tab := twoServices()
+	tab.Targets[1].State = table.Active
+	m := compiled(is, tab)
+	desk, _ := m.ServiceNamed("desk")
+	silence := func(number table.AgentNumber) {
+		a, _ := m.Agent(number)
+		start := time.Unix(1000, 0)
+		a.Reach.Sent(start)
+		a.Reach.Judge(start.Add(reach.Balancer.Patience), reach.Balancer)
+		is.True(a.Reach.Down())
+	}
+	silence(1)
+	var r Router
+	avoided := 0
+	for i := range byte(50) {
+		agent, outcome := r.Route(m, desk, someCaller, longPacket(0xc0, []byte{i, 0, 0, 0, 0, 0, 0, 0}))
+		is.Equal(agent.Number, table.AgentNumber(2))
+		if outcome == NewAvoiding {
+			avoided++
+		}
+	}
+	is.True(avoided > 10 && avoided < 40) // only those whose choice was agent 1
+	agent, outcome := r.Route(m, desk, someCaller, shortPacket(m, 1))
+	is.Equal(agent.Number, table.AgentNumber(2))
+	is.Equal(outcome, Unreachable)
+
+	// A newer table keeps what is known.
+	tab.Revision++
+	newer, err := Compile(tab, Weight, m)
+	is.NoErr(err)
+	same, _ := newer.Agent(1)
+	is.True(same.Reach.Down())
+
+	silence(2)
+	_, outcome = r.Route(m, desk, someCaller, longPacket(0xc0, []byte{1, 2, 3, 4, 5, 6, 7, 8}))
+	is.Equal(outcome, New)
+}
+
+// Arbitrary bytes are routed or dropped, never more.
+func TestRouteTakesArbitraryBytes(t *testing.T) {
+	m := compiled(is.New(t), twoServices())
+	desk, _ := m.ServiceNamed("desk")
+	rapid.Check(t, func(t *rapid.T) {
+		var r Router
+		packet := rapid.SliceOfN(rapid.Byte(), 0, 64).Draw(t, "packet")
+		agent, outcome := r.Route(m, desk, someCaller, packet)
+		if (agent == nil) != outcome.Dropped() {
+			t.Fatalf("agent %v with outcome %v", agent, outcome)
+		}
+	})
+}
+
+// A table that can't be steered by is refused whole, so that the one before stays.
+func TestCompileRefusesBadTables(t *testing.T) {
+	is := is.New(t)
+	for name, spoil := range map[string]func(*table.Table){
+		"no keys":          func(x *table.Table) { x.Keys = nil },
+		"short ID key":     func(x *table.Table) { x.Keys[0].ConnID = []byte{1} },
+		"short MAC key":    func(x *table.Table) { x.Keys[0].Envelope = []byte{1} },
+		"short hash key":   func(x *table.Table) { x.Keys[0].Hash = []byte{1} },
+		"service address":  func(x *table.Table) { x.Services[0].Address = "desk:443" },
+		"tunnel":           func(x *table.Table) { x.Targets[0].Tunnel = "" },
+		"balancer address": func(x *table.Table) { x.Balancers = []table.Balancer{{Name: "b", Tunnel: "b"}} },
+	} {
+		tab := twoServices()
+		spoil(tab)
+		if _, err := Compile(tab, Weight, nil); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+	_, err := Compile(twoServices(), Weight, nil)
+	is.NoErr(err)
+}
+
+// A packet costs no allocation, whatever its kind.
+func TestRouteAllocatesNothing(t *testing.T) {
+	is := is.New(t)
+	m := compiled(is, twoServices())
+	desk, _ := m.ServiceNamed("desk")
+	packets := [][]byte{shortPacket(m, 1), shortPacket(m, 77), longPacket(0xc0, []byte{1, 2, 3, 4, 5, 6, 7, 8}), {1}}
+	r := new(Router)
+	is.Equal(testing.AllocsPerRun(100, func() {
+		for _, p := range packets {
+			r.Route(m, desk, someCaller, p)
+		}
+	}), 0.0)
+}
+
+func BenchmarkRoute(b *testing.B) {
+	m := compiled(is.New(b), twoServices())
+	desk, _ := m.ServiceNamed("desk")
+	for name, packet := range map[string][]byte{
+		"named": shortPacket(m, 1),
+		"new":   longPacket(0xc0, []byte{1, 2, 3, 4, 5, 6, 7, 8}),
+	} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			r := new(Router)
+			for b.Loop() {
+				r.Route(m, desk, someCaller, packet)
+			}
+		})
+	}
+}
