--- a/internal/flow/endpoint.go
+++ b/internal/flow/endpoint.go
@@ -100,10 +100,12 @@
 	signing atomic.Uint32
 	serving *serving
 
-	deflector *Deflector
-	router    reader
-	memory    memoryKey
-	closed    chan struct{}
+	// decide judges each packet; it is a Deflector's but in measurements of what
+	// deflection brings.
+	decide func(*Standing, *Arrival) Verdict
+	router reader
+	memory memoryKey
+	closed chan struct{}
 }
 
 // view is what a table says to this agent.
@@ -154,14 +156,14 @@
 	_ = socket.SetReadBuffer(socketBuffer)
 	_ = socket.SetWriteBuffer(socketBuffer)
 	e := &Endpoint{
-		config:    c,
-		socket:    socket,
-		tunnel:    unmap(socket.LocalAddr().(*net.UDPAddr).AddrPort()),
-		counts:    newCounts(c.Metrics),
-		paths:     newPaths(),
-		deflector: NewDeflector(),
-		memory:    memoryKey{k0: rand.Uint64(), k1: rand.Uint64()},
-		closed:    make(chan struct{}),
+		config: c,
+		socket: socket,
+		tunnel: unmap(socket.LocalAddr().(*net.UDPAddr).AddrPort()),
+		counts: newCounts(c.Metrics),
+		paths:  newPaths(),
+		decide: NewDeflector().Decide,
+		memory: memoryKey{k0: rand.Uint64(), k1: rand.Uint64()},
+		closed: make(chan struct{}),
 	}
 	e.serving = newServing(e)
 	c.Metrics.Gauge("flow_open", func() int64 { return e.flows.Load() })
--- /dev/null
+++ b/internal/flow/measure_test.go
@@ -0,0 +1,107 @@
+package flow_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bergamotstall/internal/table"
+)
+
+// changeTables makes a new table each 30 ms: weights shift, and one target at a
+// time drains. Agents have it at once, each balancer up to 200 ms later.
+func changeTables(r *rig, stop <-chan struct{}) {
+	random := rand.New(rand.NewPCG(11, 12))
+	var late sync.WaitGroup
+	defer late.Wait()
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(30 * time.Millisecond):
+		}
+		for j := range r.table.Targets {
+			r.table.Targets[j].Weight = 50 + random.Uint32N(100)
+			r.table.Targets[j].State = table.Active
+		}
+		if i%2 == 0 {
+			r.table.Targets[i/2%len(r.table.Targets)].State = table.Draining
+		}
+		t := r.revise()
+		r.applyAgents(t)
+		for _, b := range r.balancers {
+			wait := time.Duration(random.Int64N(int64(200 * time.Millisecond)))
+			late.Go(func() {
+				time.Sleep(wait)
+				_ = b.Apply(t)
+			})
+		}
+	}
+}
+
+// BenchmarkHandshakesWhileTablesChange opens flows while tables change and reach
+// balancers unevenly, with deflection and without. A broken handshake failed; a
+// slow one took over 150 ms, which is a retransmission; a split one opened flows
+// at two agents.
+func BenchmarkHandshakesWhileTablesChange(b *testing.B) {
+	for name, deflect := range map[string]bool{"with-deflection": true, "without": false} {
+		b.Run(name, func(b *testing.B) { handshakes(b, deflect) })
+	}
+}
+
+func handshakes(b *testing.B, deflect bool) {
+	r := newRig(b)
+	for i := range 3 {
+		r.addBalancer(fmt.Sprintf("balancer-%d", i))
+	}
+	for n := table.AgentNumber(1); n <= 4; n++ {
+		r.startAgent(n, desk, "", target(n), !deflect)
+	}
+	r.apply()
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		changeTables(r, stop)
+	}()
+	var broken, slow atomic.Int64
+	var mu sync.Mutex
+	var times []time.Duration
+	var callers sync.WaitGroup
+	left := atomic.Int64{}
+	left.Store(int64(b.N))
+	b.ResetTimer()
+	for range 6 {
+		callers.Go(func() {
+			for left.Add(-1) >= 0 {
+				c := r.caller(desk)
+				start := time.Now()
+				_, _, err := c.get("/")
+				took := time.Since(start)
+				_ = c.transport.Close()
+				if err != nil {
+					broken.Add(1)
+				}
+				if took > 150*time.Millisecond {
+					slow.Add(1)
+				}
+				mu.Lock()
+				times = append(times, took)
+				mu.Unlock()
+			}
+		})
+	}
+	callers.Wait()
+	b.StopTimer()
+	close(stop)
+	<-stopped
+	slices.Sort(times)
+	b.ReportMetric(float64(broken.Load()), "broken")
+	b.ReportMetric(float64(slow.Load()), "slow")
+	b.ReportMetric(float64(r.sum("flow_opened")-int64(b.N)), "split")
+	b.ReportMetric(float64(times[len(times)*99/100].Microseconds())/1000, "p99-ms")
+	b.ReportMetric(float64(times[len(times)-1].Milliseconds()), "max-ms")
+}
--- a/internal/flow/receive.go
+++ b/internal/flow/receive.go
@@ -35,7 +35,7 @@
 	if !e.meantHere(v, &r.header) || !e.readArrival(now, v, packet) {
 		return
 	}
-	verdict := e.deflector.Decide(&r.standing, &r.arrival)
+	verdict := e.decide(&r.standing, &r.arrival)
 	e.counts.verdict(verdict)
 	if r.arrival.Orphan && verdict.Action == HandOver {
 		e.askAbout(now, v, verdict.Agent, balancer, from, packet)
--- a/internal/flow/rig_test.go
+++ b/internal/flow/rig_test.go
@@ -45,7 +45,7 @@
 // rig is a fabric, balancers and agents on loopback addresses of their own. The
 // test is its control: it changes the table and applies it to whom it likes.
 type rig struct {
-	*testing.T
+	testing.TB
 	is        *is.I
 	network   string
 	fabric    *fabric.Fabric
@@ -71,10 +71,10 @@
 	done    chan error
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t testing.TB) *rig {
 	pid, n := os.Getpid(), rigCount.Add(1)
 	r := &rig{
-		T:         t,
+		TB:        t,
 		is:        is.New(t),
 		network:   fmt.Sprintf("127.%d.%d.", 64+(pid+int(n)>>8)%128, (pid+int(n))%256),
 		fabric:    fabric.New(1),
@@ -127,6 +127,10 @@
 // addAgent starts an agent, with the number given, on a tunnel address, or on
 // one of its own where that is empty.
 func (r *rig) addAgent(number table.AgentNumber, service string, tunnel string, handler http.Handler) *rigAgent {
+	return r.startAgent(number, service, tunnel, handler, false)
+}
+
+func (r *rig) startAgent(number table.AgentNumber, service string, tunnel string, handler http.Handler, keepFirst bool) *rigAgent {
 	if tunnel == "" {
 		tunnel = netip.AddrPortFrom(r.ip(), 19001).String()
 	}
@@ -137,6 +141,9 @@
 		TLS:         &tls.Config{Certificates: []tls.Certificate{r.cert}},
 	})
 	r.is.NoErr(err)
+	if keepFirst {
+		e.KeepFirstPackets()
+	}
 	a := &rigAgent{Endpoint: e, number: number, metrics: set, done: make(chan error, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
@@ -217,7 +224,7 @@
 }
 
 // standard is a rig with three balancers and agents for the desk.
-func standard(t *testing.T, agents int, handler func(table.AgentNumber) http.Handler) *rig {
+func standard(t testing.TB, agents int, handler func(table.AgentNumber) http.Handler) *rig {
 	r := newRig(t)
 	for i := range 3 {
 		r.addBalancer(fmt.Sprintf("balancer-%d", i))
