--- a/internal/spread/client.go
+++ b/internal/spread/client.go
@@ -41,6 +41,7 @@
 	// ErrNoControls is returned for a client without control VMs.
 	ErrNoControls = errors.New("spread: no control VMs given")
 
+	errTLS      = errors.New("spread: TLS with a control VM failed")
 	errStale    = errors.New("spread: control VM is out of touch with a quorum")
 	errBehind   = errors.New("spread: control VM is behind the revision held")
 	errRefused  = errors.New("spread: control VM refused the stream")
@@ -61,6 +62,9 @@
 	StaleBound time.Duration
 	// Beat is the pause between heartbeats; 0 means DefaultBeat.
 	Beat time.Duration
+	// Numbered is called with each number that control assigns to this agent;
+	// nil for nobody. AgentNumber tells the last one.
+	Numbered func(table.AgentNumber)
 	// StateFile keeps the last table across restarts; empty keeps none.
 	StateFile string
 	// Seed makes the order of waits repeatable; 0 takes a random one.
