Demo: one control VM makes the cluster, the others join it

Cause: replicas make a cluster where bootstrap is set and no peer has one; two VMs that start at once with it set could make two.

--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -153,7 +153,7 @@
 	s := control.Settings{
 		Name: name, DataCentre: f.layout.DataCentres[i%len(f.layout.DataCentres)],
 		Folder:      f.path(name),
-		Replica:     control.ReplicaSettings{Listen: address(last, replicaPort), Bootstrap: true},
+		Replica:     control.ReplicaSettings{Listen: address(last, replicaPort), Bootstrap: i == 0},
 		Subscribers: address(last, subscriberPort), Operators: address(last, operatorPort),
 		Metrics: address(last, controlMetrics),
 	}
