Keys: init and issue on the command line; sign only once all know the generation

Change: the state machine uses keys.Add (split from keys.Begin, which draws the keys), Promote and Retire; bergamotctl keys rotate -step sign asks every control VM who acknowledged the revision that carried the generation and names the rest. Conclusion: one set of rules; the acknowledgements stay outside the log.

--- a/cmd/bergamotctl/keys.go
+++ b/cmd/bergamotctl/keys.go
@@ -3,17 +3,29 @@
 import (
 	"context"
 	"crypto/rand"
+	"flag"
 	"fmt"
+	"net"
+	"strings"
+
+	"github.com/go-faster/errors"
 
 	"bergamotstall/internal/catalogue"
 	"bergamotstall/internal/keys"
 )
 
-const keysHelp = `usage: bergamotctl keys rotate -step prepare|sign|drop
+const keysHelp = `usage: bergamotctl keys init -folder FOLDER
+       bergamotctl keys issue -folder FOLDER -role ROLE -name NAME [-ip IP,IP]
+       bergamotctl keys rotate -step prepare|sign|drop
+
+init makes the authority; keep its folder where only operators reach it.
+issue makes or renews a certificate; ROLE is balancer, agent, control or
+operator, and the IP numbers are those that others reach the process by.
 
-A rotation of the cluster keys takes three steps:
+rotate renews the keys that balancers and agents share, in three steps:
   prepare  hands a new generation to every process; none signs with it yet
-  sign     starts its use; older generations stay accepted
+  sign     starts its use, once every process has it (-early doesn't look);
+           older generations stay accepted
   drop     ends the acceptance of the older ones, a day later at the earliest:
            open flows carry them for hours (-early drops at once)
 `
@@ -26,6 +38,10 @@
 	action := c.args[0]
 	c.args = c.args[1:]
 	switch action {
+	case "init":
+		return runKeysInit(c)
+	case "issue":
+		return runKeysIssue(c)
 	case "rotate":
 		return runRotate(ctx, c)
 	case "-h", "-help", "--help":
@@ -36,11 +52,96 @@
 	return exitUsage
 }
 
+// local parses the flags of a command that asks no control VM.
+func (c *call) local(flags *flag.FlagSet) (code int, done bool) {
+	flags.SetOutput(c.errOut)
+	flags.Usage = func() { fmt.Fprint(c.errOut, keysHelp) }
+	switch err := flags.Parse(c.args); {
+	case errors.Is(err, flag.ErrHelp):
+		return exitOK, true
+	case err != nil:
+		return exitUsage, true
+	case flags.NArg() > 0:
+		flags.Usage()
+		return exitUsage, true
+	}
+	return exitOK, false
+}
+
+func runKeysInit(c *call) int {
+	flags := flag.NewFlagSet("bergamotctl keys init", flag.ContinueOnError)
+	folder := flags.String("folder", "", "`folder` of the authority")
+	if code, done := c.local(flags); done {
+		return code
+	}
+	if *folder == "" {
+		flags.Usage()
+		return exitUsage
+	}
+	if err := keys.Init(*folder); err != nil {
+		return c.keysFailed(err)
+	}
+	fmt.Fprintf(c.out, "authority made in %s\n", *folder)
+	return exitOK
+}
+
+func runKeysIssue(c *call) int {
+	flags := flag.NewFlagSet("bergamotctl keys issue", flag.ContinueOnError)
+	folder := flags.String("folder", "", "`folder` of the authority")
+	role := flags.String("role", "", "balancer, agent, control or operator")
+	name := flags.String("name", "", "the process's or operator's `name`")
+	numbers := flags.String("ip", "", "`IP` numbers that others reach the process by, with commas between")
+	if code, done := c.local(flags); done {
+		return code
+	}
+	ips, err := parseIPs(*numbers)
+	if err != nil || *folder == "" || *role == "" || *name == "" {
+		if err != nil {
+			fmt.Fprintln(c.errOut, err)
+		}
+		flags.Usage()
+		return exitUsage
+	}
+	files, err := keys.Issue(*folder, keys.Role(*role), *name, ips...)
+	if err != nil {
+		return c.keysFailed(err)
+	}
+	fmt.Fprintf(c.out, "ca: %s\ncertificate: %s\nkey: %s\n", files.Authority, files.Certificate, files.Key)
+	return exitOK
+}
+
+func parseIPs(numbers string) ([]net.IP, error) {
+	if numbers == "" {
+		return nil, nil
+	}
+	var out []net.IP
+	for _, n := range strings.Split(numbers, ",") {
+		ip := net.ParseIP(n)
+		if ip == nil {
+			return nil, errors.Errorf("%q is no IP number", n)
+		}
+		out = append(out, ip)
+	}
+	return out, nil
+}
+
+// keysFailed tells bad arguments from a folder that refuses.
+func (c *call) keysFailed(err error) int {
+	fmt.Fprintln(c.errOut, err)
+	switch {
+	case errors.Is(err, keys.ErrRole), errors.Is(err, keys.ErrName):
+		return exitUsage
+	case errors.Is(err, keys.ErrExists), errors.Is(err, keys.ErrNoAuthority):
+		return exitRefused
+	}
+	return exitFailed
+}
+
 func runRotate(ctx context.Context, c *call) int {
 	o := c.options()
 	f := o.change()
 	name := o.flags.String("step", "", "`step` to take: prepare, sign or drop")
-	early := o.flags.Bool("early", false, "drop before a day has passed; breaks flows that are older than the last sign")
+	early := o.flags.Bool("early", false, "don't look whether the step breaks flows")
 	if code, done := o.parse(c, 0); done {
 		return code
 	}
@@ -54,6 +155,9 @@
 		rotate.Step, rotate.Keys = catalogue.KeyPrepare, &set
 	case "sign":
 		rotate.Step = catalogue.KeySign
+		if !*early && !c.preparedEverywhere(ctx, o) {
+			return exitRefused
+		}
 	case "drop":
 		rotate.Step = catalogue.KeyDrop
 	default:
@@ -62,3 +166,25 @@
 	}
 	return c.submit(ctx, o, f, catalogue.Command{RotateKeys: rotate})
 }
+
+// preparedEverywhere tells whether every process that is known has the prepared
+// generation, and names those that may not. Whether one is prepared at all is
+// the catalogue's to say.
+func (c *call) preparedEverywhere(ctx context.Context, o *options) bool {
+	ctx, cancel := context.WithTimeout(ctx, o.timeout)
+	defer cancel()
+	fleet := o.client.Fleet(ctx)
+	revision, ok := fleet.Prepared()
+	if !ok {
+		return true
+	}
+	behind := fleet.Behind(revision)
+	if len(behind) == 0 {
+		return true
+	}
+	fmt.Fprintf(c.errOut, "the prepared generation (revision %d) isn't known everywhere; signing with it would break flows\n", revision)
+	for _, who := range behind {
+		fmt.Fprintf(c.errOut, "  %s\n", who)
+	}
+	return false
+}
--- a/cmd/bergamotctl/main.go
+++ b/cmd/bergamotctl/main.go
@@ -70,7 +70,7 @@
 	{"drain", "HOST", "take a host out of new work", runDrain},
 	{"undrain", "HOST", "give a host new work again", runUndrain},
 	{"members", "list|add|remove|replace VM", "list or change the control VMs", runMembers},
-	{"keys", "rotate", "rotate the cluster keys", runKeys},
+	{"keys", "init|issue|rotate", "make certificates, rotate the cluster keys", runKeys},
 	{"history", "", "show the audit record", runHistory},
 	{"status", "", "show control VMs, balancers and what is in force", runStatus},
 }
--- a/internal/catalogue/derive.go
+++ b/internal/catalogue/derive.go
@@ -72,9 +72,7 @@
 			t.Balancers = append(t.Balancers, table.Balancer{Name: b.Name, DataCentre: b.DataCentre, Tunnel: b.Tunnel})
 		}
 	}
-	for _, k := range c.state.Keys {
-		t.Keys = append(t.Keys, k.Set)
-	}
+	t.Keys = c.keySets()
 	return t
 }
 
--- a/internal/catalogue/keys.go
+++ b/internal/catalogue/keys.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"bergamotstall/internal/keys"
 	"bergamotstall/internal/table"
 )
 
@@ -11,14 +12,11 @@
 // ever meets a key it doesn't know: prepare hands the new generation to all,
 // sign starts its use, drop ends the acceptance of older ones. One step that
 // did all would break flows at every balancer whose table is a moment behind.
-const (
-	// maxGenerations bounds the generations accepted at once; three bits of a
-	// connection ID tell eight apart, and one is kept free to be prepared.
-	maxGenerations = 7
-	// MinAcceptance is how long a generation is accepted after another signs:
-	// open flows carry connection IDs of their generation for hours.
-	MinAcceptance = 24 * time.Hour
-)
+// Package keys has the rules; the state adds when each step was taken.
+//
+// MinAcceptance is how long a generation is accepted after another signs: open
+// flows carry connection IDs of their generation for hours.
+const MinAcceptance = 24 * time.Hour
 
 // String returns the step as operators type it.
 func (s KeyStep) String() string {
@@ -55,75 +53,88 @@
 		len(k.Token) == 32 && len(k.Hash) == 16
 }
 
-func (c *Catalogue) firstKeys(keys *table.KeySet) Outcome {
-	if !whole(keys) {
-		return c.outcome(NotValid, "the first generation lacks a key")
-	}
+func (c *Catalogue) firstKeys(set *table.KeySet) Outcome {
 	if len(c.state.Keys) > 0 {
 		return c.outcome(Refused, "the cluster has keys; use prepare")
 	}
-	first := KeyRecord{Set: *keys, SignsSinceMS: max(c.state.ClockMS, 1)}
-	first.Set.Generation, first.Set.Pending = 1, false
-	c.state.Keys = append(c.state.Keys, first)
-	c.altered = true
-	return c.outcome(Done, "generation 1 handed out and signs")
+	return c.addKeys(set)
 }
 
-func (c *Catalogue) prepareKeys(keys *table.KeySet) Outcome {
-	n := len(c.state.Keys)
-	switch {
-	case !whole(keys):
-		return c.outcome(NotValid, "the new generation lacks a key")
-	case n == 0:
+func (c *Catalogue) prepareKeys(set *table.KeySet) Outcome {
+	if len(c.state.Keys) == 0 {
 		return c.outcome(Refused, "the cluster has no keys as yet")
-	case c.pendingKeys() != nil:
-		return c.outcome(Refused, "a generation is prepared already; sign with it first")
-	case n >= maxGenerations:
-		return c.outcome(Refused, fmt.Sprintf("%d generations are accepted; drop the old ones first", n))
 	}
-	next := KeyRecord{Set: *keys}
-	next.Set.Generation = c.state.Keys[n-1].Set.Generation + 1
-	next.Set.Pending = true
-	c.state.Keys = append(c.state.Keys, next)
-	c.altered = true
-	return c.outcome(Done, fmt.Sprintf("generation %d handed out", next.Set.Generation))
+	return c.addKeys(set)
 }
 
-// pendingKeys is the generation that was prepared and doesn't sign yet.
-func (c *Catalogue) pendingKeys() *KeyRecord {
-	n := len(c.state.Keys)
-	if n == 0 || !c.state.Keys[n-1].Set.Pending {
-		return nil
+func (c *Catalogue) addKeys(set *table.KeySet) Outcome {
+	if !whole(set) {
+		return c.outcome(NotValid, "the new generation lacks a key")
+	}
+	next, err := keys.Add(c.keySets(), *set)
+	if err != nil {
+		return c.outcome(Refused, err.Error())
 	}
-	return &c.state.Keys[n-1]
+	c.takeKeys(next)
+	return c.outcome(Done, fmt.Sprintf("generation %d handed out", next[len(next)-1].Generation))
 }
 
 func (c *Catalogue) signKeys() Outcome {
-	pending := c.pendingKeys()
-	if pending == nil {
-		return c.outcome(Refused, "no generation is prepared")
+	next, err := keys.Promote(c.keySets())
+	if err != nil {
+		return c.outcome(Refused, err.Error())
 	}
-	pending.Set.Pending = false
-	pending.SignsSinceMS = max(c.state.ClockMS, 1)
-	c.altered = true
-	return c.outcome(Done, fmt.Sprintf("generation %d signs", pending.Set.Generation))
+	c.takeKeys(next)
+	return c.outcome(Done, fmt.Sprintf("generation %d signs", next[len(next)-1].Generation))
 }
 
 func (c *Catalogue) dropKeys(early bool) Outcome {
-	n := len(c.state.Keys)
-	if c.pendingKeys() != nil {
-		return c.outcome(Refused, "a generation is prepared; sign with it first")
-	}
-	if n < 2 {
+	sets := c.keySets()
+	n := len(sets)
+	switch {
+	case n < 2:
 		return c.outcome(Refused, "only one generation is accepted")
+	case sets[n-1].Pending:
+		return c.outcome(Refused, keys.ErrRotationRuns.Error())
+	case !early && !c.due(c.state.Keys[n-1].SignsSinceMS, MinAcceptance.Milliseconds()):
+		return c.outcome(Refused, fmt.Sprintf("generation %d has signed for less than %v; open flows still carry older ones", sets[n-1].Generation, MinAcceptance))
+	}
+	for _, old := range sets[:n-1] {
+		var err error
+		if sets, err = keys.Retire(sets, old.Generation); err != nil {
+			return c.outcome(Refused, err.Error())
+		}
+	}
+	c.takeKeys(sets)
+	return c.outcome(Done, fmt.Sprintf("only generation %d is accepted", sets[0].Generation))
+}
+
+// keySets are the generations as the table has them, oldest first.
+func (c *Catalogue) keySets() []table.KeySet {
+	out := make([]table.KeySet, 0, len(c.state.Keys))
+	for _, k := range c.state.Keys {
+		out = append(out, k.Set)
 	}
-	signing := c.state.Keys[n-1]
-	if !early && !c.due(signing.SignsSinceMS, MinAcceptance.Milliseconds()) {
-		return c.outcome(Refused, fmt.Sprintf("generation %d has signed for less than %v; open flows still carry older ones", signing.Set.Generation, MinAcceptance))
+	return out
+}
+
+// takeKeys replaces the generations and notes when one began to sign.
+func (c *Catalogue) takeKeys(sets []table.KeySet) {
+	next := make([]KeyRecord, 0, len(sets))
+	for _, set := range sets {
+		record := KeyRecord{Set: set}
+		for _, old := range c.state.Keys {
+			if old.Set.Generation == set.Generation {
+				record.PreparedAt, record.SignsSinceMS = old.PreparedAt, old.SignsSinceMS
+			}
+		}
+		if !set.Pending && record.SignsSinceMS == 0 {
+			record.SignsSinceMS = max(c.state.ClockMS, 1)
+		}
+		next = append(next, record)
 	}
-	c.state.Keys = []KeyRecord{signing}
+	c.state.Keys = next
 	c.altered = true
-	return c.outcome(Done, fmt.Sprintf("only generation %d is accepted", signing.Set.Generation))
 }
 
 // stampKeys notes the revision that first carries a prepared generation.
--- a/internal/keys/rotation.go
+++ b/internal/keys/rotation.go
@@ -10,11 +10,20 @@
 // generationBits is how much of a generation travels in a connection ID.
 const generationBits = MaxGenerations - 1
 
-// Begin starts a rotation: it adds a key set that everyone shall know and nobody
-// shall sign with yet. A balancer that met a connection ID of a generation it
-// doesn't know would send the packet to the wrong agent, and the flow would
-// break.
+// Begin starts a rotation with keys from the given source of randomness; see Add.
 func Begin(sets []table.KeySet, random io.Reader) ([]table.KeySet, error) {
+	ks, err := NewKeySet(0, random)
+	if err != nil {
+		return nil, err
+	}
+	return Add(sets, ks)
+}
+
+// Add starts a rotation: it adds a key set, as its next generation, that everyone
+// shall know and nobody shall sign with yet. A balancer that met a connection ID
+// of a generation it doesn't know would send the packet to the wrong agent, and
+// the flow would break.
+func Add(sets []table.KeySet, ks table.KeySet) ([]table.KeySet, error) {
 	if slices.ContainsFunc(sets, isPending) {
 		return nil, ErrRotationRuns
 	}
@@ -28,10 +37,7 @@
 	if slices.ContainsFunc(sets, func(k table.KeySet) bool { return k.Generation&generationBits == next&generationBits }) {
 		return nil, ErrTooMany
 	}
-	ks, err := NewKeySet(next, random)
-	if err != nil {
-		return nil, err
-	}
+	ks.Generation = next
 	// The first key set of all has nobody to wait for.
 	ks.Pending = len(sets) > 0
 	return append(slices.Clone(sets), ks), nil
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"crypto/tls"
@@ -20,9 +21,8 @@
 
 const (
 	dialLimit = 2 * time.Second
-	// replyLimit exceeds the server's answerLimit, so that a VM without a quorum
-	// gets to say so.
-	replyLimit = answerLimit + 2*time.Second
+	// defaultPatience exceeds the server's answerLimit.
+	defaultPatience = answerLimit + 2*time.Second
 )
 
 // ErrNoAddress is returned by a client without any control address.
@@ -64,6 +64,9 @@
 	TLS *tls.Config
 	// Operator is the name used without TLS.
 	Operator string
+	// Patience bounds the wait for one VM's answer; 0 means six seconds, so that
+	// a VM without a quorum gets to say so.
+	Patience time.Duration
 }
 
 // NewCommandID returns a fresh identity for a command.
@@ -146,7 +149,7 @@
 	if _, err := conn.Write(kind, request); err != nil {
 		return errors.Wrap(err, "send")
 	}
-	if err := raw.SetReadDeadline(time.Now().Add(replyLimit)); err != nil {
+	if err := raw.SetReadDeadline(time.Now().Add(cmp.Or(c.Patience, defaultPatience))); err != nil {
 		return errors.Wrap(err, "deadline")
 	}
 	frame, err := conn.Read()
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,30 +67,70 @@
 		return f
 	}
 	f.View = view
+	words := f.newest()
 	for _, b := range view.Balancers {
-		f.Balancers = append(f.Balancers, f.newest(b))
+		word, heard := words[subject{spread.RoleBalancer.String(), b.Name}]
+		f.Balancers = append(f.Balancers, BalancerStatus{Balancer: b, Heard: heard, Revision: word.Revision, AgeMS: word.AgeMS})
 	}
 	return f
 }
 
-// newest finds a balancer's newest word among the VMs'. A balancer that moved
-// may still stand in its old VM's list for a while.
-func (f *Fleet) newest(b Balancer) BalancerStatus {
-	out := BalancerStatus{Balancer: b}
+// subject is a subscriber, whichever VM its stream ends at.
+type subject struct{ role, name string }
+
+// newest finds each subscriber's newest word among the VMs'. One that moved may
+// still stand in its old VM's list for a while.
+func (f *Fleet) newest() map[subject]Subscriber {
+	out := make(map[subject]Subscriber)
 	for _, vm := range f.VMs {
 		if vm.Local == nil {
 			continue
 		}
 		for _, s := range vm.Local.Subscribers {
-			if s.Role != spread.RoleBalancer.String() || s.Name != b.Name || (out.Heard && s.AgeMS >= out.AgeMS) {
-				continue
+			k := subject{s.Role, s.Name}
+			if known, ok := out[k]; !ok || s.AgeMS < known.AgeMS {
+				out[k] = s
 			}
-			out.Heard, out.Revision, out.AgeMS = true, s.Revision, s.AgeMS
 		}
 	}
 	return out
 }
 
+// Behind names everyone who may not have the revision: live balancers, attached
+// agents, and control VMs that gave no word, whose subscribers aren't known.
+func (f *Fleet) Behind(revision table.Revision) []string {
+	var out []string
+	for _, b := range f.Lagging(revision) {
+		out = append(out, "balancer "+b.Name)
+	}
+	for k, s := range f.newest() {
+		if k.role == spread.RoleAgent.String() && s.Revision < revision {
+			out = append(out, "agent "+k.name)
+		}
+	}
+	for _, vm := range f.VMs {
+		if vm.Local == nil {
+			out = append(out, "control VM at "+vm.Address)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Prepared returns the revision that first carried the prepared generation of
+// the cluster keys; false where none is prepared.
+func (f *Fleet) Prepared() (table.Revision, bool) {
+	if f.View == nil {
+		return 0, false
+	}
+	for _, k := range f.View.Keys {
+		if k.State == statePrepared {
+			return k.PreparedAt, true
+		}
+	}
+	return 0, false
+}
+
 // Lagging returns the live balancers that haven't acknowledged the revision.
 func (f *Fleet) Lagging(revision table.Revision) []BalancerStatus {
 	var out []BalancerStatus
--- a/internal/operator/view.go
+++ b/internal/operator/view.go
@@ -83,13 +83,16 @@
 	return out
 }
 
+// statePrepared is a generation's that is known and doesn't sign yet.
+const statePrepared = "prepared"
+
 func keysOf(c *catalogue.Catalogue) []KeyGeneration {
 	keys := c.Keys()
 	var out []KeyGeneration
 	for i, k := range keys {
 		state := "accepted"
 		if k.Set.Pending {
-			state = "prepared"
+			state = statePrepared
 		} else if i == len(keys)-1 || keys[i+1].Set.Pending {
 			state = "signs"
 		}
