--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -175,7 +175,7 @@
 	s := control.Settings{
 		Name: name, DataCentre: f.layout.DataCentres[i%len(f.layout.DataCentres)],
 		Folder:      f.path(name),
-		Replica:     control.ReplicaSettings{Listen: f.net.address(last, replicaPort), Bootstrap: true},
+		Replica:     control.ReplicaSettings{Listen: f.net.address(last, replicaPort), Bootstrap: i == 0},
 		Subscribers: f.net.address(last, subscriberPort), Operators: f.net.address(last, operatorPort),
 		Metrics: f.net.address(last, controlMetrics), TLS: identity,
 	}
