--- a/internal/flow/receive.go
+++ b/internal/flow/receive.go
@@ -35,7 +35,7 @@
 	if !e.meantHere(v, &r.header) || !e.readArrival(now, v, packet) {
 		return
 	}
-	verdict := e.deflector.Decide(&r.standing, &r.arrival)
+	verdict := e.decide(&r.standing, &r.arrival)
 	e.counts.verdict(verdict)
 	if r.arrival.Orphan && verdict.Action == HandOver {
 		e.askAbout(now, v, verdict.Agent, balancer, from, packet)
@@ -80,6 +80,7 @@
 		Named:    named,
 		Revision: r.header.Revision,
 		Hops:     r.header.Hops,
+		HandedBy: r.header.HandedBy,
 		Orphan:   r.header.Kind == envelope.Orphan,
 	}
 	if origin != connid.Ours && r.shape.Opening {
@@ -148,6 +149,7 @@
 	h.Kind = envelope.Forward
 	h.Agent = to
 	h.Balancer = balancer
+	h.HandedBy = table.AgentNumber(e.self.Load())
 	h.Hops++
 	h.Revision = max(h.Revision, v.steering.Revision)
 	out, err := v.steering.Envelopes.Append(r.out[:0], &h, packet)
