Distribution: a table that the data path refuses isn't reported in force

Cause: a balancer whose data path refused a table acknowledged it all the same; switch -wait and the check before a key signs would have believed it. Change: apply returns an error (agent and balancer pass theirs on); heartbeats carry the revision in force beside the one held; control lists the former. Conclusion: TestRefusedTableIsNotInForce.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -153,12 +153,13 @@
 
 // apply puts a table in force. One that the flows refuse is logged and counted
 // there; requests then keep the same older table.
-func (a *Agent) apply(t *table.Table) {
+func (a *Agent) apply(t *table.Table) error {
 	if err := a.flows.Apply(t); err != nil {
-		return
+		return err
 	}
 	a.relay.Apply(t)
 	a.revision.Store(int64(t.Revision))
+	return nil
 }
 
 // Metrics returns the agent's counters.
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -97,7 +97,7 @@
 
 // apply takes a table over. A refused one is logged and counted; the table
 // before stays in force.
-func (b *Balancer) apply(t *table.Table) { _ = b.forwarder.Apply(t) }
+func (b *Balancer) apply(t *table.Table) error { return b.forwarder.Apply(t) }
 
 // Metrics returns the balancer's counters.
 func (b *Balancer) Metrics() *metrics.Set { return b.metrics }
--- a/internal/spread/client.go
+++ b/internal/spread/client.go
@@ -78,7 +78,7 @@
 type Status struct {
 	// Control is the address of the VM attached to, empty where there is none.
 	Control string
-	// Revision is that of the table in use, 0 before the first.
+	// Revision is that of the table in force, 0 before the first.
 	Revision table.Revision
 	// WordAge is how long ago a quorum was last known to stand behind the table.
 	WordAge time.Duration
@@ -90,7 +90,7 @@
 // Client keeps a subscriber attached to a control VM.
 type Client struct {
 	cfg    ClientConfig
-	apply  func(*table.Table)
+	apply  func(*table.Table) error
 	random *rand.Rand
 	choose *chooser
 	view   view
@@ -101,6 +101,7 @@
 
 	mu           sync.Mutex
 	held         *table.Table
+	inForce      table.Revision
 	announcement Announcement
 	number       table.AgentNumber
 	control      string
@@ -111,8 +112,9 @@
 }
 
 // NewClient returns a subscriber that calls apply with each newer table, never
-// with a lower revision, and never twice at once.
-func NewClient(cfg ClientConfig, apply func(*table.Table)) *Client {
+// with a lower revision, and never twice at once. A table for which apply
+// returns an error isn't in force, and control is told so.
+func NewClient(cfg ClientConfig, apply func(*table.Table) error) *Client {
 	if cfg.StaleBound == 0 {
 		cfg.StaleBound = DefaultStaleBound
 	}
@@ -202,7 +204,7 @@
 	defer c.mu.Unlock()
 	return Status{
 		Control:             c.control,
-		Revision:            c.held.Revision,
+		Revision:            c.inForce,
 		WordAge:             time.Since(c.wordAt),
 		WithoutControlSince: c.withoutSince,
 	}
@@ -246,10 +248,28 @@
 	c.mu.Lock()
 	c.held = next
 	c.mu.Unlock()
-	c.apply(next)
+	c.force(next)
 	c.noticeOwn(next)
 }
 
+// force hands a table to the data path.
+func (c *Client) force(t *table.Table) {
+	if err := c.apply(t); err != nil {
+		c.count.tableRefused.Add(1)
+		return
+	}
+	c.mu.Lock()
+	c.inForce = t.Revision
+	c.mu.Unlock()
+}
+
+// standing is what a heartbeat tells control.
+func (c *Client) standing() beat {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return beat{Revision: c.held.Revision, InForce: c.inForce}
+}
+
 // noticeOwn announces again when the table ceases to offer this process, which
 // is plainly alive: the control VM that it was attached to may have been cut off
 // together with it, and been taken for dead. An operator's drain looks the same
--- a/internal/spread/client_metrics.go
+++ b/internal/spread/client_metrics.go
@@ -18,7 +18,7 @@
 
 	attempts, attached              *expvar.Int
 	snapshots, deltas, lower        *expvar.Int
-	resyncs, takenOut               *expvar.Int
+	resyncs, takenOut, tableRefused *expvar.Int
 	bytesIn, bytesOut               *expvar.Int
 	stateFileErrors, refusedByState *expvar.Int
 }
@@ -32,6 +32,7 @@
 		deltas:          m.Counter("control_deltas"),
 		lower:           m.Counter("control_lower_revision_ignored"),
 		resyncs:         m.Counter("control_resyncs"),
+		tableRefused:    m.Counter("control_table_refused"),
 		takenOut:        m.Counter("control_taken_out"),
 		bytesIn:         m.Counter("control_bytes_in"),
 		bytesOut:        m.Counter("control_bytes_out"),
--- a/internal/spread/client_stream.go
+++ b/internal/spread/client_stream.go
@@ -43,7 +43,11 @@
 	defer func() { _ = conn.Close() }()
 
 	s := &clientStream{client: c, conn: conn, address: address}
-	opening := hello{Role: c.cfg.Role, Announcement: c.nextAnnouncement(), Have: c.heldRevision(), Digest: digest(c.held)}
+	standing := c.standing()
+	opening := hello{
+		Role: c.cfg.Role, Announcement: c.nextAnnouncement(),
+		Have: standing.Revision, Digest: digest(c.held), InForce: standing.InForce,
+	}
 	if err := s.send(kindHello, &opening); err != nil {
 		return err
 	}
@@ -250,11 +254,13 @@
 	if s.mismatches >= mismatchLimit {
 		return errMismatch
 	}
-	return s.send(kindResync, &beat{Revision: c.heldRevision()})
+	b := c.standing()
+	return s.send(kindResync, &b)
 }
 
 func (s *clientStream) ack() error {
-	return s.send(kindBeat, &beat{Revision: s.client.heldRevision()})
+	b := s.client.standing()
+	return s.send(kindBeat, &b)
 }
 
 func (c *Client) countUpdate(u *update) {
--- a/internal/spread/failure_test.go
+++ b/internal/spread/failure_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
 	"bergamotstall/internal/keys"
@@ -216,6 +217,39 @@
 	is.Equal(agent.metrics.Value("control_taken_out"), int64(1))
 }
 
+// A table comes that the balancer's data path can't use. The one before stays in
+// force, and neither status nor control's list says otherwise, so that nobody is
+// told that a switch is in force or signs with a key that isn't known. The next
+// good table is in force again.
+func TestRefusedTableIsNotInForce(t *testing.T) {
+	is := is.New(t)
+	control := newFakeControl(smallTable(5))
+	server := serveControl(t, control, nil)
+	f := follow1(t, "balancer-0", nil, server.address)
+	eventually(t, "first table", func() bool { return f.Status().Revision == 5 })
+	f.mu.Lock()
+	f.onApply = func(tb *table.Table) error {
+		if tb.Revision == 6 {
+			return errors.New("no keys")
+		}
+		return nil
+	}
+	f.mu.Unlock()
+	listed := func() table.Revision {
+		for _, s := range server.Subscribers() {
+			return s.Revision
+		}
+		return 0
+	}
+	control.set(withWeight(control.Table(), 0, 7))
+	eventually(t, "refusal", func() bool { return f.metrics.Value("control_table_refused") == 1 })
+	is.Equal(f.Status().Revision, table.Revision(5))
+	is.True(listed() != 6)
+	control.set(withWeight(control.Table(), 0, 8))
+	eventually(t, "next table", func() bool { return f.Status().Revision == 7 && listed() == 7 })
+	is.Equal(f.metrics.Value("control_resyncs"), int64(0)) // deltas went on from the table held
+}
+
 // Changes and a whole table go to a subscriber that acknowledges everything at
 // once. Whatever it does, its link carries no more than the budget and the burst.
 func TestLinkKeepsItsBudget(t *testing.T) {
--- a/internal/spread/fakes_test.go
+++ b/internal/spread/fakes_test.go
@@ -212,7 +212,7 @@
 	mu      sync.Mutex
 	applied []*table.Table
 	// onApply, where set, takes tables instead of applied.
-	onApply func(*table.Table)
+	onApply func(*table.Table) error
 }
 
 func (f *follower) tables() []*table.Table {
@@ -251,14 +251,14 @@
 		change(&cfg)
 	}
 	f := &follower{metrics: m}
-	f.Client = NewClient(cfg, func(tb *table.Table) {
+	f.Client = NewClient(cfg, func(tb *table.Table) error {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if f.onApply != nil {
-			f.onApply(tb)
-			return
+			return f.onApply(tb)
 		}
 		f.applied = append(f.applied, tb)
+		return nil
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/spread/measure_test.go
+++ b/internal/spread/measure_test.go
@@ -244,7 +244,7 @@
 	f := follow1(t, name, func(c *ClientConfig) { c.Beat = DefaultBeat }, address)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.onApply = func(*table.Table) { arrived <- time.Now() }
+	f.onApply = func(*table.Table) error { arrived <- time.Now(); return nil }
 	return &timedClient{metrics: f.metrics, stop: f.stop}
 }
 
--- a/internal/spread/messages.go
+++ b/internal/spread/messages.go
@@ -36,6 +36,8 @@
 	Have table.Revision `msg:"h"`
 	// Digest is that of the table held.
 	Digest uint64 `msg:"d"`
+	// InForce is the revision in force; see beat.
+	InForce table.Revision `msg:"f"`
 }
 
 // welcome answers a hello.
@@ -46,8 +48,12 @@
 
 // beat says that its sender is alive, and where it stands.
 type beat struct {
-	// Revision is what the server has, or what the subscriber has applied.
+	// Revision is what the server has, or what the subscriber holds.
 	Revision table.Revision `msg:"r"`
+	// InForce is the revision that the subscriber's data path runs on. It is lower
+	// than Revision where the data path refused a table: deltas go on from the one
+	// held, but nobody may be told that it is in force. A server leaves it 0.
+	InForce table.Revision `msg:"f"`
 	// ContactAgeMS is the server's quorum contact age in milliseconds.
 	ContactAgeMS int64 `msg:"c"`
 }
--- a/internal/spread/messages_gen.go
+++ b/internal/spread/messages_gen.go
@@ -30,6 +30,12 @@
 				err = msgp.WrapError(err, "Revision")
 				return
 			}
+		case "f":
+			err = z.InForce.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "InForce")
+				return
+			}
 		case "c":
 			z.ContactAgeMS, err = dc.ReadInt64()
 			if err != nil {
@@ -49,9 +55,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *beat) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
 	// write "r"
-	err = en.Append(0x82, 0xa1, 0x72)
+	err = en.Append(0x83, 0xa1, 0x72)
 	if err != nil {
 		return
 	}
@@ -60,6 +66,16 @@
 		err = msgp.WrapError(err, "Revision")
 		return
 	}
+	// write "f"
+	err = en.Append(0xa1, 0x66)
+	if err != nil {
+		return
+	}
+	err = z.InForce.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "InForce")
+		return
+	}
 	// write "c"
 	err = en.Append(0xa1, 0x63)
 	if err != nil {
@@ -76,14 +92,21 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *beat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "r"
-	o = append(o, 0x82, 0xa1, 0x72)
+	o = append(o, 0x83, 0xa1, 0x72)
 	o, err = z.Revision.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Revision")
 		return
 	}
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o, err = z.InForce.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "InForce")
+		return
+	}
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendInt64(o, z.ContactAgeMS)
@@ -114,6 +137,12 @@
 				err = msgp.WrapError(err, "Revision")
 				return
 			}
+		case "f":
+			bts, err = z.InForce.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "InForce")
+				return
+			}
 		case "c":
 			z.ContactAgeMS, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -134,7 +163,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *beat) Msgsize() (s int) {
-	s = 1 + 2 + z.Revision.Msgsize() + 2 + msgp.Int64Size
+	s = 1 + 2 + z.Revision.Msgsize() + 2 + z.InForce.Msgsize() + 2 + msgp.Int64Size
 	return
 }
 
@@ -180,6 +209,12 @@
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
+		case "f":
+			err = z.InForce.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "InForce")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -193,9 +228,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *hello) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 5
 	// write "r"
-	err = en.Append(0x84, 0xa1, 0x72)
+	err = en.Append(0x85, 0xa1, 0x72)
 	if err != nil {
 		return
 	}
@@ -234,15 +269,25 @@
 		err = msgp.WrapError(err, "Digest")
 		return
 	}
+	// write "f"
+	err = en.Append(0xa1, 0x66)
+	if err != nil {
+		return
+	}
+	err = z.InForce.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "InForce")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *hello) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "r"
-	o = append(o, 0x84, 0xa1, 0x72)
+	o = append(o, 0x85, 0xa1, 0x72)
 	o, err = z.Role.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Role")
@@ -265,6 +310,13 @@
 	// string "d"
 	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendUint64(o, z.Digest)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o, err = z.InForce.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "InForce")
+		return
+	}
 	return
 }
 
@@ -310,6 +362,12 @@
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
+		case "f":
+			bts, err = z.InForce.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "InForce")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -324,7 +382,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *hello) Msgsize() (s int) {
-	s = 1 + 2 + z.Role.Msgsize() + 2 + z.Announcement.Msgsize() + 2 + z.Have.Msgsize() + 2 + msgp.Uint64Size
+	s = 1 + 2 + z.Role.Msgsize() + 2 + z.Announcement.Msgsize() + 2 + z.Have.Msgsize() + 2 + msgp.Uint64Size + 2 + z.InForce.Msgsize()
 	return
 }
 
@@ -879,6 +937,12 @@
 						err = msgp.WrapError(err, "Beat", "Revision")
 						return
 					}
+				case "f":
+					err = z.Beat.InForce.DecodeMsg(dc)
+					if err != nil {
+						err = msgp.WrapError(err, "Beat", "InForce")
+						return
+					}
 				case "c":
 					z.Beat.ContactAgeMS, err = dc.ReadInt64()
 					if err != nil {
@@ -922,9 +986,9 @@
 	if err != nil {
 		return
 	}
-	// map header, size 2
+	// map header, size 3
 	// write "r"
-	err = en.Append(0x82, 0xa1, 0x72)
+	err = en.Append(0x83, 0xa1, 0x72)
 	if err != nil {
 		return
 	}
@@ -933,6 +997,16 @@
 		err = msgp.WrapError(err, "Beat", "Revision")
 		return
 	}
+	// write "f"
+	err = en.Append(0xa1, 0x66)
+	if err != nil {
+		return
+	}
+	err = z.Beat.InForce.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Beat", "InForce")
+		return
+	}
 	// write "c"
 	err = en.Append(0xa1, 0x63)
 	if err != nil {
@@ -955,14 +1029,21 @@
 	o = msgp.AppendString(o, z.Control)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
-	// map header, size 2
+	// map header, size 3
 	// string "r"
-	o = append(o, 0x82, 0xa1, 0x72)
+	o = append(o, 0x83, 0xa1, 0x72)
 	o, err = z.Beat.Revision.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Beat", "Revision")
 		return
 	}
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o, err = z.Beat.InForce.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Beat", "InForce")
+		return
+	}
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendInt64(o, z.Beat.ContactAgeMS)
@@ -1014,6 +1095,12 @@
 						err = msgp.WrapError(err, "Beat", "Revision")
 						return
 					}
+				case "f":
+					bts, err = z.Beat.InForce.UnmarshalMsg(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Beat", "InForce")
+						return
+					}
 				case "c":
 					z.Beat.ContactAgeMS, bts, err = msgp.ReadInt64Bytes(bts)
 					if err != nil {
@@ -1042,6 +1129,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *welcome) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Control) + 2 + 1 + 2 + z.Beat.Revision.Msgsize() + 2 + msgp.Int64Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Control) + 2 + 1 + 2 + z.Beat.Revision.Msgsize() + 2 + z.Beat.InForce.Msgsize() + 2 + msgp.Int64Size
 	return
 }
--- a/internal/spread/server.go
+++ b/internal/spread/server.go
@@ -98,7 +98,7 @@
 	Service    string
 	DataCentre string
 	Agent      table.AgentNumber
-	// Revision is the last one that the subscriber said is in use.
+	// Revision is the last one that the subscriber said is in force.
 	Revision table.Revision
 	// Age is how long ago the subscriber was last heard.
 	Age time.Duration
--- a/internal/spread/server_stream.go
+++ b/internal/spread/server_stream.go
@@ -43,10 +43,11 @@
 	announcing   bool
 	number       table.AgentNumber
 	numberSent   table.AgentNumber
-	// held is what the subscriber said is in use, digest that of its table when
-	// the stream began.
+	// held is what the subscriber said it holds, digest that of its table when
+	// the stream began, inForce what its data path runs on.
 	held    table.Revision
 	digest  uint64
+	inForce table.Revision
 	heardAt time.Time
 	// resync is set when the subscriber asked for a whole table.
 	resync bool
@@ -71,7 +72,7 @@
 		Service:    sub.announcement.Service,
 		DataCentre: sub.announcement.DataCentre,
 		Agent:      sub.number,
-		Revision:   sub.held,
+		Revision:   sub.inForce,
 		Age:        now.Sub(sub.heardAt),
 	}
 }
@@ -171,7 +172,7 @@
 	}
 	return &subscriber{
 		server: s, conn: conn, role: h.Role, view: viewOf(h.Role, h.Announcement), ctx: ctx,
-		wake: make(chan struct{}, 1), announcement: h.Announcement, held: h.Have, digest: h.Digest, heardAt: time.Now(),
+		wake: make(chan struct{}, 1), announcement: h.Announcement, held: h.Have, digest: h.Digest, inForce: h.InForce, heardAt: time.Now(),
 	}, nil
 }
 
@@ -251,7 +252,7 @@
 func (sub *subscriber) heard(b beat, resync bool) {
 	sub.mu.Lock()
 	news := resync || b.Revision != sub.held
-	sub.held, sub.heardAt = b.Revision, time.Now()
+	sub.held, sub.inForce, sub.heardAt = b.Revision, b.InForce, time.Now()
 	sub.resync = sub.resync || resync
 	sub.mu.Unlock()
 	if resync {
--- a/internal/spread/statefile.go
+++ b/internal/spread/statefile.go
@@ -56,7 +56,7 @@
 	c.held = t
 	c.mu.Unlock()
 	events.Log(c.cfg.Log, events.TableKept, logrus.Fields{"revision": t.Revision})
-	c.apply(t)
+	c.force(t)
 }
 
 // save writes the state file. A disk that refuses must not keep a change from
