--- a/internal/spread/history_test.go
+++ b/internal/spread/history_test.go
@@ -202,3 +202,21 @@
 	_, _, err = a.add(&part{From: 1, To: 2, Total: 3, Data: make([]byte, 4)})
 	is.True(errors.Is(err, errProtocol))
 }
+
+// A control VM that is restored from an old copy sends its whole table, or a
+// delta that builds on another revision: the subscriber keeps what it has.
+func TestOlderTablesAreRefused(t *testing.T) {
+	is := is.New(t)
+	h := newHistory()
+	h.advance(smallTable(5))
+	whole := h.since(view{role: RoleBalancer}, 0)
+	held, err := applyUpdate(&table.Table{}, whole)
+	is.NoErr(err)
+	newer := *held
+	newer.Revision = 6
+	_, err = applyUpdate(&newer, whole)
+	is.True(errors.Is(err, errLower))
+	_, err = applyUpdate(&newer, &update{From: 5, To: 7})
+	is.True(errors.Is(err, errBase))
+	is.Equal(len(newer.Targets), 10) // what is held isn't touched
+}
--- a/internal/spread/server.go
+++ b/internal/spread/server.go
@@ -31,6 +31,8 @@
 	handshakes = 64
 	// smallSnapshot is the size up to which a whole table needs no place in line.
 	smallSnapshot = 8 << 10
+	// acceptPause is the wait after a failed accept.
+	acceptPause = 100 * time.Millisecond
 	// openingTimeout bounds the handshake and the hello.
 	openingTimeout = 5 * time.Second
 )
@@ -171,13 +173,11 @@
 
 // Serve takes subscribers from the listener until Close.
 func (s *Server) Serve(ln net.Listener) error {
-	s.mu.Lock()
-	s.listeners[ln] = struct{}{}
-	s.mu.Unlock()
-	if s.ctx.Err() != nil {
+	if !s.listen(ln) {
 		_ = ln.Close()
 		return ErrClosed
 	}
+	defer s.running.Done()
 	for {
 		select {
 		case s.opening <- struct{}{}:
@@ -190,7 +190,16 @@
 			if s.ctx.Err() != nil {
 				return ErrClosed
 			}
-			return errors.Wrap(err, "spread: accept")
+			if errors.Is(err, net.ErrClosed) {
+				return errors.Wrap(err, "spread: accept")
+			}
+			// Out of file descriptors, for one: it passes, and the streams that are
+			// open must not end for it.
+			s.count.acceptErrors.Add(1)
+			if !sleep(s.ctx, acceptPause) {
+				return ErrClosed
+			}
+			continue
 		}
 		s.running.Add(1)
 		go func() {
@@ -200,11 +209,23 @@
 	}
 }
 
+// listen books a listener; false after Close.
+func (s *Server) listen(ln net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx.Err() != nil {
+		return false
+	}
+	s.listeners[ln] = struct{}{}
+	s.running.Add(1)
+	return true
+}
+
 // Close ends every stream; subscribers are told to go elsewhere. Nothing is
 // reported silent.
 func (s *Server) Close() {
-	s.cancel()
 	s.mu.Lock()
+	s.cancel()
 	for ln := range s.listeners {
 		_ = ln.Close()
 	}
--- a/internal/spread/server_metrics.go
+++ b/internal/spread/server_metrics.go
@@ -13,6 +13,7 @@
 	accepted, snapshots, deltas, resyncs *expvar.Int
 	bytesOut, announced, announceErrors  *expvar.Int
 	held, silent, silentErrors           *expvar.Int
+	acceptErrors                         *expvar.Int
 }
 
 func newServerCounters(m *metrics.Set) serverCounters {
@@ -25,6 +26,7 @@
 		bytesOut:       m.Counter("spread_bytes_out"),
 		announced:      m.Counter("spread_announced"),
 		announceErrors: m.Counter("spread_announce_errors"),
+		acceptErrors:   m.Counter("spread_accept_errors"),
 		held:           m.Counter("spread_announce_held"),
 		silent:         m.Counter("spread_reported_silent"),
 		silentErrors:   m.Counter("spread_report_errors"),
