--- a/internal/spread/measure_test.go
+++ b/internal/spread/measure_test.go
@@ -254,4 +254,3 @@
 	}
 	return n
 }
-
