--- a/internal/journal/replay.go
+++ b/internal/journal/replay.go
@@ -21,7 +21,7 @@
 	}
 	for i, n := range files.segments {
 		if i > 0 && n != files.segments[i-1]+1 {
-			return quorum.Stored{}, errors.Wrapf(ErrIncomplete, "%s has %s but not the one before", j.dir, segmentName(n))
+			r.startOver()
 		}
 		if err := r.segment(n, i == len(files.segments)-1); err != nil {
 			return quorum.Stored{}, err
@@ -60,6 +60,15 @@
 	whole bool
 }
 
+// startOver drops what segments before a gap held. A power cut may keep some
+// removals of old segments and lose others; then the segment after the gap
+// begins a log, and if it doesn't, finish refuses the folder.
+func (r *replayer) startOver() {
+	r.whole = false
+	r.number = 0
+	r.stored = quorum.Stored{Snapshot: r.stored.Snapshot}
+}
+
 func (r *replayer) segment(n uint64, last bool) error {
 	name := r.journal.path(segmentName(n))
 	data, err := r.journal.fs.Read(name)
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -183,6 +183,8 @@
 	boot       Message
 	helloAt    time.Duration
 	helloFrom  map[ID]bool
+	newest     Membership
+	newestAt   Index
 	regression *RegressionError
 	removed    bool
 	known      map[ID]Known
@@ -193,8 +195,13 @@
 
 // New returns a core that goes on from what was stored.
 func New(cfg Config, stored Stored, now time.Duration) *Core {
+	return newCore(cfg, stored, now, faults{})
+}
+
+func newCore(cfg Config, stored Stored, now time.Duration, f faults) *Core {
 	c := &Core{
 		cfg:       cfg.Defaults(),
+		faults:    f,
 		now:       now,
 		state:     Follower,
 		term:      stored.Hard.Term,
--- /dev/null
+++ b/internal/quorum/directed_test.go
@@ -0,0 +1,225 @@
+package quorum
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+)
+
+// storedMembers is a log that begins with a membership of n voters, 1 to n.
+func storedMembers(t *testing.T, n int, hard HardState, terms ...Term) Stored {
+	t.Helper()
+	var m Membership
+	for i := range n {
+		m.Members = append(m.Members, Member{ID: ID(i + 1), Role: Voter})
+	}
+	data, err := m.MarshalMsg(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := Stored{Hard: hard, Entries: []Entry{{Index: 1, Term: 1, Kind: EntryMembers, Data: data}}}
+	for i, term := range terms {
+		s.Entries = append(s.Entries, Entry{Index: Index(i + 2), Term: term, Kind: EntryCommand})
+	}
+	return s
+}
+
+// settle carries out all of a core's work and returns what it sent.
+func settle(c *Core) []Message {
+	var sent []Message
+	for {
+		r, some := c.Ready()
+		if !some {
+			return sent
+		}
+		sent = append(sent, append(r.Early, r.Messages...)...)
+		c.Advance(r)
+	}
+}
+
+func elect(c *Core, voters ...ID) {
+	now := c.now + 2*c.cfg.ElectionTimeout
+	c.Tick(now)
+	settle(c)
+	for _, id := range voters {
+		c.Step(now, Message{Kind: MsgPreVoteReply, From: id, To: c.cfg.ID, Term: c.term + 1})
+	}
+	settle(c)
+	for _, id := range voters {
+		c.Step(now, Message{Kind: MsgVoteReply, From: id, To: c.cfg.ID, Term: c.term})
+	}
+	settle(c)
+}
+
+// An operator's command of term 2 was on a minority. A later leader copies it
+// to a majority and dies before an entry of its own term got there. A replica
+// with a newer last entry may still win and overwrite it, so it mustn't be
+// answered as committed yet.
+func TestOlderTermIsNotCommittedByCount(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		is := is.New(t)
+		stored := storedMembers(t, 5, HardState{Term: 3}, 2)
+		c := newCore(Config{ID: 1}, stored, time.Hour, faults{noProbation: true, commitOldTerm: broken})
+		elect(c, 2, 3)
+		is.Equal(c.state, Leader)
+		for _, id := range []ID{2, 3} {
+			c.Step(c.now, Message{Kind: MsgAppendReply, From: id, To: 1, Term: c.term, Index: 2})
+		}
+		is.Equal(c.log.commit == 2, broken) // by count alone only if the safeguard is off
+		for _, id := range []ID{2, 3} {
+			c.Step(c.now, Message{Kind: MsgAppendReply, From: id, To: 1, Term: c.term, Index: 3})
+		}
+		is.Equal(c.log.commit, Index(3)) // an entry of its own term commits all before it
+	}
+}
+
+// A replica votes, loses power and comes back. Another candidate of the same
+// term asks. If the vote were forgotten, both could win that term.
+func TestVoteOutlivesRestart(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		is := is.New(t)
+		c := newCore(Config{ID: 1}, storedMembers(t, 3, HardState{Term: 1}), time.Hour, faults{noProbation: true})
+		vote := Message{Kind: MsgVote, From: 2, To: 1, Term: 5, Index: 1, LogTerm: 1}
+		c.Step(time.Hour, vote)
+		r, _ := c.Ready()
+		is.True(r.HardChanged)
+		is.Equal(len(r.Early), 0) // the answer waits for the sync
+		is.Equal(r.Messages[0].Reject, false)
+
+		stored := storedMembers(t, 3, r.Hard)
+		if broken {
+			stored.Hard.Vote = 0
+		}
+		c = newCore(Config{ID: 1}, stored, time.Hour, faults{})
+		is.True(c.probation)
+		c.Step(time.Hour, vote)
+		hello := settle(c)[0]
+		is.Equal(hello.Kind, MsgHello) // it asks first and answers no vote
+		c.Step(time.Hour, Message{Kind: MsgHelloReply, From: 2, To: 1, Context: hello.Context, Known: &Known{Term: 5}})
+		vote.From = 3
+		c.Step(time.Hour, vote)
+		sent := settle(c)
+		is.Equal(len(sent), 1)
+		is.Equal(sent[0].Reject, !broken)
+	}
+}
+
+// A VM's disk is restored from a copy made some commands ago. The operator was
+// told that those commands are in force, on this VM's word. It must not take
+// part again: with the third VM, which lacks them too, it would elect a leader
+// that takes them back.
+func TestOldCopyOfDiskIsNoticed(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		is := is.New(t)
+		w := newWorld(1, 3, faults{noProbation: broken}, worldFaults{})
+		w.quiet = true
+		var leader, back, third *node
+		for leader == nil {
+			w.turnQuietly(50)
+			leader = w.leader()
+		}
+		for _, n := range w.nodes {
+			switch {
+			case n == leader:
+			case back == nil:
+				back = n
+			default:
+				third = n
+			}
+		}
+		w.cut[[2]ID{leader.disk.id, third.disk.id}] = true
+		w.cut[[2]ID{back.disk.id, third.disk.id}] = true
+		w.cut[[2]ID{third.disk.id, back.disk.id}] = true
+		old := back.disk.copy()
+		before := w.check.count()
+		for w.check.count() < before+5 {
+			w.turnQuietly(10)
+			w.clientTurn()
+		}
+		w.crash(back)
+		back.disk = old
+		w.start(back)
+		w.turnQuietly(400)
+		is.Equal(errors.Is(back.core.Err(), ErrRegressed), !broken)
+
+		w.crash(leader)
+		clear(w.cut)
+		w.turnQuietly(6000)
+		is.Equal(w.check.failure != "", broken) // committed entries are lost only without the safeguard
+		if !broken {
+			w.start(leader)
+			w.turnQuietly(3000)
+			is.True(w.leader() != nil) // the two whose disks are whole go on
+		}
+	}
+}
+
+func (w *world) turnQuietly(steps int) {
+	for range steps {
+		w.step++
+		w.deliver()
+		w.deliver()
+		w.tick()
+	}
+}
+
+// Two operators change the membership at once, or one changes it twice. The
+// second is refused until the first is committed.
+func TestSecondMembershipChangeIsRefused(t *testing.T) {
+	is := is.New(t)
+	c := newCore(Config{ID: 1}, storedMembers(t, 3, HardState{Term: 1}), time.Hour, faults{noProbation: true})
+	elect(c, 2)
+	_, err := c.RemoveMember(3)
+	is.True(errors.Is(err, ErrChangeOpen)) // no entry of its own term is committed yet
+	c.Step(c.now, Message{Kind: MsgAppendReply, From: 2, To: 1, Term: c.term, Index: 2})
+	settle(c)
+	_, err = c.AddLearner(Member{ID: 4, Name: "d"})
+	is.NoErr(err)
+	_, err = c.RemoveMember(3)
+	is.True(errors.Is(err, ErrChangeOpen))
+	c.Step(c.now, Message{Kind: MsgAppendReply, From: 2, To: 1, Term: c.term, Index: 3})
+	settle(c)
+	_, err = c.RemoveMember(3)
+	is.NoErr(err)
+	c.Step(c.now, Message{Kind: MsgAppendReply, From: 2, To: 1, Term: c.term, Index: 4})
+	settle(c)
+	_, err = c.AddLearner(Member{ID: 3, Name: "c"})
+	is.True(errors.Is(err, ErrRemoved)) // an identity never returns
+	_, err = c.AddLearner(Member{ID: 5, Name: "d"})
+	is.True(errors.Is(err, ErrNameInUse))
+	_, err = c.RemoveMember(9)
+	is.True(errors.Is(err, ErrUnknown))
+}
+
+// A replica that was cut off campaigns alone. Back together it must not unseat
+// the leader that the others hear: commands would stall for an election each
+// time that a link recovers.
+func TestReturningReplicaDoesNotUnseatLeader(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(3, 3, faults{}, worldFaults{})
+	w.quiet = true
+	for w.leader() == nil {
+		w.turnQuietly(50)
+	}
+	leader := w.leader()
+	term := leader.core.Term()
+	var away *node
+	for _, n := range w.nodes {
+		if n != leader {
+			away = n
+		}
+	}
+	for _, n := range w.nodes {
+		w.cut[[2]ID{n.disk.id, away.disk.id}] = true
+		w.cut[[2]ID{away.disk.id, n.disk.id}] = true
+	}
+	w.turnQuietly(2000)
+	is.Equal(away.core.state, PreCandidate)
+	clear(w.cut)
+	w.turnQuietly(2000)
+	is.Equal(leader.core.Term(), term)
+	is.True(leader.core.Leads())
+	is.Equal(away.core.Leader(), leader.disk.id)
+}
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -36,7 +36,7 @@
 // unseat a leader that the others hear well.
 func (c *Core) campaign(pre, handOver bool) {
 	c.resetElection()
-	if !c.members.isVoter(c.cfg.ID) {
+	if !c.mayCampaign() {
 		return
 	}
 	c.lead = 0
@@ -64,6 +64,16 @@
 	}
 }
 
+// mayCampaign holds for voters, and for a replica whose own removal isn't
+// committed yet. That one may hold the longest log and refuse all others its
+// vote; nobody could win if it didn't finish its removal as leader.
+func (c *Core) mayCampaign() bool {
+	if c.members.isVoter(c.cfg.ID) {
+		return true
+	}
+	return c.membersIndex > c.log.commit && c.log.membershipAt(c.log.commit).isVoter(c.cfg.ID)
+}
+
 func (c *Core) isOnlyVoter() bool {
 	return len(c.members.Voters()) == 1 && c.members.isVoter(c.cfg.ID)
 }
--- a/internal/quorum/faults.go
+++ b/internal/quorum/faults.go
@@ -25,6 +25,7 @@
 	noProbation bool
 	// keepConflict keeps entries that conflict with the leader's.
 	keepConflict bool
-	// leaseForever keeps a leader that lost its quorum, and its contact age.
-	leaseForever bool
+	// leadForever drops the check-quorum and counts every heartbeat round as
+	// answered when it dates the contact with a quorum.
+	leadForever bool
 }
--- a/internal/quorum/lead.go
+++ b/internal/quorum/lead.go
@@ -53,7 +53,7 @@
 }
 
 func (c *Core) tickLeader() {
-	if !c.faults.leaseForever && c.now >= c.checkAt {
+	if !c.faults.leadForever && c.now >= c.checkAt {
 		c.checkAt = c.now + c.cfg.ElectionTimeout
 		if !c.hearsQuorum() {
 			c.becomeFollower(c.term, 0)
@@ -113,6 +113,9 @@
 		c.contactAt = c.rounds[0].at
 		c.rounds = c.rounds[1:]
 	}
+	if c.faults.leadForever {
+		c.contactAt = c.now
+	}
 	c.releaseReads(answered)
 }
 
--- a/internal/quorum/probation.go
+++ b/internal/quorum/probation.go
@@ -31,12 +31,14 @@
 // from an old copy has forgotten votes and acknowledged entries: the replica
 // would vote twice in a term, or help to elect a leader without a committed
 // entry. Until as many replicas as make a quorum with it have said what they
-// know of it, it takes part in nothing. Nothing could be decided without that
+// know of it, by the newest membership that it hears of, it takes part in
+// nothing. Nothing could be decided without that
 // many, so the wait costs no availability. One that finds itself behind its
 // own word stops for good.
 func (c *Core) startProbation(fresh bool) {
 	c.probation = !fresh && !c.faults.noProbation
 	c.helloAt = c.now
+	c.newest, c.newestAt = c.members, c.membersIndex
 	c.boot = Message{Kind: MsgHello, Index: c.log.last(), LogTerm: c.log.lastTerm(), Context: 1}
 	if c.cfg.Rand != nil {
 		c.boot.Context = c.cfg.Rand.Uint64() | 1
@@ -49,13 +51,22 @@
 		return
 	}
 	c.helloAt = c.now + c.cfg.Heartbeat
-	for _, x := range c.members.Members {
-		if x.ID != c.cfg.ID {
+	for _, x := range c.newest.Members {
+		if x.ID != c.cfg.ID && !c.helloFrom[x.ID] {
 			c.sendHello(x.ID)
 		}
 	}
 }
 
+// Find returns a member of this replica's own membership, or one that others
+// told of while it was asking.
+func (c *Core) Find(id ID) (Member, bool) {
+	if x, ok := c.members.Find(id); ok {
+		return x, true
+	}
+	return c.newest.Find(id)
+}
+
 func (c *Core) sendHello(to ID) {
 	m := c.boot
 	m.To = to
@@ -70,6 +81,7 @@
 	}
 	k := c.known[m.From]
 	k.Committed = min(k.Match, c.log.commit)
+	k.Members, k.MembersAt = c.members.clone(), c.membersIndex
 	c.send(Message{Kind: MsgHelloReply, To: m.From, Context: m.Context, Known: &k})
 }
 
@@ -87,6 +99,9 @@
 		return
 	}
 	c.helloFrom[m.From] = true
+	if m.Known.MembersAt > c.newestAt {
+		c.newest, c.newestAt = m.Known.Members, m.Known.MembersAt
+	}
 	c.endProbation()
 }
 
@@ -101,8 +116,9 @@
 }
 
 func (c *Core) endProbation() {
-	needed := c.quorum() - 1
-	if voters := c.members.Voters(); needed == 0 && !c.members.isVoter(c.cfg.ID) && len(voters) > 0 {
+	voters := c.newest.Voters()
+	needed := len(voters) / 2
+	if needed == 0 && len(voters) > 0 && !c.newest.isVoter(c.cfg.ID) {
 		needed = 1
 	}
 	if len(c.helloFrom) >= needed {
--- a/internal/quorum/read.go
+++ b/internal/quorum/read.go
@@ -53,6 +53,9 @@
 			c.reads[i].index = c.log.commit
 		}
 	}
+	if c.faults.readUnchecked {
+		c.releaseReads(0)
+	}
 }
 
 // startReadRound begins one round for all reads that came since the last. A
--- a/internal/quorum/types.go
+++ b/internal/quorum/types.go
@@ -172,4 +172,9 @@
 	Match   Index `msg:"m"`
 	// Committed is the last entry that it acknowledged and that is committed.
 	Committed Index `msg:"c"`
+	// Members is the answering replica's membership, set by the entry at
+	// MembersAt. The asking one may have been away while all that it knew were
+	// replaced.
+	Members   Membership `msg:"l"`
+	MembersAt Index      `msg:"i"`
 }
--- a/internal/quorum/types_gen.go
+++ b/internal/quorum/types_gen.go
@@ -785,6 +785,22 @@
 				}
 				z.Committed = Index(zb0005)
 			}
+		case "l":
+			err = z.Members.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Members")
+				return
+			}
+		case "i":
+			{
+				var zb0006 uint64
+				zb0006, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "MembersAt")
+					return
+				}
+				z.MembersAt = Index(zb0006)
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -798,9 +814,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Known) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 6
 	// write "t"
-	err = en.Append(0x84, 0xa1, 0x74)
+	err = en.Append(0x86, 0xa1, 0x74)
 	if err != nil {
 		return
 	}
@@ -839,15 +855,35 @@
 		err = msgp.WrapError(err, "Committed")
 		return
 	}
+	// write "l"
+	err = en.Append(0xa1, 0x6c)
+	if err != nil {
+		return
+	}
+	err = z.Members.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Members")
+		return
+	}
+	// write "i"
+	err = en.Append(0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.MembersAt))
+	if err != nil {
+		err = msgp.WrapError(err, "MembersAt")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Known) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 6
 	// string "t"
-	o = append(o, 0x84, 0xa1, 0x74)
+	o = append(o, 0x86, 0xa1, 0x74)
 	o = msgp.AppendUint64(o, uint64(z.Term))
 	// string "a"
 	o = append(o, 0xa1, 0x61)
@@ -858,6 +894,16 @@
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendUint64(o, uint64(z.Committed))
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o, err = z.Members.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Members")
+		return
+	}
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendUint64(o, uint64(z.MembersAt))
 	return
 }
 
@@ -919,6 +965,22 @@
 				}
 				z.Committed = Index(zb0005)
 			}
+		case "l":
+			bts, err = z.Members.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Members")
+				return
+			}
+		case "i":
+			{
+				var zb0006 uint64
+				zb0006, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "MembersAt")
+					return
+				}
+				z.MembersAt = Index(zb0006)
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -933,7 +995,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Known) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + z.Members.Msgsize() + 2 + msgp.Uint64Size
 	return
 }
 
--- a/internal/replica/link.go
+++ b/internal/replica/link.go
@@ -94,7 +94,7 @@
 	defer l.mu.Unlock()
 	address, ok := l.book[to]
 	if !ok {
-		member, _ := l.r.core.Members().Find(to)
+		member, _ := l.r.core.Find(to)
 		address = member.Address
 	}
 	if address == "" {
