Scenarios: the demo's fleet and steps, with a launcher for each kind of process

Cause: the integration tests need the demo's layouts, steps and verdicts on processes of their own. Change: internal/scenario holds fleet, steps and run; the demo keeps its timeline; control VMs can advertise another address than they listen on, for proxies between them. Conclusion: one description of the fleet for demo and tests.

--- a/cmd/bergamotstall/demo.go
+++ b/cmd/bergamotstall/demo.go
@@ -9,13 +9,14 @@
 	"github.com/sirupsen/logrus"
 
 	"bergamotstall/internal/demo"
+	"bergamotstall/internal/scenario"
 )
 
 func runDemo(ctx context.Context, args []string, out, errOut io.Writer) int {
 	flags := flag.NewFlagSet("bergamotstall demo", flag.ContinueOnError)
 	flags.SetOutput(errOut)
 	o := demo.Options{Out: out}
-	flags.StringVar(&o.Layout, "layout", demo.Layouts()[0].Name, "the `user` whose installation is shown: vetrate-cortesi or odumase")
+	flags.StringVar(&o.Layout, "layout", scenario.Layouts()[0].Name, "the `user` whose installation is shown: vetrate-cortesi or odumase")
 	flags.DurationVar(&o.For, "for", 0, "play callers and changes for this `time`, at least 10s, and judge the run; 0 stays up without callers")
 	flags.StringVar(&o.Folder, "data", "", "`folder` for keys and control's state; a temporary one if not given")
 	flags.StringVar(&o.Report, "report", "", "`folder` for a page with plots")
@@ -31,7 +32,7 @@
 		fmt.Fprintf(errOut, "usage: bergamotstall demo [-for TIME], TIME at least %v\n", demo.ShortestRun)
 		return exitUsage
 	}
-	o.Net = demo.Net(*net)
+	o.Net = scenario.Net(*net)
 	log := logrus.New()
 	log.SetOutput(errOut)
 	if !*verbose {
--- a/control/control.go
+++ b/control/control.go
@@ -4,6 +4,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"time"
@@ -69,7 +70,7 @@
 func (c *Control) replicaConfig() replica.Config {
 	cfg := replica.Config{
 		Folder: c.settings.Folder, Name: c.settings.Name, Listen: c.settings.Replica.Listen,
-		Advertise: c.settings.Replica.Listen, Bootstrap: c.settings.Replica.Bootstrap,
+		Advertise: cmp.Or(c.settings.Replica.Advertise, c.settings.Replica.Listen), Bootstrap: c.settings.Replica.Bootstrap,
 		TLS: replica.TLS{Server: c.security.replicas}, Dial: c.security.dial,
 		CommandLimit: commandLimit, Log: c.logger, Metrics: c.metrics,
 	}
--- a/control/settings.go
+++ b/control/settings.go
@@ -31,6 +31,8 @@
 type ReplicaSettings struct {
 	// Listen is where the other control VMs connect, "ip:port".
 	Listen string `yaml:"listen"`
+	// Advertise is the address that they dial, where it isn't Listen.
+	Advertise string `yaml:"advertise"`
 	// Bootstrap makes a new cluster where the folder is empty and no peer has a
 	// cluster. It is set on exactly one VM; the others join that one's cluster.
 	Bootstrap bool `yaml:"bootstrap"`
@@ -56,6 +58,9 @@
 	c.Required("dataCentre", s.DataCentre)
 	c.Required("folder", s.Folder)
 	c.Address("replica.listen", s.Replica.Listen)
+	if s.Replica.Advertise != "" {
+		c.Address("replica.advertise", s.Replica.Advertise)
+	}
 	s.checkPeers(&c)
 	c.Address("subscribers", s.Subscribers)
 	c.Address("operators", s.Operators)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -1,3 +1,6 @@
+// Package demo is what a newcomer runs first: every role on loopback in one
+// process, with callers at work while a balancer dies, targets stop as planned
+// and the preset is switched.
 package demo
 
 import (
@@ -5,21 +8,23 @@
 	"fmt"
 	"io"
 	"os"
-	"sync"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
-	"bergamotstall/internal/catalogue"
 	"bergamotstall/internal/check"
-	"bergamotstall/internal/load"
 	"bergamotstall/internal/report"
+	"bergamotstall/internal/scenario"
 )
 
+// ShortestRun leaves each step of the timeline time to show.
+const ShortestRun = 10 * time.Second
+
 // Options are what a user of the demo sets.
 type Options struct {
-	// Layout is a user's installation, as LayoutNamed knows it.
+	// Layout is a user's installation, as scenario.LayoutNamed knows it.
 	Layout string
 	// For is how long callers run; zero keeps the system up without callers.
 	For time.Duration
@@ -29,7 +34,7 @@
 	Report string
 	Seed   uint64
 	// Net is the /24 of 127.0.0.0/8 that is used.
-	Net Net
+	Net scenario.Net
 	Out io.Writer
 	Log logrus.FieldLogger
 }
@@ -40,7 +45,7 @@
 // Run plays the demo. It returns nil only if nothing was broken, doubled, lost
 // or crossed.
 func Run(ctx context.Context, o Options) error {
-	l, err := LayoutNamed(o.Layout)
+	l, err := scenario.LayoutNamed(o.Layout)
 	if err != nil {
 		return err
 	}
@@ -49,171 +54,88 @@
 		return err
 	}
 	defer remove()
-	f, err := open(l, o.Net, folder, o.Seed, o.Log)
-	if f != nil {
-		defer func() {
-			if err := f.close(); err != nil {
-				fmt.Fprintln(o.Out, err)
-			}
-		}()
-	}
+	f, err := scenario.Open(scenario.Config{
+		Layout: l, Net: o.Net, Folder: folder, Seed: o.Seed, Launch: scenario.InProcess{Log: o.Log}, Log: o.Log,
+	})
+	defer func() {
+		if err := f.Close(); err != nil {
+			fmt.Fprintln(o.Out, err)
+		}
+	}()
 	if err != nil {
 		return err
 	}
-	p := &play{fleet: f, rec: load.NewRecorder()}
-	p.progress = func(format string, args ...any) { fmt.Fprintf(o.Out, format+"\n", args...) }
-	if err := p.ready(ctx); err != nil {
+	p, err := scenario.NewPlay(ctx, f, func(format string, args ...any) { fmt.Fprintf(o.Out, format+"\n", args...) })
+	if err != nil {
 		return err
 	}
 	if o.For == 0 {
-		p.stayUp(ctx, o.Out)
+		stayUp(ctx, f, o.Out)
 		return nil
 	}
-	return p.run(ctx, o)
-}
-
-func folderOf(o Options) (string, func(), error) {
-	if o.Folder != "" {
-		return o.Folder, func() {}, os.MkdirAll(o.Folder, folderMode)
-	}
-	folder, err := os.MkdirTemp("", "bergamotstall-demo-")
-	if err != nil {
-		return "", nil, errors.Wrap(err, "demo: folder")
-	}
-	return folder, func() { _ = os.RemoveAll(folder) }, nil
+	return judge(ctx, o, p)
 }
 
-// ready applies the layout's catalogue and waits for every target.
-func (p *play) ready(ctx context.Context) error {
-	began := time.Now()
-	definition := p.layout.Definition(p.net)
-	for {
-		_, err := p.command(ctx, catalogue.Command{Apply: &catalogue.ApplyCatalogue{Definition: definition}})
-		if err == nil {
-			break
-		}
-		if ctx.Err() != nil || time.Since(began) > readyTime {
+func judge(ctx context.Context, o Options, p *scenario.Play) error {
+	r, failed := p.Run(ctx, scenario.Scenario{Name: "demo", Steps: timeline(p.Layout)}, o.For)
+	fmt.Fprintln(o.Out)
+	r.Write(o.Out)
+	if o.Report != "" {
+		if err := report.Write(o.Report, r.Page(p.Layout.Name)); err != nil {
 			return err
 		}
-		time.Sleep(readyPause)
-	}
-	if err := p.awaitTargets(ctx, len(p.hosts)); err != nil {
-		return err
 	}
-	p.progress("%s: %d control VMs, %d balancers, %d hosts ready after %v",
-		p.layout.Name, len(p.controls), len(p.entries), len(p.hosts), time.Since(began).Round(time.Millisecond))
-	return nil
-}
-
-// stayUp prints where everything listens and waits.
-func (p *play) stayUp(ctx context.Context, w io.Writer) {
-	fmt.Fprintln(w, "\ncallers' addresses (certificate: "+p.path("callers.pem")+"):")
-	for _, s := range p.layout.Services {
-		fmt.Fprintf(w, "  %-18s https://%s\n", s.Name, s.Address(p.net))
+	if failed != nil {
+		return failed
 	}
-	fmt.Fprintf(w, "operators: bergamotctl status -control %s\n", join(p.operatorAddresses()))
-	fmt.Fprintln(w, "counters:  http://"+p.net.address(balancerFirst, balancerVars)+"/debug/vars and alike")
-	fmt.Fprintln(w, "stop with Ctrl-C")
-	<-ctx.Done()
-}
-
-func join(all []string) string {
-	out := ""
-	for i, s := range all {
-		if i > 0 {
-			out += ","
-		}
-		out += s
+	if !check.Held(r.Verdicts) {
+		return ErrPromise
 	}
-	return out
+	return nil
 }
 
-// run plays callers and the timeline, and judges the run.
-func (p *play) run(ctx context.Context, o Options) error {
-	began := time.Now()
-	callers, endCallers := context.WithTimeout(ctx, o.For)
-	defer endCallers()
-	var wg sync.WaitGroup
-	for _, spec := range p.specs(o.For, o.Seed) {
-		wg.Go(func() {
-			if err := load.Run(callers, spec, p.rec); err != nil {
-				p.progress("callers of %s: %v", spec.Service, err)
-			}
-		})
+// timeline is what the demo does while callers are at work.
+func timeline(l scenario.Layout) []scenario.Step {
+	first, second := l.Services[0].Name, l.Services[1].Name
+	drained, replaced, leaving := first+"-2", first+"-4", second+"-1"
+	return []scenario.Step{
+		{At: 0.08, What: "balancer-2 dies", Do: func(_ context.Context, p *scenario.Play) error { return p.KillBalancer(1) }},
+		{At: 0.20, What: "balancer-2 joins", Do: func(ctx context.Context, p *scenario.Play) error { return p.JoinBalancer(ctx, 1) }},
+		{At: 0.28, What: "switch to peak", Do: func(ctx context.Context, p *scenario.Play) error { return p.SwitchTo(ctx, scenario.Peak) }},
+		{At: 0.38, What: "drain " + drained, Do: func(ctx context.Context, p *scenario.Play) error { return p.Drain(ctx, drained) }},
+		{At: 0.50, What: "undrain " + drained, Do: func(ctx context.Context, p *scenario.Play) error { return p.Undrain(ctx, drained) }},
+		{At: 0.55, What: "planned stop of " + replaced, Do: func(ctx context.Context, p *scenario.Play) error { return p.StopHost(ctx, replaced) }},
+		{At: 0.66, What: replaced + " is back", Do: func(ctx context.Context, p *scenario.Play) error { return p.ReturnHost(ctx, replaced) }},
+		{At: 0.72, What: "switch to maintenance", Do: func(ctx context.Context, p *scenario.Play) error { return p.SwitchTo(ctx, scenario.Maintenance) }},
+		{At: 0.82, What: "planned stop of " + leaving, Do: func(ctx context.Context, p *scenario.Play) error { return p.StopHost(ctx, leaving) }},
 	}
-	looking, endLooking := context.WithCancel(ctx)
-	looks := make(chan []check.InForce, 1)
-	go func() { looks <- p.look(looking) }()
-
-	failed := p.playTimeline(callers, began, o.For)
-	wg.Wait()
-	endLooking()
-	got := <-looks
-	return p.judge(o, got, failed)
 }
 
-func (p *play) playTimeline(ctx context.Context, began time.Time, length time.Duration) error {
-	var failed error
-	for _, s := range timeline(p.layout) {
-		at := time.Duration(float64(length) * s.at)
-		if !sleepUntil(ctx, began.Add(at)) {
-			return failed
-		}
-		p.progress("%s", describe(time.Since(began), s.what))
-		p.rec.Mark(s.what)
-		if err := s.do(ctx, p); err != nil {
-			p.progress("  failed: %v", err)
-			failed = errors.Join(failed, err)
-		}
+func folderOf(o Options) (string, func(), error) {
+	if o.Folder != "" {
+		return o.Folder, func() {}, nil
 	}
-	return failed
-}
-
-func sleepUntil(ctx context.Context, t time.Time) bool {
-	timer := time.NewTimer(time.Until(t))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
+	folder, err := os.MkdirTemp("", "bergamotstall-demo-")
+	if err != nil {
+		return "", nil, errors.Wrap(err, "demo: folder")
 	}
+	return folder, func() { _ = os.RemoveAll(folder) }, nil
 }
 
-// judge prints the closing table and returns ErrPromise where one broke.
-func (p *play) judge(o Options, looks []check.InForce, failed error) error {
-	record := p.rec.Record()
-	record.Runs = p.ledgers()
-	record.Drains = p.record.Drains
-	record.Switches = p.record.Switches
-	record.Looks = looks
-	verdicts := check.All(record, check.DefaultLimits())
-	shares := check.Shares(record.Runs)
-
-	fmt.Fprintln(o.Out)
-	p.rec.Report().Write(o.Out)
-	for _, i := range check.Imbalances(shares) {
-		fmt.Fprintf(o.Out, "imbalance %-18s max/mean %.3f, variation %.3f over %d hosts\n", i.Service, i.MaxToMean, i.Variation, i.Hosts)
-	}
-	for _, s := range record.Switches {
-		fmt.Fprintf(o.Out, "switch to %-12s in force everywhere after %v\n", s.Preset, s.Took.Round(time.Millisecond))
-	}
-	fmt.Fprintln(o.Out)
-	report.WriteVerdicts(o.Out, verdicts)
-	if o.Report != "" {
-		page := report.Page{
-			Title: "Demo of " + p.layout.Name, Machine: report.Machine(), Summary: p.rec.Report(),
-			Seconds: p.rec.Seconds(), Marks: p.rec.Marks(), Shares: shares, Verdicts: verdicts,
-		}
-		if err := report.Write(o.Report, page); err != nil {
-			return err
-		}
-	}
-	if failed != nil {
-		return failed
+// stayUp prints where everything listens and waits.
+func stayUp(ctx context.Context, f *scenario.Fleet, w io.Writer) {
+	fmt.Fprintln(w, "\ncallers:")
+	for _, s := range f.Layout.Services {
+		fmt.Fprintf(w, "  bergamotctl call -ca %s 'https://%s/download?bytes=100'   (%s)\n", f.CallersCertificate(), s.Address(f.Net), s.Name)
+		fmt.Fprintf(w, "  bergamotctl load -ca %s -service %s %s\n", f.CallersCertificate(), s.Name, s.Address(f.Net))
 	}
-	if !check.Held(verdicts) {
-		return ErrPromise
+	identity, err := f.OperatorIdentity("demo")
+	if err != nil {
+		fmt.Fprintln(w, err)
+		return
 	}
-	return nil
+	fmt.Fprintf(w, "operators:\n  bergamotctl status -control %s -tls-authority %s -tls-certificate %s -tls-key %s\n",
+		strings.Join(f.OperatorAddresses(), ","), identity.Authority, identity.Certificate, identity.Key)
+	fmt.Fprintln(w, "stop with Ctrl-C")
+	<-ctx.Done()
 }
--- a/internal/demo/layout.go
+++ b/internal/scenario/layout.go
@@ -1,10 +1,11 @@
-// Package demo runs every role on loopback in one process: control VMs,
-// balancers, agents with target stand-ins, a fabric stand-in that sprays each
-// packet, and real HTTP/3 callers. It is what a newcomer runs first, and it
-// judges itself with package check.
-package demo
+// Package scenario runs the whole system on loopback, every VM with an address
+// of its own, between a fabric stand-in that sprays each packet and target
+// stand-ins, plays callers and changes, and has package check judge the run. The
+// demo runs it in one process, the integration tests with the built binaries.
+package scenario
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -12,19 +13,29 @@
 	"bergamotstall/internal/catalogue"
 )
 
+// Net is the /24 of 127.0.0.0/8 that a run uses, so that several can run beside
+// each other on one machine.
+type Net uint8
+
+// IP is the address of the VM with the given last octet.
+func (n Net) IP(last int) string { return fmt.Sprintf("127.0.%d.%d", n, last) }
+
+// Address is a port of the VM with the given last octet.
+func (n Net) Address(last, port int) string { return fmt.Sprintf("%s:%d", n.IP(last), port) }
+
 // Layout is one user's installation at its real size.
 type Layout struct {
 	Name        string
 	DataCentres []string
 	Slots       int
 	Connections int
-	Services    []LayoutService
-	// Callers' delay to the fabric, one way.
+	Services    []Service
+	// Delay is the callers' to the fabric, one way.
 	Delay time.Duration
 }
 
-// LayoutService is one service of a layout.
-type LayoutService struct {
+// Service is one service of a layout.
+type Service struct {
 	Name  string
 	Port  int
 	Hosts int
@@ -33,7 +44,7 @@
 }
 
 // ErrLayout is returned for a layout that isn't known.
-var ErrLayout = errors.New("demo: no such layout")
+var ErrLayout = errors.New("scenario: no such layout")
 
 const (
 	deskPort    = 8443
@@ -48,7 +59,7 @@
 			Name:        "vetrate-cortesi",
 			DataCentres: []string{"brescia-fornace", "brescia-bottega", "bergamo-deposito"},
 			Slots:       7, Connections: 2000, Delay: time.Millisecond,
-			Services: []LayoutService{
+			Services: []Service{
 				{Name: "commission-desk", Port: deskPort, Hosts: 7, Work: 10 * time.Millisecond},
 				{Name: "cartoon-archive", Port: archivePort, Hosts: 3, Work: 5 * time.Millisecond},
 			},
@@ -57,7 +68,7 @@
 			Name:        "odumase",
 			DataCentres: []string{"accra-a", "accra-b", "accra-c"},
 			Slots:       4, Connections: 2000, Delay: 3 * time.Millisecond,
-			Services: []LayoutService{
+			Services: []Service{
 				{Name: "casework", Port: deskPort, Hosts: 7, Work: 10 * time.Millisecond},
 				{Name: "map-documents", Port: archivePort, Hosts: 3, Work: 5 * time.Millisecond},
 			},
@@ -76,7 +87,7 @@
 }
 
 // Address is where callers reach the service.
-func (s LayoutService) Address(n Net) string { return n.address(1, s.Port) }
+func (s Service) Address(n Net) string { return n.Address(1, s.Port) }
 
 // Names of the layouts' presets.
 const (
@@ -85,6 +96,14 @@
 	Maintenance = "maintenance"
 )
 
+const (
+	// peakWeight is the last data centre's under the peak preset; 100 is usual.
+	peakWeight = 130
+	// queuePerSlot bounds the waiting requests at one agent.
+	queuePerSlot = 4
+	retryPercent = 10
+)
+
 // Definition is the layout's catalogue: under the peak preset the last data
 // centre takes more, under maintenance it takes no new work.
 func (l Layout) Definition(n Net) catalogue.Definition {
@@ -95,9 +114,9 @@
 	for _, s := range l.Services {
 		d.Services = append(d.Services, catalogue.ServiceSpec{
 			Name: s.Name, Address: s.Address(n), FlowLimit: l.Connections,
-			QueueLimit: 4 * l.Slots, RetryPercent: 10, KeyWindow: keyWindow,
+			QueueLimit: queuePerSlot * l.Slots, RetryPercent: retryPercent, KeyWindow: keyWindow,
 		})
-		peak.Services = append(peak.Services, weighed(s.Name, last, 130))
+		peak.Services = append(peak.Services, weighed(s.Name, last, peakWeight))
 		maintenance.Services = append(maintenance.Services, weighed(s.Name, last, 0))
 	}
 	d.Presets = []catalogue.Preset{{Name: Ordinary}, peak, maintenance}
