Relay: peers, claims, retries, the target's condition

Cause: one host alone can neither help its neighbours nor answer a resender. Change: framed questions and streamed hand-over between agents on one port; probes and routing (package place); claims around keyed submissions, with answers kept and replayed, and handover of keys at a planned stop; retries by package retry; condition of the target from its requests; events 400 to 407.

--- a/internal/claim/claimant.go
+++ b/internal/claim/claimant.go
@@ -52,12 +52,17 @@
 
 // Ask returns keepers to ask that weren't asked before.
 func (c *Claimant) Ask() []table.AgentNumber {
+	out := c.unasked()
+	c.asked = append(c.asked, out...)
+	return out
+}
+
+func (c *Claimant) unasked() []table.AgentNumber {
 	var out []table.AgentNumber
 	closed := c.closed()
 	for _, set := range c.sets {
 		for _, n := range append(top(set, nil), top(set, closed)...) {
-			if !slices.Contains(c.asked, n) {
-				c.asked = append(c.asked, n)
+			if !slices.Contains(c.asked, n) && !slices.Contains(out, n) {
 				out = append(out, n)
 			}
 		}
@@ -109,7 +114,7 @@
 	if c.won() {
 		return Won
 	}
-	if len(c.replies) < len(c.asked) || len(c.Ask()) > 0 {
+	if len(c.replies) < len(c.asked) || len(c.unasked()) > 0 {
 		return Pending
 	}
 	return c.lost()
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -83,6 +83,9 @@
 // Keys returns how many records are held.
 func (k *Keeper) Keys() int { return k.count }
 
+// Knows tells whether there is a record of the key.
+func (k *Keeper) Knows(key Key) bool { return len(k.records[key]) > 0 }
+
 // Claim votes for a try, or says what stands against it.
 func (k *Keeper) Claim(nowMS int64, r Request) Reply {
 	reply := Reply{Standing: k.claim(nowMS, r), Merged: k.mergedNow(nowMS)}
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -82,6 +82,16 @@
 	sayNow(w, req, u.Status, "outcome unknown: "+string(u.Reason)+"\n")
 }
 
+// sayMisuse answers a request that is wrong in itself; sending it again changes
+// nothing, so it carries neither Retry-After nor the header of refusals.
+func sayMisuse(w http.ResponseWriter, req *http.Request, reason Reason) {
+	status := http.StatusUnprocessableEntity
+	if reason == ReasonKeyBody {
+		status = http.StatusRequestEntityTooLarge
+	}
+	sayNow(w, req, status, string(reason)+"\n")
+}
+
 func sayNow(w http.ResponseWriter, req *http.Request, status int, text string) {
 	rc := http.NewResponseController(w)
 	if req.ProtoMajor == 1 {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -1,31 +1,38 @@
 package relay
 
 import (
+	"bytes"
 	"context"
-	"crypto/sha256"
 	"encoding/hex"
 	"net"
 	"net/http"
 	"strconv"
 	"time"
+
+	"bergamotstall/internal/claim"
 )
 
 const (
 	// maxDeadline bounds the time that a caller may ask for; a larger figure
 	// would overflow, and means no deadline in practice.
 	maxDeadline = 24 * time.Hour
-	callerSize  = 16
 )
 
 // call is one request on its way.
 type call struct {
 	request *http.Request
-	body    *countedBody
+	// body is the present attempt's; held is the whole body of a keyed
+	// submission.
+	body *attemptBody
+	held []byte
 	// ctx ends when the caller leaves or its deadline passes.
 	ctx    context.Context
 	cancel context.CancelFunc
-	// caller is the identity to which fairness applies.
-	caller string
+	ends   []func()
+	// caller is the identity to which fairness applies; credential is the hash
+	// to which idempotency keys belong.
+	caller     string
+	credential claim.Sum
 	// deadline is when the answer is of no more use, zero if never.
 	deadline time.Time
 	clock    func() time.Time
@@ -34,16 +41,12 @@
 }
 
 func (x *Relay) newCall(r *http.Request) *call {
-	c := &call{
-		request: r,
-		body:    &countedBody{ReadCloser: r.Body},
-		caller:  callerOf(r),
-		clock:   x.cfg.Clock,
-		safe:    safeMethod(r.Method),
-	}
+	c := &call{request: r, clock: x.cfg.Clock, safe: safeMethod(r.Method)}
+	c.credential, c.caller = identify(r)
 	if r.Body == nil {
-		c.body.ReadCloser = http.NoBody
+		r.Body = http.NoBody
 	}
+	c.newAttempt()
 	ms, err := strconv.ParseInt(r.Header.Get(HeaderDeadline), 10, 64)
 	if err != nil || ms > maxDeadline.Milliseconds() {
 		c.ctx, c.cancel = context.WithCancel(r.Context())
@@ -55,6 +58,32 @@
 	return c
 }
 
+func (c *call) onEnd(f func()) { c.ends = append(c.ends, f) }
+
+// end gives back what the call holds.
+func (c *call) end() {
+	c.cancel()
+	for _, f := range c.ends {
+		f()
+	}
+}
+
+// newAttempt gives the next attempt a body of its own. The one before can't
+// read any more from then on.
+func (c *call) newAttempt() {
+	if c.held != nil {
+		c.body = &attemptBody{source: bytes.NewReader(c.held)}
+		return
+	}
+	if c.body == nil || c.body.detach() {
+		c.body = &attemptBody{source: c.request.Body}
+	}
+}
+
+// resendable tells whether the request is still whole: held in memory, or
+// nothing of its body was asked for.
+func (c *call) resendable() bool { return c.held != nil || c.body.detach() }
+
 // safeMethod tells whether a request with this method may run twice. Only
 // methods that change nothing count (RFC 9110, 9.2.1): PUT and DELETE may be
 // repeated by the letter, but a second run after another's change undoes it.
@@ -62,18 +91,37 @@
 	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
 }
 
-// callerOf identifies a caller by its credential, or by its address where it
-// shows none. Many officers behind one address then share a turn.
-func callerOf(r *http.Request) string {
-	if auth := r.Header.Get("Authorization"); auth != "" {
-		sum := sha256.Sum256([]byte(auth))
-		return "auth " + hex.EncodeToString(sum[:callerSize])
+// repeatable tells whether running the request twice does no harm.
+func (c *call) repeatable() bool { return c.safe }
+
+// identify returns the hash of a caller's credential, and the name under which
+// it gets its fair share: the credential, or its address where it shows none.
+// Many officers behind one address then share a turn.
+func identify(r *http.Request) (claim.Sum, string) {
+	credential := r.Header.Get("Authorization")
+	if credential == "" && r.TLS != nil && len(r.TLS.PeerCertificates) > 0 {
+		credential = string(r.TLS.PeerCertificates[0].Raw)
+	}
+	if credential != "" {
+		s := sum(credential)
+		return s, "credential " + encodeHex(s[:])
 	}
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
-		return r.RemoteAddr
+		host = r.RemoteAddr
+	}
+	return claim.Sum{}, host
+}
+
+func encodeHex(b []byte) string { return hex.EncodeToString(b) }
+
+// parseSum reads a peer's formatSum; anything else is the zero sum.
+func parseSum(text string) claim.Sum {
+	b, err := hex.DecodeString(text)
+	if err != nil || len(b) != len(claim.Sum{}) {
+		return claim.Sum{}
 	}
-	return host
+	return claim.Sum(b)
 }
 
 func (c *call) timeLeft() (time.Duration, bool) {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"bergamotstall/internal/claim"
 	"bergamotstall/internal/metrics"
 )
 
@@ -12,7 +13,9 @@
 // retries.*, claims.* and peers.*.
 type counters struct{ set *metrics.Set }
 
-func (c counters) add(name string) { c.set.Counter("requests." + name).Add(1) }
+func (c counters) add(name string) { c.addN(name, 1) }
+
+func (c counters) addN(name string, n int64) { c.set.Counter("requests." + name).Add(n) }
 
 // publish shows the load of the moment.
 func (x *Relay) publish() {
@@ -20,6 +23,11 @@
 	set.Gauge("requests.in_flight", x.inFlight.Load)
 	set.Gauge("requests.running", func() int64 { return int64(x.gate.load().Running) })
 	set.Gauge("requests.waiting", func() int64 { return int64(x.gate.load().Waiting) })
+	set.Gauge("requests.keys_held", func() int64 {
+		held := 0
+		x.keep(func(k *claim.Keeper, _ int64) { held = k.Keys() })
+		return int64(held)
+	})
 	set.Gauge("requests.slots", func() int64 { return int64(x.gate.load().Slots) })
 }
 
--- /dev/null
+++ b/internal/relay/peer_test.go
@@ -0,0 +1,248 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bergamotstall/internal/standin/target"
+	"bergamotstall/internal/table"
+)
+
+// many sends n submissions to a host at once and returns what callers got.
+func (h *host) many(n int, prefix, body string, headers ...string) []reply {
+	out := make([]reply, n)
+	var wait sync.WaitGroup
+	for i := range n {
+		wait.Go(func() { out[i] = h.submit(fmt.Sprint(prefix, i), body, headers...) })
+	}
+	wait.Wait()
+	return out
+}
+
+// A burst at one host while the others are idle: callers don't wait for it, the
+// others take what has no slot here, whole and once.
+func TestBurstAtOneHostSpreadsOverPeers(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 4, target.Faults{Work: 300 * time.Millisecond}, Limits{Slots: 2})
+	body := strings.Repeat("note ", 20_000)
+	for i, got := range c.hosts[0].many(8, "r", body) {
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusOK)
+		is.Equal(c.runs(fmt.Sprint("r", i)), 1)
+	}
+	is.True(c.hosts[0].count("peers.handed-over") > 0)
+	elsewhere := 0
+	for _, h := range c.hosts[1:] {
+		elsewhere += len(h.target.Runs())
+	}
+	is.True(elsewhere >= 2)
+}
+
+// A peer that has no slot left when the request arrives refuses it before it has
+// read the body; the caller's submission goes on to the next agent, whole.
+func TestPeerRefusesBeforeTheBody(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, target.Faults{}, Limits{Slots: 1})
+	c.hosts[0].relay.Drain()
+	c.hosts[1].target.Kill() // reachable agent, unreachable target
+	body := strings.Repeat("note ", 50_000)
+	for i := range 5 {
+		id := fmt.Sprint("r", i)
+		got := c.hosts[0].submit(id, body)
+		is.Equal(got.status, http.StatusOK)
+		is.Equal(got.header.Get(target.HostHeader), "h3")
+		is.Equal(c.runs(id), 1)
+	}
+}
+
+// The target drains with a feed, a download and a submission open. All three go
+// on to their end; new requests on the same connection run elsewhere.
+func TestDrainCutsNothing(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 2, target.Faults{Work: 300 * time.Millisecond}, Limits{Slots: 4})
+	h := c.hosts[0]
+	var download, submission reply
+	var wait sync.WaitGroup
+	ctx, leave := context.WithCancel(context.Background())
+	wait.Go(func() { download = h.ask(context.Background(), "GET", "/download?bytes=3000000&seed=4", "d", "") })
+	wait.Go(func() { submission = h.submit("s", "note") })
+	wait.Go(func() { h.ask(ctx, "GET", "/feed", "f", "") })
+	for _, id := range []string{"d", "s", "f"} {
+		eventually(t, id, func() bool { return h.target.Run(id).Runs == 1 })
+	}
+	h.relay.Drain()
+	got := h.submit("new", "note")
+	is.Equal(got.header.Get(target.HostHeader), "h2")
+	eventually(t, "feed alone", func() bool { return h.relay.InFlight() == 1 })
+	leave()
+	wait.Wait()
+	is.Equal(download.trailer.Get(target.SumTrailer), target.ContentSum("desk", 4, 3000000))
+	is.Equal(len(download.body), 3000000)
+	is.Equal(submission.status, http.StatusOK)
+	eventually(t, "end", func() bool { return h.relay.InFlight() == 0 })
+}
+
+// An address has passed to another agent, of this service or another. What was
+// meant for the old one is refused before it reaches a target.
+func TestReusedAddressRefusesOthersRequests(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 2, target.Faults{}, Limits{Slots: 4})
+	c.hosts[0].relay.Drain()
+	c.hosts[1].relay.agent.Store(77) // what the table calls agent 2 is 77 now
+	got := c.hosts[0].submit("a", "note")
+	is.Equal(got.notRun(), string(ReasonWrongPeer))
+	is.Equal(c.seen("a"), 0)
+
+	c.hosts[1].relay.agent.Store(2)
+	c.hosts[1].relay.cfg.Service = "archive"
+	got = c.hosts[0].submit("b", "note")
+	is.Equal(got.notRun(), string(ReasonWrongPeer))
+	is.Equal(c.seen("b"), 0)
+}
+
+// Requests fail while the health endpoint says well: after a few, callers are
+// sent elsewhere and see no more errors. Then the target is mended, and gets
+// requests again without anybody's doing.
+func TestHealthSaysWellWhileRequestsFail(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, target.Faults{}, Limits{Slots: 4})
+	h := c.hosts[0]
+	h.target.SetFaults(target.Faults{Cut: target.CutBefore, Health: target.HealthSaysWell})
+	failed := 0
+	for i := range 50 {
+		if got := h.submit(fmt.Sprint("s", i), "note"); got.status != http.StatusOK {
+			is.Equal(got.unknown(), string(ReasonCut))
+			failed++
+		}
+	}
+	is.True(failed >= 3)
+	is.True(failed <= 10) // three to learn it, then a trial a second
+	is.True(h.relay.ill())
+
+	h.target.SetFaults(target.Faults{})
+	eventually(t, "own answers", func() bool {
+		return h.ask(context.Background(), "GET", "/download?bytes=1", "g", "").header.Get(target.HostHeader) == "h1"
+	})
+	is.True(!h.relay.ill())
+}
+
+// The health endpoint says ill while requests pass: requests decide, nothing
+// moves.
+func TestHealthSaysIllWhileRequestsPass(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 2, target.Faults{Health: target.HealthSaysIll}, Limits{Slots: 4})
+	h := c.hosts[0]
+	h.submit("first", "note")
+	h.relay.lookAtHealth(context.Background())
+	for i := range 20 {
+		is.Equal(h.submit(fmt.Sprint("s", i), "note").header.Get(target.HostHeader), "h1")
+	}
+	is.True(h.count("health.contradicted") > 0)
+}
+
+// The load endpoints tell of ten seconds ago: an idle past. Overflow isn't sent
+// by them, so the full hosts get none and callers see no refusal.
+func TestLoadReportsTenSecondsOld(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 4, target.Faults{LoadAge: 10 * time.Second, Work: 200 * time.Millisecond, Shed: target.ShedFull}, Limits{Slots: 2})
+	for _, h := range c.hosts { // the endpoints' last look: idle
+		h.ask(context.Background(), "GET", "/load", "l", "")
+	}
+	var wait sync.WaitGroup
+	for _, i := range []int{1, 2} { // these two fill up
+		wait.Go(func() { c.hosts[i].many(2, fmt.Sprint("fill", i, "-"), "x") })
+		eventually(t, "full", func() bool { return c.hosts[i].relay.gate.free() == 0 })
+	}
+	for _, got := range c.hosts[0].many(4, "r", "note") {
+		is.Equal(got.status, http.StatusOK)
+	}
+	wait.Wait()
+	for _, h := range c.hosts {
+		for _, r := range h.target.Runs() {
+			is.Equal(r.Seen, max(r.Runs, 1)) // no target had to shed
+		}
+	}
+}
+
+// A download meets a target that sheds, a submission too. The download is tried
+// elsewhere; the submission isn't, since a 503 doesn't say what ran before it,
+// unless the operator has vouched for that.
+func TestShedAnswers(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 2, target.Faults{}, Limits{Slots: 4})
+	h := c.hosts[0]
+	h.target.SetFaults(target.Faults{Shed: target.ShedAlways, Health: target.HealthSaysWell})
+	got := h.ask(context.Background(), "GET", "/download?bytes=10", "d", "")
+	is.Equal(got.header.Get(target.HostHeader), "h2")
+	got = h.submit("s", "note")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(got.notRun(), "") // a target has seen it
+	is.Equal(c.seen("s"), 1)
+
+	h.relay.cfg.ShedUnrun = true
+	got = h.keyed("k", "note")
+	is.Equal(got.header.Get(target.HostHeader), "h2")
+	is.Equal(c.runs("k"), 1)
+}
+
+// Everything at once: full queues, short deadlines, cut and shedding targets, a
+// drained host, resends of refused submissions. Whatever a caller was told was
+// not run, no target has seen; nothing ran twice.
+func TestNotRunMeansNoTargetSawIt(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, target.Faults{Work: 20 * time.Millisecond}, Limits{Slots: 2, Queue: 3})
+	c.hosts[1].target.SetFaults(target.Faults{Work: 20 * time.Millisecond, Cut: target.CutAfter})
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	got := map[string]reply{}
+	for i := range 240 {
+		wait.Go(func() {
+			id := fmt.Sprint("r", i)
+			headers := []string{"Authorization", fmt.Sprint("caller ", i%7)}
+			if i%3 == 0 {
+				headers = append(headers, HeaderDeadline, "40")
+			}
+			if i%2 == 0 {
+				headers = append(headers, HeaderKey, id)
+			}
+			r := c.hosts[i%3].submit(id, "note", headers...)
+			mu.Lock()
+			defer mu.Unlock()
+			got[id] = r
+		})
+		if i == 120 {
+			c.hosts[2].relay.Drain()
+		}
+	}
+	wait.Wait()
+	refused := 0
+	for id, r := range got {
+		is.NoErr(r.err)
+		is.True(c.runs(id) <= 1)
+		if r.notRun() != "" {
+			refused++
+			is.Equal(c.seen(id), 0)
+		}
+	}
+	is.True(refused > 10) // there was something to check
+}
+
+// Two hosts drain, one by its own word, one by the table's. A caller of the first
+// gets its answers from the third; the second takes nothing new.
+func TestDrainingPeerGetsNothingNew(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, target.Faults{}, Limits{Slots: 4})
+	c.table.Targets[1].State = table.Draining
+	c.publish()
+	c.hosts[0].relay.Drain()
+	for i := range 10 {
+		is.Equal(c.hosts[0].submit(fmt.Sprint("r", i), "x").header.Get(target.HostHeader), "h3")
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,7 @@
 
 import (
 	"crypto/tls"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bergamotstall/internal/admit"
+	"bergamotstall/internal/claim"
 	"bergamotstall/internal/metrics"
 	"bergamotstall/internal/retry"
 	"bergamotstall/internal/table"
@@ -36,6 +38,12 @@
 	// TLS protects connections between agents; nil is plain TCP.
 	TLS    *PeerTLS
 	Limits Limits
+	// ShedUnrun is the operator's word that a target which answers 503 has run
+	// nothing of the request. Such submissions then go to other targets.
+	ShedUnrun bool
+	// TableAge tells how long ago control last confirmed the table; nil means
+	// that it is always fresh.
+	TableAge func() time.Duration
 	// Clock tells the time; nil means time.Now.
 	Clock func() time.Time
 	// Log takes numbered events; nil discards them.
@@ -118,6 +126,19 @@
 
 	budgetMu sync.Mutex
 	budget   *retry.Budget
+
+	keeper     keeper
+	nonce      atomic.Uint64
+	keyedBytes atomic.Int64
+	frames     *frameClient
+	peerHTTP   *http.Transport
+	background sync.WaitGroup
+
+	condition  condition
+	healthWell atomic.Bool
+	complaints complaints
+
+	peerAddress atomic.Value // string
 }
 
 // New returns a relay that takes requests at once. Peers reach it after Run.
@@ -148,6 +169,8 @@
 		Queue:       cfg.Limits.Queue,
 	})
 	x.target = newTargetClient(cfg.Target, cfg.Limits)
+	x.frames = newFrameClient(cfg.Service, cfg.TLS)
+	x.peerHTTP = newPeerTransport(cfg.TLS, cfg.Limits)
 	x.publish()
 	return x, nil
 }
@@ -192,8 +215,15 @@
 		x.budgetMu.Unlock()
 	}
 	x.gate.configure(cfg)
+	x.resetKeeper(claim.Lookback(x.window()))
+	x.frames.forget(func(n table.AgentNumber) bool {
+		peer, ok := t.Target(n)
+		return ok && peer.State != table.Retired
+	})
 }
 
+func nobody(table.AgentNumber) bool { return false }
+
 // Drain sends new requests to other agents from now on. Requests in progress
 // and waiting ones go on.
 func (x *Relay) Drain() { x.draining.Store(true) }
--- /dev/null
+++ b/internal/relay/route.go
@@ -0,0 +1,206 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"bergamotstall/internal/claim"
+	"bergamotstall/internal/place"
+	"bergamotstall/internal/ramp"
+	"bergamotstall/internal/retry"
+	"bergamotstall/internal/table"
+)
+
+// maxProbeRounds is near peers, then far ones.
+const maxProbeRounds = 2
+
+// route is where an attempt goes: to a peer, or here.
+type route struct {
+	here bool
+	peer table.Target
+}
+
+// run makes attempts until one has a final result.
+func (x *Relay) run(c *call) result {
+	x.fresh()
+	var tried []table.AgentNumber
+	next, ok := x.route(c, nil)
+	if !ok {
+		return refused(ReasonDraining)
+	}
+	for made := 1; ; made++ {
+		res := x.attempt(c, next, &tried)
+		if res.outcome == 0 || c.ctx.Err() != nil {
+			return res
+		}
+		if res.outcome == retry.Shed && !c.repeatable() && !x.cfg.ShedUnrun {
+			return res
+		}
+		if !x.again(c, res, made) {
+			return res
+		}
+		if next, ok = x.route(c, tried); !ok {
+			x.count.add("retries.no-other-target")
+			return res
+		}
+		x.count.add("retries.made")
+		res.close()
+	}
+}
+
+func (x *Relay) attempt(c *call, r route, tried *[]table.AgentNumber) result {
+	c.newAttempt()
+	if r.here {
+		*tried = append(*tried, x.self())
+		return x.runHere(c)
+	}
+	*tried = append(*tried, r.peer.Agent)
+	return x.runAt(c, r.peer)
+}
+
+// again asks the retry decision, and counts its reason where it says no.
+func (x *Relay) again(c *call, res result, made int) bool {
+	a := retry.Attempt{
+		Outcome:    res.outcome,
+		Repeatable: c.repeatable() || (res.outcome == retry.Shed && x.cfg.ShedUnrun),
+		Made:       made,
+		Deadline:   x.deadlineOf(c),
+		Need:       x.gate.load().Hold,
+	}
+	if !c.resendable() {
+		x.count.add("retries.refused.body-sent")
+		return false
+	}
+	x.budgetMu.Lock()
+	reason, ok := x.budget.Again(x.now(), a)
+	x.budgetMu.Unlock()
+	if !ok {
+		x.count.add("retries.refused." + string(reason))
+	}
+	return ok
+}
+
+func (x *Relay) fresh() {
+	x.budgetMu.Lock()
+	defer x.budgetMu.Unlock()
+	x.budget.Fresh(x.now())
+}
+
+// route picks the next place: here if there is a free slot, else a peer with
+// room, else here to wait, else any peer that takes work.
+func (x *Relay) route(c *call, tried []table.AgentNumber) (route, bool) {
+	here := !x.drained() && !slices.Contains(tried, x.self())
+	well := here && x.fit(c)
+	if well && x.gate.free() > 0 {
+		return route{here: true}, true
+	}
+	peers := x.peers()
+	if peer, ok := x.probe(c.ctx, peers, tried); ok {
+		return route{peer: peer}, true
+	}
+	if here {
+		return route{here: true}, true
+	}
+	if peer, ok := x.anyPeer(peers, tried); ok {
+		return route{peer: peer}, true
+	}
+	return route{}, false
+}
+
+// peers returns the other agents that may get new work.
+func (x *Relay) peers() []place.Peer {
+	t := x.table.Load()
+	if t == nil {
+		return nil
+	}
+	own, ok := t.Target(x.self())
+	if !ok {
+		return nil
+	}
+	now := x.cfg.Clock().UnixMilli()
+	var out []place.Peer
+	for _, p := range t.Targets {
+		if p.Service == own.Service && p.Agent != own.Agent && p.State == table.Active {
+			out = append(out, place.Peer{Agent: p.Agent, Near: p.DataCentre == own.DataCentre, Share: ramp.Share(p, now)})
+		}
+	}
+	return out
+}
+
+// probe asks a few peers for their load, near ones first, and returns the best
+// that has room.
+func (x *Relay) probe(ctx context.Context, peers []place.Peer, tried []table.AgentNumber) (table.Target, bool) {
+	t := x.table.Load()
+	for round := range maxProbeRounds {
+		drawn := place.Draw(x.rng(), peers, round == 0, tried)
+		loads := x.loadsOf(ctx, t, drawn)
+		if i := place.Best(loads); i >= 0 {
+			return t.Target(drawn[i].Agent)
+		}
+	}
+	return table.Target{}, false
+}
+
+// loadsOf asks peers at the same time. One that doesn't answer counts as closed.
+func (x *Relay) loadsOf(ctx context.Context, t *table.Table, peers []place.Peer) []place.Load {
+	loads := make([]place.Load, len(peers))
+	var wait sync.WaitGroup
+	for i, p := range peers {
+		wait.Go(func() {
+			var r LoadReport
+			x.count.add("peers.probes")
+			if err := x.tell(ctx, t, p.Agent, kindProbe, &Probe{}, &r); err != nil {
+				x.count.add("peers.probes-failed")
+				loads[i] = place.Load{Closed: true}
+				return
+			}
+			loads[i] = place.Load{
+				Slots: r.Slots, Running: r.Running, Waiting: r.Waiting,
+				Hold: time.Duration(r.HoldMicros) * time.Microsecond, Closed: r.Closed,
+			}
+		})
+	}
+	wait.Wait()
+	return loads
+}
+
+func (x *Relay) loadReport() *LoadReport {
+	l := x.gate.load()
+	return &LoadReport{
+		Slots: l.Slots, Running: l.Running, Waiting: l.Waiting,
+		HoldMicros: l.Hold.Microseconds(), Closed: x.drained() || x.ill(),
+	}
+}
+
+// anyPeer is for a host that can't take the request itself while all peers are
+// full: one of them lets it wait.
+func (x *Relay) anyPeer(peers []place.Peer, tried []table.AgentNumber) (table.Target, bool) {
+	t := x.table.Load()
+	for _, near := range []bool{true, false} {
+		if drawn := place.Draw(x.rng(), peers, near, tried); len(drawn) > 0 {
+			return t.Target(drawn[0].Agent)
+		}
+	}
+	return table.Target{}, false
+}
+
+// rng returns a source of randomness for one decision.
+func (x *Relay) rng() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// answered is a target's answer. A shed one may be tried elsewhere.
+func answered(resp *http.Response, p *pass) result {
+	r := result{resp: resp, pass: p}
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		r.outcome = retry.Shed
+	}
+	return r
+}
+
+// isKeyed tells whether the claim rules apply.
+func (c *call) isKeyed() bool { return !c.safe && c.request.Header.Get(HeaderKey) != "" }
+
+func formatSum(s claim.Sum) string { return encodeHex(s[:]) }
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -10,15 +10,19 @@
 	"bergamotstall/internal/retry"
 )
 
-// result is how one attempt ended. Exactly one of resp, refusal and unknown is
-// set.
+// result is how one attempt ended. Exactly one of resp, refusal, unknown and
+// misuse is set.
 type result struct {
 	resp    *http.Response
 	refusal *Refusal
 	unknown *Unknown
+	// misuse says what is wrong with the request itself.
+	misuse Reason
+	// outcome is set where another attempt may be asked for.
 	outcome retry.Outcome
 	// pass is held by an answer of this host's own target.
-	pass *pass
+	pass   *pass
+	cancel context.CancelFunc
 }
 
 // close gives back what an attempt holds.
@@ -26,6 +30,9 @@
 	if r.resp != nil {
 		_ = r.resp.Body.Close()
 	}
+	if r.cancel != nil {
+		r.cancel()
+	}
 	if r.pass != nil {
 		r.pass.leave()
 	}
@@ -37,18 +44,10 @@
 	defer x.inFlight.Add(-1)
 	x.count.add("taken")
 	c := x.newCall(r)
-	defer c.cancel()
+	defer c.end()
 	x.answer(w, c, x.run(c))
 }
 
-// run makes attempts until one has a final result.
-func (x *Relay) run(c *call) result {
-	if x.drained() {
-		return result{refusal: &Refusal{Reason: ReasonDraining, Status: statusRefused}, outcome: retry.NotRun}
-	}
-	return x.runHere(c)
-}
-
 // answer tells the caller what came of its request.
 func (x *Relay) answer(w http.ResponseWriter, c *call, r result) {
 	defer r.close()
@@ -59,6 +58,9 @@
 	case r.unknown != nil:
 		x.count.add("unknown." + string(r.unknown.Reason))
 		sayUnknown(w, c.request, r.unknown)
+	case r.misuse != "":
+		x.count.add("refused." + string(r.misuse))
+		sayMisuse(w, c.request, r.misuse)
 	default:
 		x.pass(w, c, r)
 	}
@@ -101,17 +103,45 @@
 
 // runHere runs the request at the target beside this agent.
 func (x *Relay) runHere(c *call) result {
-	ctx, cancel := context.WithTimeout(c.ctx, x.cfg.Limits.QueueTime)
-	p, refusal := x.gate.enter(ctx, c.caller, x.deadlineOf(c))
-	cancel()
+	if c.isKeyed() {
+		return x.runKeyed(c)
+	}
+	p, refusal := x.enter(c)
 	if refusal != nil {
 		return result{refusal: refusal, outcome: retry.NotRun}
 	}
-	resp, got, err := x.target.handOver(c.outgoing(c.ctx, x.cfg.Target), c.safe)
+	return x.handOver(c.ctx, c, p)
+}
+
+// enter waits for a slot.
+func (x *Relay) enter(c *call) (*pass, *Refusal) {
+	ctx, cancel := context.WithTimeout(c.ctx, x.cfg.Limits.QueueTime)
+	defer cancel()
+	return x.gate.enter(ctx, c.caller, x.deadlineOf(c))
+}
+
+// handOver sends the request to the target, and gives the slot back where no
+// answer comes.
+func (x *Relay) handOver(ctx context.Context, c *call, p *pass) result {
+	if c.held != nil {
+		c.newAttempt() // the body was held after the attempt began
+	}
+	resp, got, err := x.target.handOver(c.outgoing(ctx, x.cfg.Target), c.safe)
+	if err != nil && got.Reused && c.safe && ctx.Err() == nil {
+		// The target closed an idle connection: the connection's fault, not the
+		// target's, so it gets the request on a new one.
+		x.count.add("retries.stale-connection")
+		c.newAttempt()
+		resp, got, err = sendOnce(x.target.fresh, c.outgoing(ctx, x.cfg.Target))
+	}
 	if err == nil {
-		return result{resp: resp, pass: p}
+		x.note(true)
+		return answered(resp, p)
 	}
 	p.leave()
+	if ctx.Err() == nil {
+		x.note(false)
+	}
 	if !got.Handed {
 		return result{refusal: x.notHanded(c), outcome: retry.NotRun}
 	}
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -6,8 +6,11 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 const (
@@ -105,17 +108,33 @@
 	return b.body.Close()
 }
 
-// countedBody notes whether any of a caller's body was taken: a request whose
-// body is partly gone can't be sent again.
-type countedBody struct {
-	io.ReadCloser
-	taken atomic.Bool
+// errDetached is returned to an attempt that is over.
+var errDetached = errors.New("relay: the attempt is over")
+
+// attemptBody is the request's body as one attempt sees it. A failed attempt may
+// still be reading in the background; the next must not share its reads.
+type attemptBody struct {
+	mu       sync.Mutex
+	source   io.Reader
+	started  bool // some of the body was asked for
+	empty    bool // and there was none
+	detached bool
 }
 
-func (b *countedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if n > 0 {
-		b.taken.Store(true)
+func (b *attemptBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	if b.detached {
+		b.mu.Unlock()
+		return 0, errDetached
+	}
+	first := !b.started
+	b.started = true
+	b.mu.Unlock()
+	n, err := b.source.Read(p)
+	if first && n == 0 && err == io.EOF {
+		b.mu.Lock()
+		b.empty = true
+		b.mu.Unlock()
 	}
 	return n, err
 }
@@ -123,7 +142,15 @@
 // Close leaves the caller's body to the server that owns it. A failed attempt
 // closes its body, and HTTP/1.1's server then reads what is still to come before
 // the refusal may go out.
-func (b *countedBody) Close() error { return nil }
+func (b *attemptBody) Close() error { return nil }
+
+// detach ends the attempt's reading; it tells whether the body is still whole.
+func (b *attemptBody) detach() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.detached = true
+	return !b.started || b.empty
+}
 
 // outgoing builds the request as the next hop gets it.
 func (c *call) outgoing(ctx context.Context, address string) *http.Request {
@@ -141,6 +168,12 @@
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 	}
+	if c.held != nil {
+		out.ContentLength = int64(len(c.held))
+	}
+	if c.request.ContentLength == 0 && c.held == nil {
+		out.Body = http.NoBody // sendOnce wraps it
+	}
 	copyHeader(out.Header, c.request.Header)
 	if left, ok := c.timeLeft(); ok {
 		out.Header.Set(HeaderDeadline, formatMS(left))
--- /dev/null
+++ b/internal/relay/votes.go
@@ -0,0 +1,198 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/tinylib/msgp/msgp"
+
+	"bergamotstall/internal/claim"
+	"bergamotstall/internal/events"
+	"bergamotstall/internal/table"
+	"bergamotstall/internal/wire"
+)
+
+const (
+	// sweepEvery is how often a keeper forgets what is out of date.
+	sweepEvery = 10 * time.Second
+	// handoverTime bounds the handover to one peer at a planned stop.
+	handoverTime = 5 * time.Second
+)
+
+// keeper guards this agent's votes.
+type keeper struct {
+	mu    sync.Mutex
+	agent table.AgentNumber
+	votes *claim.Keeper
+}
+
+// keep runs one step of the keeper; it does nothing before the agent has its
+// number.
+func (x *Relay) keep(step func(k *claim.Keeper, nowMS int64)) {
+	x.keeper.mu.Lock()
+	defer x.keeper.mu.Unlock()
+	if x.keeper.votes != nil {
+		step(x.keeper.votes, x.now().Milliseconds())
+	}
+}
+
+// resetKeeper starts a keeper that knows nothing where the agent has a new
+// number, and follows the service's key window.
+func (x *Relay) resetKeeper(lookback time.Duration) {
+	x.keeper.mu.Lock()
+	defer x.keeper.mu.Unlock()
+	agent := x.self()
+	if agent == 0 {
+		return
+	}
+	if x.keeper.agent != agent {
+		x.keeper.agent = agent
+		x.keeper.votes = claim.NewKeeper(agent, claim.Limits{}, lookback)
+	}
+	x.keeper.votes.SetLookback(lookback)
+}
+
+// window returns how long this service's keys are valid.
+func (x *Relay) window() time.Duration {
+	if t := x.table.Load(); t != nil {
+		if s, ok := t.ServiceNamed(x.cfg.Service); ok && s.KeyWindowMS > 0 {
+			return time.Duration(s.KeyWindowMS) * time.Millisecond
+		}
+	}
+	return claim.DefaultWindow
+}
+
+// vote answers a claimant.
+func (x *Relay) vote(r claim.Request) claim.Reply {
+	reply := claim.Reply{Standing: claim.Closed}
+	if !claim.MayVote(x.table.Load(), x.self(), x.tableAge()) {
+		x.count.add("claims.vote-stale")
+		return reply
+	}
+	x.keep(func(k *claim.Keeper, nowMS int64) { reply = k.Claim(nowMS, r) })
+	if reply.Standing == claim.Full {
+		x.count.add("claims.vote-full")
+		x.complain(events.ClaimsFull)
+	}
+	return reply
+}
+
+func (x *Relay) tableAge() time.Duration {
+	if x.cfg.TableAge == nil {
+		return 0
+	}
+	return x.cfg.TableAge()
+}
+
+// heard is one keeper's reply on its way to the claimant.
+type heard struct {
+	from  table.AgentNumber
+	reply *claim.Reply
+}
+
+// claim asks keepers until the try is decided.
+func (x *Relay) claim(ctx context.Context, r claim.Request, t *table.Table, rows []claim.Row) (*claim.Claimant, claim.Verdict) {
+	lookback := claim.Lookback(x.window())
+	try := claim.NewClaimant(r, rows, x.cfg.Clock().UnixMilli(), lookback.Milliseconds())
+	replies := make(chan heard, len(rows))
+	begun := time.Now()
+	defer func() { x.count.addN("claims.micros", time.Since(begun).Microseconds()) }()
+	for {
+		for _, n := range try.Ask() {
+			go func() { replies <- heard{n, x.askKeeper(ctx, t, n, r)} }()
+		}
+		if v := try.Verdict(); v != claim.Pending {
+			return try, v
+		}
+		h := <-replies
+		try.Hear(h.from, h.reply)
+	}
+}
+
+// askKeeper returns a keeper's reply, nil where none comes.
+func (x *Relay) askKeeper(ctx context.Context, t *table.Table, n table.AgentNumber, r claim.Request) *claim.Reply {
+	if n == x.self() {
+		reply := x.vote(r)
+		return &reply
+	}
+	var reply claim.Reply
+	if err := x.tell(ctx, t, n, kindClaim, &r, &reply); err != nil {
+		x.count.add("claims.keeper-silent")
+		return nil
+	}
+	return &reply
+}
+
+// tell sends one message to a peer and waits for its answer.
+func (x *Relay) tell(ctx context.Context, t *table.Table, n table.AgentNumber, kind wire.Kind, m msgp.Marshaler, answer msgp.Unmarshaler) error {
+	to, ok := t.Target(n)
+	if !ok {
+		return errWrongPeer
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	return x.frames.call(ctx, to, kind, m, answer)
+}
+
+// tellAll tells everyone who may hold a vote how a try ended, in the
+// background: callers don't wait for it.
+func (x *Relay) tellAll(try *claim.Claimant, kind wire.Kind, m msgp.Marshaler, own func(*claim.Keeper, int64)) {
+	t := x.table.Load()
+	for _, n := range try.Asked() {
+		if n == x.self() {
+			x.keep(own)
+			continue
+		}
+		x.background.Go(func() {
+			if err := x.tell(context.Background(), t, n, kind, m, &Done{}); err != nil {
+				x.count.add("claims.keeper-silent")
+			}
+		})
+	}
+}
+
+func (x *Relay) releaseKey(try *claim.Claimant) {
+	r := claim.Release{Key: try.Request().Key, ID: try.Request().ID}
+	x.tellAll(try, kindRelease, &r, func(k *claim.Keeper, nowMS int64) { k.Release(nowMS, r) })
+}
+
+func (x *Relay) finishKey(try *claim.Claimant, standing claim.Standing, answer *claim.Answer) {
+	f := claim.Finish{Request: try.Request(), Standing: standing, Answer: answer}
+	x.tellAll(try, kindFinish, &f, func(k *claim.Keeper, nowMS int64) { k.Finish(nowMS, f) })
+}
+
+// handOverKeys closes the keeper and gives what it knows to the service's other
+// agents. Without it, keys that two stopped agents kept are refused until the
+// lookback is over.
+func (x *Relay) handOverKeys() {
+	t := x.table.Load()
+	if t == nil || x.self() == 0 {
+		return
+	}
+	var h claim.Handover
+	x.keep(func(k *claim.Keeper, nowMS int64) { h = k.Close(nowMS) })
+	own, _ := t.Target(x.self())
+	var wait sync.WaitGroup
+	for _, peer := range t.TargetsOf(own.Service) {
+		if peer.Agent != own.Agent && peer.State != table.Retired {
+			wait.Go(func() { x.handOverTo(peer, &h) })
+		}
+	}
+	wait.Wait()
+	events.Log(x.log, events.ClaimsHandedOver, logrus.Fields{"keys": len(h.Records)})
+}
+
+func (x *Relay) handOverTo(peer table.Target, h *claim.Handover) {
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTime)
+	defer cancel()
+	var taken claim.Taken
+	err := x.frames.call(ctx, peer, kindHandover, h, &taken)
+	if err == nil && taken.OK {
+		x.count.add("claims.handovers")
+		return
+	}
+	x.count.add("claims.handovers-failed")
+	events.Log(x.log, events.ClaimsNotHandedOver, logrus.Fields{"agent": peer.Agent, "host": peer.Host, "error": err})
+}
