--- /dev/null
+++ b/internal/catalogue/keys.go
@@ -0,0 +1,147 @@
+package catalogue
+
+import (
+	"fmt"
+	"time"
+
+	"bergamotstall/internal/keys"
+	"bergamotstall/internal/table"
+)
+
+// Rotation takes three steps, each a command of its own, so that no process
+// ever meets a key it doesn't know: prepare hands the new generation to all,
+// sign starts its use, drop ends the acceptance of older ones. One step that
+// did all would break flows at every balancer whose table is a moment behind.
+// Package keys has the rules; the state adds when each step was taken.
+//
+// MinAcceptance is how long a generation is accepted after another signs: open
+// flows carry connection IDs of their generation for hours.
+const MinAcceptance = 24 * time.Hour
+
+// String returns the step as operators type it.
+func (s KeyStep) String() string {
+	switch s {
+	case KeyPrepare:
+		return "prepare"
+	case KeySign:
+		return "sign"
+	case KeyDrop:
+		return "drop"
+	case KeyFirst:
+		return "first"
+	}
+	return "unknown step"
+}
+
+func (c *Catalogue) rotateKeys(r *RotateKeys) Outcome {
+	switch r.Step {
+	case KeyPrepare:
+		return c.prepareKeys(r.Keys)
+	case KeyFirst:
+		return c.firstKeys(r.Keys)
+	case KeySign:
+		return c.signKeys()
+	case KeyDrop:
+		return c.dropKeys(r.Early)
+	}
+	return c.outcome(NotValid, "a step of a rotation is prepare, sign or drop")
+}
+
+// whole tells whether a generation has every key at its size.
+func whole(k *table.KeySet) bool {
+	return k != nil && len(k.ConnID) == 16 && len(k.Envelope) > 0 && len(k.Reset) == 32 &&
+		len(k.Token) == 32 && len(k.Hash) == 16
+}
+
+func (c *Catalogue) firstKeys(set *table.KeySet) Outcome {
+	if len(c.state.Keys) > 0 {
+		return c.outcome(Refused, "the cluster has keys; use prepare")
+	}
+	return c.addKeys(set)
+}
+
+func (c *Catalogue) prepareKeys(set *table.KeySet) Outcome {
+	if len(c.state.Keys) == 0 {
+		return c.outcome(Refused, "the cluster has no keys as yet")
+	}
+	return c.addKeys(set)
+}
+
+func (c *Catalogue) addKeys(set *table.KeySet) Outcome {
+	if !whole(set) {
+		return c.outcome(NotValid, "the new generation lacks a key")
+	}
+	next, err := keys.Add(c.keySets(), *set)
+	if err != nil {
+		return c.outcome(Refused, err.Error())
+	}
+	c.takeKeys(next)
+	return c.outcome(Done, fmt.Sprintf("generation %d handed out", next[len(next)-1].Generation))
+}
+
+func (c *Catalogue) signKeys() Outcome {
+	next, err := keys.Promote(c.keySets())
+	if err != nil {
+		return c.outcome(Refused, err.Error())
+	}
+	c.takeKeys(next)
+	return c.outcome(Done, fmt.Sprintf("generation %d signs", next[len(next)-1].Generation))
+}
+
+func (c *Catalogue) dropKeys(early bool) Outcome {
+	sets := c.keySets()
+	n := len(sets)
+	switch {
+	case n < 2:
+		return c.outcome(Refused, "only one generation is accepted")
+	case sets[n-1].Pending:
+		return c.outcome(Refused, keys.ErrRotationRuns.Error())
+	case !early && !c.due(c.state.Keys[n-1].SignsSinceMS, MinAcceptance.Milliseconds()):
+		return c.outcome(Refused, fmt.Sprintf("generation %d has signed for less than %v; open flows still carry older ones", sets[n-1].Generation, MinAcceptance))
+	}
+	for _, old := range sets[:n-1] {
+		var err error
+		if sets, err = keys.Retire(sets, old.Generation); err != nil {
+			return c.outcome(Refused, err.Error())
+		}
+	}
+	c.takeKeys(sets)
+	return c.outcome(Done, fmt.Sprintf("only generation %d is accepted", sets[0].Generation))
+}
+
+// keySets are the generations as the table has them, oldest first.
+func (c *Catalogue) keySets() []table.KeySet {
+	out := make([]table.KeySet, 0, len(c.state.Keys))
+	for _, k := range c.state.Keys {
+		out = append(out, k.Set)
+	}
+	return out
+}
+
+// takeKeys replaces the generations and notes when one began to sign.
+func (c *Catalogue) takeKeys(sets []table.KeySet) {
+	next := make([]KeyRecord, 0, len(sets))
+	for _, set := range sets {
+		record := KeyRecord{Set: set}
+		for _, old := range c.state.Keys {
+			if old.Set.Generation == set.Generation {
+				record.PreparedAt, record.SignsSinceMS = old.PreparedAt, old.SignsSinceMS
+			}
+		}
+		if !set.Pending && record.SignsSinceMS == 0 {
+			record.SignsSinceMS = max(c.state.ClockMS, 1)
+		}
+		next = append(next, record)
+	}
+	c.state.Keys = next
+	c.altered = true
+}
+
+// stampKeys notes the revision that first carries a prepared generation.
+func (c *Catalogue) stampKeys() {
+	for i := range c.state.Keys {
+		if k := &c.state.Keys[i]; k.PreparedAt == 0 {
+			k.PreparedAt = c.state.Revision
+		}
+	}
+}
--- /dev/null
+++ b/internal/catalogue/read.go
@@ -0,0 +1,153 @@
+package catalogue
+
+import (
+	"slices"
+	"time"
+
+	"bergamotstall/internal/spread"
+	"bergamotstall/internal/table"
+)
+
+// Summary is the catalogue at a glance.
+type Summary struct {
+	Version  uint64
+	Revision table.Revision
+	InForce  string
+}
+
+// Summary returns version, revision and the preset in force.
+func (c *Catalogue) Summary() Summary {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return Summary{Version: c.state.Version, Revision: c.state.Revision, InForce: c.state.InForce}
+}
+
+// Services returns the services in the operator's order.
+func (c *Catalogue) Services() []Service {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return slices.Clone(c.state.Services)
+}
+
+// Presets returns the presets in the operator's order.
+func (c *Catalogue) Presets() []Preset {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return slices.Clone(c.state.Presets)
+}
+
+// Agents returns every agent that is remembered, by number.
+func (c *Catalogue) Agents() []Agent {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return slices.Clone(c.state.Agents)
+}
+
+// Balancers returns the balancers by name, silent ones among them.
+func (c *Catalogue) Balancers() []BalancerRecord {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return slices.Clone(c.state.Balancers)
+}
+
+// Drains returns the drained hosts, sorted.
+func (c *Catalogue) Drains() []string {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return slices.Clone(c.state.Drains)
+}
+
+// Keys returns the generations of the cluster keys, oldest first.
+func (c *Catalogue) Keys() []KeyRecord {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return slices.Clone(c.state.Keys)
+}
+
+// Audit returns the last records of operators' commands, oldest first.
+func (c *Catalogue) Audit() []Record {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return slices.Clone(c.state.Audit)
+}
+
+// Fleet returns the last records of announcements and silences, oldest first.
+func (c *Catalogue) Fleet() []Record {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return slices.Clone(c.state.Fleet)
+}
+
+// SweepDue tells whether time alone makes a step due at now, so that the leader
+// proposes a Sweep. Without it, a quiet cluster would never retire an agent.
+func (c *Catalogue) SweepDue(now time.Time) bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	nowMS := now.UnixMilli()
+	for i := range c.state.Agents {
+		a := &c.state.Agents[i]
+		switch {
+		case a.Retired && nowMS-a.RetiredAtMS >= RetiredKept.Milliseconds():
+			return true
+		case a.Silence == Out && !a.Retired && nowMS-a.SilentAtMS >= retireAfter.Milliseconds():
+			return true
+		}
+	}
+	return slices.ContainsFunc(c.state.Balancers, func(b BalancerRecord) bool {
+		return b.Silence == Out && nowMS-b.SilentAtMS >= silenceWindow.Milliseconds()
+	})
+}
+
+// HeardVia returns the subscribers that are in touch, as far as the state knows,
+// via one of the control VMs that the function picks.
+func (c *Catalogue) HeardVia(vm func(string) bool) (agents, balancers []spread.Silence) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	for i := range c.state.Agents {
+		if a := &c.state.Agents[i]; !a.Retired && a.Silence == Heard && vm(a.Via) {
+			agents = append(agents, a.report())
+		}
+	}
+	for i := range c.state.Balancers {
+		if b := &c.state.Balancers[i]; b.Silence == Heard && vm(b.Via) {
+			balancers = append(balancers, b.report())
+		}
+	}
+	return agents, balancers
+}
+
+func (a *Agent) report() spread.Silence {
+	return spread.Silence{Name: a.Name, Agent: a.Number, Incarnation: a.Incarnation, Attachment: a.Attachment}
+}
+
+func (b *BalancerRecord) report() spread.Silence {
+	return spread.Silence{Name: b.Name, Incarnation: b.Incarnation, Attachment: b.Attachment}
+}
+
+// BelievableSuspects returns, as new reports, the silences that weren't believed
+// and would be at now: at most one for each service, and one balancer's, since
+// each that goes out changes the count. A suspicion ends when its process
+// announces itself anywhere, so what is left has been silent ever since.
+func (c *Catalogue) BelievableSuspects(now time.Time) (agents, balancers []spread.Silence) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	nowMS := max(now.UnixMilli(), c.state.ClockMS)
+	seen := make(map[table.ServiceID]bool)
+	for i := range c.state.Agents {
+		a := &c.state.Agents[i]
+		if a.Silence != Suspect || a.Retired || seen[a.Service] {
+			continue
+		}
+		seen[a.Service] = true
+		if c.agentWave(a.Service, nowMS).believe() {
+			agents = append(agents, a.report())
+		}
+	}
+	for _, b := range c.state.Balancers {
+		if b.Silence == Suspect && c.balancerWave(nowMS).believe() {
+			balancers = append(balancers, b.report())
+			break
+		}
+	}
+	return agents, balancers
+}
