--- a/internal/events/request.go
+++ b/internal/events/request.go
@@ -7,7 +7,7 @@
 	TargetIll           = define(400, logrus.WarnLevel, "target doesn't answer")
 	TargetWell          = define(401, logrus.InfoLevel, "target answers again")
 	HealthContradicts   = define(402, logrus.WarnLevel, "health endpoint contradicts requests")
-	PeerRefused         = define(403, logrus.WarnLevel, "connection of another agent refused")
+	AgentRefused        = define(403, logrus.WarnLevel, "connection of another agent refused")
 	ClaimsHandedOver    = define(404, logrus.InfoLevel, "claims handed over")
 	ClaimsNotHandedOver = define(405, logrus.WarnLevel, "claims not handed over to an agent")
 	ClaimsFull          = define(406, logrus.WarnLevel, "no room for more idempotency keys")
--- a/internal/relay/listen.go
+++ b/internal/relay/listen.go
@@ -84,7 +84,7 @@
 	if cfg := s.relay.cfg.TLS; cfg != nil {
 		secured := tls.Server(conn, cfg.Server)
 		if err := secured.Handshake(); err != nil {
-			events.Log(s.relay.log, events.PeerRefused, logrus.Fields{"peer": conn.RemoteAddr().String(), "error": err})
+			events.Log(s.relay.log, events.AgentRefused, logrus.Fields{"peer": conn.RemoteAddr().String(), "error": err})
 			_ = conn.Close()
 			return
 		}
