--- /dev/null
+++ b/integration/process_test.go
@@ -0,0 +1,125 @@
+package integration
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/goccy/go-yaml"
+
+	"bergamotstall/agent"
+	"bergamotstall/balancer"
+	"bergamotstall/control"
+	"bergamotstall/internal/scenario"
+)
+
+// stopTime bounds a graceful stop; an agent's own grace is shorter.
+const stopTime = 40 * time.Second
+
+// processes launches the built binary with a settings file for each role.
+type processes struct {
+	t      *testing.T
+	folder string
+
+	mu  sync.Mutex
+	all []*process
+}
+
+func newProcesses(t *testing.T, folder string) *processes {
+	l := &processes{t: t, folder: folder}
+	t.Cleanup(l.killAll)
+	return l
+}
+
+// killAll ends what a failed test left running.
+func (l *processes) killAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.all {
+		_ = p.Kill()
+	}
+}
+
+func (l *processes) Control(s control.Settings) (scenario.Process, error) {
+	return l.start("control", s.Name, s)
+}
+
+func (l *processes) Balancer(s balancer.Settings) (scenario.Process, error) {
+	return l.start("balancer", s.Name, s)
+}
+
+func (l *processes) Agent(s agent.Settings) (scenario.Process, error) {
+	return l.start("agent", s.Host, s)
+}
+
+func (l *processes) start(role, name string, settings any) (scenario.Process, error) {
+	data, err := yaml.Marshal(settings)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	file := filepath.Join(l.folder, role+"-"+name+".yaml")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	log, err := os.OpenFile(filepath.Join(l.folder, role+"-"+name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "log")
+	}
+	defer log.Close()
+	cmd := exec.Command(binary, role, "-settings", file)
+	cmd.Stdout, cmd.Stderr = log, log
+	// The kernel ends the process should the test itself be killed.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return nil, errors.Wrap(err, "start")
+	}
+	p := &process{name: role + " " + name, cmd: cmd, ended: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		close(p.ended)
+	}()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = append(l.all, p)
+	return p, nil
+}
+
+// process is one role in a process of its own.
+type process struct {
+	name  string
+	cmd   *exec.Cmd
+	ended chan struct{}
+	err   error
+}
+
+// Stop sends SIGTERM and waits for a clean exit.
+func (p *process) Stop() error {
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		return errors.Wrap(err, p.name)
+	}
+	select {
+	case <-p.ended:
+	case <-time.After(stopTime):
+		return errors.Errorf("%s: no end %v after SIGTERM", p.name, stopTime)
+	}
+	if p.err != nil {
+		return errors.Wrap(p.err, p.name)
+	}
+	return nil
+}
+
+// Kill sends SIGKILL; it is no error if the process has ended.
+func (p *process) Kill() error {
+	_ = p.cmd.Process.Kill()
+	<-p.ended
+	return nil
+}
+
+// freeze and thaw stop and continue the process, as a VM that is paused.
+func (p *process) freeze() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
+func (p *process) thaw() error   { return p.cmd.Process.Signal(syscall.SIGCONT) }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -63,10 +63,13 @@
 	wg.Wait()
 }
 
-// oneFlow opens a flow and plays it. The end of the run doesn't cut requests in
-// progress: they have the request timeout to end.
+// oneFlow opens a flow and plays it. The end of the run doesn't cut downloads
+// and submissions in progress: they have the request timeout to end.
 func oneFlow(ctx context.Context, spec Spec, rec *Recorder, name string, rng *rand.Rand) {
 	f, err := open(ctx, spec, rec, name, rng)
+	if ctx.Err() != nil && err != nil {
+		return // the run ended in the middle of the handshake
+	}
 	if err != nil {
 		rec.notOpened(reasonOf(err))
 		sleep(ctx, dialPause)
