--- a/cmd/bergamotctl/options.go
+++ b/cmd/bergamotctl/options.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"crypto/tls"
 	"flag"
 	"fmt"
 	"os/user"
@@ -23,15 +22,8 @@
 // toolSettings is the tool's optional YAML file.
 type toolSettings struct {
 	// Control are the operator addresses of the control VMs, "ip:port".
-	Control []string  `yaml:"control"`
-	TLS     *tlsFiles `yaml:"tls"`
-}
-
-// tlsFiles name the files that bergamotctl keys made.
-type tlsFiles struct {
-	CA          string `yaml:"ca"`
-	Certificate string `yaml:"certificate"`
-	Key         string `yaml:"key"`
+	Control []string      `yaml:"control"`
+	TLS     keys.Settings `yaml:"tls"`
 }
 
 // Problems implements settings.Checked.
@@ -43,11 +35,7 @@
 	for i, a := range s.Control {
 		c.Address(fmt.Sprintf("control[%d]", i), a)
 	}
-	if s.TLS != nil {
-		c.File("tls.ca", s.TLS.CA)
-		c.File("tls.certificate", s.TLS.Certificate)
-		c.File("tls.key", s.TLS.Key)
-	}
+	s.TLS.Check(&c, "tls")
 	return c.Problems()
 }
 
@@ -56,7 +44,7 @@
 	flags    *flag.FlagSet
 	file     string
 	control  string
-	files    tlsFiles
+	files    keys.Settings
 	operator string
 	json     bool
 	timeout  time.Duration
@@ -70,8 +58,8 @@
 	o.flags.SetOutput(c.errOut)
 	o.flags.StringVar(&o.file, "settings", "", "YAML `file` with control addresses and TLS files")
 	o.flags.StringVar(&o.control, "control", "", "operator `addresses` of the control VMs, ip:port,ip:port")
-	o.flags.StringVar(&o.files.CA, "tls-ca", "", "`file` of the certificate authority")
-	o.flags.StringVar(&o.files.Certificate, "tls-cert", "", "`file` of the operator's certificate")
+	o.flags.StringVar(&o.files.Authority, "tls-authority", "", "`file` of the certificate authority")
+	o.flags.StringVar(&o.files.Certificate, "tls-certificate", "", "`file` of the operator's certificate")
 	o.flags.StringVar(&o.files.Key, "tls-key", "", "`file` of the operator's key")
 	o.flags.StringVar(&o.operator, "operator", userName(), "operator's `name` where control runs without TLS")
 	o.flags.BoolVar(&o.json, "json", false, "print JSON")
@@ -132,9 +120,7 @@
 	if o.control != "" {
 		s.Control = strings.Split(o.control, ",")
 	}
-	if o.files != (tlsFiles{}) {
-		s.TLS = &o.files
-	}
+	s.TLS = o.files
 	switch {
 	case o.file != "":
 		var f toolSettings
@@ -144,7 +130,7 @@
 		if s.Control == nil {
 			s.Control = f.Control
 		}
-		if s.TLS == nil {
+		if s.TLS.Absent() {
 			s.TLS = f.TLS
 		}
 	default:
@@ -154,19 +140,13 @@
 		}
 	}
 	o.client = &operator.Client{Addresses: s.Control, Operator: o.operator}
-	if s.TLS == nil {
+	if s.TLS.Absent() {
 		return nil
 	}
-	conf, err := s.TLS.config()
-	o.client.TLS = conf
-	return err
-}
-
-func (f *tlsFiles) config() (*tls.Config, error) {
-	files := keys.Files{Authority: f.CA, Certificate: f.Certificate, Key: f.Key}
-	store, err := keys.Load(files, logrus.StandardLogger(), metrics.New())
+	store, err := keys.Load(s.TLS.Files(), logrus.StandardLogger(), metrics.New())
 	if err != nil {
-		return nil, err
+		return err
 	}
-	return store.Client(keys.Control), nil
+	o.client.TLS = store.Client(keys.Control)
+	return nil
 }
