GOAWAY: flows accepted in its moment are kept, idle ones get longer; faster change of a silent balancer

Cause: the HTTP/3 library closes a server whose books are empty, and with it a flow accepted in the same moment; a caller that got the GOAWAY late had its next request cut after a second. Change: a server stops accepting 100 ms before it goes away; idle flows are closed after 5 s, not 1 s; answers leave a silent balancer after 200 ms.

--- a/internal/flow/paths.go
+++ b/internal/flow/paths.go
@@ -10,10 +10,11 @@
 
 const (
 	// balancerSilence is how long a flow's answers go by one balancer without a
-	// packet of the flow coming back by it. Callers acknowledge within 25 ms and
-	// a round trip, so that a second of silence means that the balancer is gone
-	// or the caller has nothing to say; both make another balancer as good.
-	balancerSilence = time.Second
+	// packet of the flow coming in. Callers acknowledge within 25 ms and a round
+	// trip, so that more silence means that the balancer is gone, or the caller
+	// far or quiet; all make another balancer as good. Until then each answer and
+	// each of its retransmissions is lost to a dead one.
+	balancerSilence = 200 * time.Millisecond
 	// peerFresh is how recently a balancer must have been heard of, by any flow,
 	// to be preferred for a flow whose own balancer fell silent.
 	peerFresh = 2 * time.Second
--- a/internal/flow/serving.go
+++ b/internal/flow/serving.go
@@ -18,10 +18,16 @@
 	// goAwayDelay leaves the handshakes that were accepted before a drain time
 	// to end, so that their callers get a flow and then a GOAWAY on it.
 	goAwayDelay = time.Second
-	// goAwayGrace is how long a flow without requests is kept after GOAWAY.
-	// Requests on their way cross the GOAWAY and are told so by HTTP/3 within a
-	// round trip; callers that don't close by themselves are closed then.
-	goAwayGrace = time.Second
+	// goAwayGrace is how long a flow without requests is kept after GOAWAY, for
+	// callers that don't close by themselves. A request that crosses the GOAWAY
+	// is rejected by name, and its caller knows that it didn't run; one that
+	// crosses the end of the flow would be left in doubt. The grace outlasts a
+	// GOAWAY that was lost twice or whose caller had no processor for seconds.
+	goAwayGrace = 5 * time.Second
+	// acceptSettle is how long after a server stopped accepting its last flow
+	// may still be on the way into its books; the library closes a server whose
+	// books are empty, and that flow with it.
+	acceptSettle = 100 * time.Millisecond
 	// drainPoll is how often flows that go away are looked at.
 	drainPoll = 100 * time.Millisecond
 	// unusedTimeout ends flows on which no request was open for so long. The
@@ -42,7 +48,11 @@
 
 // server is an HTTP/3 server with its flows.
 type server struct {
-	http  *http3.Server
+	http *http3.Server
+	// accepting ends when the server takes no more flows.
+	accepting context.Context
+	settle    context.CancelFunc
+
 	mu    sync.Mutex
 	conns map[*served]struct{}
 }
@@ -65,6 +75,7 @@
 
 func (s *serving) newServer() *server {
 	x := &server{conns: make(map[*served]struct{})}
+	x.accepting, x.settle = context.WithCancel(context.Background())
 	x.http = &http3.Server{
 		Handler:     http.HandlerFunc(s.serve),
 		IdleTimeout: unusedTimeout,
@@ -110,7 +121,26 @@
 func serveListener(x *server, l *quic.Listener) {
 	// It returns once the server goes away or the listener is closed; both are
 	// ordered.
-	_ = x.http.ServeListener(l)
+	_ = x.http.ServeListener(stoppable{l, x.accepting})
+}
+
+// stoppable is a listener that one server can stop accepting from while others
+// go on.
+type stoppable struct {
+	*quic.Listener
+	accepting context.Context
+}
+
+// Accept implements http3.QUICListener.
+func (s stoppable) Accept(ctx context.Context) (*quic.Conn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(s.accepting, cancel)()
+	conn, err := s.Listener.Accept(ctx)
+	if err != nil && s.accepting.Err() != nil {
+		return nil, quic.ErrServerClosed
+	}
+	return conn, err
 }
 
 // goAway sends GOAWAY on all flows and closes each when it has no request left.
@@ -122,9 +152,12 @@
 		go serveListener(s.current, l)
 	}
 	s.mu.Unlock()
+	old.settle()
 	events.Log(s.endpoint.config.Log, events.FlowGoAway, logrus.Fields{"flows": old.count()})
-	go func() { _ = old.http.Shutdown(context.Background()) }()
-	go old.closeUnused(s.endpoint.closed)
+	time.AfterFunc(acceptSettle, func() {
+		go old.closeUnused(s.endpoint.closed)
+		_ = old.http.Shutdown(context.Background())
+	})
 }
 
 func (x *server) count() int {
--- a/internal/steer/chooser_test.go
+++ b/internal/steer/chooser_test.go
@@ -19,8 +19,6 @@
 	return out
 }
 
-func even(int) float64 { return 100 }
-
 // uneven gives shares from 50 to 150.
 func uneven(i int) float64 { return 50 + float64(i*37%101) }
 
