--- a/internal/spread/client_stream.go
+++ b/internal/spread/client_stream.go
@@ -43,7 +43,11 @@
 	defer func() { _ = conn.Close() }()
 
 	s := &clientStream{client: c, conn: conn, address: address}
-	opening := hello{Role: c.cfg.Role, Announcement: c.nextAnnouncement(), Have: c.heldRevision(), Digest: digest(c.held)}
+	standing := c.standing()
+	opening := hello{
+		Role: c.cfg.Role, Announcement: c.nextAnnouncement(),
+		Have: standing.Revision, Digest: digest(c.held), InForce: standing.InForce,
+	}
 	if err := s.send(kindHello, &opening); err != nil {
 		return err
 	}
@@ -156,9 +160,7 @@
 		if err := f.Decode(&n); err != nil {
 			return err
 		}
-		s.client.mu.Lock()
-		s.client.number = n.Agent
-		s.client.mu.Unlock()
+		s.client.numbered(n.Agent)
 		if s.client.cfg.Numbered != nil {
 			s.client.cfg.Numbered(n.Agent)
 		}
@@ -175,6 +177,14 @@
 	return errors.Wrapf(errProtocol, "kind %d", f.Kind)
 }
 
+// numbered notes the number. The table may have shown the target before.
+func (c *Client) numbered(n table.AgentNumber) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.number = n
+	c.offered = c.offers(c.held)
+}
+
 // beat takes the server's heartbeat.
 func (s *clientStream) beat(b beat) error {
 	age := time.Duration(b.ContactAgeMS) * time.Millisecond
@@ -244,11 +254,13 @@
 	if s.mismatches >= mismatchLimit {
 		return errMismatch
 	}
-	return s.send(kindResync, &beat{Revision: c.heldRevision()})
+	b := c.standing()
+	return s.send(kindResync, &b)
 }
 
 func (s *clientStream) ack() error {
-	return s.send(kindBeat, &beat{Revision: s.client.heldRevision()})
+	b := s.client.standing()
+	return s.send(kindBeat, &b)
 }
 
 func (c *Client) countUpdate(u *update) {
