New flows follow ramps: shares move on between tables

Cause: a target that joined or a preset that was switched got its whole share of new flows at once. Change: steer takes shares from package ramp at steps of 500 ms, and builds anew only the choosers of services with a moving target.

--- a/balancer/forwarder.go
+++ b/balancer/forwarder.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
@@ -124,7 +125,7 @@
 	if old != nil {
 		before = old.steering
 	}
-	m, err := steer.Compile(t, steer.Weight, before)
+	m, err := steer.Compile(t, time.Now(), before)
 	if err != nil {
 		f.counts.tableRefused.Add(1)
 		events.Log(f.config.Log, events.BalancerTableRefused, logrus.Fields{"revision": t.Revision, "error": err})
--- a/balancer/watch.go
+++ b/balancer/watch.go
@@ -8,7 +8,8 @@
 	"bergamotstall/internal/steer"
 )
 
-// watch probes the agents that don't answer, until the forwarder is closed.
+// watch moves shares on and probes the agents that don't answer, until the
+// forwarder is closed.
 func (f *Forwarder) watch() {
 	tick := time.NewTicker(reach.Tick)
 	defer tick.Stop()
@@ -17,13 +18,28 @@
 		case <-f.done:
 			return
 		case now := <-tick.C:
-			if v := f.view.Load(); v != nil {
+			if v := f.reshare(now); v != nil {
 				v.steering.Probes(now, reach.Balancer, func(a *steer.Agent) { f.probe(v.steering, a) })
 			}
 		}
 	}
 }
 
+// reshare puts the shares of now in force, and returns the view.
+func (f *Forwarder) reshare(now time.Time) *view {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := f.view.Load()
+	if v == nil {
+		return nil
+	}
+	if m := v.steering.Reshare(now); m != v.steering {
+		v = &view{steering: m, fronts: v.fronts}
+		f.view.Store(v)
+	}
+	return v
+}
+
 func (f *Forwarder) probe(m *steer.Map, a *steer.Agent) {
 	h := envelope.Header{
 		Kind:       envelope.Probe,
--- a/internal/flow/deflect_test.go
+++ b/internal/flow/deflect_test.go
@@ -42,7 +42,7 @@
 	}
 	t.Targets[4].State = table.Draining
 	t.Targets[5].State = table.Retired
-	m, err := steer.Compile(t, steer.Weight, nil)
+	m, err := steer.Compile(t, start, nil)
 	if err != nil {
 		panic(err)
 	}
--- a/internal/flow/endpoint.go
+++ b/internal/flow/endpoint.go
@@ -199,7 +199,7 @@
 	if v := e.view.Load(); v != nil {
 		before = v.steering
 	}
-	m, err := steer.Compile(t, steer.Weight, before)
+	m, err := steer.Compile(t, time.Now(), before)
 	if err != nil {
 		e.counts.tableRefused.Add(1)
 		events.Log(e.config.Log, events.FlowTableRefused, logrus.Fields{"revision": t.Revision, "error": err})
--- a/internal/flow/watch.go
+++ b/internal/flow/watch.go
@@ -10,8 +10,8 @@
 	"bergamotstall/internal/table"
 )
 
-// watch probes the agents that balancers asked about, until the endpoint is
-// closed.
+// watch moves shares on and probes the agents that balancers asked about, until
+// the endpoint is closed.
 func (e *Endpoint) watch() {
 	tick := time.NewTicker(reach.Tick)
 	defer tick.Stop()
@@ -20,7 +20,7 @@
 		case <-e.closed:
 			return
 		case now := <-tick.C:
-			if v := e.view.Load(); v != nil {
+			if v := e.reshare(now); v != nil {
 				v.steering.Probes(now, reach.Witness, func(a *steer.Agent) {
 					e.counts.probes.Add(1)
 					e.sendSign(v, envelope.Probe, a.Number, a.Tunnel)
@@ -30,6 +30,25 @@
 	}
 }
 
+// reshare puts the shares of now in force, and returns the view.
+func (e *Endpoint) reshare(now time.Time) *view {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	v := e.view.Load()
+	if v == nil {
+		return nil
+	}
+	m := v.steering.Reshare(now)
+	if m == v.steering {
+		return v
+	}
+	out := *v
+	out.steering = m
+	out.service, _ = m.ServiceNamed(e.config.Service)
+	e.view.Store(&out)
+	return &out
+}
+
 const (
 	// askAgain is when a held packet is looked at once more: the probes have
 	// been answered by then, or the agent is judged unreachable.
--- a/internal/steer/map.go
+++ b/internal/steer/map.go
@@ -50,9 +50,13 @@
 	Services   []*Service
 	Balancers  []netip.AddrPort
 
-	agents map[table.AgentNumber]*Agent
-	newest table.AgentNumber
-	k0, k1 uint64
+	table *table.Table
+	// step is the time that the shares were taken at.
+	step     int64
+	services map[table.ServiceID]*Service
+	agents   map[table.AgentNumber]*Agent
+	newest   table.AgentNumber
+	k0, k1   uint64
 }
 
 const hashKeySize = 16
@@ -64,11 +68,17 @@
 	ErrAddress = errors.New("steer: bad address")
 )
 
-// Compile prepares a table. shares gives each target's part of its service's
-// new flows. What old, which may be nil, knows of agents' answers is taken over.
-// A table that can't be steered by is refused whole.
-func Compile(t *table.Table, shares func(table.Target) float64, old *Map) (*Map, error) {
-	m := &Map{Revision: t.Revision, agents: make(map[table.AgentNumber]*Agent, len(t.Targets))}
+// Compile prepares a table, with the shares that targets have at the given time.
+// What old, which may be nil, knows of agents' answers is taken over. A table
+// that can't be steered by is refused whole.
+func Compile(t *table.Table, now time.Time, old *Map) (*Map, error) {
+	m := &Map{
+		Revision: t.Revision,
+		table:    t,
+		step:     stepAt(now),
+		services: make(map[table.ServiceID]*Service, len(t.Services)),
+		agents:   make(map[table.AgentNumber]*Agent, len(t.Targets)),
+	}
 	if err := m.setKeys(t); err != nil {
 		return nil, err
 	}
@@ -85,13 +95,10 @@
 			return nil, err
 		}
 	}
-	m.setChoosers(t, shares)
+	m.setChoosers(m.Services)
 	return m, nil
 }
 
-// Weight is the share of a target whose weight is in force at once.
-func Weight(x table.Target) float64 { return float64(x.Weight) }
-
 func (m *Map) setKeys(t *table.Table) error {
 	current, err := t.CurrentKeys()
 	if err != nil {
@@ -128,7 +135,9 @@
 	if err != nil {
 		return errors.Wrapf(ErrAddress, "service %s: %q", s.Name, s.Address)
 	}
-	m.Services = append(m.Services, &Service{ID: s.ID, Name: s.Name, Address: address, Limit: s.FlowLimit})
+	x := &Service{ID: s.ID, Name: s.Name, Address: address, Limit: s.FlowLimit}
+	m.Services = append(m.Services, x)
+	m.services[s.ID] = x
 	return nil
 }
 
@@ -147,23 +156,6 @@
 	return nil
 }
 
-func (m *Map) setChoosers(t *table.Table, shares func(table.Target) float64) {
-	for _, s := range m.Services {
-		var active, live []Candidate
-		for _, x := range t.Targets {
-			if x.Service != s.ID || x.State == table.Retired {
-				continue
-			}
-			live = append(live, Candidate{Agent: x.Agent, Share: 1})
-			if x.State == table.Active {
-				active = append(active, Candidate{Agent: x.Agent, Share: shares(x)})
-			}
-		}
-		s.chooser = NewChooser(active)
-		s.fallback = NewChooser(live)
-	}
-}
-
 // Agent returns what is known of an agent.
 func (m *Map) Agent(number table.AgentNumber) (*Agent, bool) {
 	a, ok := m.agents[number]
@@ -205,12 +197,8 @@
 
 // ServiceByID returns the service with the given ID.
 func (m *Map) ServiceByID(id table.ServiceID) (*Service, bool) {
-	for _, s := range m.Services {
-		if s.ID == id {
-			return s, true
-		}
-	}
-	return nil, false
+	s, ok := m.services[id]
+	return s, ok
 }
 
 // Chooser returns the service's chooser of new flows.
--- a/internal/steer/route_test.go
+++ b/internal/steer/route_test.go
@@ -20,6 +20,9 @@
 	}
 }
 
+// settled is long after all changes of the tables here.
+var settled = time.Unix(1_000_000, 0)
+
 var someCaller = netip.MustParseAddrPort("192.0.2.7:4444")
 
 func keySet(generation uint8) table.KeySet {
@@ -53,7 +56,7 @@
 }
 
 func compiled(is *is.I, t *table.Table) *Map {
-	m, err := Compile(t, Weight, nil)
+	m, err := Compile(t, settled, nil)
 	is.NoErr(err)
 	return m
 }
@@ -139,7 +142,7 @@
 
 	// A newer table keeps what is known.
 	tab.Revision++
-	newer, err := Compile(tab, Weight, m)
+	newer, err := Compile(tab, settled, m)
 	is.NoErr(err)
 	same, _ := newer.Agent(1)
 	is.True(same.Reach.Down())
@@ -177,11 +180,11 @@
 	} {
 		tab := twoServices()
 		spoil(tab)
-		if _, err := Compile(tab, Weight, nil); err == nil {
+		if _, err := Compile(tab, settled, nil); err == nil {
 			t.Errorf("%s: accepted", name)
 		}
 	}
-	_, err := Compile(twoServices(), Weight, nil)
+	_, err := Compile(twoServices(), settled, nil)
 	is.NoErr(err)
 }
 
@@ -215,3 +218,78 @@
 		})
 	}
 }
+
+// A target that joins gets a tenth of its share at first and the whole of it ten
+// seconds later, though no newer table comes; flows of services without a change
+// are placed as before.
+func TestSharesMoveWithoutANewTable(t *testing.T) {
+	is := is.New(t)
+	tab := twoServices()
+	tab.Targets[1].State = table.Active
+	joined := time.Unix(5000, 0)
+	tab.Targets[1].JoinedAtMS = joined.UnixMilli()
+	m, err := Compile(tab, joined, nil)
+	is.NoErr(err)
+	share := func(m *Map) float64 {
+		desk, _ := m.ServiceNamed("desk")
+		got := tallyFlows(func(flow uint64) table.AgentNumber {
+			agent, _ := desk.Chooser().Choose(flow)
+			return agent
+		}, 20_000)
+		return float64(got[2]) / float64(got[1])
+	}
+	is.True(share(m) > 0.08 && share(m) < 0.12)
+	is.Equal(m.Reshare(joined.Add(stepMS/2*time.Millisecond)), m)
+	half := m.Reshare(joined.Add(5 * time.Second))
+	is.True(share(half) > 0.5 && share(half) < 0.6)
+	whole := half.Reshare(joined.Add(10 * time.Second))
+	is.True(share(whole) > 0.97 && share(whole) < 1.03)
+	is.Equal(whole.Reshare(joined.Add(time.Minute)), whole)
+	before, _ := m.ServiceNamed("archive")
+	after, _ := whole.ServiceNamed("archive")
+	is.Equal(before, after)
+	again, ok := whole.ServiceByID(1)
+	is.True(ok && again.Chooser().Len() == 2)
+}
+
+// BenchmarkCompile and BenchmarkReshare have a table of 12,000 hosts and 2,100
+// services, of which one has a target that joined.
+func BenchmarkCompile(b *testing.B) {
+	tab := largeTable()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Compile(tab, settled, nil); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkReshare(b *testing.B) {
+	tab := largeTable()
+	tab.Targets[0].JoinedAtMS = settled.UnixMilli()
+	m, err := Compile(tab, settled, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Reshare(settled.Add(time.Second))
+	}
+}
+
+func largeTable() *table.Table {
+	const hosts, services = 12_000, 2_100
+	t := &table.Table{Revision: 1, Keys: []table.KeySet{keySet(1)}}
+	for i := range services {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 443)
+		t.Services = append(t.Services, table.Service{ID: table.ServiceID(i + 1), Name: address.String(), Address: address.String()})
+	}
+	for i := range hosts {
+		tunnel := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(i >> 8), byte(i)}), 9)
+		t.Targets = append(t.Targets, table.Target{
+			Agent: table.AgentNumber(i + 1), Service: table.ServiceID(i%services + 1),
+			Tunnel: tunnel.String(), Weight: 100, State: table.Active,
+		})
+	}
+	return t
+}
