--- a/internal/relay/keyed.go
+++ b/internal/relay/keyed.go
@@ -96,9 +96,43 @@
 	return res
 }
 
-// claimFor makes one try for the request's key. Without a claim the result is
-// final.
+// A try that finds no quorum is made again: while an agent stops as planned, its
+// keeper no longer votes, and may not be passed over before the others have its
+// records, which takes up to some hundred milliseconds with thousands of keys.
+// Without another try each planned stop turns a handful of submissions away.
+// Where two keepers of a key are dead, the tries cost half a second and end in
+// the same refusal.
+const (
+	claimTries = 5
+	claimPause = 100 * time.Millisecond
+)
+
+// claimFor tries for the request's key. Without a claim the result is final.
 func (x *Relay) claimFor(c *call) (*keyed, result) {
+	for made := 1; ; made++ {
+		k, r := x.claimOnce(c)
+		lacking := k == nil && r.refusal != nil && r.refusal.Reason == ReasonKeyQuorum
+		if !lacking || made == claimTries || !pause(c.ctx, claimPause) {
+			return k, r
+		}
+		x.count.add("claims.tried-again")
+	}
+}
+
+// pause waits for d, or less and returns false where ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// claimOnce makes one try for the request's key.
+func (x *Relay) claimOnce(c *call) (*keyed, result) {
 	t := x.table.Load()
 	if !claim.MayVote(t, x.self(), x.tableAge()) {
 		x.complain(events.ClaimsStale)
--- a/internal/relay/votes.go
+++ b/internal/relay/votes.go
@@ -136,28 +136,36 @@
 	return x.frames.call(ctx, to, kind, m, answer)
 }
 
-// tellAll tells everyone who may hold a vote how a try ended, in the
-// background: callers don't wait for it.
-func (x *Relay) tellAll(try *claim.Claimant, kind wire.Kind, m msgp.Marshaler, own func(*claim.Keeper, int64)) {
+// tellAll tells everyone who may hold a vote how a try ended. The wait group
+// it returns is done when each has answered or its time is over.
+func (x *Relay) tellAll(try *claim.Claimant, kind wire.Kind, m msgp.Marshaler, own func(*claim.Keeper, int64)) *sync.WaitGroup {
 	t := x.table.Load()
+	told := new(sync.WaitGroup)
 	for _, n := range try.Asked() {
 		if n == x.self() {
 			x.keep(own)
 			continue
 		}
+		told.Add(1)
 		x.background.Go(func() {
+			defer told.Done()
 			if err := x.tell(context.Background(), t, n, kind, m, &Done{}); err != nil {
 				x.count.add("claims.keeper-silent")
 			}
 		})
 	}
+	return told
 }
 
+// releaseKey gives a key back and returns when its keepers know. Otherwise the
+// next try of the same request, at another agent or by the caller that was told
+// not run, would meet the vote of this one and be told that it may be running.
 func (x *Relay) releaseKey(try *claim.Claimant) {
 	r := claim.Release{Key: try.Request().Key, ID: try.Request().ID}
-	x.tellAll(try, kindRelease, &r, func(k *claim.Keeper, nowMS int64) { k.Release(nowMS, r) })
+	x.tellAll(try, kindRelease, &r, func(k *claim.Keeper, nowMS int64) { k.Release(nowMS, r) }).Wait()
 }
 
+// finishKey tells in the background: the caller has its answer already.
 func (x *Relay) finishKey(try *claim.Claimant, standing claim.Standing, answer *claim.Answer) {
 	f := claim.Finish{Request: try.Request(), Standing: standing, Answer: answer}
 	x.tellAll(try, kindFinish, &f, func(k *claim.Keeper, nowMS int64) { k.Finish(nowMS, f) })
--- a/internal/scenario/run.go
+++ b/internal/scenario/run.go
@@ -107,17 +107,19 @@
 	looks := make(chan []check.InForce, 1)
 	go func() { looks <- p.look(looking) }()
 
-	failed := p.steps(callers, s, began, length)
+	failed := p.steps(ctx, callers, s, began, length)
 	wg.Wait()
 	endLooking()
 	return p.result(s, <-looks), failed
 }
 
-func (p *Play) steps(ctx context.Context, s Scenario, began time.Time, length time.Duration) error {
+// steps does each step in its time. A step that is under way when the callers
+// end may still finish.
+func (p *Play) steps(ctx, callers context.Context, s Scenario, began time.Time, length time.Duration) error {
 	var failed error
 	for _, step := range s.Steps {
 		at := time.Duration(float64(length) * step.At)
-		if !sleep(ctx, time.Until(began.Add(at))) {
+		if !sleep(callers, time.Until(began.Add(at))) {
 			return failed
 		}
 		p.progress("%6.1fs  %s", time.Since(began).Seconds(), step.What)
