--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"bergamotstall/internal/keys"
 	"bergamotstall/internal/settings"
 )
 
@@ -17,28 +18,22 @@
 	Bind string `yaml:"bind"`
 	// Tunnel is the UDP address for envelopes of agents, "ip:port".
 	Tunnel string `yaml:"tunnel"`
-	// Control are the control VMs' addresses for subscribers, "ip:port".
-	Control []string `yaml:"control"`
+	// Controls are the control VMs' addresses for subscribers, "ip:port".
+	Controls []string `yaml:"controls"`
 	// Metrics is where the counters are read, "ip:port"; empty for nowhere.
 	Metrics string `yaml:"metrics"`
 	// Sockets is how many sockets, each with a worker, share one address; 0
 	// means 1.
 	Sockets int `yaml:"sockets"`
-	// StateFile keeps the last table across restarts, so that its revision can't
-	// fall; empty for nowhere.
-	StateFile string `yaml:"stateFile"`
+	// State is the file that keeps the last table across restarts, so that its
+	// revision can't fall; empty keeps none.
+	State string `yaml:"state"`
 	// StopGrace is how long packets are still forwarded after a stop was
 	// ordered, while the fabric takes the balancer out; 0 means 5 s.
 	StopGrace time.Duration `yaml:"stopGrace"`
-	// TLS may be left out for tests and the demo only.
-	TLS *TLSSettings `yaml:"tls"`
-}
-
-// TLSSettings name the files that bergamotctl keys made.
-type TLSSettings struct {
-	CA          string `yaml:"ca"`
-	Certificate string `yaml:"certificate"`
-	Key         string `yaml:"key"`
+	// TLS is this process's own certificate; without it connections to control
+	// are plain, for trials on one machine only.
+	TLS keys.Settings `yaml:"tls"`
 }
 
 const (
@@ -58,21 +53,17 @@
 		c.IP("bind", s.Bind)
 	}
 	c.Address("tunnel", s.Tunnel)
-	if len(s.Control) == 0 {
-		c.Add("control", "missing", "one address or more, ip:port")
+	if len(s.Controls) == 0 {
+		c.Add("controls", "missing", "one address or more, ip:port")
 	}
-	for i, a := range s.Control {
-		c.Address(fmt.Sprintf("control[%d]", i), a)
+	for i, a := range s.Controls {
+		c.Address(fmt.Sprintf("controls[%d]", i), a)
 	}
 	if s.Metrics != "" {
 		c.Address("metrics", s.Metrics)
 	}
 	c.Range("sockets", s.Sockets, 0, maxSockets)
 	c.Duration("stopGrace", s.StopGrace, 0, maxStopGrace)
-	if s.TLS != nil {
-		c.File("tls.ca", s.TLS.CA)
-		c.File("tls.certificate", s.TLS.Certificate)
-		c.File("tls.key", s.TLS.Key)
-	}
+	s.TLS.Check(&c, "tls")
 	return c.Problems()
 }
--- a/internal/envelope/envelope.go
+++ b/internal/envelope/envelope.go
@@ -29,6 +29,13 @@
 	Forward Kind = iota + 1
 	// Return carries an agent's packet to the balancer that sends it on.
 	Return
+	// Orphan is a Forward whose packet names an agent that the balancer can't
+	// reach. It goes to another agent of the service.
+	Orphan
+	// Probe asks an agent for a sign of life; it carries no packet.
+	Probe
+	// Alive answers a Probe.
+	Alive
 )
 
 const (
@@ -39,7 +46,7 @@
 
 	// Overhead bounds the bytes that an envelope adds to a packet: the MAC, and
 	// each header field at its longest.
-	Overhead = macSize + 1 + 5 + 5 + 2 + addrPortMax + 9 + 1 + 2 + addrPortMax
+	Overhead = macSize + 1 + 5 + 5 + 2 + addrPortMax + 9 + 1 + 5 + 2 + addrPortMax
 	// MaxPayload is the largest packet that an envelope carries: an Ethernet
 	// frame less IPv6, UDP and the envelope. Larger ones are dropped and
 	// counted; QUIC's path MTU discovery takes them for lost probes.
@@ -54,7 +61,8 @@
 	// Generation of the key that signed, low three bits.
 	Generation uint8
 	Service    table.ServiceID
-	// Agent is the receiver of a Forward, the sender of a Return.
+	// Agent is the receiver of a Forward, Orphan or Probe, the sender of a Return
+	// or Alive.
 	Agent table.AgentNumber
 	// Caller is the far end of the flow.
 	Caller netip.AddrPort
@@ -62,8 +70,11 @@
 	Revision table.Revision
 	// Hops counts the agents that handed the packet on.
 	Hops uint8
-	// Balancer is where answers go, set by the first agent that hands a packet
-	// on; a balancer leaves it out, as its packets come from that address.
+	// HandedBy is the last agent that handed the packet on, or the one that a
+	// balancer avoids.
+	HandedBy table.AgentNumber
+	// Balancer is where answers go, where that isn't the address that the
+	// envelope came from: agents that hand a packet on set it.
 	Balancer netip.AddrPort
 }
 
@@ -137,6 +148,7 @@
 	dst = appendAddrPort(dst, h.Caller)
 	dst = msgp.AppendUint64(dst, uint64(h.Revision))
 	dst = msgp.AppendUint8(dst, h.Hops)
+	dst = msgp.AppendUint32(dst, uint32(h.HandedBy))
 	return appendAddrPort(dst, h.Balancer)
 }
 
@@ -207,6 +219,11 @@
 	if h.Hops, b, err = msgp.ReadUint8Bytes(b); err != nil {
 		return nil, err
 	}
+	handedBy, b, err := msgp.ReadUint32Bytes(b)
+	if err != nil {
+		return nil, err
+	}
+	h.HandedBy = table.AgentNumber(handedBy)
 	h.Balancer, b, err = readAddrPort(b)
 	return b, err
 }
--- a/internal/flow/deflect.go
+++ b/internal/flow/deflect.go
@@ -33,8 +33,11 @@
 	Named  table.AgentNumber
 	// Revision is the table's that the last hop decided by.
 	Revision table.Revision
-	// Hops counts the agents that handed the packet on.
-	Hops uint8
+	// Hops counts the agents that handed the packet on, HandedBy is the last.
+	Hops     uint8
+	HandedBy table.AgentNumber
+	// Orphan is set where a balancer can't reach the agent that the packet names.
+	Orphan bool
 	// Key is the flow's placement key under the agent's own table.
 	Key uint64
 	// Memory identifies the flow among the remembered choices.
@@ -86,6 +89,7 @@
 	NamedOther
 	GoneAgent
 	PreviousIncarnation
+	Unreachable
 	NobodyElse
 	AheadOfTable
 	TooManyHops
@@ -98,7 +102,7 @@
 
 var reasonNames = [reasons]string{
 	"own", "opened_here", "remembered", "draining", "over_limit", "newer_choice", "named_other",
-	"gone_agent", "previous_incarnation", "nobody_else", "ahead_of_table",
+	"gone_agent", "previous_incarnation", "unreachable", "nobody_else", "ahead_of_table",
 	"too_many_hops", "other_service", "not_ours", "no_number",
 }
 
@@ -178,6 +182,8 @@
 		// The table still has the incarnation that this one replaced at the
 		// same address; handing on would come straight back.
 		return gone(a, PreviousIncarnation)
+	case a.Orphan && named.Reach.Down():
+		return gone(a, Unreachable)
 	case a.Hops >= envelope.MaxHops:
 		return Verdict{Action: Drop, Reason: TooManyHops}
 	}
@@ -257,19 +263,15 @@
 	return Verdict{Action: HandOver, Reason: NewerChoice, Agent: choice}
 }
 
-// elsewhere finds the agent that takes a flow in this one's place. After the
-// first hop only agents further down the flow's order are asked, so that a
-// packet never returns to one that refused it.
+// elsewhere finds the agent that takes a flow in this one's place: the first in
+// the flow's order that hasn't refused it.
 func elsewhere(s *Standing, a *Arrival, r Reason) Verdict {
 	if a.Hops >= envelope.MaxHops {
 		return Verdict{Action: Refuse, Reason: r}
 	}
 	chooser := s.Service.Chooser()
-	next, ok := chooser.ChooseExcept(a.Key, s.Self)
-	if a.Hops > 0 {
-		next, ok = chooser.After(a.Key, s.Self)
-	}
-	for ok && s.isSelf(next) {
+	next, ok := chooser.Choose(a.Key)
+	for ok && (next == a.HandedBy || s.isSelf(next)) {
 		next, ok = chooser.After(a.Key, next)
 	}
 	if !ok {
--- a/internal/flow/endpoint.go
+++ b/internal/flow/endpoint.go
@@ -89,6 +89,7 @@
 	self          atomic.Uint32
 	view          atomic.Pointer[view]
 	flows         atomic.Int64
+	held          atomic.Int64
 	stopping      atomic.Bool
 	tableDraining atomic.Bool
 
@@ -99,10 +100,12 @@
 	signing atomic.Uint32
 	serving *serving
 
-	deflector *Deflector
-	router    reader
-	memory    memoryKey
-	closed    chan struct{}
+	// decide judges each packet; it is a Deflector's but in measurements of what
+	// deflection brings.
+	decide func(*Standing, *Arrival) Verdict
+	router reader
+	memory memoryKey
+	closed chan struct{}
 }
 
 // view is what a table says to this agent.
@@ -153,14 +156,14 @@
 	_ = socket.SetReadBuffer(socketBuffer)
 	_ = socket.SetWriteBuffer(socketBuffer)
 	e := &Endpoint{
-		config:    c,
-		socket:    socket,
-		tunnel:    unmap(socket.LocalAddr().(*net.UDPAddr).AddrPort()),
-		counts:    newCounts(c.Metrics),
-		paths:     newPaths(),
-		deflector: NewDeflector(),
-		memory:    memoryKey{k0: rand.Uint64(), k1: rand.Uint64()},
-		closed:    make(chan struct{}),
+		config: c,
+		socket: socket,
+		tunnel: unmap(socket.LocalAddr().(*net.UDPAddr).AddrPort()),
+		counts: newCounts(c.Metrics),
+		paths:  newPaths(),
+		decide: NewDeflector().Decide,
+		memory: memoryKey{k0: rand.Uint64(), k1: rand.Uint64()},
+		closed: make(chan struct{}),
 	}
 	e.serving = newServing(e)
 	c.Metrics.Gauge("flow_open", func() int64 { return e.flows.Load() })
@@ -192,7 +195,11 @@
 	if v := e.view.Load(); v != nil && v.steering.Revision >= t.Revision {
 		return nil
 	}
-	m, err := steer.Compile(t, steer.Weight)
+	var before *steer.Map
+	if v := e.view.Load(); v != nil {
+		before = v.steering
+	}
+	m, err := steer.Compile(t, time.Now(), before)
 	if err != nil {
 		e.counts.tableRefused.Add(1)
 		events.Log(e.config.Log, events.FlowTableRefused, logrus.Fields{"revision": t.Revision, "error": err})
@@ -223,6 +230,7 @@
 func (e *Endpoint) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, e.close)
 	defer stop()
+	go e.watch()
 	packet := make([]byte, bufferSize)
 	for {
 		n, from, err := e.socket.ReadFromUDPAddrPort(packet)
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"crypto/tls"
@@ -14,14 +15,14 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"bergamotstall/internal/catalogue"
+	"bergamotstall/internal/keys"
 	"bergamotstall/internal/wire"
 )
 
 const (
 	dialLimit = 2 * time.Second
-	// replyLimit exceeds the server's answerLimit, so that a VM without a quorum
-	// gets to say so.
-	replyLimit = answerLimit + 2*time.Second
+	// defaultPatience exceeds the server's answerLimit.
+	defaultPatience = answerLimit + 2*time.Second
 )
 
 // ErrNoAddress is returned by a client without any control address.
@@ -63,6 +64,9 @@
 	TLS *tls.Config
 	// Operator is the name used without TLS.
 	Operator string
+	// Patience bounds the wait for one VM's answer; 0 means six seconds, so that
+	// a VM without a quorum gets to say so.
+	Patience time.Duration
 }
 
 // NewCommandID returns a fresh identity for a command.
@@ -145,16 +149,29 @@
 	if _, err := conn.Write(kind, request); err != nil {
 		return errors.Wrap(err, "send")
 	}
-	if err := raw.SetReadDeadline(time.Now().Add(replyLimit)); err != nil {
+	if err := raw.SetReadDeadline(time.Now().Add(cmp.Or(c.Patience, defaultPatience))); err != nil {
 		return errors.Wrap(err, "deadline")
 	}
 	frame, err := conn.Read()
 	if err != nil {
-		return errors.Wrap(err, "no answer")
+		return noAnswer(err)
 	}
 	return decodeReply(frame, want, out)
 }
 
+// remoteError is the operation of a net.OpError that holds a peer's TLS alert.
+const remoteError = "remote error"
+
+// noAnswer tells a VM that refused the certificate from one that is silent: the
+// client's half of a TLS 1.3 handshake ends before the server has judged it.
+func noAnswer(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == remoteError {
+		return &Failure{Code: Denied, Text: "the certificate was refused: " + op.Err.Error(), VM: op.Addr.String()}
+	}
+	return errors.Wrap(err, "no answer")
+}
+
 func decodeReply(frame wire.Frame, want wire.Kind, out msgp.Unmarshaler) error {
 	switch frame.Kind {
 	case want:
@@ -169,11 +186,23 @@
 	return errors.Errorf("operator: reply of kind %d, expected %d", frame.Kind, want)
 }
 
+// dial connects and, with TLS, checks that the VM's certificate is a control
+// VM's at that address.
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
 	within, cancel := context.WithTimeout(ctx, dialLimit)
 	defer cancel()
-	if c.TLS == nil {
-		return new(net.Dialer).DialContext(within, "tcp", address)
+	raw, err := new(net.Dialer).DialContext(within, "tcp", address)
+	if err != nil || c.TLS == nil {
+		return raw, err
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	secured, err := keys.Client(within, raw, c.TLS, host)
+	if err != nil {
+		_ = raw.Close()
+		return nil, err
 	}
-	return (&tls.Dialer{Config: c.TLS}).DialContext(within, "tcp", address)
+	return secured, nil
 }
--- a/internal/spread/client_metrics.go
+++ b/internal/spread/client_metrics.go
@@ -18,7 +18,8 @@
 
 	attempts, attached              *expvar.Int
 	snapshots, deltas, lower        *expvar.Int
-	resyncs, bytesIn, bytesOut      *expvar.Int
+	resyncs, takenOut, tableRefused *expvar.Int
+	bytesIn, bytesOut               *expvar.Int
 	stateFileErrors, refusedByState *expvar.Int
 }
 
@@ -31,6 +32,8 @@
 		deltas:          m.Counter("control_deltas"),
 		lower:           m.Counter("control_lower_revision_ignored"),
 		resyncs:         m.Counter("control_resyncs"),
+		tableRefused:    m.Counter("control_table_refused"),
+		takenOut:        m.Counter("control_taken_out"),
 		bytesIn:         m.Counter("control_bytes_in"),
 		bytesOut:        m.Counter("control_bytes_out"),
 		stateFileErrors: m.Counter("control_state_file_errors"),
@@ -45,7 +48,11 @@
 
 func endReason(err error) string {
 	var timeout net.Error
+	var op *net.OpError
 	switch {
+	// A peer that refuses our certificate says so after our handshake is done.
+	case errors.Is(err, errTLS), errors.As(err, &op) && op.Op == "remote error":
+		return "tls"
 	case errors.Is(err, errStale):
 		return "stale"
 	case errors.Is(err, errBehind):
--- a/internal/spread/client_stream.go
+++ b/internal/spread/client_stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"time"
 
@@ -10,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bergamotstall/internal/events"
+	"bergamotstall/internal/keys"
 	"bergamotstall/internal/table"
 	"bergamotstall/internal/wire"
 )
@@ -43,7 +43,11 @@
 	defer func() { _ = conn.Close() }()
 
 	s := &clientStream{client: c, conn: conn, address: address}
-	opening := hello{Role: c.cfg.Role, Announcement: c.nextAnnouncement(), Have: c.heldRevision(), Digest: digest(c.held)}
+	standing := c.standing()
+	opening := hello{
+		Role: c.cfg.Role, Announcement: c.nextAnnouncement(),
+		Have: standing.Revision, Digest: digest(c.held), InForce: standing.InForce,
+	}
 	if err := s.send(kindHello, &opening); err != nil {
 		return err
 	}
@@ -65,26 +69,17 @@
 	if c.cfg.TLS == nil {
 		return raw, nil
 	}
-	conn := tls.Client(raw, tlsFor(c.cfg.TLS, address))
-	if err := conn.HandshakeContext(ctx); err != nil {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
 		_ = raw.Close()
-		return nil, errors.Wrap(err, "spread: TLS")
-	}
-	return conn, nil
-}
-
-// tlsFor names the VM that the certificate must be for.
-func tlsFor(cfg *tls.Config, address string) *tls.Config {
-	if cfg.ServerName != "" {
-		return cfg
+		return nil, errors.Wrap(err, "spread: address")
 	}
-	host, _, err := net.SplitHostPort(address)
+	conn, err := keys.Client(ctx, raw, c.cfg.TLS, host)
 	if err != nil {
-		return cfg
+		_ = raw.Close()
+		return nil, errors.Wrap(errTLS, err.Error())
 	}
-	cfg = cfg.Clone()
-	cfg.ServerName = host
-	return cfg
+	return conn, nil
 }
 
 func (s *clientStream) send(kind wire.Kind, m encodable) error {
@@ -165,9 +160,10 @@
 		if err := f.Decode(&n); err != nil {
 			return err
 		}
-		s.client.mu.Lock()
-		s.client.number = n.Agent
-		s.client.mu.Unlock()
+		s.client.numbered(n.Agent)
+		if s.client.cfg.Numbered != nil {
+			s.client.cfg.Numbered(n.Agent)
+		}
 		return nil
 	case kindPart:
 		var p part
@@ -181,6 +177,14 @@
 	return errors.Wrapf(errProtocol, "kind %d", f.Kind)
 }
 
+// numbered notes the number. The table may have shown the target before.
+func (c *Client) numbered(n table.AgentNumber) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.number = n
+	c.offered = c.offers(c.held)
+}
+
 // beat takes the server's heartbeat.
 func (s *clientStream) beat(b beat) error {
 	age := time.Duration(b.ContactAgeMS) * time.Millisecond
@@ -250,11 +254,13 @@
 	if s.mismatches >= mismatchLimit {
 		return errMismatch
 	}
-	return s.send(kindResync, &beat{Revision: c.heldRevision()})
+	b := c.standing()
+	return s.send(kindResync, &b)
 }
 
 func (s *clientStream) ack() error {
-	return s.send(kindBeat, &beat{Revision: s.client.heldRevision()})
+	b := s.client.standing()
+	return s.send(kindBeat, &b)
 }
 
 func (c *Client) countUpdate(u *update) {
--- a/internal/spread/server_stream.go
+++ b/internal/spread/server_stream.go
@@ -23,6 +23,11 @@
 // closeTimeout is how long Close lets a stream say good-bye.
 const closeTimeout = time.Second
 
+// leavingFor is how long subscribers keep away from a VM that stops: about the
+// time of its restart. Where it is the only one, changes must reach them within
+// nine seconds of its return.
+const leavingFor = time.Second
+
 // subscriber is one stream at the server.
 type subscriber struct {
 	server *Server
@@ -37,11 +42,12 @@
 	announcement Announcement
 	announcing   bool
 	number       table.AgentNumber
-	numberSent   bool
-	// held is what the subscriber said is in use, digest that of its table when
-	// the stream began.
+	numberSent   table.AgentNumber
+	// held is what the subscriber said it holds, digest that of its table when
+	// the stream began, inForce what its data path runs on.
 	held    table.Revision
 	digest  uint64
+	inForce table.Revision
 	heardAt time.Time
 	// resync is set when the subscriber asked for a whole table.
 	resync bool
@@ -66,7 +72,7 @@
 		Service:    sub.announcement.Service,
 		DataCentre: sub.announcement.DataCentre,
 		Agent:      sub.number,
-		Revision:   sub.held,
+		Revision:   sub.inForce,
 		Age:        now.Sub(sub.heardAt),
 	}
 }
@@ -139,7 +145,7 @@
 	if s.cfg.TLS != nil {
 		secured := tls.Server(raw, s.cfg.TLS)
 		if err := secured.HandshakeContext(ctx); err != nil {
-			return nil, errors.Wrap(err, "spread: TLS")
+			return nil, errors.Wrap(errTLS, err.Error())
 		}
 		raw = secured
 	}
@@ -166,13 +172,17 @@
 	}
 	return &subscriber{
 		server: s, conn: conn, role: h.Role, view: viewOf(h.Role, h.Announcement), ctx: ctx,
-		wake: make(chan struct{}, 1), announcement: h.Announcement, held: h.Have, digest: h.Digest, heardAt: time.Now(),
+		wake: make(chan struct{}, 1), announcement: h.Announcement, held: h.Have, digest: h.Digest, inForce: h.InForce, heardAt: time.Now(),
 	}, nil
 }
 
 // refuse tells the peer why its stream ends, and when to come again.
 func (s *Server) refuse(conn *wire.Conn, reason refusalReason) error {
-	return s.refuseFor(conn, reason, retryCap)
+	after := retryCap
+	if reason == refusedLeaving {
+		after = leavingFor
+	}
+	return s.refuseFor(conn, reason, after)
 }
 
 func (s *Server) refuseFor(conn *wire.Conn, reason refusalReason, after time.Duration) error {
@@ -242,7 +252,7 @@
 func (sub *subscriber) heard(b beat, resync bool) {
 	sub.mu.Lock()
 	news := resync || b.Revision != sub.held
-	sub.held, sub.heardAt = b.Revision, time.Now()
+	sub.held, sub.inForce, sub.heardAt = b.Revision, b.InForce, time.Now()
 	sub.resync = sub.resync || resync
 	sub.mu.Unlock()
 	if resync {
--- a/internal/steer/map.go
+++ b/internal/steer/map.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"time"
 
 	"github.com/dchest/siphash"
 	"github.com/go-faster/errors"
 
 	"bergamotstall/internal/connid"
 	"bergamotstall/internal/envelope"
+	"bergamotstall/internal/reach"
 	"bergamotstall/internal/table"
 )
 
@@ -19,6 +21,8 @@
 	// Tunnel is where its envelopes go.
 	Tunnel netip.AddrPort
 	State  table.State
+	// Reach is what is known of its answers. It outlives the table.
+	Reach *reach.Record
 }
 
 // Service is one service, ready for steering.
@@ -46,9 +50,13 @@
 	Services   []*Service
 	Balancers  []netip.AddrPort
 
-	agents map[table.AgentNumber]*Agent
-	newest table.AgentNumber
-	k0, k1 uint64
+	table *table.Table
+	// step is the time that the shares were taken at.
+	step     int64
+	services map[table.ServiceID]*Service
+	agents   map[table.AgentNumber]*Agent
+	newest   table.AgentNumber
+	k0, k1   uint64
 }
 
 const hashKeySize = 16
@@ -60,10 +68,17 @@
 	ErrAddress = errors.New("steer: bad address")
 )
 
-// Compile prepares a table. shares gives each target's part of its service's
-// new flows. A table that can't be steered by is refused whole.
-func Compile(t *table.Table, shares func(table.Target) float64) (*Map, error) {
-	m := &Map{Revision: t.Revision, agents: make(map[table.AgentNumber]*Agent, len(t.Targets))}
+// Compile prepares a table, with the shares that targets have at the given time.
+// What old, which may be nil, knows of agents' answers is taken over. A table
+// that can't be steered by is refused whole.
+func Compile(t *table.Table, now time.Time, old *Map) (*Map, error) {
+	m := &Map{
+		Revision: t.Revision,
+		table:    t,
+		step:     stepAt(now),
+		services: make(map[table.ServiceID]*Service, len(t.Services)),
+		agents:   make(map[table.AgentNumber]*Agent, len(t.Targets)),
+	}
 	if err := m.setKeys(t); err != nil {
 		return nil, err
 	}
@@ -76,17 +91,14 @@
 		}
 	}
 	for _, x := range t.Targets {
-		if err := m.addAgent(x); err != nil {
+		if err := m.addAgent(x, old); err != nil {
 			return nil, err
 		}
 	}
-	m.setChoosers(t, shares)
+	m.setChoosers(m.Services)
 	return m, nil
 }
 
-// Weight is the share of a target whose weight is in force at once.
-func Weight(x table.Target) float64 { return float64(x.Weight) }
-
 func (m *Map) setKeys(t *table.Table) error {
 	current, err := t.CurrentKeys()
 	if err != nil {
@@ -123,12 +135,14 @@
 	if err != nil {
 		return errors.Wrapf(ErrAddress, "service %s: %q", s.Name, s.Address)
 	}
-	m.Services = append(m.Services, &Service{ID: s.ID, Name: s.Name, Address: address, Limit: s.FlowLimit})
+	x := &Service{ID: s.ID, Name: s.Name, Address: address, Limit: s.FlowLimit}
+	m.Services = append(m.Services, x)
+	m.services[s.ID] = x
 	return nil
 }
 
-func (m *Map) addAgent(x table.Target) error {
-	a := &Agent{Number: x.Agent, Service: x.Service, State: x.State}
+func (m *Map) addAgent(x table.Target, old *Map) error {
+	a := &Agent{Number: x.Agent, Service: x.Service, State: x.State, Reach: old.record(x.Agent)}
 	m.newest = max(m.newest, x.Agent)
 	m.agents[x.Agent] = a
 	if x.State == table.Retired {
@@ -142,29 +156,31 @@
 	return nil
 }
 
-func (m *Map) setChoosers(t *table.Table, shares func(table.Target) float64) {
-	for _, s := range m.Services {
-		var active, live []Candidate
-		for _, x := range t.Targets {
-			if x.Service != s.ID || x.State == table.Retired {
-				continue
-			}
-			live = append(live, Candidate{Agent: x.Agent, Share: 1})
-			if x.State == table.Active {
-				active = append(active, Candidate{Agent: x.Agent, Share: shares(x)})
-			}
-		}
-		s.chooser = NewChooser(active)
-		s.fallback = NewChooser(live)
-	}
-}
-
 // Agent returns what is known of an agent.
 func (m *Map) Agent(number table.AgentNumber) (*Agent, bool) {
 	a, ok := m.agents[number]
 	return a, ok
 }
 
+// record returns what is known of an agent's answers.
+func (m *Map) record(number table.AgentNumber) *reach.Record {
+	if m != nil {
+		if a, ok := m.agents[number]; ok {
+			return a.Reach
+		}
+	}
+	return new(reach.Record)
+}
+
+// Probes calls send for each agent that is due a probe under the limits.
+func (m *Map) Probes(now time.Time, l reach.Limits, send func(*Agent)) {
+	for _, a := range m.agents {
+		if a.State != table.Retired && a.Reach.Judge(now, l) {
+			send(a)
+		}
+	}
+}
+
 // Newest returns the highest agent number of the table. Control gives numbers
 // out in rising order, so that a higher one belongs to a newer table.
 func (m *Map) Newest() table.AgentNumber { return m.newest }
@@ -181,12 +197,8 @@
 
 // ServiceByID returns the service with the given ID.
 func (m *Map) ServiceByID(id table.ServiceID) (*Service, bool) {
-	for _, s := range m.Services {
-		if s.ID == id {
-			return s, true
-		}
-	}
-	return nil, false
+	s, ok := m.services[id]
+	return s, ok
 }
 
 // Chooser returns the service's chooser of new flows.
