Direct answers from agents whose VM holds the service's address

Cause: answers through balancers cost them the larger half of the traffic. Change: flow.Config.Direct; where the address can't be opened, answers go by the balancers as before. Conclusion: agent settings need a field for it.

--- a/internal/flow/agents_test.go
+++ b/internal/flow/agents_test.go
@@ -177,3 +177,22 @@
 		r.is.Equal(agent, "2")
 	}
 }
+
+// A caller's download is whole where its agent answers straight from the
+// service's address. The caller here sends to a balancer itself, as the fabric
+// stand-in would hold the address that the agent needs.
+func TestDirectAnswersLeaveBalancersOut(t *testing.T) {
+	r := newRig(t)
+	r.direct = true
+	r.fabric.Close()
+	b := r.addBalancer("balancer-0")
+	r.addAgent(1, desk, "", target(1))
+	r.apply()
+	front, ok := b.Front(deskID)
+	r.is.True(ok)
+	c := r.caller(desk)
+	c.url = "https://" + front.String()
+	r.whole(r.startDownload(c))
+	r.is.True(r.agents[1].metrics.Value("flow_answers_direct") > 1000)
+	r.is.Equal(b.metrics.Value("balancer_return_packets"), int64(0))
+}
--- a/internal/flow/counts.go
+++ b/internal/flow/counts.go
@@ -17,6 +17,7 @@
 	oversize, sendFailed, handOverLost     *expvar.Int
 	pathReplaced, tableRefused             *expvar.Int
 	opened, refused, probes                *expvar.Int
+	direct, directFailed                   *expvar.Int
 
 	delivered, handedOver, reset, refuse, dropped [reasons]*expvar.Int
 }
@@ -40,6 +41,8 @@
 		tableRefused: s.Counter("flow_table_refused"),
 		opened:       s.Counter("flow_opened"),
 		probes:       s.Counter("flow_probes"),
+		direct:       s.Counter("flow_answers_direct"),
+		directFailed: s.Counter("flow_direct_failed"),
 		refused:      s.Counter("flow_refused"),
 	}
 	for r := range reasons {
--- a/internal/flow/endpoint.go
+++ b/internal/flow/endpoint.go
@@ -62,6 +62,9 @@
 	TLS *tls.Config
 	// Connections bounds the open flows; 0 means 2,000.
 	Connections int
+	// Direct sends answers straight to callers, from the service's address. The
+	// VM must hold that address, without the fabric handing it packets for it.
+	Direct bool
 	// IdleTimeout ends a flow of which nothing is heard; 0 means 15 s.
 	IdleTimeout time.Duration
 	Log         logrus.FieldLogger
@@ -99,6 +102,7 @@
 	// signing is the key generation of new flows.
 	signing atomic.Uint32
 	serving *serving
+	direct  direct
 
 	// decide judges each packet; it is a Deflector's but in measurements of what
 	// deflection brings.
@@ -213,6 +217,7 @@
 	if v.service != nil && v.service.Limit > 0 {
 		v.limit = min(v.limit, v.service.Limit)
 	}
+	e.openDirect(v.service)
 	e.paths.setLive(m.Balancers, m.Generation)
 	e.view.Store(v)
 	e.signing.Store(uint32(m.Generation))
@@ -257,6 +262,7 @@
 	}
 	close(e.closed)
 	e.closeEnds()
+	e.closeDirect()
 	_ = e.socket.Close()
 }
 
--- a/internal/flow/receive.go
+++ b/internal/flow/receive.go
@@ -174,6 +174,9 @@
 		e.counts.noPath.Add(1)
 		return
 	}
+	if e.answerDirect(packet, caller) {
+		return
+	}
 	if len(packet) > envelope.MaxPayload {
 		e.counts.oversize.Add(1)
 		return
--- a/internal/flow/rig_test.go
+++ b/internal/flow/rig_test.go
@@ -55,6 +55,8 @@
 	cert      tls.Certificate
 	pool      *x509.CertPool
 	hosts     int
+	// direct is set for agents that answer from the service's address.
+	direct bool
 }
 
 type rigBalancer struct {
@@ -137,8 +139,8 @@
 	set := metrics.New()
 	e, err := flow.New(flow.Config{
 		Service: service, Tunnel: tunnel, Handler: handler, Log: quiet(), Metrics: set,
-		IdleTimeout: idle,
-		TLS:         &tls.Config{Certificates: []tls.Certificate{r.cert}},
+		IdleTimeout: idle, Direct: r.direct,
+		TLS: &tls.Config{Certificates: []tls.Certificate{r.cert}},
 	})
 	r.is.NoErr(err)
 	if keepFirst {
