--- /dev/null
+++ b/internal/reach/reach_test.go
@@ -0,0 +1,79 @@
+package reach
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1000, 0)
+
+// play ticks a record from start, with an answer to each probe where answered
+// is set, and returns the probes sent and when the agent was judged down.
+func play(r *Record, ticks int, answered func(tick int) bool) (probes int, down time.Duration) {
+	for i := range ticks {
+		now := start.Add(time.Duration(i) * Tick)
+		r.Sent(now)
+		if r.Judge(now, Balancer) {
+			probes++
+			if answered(i) {
+				r.Answered(now)
+			}
+		}
+		if r.Down() && down == 0 {
+			down = now.Sub(start)
+		}
+	}
+	return probes, down
+}
+
+// An agent that answers nothing is judged unreachable within the patience, after
+// several probes, and probed on at a slower pace.
+func TestSilentAgentIsJudgedDown(t *testing.T) {
+	is := is.New(t)
+	probes, down := play(new(Record), 7, func(int) bool { return false })
+	is.Equal(down, Balancer.Patience)
+	is.Equal(probes, 4)
+	probes, _ = play(new(Record), 107, func(int) bool { return false })
+	is.Equal(probes, 14)
+}
+
+// An agent whose answers go elsewhere, or that has nothing to answer, is probed
+// about once a second and never judged unreachable.
+func TestQuietAgentIsNotJudgedDown(t *testing.T) {
+	is := is.New(t)
+	probes, down := play(new(Record), 1000, func(int) bool { return true })
+	is.Equal(down, time.Duration(0))
+	is.True(probes > 50 && probes < 100)
+}
+
+// Three of four probes lost leave an agent in service.
+func TestLostProbesAreForgiven(t *testing.T) {
+	is := is.New(t)
+	_, down := play(new(Record), 1000, func(tick int) bool { return tick%3 == 0 })
+	is.Equal(down, time.Duration(0))
+}
+
+// An agent that answers again is in service at once.
+func TestAgentComesBack(t *testing.T) {
+	is := is.New(t)
+	r := new(Record)
+	_, down := play(r, 50, func(int) bool { return false })
+	is.True(down > 0)
+	r.Heard(start.Add(time.Minute))
+	is.True(!r.Down())
+	is.True(!r.Judge(start.Add(time.Minute), Balancer))
+}
+
+// An agent that is heard all the time is never probed, whatever is sent.
+func TestBusyAgentIsNotProbed(t *testing.T) {
+	is := is.New(t)
+	r := new(Record)
+	for i := range 1000 {
+		now := start.Add(time.Duration(i) * Tick / 10)
+		r.Sent(now)
+		is.True(!r.Judge(now, Balancer))
+		r.Heard(now)
+	}
+}
