--- a/internal/flow/endpoint.go
+++ b/internal/flow/endpoint.go
@@ -171,6 +171,7 @@
 	}
 	e.serving = newServing(e)
 	c.Metrics.Gauge("flow_open", func() int64 { return e.flows.Load() })
+	c.Metrics.Gauge("flow_open_old_keys", e.flowsUnderOldKeys)
 	c.Metrics.Gauge("flow_paths", func() int64 { return int64(e.paths.count()) })
 	return e, nil
 }
--- a/internal/flow/ends.go
+++ b/internal/flow/ends.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"crypto/tls"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -32,6 +33,8 @@
 	port       *port
 	transport  *quic.Transport
 	listener   *quic.Listener
+	// flows are those open under this key generation.
+	flows atomic.Int64
 }
 
 var (
@@ -79,7 +82,9 @@
 		ConnectionIDGenerator: &idGenerator{endpoint: e, ring: ring, generation: k.Generation},
 		StatelessResetKey:     &reset,
 		TokenGeneratorKey:     &token,
-		ConnContext:           e.admit,
+		ConnContext: func(ctx context.Context, info *quic.ClientInfo) (context.Context, error) {
+			return e.admit(ctx, info, x)
+		},
 	}
 	x.listener, err = x.transport.Listen(e.tlsConfig(), quicConfig(e.config.IdleTimeout))
 	if err != nil {
@@ -119,7 +124,7 @@
 
 // admit is called by the transports for each new flow. It counts the flow for
 // as long as it lives, and refuses those that the deflector found no place for.
-func (e *Endpoint) admit(ctx context.Context, info *quic.ClientInfo) (context.Context, error) {
+func (e *Endpoint) admit(ctx context.Context, info *quic.ClientInfo, x *end) (context.Context, error) {
 	if caller, ok := info.RemoteAddr.(*net.UDPAddr); ok {
 		way := e.paths.find(caller.AddrPort())
 		if way != nil && way.refused.Load() {
@@ -128,11 +133,28 @@
 		}
 	}
 	e.flows.Add(1)
+	x.flows.Add(1)
 	e.counts.opened.Add(1)
-	context.AfterFunc(ctx, func() { e.flows.Add(-1) })
+	context.AfterFunc(ctx, func() {
+		e.flows.Add(-1)
+		x.flows.Add(-1)
+	})
 	return ctx, nil
 }
 
+// flowsUnderOldKeys returns the open flows whose connection IDs are under another
+// key generation than new ones. While any agent has some, retiring that
+// generation would break them: nobody could read their IDs any more.
+func (e *Endpoint) flowsUnderOldKeys() (count int64) {
+	signing := uint8(e.signing.Load())
+	for i := range e.ends {
+		if x := e.ends[i].Load(); x != nil && x.generation != signing {
+			count += x.flows.Load()
+		}
+	}
+	return count
+}
+
 // idGenerator makes the connection IDs of one transport.
 type idGenerator struct {
 	endpoint   *Endpoint
--- a/internal/flow/rig_test.go
+++ b/internal/flow/rig_test.go
@@ -55,6 +55,7 @@
 	cert      tls.Certificate
 	pool      *x509.CertPool
 	hosts     int
+	callers   []*http3.Transport
 	// direct is set for agents that answer from the service's address.
 	direct bool
 }
@@ -254,9 +255,16 @@
 		QUICConfig:      &quic.Config{MaxIdleTimeout: 20 * time.Second},
 	}
 	r.Cleanup(func() { _ = x.Close() })
+	r.callers = append(r.callers, x)
 	return &caller{Client: &http.Client{Transport: x}, transport: x, url: "https://" + s.Address}
 }
 
+func (r *rig) closeCallers() {
+	for _, x := range r.callers {
+		_ = x.Close()
+	}
+}
+
 // get returns the answer's body and the agent that sent it.
 func (c *caller) get(path string) (body []byte, agent string, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
--- a/internal/flow/tables_test.go
+++ b/internal/flow/tables_test.go
@@ -101,6 +101,11 @@
 	step()
 	r.is.Equal(r.sum("flow_envelope_unknown_key"), int64(0))
 	r.is.Equal(r.sum("flow_envelope_forged"), int64(0))
+	// The old keys may be retired once no agent counts a flow under them.
+	r.is.True(r.sum("flow_open_old_keys") > 0)
+	feed.close()
+	r.closeCallers()
+	r.eventually("flows under the old keys end", func() bool { return r.sum("flow_open_old_keys") == 0 })
 }
 
 // A caller's key rotation without the pending step: balancers sign with a key
