--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -38,11 +37,8 @@
 // ends without an error.
 func TestStopForwardsThroughItsGrace(t *testing.T) {
 	is := is.New(t)
-	agent, tunnel := listen(is)
-	defer agent.Close()
-	caller, _ := listen(is)
-	defer caller.Close()
-	control := &oneControl{table: oneService(freePort(is), tunnel), announce: make(chan spread.Announcement, 8)}
+	x := newFar(t, is)
+	control := &oneControl{table: oneService(x.service, x.tunnel), announce: make(chan spread.Announcement, 8)}
 	server := spread.NewServer(spread.ServerConfig{Name: "control-1", Source: control, Registrar: control, Log: quiet()})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
@@ -60,15 +56,11 @@
 	is.Equal((<-control.announce).Tunnel, b.forwarder.Tunnel().String())
 	reaches(t, b.Metrics(), "balancer_revision", 1)
 
-	service := netip.MustParseAddrPort(control.table.Services[0].Address)
 	packet := shortPacket(b.forwarder.view.Load().steering, 1, 1200)
-	buffer := make([]byte, bufferSize)
 	arrives := func() {
-		_, err := caller.WriteToUDPAddrPort(packet, service)
-		is.NoErr(err)
-		is.NoErr(agent.SetReadDeadline(time.Now().Add(patience)))
-		_, err = agent.Read(buffer)
+		_, err := x.caller.WriteToUDPAddrPort(packet, x.service)
 		is.NoErr(err)
+		receive(is, x.agent)
 	}
 	arrives()
 	stop()
--- a/balancer/forwarder_test.go
+++ b/balancer/forwarder_test.go
@@ -66,6 +66,33 @@
 	return f, set
 }
 
+// far is the sockets around a balancer: an agent's tunnel and a caller's.
+type far struct {
+	agent, caller         *net.UDPConn
+	tunnel, callerAddress netip.AddrPort
+	service               netip.AddrPort
+}
+
+func newFar(t *testing.T, is *is.I) *far {
+	x := &far{service: freePort(is)}
+	x.agent, x.tunnel = listen(is)
+	x.caller, x.callerAddress = listen(is)
+	t.Cleanup(func() {
+		_ = x.agent.Close()
+		_ = x.caller.Close()
+	})
+	return x
+}
+
+// receive waits for a datagram at one of the sockets.
+func receive(is *is.I, at *net.UDPConn) ([]byte, netip.AddrPort) {
+	buffer := make([]byte, bufferSize)
+	is.NoErr(at.SetReadDeadline(time.Now().Add(patience)))
+	n, from, err := at.ReadFromUDPAddrPort(buffer)
+	is.NoErr(err)
+	return buffer[:n], unmap(from)
+}
+
 func shortPacket(m *steer.Map, agent table.AgentNumber, size int) []byte {
 	id, _ := m.ConnIDs.Encode(1, agent, connid.Entropy{})
 	out := make([]byte, size)
@@ -78,39 +105,30 @@
 // and the answer comes from the service's address, as callers take no other.
 func TestPacketGoesToAgentAndAnswerComesFromService(t *testing.T) {
 	is := is.New(t)
-	agent, tunnel := listen(is)
-	defer agent.Close()
-	caller, callerAddress := listen(is)
-	defer caller.Close()
+	x := newFar(t, is)
 	f, set := newForwarder(t, 2)
-	service := freePort(is)
-	is.NoErr(f.Apply(oneService(service, tunnel)))
+	is.NoErr(f.Apply(oneService(x.service, x.tunnel)))
 	m := f.view.Load().steering
 	packet := shortPacket(m, 1, 1200)
-	_, err := caller.WriteToUDPAddrPort(packet, service)
+	_, err := x.caller.WriteToUDPAddrPort(packet, x.service)
 	is.NoErr(err)
 
-	buffer := make([]byte, bufferSize)
-	is.NoErr(agent.SetReadDeadline(time.Now().Add(patience)))
-	n, from, err := agent.ReadFromUDPAddrPort(buffer)
-	is.NoErr(err)
+	datagram, from := receive(is, x.agent)
 	var h envelope.Header
-	body, err := m.Envelopes.Open(buffer[:n], &h)
+	body, err := m.Envelopes.Open(datagram, &h)
 	is.NoErr(err)
 	is.Equal(body, packet)
-	is.Equal(unmap(from), f.Tunnel())
-	is.Equal(h, envelope.Header{Kind: envelope.Forward, Generation: 1, Service: 1, Agent: 1, Caller: callerAddress, Revision: 1})
+	is.Equal(from, f.Tunnel())
+	is.Equal(h, envelope.Header{Kind: envelope.Forward, Generation: 1, Service: 1, Agent: 1, Caller: x.callerAddress, Revision: 1})
 
-	answer := envelope.Header{Kind: envelope.Return, Generation: 1, Service: 1, Agent: 1, Caller: callerAddress}
+	answer := envelope.Header{Kind: envelope.Return, Generation: 1, Service: 1, Agent: 1, Caller: x.callerAddress}
 	out, err := m.Envelopes.Append(nil, &answer, []byte("answer"))
 	is.NoErr(err)
-	_, err = agent.WriteToUDPAddrPort(out, f.Tunnel())
-	is.NoErr(err)
-	is.NoErr(caller.SetReadDeadline(time.Now().Add(patience)))
-	n, from, err = caller.ReadFromUDPAddrPort(buffer)
+	_, err = x.agent.WriteToUDPAddrPort(out, f.Tunnel())
 	is.NoErr(err)
-	is.Equal(string(buffer[:n]), "answer")
-	is.Equal(unmap(from), service)
+	got, from := receive(is, x.caller)
+	is.Equal(string(got), "answer")
+	is.Equal(from, x.service)
 	reaches(t, set, "balancer_forward_named", 1)
 }
 
@@ -129,21 +147,17 @@
 // no longer has are dropped and counted too.
 func TestDropsAreCounted(t *testing.T) {
 	is := is.New(t)
-	agent, tunnel := listen(is)
-	defer agent.Close()
-	caller, callerAddress := listen(is)
-	defer caller.Close()
+	x := newFar(t, is)
 	f, set := newForwarder(t, 1)
-	service := freePort(is)
-	is.NoErr(f.Apply(oneService(service, tunnel)))
+	is.NoErr(f.Apply(oneService(x.service, x.tunnel)))
 	m := f.view.Load().steering
 	for _, packet := range [][]byte{shortPacket(m, 1, envelope.MaxPayload+1), {1}, shortPacket(m, 1, 18)[:17]} {
-		_, err := caller.WriteToUDPAddrPort(packet, service)
+		_, err := x.caller.WriteToUDPAddrPort(packet, x.service)
 		is.NoErr(err)
 	}
-	out, err := m.Envelopes.Append(nil, &envelope.Header{Kind: envelope.Return, Generation: 1, Service: 9, Caller: callerAddress}, nil)
+	out, err := m.Envelopes.Append(nil, &envelope.Header{Kind: envelope.Return, Generation: 1, Service: 9, Caller: x.callerAddress}, nil)
 	is.NoErr(err)
-	_, err = agent.WriteToUDPAddrPort(out, f.Tunnel())
+	_, err = x.agent.WriteToUDPAddrPort(out, f.Tunnel())
 	is.NoErr(err)
 	for counter, want := range map[string]int64{
 		"balancer_forward_drop_oversize": 1, "balancer_forward_drop_malformed": 2, "balancer_return_no_service": 1,
