--- a/internal/flow/callers_test.go
+++ b/internal/flow/callers_test.go
@@ -9,19 +9,26 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"bergamotstall/internal/table"
 )
 
+var drawings sync.Map
+
 // drawing returns content that no shift or mix-up leaves intact.
 func drawing(size int) []byte {
+	if known, ok := drawings.Load(size); ok {
+		return known.([]byte)
+	}
 	out := make([]byte, size)
 	r := rand.New(rand.NewPCG(7, uint64(size)))
 	for i := range out {
 		out[i] = byte(r.Uint32())
 	}
+	drawings.Store(size, out)
 	return out
 }
 
--- a/internal/flow/counts.go
+++ b/internal/flow/counts.go
@@ -17,7 +17,7 @@
 	oversize, sendFailed, handOverLost     *expvar.Int
 	pathReplaced, tableRefused             *expvar.Int
 	opened, refused, probes                *expvar.Int
-	direct, directFailed                   *expvar.Int
+	direct, directFailed, retried          *expvar.Int
 
 	delivered, handedOver, reset, refuse, dropped [reasons]*expvar.Int
 }
@@ -43,6 +43,7 @@
 		probes:       s.Counter("flow_probes"),
 		direct:       s.Counter("flow_answers_direct"),
 		directFailed: s.Counter("flow_direct_failed"),
+		retried:      s.Counter("flow_address_proof_asked"),
 		refused:      s.Counter("flow_refused"),
 	}
 	for r := range reasons {
--- a/internal/flow/deflect.go
+++ b/internal/flow/deflect.go
@@ -135,8 +135,9 @@
 // one first flight would be dealt to two agents, of which neither can answer.
 type Deflector struct {
 	choices map[uint64]remembered
-	// queue has the choices in order of age, for expiry.
+	// queue has the choices in order of age, from head on.
 	queue []expiry
+	head  int
 }
 
 type expiry struct {
@@ -290,12 +291,13 @@
 }
 
 func (d *Deflector) expire(now time.Time) {
-	n := 0
-	for n < len(d.queue) && !d.queue[n].until.After(now) {
-		delete(d.choices, d.queue[n].memory)
-		n++
+	for d.head < len(d.queue) && !d.queue[d.head].until.After(now) {
+		delete(d.choices, d.queue[d.head].memory)
+		d.head++
 	}
-	if n > 0 {
-		d.queue = append(d.queue[:0], d.queue[n:]...)
+	// Moved down only now and then, or a flood would pay for it with each packet.
+	if d.head > len(d.queue)/2 {
+		d.queue = append(d.queue[:0], d.queue[d.head:]...)
+		d.head = 0
 	}
 }
--- a/internal/flow/deflect_test.go
+++ b/internal/flow/deflect_test.go
@@ -151,6 +151,12 @@
 		is.Equal(v.Action, Deliver)
 	}
 	is.Equal(len(d.choices), memoryLimit)
+	for i := range uint64(2) {
+		later := start.Add(handshakeMemory * time.Duration(i+1))
+		d.Decide(s, &Arrival{Now: later, Opening: true, Revision: 7, Key: i, Memory: i})
+		is.Equal(len(d.choices), 1)
+		is.Equal(len(d.queue)-d.head, 1)
+	}
 }
 
 // Whatever each agent's state and table, a first packet ends within two hops: it
--- a/internal/flow/endpoint.go
+++ b/internal/flow/endpoint.go
@@ -40,6 +40,12 @@
 	keepAlives = 3
 	// handshakeIdle bounds a handshake of which nothing is heard.
 	handshakeIdle = 5 * time.Second
+	// provenAbove is how many handshakes may be under way before callers have to
+	// prove their address by QUIC Retry, which costs them a round trip. A handshake
+	// costs the agent about 2 ms of processor time, and anyone can start one under
+	// a made-up address. A host gets some 10 new flows a second, each under way for
+	// a few round trips, so that a hundred are a flood or a great reconnecting.
+	provenAbove = 100
 	// packetSize is the smallest that QUIC allows. The envelope is added to it
 	// on the way through the data centre, and any path carries it.
 	packetSize = 1200
@@ -65,7 +71,8 @@
 	// Direct sends answers straight to callers, from the service's address. The
 	// VM must hold that address, without the fabric handing it packets for it.
 	Direct bool
-	// IdleTimeout ends a flow of which nothing is heard; 0 means 15 s.
+	// IdleTimeout ends a flow of which nothing is heard; 0 means 15 s, which is
+	// the most: the way back to a silent caller is forgotten after twice that.
 	IdleTimeout time.Duration
 	Log         logrus.FieldLogger
 	Metrics     *metrics.Set
@@ -92,6 +99,7 @@
 	self          atomic.Uint32
 	view          atomic.Pointer[view]
 	flows         atomic.Int64
+	handshakes    atomic.Int64
 	held          atomic.Int64
 	stopping      atomic.Bool
 	tableDraining atomic.Bool
@@ -140,6 +148,9 @@
 	if c.Service == "" || c.Handler == nil || c.TLS == nil || c.Log == nil {
 		return nil, errors.Wrap(ErrConfig, "service, handler, TLS and log are needed")
 	}
+	if c.IdleTimeout < 0 || c.IdleTimeout > idleTimeout {
+		return nil, errors.Wrapf(ErrConfig, "idle timeout %v", c.IdleTimeout)
+	}
 	if c.Metrics == nil {
 		c.Metrics = metrics.New()
 	}
@@ -171,6 +182,7 @@
 	}
 	e.serving = newServing(e)
 	c.Metrics.Gauge("flow_open", func() int64 { return e.flows.Load() })
+	c.Metrics.Gauge("flow_handshakes", func() int64 { return e.handshakes.Load() })
 	c.Metrics.Gauge("flow_open_old_keys", e.flowsUnderOldKeys)
 	c.Metrics.Gauge("flow_paths", func() int64 { return int64(e.paths.count()) })
 	return e, nil
--- a/internal/flow/ends.go
+++ b/internal/flow/ends.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"crypto/tls"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -81,6 +82,7 @@
 		Conn:                  x.port,
 		ConnectionIDGenerator: &idGenerator{endpoint: e, ring: ring, generation: k.Generation},
 		StatelessResetKey:     &reset,
+		VerifySourceAddress:   e.mustProve,
 		TokenGeneratorKey:     &token,
 		ConnContext: func(ctx context.Context, info *quic.ClientInfo) (context.Context, error) {
 			return e.admit(ctx, info, x)
@@ -135,11 +137,35 @@
 	e.flows.Add(1)
 	x.flows.Add(1)
 	e.counts.opened.Add(1)
+	shake := &handshake{endpoint: e}
+	e.handshakes.Add(1)
 	context.AfterFunc(ctx, func() {
+		shake.over()
 		e.flows.Add(-1)
 		x.flows.Add(-1)
 	})
-	return ctx, nil
+	return context.WithValue(ctx, handshakeKey{}, shake), nil
+}
+
+// mustProve tells whether a new flow's caller has to prove its address.
+func (e *Endpoint) mustProve(net.Addr) bool {
+	if e.handshakes.Load() < provenAbove {
+		return false
+	}
+	e.counts.retried.Add(1)
+	return true
+}
+
+// handshake is a flow's, counted until it is done or has failed.
+type handshake struct {
+	endpoint *Endpoint
+	once     sync.Once
+}
+
+type handshakeKey struct{}
+
+func (h *handshake) over() {
+	h.once.Do(func() { h.endpoint.handshakes.Add(-1) })
 }
 
 // flowsUnderOldKeys returns the open flows whose connection IDs are under another
--- a/internal/flow/measure_test.go
+++ b/internal/flow/measure_test.go
@@ -146,3 +146,30 @@
 	b.ReportMetric(float64(all[len(all)/2].Microseconds())/1000, "p50-ms")
 	b.ReportMetric(float64(all[len(all)-1].Milliseconds()), "max-ms")
 }
+
+// BenchmarkDownload moves 32 MB over one flow, and over four at a time, from one
+// agent through three balancers; callers and fabric are in the same process.
+func BenchmarkDownload(b *testing.B) {
+	const size = 32 << 20
+	for _, flows := range []int{1, 4} {
+		b.Run(fmt.Sprint(flows), func(b *testing.B) {
+			r := standard(b, 1, target)
+			var callers []*caller
+			for range flows {
+				callers = append(callers, r.caller(desk))
+			}
+			b.SetBytes(int64(flows * size))
+			for b.Loop() {
+				var running sync.WaitGroup
+				for _, c := range callers {
+					running.Go(func() {
+						if body, _, err := c.get(fmt.Sprintf("/drawing?size=%d", size)); err != nil || len(body) != size {
+							b.Errorf("%d bytes: %v", len(body), err)
+						}
+					})
+				}
+				running.Wait()
+			}
+		})
+	}
+}
--- a/internal/flow/serving.go
+++ b/internal/flow/serving.go
@@ -85,6 +85,9 @@
 }
 
 func (x *server) register(ctx context.Context, conn *quic.Conn) context.Context {
+	if shake, ok := conn.Context().Value(handshakeKey{}).(*handshake); ok {
+		shake.over()
+	}
 	flow := &served{conn: conn}
 	flow.idleSince.Store(time.Now().UnixNano())
 	x.mu.Lock()
