--- a/internal/flow/rig_test.go
+++ b/internal/flow/rig_test.go
@@ -55,6 +55,9 @@
 	cert      tls.Certificate
 	pool      *x509.CertPool
 	hosts     int
+	callers   []*http3.Transport
+	// direct is set for agents that answer from the service's address.
+	direct bool
 }
 
 type rigBalancer struct {
@@ -137,8 +140,8 @@
 	set := metrics.New()
 	e, err := flow.New(flow.Config{
 		Service: service, Tunnel: tunnel, Handler: handler, Log: quiet(), Metrics: set,
-		IdleTimeout: idle,
-		TLS:         &tls.Config{Certificates: []tls.Certificate{r.cert}},
+		IdleTimeout: idle, Direct: r.direct,
+		TLS: &tls.Config{Certificates: []tls.Certificate{r.cert}},
 	})
 	r.is.NoErr(err)
 	if keepFirst {
@@ -252,9 +255,16 @@
 		QUICConfig:      &quic.Config{MaxIdleTimeout: 20 * time.Second},
 	}
 	r.Cleanup(func() { _ = x.Close() })
+	r.callers = append(r.callers, x)
 	return &caller{Client: &http.Client{Transport: x}, transport: x, url: "https://" + s.Address}
 }
 
+func (r *rig) closeCallers() {
+	for _, x := range r.callers {
+		_ = x.Close()
+	}
+}
+
 // get returns the answer's body and the agent that sent it.
 func (c *caller) get(path string) (body []byte, agent string, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
