--- a/agent/agent.go
+++ b/agent/agent.go
@@ -92,6 +92,8 @@
 		Limits:  relay.Limits{Slots: a.settings.Slots, Connections: a.settings.Connections},
 		Log:     a.log,
 		Metrics: a.metrics,
+		// The client is there before the first request is.
+		TableAge: func() time.Duration { return a.client.Status().WordAge },
 	}
 	if a.identity != nil {
 		cfg.TLS = &relay.PeerTLS{Server: a.identity.Server(keys.Agent), Client: a.identity.Client(keys.Agent)}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -28,8 +28,13 @@
 	"bergamotstall/internal/table"
 )
 
-// Draws is how many peers are asked at once; see docs/PLACEMENT.md.
-const Draws = 2
+const (
+	// Draws is how many peers are asked at once; see docs/PLACEMENT.md.
+	Draws = 2
+	// From is the part of its slots at which a host begins to look for a peer
+	// with less to do; see docs/PLACEMENT.md.
+	From = 0.5
+)
 
 // Peer is another agent that may get work.
 type Peer struct {
@@ -56,6 +61,10 @@
 // Draw picks up to Draws peers to ask, by share, near ones only or far ones
 // only. tried peers are left out.
 func Draw(rng *rand.Rand, peers []Peer, near bool, tried []table.AgentNumber) []Peer {
+	return draw(rng, peers, near, tried, Draws)
+}
+
+func draw(rng *rand.Rand, peers []Peer, near bool, tried []table.AgentNumber, draws int) []Peer {
 	var fit []Peer
 	for _, p := range peers {
 		if p.Near == near && p.Share > 0 && !slices.Contains(tried, p.Agent) {
@@ -63,7 +72,7 @@
 		}
 	}
 	var out []Peer
-	for len(out) < Draws && len(fit) > 0 {
+	for len(out) < draws && len(fit) > 0 {
 		i := drawOne(rng, fit)
 		out = append(out, fit[i])
 		fit = append(fit[:i], fit[i+1:]...)
@@ -87,15 +96,27 @@
 	return len(peers) - 1
 }
 
-// Best returns the index of the load that promises the earliest answer, among
-// those with room; -1 where none has.
-func Best(loads []Load) int {
+// LookAround tells whether a host with this load asks peers about a new request,
+// though it may have a slot free.
+func LookAround(home Load) bool { return lookAround(home, From) }
+
+func lookAround(home Load, from float64) bool {
+	return !home.Room() || float64(home.Running) >= from*float64(home.Slots)
+}
+
+// Best returns the index of the peer that promises the earliest answer among
+// those with room, -1 where none has. A home with room keeps the request unless
+// the peer promises better.
+func Best(home Load, loads []Load) int {
 	best := -1
 	for i, l := range loads {
 		if l.Room() && (best < 0 || expected(l) < expected(loads[best])) {
 			best = i
 		}
 	}
+	if best >= 0 && home.Room() && expected(loads[best]) >= expected(home) {
+		return -1
+	}
 	return best
 }
 
--- a/internal/relay/keyed.go
+++ b/internal/relay/keyed.go
@@ -64,11 +64,11 @@
 	res := x.runClaimed(c, k)
 	switch {
 	case res.refusal != nil:
-		x.releaseKey(k.try)
+		res.released = x.releaseKey(k.try)
 	case res.unknown != nil:
 		x.finishKey(k.try, claim.Lost, nil)
 	case res.resp.StatusCode == http.StatusServiceUnavailable && x.cfg.ShedUnrun:
-		x.releaseKey(k.try)
+		res.released = x.releaseKey(k.try)
 	default:
 		res.resp.Body = x.keepAnswer(k.try, res.resp)
 	}
@@ -117,8 +117,9 @@
 	if verdict == claim.Won {
 		return k, result{}
 	}
-	x.releaseKey(try)
-	return nil, x.keyAnswer(verdict, try)
+	res := x.keyAnswer(verdict, try)
+	res.released = x.releaseKey(try)
+	return nil, res
 }
 
 // keyAnswer is what a caller is told whose key another try has, or that found
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -94,6 +94,8 @@
 	case x.drained():
 		x.answer(w, c, refused(ReasonDraining))
 	default:
-		x.answer(w, c, x.runHere(c))
+		res := x.runHere(c)
+		res.settle() // the other agent may go on at once
+		x.answer(w, c, res)
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -81,11 +81,13 @@
 const (
 	defaultSlots       = 4
 	defaultConnections = 2000
-	defaultQueue       = 64
-	defaultQueueTime   = 10 * time.Second
-	defaultAnswerTime  = 60 * time.Second
-	defaultSlotTime    = 250 * time.Millisecond
-	defaultKeyedBody   = 1 << 20
+	// defaultQueue is about two turns of today's slots; longer queues refuse as
+	// many and make the others wait longer, see docs/PLACEMENT.md.
+	defaultQueue      = 16
+	defaultQueueTime  = 10 * time.Second
+	defaultAnswerTime = 60 * time.Second
+	defaultSlotTime   = 250 * time.Millisecond
+	defaultKeyedBody  = 1 << 20
 )
 
 func (l Limits) withDefaults() Limits {
--- a/internal/relay/route.go
+++ b/internal/relay/route.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -49,6 +50,7 @@
 		}
 		x.count.add("retries.made")
 		res.close()
+		res.settle()
 	}
 }
 
@@ -90,16 +92,17 @@
 	x.budget.Fresh(x.now())
 }
 
-// route picks the next place: here if there is a free slot, else a peer with
-// room, else here to wait, else any peer that takes work.
+// route picks the next place: here, a peer that promises an earlier answer, or
+// where nobody has room, here to wait, or any peer that takes work.
 func (x *Relay) route(c *call, tried []table.AgentNumber) (route, bool) {
 	here := !x.drained() && !slices.Contains(tried, x.self())
-	well := here && x.fit(c)
-	if well && x.gate.free() > 0 {
+	home := x.load()
+	home.Closed = !here || !x.fit(c)
+	if home.Room() && (c.isFeed() || !place.LookAround(home)) {
 		return route{here: true}, true
 	}
 	peers := x.peers()
-	if peer, ok := x.probe(c.ctx, peers, tried); ok {
+	if peer, ok := x.probe(c.ctx, home, peers, tried); ok {
 		return route{peer: peer}, true
 	}
 	if here {
@@ -111,6 +114,13 @@
 	return route{}, false
 }
 
+// isFeed tells whether the caller asks for a feed. A feed moves only where it
+// can't start here: at a peer it hangs on two agents for hours, and since it
+// holds no slot, leaving it here costs nothing.
+func (c *call) isFeed() bool {
+	return strings.Contains(c.request.Header.Get("Accept"), eventStream)
+}
+
 // peers returns the other agents that may get new work.
 func (x *Relay) peers() []place.Peer {
 	t := x.table.Load()
@@ -132,13 +142,13 @@
 }
 
 // probe asks a few peers for their load, near ones first, and returns the best
-// that has room.
-func (x *Relay) probe(ctx context.Context, peers []place.Peer, tried []table.AgentNumber) (table.Target, bool) {
+// that has room and is better than home.
+func (x *Relay) probe(ctx context.Context, home place.Load, peers []place.Peer, tried []table.AgentNumber) (table.Target, bool) {
 	t := x.table.Load()
 	for round := range maxProbeRounds {
 		drawn := place.Draw(x.rng(), peers, round == 0, tried)
 		loads := x.loadsOf(ctx, t, drawn)
-		if i := place.Best(loads); i >= 0 {
+		if i := place.Best(home, loads); i >= 0 {
 			return t.Target(drawn[i].Agent)
 		}
 	}
@@ -168,8 +178,14 @@
 	return loads
 }
 
-func (x *Relay) loadReport() *LoadReport {
+// load is this host's own, as its agent knows it.
+func (x *Relay) load() place.Load {
 	l := x.gate.load()
+	return place.Load{Slots: l.Slots, Running: l.Running, Waiting: l.Waiting, Hold: l.Hold}
+}
+
+func (x *Relay) loadReport() *LoadReport {
+	l := x.load()
 	return &LoadReport{
 		Slots: l.Slots, Running: l.Running, Waiting: l.Waiting,
 		HoldMicros: l.Hold.Microseconds(), Closed: x.drained() || x.ill(),
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -10,6 +10,9 @@
 	"bergamotstall/internal/retry"
 )
 
+// eventStream is the media type of feeds.
+const eventStream = "text/event-stream"
+
 // result is how one attempt ended. Exactly one of resp, refusal, unknown and
 // misuse is set.
 type result struct {
@@ -23,6 +26,18 @@
 	// pass is held by an answer of this host's own target.
 	pass   *pass
 	cancel context.CancelFunc
+	// released is closed when keepers have heard that the attempt gave its key
+	// back; nil where there is nothing to give.
+	released <-chan struct{}
+}
+
+// settle waits until the key can be claimed anew. Only what leads to another
+// attempt waits for it, never a caller's final answer: the next agent would find
+// the key held and tell the caller that its request may be running.
+func (r result) settle() {
+	if r.released != nil {
+		<-r.released
+	}
 }
 
 // close gives back what an attempt holds.
@@ -93,7 +108,7 @@
 // whole host out of service.
 func (x *Relay) releaseSlot(r result) (stop func()) {
 	kind, _, _ := mime.ParseMediaType(r.resp.Header.Get("Content-Type"))
-	if kind == "text/event-stream" {
+	if kind == eventStream {
 		r.pass.stream()
 		return func() {}
 	}
--- a/internal/relay/votes.go
+++ b/internal/relay/votes.go
@@ -137,25 +137,33 @@
 }
 
 // tellAll tells everyone who may hold a vote how a try ended, in the
-// background: callers don't wait for it.
-func (x *Relay) tellAll(try *claim.Claimant, kind wire.Kind, m msgp.Marshaler, own func(*claim.Keeper, int64)) {
+// background: callers don't wait for it. The returned channel is closed when all
+// have heard or couldn't be reached.
+func (x *Relay) tellAll(try *claim.Claimant, kind wire.Kind, m msgp.Marshaler, own func(*claim.Keeper, int64)) <-chan struct{} {
 	t := x.table.Load()
+	var told sync.WaitGroup
 	for _, n := range try.Asked() {
 		if n == x.self() {
 			x.keep(own)
 			continue
 		}
-		x.background.Go(func() {
+		told.Go(func() {
 			if err := x.tell(context.Background(), t, n, kind, m, &Done{}); err != nil {
 				x.count.add("claims.keeper-silent")
 			}
 		})
 	}
+	done := make(chan struct{})
+	x.background.Go(func() {
+		told.Wait()
+		close(done)
+	})
+	return done
 }
 
-func (x *Relay) releaseKey(try *claim.Claimant) {
+func (x *Relay) releaseKey(try *claim.Claimant) <-chan struct{} {
 	r := claim.Release{Key: try.Request().Key, ID: try.Request().ID}
-	x.tellAll(try, kindRelease, &r, func(k *claim.Keeper, nowMS int64) { k.Release(nowMS, r) })
+	return x.tellAll(try, kindRelease, &r, func(k *claim.Keeper, nowMS int64) { k.Release(nowMS, r) })
 }
 
 func (x *Relay) finishKey(try *claim.Claimant, standing claim.Standing, answer *claim.Answer) {
