--- a/internal/relay/votes.go
+++ b/internal/relay/votes.go
@@ -166,6 +166,7 @@
 	return x.tellAll(try, kindRelease, &r, func(k *claim.Keeper, nowMS int64) { k.Release(nowMS, r) })
 }
 
+// finishKey tells in the background: the caller has its answer already.
 func (x *Relay) finishKey(try *claim.Claimant, standing claim.Standing, answer *claim.Answer) {
 	f := claim.Finish{Request: try.Request(), Standing: standing, Answer: answer}
 	x.tellAll(try, kindFinish, &f, func(k *claim.Keeper, nowMS int64) { k.Finish(nowMS, f) })
