Control keeps retired agents for as long as idempotency keys need them

Cause: claims are safe only while retired keepers stay in the table for the key window and five minutes; control dropped them after 15 minutes, and earlier where over 4,096 were retired, whatever the window (up to 7 days). Change (smallest in table and catalogue): rows are kept for the service's window plus claim.RowsKept; where the count forces one out early, the service's new field KeysFromMS stops claims until its time is over; package claim obeys it. Figures: catalogue, claim, spread and relay tests pass; TestMassRestart checks the new field.

--- a/internal/catalogue/agents.go
+++ b/internal/catalogue/agents.go
@@ -220,10 +220,28 @@
 			return false
 		}
 		over--
-		return over >= 0 || c.due(x.RetiredAtMS, RetiredKept.Milliseconds())
+		if c.due(x.RetiredAtMS, c.retiredKept[x.Service]) {
+			return true
+		}
+		if over >= 0 {
+			c.stopKeys(x)
+		}
+		return over >= 0
 	})
 }
 
+// stopKeys keeps the service from claiming idempotency keys until a retired
+// agent that is dropped early would have been dropped in time. Agents look
+// retired keepers up in the table; with one missing, they could pass over the
+// only ones that know of a run, and run a resent submission again.
+func (c *Catalogue) stopKeys(x *Agent) {
+	i := slices.IndexFunc(c.state.Services, func(s Service) bool { return s.ID == x.Service })
+	if i >= 0 {
+		s := &c.state.Services[i]
+		s.KeysFromMS = max(s.KeysFromMS, x.RetiredAtMS+s.retiredKeptMS())
+	}
+}
+
 func (c *Catalogue) due(sinceMS, afterMS int64) bool { return c.state.ClockMS-sinceMS >= afterMS }
 
 // dropAgents forgets agents; their numbers stay used. It copies only once it has
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -25,6 +25,8 @@
 	drains   map[string]bool
 	// names are the services' by ID: looked up for every target at a switch.
 	names map[table.ServiceID]string
+	// retiredKept is retiredKeptMS by service.
+	retiredKept map[table.ServiceID]int64
 	// hostOf finds the current agent of a service's host.
 	hostOf map[place]table.AgentNumber
 
@@ -239,7 +241,10 @@
 
 func (c *Catalogue) indexServices() {
 	c.names = make(map[table.ServiceID]string, len(c.state.Services))
-	for _, s := range c.state.Services {
+	c.retiredKept = make(map[table.ServiceID]int64, len(c.state.Services))
+	for i := range c.state.Services {
+		s := &c.state.Services[i]
+		c.retiredKept[s.ID] = s.retiredKeptMS()
 		c.names[s.ID] = s.Spec.Name
 	}
 }
--- a/internal/catalogue/derive.go
+++ b/internal/catalogue/derive.go
@@ -80,7 +80,7 @@
 	return table.Service{
 		ID: s.ID, Name: s.Spec.Name, Address: s.Spec.Address, FlowLimit: s.Spec.FlowLimit,
 		QueueLimit: s.Spec.QueueLimit, RetryPercent: s.Spec.RetryPercent,
-		KeyWindowMS: s.Spec.KeyWindow.Milliseconds(),
+		KeyWindowMS: s.Spec.KeyWindow.Milliseconds(), KeysFromMS: s.KeysFromMS,
 	}
 }
 
--- a/internal/catalogue/read.go
+++ b/internal/catalogue/read.go
@@ -87,7 +87,7 @@
 	for i := range c.state.Agents {
 		a := &c.state.Agents[i]
 		switch {
-		case a.Retired && nowMS-a.RetiredAtMS >= RetiredKept.Milliseconds():
+		case a.Retired && nowMS-a.RetiredAtMS >= c.retiredKept[a.Service]:
 			return true
 		case a.Silence == Out && !a.Retired && nowMS-a.SilentAtMS >= retireAfter.Milliseconds():
 			return true
--- a/internal/catalogue/silence.go
+++ b/internal/catalogue/silence.go
@@ -26,7 +26,8 @@
 	// agent answers its packets with a stateless reset. Callers give a flow up
 	// after their idle time-out, half a minute; the rest covers processes whose
 	// table is behind. Its length equals silenceWindow: the count of what is out
-	// reads these records.
+	// reads these records. A service whose idempotency keys are valid for longer
+	// keeps its retired numbers for longer.
 	RetiredKept = silenceWindow
 	// maxRetired bounds the retired numbers in the table: a mass restart of the
 	// fleet must not double it for a quarter of an hour. Oldest go first.
--- a/internal/catalogue/silence_test.go
+++ b/internal/catalogue/silence_test.go
@@ -146,6 +146,10 @@
 	h.do(Command{Sweep: &Sweep{}})
 	is.Equal(countState(h, table.Retired), maxRetired)
 	is.Equal(countState(h, table.Active), 1)
+	// Keepers of idempotency keys went early: keys wait until their time is over.
+	service, _ := h.Table().ServiceNamed("casework")
+	is.True(service.KeysFromMS > h.nowMS)
+	is.True(service.KeysFromMS <= h.nowMS+RetiredKept.Milliseconds())
 }
 
 // All balancers fall silent for control at once. Agents keep a list of most of
--- a/internal/catalogue/state.go
+++ b/internal/catalogue/state.go
@@ -1,6 +1,7 @@
 package catalogue
 
 import (
+	"bergamotstall/internal/claim"
 	"bergamotstall/internal/table"
 )
 
@@ -46,6 +47,19 @@
 type Service struct {
 	ID   table.ServiceID `msg:"i"`
 	Spec ServiceSpec     `msg:"s"`
+	// KeysFromMS is the table's field of that name.
+	KeysFromMS int64 `msg:"k,omitempty"`
+}
+
+// retiredKeptMS is how long the service's retired agents stay in the table, in
+// milliseconds: long enough for stateless resets and for package claim, whose
+// keepers they were.
+func (s *Service) retiredKeptMS() int64 {
+	window := s.Spec.KeyWindow
+	if window <= 0 {
+		window = claim.DefaultWindow
+	}
+	return max(RetiredKept, window+claim.RowsKept).Milliseconds()
 }
 
 // Silence says what came of reports that a process is silent.
--- a/internal/catalogue/state_gen.go
+++ b/internal/catalogue/state_gen.go
@@ -742,20 +742,38 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Service) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "i"
-	o = append(o, 0x82, 0xa1, 0x69)
-	o, err = z.ID.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.KeysFromMS == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o, err = z.Spec.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Spec")
-		return
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o, err = z.ID.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "ID")
+			return
+		}
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o, err = z.Spec.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Spec")
+			return
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "k"
+			o = append(o, 0xa1, 0x6b)
+			o = msgp.AppendInt64(o, z.KeysFromMS)
+		}
 	}
 	return
 }
@@ -790,6 +808,12 @@
 				err = msgp.WrapError(err, "Spec")
 				return
 			}
+		case "k":
+			z.KeysFromMS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "KeysFromMS")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -804,7 +828,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Service) Msgsize() (s int) {
-	s = 1 + 2 + z.ID.Msgsize() + 2 + z.Spec.Msgsize()
+	s = 1 + 2 + z.ID.Msgsize() + 2 + z.Spec.Msgsize() + 2 + msgp.Int64Size
 	return
 }
 
@@ -871,20 +895,38 @@
 	o = append(o, 0xa1, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
 	for za0001 := range z.Services {
-		// map header, size 2
-		// string "i"
-		o = append(o, 0x82, 0xa1, 0x69)
-		o, err = z.Services[za0001].ID.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Services", za0001, "ID")
-			return
+		// check for omitted fields
+		zb0002Len := uint32(3)
+		var zb0002Mask uint8 /* 3 bits */
+		_ = zb0002Mask
+		if z.Services[za0001].KeysFromMS == 0 {
+			zb0002Len--
+			zb0002Mask |= 0x4
 		}
-		// string "s"
-		o = append(o, 0xa1, 0x73)
-		o, err = z.Services[za0001].Spec.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Services", za0001, "Spec")
-			return
+		// variable map header, size zb0002Len
+		o = append(o, 0x80|uint8(zb0002Len))
+
+		// skip if no fields are to be emitted
+		if zb0002Len != 0 {
+			// string "i"
+			o = append(o, 0xa1, 0x69)
+			o, err = z.Services[za0001].ID.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Services", za0001, "ID")
+				return
+			}
+			// string "s"
+			o = append(o, 0xa1, 0x73)
+			o, err = z.Services[za0001].Spec.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Services", za0001, "Spec")
+				return
+			}
+			if (zb0002Mask & 0x4) == 0 { // if not omitted
+				// string "k"
+				o = append(o, 0xa1, 0x6b)
+				o = msgp.AppendInt64(o, z.Services[za0001].KeysFromMS)
+			}
 		}
 	}
 	// string "p"
@@ -1078,6 +1120,12 @@
 							err = msgp.WrapError(err, "Services", za0001, "Spec")
 							return
 						}
+					case "k":
+						z.Services[za0001].KeysFromMS, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Services", za0001, "KeysFromMS")
+							return
+						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -1331,7 +1379,7 @@
 func (z *Stored) Msgsize() (s int) {
 	s = 1 + 2 + msgp.Uint64Size + 2 + z.Revision.Msgsize() + 2 + msgp.Int64Size + 3 + z.LastAgent.Msgsize() + 3 + z.LastService.Msgsize() + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Services {
-		s += 1 + 2 + z.Services[za0001].ID.Msgsize() + 2 + z.Services[za0001].Spec.Msgsize()
+		s += 1 + 2 + z.Services[za0001].ID.Msgsize() + 2 + z.Services[za0001].Spec.Msgsize() + 2 + msgp.Int64Size
 	}
 	s += 2 + msgp.ArrayHeaderSize
 	for za0002 := range z.Presets {
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -109,15 +109,19 @@
 	return rows
 }
 
-// MayVote tells whether an agent may claim and vote: its table is recent and
-// says that the agent is part of its service. The age is how long ago control
-// last confirmed the table.
-func MayVote(t *table.Table, agent table.AgentNumber, age time.Duration) bool {
+// MayVote tells whether an agent may claim and vote at nowMS: its table is
+// recent, says that the agent is part of its service, and has all the retired
+// rows that it needs. The age is how long ago control last confirmed the table.
+func MayVote(t *table.Table, agent table.AgentNumber, age time.Duration, nowMS int64) bool {
 	if t == nil || age > MaxTableAge {
 		return false
 	}
 	own, ok := t.Target(agent)
-	return ok && own.State != table.Retired
+	if !ok || own.State == table.Retired {
+		return false
+	}
+	service, ok := t.Service(own.Service)
+	return ok && nowMS >= service.KeysFromMS
 }
 
 // rank orders rows by the key's rendezvous hash, first to vote first.
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -191,13 +191,21 @@
 
 func TestOldOrRetiredAgentsDontVote(t *testing.T) {
 	is := is.New(t)
-	tab := &table.Table{Targets: []table.Target{
-		{Agent: 1, State: table.Active}, {Agent: 2, State: table.Draining}, {Agent: 3, State: table.Retired},
-	}}
-	is.True(MayVote(tab, 1, 0))
-	is.True(MayVote(tab, 2, MaxTableAge))
-	is.True(!MayVote(tab, 3, 0))
-	is.True(!MayVote(tab, 4, 0))
-	is.True(!MayVote(tab, 1, MaxTableAge+1))
-	is.True(!MayVote(nil, 1, 0))
+	tab := &table.Table{
+		Services: []table.Service{{ID: 1}, {ID: 2, KeysFromMS: 5000}},
+		Targets: []table.Target{
+			{Agent: 1, Service: 1, State: table.Active},
+			{Agent: 2, Service: 1, State: table.Draining},
+			{Agent: 3, Service: 1, State: table.Retired},
+			{Agent: 4, Service: 2, State: table.Active},
+		},
+	}
+	is.True(MayVote(tab, 1, 0, 1))
+	is.True(MayVote(tab, 2, MaxTableAge, 1))
+	is.True(!MayVote(tab, 3, 0, 1))
+	is.True(!MayVote(tab, 5, 0, 1))
+	is.True(!MayVote(tab, 1, MaxTableAge+1, 1))
+	is.True(!MayVote(nil, 1, 0, 1))
+	is.True(!MayVote(tab, 4, 0, 4999)) // retired keepers were dropped early
+	is.True(MayVote(tab, 4, 0, 5000))
 }
--- a/internal/relay/keyed.go
+++ b/internal/relay/keyed.go
@@ -135,7 +135,7 @@
 // claimOnce makes one try for the request's key.
 func (x *Relay) claimOnce(c *call) (*keyed, result) {
 	t := x.table.Load()
-	if !claim.MayVote(t, x.self(), x.tableAge()) {
+	if !claim.MayVote(t, x.self(), x.tableAge(), x.cfg.Clock().UnixMilli()) {
 		x.complain(events.ClaimsStale)
 		return nil, refused(ReasonKeyStale)
 	}
--- a/internal/relay/votes.go
+++ b/internal/relay/votes.go
@@ -67,7 +67,7 @@
 // vote answers a claimant.
 func (x *Relay) vote(r claim.Request) claim.Reply {
 	reply := claim.Reply{Standing: claim.Closed}
-	if !claim.MayVote(x.table.Load(), x.self(), x.tableAge()) {
+	if !claim.MayVote(x.table.Load(), x.self(), x.tableAge(), x.cfg.Clock().UnixMilli()) {
 		x.count.add("claims.vote-stale")
 		return reply
 	}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -53,6 +53,10 @@
 	RetryPercent int `msg:"r"`
 	// KeyWindowMS is how long an idempotency key stays valid, in milliseconds.
 	KeyWindowMS int64 `msg:"k"`
+	// KeysFromMS is when idempotency keys may be claimed again, in Unix
+	// milliseconds; 0 is always. Control sets it where it had to drop a retired
+	// target before the key window's end: who kept a key is unknown then.
+	KeysFromMS int64 `msg:"f2,omitempty"`
 }
 
 // Target is one host that serves one service, with the agent beside it.
--- a/internal/table/table_gen.go
+++ b/internal/table/table_gen.go
@@ -580,6 +580,12 @@
 				err = msgp.WrapError(err, "KeyWindowMS")
 				return
 			}
+		case "f2":
+			z.KeysFromMS, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "KeysFromMS")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -593,76 +599,104 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Service) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
-	// write "i"
-	err = en.Append(0x87, 0xa1, 0x69)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
+	_ = zb0001Mask
+	if z.KeysFromMS == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
 	}
-	err = en.WriteUint32(uint32(z.ID))
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Name)
-	if err != nil {
-		err = msgp.WrapError(err, "Name")
 		return
 	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Address)
-	if err != nil {
-		err = msgp.WrapError(err, "Address")
-		return
-	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.FlowLimit)
-	if err != nil {
-		err = msgp.WrapError(err, "FlowLimit")
-		return
-	}
-	// write "q"
-	err = en.Append(0xa1, 0x71)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.QueueLimit)
-	if err != nil {
-		err = msgp.WrapError(err, "QueueLimit")
-		return
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.RetryPercent)
-	if err != nil {
-		err = msgp.WrapError(err, "RetryPercent")
-		return
-	}
-	// write "k"
-	err = en.Append(0xa1, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.KeyWindowMS)
-	if err != nil {
-		err = msgp.WrapError(err, "KeyWindowMS")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "i"
+		err = en.Append(0xa1, 0x69)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint32(uint32(z.ID))
+		if err != nil {
+			err = msgp.WrapError(err, "ID")
+			return
+		}
+		// write "n"
+		err = en.Append(0xa1, 0x6e)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Name)
+		if err != nil {
+			err = msgp.WrapError(err, "Name")
+			return
+		}
+		// write "a"
+		err = en.Append(0xa1, 0x61)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Address)
+		if err != nil {
+			err = msgp.WrapError(err, "Address")
+			return
+		}
+		// write "f"
+		err = en.Append(0xa1, 0x66)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.FlowLimit)
+		if err != nil {
+			err = msgp.WrapError(err, "FlowLimit")
+			return
+		}
+		// write "q"
+		err = en.Append(0xa1, 0x71)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.QueueLimit)
+		if err != nil {
+			err = msgp.WrapError(err, "QueueLimit")
+			return
+		}
+		// write "r"
+		err = en.Append(0xa1, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.RetryPercent)
+		if err != nil {
+			err = msgp.WrapError(err, "RetryPercent")
+			return
+		}
+		// write "k"
+		err = en.Append(0xa1, 0x6b)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.KeyWindowMS)
+		if err != nil {
+			err = msgp.WrapError(err, "KeyWindowMS")
+			return
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// write "f2"
+			err = en.Append(0xa2, 0x66, 0x32)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt64(z.KeysFromMS)
+			if err != nil {
+				err = msgp.WrapError(err, "KeysFromMS")
+				return
+			}
+		}
 	}
 	return
 }
@@ -670,28 +704,46 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Service) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
-	// string "i"
-	o = append(o, 0x87, 0xa1, 0x69)
-	o = msgp.AppendUint32(o, uint32(z.ID))
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendString(o, z.Name)
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendString(o, z.Address)
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendInt(o, z.FlowLimit)
-	// string "q"
-	o = append(o, 0xa1, 0x71)
-	o = msgp.AppendInt(o, z.QueueLimit)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendInt(o, z.RetryPercent)
-	// string "k"
-	o = append(o, 0xa1, 0x6b)
-	o = msgp.AppendInt64(o, z.KeyWindowMS)
+	// check for omitted fields
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
+	_ = zb0001Mask
+	if z.KeysFromMS == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o = msgp.AppendUint32(o, uint32(z.ID))
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendString(o, z.Name)
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendString(o, z.Address)
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendInt(o, z.FlowLimit)
+		// string "q"
+		o = append(o, 0xa1, 0x71)
+		o = msgp.AppendInt(o, z.QueueLimit)
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendInt(o, z.RetryPercent)
+		// string "k"
+		o = append(o, 0xa1, 0x6b)
+		o = msgp.AppendInt64(o, z.KeyWindowMS)
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "f2"
+			o = append(o, 0xa2, 0x66, 0x32)
+			o = msgp.AppendInt64(o, z.KeysFromMS)
+		}
+	}
 	return
 }
 
@@ -759,6 +811,12 @@
 				err = msgp.WrapError(err, "KeyWindowMS")
 				return
 			}
+		case "f2":
+			z.KeysFromMS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "KeysFromMS")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -773,7 +831,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Service) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint32Size + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size
+	s = 1 + 2 + msgp.Uint32Size + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size + 3 + msgp.Int64Size
 	return
 }
 
