--- a/internal/relay/votes.go
+++ b/internal/relay/votes.go
@@ -67,7 +67,7 @@
 // vote answers a claimant.
 func (x *Relay) vote(r claim.Request) claim.Reply {
 	reply := claim.Reply{Standing: claim.Closed}
-	if !claim.MayVote(x.table.Load(), x.self(), x.tableAge()) {
+	if !claim.MayVote(x.table.Load(), x.self(), x.tableAge(), x.cfg.Clock().UnixMilli()) {
 		x.count.add("claims.vote-stale")
 		return reply
 	}
@@ -136,33 +136,34 @@
 	return x.frames.call(ctx, to, kind, m, answer)
 }
 
-// tellAll tells everyone who may hold a vote how a try ended. The wait group
-// it returns is done when each has answered or its time is over.
-func (x *Relay) tellAll(try *claim.Claimant, kind wire.Kind, m msgp.Marshaler, own func(*claim.Keeper, int64)) *sync.WaitGroup {
+// tellAll tells everyone who may hold a vote how a try ended, in the
+// background: callers don't wait for it. The returned channel is closed when all
+// have heard or couldn't be reached.
+func (x *Relay) tellAll(try *claim.Claimant, kind wire.Kind, m msgp.Marshaler, own func(*claim.Keeper, int64)) <-chan struct{} {
 	t := x.table.Load()
-	told := new(sync.WaitGroup)
+	var told sync.WaitGroup
 	for _, n := range try.Asked() {
 		if n == x.self() {
 			x.keep(own)
 			continue
 		}
-		told.Add(1)
-		x.background.Go(func() {
-			defer told.Done()
+		told.Go(func() {
 			if err := x.tell(context.Background(), t, n, kind, m, &Done{}); err != nil {
 				x.count.add("claims.keeper-silent")
 			}
 		})
 	}
-	return told
+	done := make(chan struct{})
+	x.background.Go(func() {
+		told.Wait()
+		close(done)
+	})
+	return done
 }
 
-// releaseKey gives a key back and returns when its keepers know. Otherwise the
-// next try of the same request, at another agent or by the caller that was told
-// not run, would meet the vote of this one and be told that it may be running.
-func (x *Relay) releaseKey(try *claim.Claimant) {
+func (x *Relay) releaseKey(try *claim.Claimant) <-chan struct{} {
 	r := claim.Release{Key: try.Request().Key, ID: try.Request().ID}
-	x.tellAll(try, kindRelease, &r, func(k *claim.Keeper, nowMS int64) { k.Release(nowMS, r) }).Wait()
+	return x.tellAll(try, kindRelease, &r, func(k *claim.Keeper, nowMS int64) { k.Release(nowMS, r) })
 }
 
 // finishKey tells in the background: the caller has its answer already.
