Operators' protocol: failures as tests; a refused certificate is told as such

Change: tests with fake control VMs and with three over TLS. They found that a TLS alert without an address crashed the tool, and that a denied operator's reply could be lost to a reset (the server now reads the request first).

--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -43,6 +43,14 @@
 
 // startCluster starts n control VMs and waits until all vote.
 func startCluster(t *testing.T, n int) *cluster {
+	t.Helper()
+	c := newCluster(t, n)
+	c.start()
+	return c
+}
+
+// newCluster sets n control VMs up.
+func newCluster(t *testing.T, n int) *cluster {
 	t.Helper()
 	c := &cluster{t: t, network: &network{cut: map[string]bool{}}}
 	net := fmt.Sprintf("127.%d.%d", 10+os.Getpid()%200, subnet.Add(1)%250)
@@ -58,24 +66,33 @@
 			Subscribers: ip + ":7102", Operators: ip + ":7103",
 		}})
 	}
-	for _, v := range c.vms {
-		v.start()
-	}
 	t.Cleanup(func() {
 		for _, v := range c.vms {
 			v.stop()
 		}
 	})
-	c.eventually("all vote", func() bool { return c.voters() == n })
-	c.eventually("first keys", func() bool { return len(c.vms[0].control.catalogue.Keys()) == 1 })
 	return c
 }
 
+// start starts all VMs and waits until the cluster is ready.
+func (c *cluster) start() {
+	c.t.Helper()
+	for _, v := range c.vms {
+		v.start()
+	}
+	c.eventually("all vote", func() bool { return c.voters() == len(c.vms) })
+	c.eventually("first keys", func() bool { return len(c.vms[0].control.catalogue.Keys()) == 1 })
+}
+
 func (v *vm) start() {
 	v.cluster.t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	control, err := newWith(v.settings, log, v.cluster.network.dialer(v.settings.Name, v.settings.Replica.Peers))
+	var dial dialFunc // with TLS the VM's own
+	if v.settings.TLS == nil {
+		dial = v.cluster.network.dialer(v.settings.Name, v.settings.Replica.Peers)
+	}
+	control, err := newWith(v.settings, log, dial)
 	if err != nil {
 		v.cluster.t.Fatal(err)
 	}
@@ -181,10 +198,14 @@
 	}
 }
 
+func applyCommand(id string) catalogue.Command {
+	return catalogue.Command{ID: id, Apply: &catalogue.ApplyCatalogue{Definition: definition()}}
+}
+
 // mustApply puts the test's definition in force.
 func (c *cluster) mustApply() catalogue.Outcome {
 	c.t.Helper()
-	out, err := client(c.vms...).Command(c.t.Context(), catalogue.Command{Apply: &catalogue.ApplyCatalogue{Definition: definition()}})
+	out, err := client(c.vms...).Command(c.t.Context(), applyCommand(""))
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -154,7 +154,7 @@
 	}
 	frame, err := conn.Read()
 	if err != nil {
-		return noAnswer(err)
+		return noAnswer(address, err)
 	}
 	return decodeReply(frame, want, out)
 }
@@ -164,10 +164,10 @@
 
 // noAnswer tells a VM that refused the certificate from one that is silent: the
 // client's half of a TLS 1.3 handshake ends before the server has judged it.
-func noAnswer(err error) error {
+func noAnswer(address string, err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == remoteError {
-		return &Failure{Code: Denied, Text: "the certificate was refused: " + op.Err.Error(), VM: op.Addr.String()}
+		return &Failure{Code: Denied, Text: "the certificate was refused: " + err.Error(), VM: address}
 	}
 	return errors.Wrap(err, "no answer")
 }
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -106,8 +106,7 @@
 		s.Metrics.Counter("operator_denied").Add(1)
 		events.Log(s.Log, events.OperatorDenied, logrus.Fields{"from": raw.RemoteAddr().String(), "why": err.Error()})
 		if secured != nil {
-			conn := wire.NewConn(secured, frameLimit, writeTimeout)
-			_, _ = conn.Write(kindFailure, s.failure(Denied, err.Error()))
+			s.deny(wire.NewConn(secured, frameLimit, writeTimeout), err)
 		}
 		return
 	}
@@ -133,6 +132,18 @@
 	}
 }
 
+// deny says why. It reads the request first: closing a connection with unread
+// bytes resets it, and the reply might be lost.
+func (s *Server) deny(conn *wire.Conn, why error) {
+	if err := conn.Raw().SetReadDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return
+	}
+	if _, err := conn.Read(); err != nil {
+		return
+	}
+	_, _ = conn.Write(kindFailure, s.failure(Denied, why.Error()))
+}
+
 // identify completes TLS and finds the operator's name; without TLS the name
 // is empty and requests carry it.
 func (s *Server) identify(ctx context.Context, raw net.Conn) (string, net.Conn, error) {
