--- a/control/settings.go
+++ b/control/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"bergamotstall/internal/keys"
 	"bergamotstall/internal/settings"
 )
 
@@ -23,13 +24,15 @@
 	Metrics string `yaml:"metrics"`
 	// TLS may be left out for tests and the demo only: without it, whoever
 	// reaches an address is trusted.
-	TLS *TLSSettings `yaml:"tls"`
+	TLS keys.Settings `yaml:"tls"`
 }
 
 // ReplicaSettings are the replicated log's.
 type ReplicaSettings struct {
 	// Listen is where the other control VMs connect, "ip:port".
 	Listen string `yaml:"listen"`
+	// Advertise is the address that they dial, where it isn't Listen.
+	Advertise string `yaml:"advertise"`
 	// Bootstrap makes a new cluster where the folder is empty and no peer has a
 	// cluster. It is set on exactly one VM; the others join that one's cluster.
 	Bootstrap bool `yaml:"bootstrap"`
@@ -45,13 +48,6 @@
 	Address string `yaml:"address"`
 }
 
-// TLSSettings name the files that bergamotctl keys made.
-type TLSSettings struct {
-	CA          string `yaml:"ca"`
-	Certificate string `yaml:"certificate"`
-	Key         string `yaml:"key"`
-}
-
 // maxPeers is how many VMs may be set aside for control.
 const maxPeers = 9
 
@@ -62,6 +58,9 @@
 	c.Required("dataCentre", s.DataCentre)
 	c.Required("folder", s.Folder)
 	c.Address("replica.listen", s.Replica.Listen)
+	if s.Replica.Advertise != "" {
+		c.Address("replica.advertise", s.Replica.Advertise)
+	}
 	s.checkPeers(&c)
 	c.Address("subscribers", s.Subscribers)
 	c.Address("operators", s.Operators)
@@ -69,11 +68,7 @@
 		c.Address("metrics", s.Metrics)
 	}
 	s.checkDistinct(&c)
-	if s.TLS != nil {
-		c.File("tls.ca", s.TLS.CA)
-		c.File("tls.certificate", s.TLS.Certificate)
-		c.File("tls.key", s.TLS.Key)
-	}
+	s.TLS.Check(&c, "tls")
 	return c.Problems()
 }
 
--- a/internal/spread/client.go
+++ b/internal/spread/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -77,7 +78,7 @@
 type Status struct {
 	// Control is the address of the VM attached to, empty where there is none.
 	Control string
-	// Revision is that of the table in use, 0 before the first.
+	// Revision is that of the table in force, 0 before the first.
 	Revision table.Revision
 	// WordAge is how long ago a quorum was last known to stand behind the table.
 	WordAge time.Duration
@@ -89,7 +90,7 @@
 // Client keeps a subscriber attached to a control VM.
 type Client struct {
 	cfg    ClientConfig
-	apply  func(*table.Table)
+	apply  func(*table.Table) error
 	random *rand.Rand
 	choose *chooser
 	view   view
@@ -100,16 +101,20 @@
 
 	mu           sync.Mutex
 	held         *table.Table
+	inForce      table.Revision
 	announcement Announcement
 	number       table.AgentNumber
 	control      string
+	// offered is set while the table offers this process new work.
+	offered      bool
 	wordAt       time.Time
 	withoutSince time.Time
 }
 
 // NewClient returns a subscriber that calls apply with each newer table, never
-// with a lower revision, and never twice at once.
-func NewClient(cfg ClientConfig, apply func(*table.Table)) *Client {
+// with a lower revision, and never twice at once. A table for which apply
+// returns an error isn't in force, and control is told so.
+func NewClient(cfg ClientConfig, apply func(*table.Table) error) *Client {
 	if cfg.StaleBound == 0 {
 		cfg.StaleBound = DefaultStaleBound
 	}
@@ -199,7 +204,7 @@
 	defer c.mu.Unlock()
 	return Status{
 		Control:             c.control,
-		Revision:            c.held.Revision,
+		Revision:            c.inForce,
 		WordAge:             time.Since(c.wordAt),
 		WithoutControlSince: c.withoutSince,
 	}
@@ -219,10 +224,7 @@
 	c.mu.Lock()
 	c.announcement.Draining = draining
 	c.mu.Unlock()
-	select {
-	case c.reannounce <- struct{}{}:
-	default:
-	}
+	c.announceAgain()
 }
 
 // nextAnnouncement returns what to announce, under a new attachment.
@@ -246,7 +248,58 @@
 	c.mu.Lock()
 	c.held = next
 	c.mu.Unlock()
-	c.apply(next)
+	c.force(next)
+	c.noticeOwn(next)
+}
+
+// force hands a table to the data path.
+func (c *Client) force(t *table.Table) {
+	if err := c.apply(t); err != nil {
+		c.count.tableRefused.Add(1)
+		return
+	}
+	c.mu.Lock()
+	c.inForce = t.Revision
+	c.mu.Unlock()
+}
+
+// standing is what a heartbeat tells control.
+func (c *Client) standing() beat {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return beat{Revision: c.held.Revision, InForce: c.inForce}
+}
+
+// noticeOwn announces again when the table ceases to offer this process, which
+// is plainly alive: the control VM that it was attached to may have been cut off
+// together with it, and been taken for dead. An operator's drain looks the same
+// from here and isn't undone by an announcement.
+func (c *Client) noticeOwn(t *table.Table) {
+	c.mu.Lock()
+	was := c.offered
+	c.offered = c.offers(t)
+	lost := was && !c.offered && !c.announcement.Draining
+	c.mu.Unlock()
+	if lost {
+		c.count.takenOut.Add(1)
+		c.announceAgain()
+	}
+}
+
+func (c *Client) offers(t *table.Table) bool {
+	if c.cfg.Role == RoleAgent {
+		own, ok := t.Target(c.number)
+		return ok && own.State == table.Active
+	}
+	return slices.ContainsFunc(t.Balancers, func(b table.Balancer) bool { return b.Name == c.announcement.Name })
+}
+
+// announceAgain wakes the stream's sender; without a stream the next hello does.
+func (c *Client) announceAgain() {
+	select {
+	case c.reannounce <- struct{}{}:
+	default:
+	}
 }
 
 // heard notes how old control's word is.
--- a/internal/spread/fakes_test.go
+++ b/internal/spread/fakes_test.go
@@ -211,6 +211,8 @@
 
 	mu      sync.Mutex
 	applied []*table.Table
+	// onApply, where set, takes tables instead of applied.
+	onApply func(*table.Table) error
 }
 
 func (f *follower) tables() []*table.Table {
@@ -249,10 +251,14 @@
 		change(&cfg)
 	}
 	f := &follower{metrics: m}
-	f.Client = NewClient(cfg, func(tb *table.Table) {
+	f.Client = NewClient(cfg, func(tb *table.Table) error {
 		f.mu.Lock()
 		defer f.mu.Unlock()
+		if f.onApply != nil {
+			return f.onApply(tb)
+		}
 		f.applied = append(f.applied, tb)
+		return nil
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
