--- a/cmd/bergamotctl/keys.go
+++ b/cmd/bergamotctl/keys.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		return c.keysFailed(err)
 	}
-	fmt.Fprintf(c.out, "ca: %s\ncertificate: %s\nkey: %s\n", files.Authority, files.Certificate, files.Key)
+	fmt.Fprintf(c.out, "authority: %s\ncertificate: %s\nkey: %s\n", files.Authority, files.Certificate, files.Key)
 	return exitOK
 }
 
--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -89,7 +89,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	var dial dialFunc // with TLS the VM's own
-	if v.settings.TLS == nil {
+	if v.settings.TLS.Absent() {
 		dial = v.cluster.network.dialer(v.settings.Name, v.settings.Replica.Peers)
 	}
 	control, err := newWith(v.settings, log, dial)
--- a/control/secured_test.go
+++ b/control/secured_test.go
@@ -26,7 +26,7 @@
 		host, _, _ := net.SplitHostPort(v.settings.Operators)
 		files, err := keys.Issue(folder, keys.Control, v.settings.Name, net.ParseIP(host))
 		is.NoErr(err)
-		v.settings.TLS = &TLSSettings{CA: files.Authority, Certificate: files.Certificate, Key: files.Key}
+		v.settings.TLS = keys.Settings(files)
 	}
 	c.start()
 
