--- a/control/control.go
+++ b/control/control.go
@@ -93,6 +93,7 @@
 	c.metrics.Gauge("table_revision", func() int64 { return int64(c.catalogue.Summary().Revision) })
 	c.metrics.Gauge("catalogue_version", func() int64 { return int64(c.catalogue.Summary().Version) })
 	c.metrics.Gauge("quorum_contact_age_ms", func() int64 { return log.ContactAge().Milliseconds() })
+	c.metrics.Gauge("state_clock_ahead_ms", func() int64 { return c.catalogue.ClockAhead(time.Now()).Milliseconds() })
 	c.metrics.Text("preset_in_force", func() string { return c.catalogue.Summary().InForce })
 }
 
--- a/control/watch.go
+++ b/control/watch.go
@@ -21,6 +21,9 @@
 	leadLimit = time.Second
 	// staleAfter is when a VM logs that its word is no longer current.
 	staleAfter = 3 * time.Second
+	// clockTolerance is far over what synchronized clocks differ by, and over the
+	// wait of a command in the log.
+	clockTolerance = 2 * time.Second
 	// orphanAfter is the leader's silence of a control VM after which its
 	// subscribers are taken over: its own subscribers leave it after two seconds
 	// without a quorum.
@@ -31,13 +34,14 @@
 func (c *Control) watch(ctx context.Context) {
 	tick := time.NewTicker(watchStep)
 	defer tick.Stop()
-	stale := false
+	stale, ahead := false, false
 	for {
 		c.adoptOrphans()
 		if status := c.log.Status(); status.Leader == status.ID {
 			c.lead(ctx)
 		}
 		stale = c.noteContact(stale)
+		ahead = c.noteClock(ahead)
 		select {
 		case <-ctx.Done():
 			return
@@ -49,16 +53,21 @@
 // lead takes the steps that one VM takes for all. A leader that was replaced a
 // moment ago may take one too; the state takes each once.
 func (c *Control) lead(ctx context.Context) {
+	agents, balancers := c.catalogue.BelievableSuspects(time.Now())
+	beat := c.catalogue.SweepDue(time.Now())
+	if !beat && len(agents)+len(balancers) == 0 && len(c.catalogue.Keys()) > 0 {
+		return
+	}
 	within, cancel := context.WithTimeout(ctx, leadLimit)
 	defer cancel()
 	if c.log.Barrier(within) != nil {
 		return
 	}
 	c.makeFirstKeys(within)
-	if c.catalogue.SweepDue(time.Now()) {
+	if beat {
 		_, _ = c.registrar.submit(within, &catalogue.Command{Sweep: &catalogue.Sweep{}})
 	}
-	c.reportSuspects(within)
+	c.reportSuspects(within, agents, balancers)
 }
 
 // adoptOrphans watches over subscribers whose control VM can't report them: it
@@ -91,8 +100,7 @@
 
 // reportSuspects reports processes again that are still silent and that the
 // state would now believe to be gone.
-func (c *Control) reportSuspects(ctx context.Context) {
-	agents, balancers := c.catalogue.BelievableSuspects(time.Now())
+func (c *Control) reportSuspects(ctx context.Context, agents, balancers []spread.Silence) {
 	for _, s := range agents {
 		_ = c.registrar.AgentSilent(ctx, s)
 	}
@@ -101,6 +109,17 @@
 	}
 }
 
+// noteClock logs the moment at which the state's clock, the leader's, is found
+// to run ahead of this VM's: one of the two is wrong.
+func (c *Control) noteClock(ahead bool) bool {
+	by := c.catalogue.ClockAhead(time.Now())
+	now := by > clockTolerance
+	if now && !ahead {
+		events.Log(c.logger, events.ClockAhead, logrus.Fields{"by": by.String()})
+	}
+	return now
+}
+
 // noteContact logs the moments at which contact with a quorum ends and returns.
 func (c *Control) noteContact(stale bool) bool {
 	age := c.log.ContactAge()
--- a/internal/catalogue/agents.go
+++ b/internal/catalogue/agents.go
@@ -25,7 +25,7 @@
 	if known := c.incarnation(&a); known != nil {
 		return c.announceAgain(known, service.ID, &a, cmd.Via)
 	}
-	return c.register(service, &a, cmd.Via)
+	return c.register(service, &a, cmd)
 }
 
 // announcementFault says what an agent's announcement lacks.
@@ -103,15 +103,19 @@
 }
 
 // register gives a new incarnation its number and retires the one before it.
-func (c *Catalogue) register(service Service, a *spread.Announcement, via string) Outcome {
+//
+// An agent counts as joined at the proposer's time where that is later than the
+// state's clock: whoever asks how long an agent can have remembered keys must
+// never take it for older than it is.
+func (c *Catalogue) register(service Service, a *spread.Announcement, cmd *Command) Outcome {
 	c.replace(c.agents[a.Name])
 	c.replace(c.hostOf[place{service.ID, a.Host}])
 	c.state.LastAgent++
 	x := Agent{
 		Number: c.state.LastAgent, Service: service.ID, Name: a.Name, Incarnation: a.Incarnation,
 		Attachment: a.Attachment, Host: a.Host, DataCentre: a.DataCentre, Tunnel: a.Tunnel, Peer: a.Peer,
-		Slots: a.Slots, Connections: a.Connections, Leaving: a.Draining, Via: via,
-		ChangedAtMS: c.state.ClockMS, JoinedAtMS: c.state.ClockMS,
+		Slots: a.Slots, Connections: a.Connections, Leaving: a.Draining, Via: cmd.Via,
+		ChangedAtMS: c.state.ClockMS, JoinedAtMS: max(c.state.ClockMS, cmd.AtMS),
 	}
 	x.Weight = c.effectiveWeight(&x)
 	x.PreviousWeight = x.Weight
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -82,7 +83,7 @@
 		out.Subject = cmd.ID
 		return out
 	}
-	c.state.ClockMS = max(c.state.ClockMS, cmd.AtMS)
+	c.tick(cmd)
 	c.altered = false
 	c.expire()
 	out := c.dispatch(cmd)
@@ -94,6 +95,31 @@
 	return out
 }
 
+// tick moves the state's clock. It is the leader's, set by its beats; between
+// two of them other VMs' stamps move it on by clockSlack at most. A control VM
+// whose clock is an hour ahead would else date changes of weight an hour into
+// the future, ramps would wait for that hour, and a preset that was accepted
+// would not be in force.
+func (c *Catalogue) tick(cmd *Command) {
+	if cmd.Sweep != nil {
+		c.state.ClockMS, c.state.BeatMS = cmd.AtMS, cmd.AtMS
+		return
+	}
+	at := cmd.AtMS
+	if c.state.BeatMS != 0 {
+		at = min(at, c.state.BeatMS+clockSlack.Milliseconds())
+	}
+	c.state.ClockMS = max(c.state.ClockMS, at)
+}
+
+const (
+	// BeatEvery is how often the leader sets the state's clock: 8,640 entries a
+	// day.
+	BeatEvery = 10 * time.Second
+	// clockSlack leaves a new leader the time of an election beyond that.
+	clockSlack = 15 * time.Second
+)
+
 // publish gives the altered table its revision and wakes who waits for it.
 func (c *Catalogue) publish(revision table.Revision) {
 	c.state.Revision = revision
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -17,15 +17,27 @@
 	*Catalogue
 	index uint64
 	nowMS int64
-	log   [][]byte
+	// log and answers are what was applied and what came of it.
+	log     [][]byte
+	answers [][]byte
 }
 
 func newHarness() *harness { return &harness{Catalogue: New(), nowMS: 1_000_000} }
 
-// do applies one command at the harness's time and returns its outcome.
+// do applies one command at the harness's time and returns its outcome, after a
+// beat of the leader where one is due.
 func (h *harness) do(cmd Command) Outcome {
+	if h.nowMS-h.state.BeatMS >= BeatEvery.Milliseconds() && cmd.Sweep == nil {
+		h.put(Command{Sweep: &Sweep{}})
+	}
+	return h.put(cmd)
+}
+
+func (h *harness) put(cmd Command) Outcome {
 	h.index++
-	cmd.AtMS = h.nowMS
+	if cmd.AtMS == 0 {
+		cmd.AtMS = h.nowMS
+	}
 	if cmd.Via == "" {
 		cmd.Via = "control-a"
 	}
@@ -34,8 +46,10 @@
 		panic(err)
 	}
 	h.log = append(h.log, data)
+	answer := h.Apply(h.index, data)
+	h.answers = append(h.answers, answer)
 	var out Outcome
-	if _, err := out.UnmarshalMsg(h.Apply(h.index, data)); err != nil {
+	if _, err := out.UnmarshalMsg(answer); err != nil {
 		panic(err)
 	}
 	return out
@@ -314,3 +328,23 @@
 		Token: make([]byte, 32), Hash: make([]byte, 16),
 	}
 }
+
+// One control VM's clock is an hour ahead. A switch that it proposes takes
+// effect within seconds all the same, and the next switch too.
+func TestClockOfOneVMDoesNotHoldAPresetUp(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(1)
+	fast := switchTo("p", "peak", 0)
+	fast.AtMS = h.nowMS + time.Hour.Milliseconds()
+	h.do(fast)
+	changed := h.Table().Targets[0].ChangedAtMS
+	is.True(changed <= h.nowMS+clockSlack.Milliseconds())
+	h.pass(clockSlack)
+	h.do(switchTo("o", "ordinary", 0))
+	is.Equal(h.Table().Targets[0].ChangedAtMS, h.nowMS)
+
+	late := announce("casework", 5, 1) // an agent never counts as older than it is
+	late.AtMS = h.nowMS + time.Hour.Milliseconds()
+	h.do(late)
+	is.Equal(h.Table().Targets[1].JoinedAtMS, late.AtMS)
+}
--- a/internal/catalogue/command.go
+++ b/internal/catalogue/command.go
@@ -92,7 +92,8 @@
 	Announcement spread.Announcement `msg:"a"`
 }
 
-// Sweep lets time pass in the state: steps that are due are taken.
+// Sweep is the leader's alone: it sets the state's clock, and steps that are due
+// are taken.
 type Sweep struct{}
 
 // fingerprint identifies what a command asks for, so that one identity with
--- a/internal/catalogue/doc.go
+++ b/internal/catalogue/doc.go
@@ -10,7 +10,7 @@
 // in log order, so every replica reaches the same verdict.
 //
 // Apply uses no clock and no randomness. Times are stamped into a command by
-// the control VM that proposes it, and the state's own clock is the largest
-// stamp seen. The clock paces ramps and the two damped steps after silence; it
-// decides nothing that an operator was promised.
+// the control VM that proposes it; the state's clock follows the leader's
+// stamps. It paces ramps and the damped steps after silence; it decides nothing
+// that an operator was promised.
 package catalogue
--- a/internal/catalogue/property_test.go
+++ b/internal/catalogue/property_test.go
@@ -111,24 +111,21 @@
 		n := rapid.IntRange(1, 120).Draw(t, "commands")
 		cut := rapid.IntRange(1, n).Draw(t, "snapshot after")
 		var middle []byte
-		var outcomes [][]byte
+		at := 0
 		for i := range n {
 			h.pass(time.Duration(rapid.IntRange(0, 400).Draw(t, "seconds")) * time.Second)
-			out := h.do(randomCommand(t, h))
-			data, _ := out.MarshalMsg(nil)
-			outcomes = append(outcomes, data)
+			h.do(randomCommand(t, h))
 			v.check(t, h)
 			if i+1 == cut {
-				middle = snapshotOf(t, h.Catalogue)
+				middle, at = snapshotOf(t, h.Catalogue), len(h.log)
 			}
 		}
 		other := New()
 		if err := other.Restore(middle); err != nil {
 			t.Fatal(err)
 		}
-		for i := cut; i < n; i++ {
-			out := other.Apply(uint64(i+2), h.log[i+1])
-			if !slices.Equal(out, outcomes[i]) {
+		for i := at; i < len(h.log); i++ {
+			if !slices.Equal(other.Apply(uint64(i+1), h.log[i]), h.answers[i]) {
 				t.Fatalf("command %d has another outcome after a restore", i)
 			}
 		}
--- a/internal/catalogue/read.go
+++ b/internal/catalogue/read.go
@@ -78,12 +78,22 @@
 	return slices.Clone(c.state.Fleet)
 }
 
-// SweepDue tells whether time alone makes a step due at now, so that the leader
-// proposes a Sweep. Without it, a quiet cluster would never retire an agent.
+// ClockAhead is how far the state's clock is ahead of now.
+func (c *Catalogue) ClockAhead(now time.Time) time.Duration {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return time.Duration(c.state.ClockMS-now.UnixMilli()) * time.Millisecond
+}
+
+// SweepDue tells whether the leader's next beat is due at now, or time alone
+// makes a step due. Without it, a quiet cluster would never retire an agent.
 func (c *Catalogue) SweepDue(now time.Time) bool {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	nowMS := now.UnixMilli()
+	if since := nowMS - c.state.BeatMS; since >= BeatEvery.Milliseconds() || since < 0 {
+		return true
+	}
 	for i := range c.state.Agents {
 		a := &c.state.Agents[i]
 		switch {
--- a/internal/catalogue/size_test.go
+++ b/internal/catalogue/size_test.go
@@ -34,7 +34,7 @@
 		a.Tunnel = fmt.Sprintf("10.%d.%d.2:9000", i/256, i%256)
 		a.Peer = fmt.Sprintf("10.%d.%d.2:9001", i/256, i%256)
 		h.do(cmd)
-		h.log = nil
+		h.log, h.answers = nil, nil
 	}
 	return h
 }
@@ -121,7 +121,7 @@
 				for b.Loop() {
 					n++
 					h.do(k.next())
-					h.log = nil
+					h.log, h.answers = nil, nil
 				}
 			})
 		}
--- a/internal/catalogue/state.go
+++ b/internal/catalogue/state.go
@@ -23,8 +23,9 @@
 type Stored struct {
 	Version  uint64         `msg:"v"`
 	Revision table.Revision `msg:"r"`
-	// ClockMS is the largest stamp of any command.
+	// ClockMS is the state's clock, BeatMS the leader's last word on it.
 	ClockMS     int64             `msg:"t"`
+	BeatMS      int64             `msg:"tb"`
 	LastAgent   table.AgentNumber `msg:"la"`
 	LastService table.ServiceID   `msg:"ls"`
 	// Services in the operator's order.
--- a/internal/catalogue/state_gen.go
+++ b/internal/catalogue/state_gen.go
@@ -839,9 +839,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Stored) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 15
+	// map header, size 16
 	// string "v"
-	o = append(o, 0x8f, 0xa1, 0x76)
+	o = append(o, 0xde, 0x0, 0x10, 0xa1, 0x76)
 	o = msgp.AppendUint64(o, z.Version)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
@@ -853,6 +853,9 @@
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendInt64(o, z.ClockMS)
+	// string "tb"
+	o = append(o, 0xa2, 0x74, 0x62)
+	o = msgp.AppendInt64(o, z.BeatMS)
 	// string "la"
 	o = append(o, 0xa2, 0x6c, 0x61)
 	o, err = z.LastAgent.MarshalMsg(o)
@@ -1027,6 +1030,12 @@
 				err = msgp.WrapError(err, "ClockMS")
 				return
 			}
+		case "tb":
+			z.BeatMS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "BeatMS")
+				return
+			}
 		case "la":
 			bts, err = z.LastAgent.UnmarshalMsg(bts)
 			if err != nil {
@@ -1329,7 +1338,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Stored) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + z.Revision.Msgsize() + 2 + msgp.Int64Size + 3 + z.LastAgent.Msgsize() + 3 + z.LastService.Msgsize() + 2 + msgp.ArrayHeaderSize
+	s = 3 + 2 + msgp.Uint64Size + 2 + z.Revision.Msgsize() + 2 + msgp.Int64Size + 3 + msgp.Int64Size + 3 + z.LastAgent.Msgsize() + 3 + z.LastService.Msgsize() + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Services {
 		s += 1 + 2 + z.Services[za0001].ID.Msgsize() + 2 + z.Services[za0001].Spec.Msgsize()
 	}
