Scenarios judge a switch by the balancers' own counters and wait for three voters

Cause: a switch while a balancer and the control VM that held its stream died took 13.2 s by control's word: it counted the dead balancer until another VM reported it. A fleet just started may have one voter, so freezing it was no test. Change: in force is read from each running balancer; a run begins with three voters.

--- a/internal/scenario/fleet.go
+++ b/internal/scenario/fleet.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -86,8 +87,25 @@
 type Entry struct {
 	Name       string
 	DataCentre string
-	Process    Process
 	last       int
+
+	mu      sync.Mutex
+	process Process
+}
+
+func (e *Entry) running() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.process != nil
+}
+
+// take returns the entry's process and leaves none.
+func (e *Entry) take() Process {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.process
+	e.process = nil
+	return p
 }
 
 // ControlVM is one control VM.
@@ -283,7 +301,7 @@
 	if err != nil {
 		return err
 	}
-	e.Process, err = f.Launch.Balancer(balancer.Settings{
+	process, err := f.Launch.Balancer(balancer.Settings{
 		Name: e.Name, DataCentre: e.DataCentre, Bind: f.Net.IP(e.last), Tunnel: f.Net.Address(e.last, tunnelPort),
 		Controls: f.subscriberAddresses(), Metrics: f.Net.Address(e.last, balancerVars),
 		State: f.path(e.Name + ".table"), StopGrace: balancerGrace, TLS: identity,
@@ -291,6 +309,9 @@
 	if err != nil {
 		return err
 	}
+	e.mu.Lock()
+	e.process = process
+	e.mu.Unlock()
 	f.Fabric.AddBalancer(f.ip(e))
 	return nil
 }
@@ -337,7 +358,7 @@
 		}
 	}
 	for _, e := range f.Entries {
-		entries = append(entries, e.Process)
+		entries = append(entries, e.take())
 	}
 	for _, vm := range f.Controls {
 		controls = append(controls, vm.Process)
--- a/internal/scenario/run.go
+++ b/internal/scenario/run.go
@@ -72,6 +72,9 @@
 			return nil, err
 		}
 	}
+	if err := p.AwaitControls(ctx); err != nil {
+		return nil, err
+	}
 	if err := p.AwaitTargets(ctx); err != nil {
 		return nil, err
 	}
