Callers that only listen are told of a dead agent

Callers of feeds and downloads send acknowledgements and keep-alives only; with connection IDs of 17 bytes those have 42 bytes or fewer, and the QUIC library answers no packet of that size with a stateless reset. Path MTU probes hide it in the first seconds of a flow. Ruled out: a retired row dropped too early (the table still had it). Change: where the verdict is a reset, a lengthened copy follows the packet; a flow that does exist fails to decrypt it and loses nothing.

--- a/internal/flow/agents_test.go
+++ b/internal/flow/agents_test.go
@@ -103,6 +103,22 @@
 	r.is.True(r.agents[2].metrics.Value("flow_reset_gone_agent") > 0)
 }
 
+// The caller of an open feed only listens: all it sends are small packets. Its
+// agent dies for good, and the caller is told by a stateless reset all the same,
+// not by its idle timeout of 20 seconds.
+func TestCallerThatOnlyListensIsReset(t *testing.T) {
+	r := standard(t, 2, target)
+	r.keepAlive = 100 * time.Millisecond
+	feed := r.openFeed(r.flowAt(1))
+	r.agents[1].stop()
+	delete(r.agents, 1)
+	r.target(1).State = table.Retired
+	r.apply()
+	r.eventually("the caller is told", func() bool { return feed.err.Load() != nil })
+	var reset *quic.StatelessResetError
+	r.is.True(errors.As(*feed.err.Load(), &reset))
+}
+
 // isReset makes a request on an open flow, and fails unless the flow ends by a
 // stateless reset, which no time-out can be taken for.
 func (r *rig) isReset(c *caller) {
--- a/internal/flow/receive.go
+++ b/internal/flow/receive.go
@@ -134,6 +134,26 @@
 	if !to.port.put(packet, way.caller) {
 		e.counts.queueFull.Add(1)
 	}
+	if verdict.Action == Reset && len(packet) < resettable {
+		to.port.put(lengthened(packet), way.caller)
+	}
+}
+
+// resettable is the size from which the QUIC library answers a packet of a flow
+// that it doesn't know.
+const resettable = 1 + 20 + 4 + 1 + 16 + 1
+
+// lengthened returns a copy of a packet that is large enough for a stateless
+// reset. A caller that only listens sends nothing but acknowledgements and
+// keep-alives, which are smaller with our connection IDs: without a reset it
+// would take a dead agent's feed for a quiet one until its idle timeout. The
+// copy follows the packet itself, so that a flow which does exist loses
+// nothing: there the copy fails decryption. Two ends can't answer each other's
+// resets for ever, since a reset's connection ID is random and not ours.
+func lengthened(packet []byte) []byte {
+	out := make([]byte, resettable)
+	copy(out, packet)
+	return out
 }
 
 // handOver sends a packet on to another agent of the service, which answers by
--- a/internal/flow/rig_test.go
+++ b/internal/flow/rig_test.go
@@ -58,6 +58,9 @@
 	callers   []*http3.Transport
 	// direct is set for agents that answer from the service's address.
 	direct bool
+	// keepAlive is the callers', where they have one; they then send no large
+	// packets to find the path's limit either.
+	keepAlive time.Duration
 }
 
 type rigBalancer struct {
@@ -252,7 +255,10 @@
 	r.is.True(ok)
 	x := &http3.Transport{
 		TLSClientConfig: &tls.Config{RootCAs: r.pool, ServerName: service},
-		QUICConfig:      &quic.Config{MaxIdleTimeout: 20 * time.Second},
+		QUICConfig: &quic.Config{
+			MaxIdleTimeout: 20 * time.Second, KeepAlivePeriod: r.keepAlive,
+			DisablePathMTUDiscovery: r.keepAlive > 0,
+		},
 	}
 	r.Cleanup(func() { _ = x.Close() })
 	r.callers = append(r.callers, x)
