--- a/control/control.go
+++ b/control/control.go
@@ -4,6 +4,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"time"
@@ -69,7 +70,7 @@
 func (c *Control) replicaConfig() replica.Config {
 	cfg := replica.Config{
 		Folder: c.settings.Folder, Name: c.settings.Name, Listen: c.settings.Replica.Listen,
-		Advertise: c.settings.Replica.Listen, Bootstrap: c.settings.Replica.Bootstrap,
+		Advertise: cmp.Or(c.settings.Replica.Advertise, c.settings.Replica.Listen), Bootstrap: c.settings.Replica.Bootstrap,
 		TLS: replica.TLS{Server: c.security.replicas}, Dial: c.security.dial,
 		CommandLimit: commandLimit, Log: c.logger, Metrics: c.metrics,
 	}
@@ -92,6 +93,7 @@
 	c.metrics.Gauge("table_revision", func() int64 { return int64(c.catalogue.Summary().Revision) })
 	c.metrics.Gauge("catalogue_version", func() int64 { return int64(c.catalogue.Summary().Version) })
 	c.metrics.Gauge("quorum_contact_age_ms", func() int64 { return log.ContactAge().Milliseconds() })
+	c.metrics.Gauge("state_clock_ahead_ms", func() int64 { return c.catalogue.ClockAhead(time.Now()).Milliseconds() })
 	c.metrics.Text("preset_in_force", func() string { return c.catalogue.Summary().InForce })
 }
 
--- a/internal/catalogue/state.go
+++ b/internal/catalogue/state.go
@@ -1,6 +1,7 @@
 package catalogue
 
 import (
+	"bergamotstall/internal/claim"
 	"bergamotstall/internal/table"
 )
 
@@ -23,8 +24,9 @@
 type Stored struct {
 	Version  uint64         `msg:"v"`
 	Revision table.Revision `msg:"r"`
-	// ClockMS is the largest stamp of any command.
+	// ClockMS is the state's clock, BeatMS the leader's last word on it.
 	ClockMS     int64             `msg:"t"`
+	BeatMS      int64             `msg:"tb"`
 	LastAgent   table.AgentNumber `msg:"la"`
 	LastService table.ServiceID   `msg:"ls"`
 	// Services in the operator's order.
@@ -46,6 +48,19 @@
 type Service struct {
 	ID   table.ServiceID `msg:"i"`
 	Spec ServiceSpec     `msg:"s"`
+	// KeysFromMS is the table's field of that name.
+	KeysFromMS int64 `msg:"k,omitempty"`
+}
+
+// retiredKeptMS is how long the service's retired agents stay in the table, in
+// milliseconds: long enough for stateless resets and for package claim, whose
+// keepers they were.
+func (s *Service) retiredKeptMS() int64 {
+	window := s.Spec.KeyWindow
+	if window <= 0 {
+		window = claim.DefaultWindow
+	}
+	return max(RetiredKept, window+claim.RowsKept).Milliseconds()
 }
 
 // Silence says what came of reports that a process is silent.
--- a/internal/catalogue/state_gen.go
+++ b/internal/catalogue/state_gen.go
@@ -742,20 +742,38 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Service) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "i"
-	o = append(o, 0x82, 0xa1, 0x69)
-	o, err = z.ID.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.KeysFromMS == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o, err = z.Spec.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Spec")
-		return
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o, err = z.ID.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "ID")
+			return
+		}
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o, err = z.Spec.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Spec")
+			return
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "k"
+			o = append(o, 0xa1, 0x6b)
+			o = msgp.AppendInt64(o, z.KeysFromMS)
+		}
 	}
 	return
 }
@@ -790,6 +808,12 @@
 				err = msgp.WrapError(err, "Spec")
 				return
 			}
+		case "k":
+			z.KeysFromMS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "KeysFromMS")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -804,7 +828,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Service) Msgsize() (s int) {
-	s = 1 + 2 + z.ID.Msgsize() + 2 + z.Spec.Msgsize()
+	s = 1 + 2 + z.ID.Msgsize() + 2 + z.Spec.Msgsize() + 2 + msgp.Int64Size
 	return
 }
 
@@ -839,9 +863,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Stored) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 15
+	// map header, size 16
 	// string "v"
-	o = append(o, 0x8f, 0xa1, 0x76)
+	o = append(o, 0xde, 0x0, 0x10, 0xa1, 0x76)
 	o = msgp.AppendUint64(o, z.Version)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
@@ -853,6 +877,9 @@
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendInt64(o, z.ClockMS)
+	// string "tb"
+	o = append(o, 0xa2, 0x74, 0x62)
+	o = msgp.AppendInt64(o, z.BeatMS)
 	// string "la"
 	o = append(o, 0xa2, 0x6c, 0x61)
 	o, err = z.LastAgent.MarshalMsg(o)
@@ -871,20 +898,38 @@
 	o = append(o, 0xa1, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
 	for za0001 := range z.Services {
-		// map header, size 2
-		// string "i"
-		o = append(o, 0x82, 0xa1, 0x69)
-		o, err = z.Services[za0001].ID.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Services", za0001, "ID")
-			return
+		// check for omitted fields
+		zb0002Len := uint32(3)
+		var zb0002Mask uint8 /* 3 bits */
+		_ = zb0002Mask
+		if z.Services[za0001].KeysFromMS == 0 {
+			zb0002Len--
+			zb0002Mask |= 0x4
 		}
-		// string "s"
-		o = append(o, 0xa1, 0x73)
-		o, err = z.Services[za0001].Spec.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Services", za0001, "Spec")
-			return
+		// variable map header, size zb0002Len
+		o = append(o, 0x80|uint8(zb0002Len))
+
+		// skip if no fields are to be emitted
+		if zb0002Len != 0 {
+			// string "i"
+			o = append(o, 0xa1, 0x69)
+			o, err = z.Services[za0001].ID.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Services", za0001, "ID")
+				return
+			}
+			// string "s"
+			o = append(o, 0xa1, 0x73)
+			o, err = z.Services[za0001].Spec.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Services", za0001, "Spec")
+				return
+			}
+			if (zb0002Mask & 0x4) == 0 { // if not omitted
+				// string "k"
+				o = append(o, 0xa1, 0x6b)
+				o = msgp.AppendInt64(o, z.Services[za0001].KeysFromMS)
+			}
 		}
 	}
 	// string "p"
@@ -1027,6 +1072,12 @@
 				err = msgp.WrapError(err, "ClockMS")
 				return
 			}
+		case "tb":
+			z.BeatMS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "BeatMS")
+				return
+			}
 		case "la":
 			bts, err = z.LastAgent.UnmarshalMsg(bts)
 			if err != nil {
@@ -1078,6 +1129,12 @@
 							err = msgp.WrapError(err, "Services", za0001, "Spec")
 							return
 						}
+					case "k":
+						z.Services[za0001].KeysFromMS, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Services", za0001, "KeysFromMS")
+							return
+						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -1329,9 +1386,9 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Stored) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + z.Revision.Msgsize() + 2 + msgp.Int64Size + 3 + z.LastAgent.Msgsize() + 3 + z.LastService.Msgsize() + 2 + msgp.ArrayHeaderSize
+	s = 3 + 2 + msgp.Uint64Size + 2 + z.Revision.Msgsize() + 2 + msgp.Int64Size + 3 + msgp.Int64Size + 3 + z.LastAgent.Msgsize() + 3 + z.LastService.Msgsize() + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Services {
-		s += 1 + 2 + z.Services[za0001].ID.Msgsize() + 2 + z.Services[za0001].Spec.Msgsize()
+		s += 1 + 2 + z.Services[za0001].ID.Msgsize() + 2 + z.Services[za0001].Spec.Msgsize() + 2 + msgp.Int64Size
 	}
 	s += 2 + msgp.ArrayHeaderSize
 	for za0002 := range z.Presets {
