Distribution: the server answers heartbeats instead of timing them

Cause: each stream of the server woke once a second for its own heartbeat and once for the subscriber's. Change: the goroutine that read a heartbeat answers it; the subscriber's phase is random instead of the server's.

--- a/internal/spread/client_stream.go
+++ b/internal/spread/client_stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -274,15 +275,19 @@
 // sendBeats keeps the stream alive and announces again when asked. A failed
 // write shows as a failed read soon after.
 func (s *clientStream) sendBeats(ctx context.Context) {
-	ticker := time.NewTicker(s.client.cfg.Beat)
-	defer ticker.Stop()
+	// A random phase, or the beats of all that reconnected together would stay
+	// together; the server beats when it is beaten to.
+	beat := s.client.cfg.Beat
+	timer := time.NewTimer(time.Duration(rand.Float64() * float64(beat)))
+	defer timer.Stop()
 	for {
 		var err error
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 			err = s.ack()
+			timer.Reset(beat)
 		case <-s.client.reannounce:
 			a := s.client.nextAnnouncement()
 			err = s.send(kindAnnounce, &a)
--- a/internal/spread/server_stream.go
+++ b/internal/spread/server_stream.go
@@ -240,7 +240,7 @@
 			return err
 		}
 		sub.heard(b, f.Kind == kindResync)
-		return nil
+		return sub.answerBeat()
 	case kindAnnounce:
 		var a Announcement
 		if err := f.Decode(&a); err != nil {
@@ -251,6 +251,26 @@
 	return errors.Wrapf(errProtocol, "kind %d", f.Kind)
 }
 
+// answerBeat sends the server's heartbeat. It answers the subscriber's, in the
+// goroutine that is awake anyway: a timer of its own for each stream costs more
+// than the heartbeat.
+func (sub *subscriber) answerBeat() error {
+	b := sub.server.beat()
+	return sub.send(kindBeat, &b)
+}
+
+func (sub *subscriber) send(kind wire.Kind, m encodable) error {
+	n, err := sub.conn.Write(kind, m)
+	sub.server.count.bytesOut.Add(int64(n))
+	return err
+}
+
+// beat is where this VM stands.
+func (s *Server) beat() beat {
+	revision, _ := s.publisher.state()
+	return beat{Revision: revision, ContactAgeMS: s.cfg.Source.ContactAge().Milliseconds()}
+}
+
 func (sub *subscriber) heard(b beat, resync bool) {
 	sub.mu.Lock()
 	news := resync || b.Revision != sub.held
--- a/internal/spread/server_write.go
+++ b/internal/spread/server_write.go
@@ -1,13 +1,11 @@
 package spread
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"golang.org/x/time/rate"
 
 	"bergamotstall/internal/table"
-	"bergamotstall/internal/wire"
 )
 
 // burstSeconds is how many seconds of its byte budget a subscriber may take at
@@ -31,7 +29,6 @@
 	giveUp   time.Time
 
 	changes, tables *rate.Limiter
-	nextBeat        time.Time
 }
 
 // wirePart is a part with the limiter that paces it.
@@ -53,12 +50,9 @@
 		tables:  rate.NewLimiter(rate.Limit(cfg.SnapshotBytesPerSecond), max(cfg.SnapshotBytesPerSecond, 2*partSize)),
 	}
 	defer w.leaveLine()
-	if err := w.send(kindWelcome, &welcome{Control: cfg.Name, Beat: w.beat()}); err != nil {
+	if err := sub.send(kindWelcome, &welcome{Control: cfg.Name, Beat: sub.server.beat()}); err != nil {
 		return err
 	}
-	// A random phase, or the beats of all that reconnected together would stay
-	// together.
-	w.nextBeat = time.Now().Add(time.Duration(rand.Float64() * float64(cfg.Beat)))
 	for {
 		news, err := w.step(time.Now())
 		if err != nil {
@@ -77,13 +71,6 @@
 	if err := w.sendNumber(); err != nil {
 		return nil, err
 	}
-	if !now.Before(w.nextBeat) {
-		w.nextBeat = now.Add(w.sub.server.cfg.Beat)
-		b := w.beat()
-		if err := w.send(kindBeat, &b); err != nil {
-			return nil, err
-		}
-	}
 	w.acknowledged()
 	if err := w.prepare(revision); err != nil {
 		return nil, err
@@ -101,8 +88,12 @@
 	if w.inLine {
 		place = w.sub.server.line.places
 	}
-	timer := time.NewTimer(time.Until(w.wakeAt()))
-	defer timer.Stop()
+	var tokens <-chan time.Time
+	if len(w.pending) > 0 {
+		timer := time.NewTimer(time.Until(w.pending[0].due))
+		defer timer.Stop()
+		tokens = timer.C
+	}
 	select {
 	case <-w.sub.ctx.Done():
 		if w.sub.server.ctx.Err() != nil {
@@ -113,29 +104,11 @@
 		w.admitted(time.Now())
 	case <-news:
 	case <-w.sub.wake:
-	case <-timer.C:
+	case <-tokens:
 	}
 	return false, nil
 }
 
-func (w *writer) wakeAt() time.Time {
-	if len(w.pending) > 0 && w.pending[0].due.Before(w.nextBeat) {
-		return w.pending[0].due
-	}
-	return w.nextBeat
-}
-
-func (w *writer) send(kind wire.Kind, m encodable) error {
-	n, err := w.sub.conn.Write(kind, m)
-	w.sub.server.count.bytesOut.Add(int64(n))
-	return err
-}
-
-func (w *writer) beat() beat {
-	revision, _ := w.sub.server.publisher.state()
-	return beat{Revision: revision, ContactAgeMS: w.sub.server.cfg.Source.ContactAge().Milliseconds()}
-}
-
 func (w *writer) sendNumber() error {
 	sub := w.sub
 	sub.mu.Lock()
@@ -146,7 +119,7 @@
 	if !due {
 		return nil
 	}
-	return w.send(kindNumber, &number{Agent: n})
+	return w.sub.send(kindNumber, &number{Agent: n})
 }
 
 // acknowledged takes in what the subscriber said about its table.
@@ -244,14 +217,10 @@
 		if w.hasPlace && now.After(w.giveUp) {
 			return w.sub.server.refuse(w.sub.conn, refusedBusy)
 		}
-		if err := w.send(kindPart, p.body); err != nil {
+		if err := w.sub.send(kindPart, p.body); err != nil {
 			return err
 		}
 		w.pending = w.pending[1:]
-		// A heartbeat must not wait behind a long update.
-		if !now.Before(w.nextBeat) {
-			return nil
-		}
 	}
 	if w.hasPlace {
 		w.leaveLine()
