--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -179,10 +179,11 @@
 
 	// probation is set from a restart until enough others have said what they
 	// know of this replica.
-	probation  bool
-	boot       Message
-	helloAt    time.Duration
-	helloFrom  map[ID]bool
+	probation bool
+	boot      Message
+	helloAt   time.Duration
+	// helloFrom holds who answered, and the leader that each heard.
+	helloFrom  map[ID]ID
 	newest     Membership
 	newestAt   Index
 	regression *RegressionError
@@ -209,7 +210,7 @@
 		saved:     stored.Hard,
 		log:       newLog(stored),
 		known:     map[ID]Known{},
-		helloFrom: map[ID]bool{},
+		helloFrom: map[ID]ID{},
 	}
 	c.adoptMembers()
 	c.heardLead = now - c.cfg.ElectionTimeout
--- a/internal/quorum/directed_test.go
+++ b/internal/quorum/directed_test.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -106,6 +107,39 @@
 	}
 }
 
+// restored is a world in which one VM's disk was put back to an old copy: it
+// and the leader had acknowledged commands since, while the third was cut off.
+type restored struct {
+	*world
+	leader, back, third *node
+}
+
+func restoreOldCopy(broken bool) restored {
+	w := restored{world: newWorld(1, 3, faults{noProbation: broken}, worldFaults{})}
+	w.quiet = true
+	for w.leader = nil; w.leader == nil; w.leader = w.world.leader() {
+		w.turnQuietly(50)
+	}
+	rest := slices.DeleteFunc(slices.Clone(w.nodes), func(n *node) bool { return n == w.leader })
+	w.back, w.third = rest[0], rest[1]
+	w.link(w.leader, w.third, false)
+	w.link(w.back, w.third, false)
+	old := w.back.disk.copy()
+	before := w.check.count()
+	for w.check.count() < before+5 {
+		w.turnQuietly(10)
+		w.clientTurn()
+	}
+	w.crash(w.back)
+	w.back.disk = old
+	return w
+}
+
+func (w *world) link(a, b *node, works bool) {
+	w.cut[[2]ID{a.disk.id, b.disk.id}] = !works
+	w.cut[[2]ID{b.disk.id, a.disk.id}] = !works
+}
+
 // A VM's disk is restored from a copy made some commands ago. The operator was
 // told that those commands are in force, on this VM's word. It must not take
 // part again: with the third VM, which lacks them too, it would elect a leader
@@ -113,49 +147,42 @@
 func TestOldCopyOfDiskIsNoticed(t *testing.T) {
 	for _, broken := range []bool{false, true} {
 		is := is.New(t)
-		w := newWorld(1, 3, faults{noProbation: broken}, worldFaults{})
-		w.quiet = true
-		var leader, back, third *node
-		for leader == nil {
-			w.turnQuietly(50)
-			leader = w.leader()
-		}
-		for _, n := range w.nodes {
-			switch {
-			case n == leader:
-			case back == nil:
-				back = n
-			default:
-				third = n
-			}
-		}
-		w.cut[[2]ID{leader.disk.id, third.disk.id}] = true
-		w.cut[[2]ID{back.disk.id, third.disk.id}] = true
-		w.cut[[2]ID{third.disk.id, back.disk.id}] = true
-		old := back.disk.copy()
-		before := w.check.count()
-		for w.check.count() < before+5 {
-			w.turnQuietly(10)
-			w.clientTurn()
-		}
-		w.crash(back)
-		back.disk = old
-		w.start(back)
+		w := restoreOldCopy(broken)
+		w.start(w.back)
 		w.turnQuietly(400)
-		is.Equal(errors.Is(back.core.Err(), ErrRegressed), !broken)
+		is.Equal(errors.Is(w.back.core.Err(), ErrRegressed), !broken)
 
-		w.crash(leader)
-		clear(w.cut)
+		w.crash(w.leader)
+		w.link(w.back, w.third, true)
 		w.turnQuietly(6000)
 		is.Equal(w.check.failure != "", broken) // committed entries are lost only without the safeguard
 		if !broken {
-			w.start(leader)
+			w.start(w.leader)
+			w.link(w.leader, w.third, true)
 			w.turnQuietly(3000)
-			is.True(w.leader() != nil) // the two whose disks are whole go on
+			is.True(w.world.leader() != nil) // the two whose disks are whole go on
 		}
 	}
 }
 
+// The same, but the third VM, which remembers nothing, answers long before the
+// leader does. Its answer alone must not let the restored VM take part.
+func TestOldCopyOfDiskWaitsForTheLeadersAnswer(t *testing.T) {
+	is := is.New(t)
+	w := restoreOldCopy(false)
+	w.link(w.leader, w.third, true)
+	w.link(w.back, w.third, true)
+	w.turnQuietly(2000)
+	w.link(w.back, w.leader, false)
+	w.start(w.back)
+	w.turnQuietly(2000)
+	is.True(w.back.core.probation)
+	is.Equal(len(w.back.core.helloFrom), 1) // the third has answered
+	w.link(w.back, w.leader, true)
+	w.turnQuietly(400)
+	is.True(errors.Is(w.back.core.Err(), ErrRegressed))
+}
+
 func (w *world) turnQuietly(steps int) {
 	for range steps {
 		w.step++
--- a/internal/quorum/probation.go
+++ b/internal/quorum/probation.go
@@ -31,8 +31,8 @@
 // from an old copy has forgotten votes and acknowledged entries: the replica
 // would vote twice in a term, or help to elect a leader without a committed
 // entry. Until as many replicas as make a quorum with it have said what they
-// know of it, by the newest membership that it hears of, it takes part in
-// nothing. Nothing could be decided without that
+// know of it, by the newest membership that it hears of, and the leader among
+// them if they hear one, it takes part in nothing. Nothing could be decided without that
 // many, so the wait costs no availability. One that finds itself behind its
 // own word stops for good.
 func (c *Core) startProbation(fresh bool) {
@@ -52,7 +52,7 @@
 	}
 	c.helloAt = c.now + c.cfg.Heartbeat
 	for _, x := range c.newest.Members {
-		if x.ID != c.cfg.ID && !c.helloFrom[x.ID] {
+		if x.ID != c.cfg.ID {
 			c.sendHello(x.ID)
 		}
 	}
@@ -82,6 +82,9 @@
 	k := c.known[m.From]
 	k.Committed = min(k.Match, c.log.commit)
 	k.Members, k.MembersAt = c.members.clone(), c.membersIndex
+	if c.inLease() {
+		k.Leader = c.lead
+	}
 	c.send(Message{Kind: MsgHelloReply, To: m.From, Context: m.Context, Known: &k})
 }
 
@@ -98,7 +101,7 @@
 		c.regression = &RegressionError{By: m.From, Known: *m.Known, Term: c.term, Index: c.boot.Index}
 		return
 	}
-	c.helloFrom[m.From] = true
+	c.helloFrom[m.From] = m.Known.Leader
 	if m.Known.MembersAt > c.newestAt {
 		c.newest, c.newestAt = m.Known.Members, m.Known.MembersAt
 	}
@@ -121,7 +124,7 @@
 	if needed == 0 && len(voters) > 0 && !c.newest.isVoter(c.cfg.ID) {
 		needed = 1
 	}
-	if len(c.helloFrom) >= needed {
+	if len(c.helloFrom) >= needed && c.leaderAnswered() {
 		c.probation = false
 		c.resetElection()
 	}
@@ -130,6 +133,20 @@
 	}
 }
 
+// leaderAnswered holds unless another replica hears a leader that hasn't
+// answered yet. The leader is who counted this replica's acknowledgements; a
+// follower that answers first may know of none. If the leader can't be reached
+// but others hear it, this replica isn't needed meanwhile; once they don't,
+// their next answers name no leader.
+func (c *Core) leaderAnswered() bool {
+	for _, leader := range c.helloFrom {
+		if _, ok := c.helloFrom[leader]; !ok && leader != 0 && leader != c.cfg.ID {
+			return false
+		}
+	}
+	return true
+}
+
 // learn remembers what a replica's message shows that its disk holds.
 func (c *Core) learn(m Message) {
 	if m.Kind == MsgPreVote || m.Kind == MsgPreVoteReply && !m.Reject {
--- a/internal/quorum/types.go
+++ b/internal/quorum/types.go
@@ -177,4 +177,6 @@
 	// replaced.
 	Members   Membership `msg:"l"`
 	MembersAt Index      `msg:"i"`
+	// Leader is the leader that the answering replica hears; 0 if none.
+	Leader ID `msg:"h"`
 }
--- a/internal/quorum/types_gen.go
+++ b/internal/quorum/types_gen.go
@@ -801,6 +801,16 @@
 				}
 				z.MembersAt = Index(zb0006)
 			}
+		case "h":
+			{
+				var zb0007 uint64
+				zb0007, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "Leader")
+					return
+				}
+				z.Leader = ID(zb0007)
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -814,9 +824,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Known) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
+	// map header, size 7
 	// write "t"
-	err = en.Append(0x86, 0xa1, 0x74)
+	err = en.Append(0x87, 0xa1, 0x74)
 	if err != nil {
 		return
 	}
@@ -875,15 +885,25 @@
 		err = msgp.WrapError(err, "MembersAt")
 		return
 	}
+	// write "h"
+	err = en.Append(0xa1, 0x68)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.Leader))
+	if err != nil {
+		err = msgp.WrapError(err, "Leader")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Known) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "t"
-	o = append(o, 0x86, 0xa1, 0x74)
+	o = append(o, 0x87, 0xa1, 0x74)
 	o = msgp.AppendUint64(o, uint64(z.Term))
 	// string "a"
 	o = append(o, 0xa1, 0x61)
@@ -904,6 +924,9 @@
 	// string "i"
 	o = append(o, 0xa1, 0x69)
 	o = msgp.AppendUint64(o, uint64(z.MembersAt))
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendUint64(o, uint64(z.Leader))
 	return
 }
 
@@ -981,6 +1004,16 @@
 				}
 				z.MembersAt = Index(zb0006)
 			}
+		case "h":
+			{
+				var zb0007 uint64
+				zb0007, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Leader")
+					return
+				}
+				z.Leader = ID(zb0007)
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -995,7 +1028,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Known) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + z.Members.Msgsize() + 2 + msgp.Uint64Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + z.Members.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
 	return
 }
 
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bergamotstall/internal/journal"
+	"bergamotstall/internal/metrics"
 	"bergamotstall/internal/quorum"
 )
 
@@ -26,6 +27,14 @@
 	mu       sync.Mutex
 	Commands []string
 	Outcomes map[string]uint64
+	// before and after are a test's say around Apply.
+	before, after func() error
+}
+
+func (g *register) hook(which *func() error, f func() error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	*which = f
 }
 
 func newRegister() *register { return &register{Outcomes: map[string]uint64{}} }
@@ -33,6 +42,14 @@
 func (g *register) Apply(_ uint64, command []byte) []byte {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.before != nil {
+		_ = g.before()
+	}
+	defer func() {
+		if g.after != nil {
+			_ = g.after()
+		}
+	}()
 	place, ok := g.Outcomes[string(command)]
 	if !ok {
 		g.Commands = append(g.Commands, string(command))
@@ -64,7 +81,7 @@
 
 // member is one VM of a test.
 type member struct {
-	t       *testing.T
+	t       testing.TB
 	net     *network
 	name    string
 	folder  string
@@ -80,7 +97,7 @@
 	return log
 }
 
-func newMember(t *testing.T, network *network, name string, peers ...string) *member {
+func newMember(t testing.TB, network *network, name string, peers ...string) *member {
 	t.Helper()
 	m := &member{t: t, net: network, name: name, folder: filepath.Join(t.TempDir(), name)}
 	m.cfg = Config{
@@ -96,6 +113,7 @@
 func (m *member) start() {
 	m.t.Helper()
 	m.sm = newRegister()
+	m.cfg.Metrics = metrics.New()
 	r, err := Open(m.cfg, m.sm)
 	if err != nil {
 		m.t.Fatalf("open %s: %v", m.name, err)
@@ -108,7 +126,7 @@
 
 // trio starts three replicas, the first by bootstrap, and waits for three
 // voters.
-func trio(t *testing.T, change func(*Config)) []*member {
+func trio(t testing.TB, change func(*Config)) []*member {
 	t.Helper()
 	network := newNetwork()
 	first := newMember(t, network, "a")
@@ -133,7 +151,7 @@
 	return members
 }
 
-func waitVoters(t *testing.T, members []*member, want int) {
+func waitVoters(t testing.TB, members []*member, want int) {
 	t.Helper()
 	await(t, "voters", func() bool {
 		for _, m := range members {
@@ -155,7 +173,7 @@
 	return n
 }
 
-func await(t *testing.T, what string, ok func() bool) {
+func await(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(patience)
 	for !ok() {
@@ -166,7 +184,7 @@
 	}
 }
 
-func leaderOf(t *testing.T, members []*member) *member {
+func leaderOf(t testing.TB, members []*member) *member {
 	t.Helper()
 	var found *member
 	await(t, "a leader", func() bool {
@@ -181,7 +199,7 @@
 	return found
 }
 
-func within(t *testing.T, d time.Duration) context.Context {
+func within(t testing.TB, d time.Duration) context.Context {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), d)
 	t.Cleanup(cancel)
@@ -189,7 +207,7 @@
 }
 
 // mustPropose resends a command until it has an outcome, as an operator does.
-func mustPropose(t *testing.T, m *member, command string) string {
+func mustPropose(t testing.TB, m *member, command string) string {
 	t.Helper()
 	for {
 		out, err := m.Propose(within(t, patience), []byte(command))
@@ -203,7 +221,7 @@
 	}
 }
 
-func sameCommands(t *testing.T, members []*member, want []string) {
+func sameCommands(t testing.TB, members []*member, want []string) {
 	t.Helper()
 	is := is.New(t)
 	for _, m := range members {
@@ -211,3 +229,12 @@
 		is.Equal(m.sm.all(), want)
 	}
 }
+
+func (m *member) waitDone() {
+	m.t.Helper()
+	select {
+	case <-m.Done():
+	case <-time.After(patience):
+		m.t.Fatalf("%s goes on", m.name)
+	}
+}
--- a/internal/replica/link.go
+++ b/internal/replica/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	mathrand "math/rand/v2"
 	"net"
 	"sync"
@@ -13,6 +12,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"bergamotstall/internal/events"
+	"bergamotstall/internal/keys"
 	"bergamotstall/internal/quorum"
 	"bergamotstall/internal/wire"
 )
@@ -305,13 +305,13 @@
 	if r.cfg.TLS.Client == nil {
 		return raw, nil
 	}
-	cfg := r.cfg.TLS.Client
-	if cfg.ServerName == "" {
-		cfg = cfg.Clone()
-		cfg.ServerName, _, _ = net.SplitHostPort(address)
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		_ = raw.Close()
+		return nil, errors.Wrap(err, "replica: address")
 	}
-	secure := tls.Client(raw, cfg)
-	if err := secure.HandshakeContext(ctx); err != nil {
+	secure, err := keys.Client(ctx, raw, r.cfg.TLS.Client, host)
+	if err != nil {
 		_ = raw.Close()
 		return nil, errors.Wrap(err, "replica: TLS")
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -44,8 +44,8 @@
 // TLS holds what connections between replicas are secured with; nil for tests.
 type TLS struct {
 	Server *tls.Config
-	// Client is used for outgoing connections; an empty ServerName becomes the
-	// peer's IP number.
+	// Client is used for outgoing connections, through keys.Client. The name in
+	// a VM's certificate must be its Config.Name.
 	Client *tls.Config
 }
 
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bergamotstall/internal/events"
+	"bergamotstall/internal/keys"
 	"bergamotstall/internal/quorum"
 	"bergamotstall/internal/wire"
 )
@@ -30,11 +31,13 @@
 	errCluster  = errors.New("replica: the peer belongs to another cluster")
 	errVersion  = errors.New("replica: the peer speaks another version")
 	errGreeting = errors.New("replica: no greeting")
+	errName     = errors.New("replica: the peer's certificate has another name")
 )
 
 // inbound is one frame from a peer, decoded.
 type inbound struct {
 	from    quorum.ID
+	name    string
 	cluster uint64
 	quorum  *quorum.Message
 	forward *forward
@@ -103,7 +106,7 @@
 }
 
 func isRefusal(err error) bool {
-	for _, x := range []error{errCluster, errVersion, errGreeting} {
+	for _, x := range []error{errCluster, errVersion, errGreeting, errName} {
 		if errors.Is(err, x) {
 			return true
 		}
@@ -120,11 +123,17 @@
 	if err := raw.SetDeadline(time.Now().Add(dialTimeout)); err != nil {
 		return err
 	}
+	certified := ""
 	if s.r.cfg.TLS.Server != nil {
 		secure := tls.Server(raw, s.r.cfg.TLS.Server)
 		if err := secure.HandshakeContext(context.Background()); err != nil {
 			return errors.Wrapf(errGreeting, "TLS: %v", err)
 		}
+		holder, err := keys.PeerOf(secure.ConnectionState())
+		if err != nil {
+			return errors.Wrap(errGreeting, err.Error())
+		}
+		certified = holder.Name
 		raw = secure
 	}
 	conn := wire.NewConn(raw, frameLimit, writeTimeout)
@@ -132,6 +141,9 @@
 	if err != nil {
 		return err
 	}
+	if certified != "" && certified != peer.Name {
+		return errors.Wrapf(errName, "certificate of %s, greeting of %s", certified, peer.Name)
+	}
 	s.r.links.note(peer.Replica, peer.Address)
 	return s.receive(conn, peer)
 }
@@ -166,7 +178,7 @@
 }
 
 func decode(f wire.Frame, peer greeting) (inbound, error) {
-	in := inbound{from: peer.Replica, cluster: peer.Cluster}
+	in := inbound{from: peer.Replica, name: peer.Name, cluster: peer.Cluster}
 	switch f.Kind {
 	case kindQuorum:
 		in.quorum = new(quorum.Message)
@@ -195,8 +207,14 @@
 	s.done.Wait()
 }
 
-// receive takes one frame in the loop. A peer speaks only for itself.
+// receive takes one frame in the loop. A peer speaks only for itself: one whose
+// name, which its certificate vouches for, isn't that of the member with its
+// identity could otherwise vote in another VM's place.
 func (r *Replica) receive(in inbound) {
+	if member, ok := r.core.Find(in.from); ok && member.Name != in.name {
+		r.count.peersRefused.Add(1)
+		return
+	}
 	switch {
 	case in.quorum != nil:
 		if in.quorum.From == in.from && r.joinCluster(in.cluster) {
