--- a/control/failure_test.go
+++ b/control/failure_test.go
@@ -16,6 +16,7 @@
 // the same moment. One gets its preset; the other reads the current version,
 // and the winner's preset stays in force on every VM.
 func TestOperatorsWithEqualVersionAtTwoVMs(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t, 3)
 	version := c.mustApply().Version
@@ -47,6 +48,7 @@
 // another VM. The operator reads the first outcome, the colleague's preset
 // stays, and the audit record has the command once.
 func TestResendAfterALeaderChange(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t, 3)
 	c.mustApply()
@@ -83,6 +85,7 @@
 // before it answers. The tool goes on to the third with the same identity, and
 // the operator sees one switch.
 func TestClientGoesOnToTheNextVM(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t, 3)
 	c.mustApply()
@@ -99,6 +102,7 @@
 // current; a switch there isn't accepted; a switch at the others is, and is not
 // undone when the partition ends.
 func TestLeaderOnTheFarSideOfAPartition(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t, 3)
 	c.mustApply()
@@ -137,6 +141,7 @@
 // lost for good. The preset that was committed before is still in force, and
 // commands go on.
 func TestSecondVMLostRightAfterTheFirstWasReplaced(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t, 3)
 	c.mustApply()
@@ -175,6 +180,7 @@
 // A VM was down while hundreds of changes passed. Back, it answers nothing
 // before it has them all.
 func TestVMBackAfterHundredsOfChanges(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t, 3)
 	c.mustApply()
@@ -201,6 +207,7 @@
 // No majority is left. The operator reads so from the VM that still runs, with
 // what it knew last marked as its own word.
 func TestNoQuorumIsSaid(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t, 3)
 	c.mustApply()
@@ -216,6 +223,7 @@
 }
 
 func TestMembersThatCantChange(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t, 1)
 	for _, change := range []operator.MembersChange{
--- a/control/secured_test.go
+++ b/control/secured_test.go
@@ -17,6 +17,7 @@
 // certificate is let in under its own name. An agent's is told that it isn't an
 // operator's, and one of another authority is refused; neither changes anything.
 func TestRolesInCertificates(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	folder, foreign := t.TempDir(), t.TempDir()
 	is.NoErr(keys.Init(folder))
--- a/control/subscribers_test.go
+++ b/control/subscribers_test.go
@@ -84,6 +84,7 @@
 // A switch is accepted at one control VM while the balancers hang on others.
 // The wait ends once each has acknowledged it, and then each steers by it.
 func TestSwitchWaitsForBalancersAtOtherVMs(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t, 3)
 	c.mustApply()
@@ -107,6 +108,7 @@
 // over, waits for it to come back elsewhere, and then takes it out of new work.
 // The agents of the other VMs stay.
 func TestAgentThatDiesWithItsControlVMIsTakenOut(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t, 3)
 	c.mustApply()
@@ -130,6 +132,7 @@
 // The agent leaves it within seconds and hangs on another under the same
 // number; nobody takes it out of new work meanwhile.
 func TestAgentLeavesAStaleVMUnderItsNumber(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t, 3)
 	c.mustApply()
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -252,6 +252,26 @@
 	is.Equal(h.Summary(), before)
 }
 
+// A host's agent is set up anew under another name. The old name's target on
+// that host is retired; a host has one target for a service.
+func TestAgentUnderAnotherNameReplacesItsHosts(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(2)
+	renamed := announce("casework", 0, 7)
+	renamed.AnnounceAgent.Announcement.Name = "another"
+	h.do(renamed)
+	is.Equal(countState(h, table.Retired), 1)
+	restored := New()
+	data, err := h.Snapshot()
+	is.NoErr(err)
+	is.NoErr(restored.Restore(data))
+	h.Catalogue = restored
+	again := announce("casework", 0, 8)
+	again.AnnounceAgent.Announcement.Name = "a third"
+	h.do(again)
+	is.Equal(countState(h, table.Retired), 2)
+}
+
 func TestKnownIncarnationKeepsNumberAndRevision(t *testing.T) {
 	is := is.New(t)
 	h := withTargets(2)
--- a/internal/catalogue/silence_test.go
+++ b/internal/catalogue/silence_test.go
@@ -137,6 +137,22 @@
 	is.Equal(countState(h, table.Active), 1)
 }
 
+// Two of four agents say that they stop; then both others fall silent. The one
+// that is silent last stays in: those that leave are no reserve.
+func TestLeaversAreNoReserveInAWave(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(4)
+	for i := range 2 {
+		leaving := announce("casework", i, 1)
+		leaving.AnnounceAgent.Announcement.Draining = true
+		h.do(leaving)
+	}
+	for _, a := range h.Agents()[2:] {
+		h.do(silent(&a))
+	}
+	is.Equal(countState(h, table.Active), 1)
+}
+
 func TestMassRestartBoundsRetiredNumbers(t *testing.T) {
 	is := is.New(t)
 	h := withTargets(1)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -239,6 +239,11 @@
 	<-v.held
 	stopped := make(chan struct{})
 	go func() { stop(); close(stopped) }()
+	select {
+	case <-stopped:
+		t.Error("stopped before the answer")
+	case <-time.After(50 * time.Millisecond):
+	}
 	close(v.hold)
 	is.NoErr(<-answered)
 	<-stopped
