--- a/control/control.go
+++ b/control/control.go
@@ -171,7 +171,10 @@
 		case <-ctx.Done():
 			return nil
 		case <-c.log.Done():
-			return errors.Wrap(ErrReplicaEnded, c.log.Err().Error())
+			if cause := c.log.Err(); cause != nil {
+				return errors.Wrap(ErrReplicaEnded, cause.Error())
+			}
+			return ErrReplicaEnded
 		}
 	})
 	if c.security.store != nil {
