Catalogue: room for the retired numbers of a rolling upgrade

Cause: a retired number that is dropped before its service's key window ends stops the service's keyed submissions. The bound of 4,096 is passed when 12,000 agents are upgraded. Change: the bound is 16,384; BenchmarkTableAfterUpgrade.

--- a/internal/catalogue/silence.go
+++ b/internal/catalogue/silence.go
@@ -29,9 +29,11 @@
 	// reads these records. A service whose idempotency keys are valid for longer
 	// keeps its retired numbers for longer.
 	RetiredKept = silenceWindow
-	// maxRetired bounds the retired numbers in the table: a mass restart of the
-	// fleet must not double it for a quarter of an hour. Oldest go first.
-	maxRetired = 4096
+	// maxRetired bounds the retired numbers in the table. Oldest go first, and
+	// the keys of their services wait. It leaves room for a rolling upgrade of
+	// 12,000 agents within one key window: at 4,096 such an upgrade stopped the
+	// keyed submissions of all 2,100 services until the window was over.
+	maxRetired = 16384
 )
 
 // wave is what the silence decision looks at: one service, or the balancers.
--- a/internal/catalogue/size_test.go
+++ b/internal/catalogue/size_test.go
@@ -68,6 +68,37 @@
 	})
 }
 
+// BenchmarkTableAfterUpgrade measures the table after every agent was restarted
+// within one key window, as in a rolling upgrade: old numbers stay in it.
+func BenchmarkTableAfterUpgrade(b *testing.B) {
+	forSizes(b, func(b *testing.B, h *harness) {
+		hosts := len(h.state.Agents)
+		for i := range hosts {
+			a := announcementOf(h, i)
+			a.Incarnation = 2
+			h.do(Command{AnnounceAgent: &AnnounceAgent{Announcement: a}})
+			h.log, h.answers = nil, nil
+		}
+		for b.Loop() {
+			h.built = nil
+			h.Table()
+		}
+		data, err := h.Table().MarshalMsg(nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(data)), "encoded-B")
+		b.ReportMetric(float64(len(h.Table().Targets)-hosts), "retired")
+		waiting := 0
+		for _, s := range h.Table().Services {
+			if s.KeysFromMS > 0 {
+				waiting++
+			}
+		}
+		b.ReportMetric(float64(waiting), "services-without-keys")
+	})
+}
+
 // BenchmarkState measures the memory that a replica's whole state keeps and the
 // size and cost of its snapshot.
 func BenchmarkState(b *testing.B) {
