Catalogue: a silent agent is found by name where its number was lost

Cause: a report with number 0 (the announcement was committed, its answer lost) was taken for an agent that is gone; the dead target kept its share of new work until the report was made again, a minute or two later. Change: such a report is looked up by name; incarnation and attachment still have to match.

--- a/internal/catalogue/agents.go
+++ b/internal/catalogue/agents.go
@@ -158,7 +158,12 @@
 // agentSilent takes a silent agent out of new work, or suspects it only.
 func (c *Catalogue) agentSilent(cmd *Command) Outcome {
 	report := cmd.AgentSilent
-	x := c.agent(report.Agent)
+	number := report.Agent
+	if number == 0 {
+		// Registered, but the answer with the number was lost before the stream was.
+		number = c.agents[report.Name]
+	}
+	x := c.agent(number)
 	switch {
 	case x == nil || x.Retired:
 		return c.outcome(Done, "gone already")
--- a/internal/catalogue/silence_test.go
+++ b/internal/catalogue/silence_test.go
@@ -120,6 +120,19 @@
 	is.Equal(x.State, table.Active)
 }
 
+// An agent dies right after its announcement was committed, before its control
+// VM learned the number. The report names it by name only and still counts.
+func TestSilenceOfAnAgentWhoseNumberWasLost(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(3)
+	a := h.Agents()[1]
+	report := silent(&a)
+	report.AgentSilent.Agent = 0
+	h.do(report)
+	x, _ := h.Table().Target(a.Number)
+	is.Equal(x.State, table.Draining)
+}
+
 func TestPlannedLeaversDontCount(t *testing.T) {
 	is := is.New(t)
 	h := withTargets(3)
