Control: what a command and an announcement cost from end to end

Cause: CAPACITY.md needs the slope of a command over the number of control VMs. Change: BenchmarkCommand and BenchmarkAnnounce over real replicas on loopback.

--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -27,7 +27,7 @@
 
 // cluster is a few control VMs in this process, one loopback address each.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	network *network
 	vms     []*vm
 }
@@ -42,7 +42,7 @@
 }
 
 // startCluster starts n control VMs and waits until all vote.
-func startCluster(t *testing.T, n int) *cluster {
+func startCluster(t testing.TB, n int) *cluster {
 	t.Helper()
 	c := newCluster(t, n)
 	c.start()
@@ -50,7 +50,7 @@
 }
 
 // newCluster sets n control VMs up.
-func newCluster(t *testing.T, n int) *cluster {
+func newCluster(t testing.TB, n int) *cluster {
 	t.Helper()
 	c := &cluster{t: t, network: &network{cut: map[string]bool{}}}
 	net := fmt.Sprintf("127.%d.%d", 10+os.Getpid()%200, subnet.Add(1)%250)
--- /dev/null
+++ b/control/cost_test.go
@@ -0,0 +1,59 @@
+package control
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+
+	"bergamotstall/internal/spread"
+)
+
+// BenchmarkCommand measures what an operator waits for one accepted command:
+// connect, commit on a majority with its syncs, apply, answer.
+func BenchmarkCommand(b *testing.B) {
+	for _, n := range []int{1, 3, 5} {
+		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
+			c := startCluster(b, n)
+			c.mustApply()
+			op := client(c.awaitLeader())
+			i := 0
+			for b.Loop() {
+				i++
+				if _, err := op.Command(b.Context(), switchTo([]string{"peak", "ordinary"}[i%2], "", 0)); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkAnnounce measures announcements that come many at once: of new agents,
+// as after a power cut, and of known ones, as when the subscribers of a control
+// VM that died come to another.
+func BenchmarkAnnounce(b *testing.B) {
+	for _, n := range []int{1, 3, 5} {
+		c := startCluster(b, n)
+		c.mustApply()
+		registrar := c.awaitLeader().control.registrar
+		var next atomic.Uint64
+		announce := func(b *testing.B, hosts uint64) {
+			b.SetParallelism(4)
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					i := next.Add(1)
+					host := fmt.Sprint("casework-", i%hosts)
+					a := spread.Announcement{
+						Name: host, Incarnation: 1, Attachment: i, Tunnel: "127.0.2.1:9000", Peer: "127.0.2.1:9001",
+						Service: "casework", Host: host, Slots: 4, Connections: 2000,
+					}
+					if _, err := registrar.AnnounceAgent(b.Context(), a); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+		}
+		b.Run(fmt.Sprintf("vms=%d/new", n), func(b *testing.B) { announce(b, 1<<40) })
+		b.Run(fmt.Sprintf("vms=%d/known", n), func(b *testing.B) { announce(b, 500) })
+	}
+}
