Control counts operators' commands and announcements by outcome

Cause: the house style asks for a counter for each refusal reason; refused announcements shared one, refused commands had none.

--- a/control/backend.go
+++ b/control/backend.go
@@ -21,6 +21,7 @@
 	if err != nil {
 		return out, operatorError(err)
 	}
+	c.metrics.Counter("operator_commands_" + out.Code.String()).Add(1)
 	events.Log(c.logger, events.CommandApplied, logrus.Fields{
 		"operator": cmd.Operator, "command": cmd.ID, "outcome": out.Text, "version": out.Version,
 	})
--- a/control/registrar.go
+++ b/control/registrar.go
@@ -121,8 +121,6 @@
 }
 
 func (r *registrar) note(out catalogue.Outcome, name string) {
-	if out.Code != catalogue.Done {
-		r.metrics.Counter("announcements_refused").Add(1)
-	}
+	r.metrics.Counter("announcements_" + out.Code.String()).Add(1)
 	events.Log(r.logger, events.FleetChanged, logrus.Fields{"process": name, "outcome": out.Text, "revision": out.Revision})
 }
--- a/internal/catalogue/outcome.go
+++ b/internal/catalogue/outcome.go
@@ -30,6 +30,19 @@
 	Superseded
 )
 
+var codeNames = map[Code]string{
+	Done: "done", Conflict: "conflict", NoPreset: "unknown_preset", NoService: "unknown_service",
+	NotValid: "invalid", Refused: "refused", Reused: "identity_reused", Superseded: "superseded",
+}
+
+// String returns the word that counters use for the code.
+func (c Code) String() string {
+	if name, ok := codeNames[c]; ok {
+		return name
+	}
+	return "other"
+}
+
 // Outcome is what Apply returns for a command. It is kept with the command's
 // identity, so that a resend gets the same bytes.
 type Outcome struct {
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -198,7 +198,6 @@
 	if err != nil {
 		return kindFailure, s.explain(err)
 	}
-	s.Metrics.Counter("operator_commands").Add(1)
 	return kindOutcome, &out
 }
 
