Catalogue: a forged length can't take a control VM down

Cause: FuzzRestore stopped making progress, and a command of a hundred bytes whose list claims four billion entries ended the process with a fatal error (out of memory). A command that crashes Apply stands in the log and would crash every replica at each start.

--- a/internal/catalogue/agents.go
+++ b/internal/catalogue/agents.go
@@ -25,6 +25,9 @@
 	if known := c.incarnation(&a); known != nil {
 		return c.announceAgain(known, service.ID, &a, cmd.Via)
 	}
+	if len(c.state.Agents) >= maxAgents {
+		return c.outcome(Refused, fmt.Sprintf("%d agents are known", maxAgents))
+	}
 	return c.register(service, &a, cmd)
 }
 
@@ -35,6 +38,8 @@
 		return fmt.Sprintf("an agent's name has 1 to %d bytes", maxNameLength)
 	case a.Host == "" || len(a.Host) > maxNameLength:
 		return fmt.Sprintf("a host's name has 1 to %d bytes", maxNameLength)
+	case len(a.DataCentre) > maxNameLength:
+		return fmt.Sprintf("a data centre's name has at most %d bytes", maxNameLength)
 	case !validAddress(a.Tunnel) || !validAddress(a.Peer):
 		return fmt.Sprintf("tunnel %q and peer %q must be ip:port", a.Tunnel, a.Peer)
 	case a.Slots < 1 || a.Connections < 1:
--- a/internal/catalogue/balancers.go
+++ b/internal/catalogue/balancers.go
@@ -10,8 +10,8 @@
 // where it says that it leaves.
 func (c *Catalogue) announceBalancer(cmd *Command) Outcome {
 	a := cmd.AnnounceBalancer.Announcement
-	if a.Name == "" || len(a.Name) > maxNameLength || !validAddress(a.Tunnel) {
-		return c.outcome(NotValid, fmt.Sprintf("balancer %q with tunnel %q: a name of 1 to %d bytes and ip:port", a.Name, a.Tunnel, maxNameLength))
+	if a.Name == "" || len(a.Name) > maxNameLength || len(a.DataCentre) > maxNameLength || !validAddress(a.Tunnel) {
+		return c.outcome(NotValid, fmt.Sprintf("balancer %q with tunnel %q: names of at most %d bytes and ip:port", a.Name, a.Tunnel, maxNameLength))
 	}
 	at, known := c.balancerAt(a.Name)
 	if known && c.state.Balancers[at].Incarnation == a.Incarnation && a.Attachment < c.state.Balancers[at].Attachment {
@@ -25,6 +25,9 @@
 		return c.outcome(Done, "balancer "+a.Name+" left as planned")
 	}
 	next := BalancerRecord{Name: a.Name, Incarnation: a.Incarnation, Attachment: a.Attachment, DataCentre: a.DataCentre, Tunnel: a.Tunnel, Via: cmd.Via}
+	if !known && len(c.state.Balancers) >= maxBalancers {
+		return c.outcome(Refused, fmt.Sprintf("%d balancers are known", maxBalancers))
+	}
 	if !known {
 		c.state.Balancers = slices.Insert(c.state.Balancers, at, next)
 		c.altered = true
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -150,8 +150,8 @@
 
 // operate runs an operator's change: it needs an identity and the version.
 func (c *Catalogue) operate(cmd *Command) Outcome {
-	if cmd.ID == "" || len(cmd.ID) > maxIDLength {
-		return c.outcome(NotValid, fmt.Sprintf("a command identity has 1 to %d bytes", maxIDLength))
+	if cmd.ID == "" || len(cmd.ID) > maxIDLength || len(cmd.Operator) > maxIDLength {
+		return c.outcome(NotValid, fmt.Sprintf("a command identity has 1 to %d bytes, an operator's name at most as many", maxIDLength))
 	}
 	if cmd.Expected != 0 && cmd.Expected != c.state.Version {
 		return c.outcome(Conflict, fmt.Sprintf("expected version %d, the current one is %d", cmd.Expected, c.state.Version))
--- a/internal/catalogue/command.go
+++ b/internal/catalogue/command.go
@@ -7,6 +7,8 @@
 	"bergamotstall/internal/table"
 )
 
+//msgp:limit arrays:262144 maps:64
+
 //go:generate env GOWORK=off go -C ../../tools tool msgp -file ../internal/catalogue/command.go -o ../internal/catalogue/command_gen.go -tests=false -io=false
 
 // Command is one entry of the replicated log: who asks, under which identity
--- a/internal/catalogue/command_gen.go
+++ b/internal/catalogue/command_gen.go
@@ -9,6 +9,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z5439c54climitArrays = 262144
+	z5439c54climitMaps   = 64
+)
+
 // MarshalMsg implements msgp.Marshaler
 func (z *AnnounceAgent) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -33,6 +39,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5439c54climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -89,6 +99,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5439c54climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -145,6 +159,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5439c54climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -416,6 +434,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5439c54climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -471,6 +493,10 @@
 					err = msgp.WrapError(err, "Apply")
 					return
 				}
+				if zb0002 > z5439c54climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0002 > 0 {
 					zb0002--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -511,6 +537,10 @@
 					err = msgp.WrapError(err, "Switch")
 					return
 				}
+				if zb0003 > z5439c54climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -551,6 +581,10 @@
 					err = msgp.WrapError(err, "Drain")
 					return
 				}
+				if zb0004 > z5439c54climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -591,6 +625,10 @@
 					err = msgp.WrapError(err, "Undrain")
 					return
 				}
+				if zb0005 > z5439c54climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0005 > 0 {
 					zb0005--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -648,6 +686,10 @@
 					err = msgp.WrapError(err, "AnnounceAgent")
 					return
 				}
+				if zb0006 > z5439c54climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0006 > 0 {
 					zb0006--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -688,6 +730,10 @@
 					err = msgp.WrapError(err, "AnnounceBalancer")
 					return
 				}
+				if zb0007 > z5439c54climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0007 > 0 {
 					zb0007--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -762,6 +808,10 @@
 					err = msgp.WrapError(err, "Sweep")
 					return
 				}
+				if zb0008 > z5439c54climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0008 > 0 {
 					zb0008--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -876,6 +926,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5439c54climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -991,6 +1045,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5439c54climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1075,6 +1133,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5439c54climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1121,6 +1183,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5439c54climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1173,6 +1239,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5439c54climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
--- a/internal/catalogue/definition.go
+++ b/internal/catalogue/definition.go
@@ -7,6 +7,8 @@
 	"bergamotstall/internal/settings"
 )
 
+//msgp:limit arrays:262144 maps:64
+
 //go:generate env GOWORK=off go -C ../../tools tool msgp -file ../internal/catalogue/definition.go -o ../internal/catalogue/definition_gen.go -tests=false -io=false
 
 // Bounds of what operators may write.
--- a/internal/catalogue/definition_gen.go
+++ b/internal/catalogue/definition_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z232c7627limitArrays = 262144
+	z232c7627limitMaps   = 64
+)
+
 // MarshalMsg implements msgp.Marshaler
 func (z DataCentreWeight) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -29,6 +35,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z232c7627limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -113,6 +123,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z232c7627limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -128,6 +142,10 @@
 				err = msgp.WrapError(err, "Services")
 				return
 			}
+			if zb0002 > z232c7627limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Services) >= int(zb0002) {
 				z.Services = (z.Services)[:zb0002]
 			} else {
@@ -147,6 +165,10 @@
 				err = msgp.WrapError(err, "Presets")
 				return
 			}
+			if zb0003 > z232c7627limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Presets) >= int(zb0003) {
 				z.Presets = (z.Presets)[:zb0003]
 			} else {
@@ -159,6 +181,10 @@
 					err = msgp.WrapError(err, "Presets", za0002)
 					return
 				}
+				if zb0004 > z232c7627limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -180,6 +206,10 @@
 							err = msgp.WrapError(err, "Presets", za0002, "Services")
 							return
 						}
+						if zb0005 > z232c7627limitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
 						if cap(z.Presets[za0002].Services) >= int(zb0005) {
 							z.Presets[za0002].Services = (z.Presets[za0002].Services)[:zb0005]
 						} else {
@@ -252,6 +282,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z232c7627limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -320,6 +354,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z232c7627limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -341,6 +379,10 @@
 				err = msgp.WrapError(err, "Services")
 				return
 			}
+			if zb0002 > z232c7627limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Services) >= int(zb0002) {
 				z.Services = (z.Services)[:zb0002]
 			} else {
@@ -418,6 +460,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z232c7627limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -439,6 +485,10 @@
 				err = msgp.WrapError(err, "DataCentres")
 				return
 			}
+			if zb0002 > z232c7627limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.DataCentres) >= int(zb0002) {
 				z.DataCentres = (z.DataCentres)[:zb0002]
 			} else {
@@ -451,6 +501,10 @@
 					err = msgp.WrapError(err, "DataCentres", za0001)
 					return
 				}
+				if zb0003 > z232c7627limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -487,6 +541,10 @@
 				err = msgp.WrapError(err, "Hosts")
 				return
 			}
+			if zb0004 > z232c7627limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Hosts) >= int(zb0004) {
 				z.Hosts = (z.Hosts)[:zb0004]
 			} else {
@@ -499,6 +557,10 @@
 					err = msgp.WrapError(err, "Hosts", za0002)
 					return
 				}
+				if zb0005 > z232c7627limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0005 > 0 {
 					zb0005--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -588,6 +650,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z232c7627limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
--- a/internal/catalogue/state.go
+++ b/internal/catalogue/state.go
@@ -5,6 +5,11 @@
 	"bergamotstall/internal/table"
 )
 
+// The limits of decoding keep a forged length from claiming the memory of a
+// control VM; what the state may hold stays far under them.
+//
+//msgp:limit arrays:262144 maps:64
+
 //go:generate env GOWORK=off go -C ../../tools tool msgp -file ../internal/catalogue/state.go -o ../internal/catalogue/state_gen.go -tests=false -io=false
 
 // Retention. Everything is bounded by count in log order, except that a retired
@@ -16,6 +21,10 @@
 	// AuditKept bounds the audit record of operators' commands: about a week.
 	// Control also logs each record as an event, for an archive of any length.
 	AuditKept = 8192
+	// maxAgents and maxBalancers bound what announces itself, at several times
+	// the size that the system is designed for.
+	maxAgents    = 100_000
+	maxBalancers = 10_000
 	// FleetKept bounds the record of announcements and silences.
 	FleetKept = 2048
 )
--- a/internal/catalogue/state_gen.go
+++ b/internal/catalogue/state_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	ze2bed3a0limitArrays = 262144
+	ze2bed3a0limitMaps   = 64
+)
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Agent) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -142,6 +148,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > ze2bed3a0limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -366,6 +376,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > ze2bed3a0limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -478,6 +492,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > ze2bed3a0limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -552,6 +570,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > ze2bed3a0limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -567,11 +589,27 @@
 				return
 			}
 		case "f":
-			z.Fingerprint, bts, err = msgp.ReadBytesBytes(bts, z.Fingerprint)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Fingerprint")
 				return
 			}
+			if zb0002 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Fingerprint == nil || uint32(cap(z.Fingerprint)) < zb0002 {
+				z.Fingerprint = make([]byte, zb0002)
+			} else {
+				z.Fingerprint = z.Fingerprint[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Fingerprint, bts[:zb0002])
+			bts = bts[zb0002:]
 		case "o":
 			bts, err = z.Outcome.UnmarshalMsg(bts)
 			if err != nil {
@@ -659,6 +697,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > ze2bed3a0limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -788,6 +830,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > ze2bed3a0limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1046,6 +1092,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > ze2bed3a0limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1097,6 +1147,10 @@
 				err = msgp.WrapError(err, "Services")
 				return
 			}
+			if zb0002 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Services) >= int(zb0002) {
 				z.Services = (z.Services)[:zb0002]
 			} else {
@@ -1109,6 +1163,10 @@
 					err = msgp.WrapError(err, "Services", za0001)
 					return
 				}
+				if zb0003 > ze2bed3a0limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1151,6 +1209,10 @@
 				err = msgp.WrapError(err, "Presets")
 				return
 			}
+			if zb0004 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Presets) >= int(zb0004) {
 				z.Presets = (z.Presets)[:zb0004]
 			} else {
@@ -1176,6 +1238,10 @@
 				err = msgp.WrapError(err, "Agents")
 				return
 			}
+			if zb0005 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Agents) >= int(zb0005) {
 				z.Agents = (z.Agents)[:zb0005]
 			} else {
@@ -1195,6 +1261,10 @@
 				err = msgp.WrapError(err, "Balancers")
 				return
 			}
+			if zb0006 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Balancers) >= int(zb0006) {
 				z.Balancers = (z.Balancers)[:zb0006]
 			} else {
@@ -1214,6 +1284,10 @@
 				err = msgp.WrapError(err, "Drains")
 				return
 			}
+			if zb0007 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Drains) >= int(zb0007) {
 				z.Drains = (z.Drains)[:zb0007]
 			} else {
@@ -1233,6 +1307,10 @@
 				err = msgp.WrapError(err, "Keys")
 				return
 			}
+			if zb0008 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Keys) >= int(zb0008) {
 				z.Keys = (z.Keys)[:zb0008]
 			} else {
@@ -1245,6 +1323,10 @@
 					err = msgp.WrapError(err, "Keys", za0006)
 					return
 				}
+				if zb0009 > ze2bed3a0limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0009 > 0 {
 					zb0009--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1287,6 +1369,10 @@
 				err = msgp.WrapError(err, "Outcomes")
 				return
 			}
+			if zb0010 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Outcomes) >= int(zb0010) {
 				z.Outcomes = (z.Outcomes)[:zb0010]
 			} else {
@@ -1299,6 +1385,10 @@
 					err = msgp.WrapError(err, "Outcomes", za0007)
 					return
 				}
+				if zb0011 > ze2bed3a0limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0011 > 0 {
 					zb0011--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1314,11 +1404,27 @@
 							return
 						}
 					case "f":
-						z.Outcomes[za0007].Fingerprint, bts, err = msgp.ReadBytesBytes(bts, z.Outcomes[za0007].Fingerprint)
+						var zb0012 uint32
+						zb0012, bts, err = msgp.ReadBytesHeader(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "Outcomes", za0007, "Fingerprint")
 							return
 						}
+						if zb0012 > ze2bed3a0limitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if z.Outcomes[za0007].Fingerprint == nil || uint32(cap(z.Outcomes[za0007].Fingerprint)) < zb0012 {
+							z.Outcomes[za0007].Fingerprint = make([]byte, zb0012)
+						} else {
+							z.Outcomes[za0007].Fingerprint = z.Outcomes[za0007].Fingerprint[:zb0012]
+						}
+						if uint32(len(bts)) < zb0012 {
+							err = msgp.ErrShortBytes
+							return
+						}
+						copy(z.Outcomes[za0007].Fingerprint, bts[:zb0012])
+						bts = bts[zb0012:]
 					case "o":
 						bts, err = z.Outcomes[za0007].Outcome.UnmarshalMsg(bts)
 						if err != nil {
@@ -1335,16 +1441,20 @@
 				}
 			}
 		case "au":
-			var zb0012 uint32
-			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0013 uint32
+			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Audit")
 				return
 			}
-			if cap(z.Audit) >= int(zb0012) {
-				z.Audit = (z.Audit)[:zb0012]
+			if zb0013 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Audit) >= int(zb0013) {
+				z.Audit = (z.Audit)[:zb0013]
 			} else {
-				z.Audit = make([]Record, zb0012)
+				z.Audit = make([]Record, zb0013)
 			}
 			for za0008 := range z.Audit {
 				bts, err = z.Audit[za0008].UnmarshalMsg(bts)
@@ -1354,16 +1464,20 @@
 				}
 			}
 		case "fl":
-			var zb0013 uint32
-			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0014 uint32
+			zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Fleet")
 				return
 			}
-			if cap(z.Fleet) >= int(zb0013) {
-				z.Fleet = (z.Fleet)[:zb0013]
+			if zb0014 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Fleet) >= int(zb0014) {
+				z.Fleet = (z.Fleet)[:zb0014]
 			} else {
-				z.Fleet = make([]Record, zb0013)
+				z.Fleet = make([]Record, zb0014)
 			}
 			for za0009 := range z.Fleet {
 				bts, err = z.Fleet[za0009].UnmarshalMsg(bts)
--- a/internal/operator/messages.go
+++ b/internal/operator/messages.go
@@ -12,6 +12,8 @@
 	"bergamotstall/internal/wire"
 )
 
+//msgp:limit arrays:262144 maps:64
+
 //go:generate env GOWORK=off go -C ../../tools tool msgp -file ../internal/operator/messages.go -o ../internal/operator/messages_gen.go -tests=false -io=false
 
 // Requests and replies.
@@ -26,8 +28,12 @@
 	kindFailure
 )
 
-// frameLimit bounds one frame. The targets of 12,000 hosts take 3 MiB.
-const frameLimit = 16 << 20
+const (
+	// frameLimit bounds a reply. The targets of 12,000 hosts take 3 MiB.
+	frameLimit = 16 << 20
+	// requestLimit bounds a request: the log's bound on a command and a little.
+	requestLimit = 4<<20 + 4<<10
+)
 
 // FailureCode says why a VM gave no answer.
 type FailureCode uint8
--- a/internal/operator/messages_gen.go
+++ b/internal/operator/messages_gen.go
@@ -8,6 +8,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z2c18a699limitArrays = 262144
+	z2c18a699limitMaps   = 64
+)
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Balancer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -40,6 +46,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -122,6 +132,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -231,6 +245,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -300,6 +318,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -388,6 +410,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -445,6 +471,10 @@
 				err = msgp.WrapError(err, "Replicas")
 				return
 			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Replicas) >= int(zb0002) {
 				z.Replicas = (z.Replicas)[:zb0002]
 			} else {
@@ -464,6 +494,10 @@
 				err = msgp.WrapError(err, "Subscribers")
 				return
 			}
+			if zb0003 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Subscribers) >= int(zb0003) {
 				z.Subscribers = (z.Subscribers)[:zb0003]
 			} else {
@@ -570,6 +604,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -666,6 +704,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -737,6 +779,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -832,6 +878,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -951,6 +1001,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1193,6 +1247,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1232,6 +1290,10 @@
 				err = msgp.WrapError(err, "Services")
 				return
 			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Services) >= int(zb0002) {
 				z.Services = (z.Services)[:zb0002]
 			} else {
@@ -1251,6 +1313,10 @@
 				err = msgp.WrapError(err, "Presets")
 				return
 			}
+			if zb0003 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Presets) >= int(zb0003) {
 				z.Presets = (z.Presets)[:zb0003]
 			} else {
@@ -1270,6 +1336,10 @@
 				err = msgp.WrapError(err, "Targets")
 				return
 			}
+			if zb0004 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Targets) >= int(zb0004) {
 				z.Targets = (z.Targets)[:zb0004]
 			} else {
@@ -1289,6 +1359,10 @@
 				err = msgp.WrapError(err, "Drains")
 				return
 			}
+			if zb0005 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Drains) >= int(zb0005) {
 				z.Drains = (z.Drains)[:zb0005]
 			} else {
@@ -1308,6 +1382,10 @@
 				err = msgp.WrapError(err, "Records")
 				return
 			}
+			if zb0006 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Records) >= int(zb0006) {
 				z.Records = (z.Records)[:zb0006]
 			} else {
@@ -1327,6 +1405,10 @@
 				err = msgp.WrapError(err, "Balancers")
 				return
 			}
+			if zb0007 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Balancers) >= int(zb0007) {
 				z.Balancers = (z.Balancers)[:zb0007]
 			} else {
@@ -1346,6 +1428,10 @@
 				err = msgp.WrapError(err, "Keys")
 				return
 			}
+			if zb0008 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Keys) >= int(zb0008) {
 				z.Keys = (z.Keys)[:zb0008]
 			} else {
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -172,6 +172,9 @@
 	// their own.
 	ctx, cancel := context.WithTimeout(context.Background(), answerLimit)
 	defer cancel()
+	if len(frame.Body) > requestLimit {
+		return kindFailure, s.failure(TooLarge, "the request is too large")
+	}
 	switch frame.Kind {
 	case kindCommand:
 		return s.command(ctx, frame, name)
