Silence: idle targets are counted apart and keep their flows; starving is told

Cause: a silent target on a drained host was retired at once, so that a control stream cut for a moment reset the flows that the drain was to keep. Under a preset that weighs most hosts 0, the idle ones counted as reserve, and silence could take out every target that worked. Change: working and idle targets are counted apart, both go out before they are retired, agents that stop don't count at all. An operator's answer warns where no target of a service takes new work. TestPlannedLeaversDontCount expected the retirement at once and now expects draining first and retirement after the usual wait; nothing else of it changed.

--- a/internal/catalogue/agents.go
+++ b/internal/catalogue/agents.go
@@ -178,10 +178,7 @@
 		return c.outcome(Done, "heard since by "+x.Via)
 	case x.Silence == Out:
 		return c.outcome(Done, "out already")
-	case x.Leaving || c.drains[x.Host]:
-		c.retire(x)
-		return c.outcome(Done, fmt.Sprintf("agent %d left as planned", x.Number))
-	case !c.agentWave(x.Service, c.state.ClockMS).believe():
+	case !x.Leaving && !c.agentWave(x, c.state.ClockMS).believe():
 		if x.Silence != Suspect {
 			x.Silence, x.SilentAtMS = Suspect, c.state.ClockMS
 		}
@@ -189,23 +186,33 @@
 	}
 	x.Silence, x.SilentAtMS = Out, c.state.ClockMS
 	c.altered = true
+	if x.Leaving {
+		return c.outcome(Done, fmt.Sprintf("agent %d left as planned", x.Number))
+	}
 	return c.outcome(Done, fmt.Sprintf("agent %d is out of new work", x.Number))
 }
 
-// agentWave counts a service's targets at nowMS for the silence decision.
-func (c *Catalogue) agentWave(service table.ServiceID, nowMS int64) wave {
-	var w wave
+// works tells whether an agent that is in touch would get new work.
+func (c *Catalogue) works(x *Agent) bool {
+	return x.Weight > 0 && !x.Leaving && !c.drains[x.Host]
+}
+
+// agentWave counts, at nowMS, the targets of x's service that are like x: those
+// that work, or those that don't under the present drains and weights. Idle ones
+// must not stand for a reserve in the count of those that work.
+func (c *Catalogue) agentWave(x *Agent, nowMS int64) wave {
+	w := wave{idle: !c.works(x)}
 	for i := range c.state.Agents {
-		x := &c.state.Agents[i]
-		if x.Service != service || x.Replaced {
+		y := &c.state.Agents[i]
+		if y.Service != x.Service || y.Replaced || y.Leaving || c.works(y) == w.idle {
 			continue
 		}
 		switch {
-		case x.Silence == Out:
-			if nowMS-x.SilentAtMS < silenceWindow.Milliseconds() {
+		case y.Silence == Out:
+			if nowMS-y.SilentAtMS < silenceWindow.Milliseconds() {
 				w.out++
 			}
-		case !x.Retired && !x.Leaving && !c.drains[x.Host]:
+		case !y.Retired:
 			w.live++
 		}
 	}
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -171,6 +171,9 @@
 	default:
 		return c.outcome(NotValid, "this version of control doesn't know the command")
 	}
+	if out.Code == Done && cmd.RotateKeys == nil {
+		out.Text += c.starvation()
+	}
 	// The first keys are control's own doing; no operator's next command should
 	// conflict with them.
 	first := cmd.RotateKeys != nil && cmd.RotateKeys.Step == KeyFirst
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -314,6 +314,19 @@
 	is.Equal(x.State, table.Active)
 }
 
+// An operator drains the last host of a service that gets new work. It is done,
+// and the answer says what it means for callers.
+func TestDrainOfTheLastTargetWarns(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(2)
+	out := h.do(Command{ID: "d0", Operator: "ama", Drain: &DrainHost{Host: "casework-0"}})
+	is.Equal(out.Text, "casework-0 drains, 1 targets on it")
+	out = h.do(Command{ID: "d1", Operator: "ama", Drain: &DrainHost{Host: "casework-1"}})
+	is.Equal(out.Text, "casework-1 drains, 1 targets on it; WARNING: no target takes new work for 1 services: casework")
+	out = h.do(Command{ID: "u1", Operator: "ama", Undrain: &UndrainHost{Host: "casework-1"}})
+	is.Equal(out.Text, "casework-1 gets new work again, 1 targets on it")
+}
+
 func TestRotationInSteps(t *testing.T) {
 	is := is.New(t)
 	h := withTargets(0)
--- a/internal/catalogue/derive.go
+++ b/internal/catalogue/derive.go
@@ -1,6 +1,9 @@
 package catalogue
 
 import (
+	"fmt"
+	"strings"
+
 	"bergamotstall/internal/table"
 )
 
@@ -43,6 +46,35 @@
 
 func (c *Catalogue) serviceName(id table.ServiceID) string { return c.names[id] }
 
+// starvedNamed bounds the services that a warning names.
+const starvedNamed = 5
+
+// starvation warns of services whose targets are all drained, silent or without
+// weight: callers of such a service open no new flow. An operator may want that,
+// so it is no refusal.
+func (c *Catalogue) starvation() string {
+	// serves has the services with targets, and whether one of them works.
+	serves := make(map[table.ServiceID]bool, len(c.state.Services))
+	for i := range c.state.Agents {
+		a := &c.state.Agents[i]
+		if a.Retired || serves[a.Service] {
+			continue
+		}
+		serves[a.Service] = c.works(a) && a.Silence != Out
+	}
+	var starved []string
+	for _, s := range c.state.Services {
+		if works, has := serves[s.ID]; has && !works {
+			starved = append(starved, s.Spec.Name)
+		}
+	}
+	if len(starved) == 0 {
+		return ""
+	}
+	names := strings.Join(starved[:min(len(starved), starvedNamed)], ", ")
+	return fmt.Sprintf("; WARNING: no target takes new work for %d services: %s", len(starved), names)
+}
+
 // Table returns the table of the current revision. Callers don't change it.
 func (c *Catalogue) Table() *table.Table {
 	c.mu.Lock()
--- a/internal/catalogue/read.go
+++ b/internal/catalogue/read.go
@@ -134,22 +134,29 @@
 	return spread.Silence{Name: b.Name, Incarnation: b.Incarnation, Attachment: b.Attachment}
 }
 
+// suspected is a service's targets that work, or those that don't.
+type suspected struct {
+	service table.ServiceID
+	works   bool
+}
+
 // BelievableSuspects returns, as new reports, the silences that weren't believed
-// and would be at now: at most one for each service, and one balancer's, since
-// each that goes out changes the count. A suspicion ends when its process
+// and would be at now: at most one of each kind for each service, and one
+// balancer's, since each that goes out changes the count. A suspicion ends when its process
 // announces itself anywhere, so what is left has been silent ever since.
 func (c *Catalogue) BelievableSuspects(now time.Time) (agents, balancers []spread.Silence) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	nowMS := max(now.UnixMilli(), c.state.ClockMS)
-	seen := make(map[table.ServiceID]bool)
+	seen := make(map[suspected]bool)
 	for i := range c.state.Agents {
 		a := &c.state.Agents[i]
-		if a.Silence != Suspect || a.Retired || seen[a.Service] {
+		kind := suspected{a.Service, c.works(a)}
+		if a.Silence != Suspect || a.Retired || seen[kind] {
 			continue
 		}
-		seen[a.Service] = true
-		if c.agentWave(a.Service, nowMS).believe() {
+		seen[kind] = true
+		if c.agentWave(a, nowMS).believe() {
 			agents = append(agents, a.report())
 		}
 	}
--- a/internal/catalogue/silence.go
+++ b/internal/catalogue/silence.go
@@ -36,18 +36,23 @@
 	maxRetired = 16384
 )
 
-// wave is what the silence decision looks at: one service, or the balancers.
+// wave is what the silence decision looks at: the targets of one service that
+// work, or those that are idle, or the balancers.
 type wave struct {
 	// live counts processes that are in, those under suspicion among them.
 	live int
 	// out counts those taken out on silence within the window.
 	out int
+	// idle targets get no new work in any case.
+	idle bool
 }
 
 // believe decides whether one more silent process is taken out. It never takes
-// the last one: with nothing else to send to, a silent target is the better bet.
+// the last one that works: with nothing else to send to, a silent target is the
+// better bet. The share holds for idle ones too, because being out ends in being
+// retired, and their open flows may well be alive.
 func (w wave) believe() bool {
-	if w.live <= 1 {
+	if w.live <= 1 && !w.idle {
 		return false
 	}
 	known := w.live + w.out
--- a/internal/catalogue/silence_test.go
+++ b/internal/catalogue/silence_test.go
@@ -34,6 +34,12 @@
 	}
 }
 
+func TestLastIdleTargetMayGoOut(t *testing.T) {
+	is := is.New(t)
+	is.True(wave{live: 1, idle: true}.believe())
+	is.True(!wave{live: 2, out: 1, idle: true}.believe())
+}
+
 // A control VM loses its link to the agents, though not to the other control
 // VMs, and reports one agent after another as silent. Callers see nothing: a
 // third of the targets drain at most, the others stay in, marked as suspects.
@@ -146,8 +152,59 @@
 		out := h.do(silent(&a))
 		is.NoErr(out.Err())
 	}
+	is.Equal(countState(h, table.Draining), 2) // their last flows may still end
+	h.pass(retireAfter)
+	h.do(Command{Sweep: &Sweep{}})
 	is.Equal(countState(h, table.Retired), 2)
 	is.Equal(countState(h, table.Active), 1)
+	is.Equal(h.agentWave(&h.state.Agents[2], h.nowMS), wave{live: 1})
+}
+
+// An operator drains a host for the evening; its feeds stay open for hours. Its
+// control stream is cut for a moment. The host's flows go on: it isn't retired,
+// and once it is heard again it is what it was.
+func TestDrainedHostKeepsItsFlowsThroughASilence(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(3)
+	h.do(Command{ID: "d", Operator: "ama", Drain: &DrainHost{Host: "casework-1"}})
+	a := h.Agents()[1]
+	h.do(silent(&a))
+	h.pass(retireAfter / 2)
+	h.do(Command{Sweep: &Sweep{}})
+	x, _ := h.Table().Target(a.Number)
+	is.Equal(x.State, table.Draining)
+	again := announce("casework", 1, 1)
+	again.AnnounceAgent.Announcement.Attachment = 2
+	h.do(again)
+	h.pass(retireAfter)
+	h.do(Command{Sweep: &Sweep{}})
+	x, _ = h.Table().Target(a.Number)
+	is.Equal(x.State, table.Draining)
+	h.do(Command{ID: "u", Operator: "ama", Undrain: &UndrainHost{Host: "casework-1"}})
+	is.Equal(countState(h, table.Active), 3)
+}
+
+// Under the maintenance preset only two of five targets get new work. Both fall
+// silent. One stays in: the three idle ones are no reserve.
+func TestIdleTargetsAreNoReserveInAWave(t *testing.T) {
+	is := is.New(t)
+	d := twoServices()
+	d.Presets[0].Services = []PresetService{{Service: "casework", Hosts: []HostWeight{{"casework-0", 0}, {"casework-1", 0}, {"casework-2", 0}}}}
+	h := newHarness()
+	h.do(apply("first", d))
+	for i := range 5 {
+		h.do(announce("casework", i, 1))
+	}
+	for _, a := range h.Agents()[3:] {
+		h.do(silent(&a))
+	}
+	working := 0
+	for _, x := range h.Table().Targets {
+		if x.State == table.Active && x.Weight > 0 {
+			working++
+		}
+	}
+	is.Equal(working, 1)
 }
 
 // Two of four agents say that they stop; then both others fall silent. The one
