--- a/internal/catalogue/agents.go
+++ b/internal/catalogue/agents.go
@@ -25,6 +25,9 @@
 	if known := c.incarnation(&a); known != nil {
 		return c.announceAgain(known, service.ID, &a, cmd.Via)
 	}
+	if len(c.state.Agents) >= maxAgents {
+		return c.outcome(Refused, fmt.Sprintf("%d agents are known", maxAgents))
+	}
 	return c.register(service, &a, cmd)
 }
 
@@ -35,6 +38,8 @@
 		return fmt.Sprintf("an agent's name has 1 to %d bytes", maxNameLength)
 	case a.Host == "" || len(a.Host) > maxNameLength:
 		return fmt.Sprintf("a host's name has 1 to %d bytes", maxNameLength)
+	case len(a.DataCentre) > maxNameLength:
+		return fmt.Sprintf("a data centre's name has at most %d bytes", maxNameLength)
 	case !validAddress(a.Tunnel) || !validAddress(a.Peer):
 		return fmt.Sprintf("tunnel %q and peer %q must be ip:port", a.Tunnel, a.Peer)
 	case a.Slots < 1 || a.Connections < 1:
@@ -158,7 +163,12 @@
 // agentSilent takes a silent agent out of new work, or suspects it only.
 func (c *Catalogue) agentSilent(cmd *Command) Outcome {
 	report := cmd.AgentSilent
-	x := c.agent(report.Agent)
+	number := report.Agent
+	if number == 0 {
+		// Registered, but the answer with the number was lost before the stream was.
+		number = c.agents[report.Name]
+	}
+	x := c.agent(number)
 	switch {
 	case x == nil || x.Retired:
 		return c.outcome(Done, "gone already")
@@ -168,10 +178,7 @@
 		return c.outcome(Done, "heard since by "+x.Via)
 	case x.Silence == Out:
 		return c.outcome(Done, "out already")
-	case x.Leaving || c.drains[x.Host]:
-		c.retire(x)
-		return c.outcome(Done, fmt.Sprintf("agent %d left as planned", x.Number))
-	case !c.agentWave(x.Service, c.state.ClockMS).believe():
+	case !x.Leaving && !c.agentWave(x, c.state.ClockMS).believe():
 		if x.Silence != Suspect {
 			x.Silence, x.SilentAtMS = Suspect, c.state.ClockMS
 		}
@@ -179,23 +186,33 @@
 	}
 	x.Silence, x.SilentAtMS = Out, c.state.ClockMS
 	c.altered = true
+	if x.Leaving {
+		return c.outcome(Done, fmt.Sprintf("agent %d left as planned", x.Number))
+	}
 	return c.outcome(Done, fmt.Sprintf("agent %d is out of new work", x.Number))
 }
 
-// agentWave counts a service's targets at nowMS for the silence decision.
-func (c *Catalogue) agentWave(service table.ServiceID, nowMS int64) wave {
-	var w wave
+// works tells whether an agent that is in touch would get new work.
+func (c *Catalogue) works(x *Agent) bool {
+	return x.Weight > 0 && !x.Leaving && !c.drains[x.Host]
+}
+
+// agentWave counts, at nowMS, the targets of x's service that are like x: those
+// that work, or those that don't under the present drains and weights. Idle ones
+// must not stand for a reserve in the count of those that work.
+func (c *Catalogue) agentWave(x *Agent, nowMS int64) wave {
+	w := wave{idle: !c.works(x)}
 	for i := range c.state.Agents {
-		x := &c.state.Agents[i]
-		if x.Service != service || x.Replaced {
+		y := &c.state.Agents[i]
+		if y.Service != x.Service || y.Replaced || y.Leaving || c.works(y) == w.idle {
 			continue
 		}
 		switch {
-		case x.Silence == Out:
-			if nowMS-x.SilentAtMS < silenceWindow.Milliseconds() {
+		case y.Silence == Out:
+			if nowMS-y.SilentAtMS < silenceWindow.Milliseconds() {
 				w.out++
 			}
-		case !x.Retired && !x.Leaving && !c.drains[x.Host]:
+		case !y.Retired:
 			w.live++
 		}
 	}
