--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -252,6 +252,26 @@
 	is.Equal(h.Summary(), before)
 }
 
+// A host's agent is set up anew under another name. The old name's target on
+// that host is retired; a host has one target for a service.
+func TestAgentUnderAnotherNameReplacesItsHosts(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(2)
+	renamed := announce("casework", 0, 7)
+	renamed.AnnounceAgent.Announcement.Name = "another"
+	h.do(renamed)
+	is.Equal(countState(h, table.Retired), 1)
+	restored := New()
+	data, err := h.Snapshot()
+	is.NoErr(err)
+	is.NoErr(restored.Restore(data))
+	h.Catalogue = restored
+	again := announce("casework", 0, 8)
+	again.AnnounceAgent.Announcement.Name = "a third"
+	h.do(again)
+	is.Equal(countState(h, table.Retired), 2)
+}
+
 func TestKnownIncarnationKeepsNumberAndRevision(t *testing.T) {
 	is := is.New(t)
 	h := withTargets(2)
@@ -294,6 +314,19 @@
 	is.Equal(x.State, table.Active)
 }
 
+// An operator drains the last host of a service that gets new work. It is done,
+// and the answer says what it means for callers.
+func TestDrainOfTheLastTargetWarns(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(2)
+	out := h.do(Command{ID: "d0", Operator: "ama", Drain: &DrainHost{Host: "casework-0"}})
+	is.Equal(out.Text, "casework-0 drains, 1 targets on it")
+	out = h.do(Command{ID: "d1", Operator: "ama", Drain: &DrainHost{Host: "casework-1"}})
+	is.Equal(out.Text, "casework-1 drains, 1 targets on it; WARNING: no target takes new work for 1 services: casework")
+	out = h.do(Command{ID: "u1", Operator: "ama", Undrain: &UndrainHost{Host: "casework-1"}})
+	is.Equal(out.Text, "casework-1 gets new work again, 1 targets on it")
+}
+
 func TestRotationInSteps(t *testing.T) {
 	is := is.New(t)
 	h := withTargets(0)
