Distribution: adoption tested at the server; one set-up for measurements

Cause: that the server reports adopted subscribers had no test; three measurements built their streams each for themselves. Change: TestDeadVMsSubscribersAreAdopted; type lab in the tests.

--- a/internal/spread/failure_test.go
+++ b/internal/spread/failure_test.go
@@ -10,7 +10,6 @@
 
 	"bergamotstall/internal/keys"
 	"bergamotstall/internal/liveness"
-	"bergamotstall/internal/metrics"
 	"bergamotstall/internal/table"
 )
 
@@ -297,6 +296,27 @@
 	})
 }
 
+// A control VM dies together with one of its agents, and nobody else has that
+// agent's stream. The leader adopts the dead VM's subscribers: one has come back
+// here meanwhile and keeps its place, the other is reported by its number.
+func TestDeadVMsSubscribersAreAdopted(t *testing.T) {
+	is := is.New(t)
+	control := newFakeControl(smallTable(5))
+	server := serveControl(t, control, func(c *ServerConfig) {
+		c.Liveness = liveness.DefaultConfig()
+		c.Liveness.AdoptGrace = time.Second
+	})
+	control.agents["agent-2"] = Announcement{Name: "agent-2", Incarnation: 1, Attachment: 1, Via: "control-dead"}
+	back := follow1(t, "agent-1", func(c *ClientConfig) { asAgent("cartoons")(c); c.Announcement.Attachment = 1 }, server.address)
+	eventually(t, "back", func() bool { return back.AgentNumber() != 0 })
+	server.Adopt(RoleAgent, []Silence{
+		{Name: "agent-1", Agent: 1, Incarnation: 1, Attachment: 1},
+		{Name: "agent-2", Agent: 2, Incarnation: 1, Attachment: 1},
+	})
+	eventually(t, "the other reported", func() bool { return len(control.silenced()) > 0 })
+	is.Equal(control.silenced(), []Silence{{Name: "agent-2", Agent: 2, Incarnation: 1, Attachment: 1}})
+}
+
 // The replicated state takes no commands for a while: the agent gets its table
 // all the same, and its number as soon as the announcement can be committed.
 func TestAnnouncementsAreRepeated(t *testing.T) {
@@ -385,20 +405,12 @@
 // agent that the certificate is for is served.
 func TestPeerIsHeldToItsCertificate(t *testing.T) {
 	is := is.New(t)
-	folder := t.TempDir()
-	is.NoErr(keys.Init(folder))
-	load := func(role keys.Role, name string) *keys.Store {
-		files, err := keys.Issue(folder, role, name, loopback)
-		is.NoErr(err)
-		s, err := keys.Load(files, quiet(), metrics.New())
-		is.NoErr(err)
-		return s
-	}
+	l := newLab(t, true)
 	control := newFakeControl(smallTable(5))
 	server := serveControl(t, control, func(c *ServerConfig) {
-		c.TLS = load(keys.Control, "control-1").Server(keys.Agent, keys.Balancer)
+		c.TLS = l.store(keys.Control, "control-1").Server(keys.Agent, keys.Balancer)
 	})
-	mine := load(keys.Agent, "agent-1").Client(keys.Control)
+	mine := l.store(keys.Agent, "agent-1").Client(keys.Control)
 	honest := follow1(t, "agent-1", func(c *ClientConfig) { asAgent("cartoons")(c); c.TLS = mine }, server.address)
 	eventually(t, "served", func() bool { return honest.AgentNumber() != 0 && honest.latest().Revision == 5 })
 
@@ -409,7 +421,7 @@
 	})
 	operator := follow1(t, "agent-3", func(c *ClientConfig) {
 		asAgent("cartoons")(c)
-		c.TLS = load(keys.Operator, "rosa").Client(keys.Control)
+		c.TLS = l.store(keys.Operator, "rosa").Client(keys.Control)
 	}, server.address)
 	eventually(t, "wrong role refused", func() bool { return operator.metrics.Value("control_ended_tls") > 0 })
 	is.Equal(control.announced("agent-2").Name, "")
--- a/internal/spread/measure_streams_test.go
+++ b/internal/spread/measure_streams_test.go
@@ -29,30 +29,11 @@
 
 func measureAtRest(t *testing.T, secured bool, streams int, watch time.Duration) {
 	t.Helper()
-	control := newFakeControl(smallTable(5))
-	folder := t.TempDir()
-	if err := keys.Init(folder); err != nil {
-		t.Fatal(err)
-	}
-	server := serveControl(t, control, func(c *ServerConfig) {
-		c.Beat = DefaultBeat
-		if secured {
-			c.TLS = measureStore(t, folder, keys.Control, "control-1").Server(keys.Agent)
-		}
-	})
+	l := newLab(t, secured)
+	server := l.server(newFakeControl(smallTable(5)))
 	defer server.Close()
 	before := heap()
-	var all []*follower
-	for i := range streams {
-		name := fmt.Sprintf("agent-%d", i)
-		all = append(all, follow1(t, name, func(c *ClientConfig) {
-			asAgent("cartoons")(c)
-			c.Beat = DefaultBeat
-			if secured {
-				c.TLS = measureStore(t, folder, keys.Agent, name).Client(keys.Control)
-			}
-		}, server.address))
-	}
+	all := l.agents(streams, server.address)
 	for _, f := range all {
 		eventually(t, "attached", func() bool { return f.AgentNumber() != 0 && f.latest().Revision == 5 })
 	}
@@ -84,21 +65,13 @@
 
 func measureServerAtRest(t *testing.T, secured bool, streams int, watch time.Duration) {
 	t.Helper()
-	folder := t.TempDir()
-	if err := keys.Init(folder); err != nil {
-		t.Fatal(err)
-	}
-	server := serveControl(t, newFakeControl(smallTable(5)), func(c *ServerConfig) {
-		c.Beat = DefaultBeat
-		if secured {
-			c.TLS = measureStore(t, folder, keys.Control, "control-1").Server(keys.Agent)
-		}
-	})
+	l := newLab(t, secured)
+	server := l.server(newFakeControl(smallTable(5)))
 	defer server.Close()
 	var peers []*keys.Store
 	for i := range streams {
 		if secured {
-			peers = append(peers, measureStore(t, folder, keys.Agent, fmt.Sprintf("agent-%d", i)))
+			peers = append(peers, l.store(keys.Agent, fmt.Sprintf("agent-%d", i)))
 		}
 	}
 	var beating sync.WaitGroup
@@ -190,30 +163,10 @@
 
 func measureReconnect(t *testing.T, secured bool, streams int) {
 	t.Helper()
-	control := newFakeControl(smallTable(5))
-	folder := t.TempDir()
-	if err := keys.Init(folder); err != nil {
-		t.Fatal(err)
-	}
-	tlsFor := func(c *ServerConfig) {
-		c.Beat = DefaultBeat
-		if secured {
-			c.TLS = measureStore(t, folder, keys.Control, "control-1").Server(keys.Agent)
-		}
-	}
-	a, b := serveControl(t, control, tlsFor), serveControl(t, control, tlsFor)
+	l, control := newLab(t, secured), newFakeControl(smallTable(5))
+	a, b := l.server(control), l.server(control)
 	defer b.Close()
-	var all []*follower
-	for i := range streams {
-		name := fmt.Sprintf("agent-%d", i)
-		all = append(all, follow1(t, name, func(c *ClientConfig) {
-			asAgent("cartoons")(c)
-			c.Beat, c.Seed = DefaultBeat, uint64(i+1)
-			if secured {
-				c.TLS = measureStore(t, folder, keys.Agent, name).Client(keys.Control)
-			}
-		}, a.address, b.address))
-	}
+	all := l.agents(streams, a.address, b.address)
 	eventually(t, "attached", func() bool { return len(a.Subscribers())+len(b.Subscribers()) == streams })
 	time.Sleep(time.Second)
 	moving, there := len(a.Subscribers()), len(b.Subscribers())
@@ -232,15 +185,55 @@
 	}
 }
 
-func measureStore(t *testing.T, folder string, role keys.Role, name string) *keys.Store {
+// lab makes servers and agents with or without TLS.
+type lab struct {
+	t       *testing.T
+	secured bool
+	folder  string
+}
+
+func newLab(t *testing.T, secured bool) lab {
 	t.Helper()
-	files, err := keys.Issue(folder, role, name, loopback)
-	if err != nil {
+	l := lab{t: t, secured: secured, folder: t.TempDir()}
+	if err := keys.Init(l.folder); err != nil {
 		t.Fatal(err)
 	}
+	return l
+}
+
+func (l lab) server(control *fakeControl) *running {
+	return serveControl(l.t, control, func(c *ServerConfig) {
+		c.Beat = DefaultBeat
+		if l.secured {
+			c.TLS = l.store(keys.Control, "control-1").Server(keys.Agent)
+		}
+	})
+}
+
+func (l lab) agents(count int, controls ...string) []*follower {
+	var all []*follower
+	for i := range count {
+		name := fmt.Sprintf("agent-%d", i)
+		all = append(all, follow1(l.t, name, func(c *ClientConfig) {
+			asAgent("cartoons")(c)
+			c.Beat, c.Seed = DefaultBeat, uint64(i+1)
+			if l.secured {
+				c.TLS = l.store(keys.Agent, name).Client(keys.Control)
+			}
+		}, controls...))
+	}
+	return all
+}
+
+func (l lab) store(role keys.Role, name string) *keys.Store {
+	l.t.Helper()
+	files, err := keys.Issue(l.folder, role, name, loopback)
+	if err != nil {
+		l.t.Fatal(err)
+	}
 	s, err := keys.Load(files, quiet(), metrics.New())
 	if err != nil {
-		t.Fatal(err)
+		l.t.Fatal(err)
 	}
 	return s
 }
