Distribution: a silent peer's loss doesn't wait for a blocked write; names

Cause: the end of a stream was told to liveness only once its writer had returned, which a full socket to a silent peer delays by up to ten seconds. Change: the connection is closed as soon as the reader gives up; clearer names.

--- a/internal/spread/announce.go
+++ b/internal/spread/announce.go
@@ -28,7 +28,7 @@
 	sub.announcing = true
 	sub.mu.Unlock()
 	if running {
-		sub.hurryDrain(a)
+		sub.skipHoldFor(a)
 		return
 	}
 	if a.Draining {
@@ -45,15 +45,15 @@
 	}()
 }
 
-// hurryDrain ends a hold for an agent that is about to stop: a target that is
+// skipHoldFor ends a hold for an agent that is about to stop: a target that is
 // leaving must get no new work after a few seconds, however often it came and
 // went before.
-func (sub *subscriber) hurryDrain(a Announcement) {
+func (sub *subscriber) skipHoldFor(a Announcement) {
 	if !a.Draining {
 		return
 	}
 	select {
-	case sub.hurry <- struct{}{}:
+	case sub.skipHold <- struct{}{}:
 	default:
 	}
 }
@@ -92,7 +92,7 @@
 	case <-sub.ctx.Done():
 		return false
 	case <-timer.C:
-	case <-sub.hurry:
+	case <-sub.skipHold:
 	}
 	return true
 }
@@ -142,6 +142,6 @@
 		sub.announcing = false
 	}
 	sub.mu.Unlock()
-	sub.poke()
+	sub.wakeWriter()
 	return done
 }
--- a/internal/spread/failure_test.go
+++ b/internal/spread/failure_test.go
@@ -22,7 +22,7 @@
 	server := serveControl(t, control, nil)
 	keep := func(c *ClientConfig) { c.StateFile = filepath.Join(c.StateFile, t.TempDir(), "table") }
 	var path string
-	first := follow1(t, "balancer-0", func(c *ClientConfig) { keep(c); path = c.StateFile }, server.address)
+	first := startClient(t, "balancer-0", func(c *ClientConfig) { keep(c); path = c.StateFile }, server.address)
 	eventually(t, "first table", func() bool { return first.latest().Revision == 5 })
 	first.stop()
 
@@ -34,7 +34,7 @@
 		control.set(next)
 	}
 	eventually(t, "server follows", func() bool { r, _ := server.publisher.state(); return r == 405 })
-	again := follow1(t, "balancer-0", func(c *ClientConfig) { c.StateFile = path; c.Announcement.Incarnation = 2 }, server.address)
+	again := startClient(t, "balancer-0", func(c *ClientConfig) { c.StateFile = path; c.Announcement.Incarnation = 2 }, server.address)
 	eventually(t, "newest table", func() bool { return again.latest().Revision == 405 })
 	is.Equal(again.tables()[0].Revision, table.Revision(5)) // the kept table came first
 	is.Equal(digest(again.latest()), digest(control.Table()))
@@ -48,7 +48,7 @@
 	is := is.New(t)
 	cutOff, inTouch := newFakeControl(smallTable(5)), newFakeControl(smallTable(5))
 	a, b := serveControl(t, cutOff, nil), serveControl(t, inTouch, nil)
-	f := follow1(t, "balancer-0", nil, a.address, b.address)
+	f := startClient(t, "balancer-0", nil, a.address, b.address)
 	eventually(t, "attached", func() bool { return f.Status().Control != "" && f.latest().Revision == 5 })
 	if f.Status().Control == b.address {
 		a, b, cutOff, inTouch = b, a, inTouch, cutOff
@@ -68,7 +68,7 @@
 	is := is.New(t)
 	control := newFakeControl(smallTable(5))
 	a, b := serveControl(t, control, nil), serveControl(t, control, nil)
-	f := follow1(t, "balancer-0", nil, a.address, b.address)
+	f := startClient(t, "balancer-0", nil, a.address, b.address)
 	eventually(t, "fresh word", func() bool { return f.Status().WithoutControlSince.IsZero() })
 	control.setContact(time.Now().Add(-time.Minute))
 	eventually(t, "told", func() bool { return !f.Status().WithoutControlSince.IsZero() })
@@ -88,11 +88,11 @@
 	a, b := serveControl(t, ahead, nil), serveControl(t, behind, nil)
 	path := filepath.Join(t.TempDir(), "table")
 	keep := func(c *ClientConfig) { c.StateFile = path }
-	f := follow1(t, "balancer-0", keep, a.address)
+	f := startClient(t, "balancer-0", keep, a.address)
 	eventually(t, "table 50", func() bool { return f.latest().Revision == 50 })
 	f.stop()
 
-	again := follow1(t, "balancer-0", keep, b.address)
+	again := startClient(t, "balancer-0", keep, b.address)
 	eventually(t, "attached to the VM behind", func() bool { return again.Status().Control == b.address })
 	behind.set(smallTable(41))
 	eventually(t, "left for being behind, or tried again", func() bool { return again.metrics.Value("control_bytes_in") > 200 })
@@ -113,7 +113,7 @@
 	is.NoErr(saveState(path, view{role: RoleBalancer}, foreign))
 	control := newFakeControl(smallTable(5))
 	server := serveControl(t, control, nil)
-	f := follow1(t, "balancer-0", func(c *ClientConfig) { c.StateFile = path }, server.address)
+	f := startClient(t, "balancer-0", func(c *ClientConfig) { c.StateFile = path }, server.address)
 	eventually(t, "control's table", func() bool { return digest(f.latest()) == digest(control.Table()) })
 	is.Equal(server.metrics.Value("spread_resyncs"), int64(1))
 }
@@ -124,7 +124,7 @@
 	is := is.New(t)
 	control := newFakeControl(smallTable(5))
 	server := serveControl(t, control, nil)
-	f := follow1(t, "balancer-0", func(c *ClientConfig) { c.StaleBound = 300 * time.Millisecond }, server.address)
+	f := startClient(t, "balancer-0", func(c *ClientConfig) { c.StaleBound = 300 * time.Millisecond }, server.address)
 	eventually(t, "first table", func() bool { return f.latest().Revision == 5 && f.Status().WithoutControlSince.IsZero() })
 	server.Close()
 	eventually(t, "told", func() bool { return !f.Status().WithoutControlSince.IsZero() })
@@ -146,7 +146,7 @@
 	a := serveControl(t, control, func(c *ServerConfig) { c.Name = "control-a" })
 	b := serveControl(t, control, func(c *ServerConfig) { c.Name = "control-b" })
 	toA, toB := newRelay(t, a.address), newRelay(t, b.address)
-	f := follow1(t, "agent-1", asAgent("cartoons"), toA.address, toB.address)
+	f := startClient(t, "agent-1", asAgent("cartoons"), toA.address, toB.address)
 	eventually(t, "attached and announced", func() bool { return f.AgentNumber() != 0 })
 	first, path := a, toA
 	if f.Status().Control == toB.address {
@@ -169,14 +169,14 @@
 	is := is.New(t)
 	control := newFakeControl(smallTable(5))
 	server := serveControl(t, control, nil)
-	f := follow1(t, "agent-1", asAgent("cartoons"), server.address)
+	f := startClient(t, "agent-1", asAgent("cartoons"), server.address)
 	eventually(t, "a number", func() bool { return f.AgentNumber() != 0 })
 	n := f.AgentNumber()
 	f.stop()
 	eventually(t, "reported", func() bool { return len(control.silenced()) == 1 })
 	is.Equal(control.silenced()[0], Silence{Name: "agent-1", Agent: n, Incarnation: 1, Attachment: control.announced("agent-1").Attachment})
 
-	again := follow1(t, "agent-1", func(c *ClientConfig) { asAgent("cartoons")(c); c.Announcement.Incarnation = 2 }, server.address)
+	again := startClient(t, "agent-1", func(c *ClientConfig) { asAgent("cartoons")(c); c.Announcement.Incarnation = 2 }, server.address)
 	eventually(t, "another number", func() bool { return again.AgentNumber() != 0 })
 	is.True(again.AgentNumber() != n) // a new incarnation never gets an old number
 }
@@ -190,8 +190,8 @@
 	is := is.New(t)
 	control := newFakeControl(smallTable(5))
 	server := serveControl(t, control, nil)
-	agent := follow1(t, "agent-1", asAgent("cartoons"), server.address)
-	balancer := follow1(t, "balancer-0", nil, server.address)
+	agent := startClient(t, "agent-1", asAgent("cartoons"), server.address)
+	balancer := startClient(t, "balancer-0", nil, server.address)
 	eventually(t, "a number", func() bool { return agent.AgentNumber() != 0 })
 	next := func(state table.State, balancers int) table.Revision {
 		n := *smallTable(control.Table().Revision + 1)
@@ -224,7 +224,7 @@
 	is := is.New(t)
 	control := newFakeControl(smallTable(5))
 	server := serveControl(t, control, nil)
-	f := follow1(t, "balancer-0", nil, server.address)
+	f := startClient(t, "balancer-0", nil, server.address)
 	eventually(t, "first table", func() bool { return f.Status().Revision == 5 })
 	f.mu.Lock()
 	f.onApply = func(tb *table.Table) error {
@@ -257,7 +257,7 @@
 	control := newFakeControl(largeTable(5, 1200))
 	server := serveControl(t, control, func(c *ServerConfig) { c.BytesPerSecond, c.SnapshotBytesPerSecond = budget, budget })
 	start := time.Now()
-	f := follow1(t, "balancer-0", nil, server.address)
+	f := startClient(t, "balancer-0", nil, server.address)
 	eventually(t, "whole table", func() bool { return f.latest().Revision == 5 })
 	for range 40 {
 		control.set(switched(control.Table(), "peak"))
@@ -281,12 +281,12 @@
 		c.Liveness = liveness.DefaultConfig()
 		c.Liveness.HoldFrom, c.Liveness.HoldBase, c.Liveness.HoldCap = 1, time.Hour, time.Hour
 	})
-	first := follow1(t, "agent-1", asAgent("cartoons"), server.address)
+	first := startClient(t, "agent-1", asAgent("cartoons"), server.address)
 	eventually(t, "a number", func() bool { return first.AgentNumber() != 0 })
 	first.stop()
 	eventually(t, "gone", func() bool { return len(server.Subscribers()) == 0 })
 
-	again := follow1(t, "agent-1", func(c *ClientConfig) { asAgent("cartoons")(c); c.Announcement.Incarnation = 2 }, server.address)
+	again := startClient(t, "agent-1", func(c *ClientConfig) { asAgent("cartoons")(c); c.Announcement.Incarnation = 2 }, server.address)
 	eventually(t, "held", func() bool { return server.metrics.Value("spread_announce_held") > 0 && again.latest().Revision == 5 })
 	is.Equal(control.announced("agent-1").Incarnation, uint64(1))
 	again.SetDraining(true)
@@ -307,7 +307,7 @@
 		c.Liveness.AdoptGrace = time.Second
 	})
 	control.agents["agent-2"] = Announcement{Name: "agent-2", Incarnation: 1, Attachment: 1, Via: "control-dead"}
-	back := follow1(t, "agent-1", func(c *ClientConfig) { asAgent("cartoons")(c); c.Announcement.Attachment = 1 }, server.address)
+	back := startClient(t, "agent-1", func(c *ClientConfig) { asAgent("cartoons")(c); c.Announcement.Attachment = 1 }, server.address)
 	eventually(t, "back", func() bool { return back.AgentNumber() != 0 })
 	server.Adopt(RoleAgent, []Silence{
 		{Name: "agent-1", Agent: 1, Incarnation: 1, Attachment: 1},
@@ -324,7 +324,7 @@
 	control := newFakeControl(smallTable(5))
 	control.fail = true
 	server := serveControl(t, control, nil)
-	f := follow1(t, "agent-1", asAgent("cartoons"), server.address)
+	f := startClient(t, "agent-1", asAgent("cartoons"), server.address)
 	eventually(t, "table without a number", func() bool { return f.latest().Revision == 5 })
 	eventually(t, "failures", func() bool { return server.metrics.Value("spread_announce_errors") > 1 })
 	is.Equal(f.AgentNumber(), table.AgentNumber(0))
@@ -345,7 +345,7 @@
 	stuck := dialRaw(t, server.address, hello{Role: RoleBalancer, Announcement: Announcement{Name: "stuck", Incarnation: 1}})
 	stop := stuck.beatForever(t)
 	defer stop()
-	f := follow1(t, "balancer-0", func(c *ClientConfig) { c.Beat = DefaultBeat }, server.address)
+	f := startClient(t, "balancer-0", func(c *ClientConfig) { c.Beat = DefaultBeat }, server.address)
 	for range 50 {
 		control.set(switched(control.Table(), "peak"))
 		want := control.Table().Revision
@@ -379,7 +379,7 @@
 	}
 	var all []*follower
 	for i := range 300 {
-		all = append(all, follow1(t, "balancer-"+string(rune('a'+i%26))+string(rune('a'+i/26)), func(c *ClientConfig) { c.Seed = uint64(i + 1) }, server.address))
+		all = append(all, startClient(t, "balancer-"+string(rune('a'+i%26))+string(rune('a'+i/26)), func(c *ClientConfig) { c.Seed = uint64(i + 1) }, server.address))
 	}
 	eventually(t, "line full", func() bool { return server.metrics.Value("spread_refused_busy") > 0 })
 	for range 4 {
@@ -411,15 +411,15 @@
 		c.TLS = l.store(keys.Control, "control-1").Server(keys.Agent, keys.Balancer)
 	})
 	mine := l.store(keys.Agent, "agent-1").Client(keys.Control)
-	honest := follow1(t, "agent-1", func(c *ClientConfig) { asAgent("cartoons")(c); c.TLS = mine }, server.address)
+	honest := startClient(t, "agent-1", func(c *ClientConfig) { asAgent("cartoons")(c); c.TLS = mine }, server.address)
 	eventually(t, "served", func() bool { return honest.AgentNumber() != 0 && honest.latest().Revision == 5 })
 
-	other := follow1(t, "agent-2", func(c *ClientConfig) { asAgent("cartoons")(c); c.TLS = mine }, server.address)
-	balancer := follow1(t, "balancer-0", func(c *ClientConfig) { c.TLS = mine }, server.address)
+	other := startClient(t, "agent-2", func(c *ClientConfig) { asAgent("cartoons")(c); c.TLS = mine }, server.address)
+	balancer := startClient(t, "balancer-0", func(c *ClientConfig) { c.TLS = mine }, server.address)
 	eventually(t, "both refused", func() bool {
 		return other.metrics.Value("control_refused_identity") > 0 && balancer.metrics.Value("control_refused_identity") > 0
 	})
-	operator := follow1(t, "agent-3", func(c *ClientConfig) {
+	operator := startClient(t, "agent-3", func(c *ClientConfig) {
 		asAgent("cartoons")(c)
 		c.TLS = l.store(keys.Operator, "rosa").Client(keys.Control)
 	}, server.address)
--- a/internal/spread/fakes_test.go
+++ b/internal/spread/fakes_test.go
@@ -240,7 +240,7 @@
 	return n
 }
 
-func follow1(t testing.TB, name string, change func(*ClientConfig), controls ...string) *follower {
+func startClient(t testing.TB, name string, change func(*ClientConfig), controls ...string) *follower {
 	t.Helper()
 	m := metrics.New()
 	cfg := ClientConfig{
--- a/internal/spread/history.go
+++ b/internal/spread/history.go
@@ -50,24 +50,24 @@
 	goneBalancers []tombstone[string]
 
 	// common sums what every view holds; byService the rest.
-	common    part64
-	byService map[table.ServiceID]part64
-	total     part64
+	common    partSum
+	byService map[table.ServiceID]partSum
+	total     partSum
 }
 
-// part64 is the digest of a part of the table and the revision that last
+// partSum is the digest of a part of the table and the revision that last
 // changed it.
-type part64 struct {
+type partSum struct {
 	sum uint64
 	at  table.Revision
 }
 
-func (p *part64) add(sum uint64, at table.Revision) {
+func (p *partSum) add(sum uint64, at table.Revision) {
 	p.sum += sum
 	p.at = at
 }
 
-func newHistory() *history { return &history{byService: map[table.ServiceID]part64{}} }
+func newHistory() *history { return &history{byService: map[table.ServiceID]partSum{}} }
 
 // advance takes in a newer table. The first one sets the floor. It returns
 // false, and changes nothing, for a table that isn't newer; revision 0 is a
--- a/internal/spread/measure_streams_test.go
+++ b/internal/spread/measure_streams_test.go
@@ -214,7 +214,7 @@
 	var all []*follower
 	for i := range count {
 		name := fmt.Sprintf("agent-%d", i)
-		all = append(all, follow1(l.t, name, func(c *ClientConfig) {
+		all = append(all, startClient(l.t, name, func(c *ClientConfig) {
 			asAgent("cartoons")(c)
 			c.Beat, c.Seed = DefaultBeat, uint64(i+1)
 			if l.secured {
--- a/internal/spread/measure_test.go
+++ b/internal/spread/measure_test.go
@@ -276,7 +276,7 @@
 }
 
 func newTimedClient(t *testing.T, name, address string, arrived chan<- time.Time) *timedClient {
-	f := follow1(t, name, func(c *ClientConfig) { c.Beat = DefaultBeat }, address)
+	f := startClient(t, name, func(c *ClientConfig) { c.Beat = DefaultBeat }, address)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.onApply = func(*table.Table) error { arrived <- time.Now(); return nil }
--- a/internal/spread/server_stream.go
+++ b/internal/spread/server_stream.go
@@ -37,8 +37,8 @@
 	ctx    context.Context
 	// wake tells the writer that there is something to do.
 	wake chan struct{}
-	// hurry ends the hold of an announcement.
-	hurry chan struct{}
+	// skipHold ends the hold of an announcement.
+	skipHold chan struct{}
 
 	mu           sync.Mutex
 	announcement Announcement
@@ -92,8 +92,8 @@
 	return sub.held
 }
 
-// poke wakes the writer.
-func (sub *subscriber) poke() {
+// wakeWriter never blocks; a writer that is awake looks again.
+func (sub *subscriber) wakeWriter() {
 	select {
 	case sub.wake <- struct{}{}:
 	default:
@@ -129,6 +129,9 @@
 	}()
 	err = sub.read()
 	cancel()
+	// A writer blocked on a silent peer would else hold its loss back for the
+	// write's time-out.
+	_ = raw.Close()
 	if werr := <-written; werr != nil {
 		err = werr
 	}
@@ -173,8 +176,18 @@
 		return nil, errors.Wrap(err, "spread: deadline")
 	}
 	return &subscriber{
-		server: s, conn: conn, role: h.Role, view: viewOf(h.Role, h.Announcement), ctx: ctx,
-		wake: make(chan struct{}, 1), hurry: make(chan struct{}, 1), announcement: h.Announcement, held: h.Have, digest: h.Digest, inForce: h.InForce, heardAt: time.Now(),
+		server:       s,
+		conn:         conn,
+		role:         h.Role,
+		view:         viewOf(h.Role, h.Announcement),
+		ctx:          ctx,
+		wake:         make(chan struct{}, 1),
+		skipHold:     make(chan struct{}, 1),
+		announcement: h.Announcement,
+		held:         h.Have,
+		digest:       h.Digest,
+		inForce:      h.InForce,
+		heardAt:      time.Now(),
 	}, nil
 }
 
@@ -281,7 +294,7 @@
 		sub.server.count.resyncs.Add(1)
 	}
 	if news {
-		sub.poke()
+		sub.wakeWriter()
 	}
 }
 
--- a/internal/spread/stream_test.go
+++ b/internal/spread/stream_test.go
@@ -14,8 +14,8 @@
 	is := is.New(t)
 	control := newFakeControl(smallTable(5))
 	server := serveControl(t, control, nil)
-	balancer := follow1(t, "balancer-0", nil, server.address)
-	agent := follow1(t, "agent-8", asAgent("cartoons"), server.address)
+	balancer := startClient(t, "balancer-0", nil, server.address)
+	agent := startClient(t, "agent-8", asAgent("cartoons"), server.address)
 	eventually(t, "first tables", func() bool { return balancer.latest().Revision == 5 && agent.latest().Revision == 5 })
 
 	is.Equal(len(balancer.latest().Targets), 10)
--- a/internal/spread/view.go
+++ b/internal/spread/view.go
@@ -29,12 +29,12 @@
 }
 
 // digest returns the digest of the view's table and when it last changed.
-func (h *history) digest(v view, own table.ServiceID) part64 {
+func (h *history) digest(v view, own table.ServiceID) partSum {
 	if v.role == RoleBalancer {
 		return h.total
 	}
 	p := h.byService[own]
-	return part64{sum: h.common.sum + p.sum, at: max(h.common.at, p.at)}
+	return partSum{sum: h.common.sum + p.sum, at: max(h.common.at, p.at)}
 }
 
 // reaches tells whether a delta from the revision can be made.
