A paused agent keeps its flows: a second opinion rests on refusals, or on seconds

Cause: open flows were given up after half a second of a peer's unanswered probes; a process that is paused or short of processor time for 1.1 s lost all its flows. Change: the other agent probes by a connected socket: two refusals in a row mean a dead process, otherwise it takes three seconds of silence; one inquiry at a time for each agent, with the packets it holds. A dead VM, which refuses nothing, takes about four seconds.

--- a/balancer/watch.go
+++ b/balancer/watch.go
@@ -19,7 +19,7 @@
 			return
 		case now := <-tick.C:
 			if v := f.reshare(now); v != nil {
-				v.steering.Probes(now, reach.Balancer, func(a *steer.Agent) { f.probe(v.steering, a) })
+				v.steering.Probes(now, func(a *steer.Agent) { f.probe(v.steering, a) })
 			}
 		}
 	}
--- a/internal/flow/endpoint.go
+++ b/internal/flow/endpoint.go
@@ -100,7 +100,6 @@
 	view          atomic.Pointer[view]
 	flows         atomic.Int64
 	handshakes    atomic.Int64
-	held          atomic.Int64
 	stopping      atomic.Bool
 	tableDraining atomic.Bool
 
@@ -112,6 +111,8 @@
 	serving *serving
 	direct  direct
 
+	inquiries inquiries
+
 	// decide judges each packet; it is a Deflector's but in measurements of what
 	// deflection brings.
 	decide func(*Standing, *Arrival) Verdict
@@ -180,6 +181,7 @@
 		memory: memoryKey{k0: rand.Uint64(), k1: rand.Uint64()},
 		closed: make(chan struct{}),
 	}
+	e.inquiries.running = make(map[table.AgentNumber]*inquiry)
 	e.serving = newServing(e)
 	c.Metrics.Gauge("flow_open", func() int64 { return e.flows.Load() })
 	c.Metrics.Gauge("flow_handshakes", func() int64 { return e.handshakes.Load() })
--- a/internal/flow/receive.go
+++ b/internal/flow/receive.go
@@ -25,7 +25,7 @@
 		e.counts.refusal(err)
 		return
 	}
-	if e.sign(now, v, from) {
+	if e.sign(v, from) {
 		return
 	}
 	balancer := from
@@ -38,7 +38,7 @@
 	verdict := e.decide(&r.standing, &r.arrival)
 	e.counts.verdict(verdict)
 	if r.arrival.Orphan && verdict.Action == HandOver {
-		e.askAbout(now, v, verdict.Agent, balancer, from, packet)
+		e.askAbout(v, verdict.Agent, balancer, packet)
 	}
 	e.carryOut(now, v, verdict, balancer, packet)
 	e.paths.sweep(now)
--- /dev/null
+++ b/internal/reach/inquiry.go
@@ -0,0 +1,65 @@
+package reach
+
+import "time"
+
+const (
+	// refusalsEnough are the refusals in a row that settle an inquiry. A second
+	// one rules out a message that was late.
+	refusalsEnough = 2
+	// InquiryPatience is how long an agent may be silent before its open flows
+	// are given up. Probes each Tick make thirty losses in a row of it; a pause
+	// of a process for collection of garbage or for lack of processor time is
+	// well below.
+	InquiryPatience = 3 * time.Second
+	// GivenUp is how long the outcome holds before it is looked into again.
+	GivenUp = 5 * time.Second
+)
+
+// Sign is what became of one probe.
+type Sign uint8
+
+const (
+	// Silent probes got no answer in time.
+	Silent Sign = iota
+	// Refused probes were answered by the other VM: nobody listens there.
+	Refused
+	// Alive probes were answered by the agent.
+	Alive
+)
+
+// Finding is what an inquiry has come to.
+type Finding uint8
+
+const (
+	// Open inquiries go on.
+	Open Finding = iota
+	// Reachable agents answered: packets can be handed on to them.
+	Reachable
+	// Dead agents have no flows any more.
+	Dead
+)
+
+// Inquiry is the second opinion on an agent that a balancer can't reach.
+type Inquiry struct {
+	began    time.Time
+	refusals int
+}
+
+// NewInquiry begins an inquiry.
+func NewInquiry(now time.Time) *Inquiry { return &Inquiry{began: now} }
+
+// Note takes in the outcome of a probe.
+func (q *Inquiry) Note(now time.Time, s Sign) Finding {
+	switch s {
+	case Alive:
+		return Reachable
+	case Refused:
+		q.refusals++
+	case Silent:
+		q.refusals = 0
+	}
+	if q.refusals >= refusalsEnough || now.Sub(q.began) >= InquiryPatience {
+		return Dead
+	}
+	return Open
+}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -8,9 +8,11 @@
 // dead one: what was sent may need no answer, or the answer may go elsewhere.
 // So silence alone only leads to probes, and unanswered probes to the judgement.
 //
-// A process that is paused for most of a second is judged down too. A balancer's
-// judgement alone only moves new flows; an open flow is given up when an agent
-// of the same service has come to the same judgement by probes of its own.
+// A balancer judges soon (Record), as its judgement only moves new flows and asks
+// for a second opinion. That is another agent's of the same service (Inquiry): it
+// gives open flows up, at once where the other's VM says that nobody listens
+// there any more, and otherwise only after seconds: a process that was paused, or
+// a VM short of processor time, has its flows still.
 package reach
 
 import (
@@ -32,23 +34,14 @@
 	probesWhileDown = 10
 )
 
-// Limits says when silence leads to probes and probes to the judgement.
-type Limits struct {
-	// Suspicion is how long what was sent may go unanswered without a probe.
-	Suspicion time.Duration
-	// Patience is how long it may go unanswered at all.
-	Patience time.Duration
-}
-
-var (
-	// Balancer allows for delayed acknowledgements and a few round trips before
-	// it probes, and then for four lost probes in a row, which 10% loss each way
-	// does once in 800 times. It ends before the fifth or sixth retransmission of
-	// a caller, whose pauses double: later ones would come a second apart.
-	Balancer = Limits{Suspicion: 200 * time.Millisecond, Patience: 600 * time.Millisecond}
-	// Witness is an agent that was asked about another. A balancer already
-	// suspects it, so that probes begin at once.
-	Witness = Limits{Patience: 500 * time.Millisecond}
+const (
+	// suspicion is how long what was sent may go unanswered without a probe:
+	// delayed acknowledgements and a few round trips.
+	suspicion = 200 * time.Millisecond
+	// patience is how long it may go unanswered at all. It has four probes, of
+	// which 10% loss each way loses all once in 800 times, and ends before a
+	// caller's fifth or sixth retransmission: later ones are a second apart.
+	patience = 600 * time.Millisecond
 )
 
 // Record is what is known of one agent's answers. Its methods may be called by
@@ -97,18 +90,24 @@
 }
 
 // Judge is called each Tick. It returns whether to send a probe.
-func (r *Record) Judge(now time.Time, l Limits) (probe bool) {
+func (r *Record) Judge(now time.Time) (probe bool) {
 	since := r.waiting.Load()
 	if since == 0 {
 		return false
 	}
 	silent := time.Duration(now.UnixNano() - since)
-	if silent < l.Patience {
-		return silent >= l.Suspicion
+	if silent < patience {
+		return silent >= suspicion
 	}
 	r.down.Store(true)
 	return silent/Tick%probesWhileDown == 0
 }
 
+// GiveUp judges the agent unreachable on other grounds.
+func (r *Record) GiveUp() { r.down.Store(true) }
+
+// Restore takes a judgement back.
+func (r *Record) Restore() { r.down.Store(false) }
+
 // Down tells whether the agent was judged unreachable.
 func (r *Record) Down() bool { return r.down.Load() }
--- a/internal/steer/map.go
+++ b/internal/steer/map.go
@@ -172,10 +172,10 @@
 	return new(reach.Record)
 }
 
-// Probes calls send for each agent that is due a probe under the limits.
-func (m *Map) Probes(now time.Time, l reach.Limits, send func(*Agent)) {
+// Probes calls send for each agent that is due a probe.
+func (m *Map) Probes(now time.Time, send func(*Agent)) {
 	for _, a := range m.agents {
-		if a.State != table.Retired && a.Reach.Judge(now, l) {
+		if a.State != table.Retired && a.Reach.Judge(now) {
 			send(a)
 		}
 	}
