--- a/internal/catalogue/command.go
+++ b/internal/catalogue/command.go
@@ -7,6 +7,8 @@
 	"bergamotstall/internal/table"
 )
 
+//msgp:limit arrays:262144 maps:64
+
 //go:generate env GOWORK=off go -C ../../tools tool msgp -file ../internal/catalogue/command.go -o ../internal/catalogue/command_gen.go -tests=false -io=false
 
 // Command is one entry of the replicated log: who asks, under which identity
@@ -92,7 +94,8 @@
 	Announcement spread.Announcement `msg:"a"`
 }
 
-// Sweep lets time pass in the state: steps that are due are taken.
+// Sweep is the leader's alone: it sets the state's clock, and steps that are due
+// are taken.
 type Sweep struct{}
 
 // fingerprint identifies what a command asks for, so that one identity with
--- a/internal/catalogue/state.go
+++ b/internal/catalogue/state.go
@@ -1,9 +1,15 @@
 package catalogue
 
 import (
+	"bergamotstall/internal/claim"
 	"bergamotstall/internal/table"
 )
 
+// The limits of decoding keep a forged length from claiming the memory of a
+// control VM; what the state may hold stays far under them.
+//
+//msgp:limit arrays:262144 maps:64
+
 //go:generate env GOWORK=off go -C ../../tools tool msgp -file ../internal/catalogue/state.go -o ../internal/catalogue/state_gen.go -tests=false -io=false
 
 // Retention. Everything is bounded by count in log order, except that a retired
@@ -15,6 +21,10 @@
 	// AuditKept bounds the audit record of operators' commands: about a week.
 	// Control also logs each record as an event, for an archive of any length.
 	AuditKept = 8192
+	// maxAgents and maxBalancers bound what announces itself, at several times
+	// the size that the system is designed for.
+	maxAgents    = 100_000
+	maxBalancers = 10_000
 	// FleetKept bounds the record of announcements and silences.
 	FleetKept = 2048
 )
@@ -23,8 +33,9 @@
 type Stored struct {
 	Version  uint64         `msg:"v"`
 	Revision table.Revision `msg:"r"`
-	// ClockMS is the largest stamp of any command.
+	// ClockMS is the state's clock, BeatMS the leader's last word on it.
 	ClockMS     int64             `msg:"t"`
+	BeatMS      int64             `msg:"tb"`
 	LastAgent   table.AgentNumber `msg:"la"`
 	LastService table.ServiceID   `msg:"ls"`
 	// Services in the operator's order.
@@ -46,6 +57,19 @@
 type Service struct {
 	ID   table.ServiceID `msg:"i"`
 	Spec ServiceSpec     `msg:"s"`
+	// KeysFromMS is the table's field of that name.
+	KeysFromMS int64 `msg:"k,omitempty"`
+}
+
+// retiredKeptMS is how long the service's retired agents stay in the table, in
+// milliseconds: long enough for stateless resets and for package claim, whose
+// keepers they were.
+func (s *Service) retiredKeptMS() int64 {
+	window := s.Spec.KeyWindow
+	if window <= 0 {
+		window = claim.DefaultWindow
+	}
+	return max(RetiredKept, window+claim.RowsKept).Milliseconds()
 }
 
 // Silence says what came of reports that a process is silent.
--- a/internal/catalogue/state_gen.go
+++ b/internal/catalogue/state_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	ze2bed3a0limitArrays = 262144
+	ze2bed3a0limitMaps   = 64
+)
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Agent) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -142,6 +148,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > ze2bed3a0limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -366,6 +376,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > ze2bed3a0limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -478,6 +492,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > ze2bed3a0limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -552,6 +570,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > ze2bed3a0limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -567,11 +589,27 @@
 				return
 			}
 		case "f":
-			z.Fingerprint, bts, err = msgp.ReadBytesBytes(bts, z.Fingerprint)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Fingerprint")
 				return
 			}
+			if zb0002 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Fingerprint == nil || uint32(cap(z.Fingerprint)) < zb0002 {
+				z.Fingerprint = make([]byte, zb0002)
+			} else {
+				z.Fingerprint = z.Fingerprint[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Fingerprint, bts[:zb0002])
+			bts = bts[zb0002:]
 		case "o":
 			bts, err = z.Outcome.UnmarshalMsg(bts)
 			if err != nil {
@@ -659,6 +697,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > ze2bed3a0limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -742,20 +784,38 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Service) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "i"
-	o = append(o, 0x82, 0xa1, 0x69)
-	o, err = z.ID.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.KeysFromMS == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o, err = z.Spec.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Spec")
-		return
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o, err = z.ID.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "ID")
+			return
+		}
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o, err = z.Spec.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Spec")
+			return
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "k"
+			o = append(o, 0xa1, 0x6b)
+			o = msgp.AppendInt64(o, z.KeysFromMS)
+		}
 	}
 	return
 }
@@ -770,6 +830,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > ze2bed3a0limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -790,6 +854,12 @@
 				err = msgp.WrapError(err, "Spec")
 				return
 			}
+		case "k":
+			z.KeysFromMS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "KeysFromMS")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -804,7 +874,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Service) Msgsize() (s int) {
-	s = 1 + 2 + z.ID.Msgsize() + 2 + z.Spec.Msgsize()
+	s = 1 + 2 + z.ID.Msgsize() + 2 + z.Spec.Msgsize() + 2 + msgp.Int64Size
 	return
 }
 
@@ -839,9 +909,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Stored) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 15
+	// map header, size 16
 	// string "v"
-	o = append(o, 0x8f, 0xa1, 0x76)
+	o = append(o, 0xde, 0x0, 0x10, 0xa1, 0x76)
 	o = msgp.AppendUint64(o, z.Version)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
@@ -853,6 +923,9 @@
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendInt64(o, z.ClockMS)
+	// string "tb"
+	o = append(o, 0xa2, 0x74, 0x62)
+	o = msgp.AppendInt64(o, z.BeatMS)
 	// string "la"
 	o = append(o, 0xa2, 0x6c, 0x61)
 	o, err = z.LastAgent.MarshalMsg(o)
@@ -871,20 +944,38 @@
 	o = append(o, 0xa1, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
 	for za0001 := range z.Services {
-		// map header, size 2
-		// string "i"
-		o = append(o, 0x82, 0xa1, 0x69)
-		o, err = z.Services[za0001].ID.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Services", za0001, "ID")
-			return
+		// check for omitted fields
+		zb0002Len := uint32(3)
+		var zb0002Mask uint8 /* 3 bits */
+		_ = zb0002Mask
+		if z.Services[za0001].KeysFromMS == 0 {
+			zb0002Len--
+			zb0002Mask |= 0x4
 		}
-		// string "s"
-		o = append(o, 0xa1, 0x73)
-		o, err = z.Services[za0001].Spec.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Services", za0001, "Spec")
-			return
+		// variable map header, size zb0002Len
+		o = append(o, 0x80|uint8(zb0002Len))
+
+		// skip if no fields are to be emitted
+		if zb0002Len != 0 {
+			// string "i"
+			o = append(o, 0xa1, 0x69)
+			o, err = z.Services[za0001].ID.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Services", za0001, "ID")
+				return
+			}
+			// string "s"
+			o = append(o, 0xa1, 0x73)
+			o, err = z.Services[za0001].Spec.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Services", za0001, "Spec")
+				return
+			}
+			if (zb0002Mask & 0x4) == 0 { // if not omitted
+				// string "k"
+				o = append(o, 0xa1, 0x6b)
+				o = msgp.AppendInt64(o, z.Services[za0001].KeysFromMS)
+			}
 		}
 	}
 	// string "p"
@@ -1001,6 +1092,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > ze2bed3a0limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1027,6 +1122,12 @@
 				err = msgp.WrapError(err, "ClockMS")
 				return
 			}
+		case "tb":
+			z.BeatMS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "BeatMS")
+				return
+			}
 		case "la":
 			bts, err = z.LastAgent.UnmarshalMsg(bts)
 			if err != nil {
@@ -1046,6 +1147,10 @@
 				err = msgp.WrapError(err, "Services")
 				return
 			}
+			if zb0002 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Services) >= int(zb0002) {
 				z.Services = (z.Services)[:zb0002]
 			} else {
@@ -1058,6 +1163,10 @@
 					err = msgp.WrapError(err, "Services", za0001)
 					return
 				}
+				if zb0003 > ze2bed3a0limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1078,6 +1187,12 @@
 							err = msgp.WrapError(err, "Services", za0001, "Spec")
 							return
 						}
+					case "k":
+						z.Services[za0001].KeysFromMS, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Services", za0001, "KeysFromMS")
+							return
+						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -1094,6 +1209,10 @@
 				err = msgp.WrapError(err, "Presets")
 				return
 			}
+			if zb0004 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Presets) >= int(zb0004) {
 				z.Presets = (z.Presets)[:zb0004]
 			} else {
@@ -1119,6 +1238,10 @@
 				err = msgp.WrapError(err, "Agents")
 				return
 			}
+			if zb0005 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Agents) >= int(zb0005) {
 				z.Agents = (z.Agents)[:zb0005]
 			} else {
@@ -1138,6 +1261,10 @@
 				err = msgp.WrapError(err, "Balancers")
 				return
 			}
+			if zb0006 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Balancers) >= int(zb0006) {
 				z.Balancers = (z.Balancers)[:zb0006]
 			} else {
@@ -1157,6 +1284,10 @@
 				err = msgp.WrapError(err, "Drains")
 				return
 			}
+			if zb0007 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Drains) >= int(zb0007) {
 				z.Drains = (z.Drains)[:zb0007]
 			} else {
@@ -1176,6 +1307,10 @@
 				err = msgp.WrapError(err, "Keys")
 				return
 			}
+			if zb0008 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Keys) >= int(zb0008) {
 				z.Keys = (z.Keys)[:zb0008]
 			} else {
@@ -1188,6 +1323,10 @@
 					err = msgp.WrapError(err, "Keys", za0006)
 					return
 				}
+				if zb0009 > ze2bed3a0limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0009 > 0 {
 					zb0009--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1230,6 +1369,10 @@
 				err = msgp.WrapError(err, "Outcomes")
 				return
 			}
+			if zb0010 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Outcomes) >= int(zb0010) {
 				z.Outcomes = (z.Outcomes)[:zb0010]
 			} else {
@@ -1242,6 +1385,10 @@
 					err = msgp.WrapError(err, "Outcomes", za0007)
 					return
 				}
+				if zb0011 > ze2bed3a0limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0011 > 0 {
 					zb0011--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1257,11 +1404,27 @@
 							return
 						}
 					case "f":
-						z.Outcomes[za0007].Fingerprint, bts, err = msgp.ReadBytesBytes(bts, z.Outcomes[za0007].Fingerprint)
+						var zb0012 uint32
+						zb0012, bts, err = msgp.ReadBytesHeader(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "Outcomes", za0007, "Fingerprint")
 							return
 						}
+						if zb0012 > ze2bed3a0limitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if z.Outcomes[za0007].Fingerprint == nil || uint32(cap(z.Outcomes[za0007].Fingerprint)) < zb0012 {
+							z.Outcomes[za0007].Fingerprint = make([]byte, zb0012)
+						} else {
+							z.Outcomes[za0007].Fingerprint = z.Outcomes[za0007].Fingerprint[:zb0012]
+						}
+						if uint32(len(bts)) < zb0012 {
+							err = msgp.ErrShortBytes
+							return
+						}
+						copy(z.Outcomes[za0007].Fingerprint, bts[:zb0012])
+						bts = bts[zb0012:]
 					case "o":
 						bts, err = z.Outcomes[za0007].Outcome.UnmarshalMsg(bts)
 						if err != nil {
@@ -1278,16 +1441,20 @@
 				}
 			}
 		case "au":
-			var zb0012 uint32
-			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0013 uint32
+			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Audit")
 				return
 			}
-			if cap(z.Audit) >= int(zb0012) {
-				z.Audit = (z.Audit)[:zb0012]
+			if zb0013 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Audit) >= int(zb0013) {
+				z.Audit = (z.Audit)[:zb0013]
 			} else {
-				z.Audit = make([]Record, zb0012)
+				z.Audit = make([]Record, zb0013)
 			}
 			for za0008 := range z.Audit {
 				bts, err = z.Audit[za0008].UnmarshalMsg(bts)
@@ -1297,16 +1464,20 @@
 				}
 			}
 		case "fl":
-			var zb0013 uint32
-			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0014 uint32
+			zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Fleet")
 				return
 			}
-			if cap(z.Fleet) >= int(zb0013) {
-				z.Fleet = (z.Fleet)[:zb0013]
+			if zb0014 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Fleet) >= int(zb0014) {
+				z.Fleet = (z.Fleet)[:zb0014]
 			} else {
-				z.Fleet = make([]Record, zb0013)
+				z.Fleet = make([]Record, zb0014)
 			}
 			for za0009 := range z.Fleet {
 				bts, err = z.Fleet[za0009].UnmarshalMsg(bts)
@@ -1329,9 +1500,9 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Stored) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + z.Revision.Msgsize() + 2 + msgp.Int64Size + 3 + z.LastAgent.Msgsize() + 3 + z.LastService.Msgsize() + 2 + msgp.ArrayHeaderSize
+	s = 3 + 2 + msgp.Uint64Size + 2 + z.Revision.Msgsize() + 2 + msgp.Int64Size + 3 + msgp.Int64Size + 3 + z.LastAgent.Msgsize() + 3 + z.LastService.Msgsize() + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Services {
-		s += 1 + 2 + z.Services[za0001].ID.Msgsize() + 2 + z.Services[za0001].Spec.Msgsize()
+		s += 1 + 2 + z.Services[za0001].ID.Msgsize() + 2 + z.Services[za0001].Spec.Msgsize() + 2 + msgp.Int64Size
 	}
 	s += 2 + msgp.ArrayHeaderSize
 	for za0002 := range z.Presets {
--- a/internal/replica/link.go
+++ b/internal/replica/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	mathrand "math/rand/v2"
 	"net"
 	"sync"
@@ -13,6 +12,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"bergamotstall/internal/events"
+	"bergamotstall/internal/keys"
 	"bergamotstall/internal/quorum"
 	"bergamotstall/internal/wire"
 )
@@ -94,7 +94,7 @@
 	defer l.mu.Unlock()
 	address, ok := l.book[to]
 	if !ok {
-		member, _ := l.r.core.Members().Find(to)
+		member, _ := l.r.core.Find(to)
 		address = member.Address
 	}
 	if address == "" {
@@ -305,13 +305,13 @@
 	if r.cfg.TLS.Client == nil {
 		return raw, nil
 	}
-	cfg := r.cfg.TLS.Client
-	if cfg.ServerName == "" {
-		cfg = cfg.Clone()
-		cfg.ServerName, _, _ = net.SplitHostPort(address)
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		_ = raw.Close()
+		return nil, errors.Wrap(err, "replica: address")
 	}
-	secure := tls.Client(raw, cfg)
-	if err := secure.HandshakeContext(ctx); err != nil {
+	secure, err := keys.Client(ctx, raw, r.cfg.TLS.Client, host)
+	if err != nil {
 		_ = raw.Close()
 		return nil, errors.Wrap(err, "replica: TLS")
 	}
