--- a/internal/relay/cluster_test.go
+++ b/internal/relay/cluster_test.go
@@ -16,7 +16,7 @@
 // cluster is one service on several hosts, each with target, agent and a server
 // for callers.
 type cluster struct {
-	t     *testing.T
+	t     testing.TB
 	hosts []*host
 	table *table.Table
 }
@@ -29,7 +29,7 @@
 	gone   bool
 }
 
-func newCluster(t *testing.T, hosts int, f target.Faults, limits Limits) *cluster {
+func newCluster(t testing.TB, hosts int, f target.Faults, limits Limits) *cluster {
 	t.Helper()
 	c := &cluster{t: t, table: &table.Table{Services: []table.Service{{ID: 1, Name: "desk"}}}}
 	for range hosts {
--- a/internal/relay/rig_test.go
+++ b/internal/relay/rig_test.go
@@ -18,7 +18,7 @@
 
 // rig is one host: a target, its agent's relay, and a server for callers.
 type rig struct {
-	t      *testing.T
+	t      testing.TB
 	target *target.Target
 	relay  *Relay
 	server *httptest.Server
@@ -40,7 +40,7 @@
 	return r
 }
 
-func newRelay(t *testing.T, cfg Config) *Relay {
+func newRelay(t testing.TB, cfg Config) *Relay {
 	t.Helper()
 	cfg.Metrics = metrics.New()
 	x, err := New(cfg)
@@ -91,7 +91,7 @@
 func (r *rig) count(name string) int64 { return r.relay.cfg.Metrics.Value("requests." + name) }
 
 // eventually polls until ok, and fails the test where that never comes.
-func eventually(t *testing.T, what string, ok func() bool) {
+func eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		if ok() {
