--- a/internal/catalogue/silence.go
+++ b/internal/catalogue/silence.go
@@ -29,23 +29,30 @@
 	// reads these records. A service whose idempotency keys are valid for longer
 	// keeps its retired numbers for longer.
 	RetiredKept = silenceWindow
-	// maxRetired bounds the retired numbers in the table: a mass restart of the
-	// fleet must not double it for a quarter of an hour. Oldest go first.
-	maxRetired = 4096
+	// maxRetired bounds the retired numbers in the table. Oldest go first, and
+	// the keys of their services wait. It leaves room for a rolling upgrade of
+	// 12,000 agents within one key window: at 4,096 such an upgrade stopped the
+	// keyed submissions of all 2,100 services until the window was over.
+	maxRetired = 16384
 )
 
-// wave is what the silence decision looks at: one service, or the balancers.
+// wave is what the silence decision looks at: the targets of one service that
+// work, or those that are idle, or the balancers.
 type wave struct {
 	// live counts processes that are in, those under suspicion among them.
 	live int
 	// out counts those taken out on silence within the window.
 	out int
+	// idle targets get no new work in any case.
+	idle bool
 }
 
 // believe decides whether one more silent process is taken out. It never takes
-// the last one: with nothing else to send to, a silent target is the better bet.
+// the last one that works: with nothing else to send to, a silent target is the
+// better bet. The share holds for idle ones too, because being out ends in being
+// retired, and their open flows may well be alive.
 func (w wave) believe() bool {
-	if w.live <= 1 {
+	if w.live <= 1 && !w.idle {
 		return false
 	}
 	known := w.live + w.out
--- a/internal/flow/rig_test.go
+++ b/internal/flow/rig_test.go
@@ -55,6 +55,12 @@
 	cert      tls.Certificate
 	pool      *x509.CertPool
 	hosts     int
+	callers   []*http3.Transport
+	// direct is set for agents that answer from the service's address.
+	direct bool
+	// keepAlive is the callers', where they have one; they then send no large
+	// packets to find the path's limit either.
+	keepAlive time.Duration
 }
 
 type rigBalancer struct {
@@ -137,8 +143,8 @@
 	set := metrics.New()
 	e, err := flow.New(flow.Config{
 		Service: service, Tunnel: tunnel, Handler: handler, Log: quiet(), Metrics: set,
-		IdleTimeout: idle,
-		TLS:         &tls.Config{Certificates: []tls.Certificate{r.cert}},
+		IdleTimeout: idle, Direct: r.direct,
+		TLS: &tls.Config{Certificates: []tls.Certificate{r.cert}},
 	})
 	r.is.NoErr(err)
 	if keepFirst {
@@ -249,12 +255,22 @@
 	r.is.True(ok)
 	x := &http3.Transport{
 		TLSClientConfig: &tls.Config{RootCAs: r.pool, ServerName: service},
-		QUICConfig:      &quic.Config{MaxIdleTimeout: 20 * time.Second},
+		QUICConfig: &quic.Config{
+			MaxIdleTimeout: 20 * time.Second, KeepAlivePeriod: r.keepAlive,
+			DisablePathMTUDiscovery: r.keepAlive > 0,
+		},
 	}
 	r.Cleanup(func() { _ = x.Close() })
+	r.callers = append(r.callers, x)
 	return &caller{Client: &http.Client{Transport: x}, transport: x, url: "https://" + s.Address}
 }
 
+func (r *rig) closeCallers() {
+	for _, x := range r.callers {
+		_ = x.Close()
+	}
+}
+
 // get returns the answer's body and the agent that sent it.
 func (c *caller) get(path string) (body []byte, agent string, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -179,10 +179,13 @@
 
 	// probation is set from a restart until enough others have said what they
 	// know of this replica.
-	probation  bool
-	boot       Message
-	helloAt    time.Duration
-	helloFrom  map[ID]bool
+	probation bool
+	boot      Message
+	helloAt   time.Duration
+	// helloFrom holds who answered, and the leader that each heard.
+	helloFrom  map[ID]ID
+	newest     Membership
+	newestAt   Index
 	regression *RegressionError
 	removed    bool
 	known      map[ID]Known
@@ -193,8 +196,13 @@
 
 // New returns a core that goes on from what was stored.
 func New(cfg Config, stored Stored, now time.Duration) *Core {
+	return newCore(cfg, stored, now, faults{})
+}
+
+func newCore(cfg Config, stored Stored, now time.Duration, f faults) *Core {
 	c := &Core{
 		cfg:       cfg.Defaults(),
+		faults:    f,
 		now:       now,
 		state:     Follower,
 		term:      stored.Hard.Term,
@@ -202,7 +210,7 @@
 		saved:     stored.Hard,
 		log:       newLog(stored),
 		known:     map[ID]Known{},
-		helloFrom: map[ID]bool{},
+		helloFrom: map[ID]ID{},
 	}
 	c.adoptMembers()
 	c.heardLead = now - c.cfg.ElectionTimeout
