Replica: tests of the queue wait for the loop to hang; one event a lost peer

Cause: in a run of 20 with -race, TestOneSyncCoversManyCommands waited in vain: the loop had taken more than one command before its sync hung, so the queue never held what the test waited for. TestFullQueueRefuses had the same fault. An unreachable peer logged event 512 at each attempt. A follower scanned its whole log for a membership at each append. One event 512 each time that a peer is lost. The scan runs only if a membership came or was cut off.

--- a/internal/quorum/follow.go
+++ b/internal/quorum/follow.go
@@ -1,5 +1,7 @@
 package quorum
 
+import "slices"
+
 // handleAppend takes a leader's entries in where they join the log.
 func (c *Core) handleAppend(m Message) {
 	if m.Index < c.log.commit && !c.log.matches(m.Index, m.LogTerm) {
@@ -24,6 +26,7 @@
 // log already has stay as they are: an old append that arrives late must not
 // cut off newer ones.
 func (c *Core) takeEntries(es []Entry) {
+	members := slices.ContainsFunc(es, func(e Entry) bool { return e.Kind == EntryMembers })
 	for i, e := range es {
 		if c.log.matches(e.Index, e.Term) || e.Index <= c.log.commit {
 			continue
@@ -33,11 +36,14 @@
 				continue
 			}
 			c.log.cutFrom(e.Index)
+			members = true // a membership may have been cut off
 		}
 		c.log.append(es[i:]...)
 		break
 	}
-	c.adoptMembers()
+	if members {
+		c.adoptMembers()
+	}
 }
 
 func (c *Core) acknowledge(to ID, i Index) {
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -215,6 +215,7 @@
 			return string(out)
 		}
 		t.Logf("propose %q at %s: %v", command, m.name, err)
+		time.Sleep(retryPause)
 		if m.Err() != nil {
 			t.Fatalf("%s: %v", m.name, m.Err())
 		}
--- a/internal/replica/disk_test.go
+++ b/internal/replica/disk_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"context"
 	"os"
 	"sync"
 	"syscall"
@@ -70,6 +71,21 @@
 
 func (m *member) disk() *hookDisk { return m.cfg.FS.(*hookDisk) }
 
+// hangDisk returns once the replica's loop hangs in a sync, with one command
+// taken, and gives back what lets it go on.
+func (m *member) hangDisk() (release func()) {
+	hanging, again := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	m.disk().set(&m.disk().beforeSync, func() error {
+		once.Do(func() { close(hanging) })
+		<-again
+		return nil
+	})
+	go func() { _, _ = m.Propose(context.Background(), []byte("hangs")) }()
+	<-hanging
+	return func() { close(again) }
+}
+
 func full() error { return syscall.ENOSPC }
 
 // The leader's disk is full. The operator's command may end as unknown, but it
--- a/internal/replica/link.go
+++ b/internal/replica/link.go
@@ -177,10 +177,12 @@
 func (k *link) run() {
 	defer k.links.done.Done()
 	pause := backoffMin
+	told := false // one event for each time that the peer is lost
 	for k.links.ctx.Err() == nil {
 		conn, err := k.connect()
 		if err == nil {
 			pause = backoffMin
+			told = false
 			k.links.setUp(k, true)
 			err = k.carry(conn)
 			k.links.setUp(k, false)
@@ -189,7 +191,10 @@
 			}
 		}
 		k.links.r.count.reconnects.Add(1)
-		events.Log(k.links.r.cfg.Log, events.ReplicaPeerLost, logrus.Fields{"address": k.address, "error": err.Error()})
+		if !told {
+			told = true
+			events.Log(k.links.r.cfg.Log, events.ReplicaPeerLost, logrus.Fields{"address": k.address, "error": err.Error()})
+		}
 		if !k.sleep(pause/2 + mathrand.N(pause)) {
 			return
 		}
