Control: unknown outcomes, failed disks and orphans as tests on a fake log

Cause: what control does when the log answers "unknown", "not run" or ends was covered only where the cluster tests happened to meet it. Change: tests with a log in memory; suspicions that go out window by window.

--- a/control/watch.go
+++ b/control/watch.go
@@ -76,10 +76,7 @@
 // agents. The leader takes over the dead VMs', each VM its own; the distribution
 // gives them time to come back anywhere.
 func (c *Control) adoptOrphans() {
-	status := c.log.Status()
-	agents, balancers := c.catalogue.HeardVia(func(vm string) bool {
-		return vm == c.settings.Name || (status.Leader == status.ID && gone(status, vm))
-	})
+	agents, balancers := c.orphans()
 	if len(agents) > 0 {
 		c.spread.Adopt(spread.RoleAgent, agents)
 	}
@@ -88,6 +85,14 @@
 	}
 }
 
+// orphans are the subscribers that this VM has to watch over.
+func (c *Control) orphans() (agents, balancers []spread.Silence) {
+	status := c.log.Status()
+	return c.catalogue.HeardVia(func(vm string) bool {
+		return vm == c.settings.Name || (status.Leader == status.ID && gone(status, vm))
+	})
+}
+
 // gone tells whether a control VM is silent for the leader, or no member.
 func gone(s replica.Status, vm string) bool {
 	for _, m := range s.Members {
--- /dev/null
+++ b/control/watch_test.go
@@ -0,0 +1,161 @@
+package control
+
+import (
+	"context"
+	"io"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"bergamotstall/internal/catalogue"
+	"bergamotstall/internal/metrics"
+	"bergamotstall/internal/operator"
+	"bergamotstall/internal/quorum"
+	"bergamotstall/internal/replica"
+	"bergamotstall/internal/spread"
+)
+
+// fakeLog is a log of one replica in memory.
+type fakeLog struct {
+	machine  *catalogue.Catalogue
+	proposed [][]byte
+	// fail has the errors of the next proposals; the command runs all the same
+	// where the outcome is unknown.
+	fail   []error
+	status replica.Status
+	ended  chan struct{}
+	err    error
+}
+
+func newFakeLog() *fakeLog {
+	return &fakeLog{machine: catalogue.New(), ended: make(chan struct{})}
+}
+
+func (l *fakeLog) Propose(_ context.Context, command []byte) ([]byte, error) {
+	var err error
+	if len(l.fail) > 0 {
+		err, l.fail = l.fail[0], l.fail[1:]
+	}
+	if errors.Is(err, replica.ErrNotRun) {
+		return nil, err
+	}
+	l.proposed = append(l.proposed, slices.Clone(command))
+	return l.machine.Apply(uint64(len(l.proposed)), command), err
+}
+
+func (l *fakeLog) Barrier(context.Context) error { return nil }
+
+func (l *fakeLog) ContactAge() time.Duration { return 0 }
+
+func (l *fakeLog) Status() replica.Status { return l.status }
+
+func (l *fakeLog) RemoveMember(context.Context, quorum.ID) error { return nil }
+
+func (l *fakeLog) ReplaceMember(context.Context, quorum.ID) error { return nil }
+
+func (l *fakeLog) Done() <-chan struct{} { return l.ended }
+
+func (l *fakeLog) Err() error { return l.err }
+
+func (l *fakeLog) Close() error { return nil }
+
+// controlOn is a control VM on a fake log.
+func controlOn(l *fakeLog) *Control {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	c := &Control{
+		settings: Settings{Name: "a", Operators: "127.0.0.1:0", Subscribers: "127.0.0.1:0"},
+		logger:   log, metrics: metrics.New(), catalogue: l.machine,
+	}
+	c.open(l)
+	return c
+}
+
+// The leader is lost after it took a switch, and control can't tell whether it
+// was committed. It proposes the same bytes again; the operator reads the first
+// outcome and the record has the command once.
+func TestUnknownOutcomeIsProposedAgain(t *testing.T) {
+	is := is.New(t)
+	l := newFakeLog()
+	c := controlOn(l)
+	defer c.Close()
+	first := applyCommand("first")
+	_, err := c.Submit(t.Context(), &first)
+	is.NoErr(err)
+
+	l.fail = []error{replica.ErrOutcomeUnknown, replica.ErrOutcomeUnknown}
+	cmd := switchTo("peak", "ama-1", 0)
+	out, err := c.Submit(t.Context(), &cmd)
+	is.NoErr(err)
+	is.Equal(out.Text, "peak in force, before it ordinary")
+	is.Equal(len(l.proposed), 4)
+	is.Equal(l.proposed[2], l.proposed[1])
+	is.Equal(len(l.machine.Audit()), 2)
+	is.Equal(c.metrics.Value("proposals_repeated"), int64(2))
+}
+
+// What surely didn't run is told as a lack of quorum, or as a busy VM.
+func TestNotRunIsTold(t *testing.T) {
+	is := is.New(t)
+	l := newFakeLog()
+	c := controlOn(l)
+	defer c.Close()
+	for _, x := range []struct{ reason, want error }{
+		{replica.ErrNoLeader, operator.ErrNoQuorum},
+		{replica.ErrBusy, operator.ErrBusy},
+		{replica.ErrTooLarge, operator.ErrTooLarge},
+	} {
+		l.fail = []error{errors.Wrap(errors.Join(replica.ErrNotRun, x.reason), "log")}
+		cmd := switchTo("peak", "ama-1", 0)
+		_, err := c.Submit(t.Context(), &cmd)
+		is.Equal(err, x.want)
+	}
+	is.Equal(len(l.proposed), 0)
+}
+
+// The VM's disk fails a sync. The process ends with an error, so that its
+// supervisor sees it, in place of a VM that looks well and answers nothing.
+func TestReplicaThatFailsEndsTheProcess(t *testing.T) {
+	is := is.New(t)
+	l := newFakeLog()
+	l.err = errors.New("disk full")
+	close(l.ended)
+	err := controlOn(l).Run(t.Context())
+	is.True(errors.Is(err, ErrReplicaEnded))
+}
+
+// A leader takes over the subscribers of VMs that are silent or gone, and its
+// own from before its restart; those of VMs that it hears are theirs. A follower
+// takes over its own only.
+func TestWhoseSubscribersAreTakenOver(t *testing.T) {
+	is := is.New(t)
+	l := newFakeLog()
+	for i, name := range []string{"a", "b", "c"} {
+		m := quorum.MemberStatus{Member: quorum.Member{ID: quorum.ID(i + 1), Name: name}}
+		l.status.Members = append(l.status.Members, m)
+	}
+	l.status.ID, l.status.Leader = 1, 1
+	l.status.Members[1].Silence = orphanAfter + time.Second
+	for _, via := range []string{"a", "b", "c", "removed"} {
+		r := &registrar{vm: via, log: l, now: time.Now, logger: logrus.New(), metrics: metrics.New()}
+		r.logger.(*logrus.Logger).SetOutput(io.Discard)
+		is.NoErr(r.AnnounceBalancer(t.Context(), spread.Announcement{Name: "at-" + via, Incarnation: 1, Attachment: 1, Tunnel: "127.0.3.1:7000"}))
+	}
+	c := controlOn(l)
+	defer c.Close()
+	is.Equal(names(c.orphans()), []string{"at-a", "at-b", "at-removed"})
+	l.status.Leader = 3
+	is.Equal(names(c.orphans()), []string{"at-a"})
+}
+
+func names(_, balancers []spread.Silence) []string {
+	var out []string
+	for _, s := range balancers {
+		out = append(out, s.Name)
+	}
+	return out
+}
--- a/internal/catalogue/silence_test.go
+++ b/internal/catalogue/silence_test.go
@@ -67,6 +67,31 @@
 	is.Equal(h.Table().Targets[0].Agent, table.AgentNumber(1)) // open flows kept their number
 }
 
+// All seven targets of a service really die at once. A third goes out, and
+// another third of the rest once the window is over, each as its suspicion is
+// reported again; the last one stays in whatever happens.
+func TestSuspectsGoOutWindowByWindow(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(7)
+	for _, a := range h.Agents() {
+		h.do(silent(&a))
+	}
+	var active []int
+	for range 5 {
+		for {
+			suspects, _ := h.BelievableSuspects(time.UnixMilli(h.nowMS))
+			if len(suspects) == 0 {
+				break
+			}
+			h.do(Command{AgentSilent: &suspects[0]})
+		}
+		active = append(active, countState(h, table.Active))
+		h.pass(silenceWindow)
+		h.do(Command{Sweep: &Sweep{}})
+	}
+	is.Equal(active, []int{4, 2, 1, 1, 1})
+}
+
 func countState(h *harness, s table.State) int {
 	n := 0
 	for _, x := range h.Table().Targets {
