--- a/balancer/forwarder_test.go
+++ b/balancer/forwarder_test.go
@@ -242,7 +242,7 @@
 }
 
 func relayBatched(s *socket, to netip.AddrPort) {
-	in, out := newInBatch(), newOutBatch()
+	in, out := newReader(), newOutBatch()
 	for {
 		messages, ok := in.read(s)
 		if !ok {
@@ -287,7 +287,7 @@
 		}()
 	}
 	s := newSocket(sink, unmap(sink.LocalAddr().(*net.UDPAddr).AddrPort()))
-	in := newInBatch()
+	in := newReader()
 	b.SetBytes(int64(len(packet)))
 	b.ResetTimer()
 	for received := 0; received < b.N; {
--- a/balancer/workers.go
+++ b/balancer/workers.go
@@ -5,7 +5,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/go-faster/errors"
 	"golang.org/x/net/ipv4"
 
 	"bergamotstall/internal/envelope"
@@ -13,40 +12,12 @@
 	"bergamotstall/internal/table"
 )
 
-// inBatch is the memory that a worker reads into.
-type inBatch struct {
-	messages []ipv4.Message
-}
-
-func newInBatch() *inBatch {
-	b := &inBatch{messages: make([]ipv4.Message, batchSize)}
-	for i := range b.messages {
-		b.messages[i].Buffers = [][]byte{make([]byte, bufferSize)}
-	}
-	return b
-}
-
-// read waits for packets, and returns false once the socket is closed.
-func (b *inBatch) read(s *socket) ([]ipv4.Message, bool) {
-	for {
-		n, err := s.batch.ReadBatch(b.messages, 0)
-		if err == nil {
-			return b.messages[:n], true
-		}
-		if errors.Is(err, net.ErrClosed) {
-			return nil, false
-		}
-		// The kernel reports unreachable receivers of earlier packets here; they
-		// say nothing about this socket.
-	}
-}
-
 // forward moves callers' packets to agents, for one of a service's sockets.
 func (f *Forwarder) forward(x *front, in, out *socket) {
-	w := &forwardWorker{forwarder: f, front: x, batch: newOutBatch()}
-	buffers := newInBatch()
+	w := &forwardWorker{forwarder: f, front: x}
+	packets := newReader()
 	for {
-		messages, ok := buffers.read(in)
+		messages, ok := packets.read(in)
 		if !ok {
 			return
 		}
@@ -56,10 +27,12 @@
 			continue
 		}
 		now := time.Now()
+		w.batch = writeBatches.Get().(*outBatch)
 		for i := range messages {
 			w.one(now, v, service, &messages[i])
 		}
 		f.counts.sendFailed.Add(int64(w.batch.flush(out)))
+		writeBatches.Put(w.batch)
 		w.tally.flush(f.counts)
 	}
 }
@@ -121,9 +94,9 @@
 // backward moves agents' answers to callers, for one of the tunnel's sockets.
 func (f *Forwarder) backward(index int, in *socket) {
 	w := &backwardWorker{forwarder: f, index: index, batch: newOutBatch()}
-	buffers := newInBatch()
+	packets := newReader()
 	for {
-		messages, ok := buffers.read(in)
+		messages, ok := packets.read(in)
 		if !ok {
 			return
 		}
