--- a/internal/flow/edge_test.go
+++ b/internal/flow/edge_test.go
@@ -26,6 +26,10 @@
 	}
 }
 
+// SetReadBuffer and SetWriteBuffer exist because quic-go warns without them.
+func (deaf) SetReadBuffer(int) error  { return nil }
+func (deaf) SetWriteBuffer(int) error { return nil }
+
 func (r *rig) dial(t *quic.Transport, service string) (*quic.Conn, error) {
 	s, _ := r.table.ServiceNamed(service)
 	to, err := net.ResolveUDPAddr("udp", s.Address)
