Replica: a peer that connects is dialled at once

Cause: after a long absence the leader's pause before the next attempt was up to 2 s, and made up most of a replica's return. Change: an incoming greeting ends the pause of the link to that replica.

--- a/internal/replica/link.go
+++ b/internal/replica/link.go
@@ -48,6 +48,8 @@
 	up      bool // guarded by links.mu
 	// replica is who must answer there; 0 for anyone.
 	replica quorum.ID
+	// wake ends a pause.
+	wake chan struct{}
 }
 
 // links are a replica's outgoing connections.
@@ -76,13 +78,21 @@
 	}
 }
 
-// note records where a replica takes connections.
+// note records where a replica takes connections. One that connects is there:
+// the link to it doesn't wait for its pause to end, or a replica that was away
+// for long would hear nothing for up to backoffMax after its start.
 func (l *links) note(id quorum.ID, address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if address != "" {
 		l.book[id] = address
 	}
+	if k := l.byReplica[id]; k != nil && !k.up {
+		select {
+		case k.wake <- struct{}{}:
+		default:
+		}
+	}
 }
 
 func (l *links) sendQuorum(m *quorum.Message) { l.send(m.To, kindQuorum, m) }
@@ -129,7 +139,7 @@
 }
 
 func (l *links) open(address string, id quorum.ID) *link {
-	k := &link{links: l, address: address, replica: id, queue: make(chan outFrame, linkQueue)}
+	k := &link{links: l, address: address, replica: id, queue: make(chan outFrame, linkQueue), wake: make(chan struct{}, 1)}
 	l.done.Add(1)
 	go k.run()
 	return k
@@ -213,6 +223,8 @@
 		select {
 		case <-timer.C:
 			return true
+		case <-k.wake:
+			return true
 		case <-k.links.ctx.Done():
 			return false
 		case _, ok := <-k.queue:
--- a/internal/replica/measure_test.go
+++ b/internal/replica/measure_test.go
@@ -89,6 +89,21 @@
 	}
 }
 
+// BenchmarkProposeSlowDisk is BenchmarkPropose with 5 ms a sync, as on a network
+// disk.
+func BenchmarkProposeSlowDisk(b *testing.B) {
+	for _, callers := range []int{1, 128} {
+		b.Run(fmt.Sprintf("replicas=3/callers=%d", callers), func(b *testing.B) {
+			members := trio(b, withHooks)
+			for _, m := range members {
+				m.disk().set(&m.disk().beforeSync, func() error { time.Sleep(5 * time.Millisecond); return nil })
+			}
+			mustPropose(b, members[0], "before")
+			benchPropose(b, members, callers)
+		})
+	}
+}
+
 // BenchmarkFailover measures from the leader's sudden end to the next accepted
 // command, with the default timeouts. Run it with -benchtime 30x.
 func BenchmarkFailover(b *testing.B) {
