Control tells of a leader's clock that is behind, too

Cause: event 609 told only of a leader ahead of the others. One that is behind holds ramps and steps back in the same way. Change: both ways, once they have differed for five seconds, so that a restart of all control VMs isn't reported; the judgement is a function with a table test.

--- a/control/watch.go
+++ b/control/watch.go
@@ -24,6 +24,10 @@
 	// clockTolerance is far over what synchronized clocks differ by, and over the
 	// wait of a command in the log.
 	clockTolerance = 2 * time.Second
+	// beatTolerance leaves a new leader the time for its first beat.
+	beatTolerance = 20 * time.Second
+	// clockLooks is five seconds of looks.
+	clockLooks = 20
 	// orphanAfter is the leader's silence of a control VM after which its
 	// subscribers are taken over: its own subscribers leave it after two seconds
 	// without a quorum.
@@ -34,14 +38,15 @@
 func (c *Control) watch(ctx context.Context) {
 	tick := time.NewTicker(watchStep)
 	defer tick.Stop()
-	stale, ahead := false, false
+	stale := false
+	differs := 0
 	for {
 		c.adoptOrphans()
 		if status := c.log.Status(); status.Leader == status.ID {
 			c.lead(ctx)
 		}
 		stale = c.noteContact(stale)
-		ahead = c.noteClock(ahead)
+		differs = c.noteClock(differs)
 		select {
 		case <-ctx.Done():
 			return
@@ -114,15 +119,29 @@
 	}
 }
 
-// noteClock logs the moment at which the state's clock, the leader's, is found
-// to run ahead of this VM's: one of the two is wrong.
-func (c *Control) noteClock(ahead bool) bool {
+// noteClock logs once the state's clock, the leader's, has differed from this
+// VM's for clockLooks looks: one of the two is wrong. It returns for how many
+// looks they have differed. After a pause of all control VMs they differ until
+// the first beat.
+func (c *Control) noteClock(looks int) int {
 	by := c.catalogue.ClockAhead(time.Now())
-	now := by > clockTolerance
-	if now && !ahead {
-		events.Log(c.logger, events.ClockAhead, logrus.Fields{"by": by.String()})
+	if !clockDiffers(by, c.log.ContactAge()) {
+		return 0
 	}
-	return now
+	if looks+1 == clockLooks {
+		events.Log(c.logger, events.ClockDiffers, logrus.Fields{"ahead": by.String()})
+	}
+	return looks + 1
+}
+
+// clockDiffers judges by how much the state's clock is ahead. Between two beats
+// it falls behind; a VM out of touch sees no beats at all.
+func clockDiffers(ahead, contactAge time.Duration) bool {
+	if ahead > clockTolerance {
+		return true
+	}
+	inTouch := contactAge < staleAfter
+	return inTouch && -ahead > catalogue.BeatEvery+beatTolerance
 }
 
 // noteContact logs the moments at which contact with a quorum ends and returns.
--- a/control/watch_test.go
+++ b/control/watch_test.go
@@ -159,3 +159,22 @@
 	}
 	return out
 }
+
+func TestWhenClocksDiffer(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		ahead, contact time.Duration
+		want           bool
+	}{
+		{"in step", -catalogue.BeatEvery, 0, false},
+		{"a command's wait", time.Second, 0, false},
+		{"leader ahead", 3 * time.Second, 0, true},
+		{"leader ahead, out of touch", 3 * time.Second, time.Hour, true},
+		{"leader behind", -time.Minute, 0, true},
+		{"out of touch, no beats", -time.Minute, time.Hour, false},
+	} {
+		if got := clockDiffers(c.ahead, c.contact); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
--- a/internal/catalogue/read.go
+++ b/internal/catalogue/read.go
@@ -78,10 +78,14 @@
 	return slices.Clone(c.state.Fleet)
 }
 
-// ClockAhead is how far the state's clock is ahead of now.
+// ClockAhead is how far the state's clock is ahead of now; 0 before the first
+// command.
 func (c *Catalogue) ClockAhead(now time.Time) time.Duration {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
+	if c.state.ClockMS == 0 {
+		return 0
+	}
 	return time.Duration(c.state.ClockMS-now.UnixMilli()) * time.Millisecond
 }
 
--- a/internal/events/control.go
+++ b/internal/events/control.go
@@ -12,6 +12,6 @@
 	QuorumLost       = define(605, logrus.ErrorLevel, "no contact with a quorum")
 	QuorumRegained   = define(606, logrus.InfoLevel, "contact with a quorum regained")
 	FirstKeysMade    = define(607, logrus.InfoLevel, "first cluster keys made")
-	ClockAhead       = define(609, logrus.WarnLevel, "clock of control ahead of this VM's")
+	ClockDiffers     = define(609, logrus.WarnLevel, "clock of control differs from this VM's")
 	UnsecuredControl = define(608, logrus.WarnLevel, "control runs without TLS")
 )
