--- a/internal/replica/link.go
+++ b/internal/replica/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	mathrand "math/rand/v2"
 	"net"
 	"sync"
@@ -13,6 +12,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"bergamotstall/internal/events"
+	"bergamotstall/internal/keys"
 	"bergamotstall/internal/quorum"
 	"bergamotstall/internal/wire"
 )
@@ -177,10 +177,12 @@
 func (k *link) run() {
 	defer k.links.done.Done()
 	pause := backoffMin
+	told := false // one event for each time that the peer is lost
 	for k.links.ctx.Err() == nil {
 		conn, err := k.connect()
 		if err == nil {
 			pause = backoffMin
+			told = false
 			k.links.setUp(k, true)
 			err = k.carry(conn)
 			k.links.setUp(k, false)
@@ -189,7 +191,10 @@
 			}
 		}
 		k.links.r.count.reconnects.Add(1)
-		events.Log(k.links.r.cfg.Log, events.ReplicaPeerLost, logrus.Fields{"address": k.address, "error": err.Error()})
+		if !told {
+			told = true
+			events.Log(k.links.r.cfg.Log, events.ReplicaPeerLost, logrus.Fields{"address": k.address, "error": err.Error()})
+		}
 		if !k.sleep(pause/2 + mathrand.N(pause)) {
 			return
 		}
@@ -305,13 +310,13 @@
 	if r.cfg.TLS.Client == nil {
 		return raw, nil
 	}
-	cfg := r.cfg.TLS.Client
-	if cfg.ServerName == "" {
-		cfg = cfg.Clone()
-		cfg.ServerName, _, _ = net.SplitHostPort(address)
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		_ = raw.Close()
+		return nil, errors.Wrap(err, "replica: address")
 	}
-	secure := tls.Client(raw, cfg)
-	if err := secure.HandshakeContext(ctx); err != nil {
+	secure, err := keys.Client(ctx, raw, r.cfg.TLS.Client, host)
+	if err != nil {
 		_ = raw.Close()
 		return nil, errors.Wrap(err, "replica: TLS")
 	}
