--- a/internal/catalogue/size_test.go
+++ b/internal/catalogue/size_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"runtime"
 	"testing"
+	"time"
 
 	"bergamotstall/internal/spread"
 )
@@ -159,6 +160,22 @@
 	})
 }
 
+// BenchmarkLook measures what the control role asks of the state four times a
+// second, as the leader of nine VMs of which one has died.
+func BenchmarkLook(b *testing.B) {
+	forSizes(b, func(b *testing.B, h *harness) {
+		for i := range h.state.Agents {
+			h.state.Agents[i].Via = fmt.Sprint("control-", i%9)
+		}
+		now := time.UnixMilli(h.nowMS)
+		for b.Loop() {
+			h.HeardVia(func(vm string) bool { return vm == "control-0" || vm == "control-1" })
+			h.BelievableSuspects(now)
+			h.SweepDue(now)
+		}
+	})
+}
+
 // announcementOf repeats what one of the first agents announced.
 func announcementOf(h *harness, n int) spread.Announcement {
 	a := &h.state.Agents[n%len(h.state.Agents)]
