A silent agent keeps its number for 15 minutes: regions that lose each other keep their flows

Cause: worked out for CAPACITY: an agent that control hasn't heard for 20 s was retired, and a retired number's flows are reset, for good. Regions lose each other for minutes; at the end of each cut a fifth of 20 million flows would have been reset, all alive. Change: 15 minutes; 20 s stay for an agent that had said it was leaving.

--- a/balancer/services_test.go
+++ b/balancer/services_test.go
@@ -102,3 +102,34 @@
 		is.True(r.batch == nil) // quiet again
 	}
 }
+
+// BenchmarkTableMemory is the slope of a balancer's memory with the hosts of its
+// table, for one service address.
+func BenchmarkTableMemory(b *testing.B) {
+	for _, hosts := range []int{120, 1200, 12000} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			is := is.New(b)
+			var bytes float64
+			for b.Loop() {
+				f, _ := newForwarder(b, 1)
+				before := inUse()
+				is.NoErr(f.Apply(manyTargets(hosts, freePort(is))))
+				bytes = float64(inUse()-before) / float64(hosts)
+			}
+			b.ReportMetric(bytes, "bytes/host")
+		})
+	}
+}
+
+// manyTargets is a table with one service and so many targets for it.
+func manyTargets(hosts int, tunnel netip.AddrPort) *table.Table {
+	t := manyServices(1, tunnel)
+	t.Targets = nil
+	for i := range hosts {
+		t.Targets = append(t.Targets, table.Target{
+			Agent: table.AgentNumber(i + 1), Service: 1, Host: fmt.Sprintf("host-%d", i), DataCentre: "accra-a",
+			Tunnel: tunnel.String(), Weight: 100, State: table.Active,
+		})
+	}
+	return t
+}
--- a/internal/catalogue/agents.go
+++ b/internal/catalogue/agents.go
@@ -225,7 +225,7 @@
 	retired := 0
 	for i := range c.state.Agents {
 		x := &c.state.Agents[i]
-		if x.Silence == Out && !x.Retired && c.due(x.SilentAtMS, retireAfter.Milliseconds()) {
+		if x.Silence == Out && !x.Retired && c.due(x.SilentAtMS, retireAfter(x).Milliseconds()) {
 			c.retire(x)
 		}
 		if x.Retired {
--- a/internal/catalogue/read.go
+++ b/internal/catalogue/read.go
@@ -103,7 +103,7 @@
 		switch {
 		case a.Retired && nowMS-a.RetiredAtMS >= c.retiredKept[a.Service]:
 			return true
-		case a.Silence == Out && !a.Retired && nowMS-a.SilentAtMS >= retireAfter.Milliseconds():
+		case a.Silence == Out && !a.Retired && nowMS-a.SilentAtMS >= retireAfter(a).Milliseconds():
 			return true
 		}
 	}
--- a/internal/catalogue/silence.go
+++ b/internal/catalogue/silence.go
@@ -18,10 +18,14 @@
 	// silenceWindow is how long a target that went out counts. Three failures of
 	// single hosts in a service are weeks apart; a partition hits at once.
 	silenceWindow = 15 * time.Minute
-	// retireAfter is how long a silent target keeps its open flows. If only its
-	// way to control is cut, callers notice nothing; if it is dead, its callers
-	// have been told by then through resets or time-outs of their own.
-	retireAfter = 20 * time.Second
+	// retireSilent is how long a silent target keeps its open flows. Retiring
+	// resets them, also where only the way to control is cut, and for good:
+	// regions lose each other for minutes, and at the end of each such cut the
+	// flows of a whole region would be reset. Of a target that is dead the data
+	// path tells callers by itself, within about two seconds.
+	retireSilent = 15 * time.Minute
+	// retireLeaver is the same for one that had said it was leaving.
+	retireLeaver = 20 * time.Second
 	// RetiredKept is how long a retired number stays in the table, so that any
 	// agent answers its packets with a stateless reset. Callers give a flow up
 	// after their idle time-out, half a minute; the rest covers processes whose
@@ -36,6 +40,14 @@
 	maxRetired = 16384
 )
 
+// retireAfter is how long after its silence a target is retired.
+func retireAfter(x *Agent) time.Duration {
+	if x.Leaving {
+		return retireLeaver
+	}
+	return retireSilent
+}
+
 // wave is what the silence decision looks at: the targets of one service that
 // work, or those that are idle, or the balancers.
 type wave struct {
--- a/internal/catalogue/silence_test.go
+++ b/internal/catalogue/silence_test.go
@@ -1,6 +1,7 @@
 package catalogue
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -114,7 +115,7 @@
 	is.Equal(x.State, table.Draining)
 	is.True(!h.SweepDue(time.UnixMilli(h.nowMS)))
 
-	h.pass(retireAfter)
+	h.pass(retireSilent)
 	is.True(h.SweepDue(time.UnixMilli(h.nowMS)))
 	h.do(Command{Sweep: &Sweep{}})
 	x, _ = h.Table().Target(1)
@@ -178,7 +179,7 @@
 		is.NoErr(out.Err())
 	}
 	is.Equal(countState(h, table.Draining), 2) // their last flows may still end
-	h.pass(retireAfter)
+	h.pass(retireLeaver)
 	h.do(Command{Sweep: &Sweep{}})
 	is.Equal(countState(h, table.Retired), 2)
 	is.Equal(countState(h, table.Active), 1)
@@ -194,14 +195,14 @@
 	h.do(Command{ID: "d", Operator: "ama", Drain: &DrainHost{Host: "casework-1"}})
 	a := h.Agents()[1]
 	h.do(silent(&a))
-	h.pass(retireAfter / 2)
+	h.pass(retireSilent / 2)
 	h.do(Command{Sweep: &Sweep{}})
 	x, _ := h.Table().Target(a.Number)
 	is.Equal(x.State, table.Draining)
 	again := announce("casework", 1, 1)
 	again.AnnounceAgent.Announcement.Attachment = 2
 	h.do(again)
-	h.pass(retireAfter)
+	h.pass(retireSilent)
 	h.do(Command{Sweep: &Sweep{}})
 	x, _ = h.Table().Target(a.Number)
 	is.Equal(x.State, table.Draining)
@@ -276,3 +277,28 @@
 	}
 	is.Equal(len(h.Table().Balancers), 2)
 }
+
+// Two regions lose each other for twelve minutes. Control stays on one side; the
+// agents of the other are alive, and callers there have feeds open. Once the cut
+// is over each agent is what it was, under its number, and no feed was reset.
+func TestRegionCutOffForMinutesKeepsItsFlows(t *testing.T) {
+	is := is.New(t)
+	h := withTargets(6)
+	cut := slices.Clone(h.Agents()[:2]) // a third of the service
+	for i := range cut {
+		h.do(silent(&cut[i]))
+	}
+	is.Equal(countState(h, table.Draining), 2)
+	for range 12 {
+		h.pass(time.Minute)
+		h.do(Command{Sweep: &Sweep{}})
+		is.Equal(countState(h, table.Retired), 0) // a retired number's flows are reset
+	}
+	for i, a := range cut {
+		back := announce("casework", i, 1)
+		back.AnnounceAgent.Announcement.Attachment = 2
+		out := h.do(back)
+		is.Equal(out.Agent, a.Number)
+	}
+	is.Equal(countState(h, table.Active), 6)
+}
