Peers: a silent one holds nobody; certificates checked for their address

Change: loads are waited for 25 ms, a late peer isn't asked for 2 s; connections go through keys.Client; keyed bodies reserve their own size, not the limit.

--- a/internal/relay/cluster_test.go
+++ b/internal/relay/cluster_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"bergamotstall/internal/metrics"
 	"bergamotstall/internal/standin/target"
 	"bergamotstall/internal/table"
 )
@@ -19,6 +18,8 @@
 	t     testing.TB
 	hosts []*host
 	table *table.Table
+	// configure changes a host's configuration before it starts; it may be nil.
+	configure func(*Config)
 }
 
 type host struct {
@@ -31,7 +32,12 @@
 
 func newCluster(t testing.TB, hosts int, f target.Faults, limits Limits) *cluster {
 	t.Helper()
-	c := &cluster{t: t, table: &table.Table{Services: []table.Service{{ID: 1, Name: "desk"}}}}
+	return newClusterWith(t, hosts, f, limits, nil)
+}
+
+func newClusterWith(t testing.TB, hosts int, f target.Faults, limits Limits, configure func(*Config)) *cluster {
+	t.Helper()
+	c := &cluster{t: t, configure: configure, table: &table.Table{Services: []table.Service{{ID: 1, Name: "desk"}}}}
 	for range hosts {
 		c.add(f, limits)
 	}
@@ -48,10 +54,11 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	x := newRelay(c.t, Config{
-		Service: "desk", Host: name, Target: tg.Address(), Peer: "127.0.0.1:0",
-		Limits: limits, Metrics: metrics.New(),
-	})
+	cfg := Config{Service: "desk", Host: name, Target: tg.Address(), Peer: "127.0.0.1:0", Limits: limits}
+	if c.configure != nil {
+		c.configure(&cfg)
+	}
+	x := newRelay(c.t, cfg)
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &host{rig: &rig{t: c.t, target: tg, relay: x}, number: number, stop: cancel, ended: make(chan struct{})}
 	go func() {
--- a/internal/relay/frames.go
+++ b/internal/relay/frames.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/tinylib/msgp/msgp"
 
+	"bergamotstall/internal/keys"
 	"bergamotstall/internal/table"
 	"bergamotstall/internal/wire"
 )
@@ -134,8 +135,13 @@
 	if cfg == nil {
 		return raw, nil
 	}
-	conn := tls.Client(raw, cfg)
-	if err := conn.HandshakeContext(ctx); err != nil {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		_ = raw.Close()
+		return nil, errors.Wrap(err, "relay: peer address")
+	}
+	conn, err := keys.Client(ctx, raw, cfg, host)
+	if err != nil {
 		_ = raw.Close()
 		return nil, errors.Wrap(err, "relay: TLS with peer")
 	}
--- a/internal/relay/keyed.go
+++ b/internal/relay/keyed.go
@@ -208,11 +208,15 @@
 	if c.request.ContentLength > limit {
 		return result{misuse: ReasonKeyBody}, false
 	}
-	if x.keyedBytes.Add(limit) > keyedMemory {
-		x.keyedBytes.Add(-limit)
+	size := limit
+	if c.request.ContentLength >= 0 {
+		size = c.request.ContentLength
+	}
+	if x.keyedBytes.Add(size) > keyedMemory {
+		x.keyedBytes.Add(-size)
 		return refused(ReasonKeyMemory), false
 	}
-	c.onEnd(func() { x.keyedBytes.Add(-limit) })
+	c.onEnd(func() { x.keyedBytes.Add(-size) })
 	data, err := io.ReadAll(io.LimitReader(c.request.Body, limit+1))
 	if int64(len(data)) > limit {
 		return result{misuse: ReasonKeyBody}, false
--- a/internal/relay/peer_test.go
+++ b/internal/relay/peer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -11,6 +12,8 @@
 
 	"github.com/matryer/is"
 
+	"bergamotstall/internal/keys"
+	"bergamotstall/internal/metrics"
 	"bergamotstall/internal/standin/target"
 	"bergamotstall/internal/table"
 )
@@ -246,3 +249,67 @@
 		is.Equal(c.hosts[0].submit(fmt.Sprint("r", i), "x").header.Get(target.HostHeader), "h3")
 	}
 }
+
+// Agents with certificates help each other and vote for each other's keys as
+// without. A process of another role, or without a certificate, gets no answer
+// on the peer port.
+func TestPeersProveThatTheyAreAgents(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	is.NoErr(keys.Init(folder))
+	loopback := net.IPv4(127, 0, 0, 1)
+	files, err := keys.Issue(folder, keys.Agent, "agents", loopback)
+	is.NoErr(err)
+	agents, err := keys.Load(files, discard(), metrics.New())
+	is.NoErr(err)
+	secured := &PeerTLS{Server: agents.Server(keys.Agent), Client: agents.Client(keys.Agent)}
+	c := newClusterWith(t, 3, target.Faults{}, Limits{Slots: 4}, func(cfg *Config) { cfg.TLS = secured })
+	is.Equal(c.hosts[0].keyed("k1", "note").status, http.StatusOK)
+	c.hosts[0].relay.Drain()
+	is.Equal(c.hosts[0].submit("r1", "note").status, http.StatusOK)
+	is.Equal(c.hosts[0].target.Run("r1").Seen, 0)
+
+	files, err = keys.Issue(folder, keys.Balancer, "balancer", loopback)
+	is.NoErr(err)
+	balancer, err := keys.Load(files, discard(), metrics.New())
+	is.NoErr(err)
+	for _, client := range []*PeerTLS{{Client: balancer.Client(keys.Agent)}, nil} {
+		frames := newFrameClient("desk", client)
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		err = frames.call(ctx, c.table.Targets[1], kindProbe, &Probe{}, &LoadReport{})
+		cancel()
+		is.True(err != nil)
+	}
+}
+
+// A peer's VM has died without a word: its address takes connections and never
+// answers. Callers of a busy host still get their answers; the dead peer is
+// asked once and then left alone for a while.
+func TestSilentPeerDoesntHoldRequests(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	still := func() time.Time { return now } // the pause doesn't end
+	c := newClusterWith(t, 2, target.Faults{}, Limits{Slots: 1}, func(cfg *Config) { cfg.Clock = still })
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer dead.Close()
+	c.table.Targets[1].Peer = dead.Addr().String()
+	c.publish()
+	h := c.hosts[0]
+	for i := range 10 {
+		is.Equal(h.submit(fmt.Sprint("r", i), "note").status, http.StatusOK)
+	}
+	p, refusal := h.relay.gate.enter(context.Background(), "other", 0)
+	is.True(refusal == nil)
+	waiting := make(chan reply, 1)
+	go func() { waiting <- h.submit("w", "note") }()
+	eventually(t, "wait", func() bool { return h.relay.gate.load().Waiting == 1 })
+	more := make(chan reply, 1)
+	go func() { more <- h.submit("x", "note") }()
+	eventually(t, "wait", func() bool { return h.relay.gate.load().Waiting == 2 })
+	p.leave()
+	is.Equal((<-waiting).status, http.StatusOK)
+	is.Equal((<-more).status, http.StatusOK)
+	is.Equal(h.count("peers.probes"), int64(1))
+	is.Equal(h.count("peers.probes-late"), int64(1))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -52,7 +52,8 @@
 	Metrics *metrics.Set
 }
 
-// PeerTLS holds both ends of the connections between agents.
+// PeerTLS holds both ends of the connections between agents, as package keys
+// makes them for the role of an agent.
 type PeerTLS struct {
 	Server *tls.Config
 	Client *tls.Config
@@ -139,6 +140,7 @@
 	peerHTTP   *http.Transport
 	background sync.WaitGroup
 
+	silent     silence
 	condition  condition
 	healthWell atomic.Bool
 	complaints complaints
--- a/internal/relay/route.go
+++ b/internal/relay/route.go
@@ -16,8 +16,15 @@
 	"bergamotstall/internal/table"
 )
 
-// maxProbeRounds is near peers, then far ones.
-const maxProbeRounds = 2
+const (
+	// maxProbeRounds is near peers, then far ones.
+	maxProbeRounds = 2
+	// probeTime is how long a request waits for peers' loads: eight round trips
+	// between data centres, half of usual work. Later, starting here is better.
+	probeTime = 25 * time.Millisecond
+	// probePause is how long a peer that was late isn't asked.
+	probePause = 2 * time.Second
+)
 
 // route is where an attempt goes: to a peer, or here.
 type route struct {
@@ -134,7 +141,7 @@
 	now := x.cfg.Clock().UnixMilli()
 	var out []place.Peer
 	for _, p := range t.Targets {
-		if p.Service == own.Service && p.Agent != own.Agent && p.State == table.Active {
+		if p.Service == own.Service && p.Agent != own.Agent && p.State == table.Active && !x.silent.paused(p.Agent, x.now()) {
 			out = append(out, place.Peer{Agent: p.Agent, Near: p.DataCentre == own.DataCentre, Share: ramp.Share(p, now)})
 		}
 	}
@@ -155,29 +162,75 @@
 	return table.Target{}, false
 }
 
-// loadsOf asks peers at the same time. One that doesn't answer counts as closed.
+// loadsOf asks peers at the same time. One that doesn't answer in time counts as
+// closed.
 func (x *Relay) loadsOf(ctx context.Context, t *table.Table, peers []place.Peer) []place.Load {
 	loads := make([]place.Load, len(peers))
 	var wait sync.WaitGroup
 	for i, p := range peers {
-		wait.Go(func() {
-			var r LoadReport
-			x.count.add("peers.probes")
-			if err := x.tell(ctx, t, p.Agent, kindProbe, &Probe{}, &r); err != nil {
-				x.count.add("peers.probes-failed")
-				loads[i] = place.Load{Closed: true}
-				return
-			}
-			loads[i] = place.Load{
-				Slots: r.Slots, Running: r.Running, Waiting: r.Waiting,
-				Hold: time.Duration(r.HoldMicros) * time.Microsecond, Closed: r.Closed,
-			}
-		})
+		wait.Go(func() { loads[i] = x.loadOf(ctx, t, p.Agent) })
 	}
 	wait.Wait()
 	return loads
 }
 
+// loadOf asks one peer. The question itself goes on when the wait is over, so
+// that a connection that is slow to open is there for the next one.
+func (x *Relay) loadOf(ctx context.Context, t *table.Table, peer table.AgentNumber) place.Load {
+	x.count.add("peers.probes")
+	answer := make(chan place.Load, 1)
+	go func() {
+		var r LoadReport
+		if err := x.tell(context.WithoutCancel(ctx), t, peer, kindProbe, &Probe{}, &r); err != nil {
+			answer <- place.Load{Closed: true}
+			return
+		}
+		answer <- place.Load{
+			Slots: r.Slots, Running: r.Running, Waiting: r.Waiting,
+			Hold: time.Duration(r.HoldMicros) * time.Microsecond, Closed: r.Closed,
+		}
+	}()
+	timer := time.NewTimer(probeTime)
+	defer timer.Stop()
+	select {
+	case l := <-answer:
+		return l
+	case <-timer.C:
+		x.count.add("peers.probes-late")
+		x.silent.note(peer, x.now()+probePause)
+	case <-ctx.Done():
+	}
+	return place.Load{Closed: true}
+}
+
+// silence remembers peers that let a probe wait. A dead VM answers nothing until
+// control has taken it out; without the pause each request that draws it would
+// wait for the whole probe time.
+type silence struct {
+	mu    sync.Mutex
+	until map[table.AgentNumber]time.Duration
+}
+
+func (s *silence) note(peer table.AgentNumber, until time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.until == nil {
+		s.until = map[table.AgentNumber]time.Duration{}
+	}
+	s.until[peer] = until
+}
+
+// paused tells whether the peer isn't to be asked now.
+func (s *silence) paused(peer table.AgentNumber, now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until, ok := s.until[peer]
+	if ok && until <= now {
+		delete(s.until, peer)
+	}
+	return ok && until > now
+}
+
 // load is this host's own, as its agent knows it.
 func (x *Relay) load() place.Load {
 	l := x.gate.load()
