Quorum: election timeouts are drawn from one to one and a half, not to two

Cause: from a leader's sudden end to the next accepted command 1,371 ms passed in the middle and 1,930 ms at most, most of it the drawn part of the timeout. Change: the drawn part is half of the shortest timeout. Seeds of the broken variants that moved are updated; all eleven are still caught.

--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -63,8 +63,8 @@
 type Config struct {
 	ID ID
 	// ElectionTimeout is the shortest silence after which a replica asks for an
-	// election; the longest is twice that, drawn from Rand each time, so that
-	// split votes end. It must be several heartbeats, or one lost message
+	// election; the longest is half as long again, drawn from Rand each time, so
+	// that split votes end. It must be several heartbeats, or one lost message
 	// unseats a leader.
 	ElectionTimeout time.Duration
 	// Heartbeat is the time between a leader's heartbeats.
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -4,11 +4,17 @@
 	"time"
 )
 
+// spreadShare sets how far election timeouts are drawn apart: half of the
+// shortest. With ten heartbeats to the shortest that is hundreds of round trips
+// between control VMs, so two candidates seldom meet, and a lost leader is
+// replaced sooner than with the usual whole.
+const spreadShare = 2
+
 // resetElection draws the next moment at which silence means an election.
 func (c *Core) resetElection() {
-	spread := c.cfg.ElectionTimeout
+	spread := c.cfg.ElectionTimeout / spreadShare
 	if c.cfg.Rand != nil {
-		spread = time.Duration(c.cfg.Rand.Int64N(int64(c.cfg.ElectionTimeout)))
+		spread = time.Duration(c.cfg.Rand.Int64N(int64(spread)))
 	}
 	c.electionAt = c.now + c.cfg.ElectionTimeout + spread
 }
--- a/internal/quorum/faults_test.go
+++ b/internal/quorum/faults_test.go
@@ -5,7 +5,7 @@
 	"testing"
 )
 
-var huntSeeds = flag.Int("explore.hunt", 300, "seeds to try for each broken variant")
+var huntSeeds = flag.Int("explore.hunt", 1500, "seeds to try for each broken variant")
 
 // variant is a replica, or its surroundings, with one safeguard off.
 type variant struct {
@@ -19,15 +19,15 @@
 }
 
 var variants = []variant{
-	{name: "acknowledged before sync", voters: 3, seed: 113, core: faults{ackBeforeSync: true}},
-	{name: "acknowledged before sync, nobody asked after a restart", voters: 3, seed: 488, core: faults{ackBeforeSync: true, noProbation: true}},
+	{name: "acknowledged before sync", voters: 3, seed: 826, core: faults{ackBeforeSync: true}},
+	{name: "acknowledged before sync, nobody asked after a restart", voters: 3, seed: 613, core: faults{ackBeforeSync: true, noProbation: true}},
 	{name: "two votes in a term", voters: 3, seed: 98, core: faults{voteTwice: true}},
 	{name: "vote for an older log", voters: 3, core: faults{voteBehind: true}},
 	{name: "conflicting entries kept", voters: 3, seed: 1, core: faults{keepConflict: true}},
-	{name: "two membership changes at once", voters: 3, seed: 342, core: faults{openChanges: true}},
+	{name: "two membership changes at once", voters: 3, seed: 227, core: faults{openChanges: true}},
 	{name: "read without a heartbeat round", voters: 3, seed: 49, core: faults{readUnchecked: true}},
 	{name: "contact claimed without answers", voters: 3, seed: 13, core: faults{leadForever: true}},
-	{name: "learner counted as voter", voters: 3, seed: 5, core: faults{learnersCount: true}},
+	{name: "learner counted as voter", voters: 3, seed: 1, core: faults{learnersCount: true}},
 	{name: "empty disk votes under its old identity", voters: 3, seed: 4, core: faults{emptyDiskVotes: true}, world: worldFaults{wipeKeepsID: true}},
 	{name: "snapshot without command outcomes", voters: 3, seed: 1, world: worldFaults{dropOutcomes: true}},
 }
