--- a/internal/catalogue/agents.go
+++ b/internal/catalogue/agents.go
@@ -25,7 +25,10 @@
 	if known := c.incarnation(&a); known != nil {
 		return c.announceAgain(known, service.ID, &a, cmd.Via)
 	}
-	return c.register(service, &a, cmd.Via)
+	if len(c.state.Agents) >= maxAgents {
+		return c.outcome(Refused, fmt.Sprintf("%d agents are known", maxAgents))
+	}
+	return c.register(service, &a, cmd)
 }
 
 // announcementFault says what an agent's announcement lacks.
@@ -35,6 +38,8 @@
 		return fmt.Sprintf("an agent's name has 1 to %d bytes", maxNameLength)
 	case a.Host == "" || len(a.Host) > maxNameLength:
 		return fmt.Sprintf("a host's name has 1 to %d bytes", maxNameLength)
+	case len(a.DataCentre) > maxNameLength:
+		return fmt.Sprintf("a data centre's name has at most %d bytes", maxNameLength)
 	case !validAddress(a.Tunnel) || !validAddress(a.Peer):
 		return fmt.Sprintf("tunnel %q and peer %q must be ip:port", a.Tunnel, a.Peer)
 	case a.Slots < 1 || a.Connections < 1:
@@ -103,15 +108,19 @@
 }
 
 // register gives a new incarnation its number and retires the one before it.
-func (c *Catalogue) register(service Service, a *spread.Announcement, via string) Outcome {
+//
+// An agent counts as joined at the proposer's time where that is later than the
+// state's clock: whoever asks how long an agent can have remembered keys must
+// never take it for older than it is.
+func (c *Catalogue) register(service Service, a *spread.Announcement, cmd *Command) Outcome {
 	c.replace(c.agents[a.Name])
 	c.replace(c.hostOf[place{service.ID, a.Host}])
 	c.state.LastAgent++
 	x := Agent{
 		Number: c.state.LastAgent, Service: service.ID, Name: a.Name, Incarnation: a.Incarnation,
 		Attachment: a.Attachment, Host: a.Host, DataCentre: a.DataCentre, Tunnel: a.Tunnel, Peer: a.Peer,
-		Slots: a.Slots, Connections: a.Connections, Leaving: a.Draining, Via: via,
-		ChangedAtMS: c.state.ClockMS, JoinedAtMS: c.state.ClockMS,
+		Slots: a.Slots, Connections: a.Connections, Leaving: a.Draining, Via: cmd.Via,
+		ChangedAtMS: c.state.ClockMS, JoinedAtMS: max(c.state.ClockMS, cmd.AtMS),
 	}
 	x.Weight = c.effectiveWeight(&x)
 	x.PreviousWeight = x.Weight
@@ -154,7 +163,12 @@
 // agentSilent takes a silent agent out of new work, or suspects it only.
 func (c *Catalogue) agentSilent(cmd *Command) Outcome {
 	report := cmd.AgentSilent
-	x := c.agent(report.Agent)
+	number := report.Agent
+	if number == 0 {
+		// Registered, but the answer with the number was lost before the stream was.
+		number = c.agents[report.Name]
+	}
+	x := c.agent(number)
 	switch {
 	case x == nil || x.Retired:
 		return c.outcome(Done, "gone already")
@@ -164,10 +178,7 @@
 		return c.outcome(Done, "heard since by "+x.Via)
 	case x.Silence == Out:
 		return c.outcome(Done, "out already")
-	case x.Leaving || c.drains[x.Host]:
-		c.retire(x)
-		return c.outcome(Done, fmt.Sprintf("agent %d left as planned", x.Number))
-	case !c.agentWave(x.Service, c.state.ClockMS).believe():
+	case !x.Leaving && !c.agentWave(x, c.state.ClockMS).believe():
 		if x.Silence != Suspect {
 			x.Silence, x.SilentAtMS = Suspect, c.state.ClockMS
 		}
@@ -175,23 +186,33 @@
 	}
 	x.Silence, x.SilentAtMS = Out, c.state.ClockMS
 	c.altered = true
+	if x.Leaving {
+		return c.outcome(Done, fmt.Sprintf("agent %d left as planned", x.Number))
+	}
 	return c.outcome(Done, fmt.Sprintf("agent %d is out of new work", x.Number))
 }
 
-// agentWave counts a service's targets at nowMS for the silence decision.
-func (c *Catalogue) agentWave(service table.ServiceID, nowMS int64) wave {
-	var w wave
+// works tells whether an agent that is in touch would get new work.
+func (c *Catalogue) works(x *Agent) bool {
+	return x.Weight > 0 && !x.Leaving && !c.drains[x.Host]
+}
+
+// agentWave counts, at nowMS, the targets of x's service that are like x: those
+// that work, or those that don't under the present drains and weights. Idle ones
+// must not stand for a reserve in the count of those that work.
+func (c *Catalogue) agentWave(x *Agent, nowMS int64) wave {
+	w := wave{idle: !c.works(x)}
 	for i := range c.state.Agents {
-		x := &c.state.Agents[i]
-		if x.Service != service || x.Replaced {
+		y := &c.state.Agents[i]
+		if y.Service != x.Service || y.Replaced || y.Leaving || c.works(y) == w.idle {
 			continue
 		}
 		switch {
-		case x.Silence == Out:
-			if nowMS-x.SilentAtMS < silenceWindow.Milliseconds() {
+		case y.Silence == Out:
+			if nowMS-y.SilentAtMS < silenceWindow.Milliseconds() {
 				w.out++
 			}
-		case !x.Retired && !x.Leaving && !c.drains[x.Host]:
+		case !y.Retired:
 			w.live++
 		}
 	}
@@ -220,10 +241,28 @@
 			return false
 		}
 		over--
-		return over >= 0 || c.due(x.RetiredAtMS, RetiredKept.Milliseconds())
+		if c.due(x.RetiredAtMS, c.retiredKept[x.Service]) {
+			return true
+		}
+		if over >= 0 {
+			c.stopKeys(x)
+		}
+		return over >= 0
 	})
 }
 
+// stopKeys keeps the service from claiming idempotency keys until a retired
+// agent that is dropped early would have been dropped in time. Agents look
+// retired keepers up in the table; with one missing, they could pass over the
+// only ones that know of a run, and run a resent submission again.
+func (c *Catalogue) stopKeys(x *Agent) {
+	i := slices.IndexFunc(c.state.Services, func(s Service) bool { return s.ID == x.Service })
+	if i >= 0 {
+		s := &c.state.Services[i]
+		s.KeysFromMS = max(s.KeysFromMS, x.RetiredAtMS+s.retiredKeptMS())
+	}
+}
+
 func (c *Catalogue) due(sinceMS, afterMS int64) bool { return c.state.ClockMS-sinceMS >= afterMS }
 
 // dropAgents forgets agents; their numbers stay used. It copies only once it has
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -25,6 +26,8 @@
 	drains   map[string]bool
 	// names are the services' by ID: looked up for every target at a switch.
 	names map[table.ServiceID]string
+	// retiredKept is retiredKeptMS by service.
+	retiredKept map[table.ServiceID]int64
 	// hostOf finds the current agent of a service's host.
 	hostOf map[place]table.AgentNumber
 
@@ -82,7 +85,7 @@
 		out.Subject = cmd.ID
 		return out
 	}
-	c.state.ClockMS = max(c.state.ClockMS, cmd.AtMS)
+	c.tick(cmd)
 	c.altered = false
 	c.expire()
 	out := c.dispatch(cmd)
@@ -94,6 +97,31 @@
 	return out
 }
 
+// tick moves the state's clock. It is the leader's, set by its beats; between
+// two of them other VMs' stamps move it on by clockSlack at most. A control VM
+// whose clock is an hour ahead would else date changes of weight an hour into
+// the future, ramps would wait for that hour, and a preset that was accepted
+// would not be in force.
+func (c *Catalogue) tick(cmd *Command) {
+	if cmd.Sweep != nil {
+		c.state.ClockMS, c.state.BeatMS = cmd.AtMS, cmd.AtMS
+		return
+	}
+	at := cmd.AtMS
+	if c.state.BeatMS != 0 {
+		at = min(at, c.state.BeatMS+clockSlack.Milliseconds())
+	}
+	c.state.ClockMS = max(c.state.ClockMS, at)
+}
+
+const (
+	// BeatEvery is how often the leader sets the state's clock: 8,640 entries a
+	// day.
+	BeatEvery = 10 * time.Second
+	// clockSlack leaves a new leader the time of an election beyond that.
+	clockSlack = 15 * time.Second
+)
+
 // publish gives the altered table its revision and wakes who waits for it.
 func (c *Catalogue) publish(revision table.Revision) {
 	c.state.Revision = revision
@@ -122,8 +150,8 @@
 
 // operate runs an operator's change: it needs an identity and the version.
 func (c *Catalogue) operate(cmd *Command) Outcome {
-	if cmd.ID == "" || len(cmd.ID) > maxIDLength {
-		return c.outcome(NotValid, fmt.Sprintf("a command identity has 1 to %d bytes", maxIDLength))
+	if cmd.ID == "" || len(cmd.ID) > maxIDLength || len(cmd.Operator) > maxIDLength {
+		return c.outcome(NotValid, fmt.Sprintf("a command identity has 1 to %d bytes, an operator's name at most as many", maxIDLength))
 	}
 	if cmd.Expected != 0 && cmd.Expected != c.state.Version {
 		return c.outcome(Conflict, fmt.Sprintf("expected version %d, the current one is %d", cmd.Expected, c.state.Version))
@@ -143,6 +171,9 @@
 	default:
 		return c.outcome(NotValid, "this version of control doesn't know the command")
 	}
+	if out.Code == Done && cmd.RotateKeys == nil {
+		out.Text += c.starvation()
+	}
 	// The first keys are control's own doing; no operator's next command should
 	// conflict with them.
 	first := cmd.RotateKeys != nil && cmd.RotateKeys.Step == KeyFirst
@@ -239,7 +270,10 @@
 
 func (c *Catalogue) indexServices() {
 	c.names = make(map[table.ServiceID]string, len(c.state.Services))
-	for _, s := range c.state.Services {
+	c.retiredKept = make(map[table.ServiceID]int64, len(c.state.Services))
+	for i := range c.state.Services {
+		s := &c.state.Services[i]
+		c.retiredKept[s.ID] = s.retiredKeptMS()
 		c.names[s.ID] = s.Spec.Name
 	}
 }
--- a/internal/catalogue/read.go
+++ b/internal/catalogue/read.go
@@ -78,16 +78,30 @@
 	return slices.Clone(c.state.Fleet)
 }
 
-// SweepDue tells whether time alone makes a step due at now, so that the leader
-// proposes a Sweep. Without it, a quiet cluster would never retire an agent.
+// ClockAhead is how far the state's clock is ahead of now; 0 before the first
+// command.
+func (c *Catalogue) ClockAhead(now time.Time) time.Duration {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if c.state.ClockMS == 0 {
+		return 0
+	}
+	return time.Duration(c.state.ClockMS-now.UnixMilli()) * time.Millisecond
+}
+
+// SweepDue tells whether the leader's next beat is due at now, or time alone
+// makes a step due. Without it, a quiet cluster would never retire an agent.
 func (c *Catalogue) SweepDue(now time.Time) bool {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	nowMS := now.UnixMilli()
+	if since := nowMS - c.state.BeatMS; since >= BeatEvery.Milliseconds() || since < 0 {
+		return true
+	}
 	for i := range c.state.Agents {
 		a := &c.state.Agents[i]
 		switch {
-		case a.Retired && nowMS-a.RetiredAtMS >= RetiredKept.Milliseconds():
+		case a.Retired && nowMS-a.RetiredAtMS >= c.retiredKept[a.Service]:
 			return true
 		case a.Silence == Out && !a.Retired && nowMS-a.SilentAtMS >= retireAfter.Milliseconds():
 			return true
@@ -124,22 +138,29 @@
 	return spread.Silence{Name: b.Name, Incarnation: b.Incarnation, Attachment: b.Attachment}
 }
 
+// suspected is a service's targets that work, or those that don't.
+type suspected struct {
+	service table.ServiceID
+	works   bool
+}
+
 // BelievableSuspects returns, as new reports, the silences that weren't believed
-// and would be at now: at most one for each service, and one balancer's, since
-// each that goes out changes the count. A suspicion ends when its process
+// and would be at now: at most one of each kind for each service, and one
+// balancer's, since each that goes out changes the count. A suspicion ends when its process
 // announces itself anywhere, so what is left has been silent ever since.
 func (c *Catalogue) BelievableSuspects(now time.Time) (agents, balancers []spread.Silence) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	nowMS := max(now.UnixMilli(), c.state.ClockMS)
-	seen := make(map[table.ServiceID]bool)
+	seen := make(map[suspected]bool)
 	for i := range c.state.Agents {
 		a := &c.state.Agents[i]
-		if a.Silence != Suspect || a.Retired || seen[a.Service] {
+		kind := suspected{a.Service, c.works(a)}
+		if a.Silence != Suspect || a.Retired || seen[kind] {
 			continue
 		}
-		seen[a.Service] = true
-		if c.agentWave(a.Service, nowMS).believe() {
+		seen[kind] = true
+		if c.agentWave(a, nowMS).believe() {
 			agents = append(agents, a.report())
 		}
 	}
--- a/internal/spread/server_stream.go
+++ b/internal/spread/server_stream.go
@@ -37,6 +37,8 @@
 	ctx    context.Context
 	// wake tells the writer that there is something to do.
 	wake chan struct{}
+	// hurry ends the hold of an announcement.
+	hurry chan struct{}
 
 	mu           sync.Mutex
 	announcement Announcement
@@ -172,7 +174,7 @@
 	}
 	return &subscriber{
 		server: s, conn: conn, role: h.Role, view: viewOf(h.Role, h.Announcement), ctx: ctx,
-		wake: make(chan struct{}, 1), announcement: h.Announcement, held: h.Have, digest: h.Digest, inForce: h.InForce, heardAt: time.Now(),
+		wake: make(chan struct{}, 1), hurry: make(chan struct{}, 1), announcement: h.Announcement, held: h.Have, digest: h.Digest, inForce: h.InForce, heardAt: time.Now(),
 	}, nil
 }
 
@@ -238,7 +240,7 @@
 			return err
 		}
 		sub.heard(b, f.Kind == kindResync)
-		return nil
+		return sub.answerBeat()
 	case kindAnnounce:
 		var a Announcement
 		if err := f.Decode(&a); err != nil {
@@ -249,6 +251,26 @@
 	return errors.Wrapf(errProtocol, "kind %d", f.Kind)
 }
 
+// answerBeat sends the server's heartbeat. It answers the subscriber's, in the
+// goroutine that is awake anyway: a timer of its own for each stream costs more
+// than the heartbeat.
+func (sub *subscriber) answerBeat() error {
+	b := sub.server.beat()
+	return sub.send(kindBeat, &b)
+}
+
+func (sub *subscriber) send(kind wire.Kind, m encodable) error {
+	n, err := sub.conn.Write(kind, m)
+	sub.server.count.bytesOut.Add(int64(n))
+	return err
+}
+
+// beat is where this VM stands.
+func (s *Server) beat() beat {
+	revision, _ := s.publisher.state()
+	return beat{Revision: revision, ContactAgeMS: s.cfg.Source.ContactAge().Milliseconds()}
+}
+
 func (sub *subscriber) heard(b beat, resync bool) {
 	sub.mu.Lock()
 	news := resync || b.Revision != sub.held
