--- a/internal/steer/route_test.go
+++ b/internal/steer/route_test.go
@@ -289,3 +289,21 @@
 	}
 	return t
 }
+
+// BenchmarkReshareAll is a step of the shift after a switch of preset that
+// changes every target's weight.
+func BenchmarkReshareAll(b *testing.B) {
+	tab := largeTable()
+	for i := range tab.Targets {
+		tab.Targets[i].PreviousWeight = 50
+		tab.Targets[i].ChangedAtMS = settled.UnixMilli()
+	}
+	m, err := Compile(tab, settled, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Reshare(settled.Add(time.Second))
+	}
+}
