Relay: one rule for shed answers, no Expect on safe methods

Cause: a planted fault showed that run's own check of shed answers decides nothing that package retry doesn't; handed-over GETs carried a useless Expect. Change: the check is gone, its reason is counted by retry; a test that handed-over downloads share one connection.

--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -48,7 +48,7 @@
 	out.Header.Set(headerAgent, strconv.FormatUint(uint64(peer.Agent), 10))
 	out.Header.Set(headerCaller, c.caller)
 	out.Header.Set(headerCredential, formatSum(c.credential))
-	if out.ContentLength != 0 {
+	if !c.safe && out.ContentLength != 0 {
 		out.Header.Set("Expect", "100-continue")
 	}
 	resp, got, err := sendOnce(x.peerHTTP, out)
--- a/internal/relay/peer_test.go
+++ b/internal/relay/peer_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -313,3 +315,28 @@
 	is.Equal(h.count("peers.probes"), int64(1))
 	is.Equal(h.count("peers.probes-late"), int64(1))
 }
+
+// Downloads that are handed over reuse a connection between the agents; a TLS
+// handshake for each would cost more than the request.
+func TestHandedOverDownloadsReuseConnections(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 2, target.Faults{}, Limits{Slots: 4})
+	h := c.hosts[0]
+	h.relay.Drain()
+	var opened atomic.Int32
+	dial := h.relay.peerHTTP.DialContext
+	h.relay.peerHTTP.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		opened.Add(1)
+		return dial(ctx, network, address)
+	}
+	for i := range 20 {
+		r := httptest.NewRequest("GET", "/download?bytes=1000&seed=3", http.NoBody)
+		r.ContentLength = -1 // as HTTP/3 gives it
+		r.Header.Set(target.RequestIDHeader, fmt.Sprint("d", i))
+		w := httptest.NewRecorder()
+		h.relay.ServeHTTP(w, r)
+		is.Equal(w.Code, http.StatusOK)
+		is.Equal(w.Body.Len(), 1000)
+	}
+	is.Equal(opened.Load(), int32(1))
+}
--- a/internal/relay/route.go
+++ b/internal/relay/route.go
@@ -45,9 +45,6 @@
 		if res.outcome == 0 || c.ctx.Err() != nil {
 			return res
 		}
-		if res.outcome == retry.Shed && !c.repeatable() && !x.cfg.ShedUnrun {
-			return res
-		}
 		if !x.again(c, res, made) {
 			return res
 		}
