--- a/internal/spread/server_stream.go
+++ b/internal/spread/server_stream.go
@@ -37,8 +37,8 @@
 	ctx    context.Context
 	// wake tells the writer that there is something to do.
 	wake chan struct{}
-	// hurry ends the hold of an announcement.
-	hurry chan struct{}
+	// skipHold ends the hold of an announcement.
+	skipHold chan struct{}
 
 	mu           sync.Mutex
 	announcement Announcement
@@ -92,8 +92,8 @@
 	return sub.held
 }
 
-// poke wakes the writer.
-func (sub *subscriber) poke() {
+// wakeWriter never blocks; a writer that is awake looks again.
+func (sub *subscriber) wakeWriter() {
 	select {
 	case sub.wake <- struct{}{}:
 	default:
@@ -129,6 +129,9 @@
 	}()
 	err = sub.read()
 	cancel()
+	// A writer blocked on a silent peer would else hold its loss back for the
+	// write's time-out.
+	_ = raw.Close()
 	if werr := <-written; werr != nil {
 		err = werr
 	}
@@ -173,8 +176,18 @@
 		return nil, errors.Wrap(err, "spread: deadline")
 	}
 	return &subscriber{
-		server: s, conn: conn, role: h.Role, view: viewOf(h.Role, h.Announcement), ctx: ctx,
-		wake: make(chan struct{}, 1), hurry: make(chan struct{}, 1), announcement: h.Announcement, held: h.Have, digest: h.Digest, inForce: h.InForce, heardAt: time.Now(),
+		server:       s,
+		conn:         conn,
+		role:         h.Role,
+		view:         viewOf(h.Role, h.Announcement),
+		ctx:          ctx,
+		wake:         make(chan struct{}, 1),
+		skipHold:     make(chan struct{}, 1),
+		announcement: h.Announcement,
+		held:         h.Have,
+		digest:       h.Digest,
+		inForce:      h.InForce,
+		heardAt:      time.Now(),
 	}, nil
 }
 
@@ -240,7 +253,7 @@
 			return err
 		}
 		sub.heard(b, f.Kind == kindResync)
-		return nil
+		return sub.answerBeat()
 	case kindAnnounce:
 		var a Announcement
 		if err := f.Decode(&a); err != nil {
@@ -251,6 +264,26 @@
 	return errors.Wrapf(errProtocol, "kind %d", f.Kind)
 }
 
+// answerBeat sends the server's heartbeat. It answers the subscriber's, in the
+// goroutine that is awake anyway: a timer of its own for each stream costs more
+// than the heartbeat.
+func (sub *subscriber) answerBeat() error {
+	b := sub.server.beat()
+	return sub.send(kindBeat, &b)
+}
+
+func (sub *subscriber) send(kind wire.Kind, m encodable) error {
+	n, err := sub.conn.Write(kind, m)
+	sub.server.count.bytesOut.Add(int64(n))
+	return err
+}
+
+// beat is where this VM stands.
+func (s *Server) beat() beat {
+	revision, _ := s.publisher.state()
+	return beat{Revision: revision, ContactAgeMS: s.cfg.Source.ContactAge().Milliseconds()}
+}
+
 func (sub *subscriber) heard(b beat, resync bool) {
 	sub.mu.Lock()
 	news := resync || b.Revision != sub.held
@@ -261,7 +294,7 @@
 		sub.server.count.resyncs.Add(1)
 	}
 	if news {
-		sub.poke()
+		sub.wakeWriter()
 	}
 }
 
