--- a/cmd/bergamotctl/call.go
+++ b/cmd/bergamotctl/call.go
@@ -114,7 +114,7 @@
 		fmt.Fprintln(c.errOut, "bergamotctl call: answer broke off:", err)
 		return exitUnreachable
 	}
-	if resp.Header.Get(outcomeHeaders[0]) != "" || resp.Header.Get(outcomeHeaders[1]) != "" {
+	if resp.StatusCode >= http.StatusBadRequest {
 		return exitRefused
 	}
 	return exitOK
