--- a/integration/links_test.go
+++ b/integration/links_test.go
@@ -1,10 +1,13 @@
 package integration
 
 import (
+	"fmt"
 	"net"
+	"strings"
 	"testing"
 
 	"github.com/Shopify/toxiproxy/v2"
+	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
 	"bergamotstall/internal/scenario"
@@ -69,3 +72,20 @@
 func (l *links) replica(i int) *toxiproxy.Proxy {
 	return l.proxies[l.net.Address(scenario.ControlFirst+i, scenario.ReplicaPort)]
 }
+
+// subscribers is the proxy before what a control VM serves to balancers and
+// agents.
+func (l *links) subscribers(i int) *toxiproxy.Proxy {
+	return l.proxies[l.net.Address(scenario.ControlFirst+i, scenario.SubscriberPort)]
+}
+
+// poison adds a toxic to a proxy, in both directions.
+func poison(p *toxiproxy.Proxy, kind, attributes string) error {
+	for _, direction := range []string{"upstream", "downstream"} {
+		text := fmt.Sprintf(`{"name":"%s-%s","type":"%s","stream":"%s","attributes":%s}`, kind, direction, kind, direction, attributes)
+		if _, err := p.Toxics.AddToxicJson(strings.NewReader(text)); err != nil {
+			return errors.Wrap(err, kind)
+		}
+	}
+	return nil
+}
--- a/integration/scenario_test.go
+++ b/integration/scenario_test.go
@@ -133,9 +133,13 @@
 	}
 }
 
+// eachLayout runs a scenario on both users' layouts beside each other.
 func eachLayout(t *testing.T, run func(t *testing.T, l scenario.Layout)) {
 	for _, l := range scenario.Layouts() {
-		t.Run(l.Name, func(t *testing.T) { run(t, l) })
+		t.Run(l.Name, func(t *testing.T) {
+			t.Parallel()
+			run(t, l)
+		})
 	}
 }
 
