--- a/internal/quorum/directed_test.go
+++ b/internal/quorum/directed_test.go
@@ -250,3 +250,59 @@
 	is.True(leader.core.Leads())
 	is.Equal(away.core.Leader(), leader.disk.id)
 }
+
+// A leader has appended its own removal and lost the lead before that was
+// committed. One of the four VMs is dead. The old leader refuses its vote to
+// the others, whose logs are shorter, and the three need each other: unless it
+// campaigns itself, commands stop for good.
+func TestOwnRemovalIsFinishedByCampaigning(t *testing.T) {
+	is := is.New(t)
+	stored := storedMembers(t, 4, HardState{Term: 2})
+	all, err := decodeMembers(stored.Entries[0])
+	is.NoErr(err)
+	rest, err := all.without(1)
+	is.NoErr(err)
+	data, err := rest.MarshalMsg(nil)
+	is.NoErr(err)
+	stored.Entries = append(stored.Entries, Entry{Index: 2, Term: 2, Kind: EntryMembers, Data: data})
+	stored.Commit = 1
+	c := newCore(Config{ID: 1}, stored, time.Hour, faults{noProbation: true})
+	elect(c, 2, 3)
+	is.Equal(c.state, Leader)
+	for _, id := range []ID{2, 3} {
+		c.Step(c.now, Message{Kind: MsgAppendReply, From: id, To: 1, Term: c.term, Index: 3})
+	}
+	is.Equal(c.log.commit, Index(3))
+	is.Equal(c.state, Follower) // removed, and nothing more to do
+	c.Tick(c.now + 10*c.cfg.ElectionTimeout)
+	is.Equal(len(settle(c)), 0) // it campaigns no more
+}
+
+// A leader has appended another VM's removal, one follower has it too, and the
+// lead is lost before it is committed. The VM to be removed now leads, or asks
+// for votes: the follower must answer it, or the two wait for ever.
+func TestUncommittedRemovalBarsNobody(t *testing.T) {
+	is := is.New(t)
+	stored := storedMembers(t, 3, HardState{Term: 2})
+	all, err := decodeMembers(stored.Entries[0])
+	is.NoErr(err)
+	rest, err := all.without(2)
+	is.NoErr(err)
+	data, err := rest.MarshalMsg(nil)
+	is.NoErr(err)
+	stored.Entries = append(stored.Entries, Entry{Index: 2, Term: 2, Kind: EntryMembers, Data: data})
+	stored.Commit = 1
+	c := newCore(Config{ID: 1}, stored, time.Hour, faults{noProbation: true})
+	ask := Message{Kind: MsgVote, From: 2, To: 1, Term: 3, Index: 5, LogTerm: 2}
+	c.Step(c.now, ask)
+	sent := settle(c)
+	is.Equal(sent[0].Kind, MsgVoteReply)
+	is.Equal(sent[0].Reject, false)
+
+	stored.Commit = 2
+	c = newCore(Config{ID: 1}, stored, time.Hour, faults{noProbation: true})
+	c.Step(c.now, ask)
+	sent = settle(c)
+	is.Equal(sent[0].Kind, MsgHelloReply)
+	is.True(sent[0].Reject) // committed: it is told that it is out for good
+}
--- a/internal/quorum/explorer_test.go
+++ b/internal/quorum/explorer_test.go
@@ -8,7 +8,7 @@
 )
 
 var (
-	exploreSeeds = flag.Int("explore.seeds", 15, "seeds for each number of voters")
+	exploreSeeds = flag.Int("explore.seeds", 40, "seeds for each number of voters")
 	exploreSteps = flag.Int("explore.steps", 6000, "steps for each seed")
 	exploreFirst = flag.Int("explore.first", 1, "first seed")
 )
@@ -76,6 +76,9 @@
 		clear(w.cut)
 	case chance(x.change):
 		w.change()
+		for i := 0; w.broken.hasty && i < 3; i++ {
+			w.change()
+		}
 	case chance(x.wipe):
 		w.wipe()
 	case chance(x.snapshot):
--- a/internal/quorum/faults_test.go
+++ b/internal/quorum/faults_test.go
@@ -24,7 +24,7 @@
 	{name: "two votes in a term", voters: 3, seed: 98, core: faults{voteTwice: true}},
 	{name: "vote for an older log", voters: 3, core: faults{voteBehind: true}},
 	{name: "conflicting entries kept", voters: 3, seed: 1, core: faults{keepConflict: true}},
-	{name: "two membership changes at once", voters: 3, seed: 227, core: faults{openChanges: true}},
+	{name: "two membership changes at once", voters: 5, seed: 193, core: faults{openChanges: true}, world: worldFaults{hasty: true}},
 	{name: "read without a heartbeat round", voters: 3, seed: 49, core: faults{readUnchecked: true}},
 	{name: "contact claimed without answers", voters: 3, seed: 13, core: faults{leadForever: true}},
 	{name: "learner counted as voter", voters: 3, seed: 1, core: faults{learnersCount: true}},
--- a/internal/quorum/probation.go
+++ b/internal/quorum/probation.go
@@ -166,11 +166,14 @@
 	c.known[m.From] = k
 }
 
-// tellRemoved answers a replica that doesn't know that it was removed.
-func (c *Core) tellRemoved(id ID) {
-	if c.membersIndex <= c.log.commit {
-		c.send(Message{Kind: MsgHelloReply, To: id, Reject: true})
-	}
+// isBarred holds for replicas whose removal is committed; they are told so. A
+// removal that isn't may yet fall away: the replica may even be the only one
+// that can lead, and ignoring it would end all progress.
+func (c *Core) isBarred(id ID) bool {
+	if !c.members.WasRemoved(id) {
+		return false
+	}
+	return c.membersIndex <= c.log.commit || c.log.membershipAt(c.log.commit).WasRemoved(id)
 }
 
 // halted holds once this replica may take no further part.
--- a/internal/quorum/step.go
+++ b/internal/quorum/step.go
@@ -11,8 +11,8 @@
 	switch {
 	case m.Kind == MsgHelloReply:
 		c.handleHelloReply(m)
-	case c.members.WasRemoved(m.From):
-		c.tellRemoved(m.From)
+	case c.isBarred(m.From):
+		c.send(Message{Kind: MsgHelloReply, To: m.From, Reject: true})
 	case m.Kind == MsgHello:
 		c.handleHello(m)
 	case c.probation:
--- a/internal/quorum/world_test.go
+++ b/internal/quorum/world_test.go
@@ -131,6 +131,8 @@
 	wipeKeepsID bool
 	// dropOutcomes leaves command outcomes out of snapshots.
 	dropOutcomes bool
+	// hasty operators ask for several membership changes in a row.
+	hasty bool
 }
 
 // world runs replicas, network and clients from one seed.
