Replica: requests whose callers gave up are forgotten

Cause: a forwarded request whose answer was lost with its connection stayed in memory until the leader changed. Change: the loop drops forwarded requests that nobody waits for.

--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -36,6 +36,7 @@
 			r.drain()
 			r.core.Tick(r.now())
 			r.expireReads()
+			r.dropForwards()
 			r.join()
 		case <-r.stopping:
 			r.handOver(ticker.C)
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	mathrand "math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -131,6 +132,7 @@
 		return res
 	default:
 	}
+	q.state.Store(requestAbandoned)
 	r.count.unknown.Add(1)
 	return result{err: unknown(reason)}
 }
@@ -230,6 +232,15 @@
 	}
 }
 
+// dropForwards forgets requests at the leader whose callers wait no longer. A
+// reply that was lost with its connection never comes, and under a leader that
+// stays for weeks they would pile up.
+func (r *Replica) dropForwards() {
+	maps.DeleteFunc(r.forwards, func(_ uint64, f forwarded) bool {
+		return f.request.state.Load() == requestAbandoned
+	})
+}
+
 // takeForward handles a request from another replica.
 func (r *Replica) takeForward(from quorum.ID, f forward) {
 	number := f.Number
