--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -34,7 +34,8 @@
 	// Draining targets keep their open flows and get nothing new.
 	Draining
 	// Retired targets are gone: a packet that names one is answered by any
-	// agent of the service with a stateless reset.
+	// agent of the service with a stateless reset. They stay in the table for
+	// the key window and claim.RowsKept, since package claim looks back at them.
 	Retired
 )
 
