Quorum: a learner with the newest log may lead; heartbeat clocks carry their start

Read by eye: a follower's clock that a leader sends back could be of the follower's earlier start, and after hours pass for a contact of now. Change: a learner that had to refuse a vote, and hears no leader, campaigns; who elects it and what it commits is still the voters' alone. Heartbeats carry the random number of the follower's start, and a clock of another start is ignored.

--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -156,8 +156,11 @@
 	membersIndex Index
 
 	// votes are the answers to the election under way.
-	votes      map[ID]bool
-	handOver   bool
+	votes    map[ID]bool
+	handOver bool
+	// needed is set on a learner that had to refuse a vote because its own log
+	// is newer.
+	needed     bool
 	electionAt time.Duration
 	heardLead  time.Duration
 
--- a/internal/quorum/directed_test.go
+++ b/internal/quorum/directed_test.go
@@ -306,3 +306,29 @@
 	is.Equal(sent[0].Kind, MsgHelloReply)
 	is.True(sent[0].Reject) // committed: it is told that it is out for good
 }
+
+// A learner holds entries of a leader whose disk was then lost; the others hold
+// the learner's promotion, of an older term, and count it as a voter. It must
+// refuse them its vote, and they can't win without it: unless it takes the lead
+// itself, commands stop for good.
+func TestLearnerWithTheNewestLogLeadsIfNeeded(t *testing.T) {
+	is := is.New(t)
+	stored := storedMembers(t, 3, HardState{Term: 6}, 6)
+	all, err := decodeMembers(stored.Entries[0])
+	is.NoErr(err)
+	withLearner, err := all.withLearner(Member{ID: 4, Name: "d"})
+	is.NoErr(err)
+	stored.Entries[0].Data, err = withLearner.MarshalMsg(nil)
+	is.NoErr(err)
+	c := newCore(Config{ID: 4}, stored, time.Hour, faults{noProbation: true})
+	elect(c, 1, 2)
+	is.Equal(c.state, Follower) // a learner campaigns for nothing
+	c.Step(c.now, Message{Kind: MsgPreVote, From: 2, To: 4, Term: 7, Index: 9, LogTerm: 5})
+	is.True(settle(c)[0].Reject)
+	elect(c, 1, 2)
+	is.Equal(c.state, Leader)
+	c.Step(c.now, Message{Kind: MsgAppendReply, From: 1, To: 4, Term: c.term, Index: 3})
+	is.Equal(c.log.commit, Index(0)) // its own copy doesn't count: one voter of three
+	c.Step(c.now, Message{Kind: MsgAppendReply, From: 2, To: 4, Term: c.term, Index: 3})
+	is.Equal(c.log.commit, Index(3))
+}
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -70,11 +70,13 @@
 	}
 }
 
-// mayCampaign holds for voters, and for a replica whose own removal isn't
-// committed yet. That one may hold the longest log and refuse all others its
-// vote; nobody could win if it didn't finish its removal as leader.
+// mayCampaign holds for voters, and for two others that may hold the longest
+// log, refuse the rest their vote, and so have to lead themselves: a replica
+// whose own removal isn't committed yet, and a learner whose log lacks its
+// promotion while others count it as a voter. A leader needn't vote: who elects
+// it and what it commits is the voters' alone.
 func (c *Core) mayCampaign() bool {
-	if c.members.isVoter(c.cfg.ID) {
+	if _, member := c.members.Find(c.cfg.ID); c.members.isVoter(c.cfg.ID) || member && c.needed {
 		return true
 	}
 	return c.membersIndex > c.log.commit && c.log.membershipAt(c.log.commit).isVoter(c.cfg.ID)
@@ -168,7 +170,11 @@
 			return false
 		}
 	}
-	return c.faults.voteBehind || c.isUpToDate(m.LogTerm, m.Index)
+	if c.isUpToDate(m.LogTerm, m.Index) || c.faults.voteBehind {
+		return true
+	}
+	c.needed = true
+	return false
 }
 
 // isFresh says that this replica has never held any entry: its folder is new,
--- a/internal/quorum/follow.go
+++ b/internal/quorum/follow.go
@@ -61,12 +61,12 @@
 func (c *Core) handleHeartbeat(m Message) {
 	c.noteContact(m)
 	c.commitTo(m.Commit)
-	c.send(Message{Kind: MsgHeartbeatReply, To: m.From, Round: m.Round, Stamp: c.now})
+	c.send(Message{Kind: MsgHeartbeatReply, To: m.From, Round: m.Round, Stamp: c.now, Context: c.boot.Context})
 }
 
 func (c *Core) noteContact(m Message) {
-	if m.Stamp == 0 || m.Stamp > c.now {
-		return
+	if m.Stamp == 0 || m.Context != c.boot.Context {
+		return // none yet, or of an earlier start, whose clock says nothing now
 	}
 	at := m.Stamp - m.Age
 	if !c.contact || at > c.contactAt {
--- a/internal/quorum/lead.go
+++ b/internal/quorum/lead.go
@@ -24,8 +24,10 @@
 	round     uint64
 	heardAt   time.Duration
 	heard     bool
-	stamp     time.Duration
-	outgoing  *outgoingSnapshot
+	// stamp is the newest clock that it sent since its start numbered boot.
+	stamp    time.Duration
+	boot     uint64
+	outgoing *outgoingSnapshot
 }
 
 type sentRound struct {
@@ -100,7 +102,7 @@
 	c.send(Message{
 		Kind: MsgHeartbeat, To: id, Round: c.round,
 		Commit: min(p.match, c.log.commit),
-		Age:    c.ContactAge(), Stamp: p.stamp,
+		Age:    c.ContactAge(), Stamp: p.stamp, Context: p.boot,
 	})
 	c.resendChunk(p, id)
 }
@@ -227,6 +229,9 @@
 
 func (c *Core) handleHeartbeatReply(p *progress, m Message) {
 	p.round = max(p.round, m.Round)
+	if p.boot != m.Context {
+		p.boot, p.stamp = m.Context, 0 // its clock began anew
+	}
 	p.stamp = max(p.stamp, m.Stamp)
 	c.countRounds()
 	stalled := p.match == p.matchSeen
--- a/internal/quorum/members.go
+++ b/internal/quorum/members.go
@@ -220,6 +220,9 @@
 // caughtUp says that a learner holds all that is committed and was heard from
 // within an election timeout, so that counting it can't hold up commands.
 func (c *Core) caughtUp(id ID) bool {
+	if id == c.cfg.ID {
+		return true // a learner that had to take the lead
+	}
 	p := c.progress[id]
 	return p != nil && p.match >= c.log.commit && c.now-p.heardAt < c.cfg.ElectionTimeout && p.heard
 }
--- a/internal/quorum/probation.go
+++ b/internal/quorum/probation.go
@@ -73,12 +73,8 @@
 	c.send(m)
 }
 
-// handleHello answers with what is remembered, and forgets the sender's clock,
-// which began anew.
+// handleHello answers with what is remembered.
 func (c *Core) handleHello(m Message) {
-	if p := c.progress[m.From]; p != nil {
-		p.stamp = 0
-	}
 	k := c.known[m.From]
 	k.Committed = min(k.Match, c.log.commit)
 	k.Members, k.MembersAt = c.members.clone(), c.membersIndex
--- a/internal/quorum/step.go
+++ b/internal/quorum/step.go
@@ -106,5 +106,6 @@
 		c.becomeFollower(m.Term, m.From)
 	}
 	c.heardLead = c.now
+	c.needed = false
 	c.resetElection()
 }
--- a/internal/quorum/types.go
+++ b/internal/quorum/types.go
@@ -152,7 +152,8 @@
 	Forced bool `msg:"h,omitempty"`
 	// Round numbers the leader's heartbeat rounds within its term.
 	Round uint64 `msg:"n,omitempty"`
-	// Context is the reader's own number of a read.
+	// Context is the reader's own number of a read, or in heartbeats and hellos
+	// the random number of the follower's start, which Stamp counts from.
 	Context uint64 `msg:"x,omitempty"`
 	// Age is how long before sending the leader was in touch with a quorum.
 	Age time.Duration `msg:"a,omitempty"`
