bergamotctl experiment: the event loops behind the defaults, as a tool

Cause: the loops that choose placement, slots and budgets were reports inside test files, skipped unless asked for; 1,100 lines that check nothing. Change: internal/experiment has them, bergamotctl experiment prints the tables; the three checks on the choices stay as tests. Conclusion: docs/PLACEMENT.md's command is one that users have.

--- a/cmd/bergamotctl/main.go
+++ b/cmd/bergamotctl/main.go
@@ -74,6 +74,7 @@
 	{"history", "", "show the audit record", runHistory},
 	{"call", "URL", "send one HTTP/3 request as a caller", runCall},
 	{"load", "IP:PORT", "play callers against a service and report what they got", runLoad},
+	{"experiment", "placement|sweeps|slots|retries", "play the decisions under load in simulated time", runExperiment},
 	{"status", "", "show control VMs, balancers and what is in force", runStatus},
 }
 
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -61,10 +61,11 @@
 // Draw picks up to Draws peers to ask, by share, near ones only or far ones
 // only. tried peers are left out.
 func Draw(rng *rand.Rand, peers []Peer, near bool, tried []table.AgentNumber) []Peer {
-	return draw(rng, peers, near, tried, Draws)
+	return DrawUpTo(rng, peers, near, tried, Draws)
 }
 
-func draw(rng *rand.Rand, peers []Peer, near bool, tried []table.AgentNumber, draws int) []Peer {
+// DrawUpTo is Draw with another number of peers, for experiments.
+func DrawUpTo(rng *rand.Rand, peers []Peer, near bool, tried []table.AgentNumber, draws int) []Peer {
 	var fit []Peer
 	for _, p := range peers {
 		if p.Near == near && p.Share > 0 && !slices.Contains(tried, p.Agent) {
@@ -98,9 +99,10 @@
 
 // LookAround tells whether a host with this load asks peers about a new request,
 // though it may have a slot free.
-func LookAround(home Load) bool { return lookAround(home, From) }
+func LookAround(home Load) bool { return LookAroundFrom(home, From) }
 
-func lookAround(home Load, from float64) bool {
+// LookAroundFrom is LookAround from another part of the slots, for experiments.
+func LookAroundFrom(home Load, from float64) bool {
 	return !home.Room() || float64(home.Running) >= from*float64(home.Slots)
 }
 
