One wait for all; agents can answer directly

Cause: the same pause with a context stood in five packages; flow.Config.Direct had no setting. Change: internal/wait; the agent's setting return: balancer|direct.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -21,6 +21,7 @@
 	"bergamotstall/internal/relay"
 	"bergamotstall/internal/spread"
 	"bergamotstall/internal/table"
+	"bergamotstall/internal/wait"
 )
 
 // ErrSettings is returned for settings whose files can't be used.
@@ -113,6 +114,7 @@
 		Handler:     a.relay,
 		TLS:         &tls.Config{Certificates: []tls.Certificate{callerCert}, MinVersion: tls.VersionTLS13},
 		Connections: a.settings.Connections,
+		Direct:      a.settings.Return == returnDirect,
 		Log:         a.log,
 		Metrics:     a.metrics,
 	})
@@ -211,22 +213,13 @@
 	defer cancel()
 	a.client.SetDraining(true)
 	a.flows.Drain()
-	wait(ctx, announceTime)
+	wait.For(ctx, announceTime)
 	a.relay.Drain()
 	if err := a.flows.Shutdown(ctx); err != nil {
 		events.Log(a.log, events.AgentStopCut, logrus.Fields{"grace": a.settings.StopGrace.String(), "error": err})
 	}
 	for a.relay.InFlight() > 0 && ctx.Err() == nil {
-		wait(ctx, workPoll)
-	}
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		wait.For(ctx, workPoll)
 	}
 }
 
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -15,6 +15,12 @@
 	defaultGrace   = 30 * time.Second
 )
 
+// Ways of answers.
+const (
+	returnBalancer = "balancer"
+	returnDirect   = "direct"
+)
+
 // Settings are an agent's, from its YAML file.
 type Settings struct {
 	// Name is unique among agents; the default is service.host. The
@@ -30,6 +36,9 @@
 	Tunnel string `yaml:"tunnel"`
 	// Peer is the TCP address for other agents, "ip:port".
 	Peer string `yaml:"peer"`
+	// Return says which way answers go: "balancer", the default, or "direct" where
+	// this VM holds the service's address itself.
+	Return string `yaml:"return"`
 	// Slots is how many requests the host runs at once.
 	Slots int `yaml:"slots"`
 	// Connections is how many flows the host holds at once.
@@ -61,6 +70,9 @@
 	if s.Name == "" {
 		s.Name = s.Service + "." + s.Host
 	}
+	if s.Return == "" {
+		s.Return = returnBalancer
+	}
 	if s.StopGrace == 0 {
 		s.StopGrace = defaultGrace
 	}
@@ -76,6 +88,9 @@
 	c.Address("target", s.Target)
 	c.Address("tunnel", s.Tunnel)
 	c.Address("peer", s.Peer)
+	if s.Return != returnBalancer && s.Return != returnDirect {
+		c.Add("return", fmt.Sprintf("%q", s.Return), returnBalancer+" or "+returnDirect)
+	}
 	c.Range("slots", s.Slots, 1, maxSlots)
 	c.Range("connections", s.Connections, 1, maxConnections)
 	c.Duration("stopGrace", s.StopGrace, 0, maxGrace)
--- a/cmd/bergamotstall/settings_test.go
+++ b/cmd/bergamotstall/settings_test.go
@@ -43,11 +43,12 @@
 		{"balancer", "port", "tunnel: 127.0.2.1:7201", "tunnel: 127.0.2.1:72010", `:10: tunnel: "127.0.2.1:72010" is no address`},
 		{"balancer", "negative duration", "stopGrace: 5s", "stopGrace: -5s", ":23: stopGrace: -5s (allowed: 0s to 5m0s)"},
 		{"balancer", "control", "  - 127.0.1.2:7102", "  - brescia", `:17: controls[1]: "brescia" is no address`},
-		{"agent", "slots", "slots: 7", "slots: 0", ":13: slots: 0 (allowed: 1 to 100000)"},
-		{"agent", "wrong type", "connections: 2000", "connections: [2000]", ":14: "},
+		{"agent", "slots", "slots: 7", "slots: 0", ":16: slots: 0 (allowed: 1 to 100000)"},
+		{"agent", "wrong type", "connections: 2000", "connections: [2000]", ":17: "},
 		{"agent", "target missing", "target: 127.0.3.1:8080", "target: \"\"", ":7: target: missing (allowed: ip:port, port 1 to 65535)"},
-		{"agent", "certificate", "certificate: callers.pem", "certificate: nowhere.pem", `:22: callerTLS.certificate: "nowhere.pem" can't be read`},
-		{"agent", "no control", "controls:\n  - 127.0.1.1:7102\n  - 127.0.1.2:7102\n  - 127.0.1.3:7102", "controls: []", ":16: controls: missing"},
+		{"agent", "certificate", "certificate: callers.pem", "certificate: nowhere.pem", `:25: callerTLS.certificate: "nowhere.pem" can't be read`},
+		{"agent", "way of answers", "return: balancer", "return: back", `:14: return: "back" (allowed: balancer or direct)`},
+		{"agent", "no control", "controls:\n  - 127.0.1.1:7102\n  - 127.0.1.2:7102\n  - 127.0.1.3:7102", "controls: []", ":19: controls: missing"},
 	} {
 		t.Run(c.role+" "+c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/load/flow.go
+++ b/internal/load/flow.go
@@ -13,6 +13,7 @@
 	"github.com/quic-go/quic-go/http3"
 
 	"bergamotstall/internal/check"
+	"bergamotstall/internal/wait"
 )
 
 const (
@@ -55,7 +56,7 @@
 			return f, nil
 		}
 		last = err
-		if !sleep(ctx, dialPause) {
+		if !wait.For(ctx, dialPause) {
 			break
 		}
 	}
@@ -100,7 +101,7 @@
 		if err := f.request(ctx, kind, fmt.Sprintf("%s-%d", f.id, n)); err != nil {
 			return
 		}
-		if !sleep(ctx, f.spec.Pause) {
+		if !wait.For(ctx, f.spec.Pause) {
 			return
 		}
 	}
@@ -181,20 +182,6 @@
 	return err.Error()
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // credential is the caller's own, as the service would check it.
 func (f *flow) credential(r *http.Request) {
 	r.Header.Set("Authorization", "Bearer caller-"+f.id)
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -20,6 +20,7 @@
 
 	"bergamotstall/internal/check"
 	"bergamotstall/internal/standin/target"
+	"bergamotstall/internal/wait"
 )
 
 const (
@@ -42,21 +43,21 @@
 	f.inProgress = true
 	resp, err := f.client.RoundTrip(r)
 	var got int64
-	var wait time.Duration
+	var pause time.Duration
 	if err != nil {
 		a.Outcome, a.Reason = failed(ctx, err)
 	} else {
-		wait = retryAfter(resp.Header)
+		pause = retryAfter(resp.Header)
 		got = judge(resp, &a, read)
 		_ = resp.Body.Close()
 	}
 	f.inProgress = a.Outcome == check.Cut
 	if a.Outcome == notSent {
-		return a, wait
+		return a, pause
 	}
 	a.Took = time.Since(a.Began)
 	f.rec.attempt(kind, a, got)
-	return a, wait
+	return a, pause
 }
 
 // notSent is the outcome of a request that never left the caller, because the
@@ -122,10 +123,10 @@
 	if err != nil {
 		return errors.Wrap(err, "load: download")
 	}
-	a, wait := f.do(own, Download, check.Attempt{ID: id}, r, func(resp *http.Response, a *check.Attempt) int64 {
+	a, pause := f.do(own, Download, check.Attempt{ID: id}, r, func(resp *http.Response, a *check.Attempt) int64 {
 		return f.compare(own, resp, a, seed)
 	})
-	return f.after(ctx, a, wait)
+	return f.after(ctx, a, pause)
 }
 
 func (f *flow) compare(ctx context.Context, resp *http.Response, a *check.Attempt, seed uint64) int64 {
@@ -154,14 +155,14 @@
 	if err != nil {
 		return errors.Wrap(err, "load: feed")
 	}
-	a, wait := f.do(open, Feed, check.Attempt{ID: id}, r, func(resp *http.Response, a *check.Attempt) int64 {
+	a, pause := f.do(open, Feed, check.Attempt{ID: id}, r, func(resp *http.Response, a *check.Attempt) int64 {
 		n, err := io.Copy(io.Discard, resp.Body)
 		if err != nil && open.Err() == nil {
 			a.Outcome, a.Reason = check.Cut, reasonOf(err)
 		}
 		return n
 	})
-	return f.after(ctx, a, wait)
+	return f.after(ctx, a, pause)
 }
 
 // submit files one submission, again with the same key after a refusal, an
@@ -170,10 +171,10 @@
 	body := make([]byte, f.spec.SubmitBytes)
 	fill(body, f.rng)
 	var a check.Attempt
-	var wait time.Duration
+	var pause time.Duration
 	for n := range f.spec.Resends + 1 {
 		var err error
-		a, wait, err = f.submitOnce(ctx, id, n, body)
+		a, pause, err = f.submitOnce(ctx, id, n, body)
 		if err != nil {
 			return err
 		}
@@ -187,7 +188,7 @@
 			f.resendElsewhere(ctx, id, n+1, body)
 			return errGoingAway
 		}
-		if !sleep(ctx, wait) {
+		if !wait.For(ctx, pause) {
 			break
 		}
 	}
@@ -203,11 +204,11 @@
 	}
 	defer other.close()
 	for n := from; n < from+f.spec.Resends; n++ {
-		a, wait, err := other.submitOnce(ctx, id, n, body)
+		a, pause, err := other.submitOnce(ctx, id, n, body)
 		if err != nil || a.Outcome == check.Answered || a.Outcome == check.Refused || other.conn.Context().Err() != nil {
 			return
 		}
-		if !sleep(ctx, wait) {
+		if !wait.For(ctx, pause) {
 			return
 		}
 	}
@@ -224,10 +225,10 @@
 		r.Header.Set(keyHeader, id)
 	}
 	first := check.Attempt{ID: AttemptID(id, n), Submission: id}
-	a, wait := f.do(ctx, Submit, first, r, func(resp *http.Response, a *check.Attempt) int64 {
+	a, pause := f.do(ctx, Submit, first, r, func(resp *http.Response, a *check.Attempt) int64 {
 		return readSubmission(ctx, resp, a, body)
 	})
-	return a, wait, nil
+	return a, pause, nil
 }
 
 func readSubmission(ctx context.Context, resp *http.Response, a *check.Attempt, body []byte) int64 {
@@ -249,11 +250,11 @@
 }
 
 // after decides whether the flow goes on once a request has ended.
-func (f *flow) after(ctx context.Context, a check.Attempt, wait time.Duration) error {
+func (f *flow) after(ctx context.Context, a check.Attempt, pause time.Duration) error {
 	if a.Outcome == check.Cut || a.Outcome == notSent || f.conn.Context().Err() != nil {
 		return errGoingAway
 	}
-	if a.Outcome == check.NotRun && !sleep(ctx, wait) {
+	if a.Outcome == check.NotRun && !wait.For(ctx, pause) {
 		return errGoingAway
 	}
 	return nil
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"bergamotstall/internal/wait"
 )
 
 // Run plays a load until ctx is done, then lets requests in progress end for at
@@ -72,7 +74,7 @@
 	}
 	if err != nil {
 		rec.notOpened(reasonOf(err))
-		sleep(ctx, dialPause)
+		wait.For(ctx, dialPause)
 		return
 	}
 	f.carry(ctx)
--- a/internal/relay/keyed.go
+++ b/internal/relay/keyed.go
@@ -12,6 +12,7 @@
 	"bergamotstall/internal/claim"
 	"bergamotstall/internal/events"
 	"bergamotstall/internal/retry"
+	"bergamotstall/internal/wait"
 )
 
 const (
@@ -112,7 +113,7 @@
 	for made := 1; ; made++ {
 		k, r := x.claimOnce(c)
 		lacking := k == nil && r.refusal != nil && r.refusal.Reason == ReasonKeyQuorum
-		if !lacking || made == claimTries || !pause(c.ctx, claimPause) {
+		if !lacking || made == claimTries || !wait.For(c.ctx, claimPause) {
 			return k, r
 		}
 		x.count.add("claims.tried-again")
@@ -120,18 +121,6 @@
 	}
 }
 
-// pause waits for d, or less and returns false where ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // claimOnce makes one try for the request's key.
 func (x *Relay) claimOnce(c *call) (*keyed, result) {
 	t := x.table.Load()
--- a/internal/scenario/run.go
+++ b/internal/scenario/run.go
@@ -14,6 +14,7 @@
 	"bergamotstall/internal/check"
 	"bergamotstall/internal/load"
 	"bergamotstall/internal/standin/target"
+	"bergamotstall/internal/wait"
 )
 
 // Step is one thing done to the system, at a fraction of the run.
@@ -68,7 +69,7 @@
 		if err == nil {
 			break
 		}
-		if time.Since(began) > readyTime || !sleep(ctx, pollPause) {
+		if time.Since(began) > readyTime || !wait.For(ctx, pollPause) {
 			return nil, err
 		}
 	}
@@ -122,7 +123,7 @@
 	var failed error
 	for _, step := range s.Steps {
 		at := time.Duration(float64(length) * step.At)
-		if !sleep(callers, time.Until(began.Add(at))) {
+		if !wait.For(callers, time.Until(began.Add(at))) {
 			return failed
 		}
 		p.progress("%6.1fs  %s", time.Since(began).Seconds(), step.What)
@@ -159,7 +160,7 @@
 // without a table in force is left out.
 func (p *Play) look(ctx context.Context) []check.InForce {
 	var out []check.InForce
-	for sleep(ctx, lookPause) {
+	for wait.For(ctx, lookPause) {
 		for _, e := range p.Entries {
 			if n := p.Counter(e.varsAddress(p.Fleet), "balancer_revision"); n > 0 {
 				out = append(out, check.InForce{Balancer: e.Name, Revision: uint64(n), At: time.Now()})
--- a/internal/scenario/steps.go
+++ b/internal/scenario/steps.go
@@ -10,6 +10,7 @@
 	"bergamotstall/internal/check"
 	"bergamotstall/internal/operator"
 	"bergamotstall/internal/table"
+	"bergamotstall/internal/wait"
 )
 
 const (
@@ -61,7 +62,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readyTime)
 	defer cancel()
 	for p.Counter(e.varsAddress(p.Fleet), "balancer_revision") == 0 {
-		if !sleep(ctx, pollPause) {
+		if !wait.For(ctx, pollPause) {
 			return errors.Wrapf(ctx.Err(), "scenario: %s has no table", e.Name)
 		}
 	}
@@ -91,7 +92,7 @@
 	ctx, cancel := context.WithTimeout(ctx, commandTime)
 	defer cancel()
 	s := check.Switch{Preset: preset}
-	for !p.inForce(out.Revision) && sleep(ctx, pollPause) {
+	for !p.inForce(out.Revision) && wait.For(ctx, pollPause) {
 	}
 	if ctx.Err() == nil {
 		s.Took = time.Since(began)
@@ -207,7 +208,7 @@
 		if voters >= len(p.Controls) {
 			return nil
 		}
-		if !sleep(ctx, pollPause) {
+		if !wait.For(ctx, pollPause) {
 			return errors.Wrapf(ctx.Err(), "scenario: %d voters", voters)
 		}
 	}
@@ -233,7 +234,7 @@
 		if err == nil && p.allActive(view) {
 			return nil
 		}
-		if !sleep(ctx, pollPause) {
+		if !wait.For(ctx, pollPause) {
 			return errors.Wrap(ctx.Err(), "scenario: targets not announced in time")
 		}
 	}
@@ -262,14 +263,3 @@
 	}
 	return false
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/spread/announce.go
+++ b/internal/spread/announce.go
@@ -9,6 +9,7 @@
 
 	"bergamotstall/internal/events"
 	"bergamotstall/internal/table"
+	"bergamotstall/internal/wait"
 )
 
 const (
@@ -72,7 +73,7 @@
 		if err != nil {
 			sub.announceFailed(a, err, failures)
 			failures++
-			if !sleep(sub.ctx, announceWait(failures)) {
+			if !wait.For(sub.ctx, announceWait(failures)) {
 				return
 			}
 			continue
--- a/internal/spread/client.go
+++ b/internal/spread/client.go
@@ -14,6 +14,7 @@
 	"bergamotstall/internal/events"
 	"bergamotstall/internal/metrics"
 	"bergamotstall/internal/table"
+	"bergamotstall/internal/wait"
 )
 
 const (
@@ -171,8 +172,8 @@
 	}
 	c.restore()
 	for ctx.Err() == nil {
-		address, wait := c.choose.next(time.Now())
-		if !sleep(ctx, wait) {
+		address, pause := c.choose.next(time.Now())
+		if !wait.For(ctx, pause) {
 			return nil
 		}
 		c.count.attempts.Add(1)
@@ -332,15 +333,3 @@
 		events.Log(c.cfg.Log, events.ControlLost, logrus.Fields{"revision": c.heldRevision()})
 	}
 }
-
-// sleep waits, and returns false where ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/spread/server.go
+++ b/internal/spread/server.go
@@ -13,6 +13,7 @@
 	"bergamotstall/internal/liveness"
 	"bergamotstall/internal/metrics"
 	"bergamotstall/internal/table"
+	"bergamotstall/internal/wait"
 )
 
 const (
@@ -196,7 +197,7 @@
 			// Out of file descriptors, for one: it passes, and the streams that are
 			// open must not end for it.
 			s.count.acceptErrors.Add(1)
-			if !sleep(s.ctx, acceptPause) {
+			if !wait.For(s.ctx, acceptPause) {
 				return ErrClosed
 			}
 			continue
