Agents: shedUnrun is a setting

Cause: relay could let shed submissions go on, and no operator could say so. Conclusion: off by default.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -86,13 +86,14 @@
 
 func (a *Agent) openRelay() error {
 	cfg := relay.Config{
-		Service: a.settings.Service,
-		Host:    a.settings.Host,
-		Target:  a.settings.Target,
-		Peer:    a.settings.Peer,
-		Limits:  relay.Limits{Slots: a.settings.Slots, Connections: a.settings.Connections},
-		Log:     a.log,
-		Metrics: a.metrics,
+		ShedUnrun: a.settings.ShedUnrun,
+		Service:   a.settings.Service,
+		Host:      a.settings.Host,
+		Target:    a.settings.Target,
+		Peer:      a.settings.Peer,
+		Limits:    relay.Limits{Slots: a.settings.Slots, Connections: a.settings.Connections},
+		Log:       a.log,
+		Metrics:   a.metrics,
 		// The client is there before the first request is.
 		TableAge: func() time.Duration { return a.client.Status().WordAge },
 	}
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -43,6 +43,9 @@
 	Slots int `yaml:"slots"`
 	// Connections is how many flows the host holds at once.
 	Connections int `yaml:"connections"`
+	// ShedUnrun says that the target answers 503 only before it does anything, so
+	// that a shed submission may go to another target.
+	ShedUnrun bool `yaml:"shedUnrun"`
 	// Controls are the control VMs' addresses for subscribers, "ip:port".
 	Controls []string `yaml:"controls"`
 	// CallerTLS is the certificate that callers see.
--- a/cmd/bergamotstall/settings_test.go
+++ b/cmd/bergamotstall/settings_test.go
@@ -46,9 +46,9 @@
 		{"agent", "slots", "slots: 7", "slots: 0", ":16: slots: 0 (allowed: 1 to 100000)"},
 		{"agent", "wrong type", "connections: 2000", "connections: [2000]", ":17: "},
 		{"agent", "target missing", "target: 127.0.3.1:8080", "target: \"\"", ":7: target: missing (allowed: ip:port, port 1 to 65535)"},
-		{"agent", "certificate", "certificate: callers.pem", "certificate: nowhere.pem", `:25: callerTLS.certificate: "nowhere.pem" can't be read`},
+		{"agent", "certificate", "certificate: callers.pem", "certificate: nowhere.pem", `:27: callerTLS.certificate: "nowhere.pem" can't be read`},
 		{"agent", "way of answers", "return: balancer", "return: back", `:14: return: "back" (allowed: balancer or direct)`},
-		{"agent", "no control", "controls:\n  - 127.0.1.1:7102\n  - 127.0.1.2:7102\n  - 127.0.1.3:7102", "controls: []", ":19: controls: missing"},
+		{"agent", "no control", "controls:\n  - 127.0.1.1:7102\n  - 127.0.1.2:7102\n  - 127.0.1.3:7102", "controls: []", ":21: controls: missing"},
 	} {
 		t.Run(c.role+" "+c.name, func(t *testing.T) {
 			is := is.New(t)
