--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -36,7 +36,7 @@
 }
 
 func newTargetClient(address string, limits Limits) *targetClient {
-	make := func(reuse bool) *http.Transport {
+	transport := func(reuse bool) *http.Transport {
 		return &http.Transport{
 			DialContext:           (&net.Dialer{Timeout: targetDialTime}).DialContext,
 			DisableKeepAlives:     !reuse,
@@ -46,7 +46,7 @@
 			DisableCompression:    true,
 		}
 	}
-	return &targetClient{address: address, pooled: make(true), fresh: make(false)}
+	return &targetClient{address: address, pooled: transport(true), fresh: transport(false)}
 }
 
 // close drops idle connections.
