check: what isn't judged in a run with crashes isn't called held

Cause: the closing tables of such runs said held over thousands of records for two promises that were not looked at. Change: they look at none and show as empty.

--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -178,10 +178,11 @@
 }
 
 func flowsSurvive(r Record, l Limits) Verdict {
-	v := Verdict{Promise: "flows survive planned change", Looked: len(r.Flows)}
+	v := Verdict{Promise: "flows survive planned change"}
 	if l.Unplanned {
-		return v
+		return v // nothing is judged, and the verdict says so
 	}
+	v.Looked = len(r.Flows)
 	for _, f := range r.Flows {
 		if f.Broken {
 			v.violate("flow to %s opened %s broke: %s", f.Service, stamp(f.Opened), f.Reason)
@@ -286,10 +287,11 @@
 }
 
 func gracefulStop(r Record, l Limits) Verdict {
-	v := Verdict{Promise: "a planned stop cuts nothing", Looked: len(r.Attempts)}
+	v := Verdict{Promise: "a planned stop cuts nothing"}
 	if l.Unplanned {
 		return v
 	}
+	v.Looked = len(r.Attempts)
 	for _, a := range r.Attempts {
 		if a.Outcome == Cut || a.Outcome == Unknown {
 			v.violate("attempt %s to %s at %s: %s: %s", a.ID, a.Service, stamp(a.Began), a.Outcome, a.Reason)
--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -70,6 +70,22 @@
 	}
 }
 
+// In a run with crashes two promises aren't judged; they must not pass for held.
+func TestUnplannedRunsJudgeFewerPromises(t *testing.T) {
+	is := is.New(t)
+	r, limits := sound(), DefaultLimits()
+	limits.Unplanned = true
+	r.Flows[0].Broken = true
+	empty := 0
+	for _, v := range All(r, limits) {
+		is.True(v.Held())
+		if v.Looked == 0 {
+			empty++
+		}
+	}
+	is.Equal(empty, 2)
+}
+
 func TestImbalance(t *testing.T) {
 	is := is.New(t)
 	var runs []Run
