--- a/internal/scenario/layout.go
+++ b/internal/scenario/layout.go
@@ -99,9 +99,9 @@
 const (
 	// peakWeight is the last data centre's under the peak preset; 100 is usual.
 	peakWeight = 130
-	// queuePerSlot bounds the waiting requests at one agent.
-	queuePerSlot = 4
-	retryPercent = 10
+	// queueLimit and retryPercent are those of docs/PLACEMENT.md.
+	queueLimit   = 16
+	retryPercent = 20
 )
 
 // Definition is the layout's catalogue: under the peak preset the last data
@@ -114,7 +114,7 @@
 	for _, s := range l.Services {
 		d.Services = append(d.Services, catalogue.ServiceSpec{
 			Name: s.Name, Address: s.Address(n), FlowLimit: l.Connections,
-			QueueLimit: queuePerSlot * l.Slots, RetryPercent: retryPercent, KeyWindow: keyWindow,
+			QueueLimit: queueLimit, RetryPercent: retryPercent, KeyWindow: keyWindow,
 		})
 		peak.Services = append(peak.Services, weighed(s.Name, last, peakWeight))
 		maintenance.Services = append(maintenance.Services, weighed(s.Name, last, 0))
