--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net"
-	"os"
 	"path/filepath"
 	"sync"
 	"testing"
@@ -99,16 +97,11 @@
 	return log
 }
 
-// ownIP is an address of this test process alone. On 127.0.0.1 the port of a
-// replica that is down for a moment may be taken by anyone's outgoing
-// connection, and the replica can't come back.
-var ownIP = fmt.Sprintf("127.%d.%d.1", 20+os.Getpid()%200, 1+os.Getpid()/200%250)
-
 func newMember(t testing.TB, network *network, name string, peers ...string) *member {
 	t.Helper()
 	m := &member{t: t, net: network, name: name, folder: filepath.Join(t.TempDir(), name)}
 	m.cfg = Config{
-		Folder: m.folder, Name: name, Peers: peers, Listen: ownIP + ":0",
+		Folder: m.folder, Name: name, Peers: peers, Listen: "127.0.0.1:0",
 		Heartbeat: 20 * time.Millisecond, Log: quiet(), FS: journal.Disk{},
 	}
 	m.cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
