--- a/cmd/bergamotstall/agent.go
+++ b/cmd/bergamotstall/agent.go
@@ -8,6 +8,7 @@
 
 	"bergamotstall/agent"
 	"bergamotstall/balancer"
+	"bergamotstall/platform"
 )
 
 func runAgent(ctx context.Context, args []string, out, errOut io.Writer) int {
@@ -16,6 +17,7 @@
 		name:     "agent",
 		settings: s,
 		build:    func(log logrus.FieldLogger) (runner, error) { return agent.New(*s, log) },
+		placed:   platform.RunAgent,
 	}.run(ctx, args, out, errOut)
 }
 
@@ -25,5 +27,6 @@
 		name:     "balancer",
 		settings: s,
 		build:    func(log logrus.FieldLogger) (runner, error) { return balancer.New(*s, log) },
+		placed:   platform.RunBalancer,
 	}.run(ctx, args, out, errOut)
 }
--- a/cmd/bergamotstall/control.go
+++ b/cmd/bergamotstall/control.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bergamotstall/control"
+	"bergamotstall/platform"
 )
 
 func runControl(ctx context.Context, args []string, out, errOut io.Writer) int {
@@ -15,5 +16,6 @@
 		name:     "control",
 		settings: s,
 		build:    func(log logrus.FieldLogger) (runner, error) { return control.New(*s, log) },
+		placed:   platform.RunControl,
 	}.run(ctx, args, out, errOut)
 }
--- a/cmd/bergamotstall/role.go
+++ b/cmd/bergamotstall/role.go
@@ -5,11 +5,15 @@
 	"flag"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"bergamotstall/internal/events"
+	"bergamotstall/internal/logsink"
 	"bergamotstall/internal/settings"
+	"bergamotstall/internal/wait"
+	"bergamotstall/platform"
 )
 
 // runner is a role that is ready to run.
@@ -25,6 +29,8 @@
 	// settings is decoded into and judged before build is called.
 	settings settings.Checked
 	build    func(log logrus.FieldLogger) (runner, error)
+	// placed runs the role by the settings that the platform places.
+	placed func(ctx context.Context, path string, log logrus.FieldLogger) error
 }
 
 // run serves the role until ctx is done.
@@ -33,13 +39,16 @@
 	flags.SetOutput(errOut)
 	file := flags.String("settings", "", "the role's YAML `file`; see examples/")
 	check := flags.Bool("check", false, "check the settings and end")
+	placed := flags.Bool("platform", false, "carry pass-through flows on the users' platform, by the settings that it places")
 	switch err := flags.Parse(args); {
 	case err == flag.ErrHelp:
 		return exitOK
 	case err != nil:
 		return exitUsage
+	case *placed && *file == "" && !*check && flags.NArg() == 0:
+		return r.onPlatform(ctx, out, errOut)
 	case *file == "" || flags.NArg() > 0:
-		fmt.Fprintf(errOut, "usage: bergamotstall %s -settings FILE [-check]\n", r.name)
+		fmt.Fprintf(errOut, "usage: bergamotstall %s -settings FILE [-check] | -platform\n", r.name)
 		return exitUsage
 	}
 	log := logrus.New()
@@ -56,6 +65,44 @@
 	return r.serve(ctx, log)
 }
 
+// onPlatform runs the role by the platform's settings. Log lines go to out and
+// never make the role wait.
+func (r roleOf) onPlatform(ctx context.Context, out, errOut io.Writer) int {
+	path, err := platform.SettingsPath()
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitUsage
+	}
+	sink := logsink.New(out)
+	defer sink.Close()
+	log := logrus.New()
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	log.SetOutput(sink)
+	tell, stop := context.WithCancel(ctx)
+	defer stop()
+	go tellDropped(tell, sink, log)
+	events.Log(log, events.ProcessStarted, logrus.Fields{"role": r.name, "settings": path})
+	stopping := context.AfterFunc(ctx, func() {
+		events.Log(log, events.ProcessStopping, logrus.Fields{"role": r.name})
+	})
+	defer stopping()
+	err = r.placed(ctx, path, log)
+	events.Log(log, events.ProcessStopped, logrus.Fields{"role": r.name, "error": err})
+	if err != nil {
+		return exitFailed
+	}
+	return exitOK
+}
+
+// tellDropped logs how many lines were left out.
+func tellDropped(ctx context.Context, sink *logsink.Sink, log logrus.FieldLogger) {
+	for wait.For(ctx, logsink.DropInterval) {
+		if n := sink.Dropped(); n > 0 {
+			events.Log(log, events.LogLinesDropped, logrus.Fields{"lines": n})
+		}
+	}
+}
+
 func (r roleOf) serve(ctx context.Context, log logrus.FieldLogger) int {
 	process, err := r.build(log)
 	if err != nil {
--- a/internal/events/replica.go
+++ b/internal/events/replica.go
@@ -18,4 +18,6 @@
 	ReplicaPeerRefused    = define(511, logrus.WarnLevel, "peer connection refused")
 	ReplicaPeerLost       = define(512, logrus.InfoLevel, "peer unreachable")
 	ReplicaPeerReached    = define(513, logrus.InfoLevel, "peer connected")
+	MemberAdmitted        = define(514, logrus.InfoLevel, "replica taken in without an operator")
+	MemberEvicted         = define(515, logrus.WarnLevel, "silent voter removed without an operator")
 )
--- /dev/null
+++ b/internal/pass/agent/agent.go
@@ -0,0 +1,258 @@
+// Package agent runs the agent of pass-through flows beside one target: the
+// sockets, the engine of package flowtable, the reports to balancers, and the
+// streams to control.
+package agent
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"bergamotstall/internal/events"
+	"bergamotstall/internal/metrics"
+	"bergamotstall/internal/pass/datagram"
+	"bergamotstall/internal/pass/flowtable"
+	"bergamotstall/internal/pass/packet"
+	"bergamotstall/internal/pass/peer"
+	"bergamotstall/internal/pass/roster"
+	"bergamotstall/internal/pass/route"
+)
+
+const (
+	// tickInterval is how often unanswered first packets are looked at.
+	tickInterval = 20 * time.Millisecond
+	// reportInterval is the time between two reports. Placement by reports of
+	// this age is as even as by fresh ones at ten flows a second and target.
+	reportInterval = 100 * time.Millisecond
+	// heardFor is how long a balancer that isn't listed gets reports after a
+	// datagram of its own: control may be away when a balancer starts.
+	heardFor = 5 * time.Second
+	// farewell is how long a stopping agent waits for its last datagrams to
+	// leave.
+	farewell = 20 * time.Millisecond
+)
+
+// Config sets an agent up.
+type Config struct {
+	Name, Zone string
+	// Service is the one that the VM's targets belong to.
+	Service string
+	// Target is where the target takes packets.
+	Target netip.AddrPort
+	// Outbound is where the target's own packets come in.
+	Outbound netip.AddrPort
+	// Nodes is where other nodes' datagrams come in.
+	Nodes netip.AddrPort
+	// ClientPort is the port at which clients take packets.
+	ClientPort uint16
+	// Heartbeat is the interval of the target's announcements.
+	Heartbeat   time.Duration
+	Seeds       func() []string
+	ControlPort uint16
+	Codec       packet.Codec
+	Log         logrus.FieldLogger
+	Metrics     *metrics.Set
+}
+
+// Agent is one agent.
+type Agent struct {
+	cfg      Config
+	started  time.Time
+	outbound *net.UDPConn
+	nodes    *net.UDPConn
+	client   *roster.Client
+
+	mu      sync.Mutex
+	engine  *flowtable.Engine
+	answers datagram.Batches[peer.Ruling]
+	buf     []byte
+	// listed are the balancers that control tells of, heard when others last
+	// sent something.
+	listed   []netip.AddrPort
+	heard    map[netip.AddrPort]time.Duration
+	reportAt time.Duration
+	verdicts []*expvar.Int
+}
+
+// New opens the agent's sockets.
+func New(cfg Config) (*Agent, error) {
+	a := &Agent{cfg: cfg, started: time.Now(), heard: map[netip.AddrPort]time.Duration{}}
+	var err error
+	if a.outbound, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.Outbound)); err != nil {
+		return nil, errors.Wrap(err, "agent: listen for the target")
+	}
+	if a.nodes, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.Nodes)); err != nil {
+		_ = a.outbound.Close()
+		return nil, errors.Wrap(err, "agent: listen for nodes")
+	}
+	process := rand.Uint64()
+	a.engine = flowtable.New(flowtable.Config{
+		Service: cfg.Service, Address: cfg.Target.String(), Zone: cfg.Zone, Process: process,
+		Heartbeat: cfg.Heartbeat, Codec: cfg.Codec, Out: a,
+	})
+	a.client = roster.NewClient(roster.ClientConfig{
+		Node:  roster.Node{Role: roster.Agent, Address: cfg.Nodes.String(), Zone: cfg.Zone, Process: process},
+		Seeds: cfg.Seeds, Port: cfg.ControlPort, Table: func(*route.Table) {}, Nodes: a.setNodes, Log: cfg.Log, Metrics: cfg.Metrics,
+	})
+	for v := flowtable.Verdict(0); v.String() != "unknown"; v++ {
+		a.verdicts = append(a.verdicts, cfg.Metrics.Counter("pass_"+v.String()))
+	}
+	cfg.Metrics.Gauge("pass_flows", func() int64 {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return int64(a.engine.Flows())
+	})
+	return a, nil
+}
+
+func (a *Agent) now() time.Duration { return time.Since(a.started) + time.Hour }
+
+// Run carries packets until ctx is done. Flows of a target that lives on wait
+// for the agent's next start, so it ends without delay.
+func (a *Agent) Run(ctx context.Context) error {
+	carry, stop := context.WithCancel(context.Background())
+	defer stop()
+	var running sync.WaitGroup
+	for _, loop := range []func(context.Context){a.readTarget, a.readNodes, a.tick, a.client.Run} {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			loop(carry)
+		}()
+	}
+	<-ctx.Done()
+	a.mu.Lock()
+	a.engine.Stop(a.now())
+	a.report()
+	a.mu.Unlock()
+	time.Sleep(farewell)
+	stop()
+	_ = a.outbound.Close()
+	_ = a.nodes.Close()
+	running.Wait()
+	return nil
+}
+
+// Ready tells whether the agent knows its target.
+func (a *Agent) Ready() bool { return a.client.Version() > 0 }
+
+// Announced takes what a target says of itself.
+func (a *Agent) Announced(x flowtable.Announcement) flowtable.Ruling {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	ruling := a.engine.Announced(a.now(), x)
+	if ruling == flowtable.NotOurs {
+		events.Log(a.cfg.Log, events.AnnouncementRefused, logrus.Fields{"target": x.ID, "service": x.Service, "address": x.Address, "reason": "another service or address"})
+	}
+	return ruling
+}
+
+// Left takes a target's word that it ends.
+func (a *Agent) Left(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.engine.Left(a.now(), id)
+}
+
+func (a *Agent) readTarget(ctx context.Context) {
+	datagram.Read(ctx, a.outbound, a.cfg.Log, func(_ netip.AddrPort, raw []byte) {
+		p, err := a.cfg.Codec.Decode(raw)
+		if err != nil {
+			a.cfg.Metrics.Counter("pass_unreadable").Add(1)
+			return
+		}
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.engine.FromTarget(a.now(), p, raw)
+	})
+}
+
+func (a *Agent) readNodes(ctx context.Context) {
+	datagram.Read(ctx, a.nodes, a.cfg.Log, func(from netip.AddrPort, raw []byte) {
+		if err := a.fromNode(from, raw); err != nil {
+			a.cfg.Metrics.Counter("pass_unreadable").Add(1)
+			a.cfg.Log.WithError(err).WithField("from", from.String()).Debug("agent: datagram")
+		}
+	})
+}
+
+// fromNode takes a balancer's datagram.
+func (a *Agent) fromNode(from netip.AddrPort, raw []byte) error {
+	if len(raw) == 0 {
+		return peer.ErrShort
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	a.heard[from] = now
+	switch peer.Kind(raw[0]) {
+	case peer.KindDeliver:
+		h, carried, err := peer.DecodeHead(raw)
+		if err != nil {
+			return err
+		}
+		p, err := a.cfg.Codec.Decode(carried)
+		if err != nil {
+			return err
+		}
+		a.engine.FromBalancer(now, from, h, p, carried)
+	case peer.KindAsk:
+		var ask peer.Ask
+		if _, err := ask.UnmarshalMsg(raw[1:]); err != nil {
+			return errors.Wrap(err, "agent: questions")
+		}
+		for _, q := range ask.Questions {
+			a.engine.Ask(now, from, q)
+		}
+		a.answers.Flush(a.sendAnswer)
+	default:
+		return errors.Errorf("agent: datagram kind %d", raw[0])
+	}
+	return nil
+}
+
+// setNodes takes the list of nodes, and tells new balancers of the target.
+func (a *Agent) setNodes(nodes []roster.Node) {
+	var balancers []netip.AddrPort
+	for _, n := range nodes {
+		if n.Role != roster.Balancer {
+			continue
+		}
+		address, err := netip.ParseAddrPort(n.Address)
+		if err != nil {
+			a.cfg.Log.WithError(err).Warn("agent: a node's address can't be read")
+			continue
+		}
+		balancers = append(balancers, address)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.listed = balancers
+	a.report()
+}
+
+func (a *Agent) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			a.mu.Lock()
+			now := a.now()
+			a.engine.Tick(now)
+			if now >= a.reportAt {
+				a.report()
+			}
+			a.mu.Unlock()
+		}
+	}
+}
--- /dev/null
+++ b/internal/pass/agent/output.go
@@ -0,0 +1,100 @@
+package agent
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/sirupsen/logrus"
+
+	"bergamotstall/internal/events"
+	"bergamotstall/internal/pass/datagram"
+	"bergamotstall/internal/pass/flowtable"
+	"bergamotstall/internal/pass/packet"
+	"bergamotstall/internal/pass/peer"
+)
+
+var _ flowtable.Output = (*Agent)(nil)
+
+// ToTarget implements flowtable.Output.
+func (a *Agent) ToTarget(raw []byte) {
+	datagram.Send(a.outbound, raw, a.cfg.Target, a.cfg.Metrics)
+}
+
+// ToClient implements flowtable.Output. Answers go straight to the client: the
+// balancers carry only the client's half.
+func (a *Agent) ToClient(client packet.Endpoint, raw []byte) {
+	datagram.Send(a.outbound, raw, netip.AddrPortFrom(netip.AddrFrom4(client.IP), a.cfg.ClientPort), a.cfg.Metrics)
+}
+
+// Refuse implements flowtable.Output.
+func (a *Agent) Refuse(to netip.AddrPort, why peer.Reason, raw []byte) {
+	a.buf = peer.Head{Kind: peer.KindRefused, Reason: why}.Append(a.buf[:0], raw)
+	datagram.Send(a.nodes, a.buf, to, a.cfg.Metrics)
+}
+
+// Answer implements flowtable.Output; the answers to one datagram's questions
+// share one.
+func (a *Agent) Answer(to netip.AddrPort, r peer.Ruling) {
+	a.answers.Add(to, r, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.answers.Flush(a.sendAnswer)
+	})
+}
+
+func (a *Agent) sendAnswer(to netip.AddrPort, rs []peer.Ruling) {
+	body, err := (&peer.Answer{Rulings: rs}).MarshalMsg([]byte{byte(peer.KindAnswer)})
+	if err != nil {
+		a.cfg.Log.WithError(err).Error("agent: encode answers")
+		return
+	}
+	datagram.Send(a.nodes, body, to, a.cfg.Metrics)
+}
+
+// Reset implements flowtable.Output.
+func (a *Agent) Reset(f packet.Flow, seq uint32) {
+	a.buf = a.cfg.Codec.AppendReset(a.buf[:0], f, seq)
+	a.ToClient(f.Client, a.buf)
+}
+
+// Report implements flowtable.Output.
+func (a *Agent) Report() { a.report() }
+
+// report tells all balancers of the target; the lock is held.
+func (a *Agent) report() {
+	now := a.now()
+	a.reportAt = now + reportInterval
+	r := a.engine.Report(now)
+	body, err := r.MarshalMsg([]byte{byte(peer.KindReport)})
+	if err != nil {
+		a.cfg.Log.WithError(err).Error("agent: encode report")
+		return
+	}
+	for _, to := range a.listed {
+		datagram.Send(a.nodes, body, to, a.cfg.Metrics)
+	}
+	for to, at := range a.heard {
+		switch {
+		case now-at > heardFor:
+			delete(a.heard, to)
+		case !slices.Contains(a.listed, to):
+			datagram.Send(a.nodes, body, to, a.cfg.Metrics)
+		}
+	}
+}
+
+// Note implements flowtable.Output.
+func (a *Agent) Note(d flowtable.Decision) {
+	a.verdicts[d.Verdict].Add(1)
+	fields := logrus.Fields{"verdict": d.Verdict.String(), "target": d.Target, "born": d.Born, "life_age_ms": d.Age.Milliseconds()}
+	if d.Flow != (packet.Flow{}) {
+		fields["flow"] = d.Flow.String()
+	}
+	if d.Reason != 0 {
+		fields["reason"] = d.Reason.String()
+	}
+	if d.Flows > 0 {
+		fields["flows"] = d.Flows
+	}
+	events.Log(a.cfg.Log, events.PassFlowRefused, fields)
+}
--- /dev/null
+++ b/internal/pass/balancer/output.go
@@ -0,0 +1,83 @@
+package balancer
+
+import (
+	"expvar"
+	"net/netip"
+
+	"github.com/sirupsen/logrus"
+
+	"bergamotstall/internal/events"
+	"bergamotstall/internal/metrics"
+	"bergamotstall/internal/pass/datagram"
+	"bergamotstall/internal/pass/forward"
+	"bergamotstall/internal/pass/packet"
+	"bergamotstall/internal/pass/peer"
+	"bergamotstall/internal/pass/route"
+)
+
+type counter = *expvar.Int
+
+// counters are one for each verdict.
+func counters(m *metrics.Set) []counter {
+	var out []counter
+	for v := forward.Verdict(0); v.String() != "unknown"; v++ {
+		out = append(out, m.Counter("pass_"+v.String()))
+	}
+	return out
+}
+
+var _ forward.Output = (*Balancer)(nil)
+
+// Deliver implements forward.Output.
+func (b *Balancer) Deliver(to netip.AddrPort, service route.ServiceID, raw []byte) {
+	b.buf = peer.Head{Kind: peer.KindDeliver, Service: service}.Append(b.buf[:0], raw)
+	b.send(b.buf, to)
+}
+
+// Ask implements forward.Output. Questions that come within askPause share a
+// datagram: after a restart of the fabric's choice thousands of flows are asked
+// for at once.
+func (b *Balancer) Ask(to netip.AddrPort, q peer.Question) {
+	b.asks.Add(to, q, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.asks.Flush(b.sendAsk)
+	})
+}
+
+func (b *Balancer) sendAsk(to netip.AddrPort, qs []peer.Question) {
+	body, err := (&peer.Ask{Questions: qs}).MarshalMsg([]byte{byte(peer.KindAsk)})
+	if err != nil {
+		b.cfg.Log.WithError(err).Error("balancer: encode questions")
+		return
+	}
+	b.send(body, to)
+}
+
+// Reset implements forward.Output.
+func (b *Balancer) Reset(f packet.Flow, seq uint32) {
+	b.buf = b.cfg.Codec.AppendReset(b.buf[:0], f, seq)
+	datagram.Send(b.fabric, b.buf, netip.AddrPortFrom(netip.AddrFrom4(f.Client.IP), b.cfg.Fabric.Port()), b.cfg.Metrics)
+}
+
+func (b *Balancer) send(raw []byte, to netip.AddrPort) {
+	datagram.Send(b.nodes, raw, to, b.cfg.Metrics)
+}
+
+// Note implements forward.Output.
+func (b *Balancer) Note(d forward.Decision) {
+	b.verdicts[d.Verdict].Add(1)
+	fields := logrus.Fields{"flow": d.Flow.String(), "verdict": d.Verdict.String(), "version": uint64(d.Version)}
+	if d.Agent.IsValid() {
+		fields["agent"] = d.Agent.String()
+		fields["report_age_ms"] = d.ReportAge.Milliseconds()
+	}
+	if d.Reason != 0 {
+		fields["reason"] = d.Reason.String()
+	}
+	if d.Asked > 0 {
+		fields["asked"] = d.Asked
+		fields["silent"] = d.Silent
+	}
+	events.Log(b.cfg.Log, events.PassFlowDecided, fields)
+}
--- /dev/null
+++ b/internal/pass/datagram/datagram.go
@@ -0,0 +1,88 @@
+// Package datagram reads, sends and batches the datagrams of pass-through
+// flows.
+package datagram
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"bergamotstall/internal/metrics"
+)
+
+const (
+	// readSize is larger than any datagram that nodes or the platform send.
+	readSize = 2048
+	// errorPause keeps a socket that fails again and again from taking the
+	// whole processor.
+	errorPause = 10 * time.Millisecond
+	// batchPause is how long entries for one peer are gathered. A question
+	// costs a round trip of a few milliseconds anyway.
+	batchPause = 2 * time.Millisecond
+	// batchSize bounds the entries of one datagram: 30 rulings of 45 bytes stay
+	// under 1,400 bytes, which passes every link whole.
+	batchSize = 30
+)
+
+// Read hands each datagram to take until ctx is done or the socket is closed.
+// The bytes are valid during the call.
+func Read(ctx context.Context, conn *net.UDPConn, log logrus.FieldLogger, take func(from netip.AddrPort, raw []byte)) {
+	buf := make([]byte, readSize)
+	for ctx.Err() == nil {
+		n, from, err := conn.ReadFromUDPAddrPort(buf)
+		switch {
+		case err == nil:
+			take(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buf[:n])
+		case errors.Is(err, net.ErrClosed):
+			return
+		default:
+			// An earlier datagram met a port without a listener, as a rule.
+			log.WithError(err).Debug("datagram: read")
+			time.Sleep(errorPause)
+		}
+	}
+}
+
+// Send sends one datagram. One that can't be sent is lost like any other, and
+// counted.
+func Send(conn *net.UDPConn, raw []byte, to netip.AddrPort, m *metrics.Set) {
+	if _, err := conn.WriteToUDPAddrPort(raw, to); err != nil {
+		m.Counter("pass_send_failed").Add(1)
+	}
+}
+
+// Batches gathers entries for each peer. Its user guards it.
+type Batches[T any] struct {
+	byPeer  map[netip.AddrPort][]T
+	pending bool
+}
+
+// Add puts an entry to a peer's batch. The first one of a batch has flush called
+// a little later, on a goroutine of its own.
+func (b *Batches[T]) Add(to netip.AddrPort, x T, flush func()) {
+	if b.byPeer == nil {
+		b.byPeer = map[netip.AddrPort][]T{}
+	}
+	b.byPeer[to] = append(b.byPeer[to], x)
+	if !b.pending {
+		b.pending = true
+		time.AfterFunc(batchPause, flush)
+	}
+}
+
+// Flush hands out what was gathered, batchSize entries at a time.
+func (b *Batches[T]) Flush(send func(to netip.AddrPort, xs []T)) {
+	for to, xs := range b.byPeer {
+		for len(xs) > 0 {
+			n := min(len(xs), batchSize)
+			send(to, xs[:n])
+			xs = xs[n:]
+		}
+		delete(b.byPeer, to)
+	}
+	b.pending = false
+}
--- /dev/null
+++ b/internal/pass/flowtable/flowtable.go
@@ -0,0 +1,396 @@
+// Package flowtable is an agent's part of pass-through flows: which packets its
+// target gets, which are handed back to the balancer and why, when flows of a
+// target that is gone are reset, and what balancers are told. It has no network
+// and no clock.
+//
+// The agent is the authority on its target, since all of the target's packets
+// and announcements pass it. Balancers work from reports that lag; what they
+// get wrong is handed back here. A drain, for one, holds from the moment the
+// target's announcement is taken, whatever tables the balancers have.
+package flowtable
+
+import (
+	"net/netip"
+	"time"
+
+	"bergamotstall/internal/pass/packet"
+	"bergamotstall/internal/pass/peer"
+)
+
+const (
+	// firstPatience is how long a target may take to answer a first packet
+	// before another target is tried. Handshakes take a third of a millisecond,
+	// and a slow target's still under ten; the caller's own copy comes after
+	// 200 ms.
+	firstPatience = 80 * time.Millisecond
+	// crashPatience is how long a target that owes an answer may send nothing at
+	// all, its announcements included, before its flows are reset. It is more
+	// than twice the announcements' interval, see Config.Heartbeat, and never
+	// less than this.
+	crashPatience = 1500 * time.Millisecond
+	// endedKept is how long an ended flow is remembered, so that late packets
+	// still reach the target, which answers them.
+	endedKept = 4 * time.Second
+	// halfOpenKept is how long a flow that the caller hasn't completed is
+	// remembered. Callers give up after 1.4 s.
+	halfOpenKept = 3 * time.Second
+	// openKept is how long an open flow without a packet is remembered. The
+	// platform lets flows be forgotten when they are older than a minute.
+	openKept = 75 * time.Second
+	// learning is how long an agent that started after its target can't be sure
+	// which flows that one holds: the longest life of a flow, and some seconds.
+	learning = 75 * time.Second
+	// lacksKept is how long it is remembered that the target handed a packet of
+	// a flow back.
+	lacksKept = 2 * time.Second
+	// maxFlows bounds the table; a target holds some thousand.
+	maxFlows = 20_000
+	// maxWaiting bounds the copies kept of first packets without an answer.
+	maxWaiting = 512
+	// ackWindow is how far a caller's first acknowledgement may be from the
+	// start of the target's sequence numbers. Sequence numbers start at random,
+	// so another target's falls into it once in 40,000 times.
+	ackWindow = 100_000
+)
+
+// Output takes what the engine decides. Slices are valid during the call.
+type Output interface {
+	// ToTarget sends a client's packet to the target.
+	ToTarget(raw []byte)
+	// ToClient sends a target's packet to its client.
+	ToClient(client packet.Endpoint, raw []byte)
+	// Refuse hands a packet back to a balancer.
+	Refuse(to netip.AddrPort, why peer.Reason, raw []byte)
+	// Answer tells a balancer who holds a flow.
+	Answer(to netip.AddrPort, r peer.Ruling)
+	// Reset tells a client that its flow is over.
+	Reset(f packet.Flow, seq uint32)
+	// Report says that balancers should hear of a change at once.
+	Report()
+	// Note tells of a decision, for the log.
+	Note(d Decision)
+}
+
+// Verdict is the outcome of a decision.
+type Verdict uint8
+
+const (
+	// RefusedFirst: a first packet was handed back.
+	RefusedFirst Verdict = iota + 1
+	// RefusedLater: another packet was handed back, since the flow isn't here.
+	RefusedLater
+	// TargetArrived, TargetDrains and TargetLeft follow announcements.
+	TargetArrived
+	TargetDrains
+	TargetLeft
+	// TargetSilent: the target doesn't answer; it gets no new flows.
+	TargetSilent
+	// TargetAnswers: it does again.
+	TargetAnswers
+	// TargetDead: its flows are reset.
+	TargetDead
+	// StaleAnnouncement: an announcement of an incarnation that is over.
+	StaleAnnouncement
+	// FlowsReset: flows of a target that is gone were reset.
+	FlowsReset
+)
+
+var verdictNames = [...]string{"", "refused-first", "refused-later", "target-arrived", "target-drains", "target-left",
+	"target-silent", "target-answers", "target-dead", "stale-announcement", "flows-reset"}
+
+func (v Verdict) String() string {
+	if int(v) < len(verdictNames) {
+		return verdictNames[v]
+	}
+	return "unknown"
+}
+
+// Decision is one decision with the inputs that decided it.
+type Decision struct {
+	Verdict Verdict
+	// Flow is set for decisions on one flow.
+	Flow   packet.Flow
+	Reason peer.Reason
+	// Target and Born tell the incarnation.
+	Target string
+	Born   int64
+	// Age is how old the deciding input was: the target's last sign of life.
+	Age time.Duration
+	// Flows counts the flows concerned.
+	Flows int
+}
+
+// Config sets an engine up.
+type Config struct {
+	// Service is the one that the VM's targets belong to; "" takes any.
+	Service string
+	// Address is where the target takes packets; announcements of another
+	// address are another target's. "" takes any.
+	Address string
+	Zone    string
+	// Process is random for each start of the agent.
+	Process uint64
+	// Heartbeat is the interval of the target's announcements; 0 if unknown.
+	Heartbeat time.Duration
+	// StartedAt is the time of day of the agent's start.
+	StartedAt time.Time
+	Codec     packet.Codec
+	Out       Output
+}
+
+// stage is how far a flow has come.
+type stage uint8
+
+const (
+	opening stage = iota + 1
+	open
+	ended
+	lacking
+)
+
+// flow is what the agent knows of one flow.
+type flow struct {
+	seenAt time.Duration
+	// targetSeq is where the target's sequence numbers start; 0 until it has
+	// answered.
+	targetSeq uint32
+	// ack is the client's newest acknowledgement: a reset must be near it.
+	ack     uint32
+	stage   stage
+	running bool
+	// finClient and finTarget say which ends have closed.
+	finClient, finTarget bool
+	// answered says that the target has answered the first packet.
+	answered bool
+}
+
+// waitingFirst is a first packet that the target hasn't answered.
+type waitingFirst struct {
+	sentAt time.Duration
+	from   netip.AddrPort
+	raw    []byte
+}
+
+// Engine is one agent's state. It isn't safe for concurrent use.
+type Engine struct {
+	cfg     Config
+	target  target
+	flows   map[packet.Flow]flow
+	waiting map[packet.Flow]waitingFirst
+	load    load
+	sweepAt time.Duration
+	number  uint64
+	leaving bool
+	tags    tags
+}
+
+// New returns an engine without a target.
+func New(cfg Config) *Engine {
+	return &Engine{
+		cfg: cfg, flows: map[packet.Flow]flow{}, waiting: map[packet.Flow]waitingFirst{},
+		tags: tags{byAddress: map[netip.AddrPort]uint16{}},
+	}
+}
+
+// Flows returns how many flows are open.
+func (e *Engine) Flows() int { return e.load.flows }
+
+// FromBalancer takes a client's packet.
+func (e *Engine) FromBalancer(now time.Duration, from netip.AddrPort, h peer.Head, p packet.Packet, raw []byte) {
+	f := p.FromClient()
+	if why := e.misdirected(h); why != 0 {
+		e.refuse(now, from, f, p, why, raw)
+		return
+	}
+	x, known := e.flows[f]
+	switch {
+	case p.Opens():
+		e.first(now, from, f, x, known, raw)
+	case known && x.stage != lacking:
+		e.later(now, from, f, x, p, raw)
+	case e.unsure(now) && !known:
+		e.toTarget(from, raw) // it is handed back if the target lacks the flow
+	default:
+		e.refuse(now, from, f, p, peer.NotHeld, raw)
+	}
+}
+
+// misdirected tells why a packet isn't for the target here. Addresses are used
+// again by other services, and balancers learn of it a moment later.
+func (e *Engine) misdirected(h peer.Head) peer.Reason {
+	switch {
+	case !e.target.known:
+		return peer.NoTarget
+	case h.Service != 0 && h.Service != e.target.service:
+		return peer.WrongService
+	}
+	return 0
+}
+
+func (e *Engine) refuse(now time.Duration, to netip.AddrPort, f packet.Flow, p packet.Packet, why peer.Reason, raw []byte) {
+	verdict := RefusedLater
+	if p.Opens() {
+		verdict = RefusedFirst
+	}
+	e.cfg.Out.Refuse(to, why, raw)
+	e.note(now, Decision{Verdict: verdict, Flow: f, Reason: why})
+}
+
+// first takes a first packet or a copy of one.
+func (e *Engine) first(now time.Duration, from netip.AddrPort, f packet.Flow, x flow, known bool, raw []byte) {
+	p := packet.Packet{Flags: packet.SYN}
+	switch {
+	case known && x.stage != lacking && x.stage != ended:
+		e.toTarget(from, raw)
+		return
+	case e.target.draining || e.leaving:
+		e.refuse(now, from, f, p, peer.Draining, raw)
+		return
+	case e.target.silent:
+		e.refuse(now, from, f, p, peer.Silent, raw)
+		return
+	case len(e.flows) >= maxFlows:
+		e.refuse(now, from, f, p, peer.Full, raw)
+		return
+	}
+	e.put(f, flow{stage: opening, seenAt: now})
+	if len(e.waiting) < maxWaiting {
+		e.waiting[f] = waitingFirst{sentAt: now, from: from, raw: append([]byte(nil), raw...)}
+	}
+	e.toTarget(from, raw)
+}
+
+// later takes a packet of a known flow. A caller that completes the handshake of
+// another target, which answered a copy of its first packet, is sent there.
+func (e *Engine) later(now time.Duration, from netip.AddrPort, f packet.Flow, x flow, p packet.Packet, raw []byte) {
+	if x.stage == opening && !x.completedBy(p.Ack) {
+		e.refuse(now, from, f, p, peer.NotHeld, raw)
+		return
+	}
+	x.seenAt = now
+	if p.Flags.Has(packet.ACK) {
+		x.ack = p.Ack
+	}
+	if x.stage == opening {
+		x.stage = open
+	}
+	if p.Data > 0 {
+		x.running = true
+	}
+	if p.Flags.Has(packet.FIN) {
+		x.finClient = true
+	}
+	if p.Flags.Has(packet.RST) || x.finClient && x.finTarget {
+		x.stage = ended
+	}
+	e.put(f, x)
+	e.owe(now)
+	e.toTarget(from, raw)
+}
+
+// completedBy tells whether an acknowledgement is of this target's handshake.
+func (x flow) completedBy(ack uint32) bool {
+	return x.answered && ack-x.targetSeq < ackWindow
+}
+
+func (e *Engine) toTarget(from netip.AddrPort, raw []byte) {
+	e.cfg.Codec.Mark(raw, e.tags.of(from))
+	e.cfg.Out.ToTarget(raw)
+}
+
+// FromTarget takes a packet that the target sent.
+func (e *Engine) FromTarget(now time.Duration, p packet.Packet, raw []byte) {
+	e.lives(now)
+	if p.Flags.Has(packet.Bounced) {
+		e.bounced(now, p, raw)
+		return
+	}
+	f := p.FromTarget()
+	delete(e.waiting, f)
+	x, known := e.flows[f]
+	if !known || x.stage == lacking {
+		x = flow{stage: open}
+	}
+	x.seenAt = now
+	x.answered = true
+	switch {
+	case p.Flags.Has(packet.SYN | packet.ACK):
+		x.targetSeq = p.Seq
+		if !known {
+			x.stage = opening
+		}
+	case p.Flags.Has(packet.RST):
+		x.stage = ended
+	}
+	if p.Data > 0 {
+		x.running = false
+	}
+	if p.Flags.Has(packet.FIN) {
+		x.finTarget = true
+		x.running = false
+	}
+	if x.finClient && x.finTarget {
+		x.stage = ended
+	}
+	e.put(f, x)
+	e.cfg.Out.ToClient(f.Client, raw)
+}
+
+// bounced takes a packet that the target handed back.
+func (e *Engine) bounced(now time.Duration, p packet.Packet, raw []byte) {
+	f := p.FromClient()
+	why := peer.NotHeld
+	if p.Opens() {
+		why = peer.Full
+		delete(e.waiting, f)
+		e.remove(f)
+	} else {
+		e.put(f, flow{stage: lacking, seenAt: now})
+	}
+	to, ok := e.tags.address(p.Tag)
+	if !ok {
+		return // from before this process; the caller sends it again
+	}
+	e.cfg.Codec.Mark(raw, 0)
+	e.refuse(now, to, f, p, why, raw)
+}
+
+// Ask answers a balancer's question who holds a flow.
+func (e *Engine) Ask(now time.Duration, from netip.AddrPort, q peer.Question) {
+	e.cfg.Out.Answer(from, peer.Ruling{Question: q, Verdict: e.verdict(now, q)})
+}
+
+func (e *Engine) verdict(now time.Duration, q peer.Question) peer.Verdict {
+	if !e.target.known {
+		return peer.Lacks
+	}
+	x, known := e.flows[q.FlowOf()]
+	switch {
+	case known && x.stage == opening:
+		if x.completedBy(q.Ack) {
+			return peer.Holds
+		}
+		return peer.Lacks
+	case known && x.stage == lacking:
+		return peer.Lacks
+	case known:
+		return peer.Holds
+	case e.unsure(now):
+		return peer.Unsure
+	}
+	return peer.Lacks
+}
+
+// unsure tells whether the target may hold flows that this agent hasn't seen.
+func (e *Engine) unsure(now time.Duration) bool {
+	return e.target.known && e.target.older && now-e.target.metAt < learning
+}
+
+func (e *Engine) note(now time.Duration, d Decision) {
+	d.Target = e.target.id
+	d.Born = e.target.born
+	if e.target.lifeAt > 0 {
+		d.Age = now - e.target.lifeAt
+	}
+	e.cfg.Out.Note(d)
+}
--- /dev/null
+++ b/internal/pass/flowtable/target.go
@@ -0,0 +1,259 @@
+package flowtable
+
+import (
+	"time"
+
+	"bergamotstall/internal/pass/packet"
+	"bergamotstall/internal/pass/peer"
+	"bergamotstall/internal/pass/route"
+)
+
+// Announcement is what a target says of itself, again and again.
+type Announcement struct {
+	ID      string
+	Service string
+	Address string
+	// Born is the target's start in Unix milliseconds, 0 if it doesn't say.
+	// It orders incarnations: an id may be used again by a later one.
+	Born int64
+	// Number rises with each announcement of an incarnation.
+	Number   uint64
+	Slots    uint32
+	Draining bool
+	// Cold is how much longer the target stays slow after its start.
+	Cold time.Duration
+}
+
+// Ruling says what became of an announcement.
+type Ruling uint8
+
+const (
+	// Taken: it describes the target from now on.
+	Taken Ruling = iota + 1
+	// Late: a newer one of the same incarnation, or a newer incarnation, was
+	// taken before. It changes nothing.
+	Late
+	// NotOurs: it is of another service or address than this VM's target.
+	NotOurs
+)
+
+// target is what the agent knows of its target.
+type target struct {
+	known    bool
+	id       string
+	service  route.ServiceID
+	born     int64
+	number   uint64
+	slots    uint32
+	draining bool
+	coldTill time.Duration
+	// older says that the target was there before the agent, which may not know
+	// all its flows.
+	older bool
+	// metAt is when this incarnation was first heard of, lifeAt its last sign
+	// of life, announcedAt its last announcement.
+	metAt, lifeAt, announcedAt time.Duration
+	// owesAt is when it was sent the oldest packet that it should have reacted
+	// to and hasn't; 0 if it owes nothing.
+	owesAt time.Duration
+	// silent says that it owes a reaction for too long.
+	silent bool
+	// leftAt is when an incarnation said that it ends.
+	leftAt time.Duration
+}
+
+// earlyAnnouncements is the number up to which an announcement counts as among
+// the first of its incarnation: whoever hears it has seen all flows, since
+// targets get none before they are known.
+const earlyAnnouncements = 1
+
+// Announced takes what a target says of itself.
+func (e *Engine) Announced(now time.Duration, a Announcement) Ruling {
+	if e.cfg.Service != "" && a.Service != e.cfg.Service || e.cfg.Address != "" && a.Address != e.cfg.Address {
+		return NotOurs
+	}
+	t := &e.target
+	switch {
+	case t.id == a.ID && t.born == a.Born:
+		if a.Number <= t.number || !t.known {
+			return Late
+		}
+	case t.id != "" && a.Born < t.born:
+		e.note(now, Decision{Verdict: StaleAnnouncement})
+		return Late
+	default:
+		e.arrive(now, a)
+	}
+	t.number = a.Number
+	t.slots = a.Slots
+	t.announcedAt = now
+	t.coldTill = now + a.Cold
+	e.lives(now)
+	if a.Draining && !t.draining {
+		t.draining = true
+		e.note(now, Decision{Verdict: TargetDrains, Flows: e.load.flows})
+		e.cfg.Out.Report()
+	}
+	return Taken
+}
+
+// arrive begins a new incarnation. What the one before held is gone.
+func (e *Engine) arrive(now time.Duration, a Announcement) {
+	if e.target.known {
+		e.resetAll(now)
+	}
+	seenBefore := e.target.id != ""
+	e.target = target{
+		known: true, id: a.ID, service: route.IDOf(a.Service), born: a.Born, metAt: now,
+		older: !seenBefore && a.Number > earlyAnnouncements,
+	}
+	e.note(now, Decision{Verdict: TargetArrived})
+	e.cfg.Out.Report()
+}
+
+// Left takes a target's word that it ends.
+func (e *Engine) Left(now time.Duration, id string) {
+	if !e.target.known || e.target.id != id {
+		return
+	}
+	e.target.draining = true
+	e.target.leftAt = now
+	e.note(now, Decision{Verdict: TargetLeft, Flows: e.load.flows})
+	e.cfg.Out.Report()
+}
+
+// Stop says that the agent's process ends. If its target has left, or is dead,
+// the flows that it held are reset: nobody else could tell their callers. If it
+// lives, they are left alone, and go on once the process is back.
+func (e *Engine) Stop(now time.Duration) {
+	if e.target.leftAt > 0 {
+		e.resetAll(now)
+	}
+	e.leaving = true
+	e.cfg.Out.Report()
+}
+
+// owe notes that the target should react to what it was just sent.
+func (e *Engine) owe(now time.Duration) {
+	if e.target.owesAt == 0 {
+		e.target.owesAt = now
+	}
+}
+
+// lives notes a sign of life of the target.
+func (e *Engine) lives(now time.Duration) {
+	t := &e.target
+	t.lifeAt = now
+	t.owesAt = 0
+	if t.silent {
+		t.silent = false
+		e.note(now, Decision{Verdict: TargetAnswers})
+		e.cfg.Out.Report()
+	}
+}
+
+// afterLeft is how long after its farewell a target's process may still run.
+const afterLeft = 300 * time.Millisecond
+
+// Tick lets time pass.
+func (e *Engine) Tick(now time.Duration) {
+	e.load.settle(now)
+	e.rescue(now)
+	t := &e.target
+	if t.known && t.leftAt > 0 && now-t.leftAt > afterLeft {
+		e.resetAll(now)
+		t.known = false
+		e.cfg.Out.Report()
+	}
+	if t.known && t.silent && e.dead(now) {
+		e.note(now, Decision{Verdict: TargetDead, Flows: e.load.flows})
+		e.resetAll(now)
+	}
+	if now >= e.sweepAt {
+		e.sweepAt = now + time.Second
+		e.sweep(now)
+	}
+}
+
+// dead tells whether the target is gone for sure: it owes an answer, and its
+// announcements have stopped too. A target that is only slow still announces
+// itself.
+func (e *Engine) dead(now time.Duration) bool {
+	patience := max(crashPatience, 2*e.cfg.Heartbeat+e.cfg.Heartbeat/4)
+	return len(e.flows) > 0 && now-e.target.announcedAt > patience && now-e.target.lifeAt > crashPatience
+}
+
+// rescue hands first packets back that the target hasn't answered in time, so
+// that another target answers the caller well within its patience.
+func (e *Engine) rescue(now time.Duration) {
+	for f, w := range e.waiting {
+		if now-w.sentAt < firstPatience {
+			continue
+		}
+		delete(e.waiting, f)
+		e.remove(f)
+		if !e.target.silent && e.target.lifeAt < w.sentAt {
+			e.target.silent = true
+			e.note(now, Decision{Verdict: TargetSilent, Flow: f})
+			e.cfg.Out.Report()
+		}
+		e.cfg.Codec.Mark(w.raw, 0)
+		e.refuse(now, w.from, f, packet.Packet{Flags: packet.SYN}, peer.Silent, w.raw)
+	}
+}
+
+// resetAll resets the flows of a target that is gone, so that callers needn't
+// wait for their deadline.
+func (e *Engine) resetAll(now time.Duration) {
+	n := 0
+	for f, x := range e.flows {
+		if x.stage == open || x.stage == opening {
+			e.cfg.Out.Reset(f, x.ack)
+			n++
+		}
+	}
+	if n > 0 {
+		e.note(now, Decision{Verdict: FlowsReset, Flows: n})
+	}
+	e.flows = map[packet.Flow]flow{}
+	e.waiting = map[packet.Flow]waitingFirst{}
+	e.load.flows = 0
+	e.load.running = 0
+}
+
+// sweep forgets what is long over.
+func (e *Engine) sweep(now time.Duration) {
+	for f, x := range e.flows {
+		kept := openKept
+		switch x.stage {
+		case opening:
+			kept = halfOpenKept
+		case ended:
+			kept = endedKept
+		case lacking:
+			kept = lacksKept
+		}
+		if now-x.seenAt > kept {
+			e.remove(f)
+		}
+	}
+}
+
+// Report returns what balancers are told now.
+func (e *Engine) Report(now time.Duration) peer.Report {
+	e.number++
+	t := &e.target
+	r := peer.Report{
+		Process: e.cfg.Process, Number: e.number, Zone: e.cfg.Zone, Leaving: e.leaving,
+		Slots: t.slots, Running: uint32(e.load.running), Load: uint32(e.load.mean * 100), Flows: uint32(e.load.flows),
+	}
+	if t.known {
+		r.Service = uint64(t.service)
+		r.Born = t.born
+		r.Open = !t.draining && !t.silent && !e.leaving
+	}
+	if t.coldTill > now {
+		r.ColdMS = uint32((t.coldTill - now).Milliseconds())
+	}
+	return r
+}
--- /dev/null
+++ b/internal/pass/forward/forward.go
@@ -0,0 +1,331 @@
+// Package forward is a balancer's part of pass-through flows: which agent gets
+// a new flow, who holds an old one, what is held back meanwhile, and what is
+// reset. It has no network and no clock; packets, reports and time come in as
+// arguments, and an Output takes what is to be sent.
+//
+// The load it answers: the fabric hands a flow to another balancer whenever
+// balancers join, leave, restart or die, and that one has never seen it. Nothing
+// is replicated between balancers. The agents see every packet of their
+// targets and are asked; the packet waits for that round trip. Guessing instead
+// would break flows, since packets that reach other targets count as lost ones.
+//
+// A first packet that can't be placed is reset at once: nothing ran, and the
+// caller may try elsewhere. A packet of a flow that may be open anywhere is never
+// answered with a reset.
+package forward
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"bergamotstall/internal/pass/packet"
+	"bergamotstall/internal/pass/peer"
+	"bergamotstall/internal/pass/route"
+)
+
+const (
+	// reportStale is the age of a report after which its agent gets no new
+	// flows: several reports are overdue, and single datagrams get lost.
+	reportStale = 600 * time.Millisecond
+	// agentForgotten is the silence after which an agent is no longer asked.
+	// A frozen VM that wakes up within it still finds its flows.
+	agentForgotten = 12 * time.Second
+	// flowKept is how long a flow without a packet keeps its place in the
+	// table. Forgetting early costs a question to the agents, not the flow.
+	flowKept = 20 * time.Second
+	// maxFlows bounds the table. 20 million flows over 1,200 balancers are
+	// 17,000 each; the rest is for balancers that serve for others. Over it new
+	// entries aren't kept, and each packet costs a question.
+	maxFlows = 200_000
+	// maxTries bounds how many targets a first packet is offered to. Each offer
+	// to a target that is frozen takes the agent's patience, and a caller gives
+	// up after 1.4 s.
+	maxTries = 6
+	// fullPause keeps new flows from a target that just handed one back as full.
+	fullPause = 100 * time.Millisecond
+)
+
+// Output takes what the engine decides. Slices are valid during the call.
+type Output interface {
+	// Deliver sends a client's packet to an agent.
+	Deliver(to netip.AddrPort, service route.ServiceID, raw []byte)
+	// Ask sends a question to an agent; questions may be batched.
+	Ask(to netip.AddrPort, q peer.Question)
+	// Reset tells the client that the flow is over.
+	Reset(f packet.Flow, seq uint32)
+	// Note tells of a decision, for the log.
+	Note(d Decision)
+}
+
+// Verdict is the outcome of a decision on a flow.
+type Verdict uint8
+
+const (
+	// Placed: a first packet went to an agent.
+	Placed Verdict = iota + 1
+	// Moved: a first packet that one agent handed back went to another.
+	Moved
+	// RefusedNoRoute: a first packet to an address without a route was reset.
+	RefusedNoRoute
+	// RefusedNoTarget: a first packet that no target takes was reset.
+	RefusedNoTarget
+	// Found: an agent that holds the flow was found.
+	Found
+	// ResetRouteGone: a flow whose route was dropped was reset.
+	ResetRouteGone
+	// ResetNowhere: a flow that every agent lacks was reset.
+	ResetNowhere
+	// DroppedUnfound: a packet was dropped because not all agents answered.
+	DroppedUnfound
+	// DroppedNotReady: a packet came before the table.
+	DroppedNotReady
+	// DroppedBusy: a packet was dropped because too many wait.
+	DroppedBusy
+)
+
+var verdictNames = [...]string{"", "placed", "moved", "refused-no-route", "refused-no-target", "found",
+	"reset-route-gone", "reset-nowhere", "dropped-unfound", "dropped-not-ready", "dropped-busy"}
+
+func (v Verdict) String() string {
+	if int(v) < len(verdictNames) {
+		return verdictNames[v]
+	}
+	return "unknown"
+}
+
+// Decision is one decision with the inputs that decided it.
+type Decision struct {
+	Flow    packet.Flow
+	Verdict Verdict
+	// Version is the table's.
+	Version route.Version
+	// Agent is the agent chosen or found, if any.
+	Agent netip.AddrPort
+	// Reason is why the agent before handed the packet back, if one did.
+	Reason peer.Reason
+	// ReportAge is how old the chosen agent's report was.
+	ReportAge time.Duration
+	// Asked and Silent count the agents asked, and those without an answer.
+	Asked, Silent int
+}
+
+// Config sets an engine up.
+type Config struct {
+	// Zone is the balancer's data centre.
+	Zone  string
+	Rand  *rand.Rand
+	Codec packet.Codec
+	Out   Output
+}
+
+// holder is where a flow's packets go.
+type holder struct {
+	seenAt time.Duration
+	// tried has a bit for each agent, by its number modulo 64, that handed the
+	// first packet back.
+	tried uint64
+	agent uint32
+	tries uint8
+}
+
+// Engine is one balancer's state. It isn't safe for concurrent use; one
+// goroutine owns it.
+type Engine struct {
+	cfg      Config
+	table    *route.Table
+	agents   agents
+	flows    map[packet.Flow]holder
+	searches map[packet.Flow]*search
+	held     int
+	sweepAt  time.Duration
+}
+
+// New returns an engine that knows no table and no agents.
+func New(cfg Config) *Engine {
+	return &Engine{
+		cfg: cfg, flows: map[packet.Flow]holder{}, searches: map[packet.Flow]*search{},
+		agents: agents{byAddress: map[netip.AddrPort]uint32{}},
+	}
+}
+
+// SetTable puts a table in force.
+func (e *Engine) SetTable(t *route.Table) { e.table = t }
+
+// Flows returns how many flows have a known place.
+func (e *Engine) Flows() int { return len(e.flows) }
+
+// Searches returns how many flows are being searched.
+func (e *Engine) Searches() int { return len(e.searches) }
+
+// FromClient takes a packet from the fabric.
+func (e *Engine) FromClient(now time.Duration, p packet.Packet, raw []byte) {
+	f := p.FromClient()
+	if e.table == nil {
+		e.note(Decision{Flow: f, Verdict: DroppedNotReady})
+		return
+	}
+	if len(e.table.Services(f.Service)) == 0 {
+		e.noRoute(p, f)
+		return
+	}
+	at, known := e.flows[f]
+	switch {
+	case p.Opens():
+		e.open(now, p, f, at, known, raw)
+	case known:
+		at.seenAt = now
+		e.flows[f] = at
+		e.deliver(at.agent, raw)
+	default:
+		e.seek(now, p, f, raw, noAgent)
+	}
+}
+
+// noRoute answers packets to an address that the table doesn't have. Where the
+// route was dropped, its open flows end with it.
+func (e *Engine) noRoute(p packet.Packet, f packet.Flow) {
+	if p.Flags.Has(packet.RST) {
+		return
+	}
+	if p.Opens() {
+		e.cfg.Out.Reset(f, 0)
+		e.note(Decision{Flow: f, Verdict: RefusedNoRoute})
+		return
+	}
+	delete(e.flows, f)
+	e.dropSearch(f)
+	e.cfg.Out.Reset(f, p.Ack)
+	e.note(Decision{Flow: f, Verdict: ResetRouteGone})
+}
+
+// open takes a first packet or a copy of it. Copies follow the first one while
+// its agent is alive: two targets that both answer cost each other a flow's
+// worth of state.
+func (e *Engine) open(now time.Duration, p packet.Packet, f packet.Flow, at holder, known bool, raw []byte) {
+	if known && now-e.agents.list[at.agent].heardAt < reportStale {
+		at.seenAt = now
+		e.flows[f] = at
+		e.deliver(at.agent, raw)
+		return
+	}
+	if known {
+		at.tried |= bit(at.agent)
+		e.place(now, f, at, raw, peer.Silent)
+		return
+	}
+	e.place(now, f, holder{}, raw, 0)
+}
+
+// place offers a first packet to a target that hasn't handed it back.
+func (e *Engine) place(now time.Duration, f packet.Flow, at holder, raw []byte, why peer.Reason) {
+	service, _ := e.table.Pick(f)
+	agent, ok := e.choose(now, service, at.tried)
+	if !ok {
+		agent, ok = e.chooseOther(now, f, service, at.tried)
+	}
+	if !ok || at.tries >= maxTries {
+		delete(e.flows, f)
+		e.cfg.Out.Reset(f, 0)
+		e.note(Decision{Flow: f, Verdict: RefusedNoTarget, Reason: why, Asked: int(at.tries)})
+		return
+	}
+	verdict := Placed
+	if at.tries > 0 {
+		verdict = Moved
+	}
+	at.tries++
+	at.agent = agent
+	at.seenAt = now
+	if len(e.flows) < maxFlows {
+		e.flows[f] = at
+	}
+	a := &e.agents.list[agent]
+	a.sent++
+	e.deliver(agent, raw)
+	e.note(Decision{Flow: f, Verdict: verdict, Agent: a.address, Reason: why, ReportAge: now - a.heardAt})
+}
+
+// chooseOther looks at the other services of the route, where the picked one
+// has no target that takes flows.
+func (e *Engine) chooseOther(now time.Duration, f packet.Flow, not route.ServiceID, tried uint64) (uint32, bool) {
+	for _, c := range e.table.Services(f.Service) {
+		if c.Service == not {
+			continue
+		}
+		if agent, ok := e.choose(now, c.Service, tried); ok {
+			return agent, true
+		}
+	}
+	return 0, false
+}
+
+func (e *Engine) deliver(agent uint32, raw []byte) {
+	a := &e.agents.list[agent]
+	e.cfg.Out.Deliver(a.address, a.service(), raw)
+}
+
+// Refused takes a packet that an agent handed back.
+func (e *Engine) Refused(now time.Duration, from netip.AddrPort, why peer.Reason, p packet.Packet, raw []byte) {
+	f := p.FromClient()
+	agent := e.agents.number(from)
+	if e.table == nil || len(e.table.Services(f.Service)) == 0 {
+		return // the client's next packet meets the new table
+	}
+	at, known := e.flows[f]
+	if p.Opens() {
+		e.refusedFirst(now, f, at, known, agent, why, raw)
+		return
+	}
+	if known && at.agent != agent {
+		e.deliver(at.agent, raw) // found meanwhile
+		return
+	}
+	if s := e.searches[f]; s != nil {
+		e.lacks(now, f, s, agent)
+		return
+	}
+	delete(e.flows, f)
+	e.seek(now, p, f, raw, agent)
+}
+
+func (e *Engine) refusedFirst(now time.Duration, f packet.Flow, at holder, known bool, agent uint32, why peer.Reason, raw []byte) {
+	if known && at.agent != agent {
+		return // a copy has gone to another agent already
+	}
+	switch why {
+	case peer.Full:
+		e.agents.list[agent].avoidUntil = now + fullPause
+	case peer.Silent, peer.Draining, peer.NoTarget, peer.WrongService:
+		e.agents.list[agent].report.Open = false // until its next report
+	}
+	at.tried |= bit(agent)
+	if at.tries == 0 {
+		at.tries = 1
+	}
+	e.place(now, f, at, raw, why)
+}
+
+// Tick lets time pass: unanswered questions are asked again or given up, and
+// flows that are long over forgotten.
+func (e *Engine) Tick(now time.Duration) {
+	e.tickSearches(now)
+	if now < e.sweepAt {
+		return
+	}
+	e.sweepAt = now + time.Second
+	for f, at := range e.flows {
+		if now-at.seenAt > flowKept {
+			delete(e.flows, f)
+		}
+	}
+}
+
+func (e *Engine) note(d Decision) {
+	if e.table != nil {
+		d.Version = e.table.Version
+	}
+	e.cfg.Out.Note(d)
+}
+
+func bit(agent uint32) uint64 { return 1 << (agent % 64) }
--- /dev/null
+++ b/internal/pass/forward/search.go
@@ -0,0 +1,234 @@
+package forward
+
+import (
+	"net/netip"
+	"time"
+
+	"bergamotstall/internal/pass/packet"
+	"bergamotstall/internal/pass/peer"
+)
+
+const (
+	// askAgain is when agents that haven't answered are asked once more: several
+	// round trips between data centres of one region, in case a datagram was
+	// lost.
+	askAgain = 60 * time.Millisecond
+	// askPatience is when a search ends without the answers that lack. The
+	// caller sends its packet again after 200 ms, and a new search begins.
+	askPatience = 160 * time.Millisecond
+	// probePatience is how long a packet that was sent to an agent that isn't
+	// sure may take to come back. A target hands it back within a millisecond.
+	probePatience = 40 * time.Millisecond
+	// maxSearches bounds the flows searched at once. Past it the packet is
+	// dropped, and the caller sends it again.
+	maxSearches = 8_192
+	// maxHeld bounds all packets that wait, 1.3 kB each; maxHeldPerFlow those
+	// of one flow, whose window is 16 packets.
+	maxHeld        = 8_192
+	maxHeldPerFlow = 16
+)
+
+// search is a flow whose holder is being asked for.
+type search struct {
+	begunAt time.Duration
+	again   bool
+	// ack is of the newest packet, for a reset that the client takes.
+	ack  uint32
+	held [][]byte
+	// waiting are the agents that haven't answered, unsure those that may hold
+	// the flow without knowing.
+	waiting []uint32
+	unsure  []uint32
+	asked   int
+	silent  int
+	// wide is set once agents of services outside of the route are asked too.
+	wide bool
+	// probe is the agent that has been sent a packet to see; noAgent if none.
+	probe   uint32
+	probeAt time.Duration
+	// mute says that a client ended the flow: nobody is to be answered.
+	mute bool
+}
+
+// seek begins or joins the search for a flow's holder. lacks is an agent known
+// not to hold it.
+func (e *Engine) seek(now time.Duration, p packet.Packet, f packet.Flow, raw []byte, lacks uint32) {
+	s := e.searches[f]
+	if s == nil {
+		if len(e.searches) >= maxSearches {
+			e.note(Decision{Flow: f, Verdict: DroppedBusy})
+			return
+		}
+		s = &search{begunAt: now, probe: noAgent, mute: p.Flags.Has(packet.RST)}
+		e.searches[f] = s
+		s.ack = p.Ack
+		e.hold(f, s, raw)
+		e.askAll(now, f, s, lacks)
+		return
+	}
+	s.ack = p.Ack
+	e.hold(f, s, raw)
+}
+
+func (e *Engine) hold(f packet.Flow, s *search, raw []byte) {
+	if len(s.held) >= maxHeldPerFlow || e.held >= maxHeld {
+		e.note(Decision{Flow: f, Verdict: DroppedBusy})
+		return
+	}
+	s.held = append(s.held, append([]byte(nil), raw...))
+	e.held++
+}
+
+// askAll asks the agents of the route's services, or in the wide round all
+// others: a flow stays where it is when its route goes over to another service.
+func (e *Engine) askAll(now time.Duration, f packet.Flow, s *search, lacks uint32) {
+	for i := range e.agents.list {
+		a := &e.agents.list[i]
+		if uint32(i) == lacks || !a.asked(now) || e.onRoute(f, a) == s.wide {
+			continue
+		}
+		s.waiting = append(s.waiting, uint32(i))
+		s.asked++
+		e.cfg.Out.Ask(a.address, peer.QuestionOf(f, s.ack))
+	}
+	if len(s.waiting) == 0 {
+		e.advance(now, f, s)
+	}
+}
+
+func (e *Engine) onRoute(f packet.Flow, a *agent) bool {
+	for _, c := range e.table.Services(f.Service) {
+		if c.Service == a.service() {
+			return true
+		}
+	}
+	return false
+}
+
+// Answered takes an agent's word on a flow.
+func (e *Engine) Answered(now time.Duration, from netip.AddrPort, r peer.Ruling) {
+	f := r.Question.FlowOf()
+	s := e.searches[f]
+	if s == nil {
+		return
+	}
+	agent := e.agents.number(from)
+	switch r.Verdict {
+	case peer.Holds:
+		e.found(now, f, s, agent)
+	case peer.Unsure:
+		if remove(&s.waiting, agent) {
+			s.unsure = append(s.unsure, agent)
+		}
+		e.advance(now, f, s)
+	case peer.Lacks:
+		e.lacks(now, f, s, agent)
+	}
+}
+
+// lacks takes word that an agent's target doesn't hold the flow.
+func (e *Engine) lacks(now time.Duration, f packet.Flow, s *search, agent uint32) {
+	remove(&s.waiting, agent)
+	if s.probe == agent {
+		s.probe = noAgent
+	}
+	e.advance(now, f, s)
+}
+
+// found ends a search and sends what waited.
+func (e *Engine) found(now time.Duration, f packet.Flow, s *search, agent uint32) {
+	if len(e.flows) < maxFlows {
+		e.flows[f] = holder{agent: agent, seenAt: now}
+	}
+	for _, raw := range s.held {
+		e.deliver(agent, raw)
+	}
+	a := &e.agents.list[agent]
+	e.note(Decision{Flow: f, Verdict: Found, Agent: a.address, ReportAge: now - a.heardAt, Asked: s.asked, Silent: s.silent + len(s.waiting)})
+	e.dropSearch(f)
+}
+
+// advance takes the next step of a search once all answers of a round are in.
+func (e *Engine) advance(now time.Duration, f packet.Flow, s *search) {
+	if len(s.waiting) > 0 || s.probe != noAgent {
+		return
+	}
+	if len(s.unsure) > 0 && len(s.held) > 0 {
+		s.probe = s.unsure[0]
+		s.unsure = s.unsure[1:]
+		s.probeAt = now
+		e.deliver(s.probe, s.held[0])
+		return
+	}
+	if !s.wide {
+		s.wide = true
+		s.begunAt = now
+		s.again = false
+		e.askAll(now, f, s, noAgent)
+		return
+	}
+	e.giveUp(now, f, s)
+}
+
+// giveUp ends a search without a holder. If every agent said that it lacks the
+// flow, its target is gone, and a reset spares the caller its whole deadline.
+// If any was silent, the flow may be open there.
+func (e *Engine) giveUp(now time.Duration, f packet.Flow, s *search) {
+	silent := s.silent + e.unheard(now)
+	verdict := DroppedUnfound
+	if silent == 0 && s.asked > 0 && !s.mute {
+		verdict = ResetNowhere
+		e.cfg.Out.Reset(f, s.ack)
+	}
+	e.note(Decision{Flow: f, Verdict: verdict, Asked: s.asked, Silent: silent})
+	e.dropSearch(f)
+}
+
+// unheard counts the agents that may hold flows and have been silent lately.
+func (e *Engine) unheard(now time.Duration) int {
+	n := 0
+	for i := range e.agents.list {
+		if a := &e.agents.list[i]; a.asked(now) && now-a.heardAt > reportStale {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *Engine) dropSearch(f packet.Flow) {
+	if s := e.searches[f]; s != nil {
+		e.held -= len(s.held)
+		delete(e.searches, f)
+	}
+}
+
+func (e *Engine) tickSearches(now time.Duration) {
+	for f, s := range e.searches {
+		switch {
+		case s.probe != noAgent:
+			if now-s.probeAt > probePatience {
+				e.found(now, f, s, s.probe) // it wasn't handed back
+			}
+		case now-s.begunAt > askPatience:
+			s.silent += len(s.waiting)
+			s.waiting = nil
+			e.advance(now, f, s)
+		case now-s.begunAt > askAgain && !s.again:
+			s.again = true
+			for _, agent := range s.waiting {
+				e.cfg.Out.Ask(e.agents.list[agent].address, peer.QuestionOf(f, s.ack))
+			}
+		}
+	}
+}
+
+// remove takes an agent out of a list; false if it isn't there.
+func remove(list *[]uint32, agent uint32) bool {
+	for i, x := range *list {
+		if x == agent {
+			*list = append((*list)[:i], (*list)[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/pass/packet/packet.go
@@ -0,0 +1,81 @@
+// Package packet holds what the product knows of a packet that it carries and
+// can't change: its ends, its flags and its sequence numbers. The layout on the
+// wire is the platform's; a Codec reads and marks it.
+package packet
+
+import (
+	"fmt"
+	"net/netip"
+)
+
+// Endpoint is one end of a flow: an IPv4 address and a port. It is a plain
+// value of six bytes, so that a table of flows holds no pointers.
+type Endpoint struct {
+	IP   [4]byte
+	Port uint16
+}
+
+// String returns "ip:port".
+func (e Endpoint) String() string {
+	return netip.AddrPortFrom(netip.AddrFrom4(e.IP), e.Port).String()
+}
+
+// Flow names one connection between a client and a service address.
+type Flow struct {
+	Client  Endpoint
+	Service Endpoint
+}
+
+// String returns both ends, for log lines.
+func (f Flow) String() string { return fmt.Sprintf("%s>%s", f.Client, f.Service) }
+
+// Flags are the marks of a packet that decisions depend on.
+type Flags uint8
+
+// The flags.
+const (
+	SYN Flags = 1 << iota
+	ACK
+	FIN
+	RST
+	// Bounced marks a packet that a target handed back because it doesn't hold
+	// the flow, or can't take a new one.
+	Bounced
+)
+
+// Has tells whether all of the given flags are set.
+func (f Flags) Has(x Flags) bool { return f&x == x }
+
+// Packet is a decoded packet head.
+type Packet struct {
+	Src, Dst Endpoint
+	Flags    Flags
+	// Seq numbers the sender's bytes, Ack the bytes that it has from the other
+	// end. In a client's SYN, Ack counts the copies sent before.
+	Seq, Ack uint32
+	// Data is how many bytes of data the packet carries.
+	Data int
+	// Tag is a mark of the system's own that a target leaves in place when it
+	// hands a packet back.
+	Tag uint16
+}
+
+// Opens tells whether this is the first packet of a flow, or a copy of it.
+func (p Packet) Opens() bool { return p.Flags&(SYN|ACK) == SYN }
+
+// FromClient returns the flow of a packet that a client sent.
+func (p Packet) FromClient() Flow { return Flow{Client: p.Src, Service: p.Dst} }
+
+// FromTarget returns the flow of a packet that a target sent.
+func (p Packet) FromTarget() Flow { return Flow{Client: p.Dst, Service: p.Src} }
+
+// Codec reads and marks the platform's packets. Its methods allocate nothing.
+type Codec interface {
+	// Decode reads the head; it fails on bytes that are no whole packet.
+	Decode(raw []byte) (Packet, error)
+	// Mark sets the tag and clears Bounced, so that another target takes the
+	// packet as its sender wrote it.
+	Mark(raw []byte, tag uint16)
+	// AppendReset appends a reset from the flow's service address to its client.
+	AppendReset(to []byte, f Flow, seq uint32) []byte
+}
--- /dev/null
+++ b/internal/pass/roster/client.go
@@ -0,0 +1,324 @@
+package roster
+
+import (
+	"context"
+	"hash/maphash"
+	mathrand "math/rand/v2"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"bergamotstall/internal/events"
+	"bergamotstall/internal/metrics"
+	"bergamotstall/internal/pass/route"
+	"bergamotstall/internal/wire"
+)
+
+const (
+	dialTimeout = time.Second
+	// dialPause is the mean wait before the next try; control VMs restart
+	// within a second.
+	dialPause = 150 * time.Millisecond
+	// aheadPatience is how long a version that only an unwanted stream tells of
+	// may be missing before the table is asked for there.
+	aheadPatience = 300 * time.Millisecond
+	// contactBound is the contact age from which on a VM's stream isn't the one
+	// that tables are taken from.
+	contactBound = 1500 * time.Millisecond
+	// listKept is how long the list of a control VM that can't be reached still
+	// counts.
+	listKept = 10 * time.Second
+)
+
+// ClientConfig sets a node's streams up.
+type ClientConfig struct {
+	Node Node
+	// Seeds returns the IP numbers of control VMs that settings tell of now.
+	Seeds func() []string
+	// Port is where control VMs take streams, the same at all of them.
+	Port uint16
+	// Table is called with each newer table; Nodes with the union of the VMs'
+	// lists. Both are called from streams' goroutines, one at a time.
+	Table   func(t *route.Table)
+	Nodes   func(nodes []Node)
+	Log     logrus.FieldLogger
+	Metrics *metrics.Set
+}
+
+// Client keeps a node's streams.
+type Client struct {
+	cfg ClientConfig
+
+	mu      sync.Mutex
+	streams map[string]*clientStream
+	known   []string
+	version route.Version
+	wanted  string
+}
+
+// clientStream is what the node knows of one control VM.
+type clientStream struct {
+	ip string
+	// heardAt is the last update's time, contactAge what it said.
+	heardAt    time.Time
+	contactAge time.Duration
+	version    route.Version
+	// aheadAt is since when the VM has a newer version than the node.
+	aheadAt time.Time
+	nodes   []Node
+	digest  uint64
+}
+
+// NewClient returns a client; Run keeps its streams.
+func NewClient(cfg ClientConfig) *Client {
+	return &Client{cfg: cfg, streams: map[string]*clientStream{}}
+}
+
+// Version returns that of the table held, 0 for none.
+func (c *Client) Version() route.Version {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.version
+}
+
+// Heard counts the control VMs heard within the last seconds.
+func (c *Client) Heard() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, s := range c.streams {
+		if time.Since(s.heardAt) < beatPatience {
+			n++
+		}
+	}
+	return n
+}
+
+// Run keeps a stream to every control VM known until ctx is done.
+func (c *Client) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	started := map[string]context.CancelFunc{}
+	ticker := time.NewTicker(BeatInterval / 4)
+	defer ticker.Stop()
+	for {
+		wanted := c.addresses()
+		for _, ip := range wanted {
+			if started[ip] != nil {
+				continue
+			}
+			one, cancel := context.WithCancel(ctx)
+			started[ip] = cancel
+			running.Add(1)
+			go func() {
+				defer running.Done()
+				c.keep(one, ip)
+			}()
+		}
+		for ip, cancel := range started {
+			if !slices.Contains(wanted, ip) {
+				cancel()
+				delete(started, ip)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// addresses are the seeds and the control VMs that streams told of.
+func (c *Client) addresses() []string {
+	seeds := c.cfg.Seeds()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := slices.Clone(c.known)
+	for _, ip := range seeds {
+		if !slices.Contains(out, ip) {
+			out = append(out, ip)
+		}
+	}
+	return out
+}
+
+// keep makes one stream anew whenever it ends.
+func (c *Client) keep(ctx context.Context, ip string) {
+	s := &clientStream{ip: ip}
+	told := false
+	for ctx.Err() == nil {
+		err := c.follow(ctx, s)
+		if !s.heardAt.IsZero() && !told {
+			told = true
+			events.Log(c.cfg.Log, events.ControlLeft, logrus.Fields{"control": ip, "error": errorText(err)})
+		}
+		if time.Since(s.heardAt) < dialTimeout {
+			told = false
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(dialPause/2 + mathrand.N(dialPause)):
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.streams, ip)
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// follow runs one stream until it fails.
+func (c *Client) follow(ctx context.Context, s *clientStream) error {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", net.JoinHostPort(s.ip, strconv.Itoa(int(c.cfg.Port))))
+	if err != nil {
+		return errors.Wrap(err, "roster: dial")
+	}
+	defer raw.Close()
+	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
+	defer stop()
+	conn := wire.NewConn(raw, frameLimit, writeTimeout)
+	c.mu.Lock()
+	s.digest = 0
+	c.mu.Unlock()
+	hello := Hello{Node: c.cfg.Node, Beat: c.beat(s)}
+	if _, err := conn.Write(kindHello, &hello); err != nil {
+		return err
+	}
+	first := true
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go c.beatOn(ctx, conn, s)
+	for {
+		var u Update
+		if err := readInto(conn, kindUpdate, &u); err != nil {
+			return err
+		}
+		if first {
+			first = false
+			events.Log(c.cfg.Log, events.ControlAttached, logrus.Fields{"control": s.ip, "version": u.Version, "contact_age_ms": u.ContactAgeMS})
+		}
+		c.take(s, u)
+	}
+}
+
+// beatOn sends beats until ctx is done or the stream fails.
+func (c *Client) beatOn(ctx context.Context, conn *wire.Conn, s *clientStream) {
+	ticker := time.NewTicker(BeatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		b := c.beat(s)
+		if _, err := conn.Write(kindBeat, &b); err != nil {
+			_ = conn.Close() // the reader ends the stream
+			return
+		}
+	}
+}
+
+// beat says where the node stands, and whether it takes tables from this VM.
+func (c *Client) beat(s *clientStream) Beat {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := Beat{Version: uint64(c.version), Nodes: s.digest}
+	c.chooseWanted()
+	ahead := s.version > c.version && time.Since(s.aheadAt) > aheadPatience
+	b.Want = c.version == 0 || c.wanted == s.ip || ahead
+	return b
+}
+
+// chooseWanted keeps taking tables from one VM while it is in touch, so that
+// they travel once; the lock is held. Nodes start at different ones by a hash.
+func (c *Client) chooseWanted() {
+	if s := c.streams[c.wanted]; s != nil && s.current() {
+		return
+	}
+	best := uint64(0)
+	for ip, s := range c.streams {
+		if !s.current() {
+			continue
+		}
+		if h := maphash.String(wantSeed, ip); h >= best {
+			best = h
+			c.wanted = ip
+		}
+	}
+}
+
+var wantSeed = maphash.MakeSeed()
+
+func (s *clientStream) current() bool {
+	return time.Since(s.heardAt) < beatPatience && s.contactAge < contactBound
+}
+
+// take puts an update in force.
+func (c *Client) take(s *clientStream, u Update) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.streams[s.ip] = s
+	s.heardAt = time.Now()
+	s.contactAge = time.Duration(u.ContactAgeMS) * time.Millisecond
+	if len(u.Controls) > 0 {
+		c.known = u.Controls
+	}
+	if version := route.Version(u.Version); version > s.version {
+		s.version = version
+		s.aheadAt = s.heardAt
+	}
+	if u.Lean != nil {
+		c.takeTable(u)
+	}
+	if u.Nodes != nil || u.Digest != s.digest {
+		s.nodes = u.Nodes
+		s.digest = u.Digest
+		c.cfg.Nodes(c.union())
+	}
+}
+
+// takeTable puts a table in force if it is newer; the lock is held.
+func (c *Client) takeTable(u Update) {
+	if route.Version(u.Version) <= c.version {
+		return
+	}
+	d := new(route.Definition)
+	if _, err := d.UnmarshalMsg(u.Lean); err != nil {
+		c.cfg.Log.WithError(err).Error("roster: table can't be read")
+		return
+	}
+	c.version = d.Version
+	c.cfg.Table(route.NewTable(d))
+	events.Log(c.cfg.Log, events.PassTableInForce, logrus.Fields{"version": u.Version, "routes": len(d.Routes)})
+}
+
+// union merges the lists of all VMs that were heard lately; the lock is held.
+func (c *Client) union() []Node {
+	byAddress := map[string]Node{}
+	for _, s := range c.streams {
+		if time.Since(s.heardAt) > listKept {
+			continue
+		}
+		for _, n := range s.nodes {
+			byAddress[n.Address] = n
+		}
+	}
+	out := make([]Node, 0, len(byAddress))
+	for _, n := range byAddress {
+		out = append(out, n)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/pass/roster/server.go
@@ -0,0 +1,365 @@
+// Package roster is the stream between the nodes that carry pass-through flows
+// and the control VMs: which definition is in force, which nodes there are, and
+// which control VMs.
+//
+// Every node keeps a stream to every control VM. A VM that is cut off, frozen or
+// behind then costs nothing: nodes take the highest version that any of them
+// has, and the list of nodes is the union of what they say. The table itself is
+// sent on one stream only.
+package roster
+
+import (
+	"context"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"bergamotstall/internal/events"
+	"bergamotstall/internal/metrics"
+	"bergamotstall/internal/pass/route"
+	"bergamotstall/internal/wire"
+)
+
+const (
+	// BeatInterval is the time between a node's beats. A node that fell silent
+	// is noticed after beatPatience.
+	BeatInterval = 400 * time.Millisecond
+	// beatPatience ends a stream over which nothing came; a stream that went
+	// silent without a reset is otherwise kept for the kernel's retransmission
+	// time, a quarter of an hour.
+	beatPatience = 2 * time.Second
+	writeTimeout = time.Second
+	// pushPause is the least time between two updates sent unasked, so that a
+	// storm of versions costs ten tables a second and not one for each.
+	pushPause = 100 * time.Millisecond
+	// frameLimit bounds an update; 2,100 routes take 200 kB.
+	frameLimit = 8 << 20
+	// lingering is how long a node whose stream ended stays listed. Streams end
+	// with each restart of a control VM, and nodes with each of their own.
+	lingering = 3 * time.Second
+	// maxStreams bounds the nodes of one control VM.
+	maxStreams = 3_000
+	// confirmPatience bounds one question whether the VM is current.
+	confirmPatience = time.Second
+)
+
+// Source is what a server tells nodes of.
+type Source interface {
+	// Barrier returns nil once the store is as new as every accepted version.
+	Barrier(ctx context.Context) error
+	// ContactAge is how long ago this VM was in touch with a quorum.
+	ContactAge() time.Duration
+	// Controls returns the IP numbers of all control VMs.
+	Controls() []string
+}
+
+// ServerConfig sets a server up.
+type ServerConfig struct {
+	Store   *route.Store
+	Source  Source
+	Log     logrus.FieldLogger
+	Metrics *metrics.Set
+}
+
+// Server serves nodes' streams.
+type Server struct {
+	cfg ServerConfig
+
+	mu      sync.Mutex
+	nodes   map[string]*listed
+	list    []Node
+	digest  uint64
+	changed chan struct{}
+	streams int
+}
+
+// listed is a node with its streams' state.
+type listed struct {
+	node    Node
+	streams int
+	// goneAt is when its last stream ended.
+	goneAt time.Time
+}
+
+// NewServer returns a server without nodes.
+func NewServer(cfg ServerConfig) *Server {
+	s := &Server{cfg: cfg, nodes: map[string]*listed{}, changed: make(chan struct{})}
+	cfg.Metrics.Gauge("nodes_listed", func() int64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return int64(len(s.list))
+	})
+	return s
+}
+
+// Serve takes streams until ctx is done.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	go s.forgetGone(ctx)
+	var streams sync.WaitGroup
+	defer streams.Wait()
+	for {
+		raw, err := ln.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return errors.Wrap(err, "roster: accept")
+			}
+			s.cfg.Log.WithError(err).Warn("roster: accept")
+			time.Sleep(pushPause) // out of file descriptors, most likely
+			continue
+		}
+		streams.Add(1)
+		go func() {
+			defer streams.Done()
+			s.stream(ctx, raw)
+		}()
+	}
+}
+
+// stream serves one node until it falls silent or leaves.
+func (s *Server) stream(ctx context.Context, raw net.Conn) {
+	defer raw.Close()
+	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
+	defer stop()
+	conn := wire.NewConn(raw, frameLimit, writeTimeout)
+	hello, err := readHello(conn)
+	if err != nil {
+		s.cfg.Log.WithError(err).WithField("address", raw.RemoteAddr().String()).Debug("roster: no hello")
+		return
+	}
+	if !s.enter(hello.Node) {
+		s.cfg.Metrics.Counter("streams_refused").Add(1)
+		return
+	}
+	defer s.leave(hello.Node)
+	p := &pusher{server: s, conn: conn, beats: make(chan Beat, 1), beat: hello.Beat}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go p.run(ctx, raw)
+	for {
+		beat, err := readBeat(conn)
+		if err != nil {
+			return
+		}
+		select {
+		case p.beats <- beat:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func readHello(conn *wire.Conn) (Hello, error) {
+	var h Hello
+	err := readInto(conn, kindHello, &h)
+	return h, err
+}
+
+func readBeat(conn *wire.Conn) (Beat, error) {
+	var b Beat
+	err := readInto(conn, kindBeat, &b)
+	return b, err
+}
+
+// readInto waits for one frame of the given kind.
+func readInto(conn *wire.Conn, kind wire.Kind, into interface {
+	UnmarshalMsg([]byte) ([]byte, error)
+}) error {
+	if err := conn.Raw().SetReadDeadline(time.Now().Add(beatPatience)); err != nil {
+		return errors.Wrap(err, "roster: read deadline")
+	}
+	f, err := conn.Read()
+	if err != nil {
+		return err
+	}
+	if f.Kind != kind {
+		return errors.Errorf("roster: frame kind %d", f.Kind)
+	}
+	return f.Decode(into)
+}
+
+func (s *Server) enter(n Node) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.streams >= maxStreams {
+		return false
+	}
+	s.streams++
+	l := s.nodes[n.Address]
+	if l == nil {
+		l = &listed{}
+		s.nodes[n.Address] = l
+	}
+	l.streams++
+	if l.node != n {
+		l.node = n
+		s.relist()
+		events.Log(s.cfg.Log, events.NodeListed, logrus.Fields{"node": n.Address, "role": n.Role.String(), "zone": n.Zone})
+	}
+	return true
+}
+
+func (s *Server) leave(n Node) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams--
+	if l := s.nodes[n.Address]; l != nil {
+		l.streams--
+		l.goneAt = time.Now()
+	}
+}
+
+// forgetGone takes nodes off the list whose streams ended a while ago.
+func (s *Server) forgetGone(ctx context.Context) {
+	ticker := time.NewTicker(BeatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.dropGone()
+		}
+	}
+}
+
+func (s *Server) dropGone() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	dropped := false
+	for address, l := range s.nodes {
+		if l.streams == 0 && time.Since(l.goneAt) > lingering {
+			delete(s.nodes, address)
+			dropped = true
+			events.Log(s.cfg.Log, events.NodeDelisted, logrus.Fields{"node": address, "role": l.node.Role.String(), "silent": time.Since(l.goneAt).String()})
+		}
+	}
+	if dropped {
+		s.relist()
+	}
+}
+
+// relist makes the list anew and wakes the streams; the lock is held.
+func (s *Server) relist() {
+	s.list = s.list[:0:0]
+	for _, l := range s.nodes {
+		s.list = append(s.list, l.node)
+	}
+	slices.SortFunc(s.list, func(a, b Node) int { return strings.Compare(a.Address, b.Address) })
+	s.digest = digestOf(s.list)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func digestOf(nodes []Node) uint64 {
+	d := xxhash.New()
+	for i := range nodes {
+		b, err := nodes[i].MarshalMsg(nil)
+		if err != nil {
+			continue // plain values always encode
+		}
+		_, _ = d.Write(b) // never fails
+	}
+	return d.Sum64()
+}
+
+func (s *Server) view() (list []Node, digest uint64, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list, s.digest, s.changed
+}
+
+// pusher sends one node its updates.
+type pusher struct {
+	server *Server
+	conn   *wire.Conn
+	beats  chan Beat
+	// beat is the node's last, with what was sent since.
+	beat      Beat
+	confirmed bool
+}
+
+func (p *pusher) run(ctx context.Context, raw net.Conn) {
+	defer raw.Close()
+	confirmed := make(chan struct{})
+	go p.server.confirm(ctx, confirmed)
+	for {
+		_, _, nodesChanged := p.server.view()
+		tableChanged := p.server.cfg.Store.Changed()
+		if err := p.push(); err != nil {
+			return
+		}
+		// A storm's versions are gathered; a beat is answered at once.
+		select {
+		case <-time.After(pushPause):
+		case b := <-p.beats:
+			p.beat = b
+			continue
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case b := <-p.beats:
+			p.beat = b
+		case <-confirmed:
+			p.confirmed = true
+			confirmed = nil
+		case <-nodesChanged:
+		case <-tableChanged:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// confirm closes done once the VM has been in touch with a quorum. A node that
+// starts must not serve by an older definition than one that was in force
+// before, and a VM that is cut off doesn't know whether it has one.
+func (s *Server) confirm(ctx context.Context, done chan<- struct{}) {
+	for ctx.Err() == nil {
+		once, cancel := context.WithTimeout(ctx, confirmPatience)
+		err := s.cfg.Source.Barrier(once)
+		cancel()
+		if err == nil {
+			close(done)
+			return
+		}
+		time.Sleep(pushPause)
+	}
+}
+
+// push sends what the node lacks.
+func (p *pusher) push() error {
+	list, digest, _ := p.server.view()
+	u := Update{
+		Confirmed: p.confirmed, Digest: digest, Controls: p.server.cfg.Source.Controls(),
+		ContactAgeMS: p.server.cfg.Source.ContactAge().Milliseconds(),
+	}
+	if digest != p.beat.Nodes {
+		u.Nodes = list
+	}
+	if state := p.server.cfg.Store.Current(); state != nil && p.confirmed {
+		u.Version = uint64(state.Definition.Version)
+		if p.beat.Want && u.Version > p.beat.Version {
+			u.Lean = state.Lean
+		}
+	}
+	if _, err := p.conn.Write(kindUpdate, &u); err != nil {
+		return err
+	}
+	p.beat.Nodes = digest
+	if u.Lean != nil {
+		p.beat.Version = u.Version
+	}
+	return nil
+}
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -38,6 +38,7 @@
 			r.expireReads()
 			r.dropForwards()
 			r.join()
+			r.upkeep()
 		case <-r.stopping:
 			r.handOver(ticker.C)
 			return
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -65,7 +65,8 @@
 
 // join asks the peers to be taken in, while this replica is in no membership.
 func (r *Replica) join() {
-	if r.now() < r.joinAt || len(r.cfg.Peers) == 0 || r.core.Err() != nil {
+	peers := *r.peers.Load()
+	if r.now() < r.joinAt || len(peers) == 0 || r.core.Err() != nil {
 		return
 	}
 	if _, ok := r.core.Members().Find(r.ID()); ok {
@@ -73,7 +74,7 @@
 	}
 	r.joinAt = r.now() + joinInterval*r.cfg.Heartbeat
 	wish := join{Member: quorum.Member{ID: r.ID(), Name: r.cfg.Name, Address: r.cfg.Advertise}}
-	for _, address := range r.cfg.Peers {
+	for _, address := range peers {
 		if address != r.cfg.Advertise {
 			r.links.sendTo(address, kindJoin, &wish)
 		}
@@ -82,7 +83,8 @@
 
 // takeJoin handles a fresh replica's wish. A new name is taken in at once. A
 // member's name is not: whoever starts a second process under the name of a
-// healthy VM must not push that one out, so an operator decides.
+// healthy VM must not push that one out, so an operator decides, or Upkeep once
+// the member has fallen silent.
 func (r *Replica) takeJoin(j join) {
 	if !r.core.Leads() {
 		if leader := r.core.Leader(); leader != 0 {
@@ -96,12 +98,12 @@
 		return
 	}
 	if old, ok := members.Named(j.Member.Name); ok {
-		r.noteWaiting(j.Member, old)
+		if !r.admitFresh(j.Member, old) {
+			r.noteWaiting(j.Member, old)
+		}
 		return
 	}
-	if _, err := r.core.AddLearner(j.Member); err != nil {
-		r.count.joinsRefused.Add(1) // it asks again
-	}
+	r.admitNew(j.Member)
 }
 
 func (r *Replica) noteWaiting(m, old quorum.Member) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -68,6 +68,8 @@
 	// Without it a new folder waits to be taken in as a learner.
 	Bootstrap bool
 	TLS       TLS
+	// Upkeep lets the leader replace and remove members by itself.
+	Upkeep Upkeep
 	// Heartbeat is the leader's interval; 100 ms if 0.
 	Heartbeat time.Duration
 	// ElectionTimeout is the shortest silence before an election; ten
@@ -155,6 +157,7 @@
 	ended chan struct{}
 
 	status    atomic.Pointer[Status]
+	peers     atomic.Pointer[[]string]
 	contactAt atomic.Int64
 	failure   atomic.Pointer[error]
 	changedMu sync.Mutex
@@ -174,6 +177,7 @@
 	members    quorum.Index
 	leading    bool
 	joinAt     time.Duration
+	upkeepAt   time.Duration
 }
 
 // Open opens the data folder and starts to take part. The state machine must be
@@ -222,6 +226,7 @@
 		waiting:  map[string]waitingReplica{},
 	}
 	r.cluster.Store(j.Identity().Cluster)
+	r.SetPeers(cfg.Peers)
 	r.links = newLinks(r)
 	if err := r.restore(&stored); err != nil {
 		_ = j.Close()
