Upkeep: a new control VM takes a silent voter's place

Change: a fresh replica with a new name takes the place of a voter silent for a second; a silent voter is evicted after 3.5 s where more than three vote.

--- a/internal/pass/control/control.go
+++ b/internal/pass/control/control.go
@@ -44,9 +44,10 @@
 	// replaceAfter is the silence after which a control VM that comes back with
 	// an empty disk takes its old place. Ten heartbeats; see replica.Upkeep.
 	replaceAfter = time.Second
-	// evictAfter is the silence after which a VM that nobody replaces stops
-	// counting; it outlasts the cuts and stops of an ordinary day.
-	evictAfter = 15 * time.Second
+	// evictAfter is the silence after which a VM stops counting where more than
+	// three others vote: a VM whose successor came first and that then went for
+	// good. The platform lets the next loss come four seconds after.
+	evictAfter = 3500 * time.Millisecond
 )
 
 // Errors for operators.
--- a/internal/replica/upkeep.go
+++ b/internal/replica/upkeep.go
@@ -14,8 +14,7 @@
 // watches it. The zero value leaves every replacement to an operator.
 type Upkeep struct {
 	// ReplaceAfter is the silence after which a member's place goes to a fresh
-	// replica that has its name, or that finds no room. The same name at the
-	// same address can't run twice, so this only has to outlast lost frames.
+	// replica. It has to outlast lost frames and short pauses.
 	ReplaceAfter time.Duration
 	// EvictAfter is the silence after which a voter is removed though nobody
 	// takes its place. A VM that is gone for good otherwise counts for the quorum
@@ -89,11 +88,12 @@
 	return true
 }
 
-// admitNew takes in a replica with a new name. Where there is no room, a silent
-// member's place is given to it.
+// admitNew takes in a replica with a new name. It takes the place of a voter
+// that is silent: a VM that is gone for good would otherwise count on beside its
+// successor, and of four voters with one gone, the loss of one more stops all
+// commands. A voter that was only cut off comes back as a fresh replica.
 func (r *Replica) admitNew(m quorum.Member) {
-	u := r.cfg.Upkeep
-	if len(r.core.Members().Members) >= quorum.MaxVoters && u.ReplaceAfter > 0 {
+	if u := r.cfg.Upkeep; u.ReplaceAfter > 0 {
 		if lost, ok := longestSilent(r.core.Status().Members, u.ReplaceAfter); ok {
 			m.Replaces = lost.ID
 		}
