--- a/internal/pass/balancer/balancer.go
+++ b/internal/pass/balancer/balancer.go
@@ -28,9 +28,9 @@
 const (
 	// tickInterval is how often unanswered questions are looked at.
 	tickInterval = 20 * time.Millisecond
-	// readyAfter is how long a balancer waits after its first table and list of
-	// nodes, so that every agent has reported: reports come ten times a second.
-	readyAfter = 250 * time.Millisecond
+	// readyAfter is how long a balancer waits after its first table, so that the
+	// agents have heard of it and reported: ten times a second each.
+	readyAfter = 200 * time.Millisecond
 	// Linger is how long a stopping balancer goes on carrying packets after its
 	// readiness says no. Fabrics look twice a second and want two misses.
 	Linger = 1300 * time.Millisecond
@@ -66,12 +66,11 @@
 	asks   datagram.Batches[peer.Question]
 	buf    []byte
 
-	// tabledAt and listedAt are since when there is a table and a list, in
-	// nanoseconds since the start; 0 for never.
-	tabledAt, listedAt atomic.Int64
-	stopping           atomic.Bool
-	wasReady           atomic.Bool
-	verdicts           []counter
+	// tabledAt is since when there is a table, on the clock of now; 0 for never.
+	tabledAt atomic.Int64
+	stopping atomic.Bool
+	wasReady atomic.Bool
+	verdicts []counter
 }
 
 // New opens the balancer's sockets.
@@ -89,7 +88,7 @@
 	b.engine = forward.New(forward.Config{Zone: cfg.Zone, Rand: rand.New(rand.NewPCG(seed, seed)), Codec: cfg.Codec, Out: b})
 	b.client = roster.NewClient(roster.ClientConfig{
 		Node:  roster.Node{Role: roster.Balancer, Address: cfg.Nodes.String(), Zone: cfg.Zone, Process: seed},
-		Seeds: cfg.Seeds, Port: cfg.ControlPort, Table: b.setTable, Nodes: b.setNodes, Log: cfg.Log, Metrics: cfg.Metrics,
+		Seeds: cfg.Seeds, Port: cfg.ControlPort, Table: b.setTable, Log: cfg.Log, Metrics: cfg.Metrics,
 	})
 	b.verdicts = counters(cfg.Metrics)
 	cfg.Metrics.Gauge("pass_flows", func() int64 { return b.gauge((*forward.Engine).Flows) })
@@ -132,8 +131,8 @@
 // VM in touch with a quorum has told which table is in force, and every agent
 // has had time to report.
 func (b *Balancer) Ready() bool {
-	tabled, listed := time.Duration(b.tabledAt.Load()), time.Duration(b.listedAt.Load())
-	ready := !b.stopping.Load() && tabled > 0 && listed > 0 && b.now()-max(tabled, listed) > readyAfter
+	tabled := time.Duration(b.tabledAt.Load())
+	ready := !b.stopping.Load() && tabled > 0 && b.now()-tabled > readyAfter
 	if b.wasReady.Swap(ready) != ready {
 		events.Log(b.cfg.Log, events.ReadinessChanged, logrus.Fields{
 			"ready": ready, "stopping": b.stopping.Load(), "version": uint64(b.client.Version()), "controls": b.client.Heard(),
@@ -144,13 +143,11 @@
 
 func (b *Balancer) setTable(t *route.Table) {
 	b.mu.Lock()
-	b.engine.SetTable(t)
+	b.engine.SetTable(b.now(), t)
 	b.mu.Unlock()
 	b.tabledAt.CompareAndSwap(0, int64(b.now()))
 }
 
-func (b *Balancer) setNodes([]roster.Node) { b.listedAt.CompareAndSwap(0, int64(b.now())) }
-
 func (b *Balancer) readFabric(ctx context.Context) {
 	datagram.Read(ctx, b.fabric, b.cfg.Log, func(_ netip.AddrPort, raw []byte) {
 		p, err := b.cfg.Codec.Decode(raw)
--- a/internal/pass/control/control.go
+++ b/internal/pass/control/control.go
@@ -38,9 +38,10 @@
 	// about 1 MB.
 	commandLimit = 8 << 20
 	// snapshotEvery and keepEntries bound the log. An entry holds a whole
-	// definition, 200 kB at 600 routes, so fifty take 10 MB of memory and disk.
-	snapshotEvery = 50
-	keepEntries   = 10
+	// definition, 200 kB at 600 routes, and all are read and written anew at a
+	// start: with fifty, a VM of an eighth of a core took 0.2 s longer.
+	snapshotEvery = 8
+	keepEntries   = 4
 	// replaceAfter is the silence after which a control VM that comes back with
 	// an empty disk takes its old place. Ten heartbeats; see replica.Upkeep.
 	replaceAfter = time.Second
--- a/internal/pass/flowtable/flowtable.go
+++ b/internal/pass/flowtable/flowtable.go
@@ -132,8 +132,8 @@
 	Process uint64
 	// Heartbeat is the interval of the target's announcements; 0 if unknown.
 	Heartbeat time.Duration
-	// StartedAt is the time of day of the agent's start.
-	StartedAt time.Time
+	// StartedAt is when the agent started, on the clock that the engine is given.
+	StartedAt time.Duration
 	Codec     packet.Codec
 	Out       Output
 }
@@ -182,13 +182,15 @@
 	number  uint64
 	leaving bool
 	tags    tags
+	// startedAt is when the agent began to listen for announcements.
+	startedAt time.Duration
 }
 
 // New returns an engine without a target.
 func New(cfg Config) *Engine {
 	return &Engine{
 		cfg: cfg, flows: map[packet.Flow]flow{}, waiting: map[packet.Flow]waitingFirst{},
-		tags: tags{byAddress: map[netip.AddrPort]uint16{}},
+		tags: tags{byAddress: map[netip.AddrPort]uint16{}}, startedAt: cfg.StartedAt,
 	}
 }
 
--- a/internal/pass/flowtable/target.go
+++ b/internal/pass/flowtable/target.go
@@ -179,8 +179,7 @@
 // announcements have stopped too. A target that is only slow still announces
 // itself.
 func (e *Engine) dead(now time.Duration) bool {
-	patience := max(crashPatience, 2*e.cfg.Heartbeat+e.cfg.Heartbeat/4)
-	return len(e.flows) > 0 && now-e.target.announcedAt > patience && now-e.target.lifeAt > crashPatience
+	return len(e.flows) > 0 && now-e.target.announcedAt > e.overdue() && now-e.target.lifeAt > crashPatience
 }
 
 // rescue hands first packets back that the target hasn't answered in time, so
@@ -239,6 +238,21 @@
 	}
 }
 
+// unannounced is how long an agent without a target waits before it says that
+// there is none: a target that lives announces itself twice meanwhile. Until
+// then a balancer doesn't reset flows that nobody claims.
+func (e *Engine) unannounced() time.Duration {
+	if e.target.leftAt > 0 {
+		return 0
+	}
+	return e.overdue()
+}
+
+// overdue is the age of an announcement at which two more should have come.
+func (e *Engine) overdue() time.Duration {
+	return max(crashPatience, 2*e.cfg.Heartbeat+e.cfg.Heartbeat/4)
+}
+
 // Report returns what balancers are told now.
 func (e *Engine) Report(now time.Duration) peer.Report {
 	e.number++
@@ -252,6 +266,7 @@
 		r.Born = t.born
 		r.Open = !t.draining && !t.silent && !e.leaving
 	}
+	r.Empty = !t.known && now-max(t.leftAt, e.startedAt) > e.unannounced()
 	if t.coldTill > now {
 		r.ColdMS = uint32((t.coldTill - now).Milliseconds())
 	}
--- a/internal/pass/forward/agents.go
+++ b/internal/pass/forward/agents.go
@@ -26,7 +26,7 @@
 
 // asked tells whether the agent may hold flows.
 func (a *agent) asked(now time.Duration) bool {
-	return a.heardAt > 0 && !a.report.Leaving && now-a.heardAt < agentForgotten
+	return a.heardAt > 0 && !a.report.Leaving && !a.report.Empty && now-a.heardAt < agentForgotten
 }
 
 // agents numbers addresses, so that an entry of the flow table is small. An
--- /dev/null
+++ b/internal/pass/forward/early.go
@@ -0,0 +1,74 @@
+package forward
+
+import (
+	"time"
+
+	"bergamotstall/internal/pass/packet"
+)
+
+// A balancer that has just started gets packets before it knows the table and
+// the agents: after all VMs lost power at once the fabric has no other to send
+// them to. Callers send a packet again after 200 ms, then after 600 ms, so that
+// one dropped in the last moments costs the aim of its request. The newest
+// packet of each flow waits instead, and is handled once the engine can.
+
+const (
+	// youth is how long after the first table the agents may take to report.
+	// They learn of the balancer within 100 ms of its first contact with
+	// control, which comes before the table, and report within 100 ms more.
+	youth = 300 * time.Millisecond
+	// earlyKept is how long a packet waits: callers give an attempt up after
+	// 1.4 s.
+	earlyKept = 1400 * time.Millisecond
+	// maxEarly bounds the packets that wait, 1.3 kB each.
+	maxEarly = 4_096
+)
+
+// earlyPacket is the newest packet of a flow that came too early.
+type earlyPacket struct {
+	at  time.Duration
+	p   packet.Packet
+	raw []byte
+}
+
+// young tells whether agents may still be missing because the balancer has just
+// started.
+func (e *Engine) young(now time.Duration) bool { return now-e.tabledAt < youth }
+
+func (e *Engine) keepEarly(now time.Duration, p packet.Packet, f packet.Flow, raw []byte) {
+	if _, ok := e.early[f]; !ok && len(e.early) >= maxEarly {
+		e.note(Decision{Flow: f, Verdict: DroppedBusy})
+		return
+	}
+	if _, ok := e.early[f]; !ok {
+		e.note(Decision{Flow: f, Verdict: HeldEarly})
+	}
+	e.early[f] = earlyPacket{at: now, p: p, raw: append([]byte(nil), raw...)}
+}
+
+// replayEarly handles what waits once there is a table and an agent.
+func (e *Engine) replayEarly(now time.Duration) {
+	if len(e.early) == 0 {
+		return
+	}
+	for f, x := range e.early {
+		if now-x.at > earlyKept {
+			delete(e.early, f)
+			continue
+		}
+		if e.able(now, x.p) {
+			delete(e.early, f)
+			e.FromClient(now, x.p, x.raw)
+		}
+	}
+}
+
+// able tells whether a packet that waits can be handled: a first packet needs a
+// target, any other needs all agents, or an agent that is late with its first
+// report would be taken for none.
+func (e *Engine) able(now time.Duration, p packet.Packet) bool {
+	if e.table == nil {
+		return false
+	}
+	return !e.young(now) || p.Opens() && e.Heard(now) > 0
+}
--- a/internal/pass/forward/forward.go
+++ b/internal/pass/forward/forward.go
@@ -78,14 +78,14 @@
 	ResetNowhere
 	// DroppedUnfound: a packet was dropped because not all agents answered.
 	DroppedUnfound
-	// DroppedNotReady: a packet came before the table.
-	DroppedNotReady
+	// HeldEarly: a packet came before the table or the first reports, and waits.
+	HeldEarly
 	// DroppedBusy: a packet was dropped because too many wait.
 	DroppedBusy
 )
 
 var verdictNames = [...]string{"", "placed", "moved", "refused-no-route", "refused-no-target", "found",
-	"reset-route-gone", "reset-nowhere", "dropped-unfound", "dropped-not-ready", "dropped-busy"}
+	"reset-route-gone", "reset-nowhere", "dropped-unfound", "held-early", "dropped-busy"}
 
 func (v Verdict) String() string {
 	if int(v) < len(verdictNames) {
@@ -139,18 +139,27 @@
 	searches map[packet.Flow]*search
 	held     int
 	sweepAt  time.Duration
+	// tabledAt is when the first table came; early are the packets that came
+	// before the engine could place them.
+	tabledAt time.Duration
+	early    map[packet.Flow]earlyPacket
 }
 
 // New returns an engine that knows no table and no agents.
 func New(cfg Config) *Engine {
 	return &Engine{
-		cfg: cfg, flows: map[packet.Flow]holder{}, searches: map[packet.Flow]*search{},
+		cfg: cfg, flows: map[packet.Flow]holder{}, searches: map[packet.Flow]*search{}, early: map[packet.Flow]earlyPacket{},
 		agents: agents{byAddress: map[netip.AddrPort]uint32{}},
 	}
 }
 
 // SetTable puts a table in force.
-func (e *Engine) SetTable(t *route.Table) { e.table = t }
+func (e *Engine) SetTable(now time.Duration, t *route.Table) {
+	if e.table == nil {
+		e.tabledAt = now
+	}
+	e.table = t
+}
 
 // Flows returns how many flows have a known place.
 func (e *Engine) Flows() int { return len(e.flows) }
@@ -162,7 +171,7 @@
 func (e *Engine) FromClient(now time.Duration, p packet.Packet, raw []byte) {
 	f := p.FromClient()
 	if e.table == nil {
-		e.note(Decision{Flow: f, Verdict: DroppedNotReady})
+		e.keepEarly(now, p, f, raw)
 		return
 	}
 	if len(e.table.Services(f.Service)) == 0 {
@@ -224,6 +233,10 @@
 	if !ok {
 		agent, ok = e.chooseOther(now, f, service, at.tried)
 	}
+	if !ok && at.tries == 0 && e.young(now) {
+		e.keepEarly(now, packet.Packet{Src: f.Client, Dst: f.Service, Flags: packet.SYN}, f, raw)
+		return
+	}
 	if !ok || at.tries >= maxTries {
 		delete(e.flows, f)
 		e.cfg.Out.Reset(f, 0)
@@ -310,6 +323,7 @@
 // flows that are long over forgotten.
 func (e *Engine) Tick(now time.Duration) {
 	e.tickSearches(now)
+	e.replayEarly(now)
 	if now < e.sweepAt {
 		return
 	}
--- a/internal/pass/forward/search.go
+++ b/internal/pass/forward/search.go
@@ -32,9 +32,10 @@
 type search struct {
 	begunAt time.Duration
 	again   bool
-	// ack is of the newest packet, for a reset that the client takes.
-	ack  uint32
-	held [][]byte
+	// ack and flags are of the newest packet; a reset must be near the ack.
+	ack   uint32
+	flags packet.Flags
+	held  [][]byte
 	// waiting are the agents that haven't answered, unsure those that may hold
 	// the flow without knowing.
 	waiting []uint32
@@ -61,12 +62,12 @@
 		}
 		s = &search{begunAt: now, probe: noAgent, mute: p.Flags.Has(packet.RST)}
 		e.searches[f] = s
-		s.ack = p.Ack
+		s.ack, s.flags = p.Ack, p.Flags
 		e.hold(f, s, raw)
 		e.askAll(now, f, s, lacks)
 		return
 	}
-	s.ack = p.Ack
+	s.ack, s.flags = p.Ack, p.Flags
 	e.hold(f, s, raw)
 }
 
@@ -174,6 +175,12 @@
 // flow, its target is gone, and a reset spares the caller its whole deadline.
 // If any was silent, the flow may be open there.
 func (e *Engine) giveUp(now time.Duration, f packet.Flow, s *search) {
+	if e.young(now) && len(s.held) > 0 {
+		newest := s.held[len(s.held)-1]
+		e.keepEarly(now, packet.Packet{Src: f.Client, Dst: f.Service, Flags: s.flags, Ack: s.ack}, f, newest)
+		e.dropSearch(f)
+		return
+	}
 	silent := s.silent + e.unheard(now)
 	verdict := DroppedUnfound
 	if silent == 0 && s.asked > 0 && !s.mute {
--- a/internal/pass/peer/messages.go
+++ b/internal/pass/peer/messages.go
@@ -54,6 +54,9 @@
 	Zone string `msg:"z"`
 	// Open says that the target takes new flows.
 	Open bool `msg:"o"`
+	// Empty says that no target is there that could hold flows: it has left, or
+	// none has announced itself for long.
+	Empty bool `msg:"e"`
 	// Leaving says that the agent itself is about to stop.
 	Leaving bool `msg:"l"`
 	// Slots is how many requests the target runs at once.
--- a/internal/pass/peer/messages_gen.go
+++ b/internal/pass/peer/messages_gen.go
@@ -286,9 +286,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 12
+	// map header, size 13
 	// string "p"
-	o = append(o, 0x8c, 0xa1, 0x70)
+	o = append(o, 0x8d, 0xa1, 0x70)
 	o = msgp.AppendUint64(o, z.Process)
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
@@ -305,6 +305,9 @@
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
 	o = msgp.AppendBool(o, z.Open)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendBool(o, z.Empty)
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendBool(o, z.Leaving)
@@ -380,6 +383,12 @@
 				err = msgp.WrapError(err, "Open")
 				return
 			}
+		case "e":
+			z.Empty, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Empty")
+				return
+			}
 		case "l":
 			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -430,7 +439,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Report) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
 	return
 }
 
--- a/internal/pass/roster/client.go
+++ b/internal/pass/roster/client.go
@@ -20,10 +20,13 @@
 )
 
 const (
-	dialTimeout = time.Second
+	// dialTimeout is short because a VM without power doesn't answer at all, and
+	// a lost first packet is sent again by the kernel only after a second. With a
+	// second, nodes came back half a second later after all had lost power.
+	dialTimeout = 250 * time.Millisecond
 	// dialPause is the mean wait before the next try; control VMs restart
 	// within a second.
-	dialPause = 150 * time.Millisecond
+	dialPause = 100 * time.Millisecond
 	// aheadPatience is how long a version that only an unwanted stream tells of
 	// may be missing before the table is asked for there.
 	aheadPatience = 300 * time.Millisecond
@@ -42,8 +45,9 @@
 	Seeds func() []string
 	// Port is where control VMs take streams, the same at all of them.
 	Port uint16
-	// Table is called with each newer table; Nodes with the union of the VMs'
-	// lists. Both are called from streams' goroutines, one at a time.
+	// Table is called with each newer table; Nodes, at agents, with the union of
+	// the VMs' lists of balancers. Both are called from streams' goroutines, one
+	// at a time.
 	Table   func(t *route.Table)
 	Nodes   func(nodes []Node)
 	Log     logrus.FieldLogger
@@ -158,7 +162,7 @@
 			told = true
 			events.Log(c.cfg.Log, events.ControlLeft, logrus.Fields{"control": ip, "error": errorText(err)})
 		}
-		if time.Since(s.heardAt) < dialTimeout {
+		if time.Since(s.heardAt) < BeatInterval {
 			told = false
 		}
 		select {
@@ -283,7 +287,7 @@
 	if u.Lean != nil {
 		c.takeTable(u)
 	}
-	if u.Nodes != nil || u.Digest != s.digest {
+	if c.cfg.Node.Role == Agent && (u.Nodes != nil || u.Digest != s.digest) {
 		s.nodes = u.Nodes
 		s.digest = u.Digest
 		c.cfg.Nodes(c.union())
--- a/internal/pass/roster/messages.go
+++ b/internal/pass/roster/messages.go
@@ -65,8 +65,8 @@
 	// Lean is the definition without its document, if newer than the node's and
 	// wanted.
 	Lean []byte `msg:"l"`
-	// Digest is that of the list of nodes; Nodes is the list where the digest
-	// isn't the node's.
+	// Digest is that of the list of balancers; Nodes is the list where the
+	// digest isn't the node's. Only agents get it.
 	Digest uint64 `msg:"d"`
 	Nodes  []Node `msg:"n"`
 	// Controls are the IP numbers of all control VMs.
--- a/internal/pass/roster/server.go
+++ b/internal/pass/roster/server.go
@@ -142,7 +142,7 @@
 		return
 	}
 	defer s.leave(hello.Node)
-	p := &pusher{server: s, conn: conn, beats: make(chan Beat, 1), beat: hello.Beat}
+	p := &pusher{server: s, conn: conn, role: hello.Node.Role, beats: make(chan Beat, 1), beat: hello.Beat}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go p.run(ctx, raw)
@@ -203,7 +203,9 @@
 	l.streams++
 	if l.node != n {
 		l.node = n
-		s.relist()
+		if n.Role == Balancer {
+			s.relist()
+		}
 		events.Log(s.cfg.Log, events.NodeListed, logrus.Fields{"node": n.Address, "role": n.Role.String(), "zone": n.Zone})
 	}
 	return true
@@ -240,7 +242,7 @@
 	for address, l := range s.nodes {
 		if l.streams == 0 && time.Since(l.goneAt) > lingering {
 			delete(s.nodes, address)
-			dropped = true
+			dropped = dropped || l.node.Role == Balancer
 			events.Log(s.cfg.Log, events.NodeDelisted, logrus.Fields{"node": address, "role": l.node.Role.String(), "silent": time.Since(l.goneAt).String()})
 		}
 	}
@@ -249,11 +251,15 @@
 	}
 }
 
-// relist makes the list anew and wakes the streams; the lock is held.
+// relist makes the list of balancers anew and wakes the streams; the lock is
+// held. Agents need the list to report to all balancers; balancers learn of
+// agents by their reports.
 func (s *Server) relist() {
 	s.list = s.list[:0:0]
 	for _, l := range s.nodes {
-		s.list = append(s.list, l.node)
+		if l.node.Role == Balancer {
+			s.list = append(s.list, l.node)
+		}
 	}
 	slices.SortFunc(s.list, func(a, b Node) int { return strings.Compare(a.Address, b.Address) })
 	s.digest = digestOf(s.list)
@@ -283,6 +289,7 @@
 type pusher struct {
 	server *Server
 	conn   *wire.Conn
+	role   Role
 	beats  chan Beat
 	// beat is the node's last, with what was sent since.
 	beat      Beat
@@ -295,6 +302,9 @@
 	go p.server.confirm(ctx, confirmed)
 	for {
 		_, _, nodesChanged := p.server.view()
+		if p.role != Agent {
+			nodesChanged = nil
+		}
 		tableChanged := p.server.cfg.Store.Changed()
 		if err := p.push(); err != nil {
 			return
@@ -345,7 +355,7 @@
 		Confirmed: p.confirmed, Digest: digest, Controls: p.server.cfg.Source.Controls(),
 		ContactAgeMS: p.server.cfg.Source.ContactAge().Milliseconds(),
 	}
-	if digest != p.beat.Nodes {
+	if digest != p.beat.Nodes && p.role == Agent {
 		u.Nodes = list
 	}
 	if state := p.server.cfg.Store.Current(); state != nil && p.confirmed {
--- a/internal/quorum/probation.go
+++ b/internal/quorum/probation.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -123,12 +124,42 @@
 	if len(c.helloFrom) >= needed && c.leaderAnswered() {
 		c.probation = false
 		c.resetElection()
+		if c.leaderless() {
+			c.electionAt = c.now + c.firstDelay()
+		}
 	}
 	if !c.probation && c.isOnlyVoter() {
 		c.electionAt = c.now // there is no leader whose word could be under way
 	}
 }
 
+// firstShare sets how soon a restarted replica asks for an election where nobody
+// hears a leader, as after all lost power at once: within a quarter of the
+// shortest election timeout. The timeout waits for a leader's word that may be
+// under way; here all that could send one have said that they hear none. A
+// pre-vote comes first, so one that asks in vain disturbs nobody. Measured with
+// three replicas that start together: a leader after 0.2 s in place of 1.1 s.
+const firstShare = 4
+
+// leaderless holds if every replica that answered hears no leader.
+func (c *Core) leaderless() bool {
+	for _, leader := range c.helloFrom {
+		if leader != 0 {
+			return false
+		}
+	}
+	return len(c.helloFrom) > 0
+}
+
+// firstDelay spreads the candidates of a common restart, so that votes seldom
+// split.
+func (c *Core) firstDelay() time.Duration {
+	if c.cfg.Rand == nil {
+		return c.cfg.ElectionTimeout / firstShare
+	}
+	return time.Duration(c.cfg.Rand.Int64N(int64(c.cfg.ElectionTimeout / firstShare)))
+}
+
 // leaderAnswered holds unless another replica hears a leader that hasn't
 // answered yet. The leader is who counted this replica's acknowledgements; a
 // follower that answers first may know of none. If the leader can't be reached
