A search remembers whom it asked

The table changed between the two rounds of a search; the second round asked the agents outside of the new route, so the holder, whose service had just entered the route, was asked in neither, and the open flow was reset. Change: the second round asks all agents not yet asked.

--- a/internal/pass/forward/search.go
+++ b/internal/pass/forward/search.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"bergamotstall/internal/pass/packet"
@@ -40,8 +41,10 @@
 	// the flow without knowing.
 	waiting []uint32
 	unsure  []uint32
-	asked   int
-	silent  int
+	// asked are all agents that were asked, or are known to lack the flow. The
+	// table may change meanwhile, so it can't tell who was.
+	asked  []uint32
+	silent int
 	// wide is set once agents of services outside of the route are asked too.
 	wide bool
 	// probe is the agent that has been sent a packet to see; noAgent if none.
@@ -85,11 +88,12 @@
 func (e *Engine) askAll(now time.Duration, f packet.Flow, s *search, lacks uint32) {
 	for i := range e.agents.list {
 		a := &e.agents.list[i]
-		if uint32(i) == lacks || !a.asked(now) || e.onRoute(f, a) == s.wide {
+		agent := uint32(i)
+		if agent == lacks || !a.asked(now) || !s.wide && !e.onRoute(f, a) || slices.Contains(s.asked, agent) {
 			continue
 		}
-		s.waiting = append(s.waiting, uint32(i))
-		s.asked++
+		s.waiting = append(s.waiting, agent)
+		s.asked = append(s.asked, agent)
 		e.cfg.Out.Ask(a.address, peer.QuestionOf(f, s.ack))
 	}
 	if len(s.waiting) == 0 {
@@ -145,7 +149,7 @@
 		e.deliver(agent, raw)
 	}
 	a := &e.agents.list[agent]
-	e.note(Decision{Flow: f, Verdict: Found, Agent: a.address, ReportAge: now - a.heardAt, Asked: s.asked, Silent: s.silent + len(s.waiting)})
+	e.note(Decision{Flow: f, Verdict: Found, Agent: a.address, ReportAge: now - a.heardAt, Asked: len(s.asked), Silent: s.silent + len(s.waiting)})
 	e.dropSearch(f)
 }
 
@@ -183,11 +187,11 @@
 	}
 	silent := s.silent + e.unheard(now)
 	verdict := DroppedUnfound
-	if silent == 0 && s.asked > 0 && !s.mute {
+	if silent == 0 && len(s.asked) > 0 && !s.mute {
 		verdict = ResetNowhere
 		e.cfg.Out.Reset(f, s.ack)
 	}
-	e.note(Decision{Flow: f, Verdict: verdict, Asked: s.asked, Silent: silent})
+	e.note(Decision{Flow: f, Verdict: verdict, Asked: len(s.asked), Silent: silent})
 	e.dropSearch(f)
 }
 
--- /dev/null
+++ b/internal/pass/forward/search_test.go
@@ -0,0 +1,126 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bergamotstall/internal/pass/peer"
+)
+
+// A caller's feed goes on after its balancer left: the next balancer has never
+// seen the flow, holds the packet, and asks the agents. The caller notices
+// nothing but one round trip.
+func TestUnknownFlowFindsItsHolder(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	a, b := r.agentAt(1, desk), r.agentAt(2, desk)
+	r.send(data(9, 77))
+	is.Equal(len(r.delivered), 0)
+	r.answer(a, peer.Lacks)
+	r.answer(b, peer.Holds)
+	is.Equal(len(r.delivered), 1)
+	is.Equal(r.delivered[0].to, b)
+	r.send(data(9, 78))
+	is.Equal(r.delivered[1].to, b)
+	is.Equal(len(r.resets), 0)
+}
+
+// A caller's feed must survive a change of its route's services. The holder is
+// being searched among the old service's agents when the table changes; the
+// holder's service enters the route at that moment. If the second round went by
+// the new table, it would leave the holder out, and the caller's open feed would
+// be reset.
+func TestTableChangesDuringSearch(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	a, holder := r.agentAt(1, desk), r.agentAt(2, archive)
+	r.send(data(9, 77))
+	is.Equal(r.askedOf(holder), 0)
+	r.table(2, desk, archive)
+	r.answer(a, peer.Lacks)
+	is.Equal(r.askedOf(holder), 1)
+	is.Equal(len(r.resets), 0)
+	r.answer(holder, peer.Holds)
+	is.Equal(r.delivered[0].to, holder)
+}
+
+// The caller's target has crashed and every agent says that it lacks the flow:
+// a reset tells the caller at once, where silence would cost it its deadline.
+func TestFlowThatNobodyHoldsIsReset(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	a, b := r.agentAt(1, desk), r.agentAt(2, archive)
+	r.send(data(9, 77))
+	r.answer(a, peer.Lacks)
+	r.answer(b, peer.Lacks)
+	is.Equal(r.resets, []reset{{flowOf(9), 77}})
+	is.Equal(r.last().Verdict, ResetNowhere)
+}
+
+// The holder's VM is frozen and answers nothing. The flow may be open there, so
+// the caller gets no reset, however the others answer.
+func TestSilentAgentKeepsFlowFromBeingReset(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.agentAt(1, desk)
+	r.pass(reportStale + 100*time.Millisecond)
+	b := r.agentAt(2, desk)
+	r.send(data(9, 77))
+	r.answer(b, peer.Lacks)
+	r.pass(2 * askPatience)
+	is.Equal(len(r.resets), 0)
+	is.Equal(r.last().Verdict, DroppedUnfound)
+	is.Equal(r.engine.Searches(), 0)
+}
+
+// A question is lost on its way. It is asked once more, and the caller's packet,
+// which waited meanwhile, reaches its target without being sent again.
+func TestLostQuestionIsAskedAgain(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	a := r.agentAt(1, desk)
+	r.send(data(9, 77))
+	r.pass(askAgain + 20*time.Millisecond)
+	is.Equal(r.askedOf(a), 2)
+	r.answer(a, peer.Holds)
+	is.Equal(len(r.delivered), 1)
+}
+
+// All agents restarted and know no flows. The packet is shown to their targets
+// one after the other; the one that doesn't hand it back has the flow.
+func TestUnsureAgentsAreTriedInTurn(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	a, b := r.agentAt(1, desk), r.agentAt(2, desk)
+	r.send(data(9, 77))
+	r.answer(a, peer.Unsure)
+	r.answer(b, peer.Unsure)
+	is.Equal(len(r.delivered), 1) // one target at a time
+	is.Equal(r.delivered[0].to, a)
+	r.engine.Refused(r.now, a, peer.NotHeld, data(9, 77), rawOf(77))
+	is.Equal(r.delivered[1].to, b)
+	r.pass(probePatience + 20*time.Millisecond)
+	is.Equal(r.last().Verdict, Found)
+	is.Equal(r.last().Agent, b)
+}
+
+// More flows are searched than may wait: the caller's packet is dropped, not
+// reset, and its next copy begins a search again.
+func TestSearchesAreBounded(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.agentAt(1, desk)
+	for i := range maxSearches {
+		p := data(uint16(i), 1)
+		p.Src.IP[3] = byte(i >> 16)
+		r.send(p)
+	}
+	over := data(9, 1)
+	over.Src.IP[0] = 7
+	r.send(over)
+	is.Equal(r.last().Verdict, DroppedBusy)
+	is.Equal(len(r.resets), 0)
+	is.Equal(r.engine.Searches(), maxSearches)
+}
