New flows wait at a busy target's agent, newest first

Change: an agent lets first packets wait while its target has no room, admits the most urgent route's newest as requests end, and refuses what waited 0.8 s. Targets born with their agent are known whole; the table goes out once confirmed; balancers are young for 150 ms.

--- a/internal/pass/agent/agent.go
+++ b/internal/pass/agent/agent.go
@@ -95,11 +95,11 @@
 	process := rand.Uint64()
 	a.engine = flowtable.New(flowtable.Config{
 		Service: cfg.Service, Address: cfg.Target.String(), Zone: cfg.Zone, Process: process,
-		Heartbeat: cfg.Heartbeat, StartedAt: a.now(), Codec: cfg.Codec, Out: a,
+		Heartbeat: cfg.Heartbeat, StartedAt: a.now(), StartedWall: a.started, Codec: cfg.Codec, Out: a,
 	})
 	a.client = roster.NewClient(roster.ClientConfig{
 		Node:  roster.Node{Role: roster.Agent, Address: cfg.Nodes.String(), Zone: cfg.Zone, Process: process},
-		Seeds: cfg.Seeds, Port: cfg.ControlPort, Table: func(*route.Table) {}, Nodes: a.setNodes, Log: cfg.Log, Metrics: cfg.Metrics,
+		Seeds: cfg.Seeds, Port: cfg.ControlPort, Table: a.setTable, Nodes: a.setNodes, Log: cfg.Log, Metrics: cfg.Metrics,
 	})
 	for v := flowtable.Verdict(0); v.String() != "unknown"; v++ {
 		a.verdicts = append(a.verdicts, cfg.Metrics.Counter("pass_"+v.String()))
@@ -218,6 +218,13 @@
 	return nil
 }
 
+// setTable tells the engine which routes are urgent.
+func (a *Agent) setTable(t *route.Table) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.engine.SetTable(t)
+}
+
 // setNodes takes the list of nodes, and tells new balancers of the target.
 func (a *Agent) setNodes(nodes []roster.Node) {
 	var balancers []netip.AddrPort
--- a/internal/pass/balancer/balancer.go
+++ b/internal/pass/balancer/balancer.go
@@ -30,7 +30,7 @@
 	tickInterval = 20 * time.Millisecond
 	// readyAfter is how long a balancer waits after its first table, so that the
 	// agents have heard of it and reported: ten times a second each.
-	readyAfter = 200 * time.Millisecond
+	readyAfter = 150 * time.Millisecond
 	// Linger is how long a stopping balancer goes on carrying packets after its
 	// readiness says no. Fabrics look twice a second and want two misses.
 	Linger = 1300 * time.Millisecond
--- /dev/null
+++ b/internal/pass/flowtable/admission.go
@@ -0,0 +1,158 @@
+package flowtable
+
+import (
+	"net/netip"
+	"time"
+
+	"bergamotstall/internal/pass/packet"
+	"bergamotstall/internal/pass/peer"
+	"bergamotstall/internal/pass/route"
+)
+
+// Admission of new flows at a target that has no room.
+//
+// The load it answers: after an outage, or in a burst, more flows are opened at
+// once than the targets have slots. A target queues a few requests in order of
+// arrival and turns the others away. Both hurt: whoever is turned away has spent
+// one of its few tries, and the queue makes every later request wait as long as
+// the oldest, so that all are late until the backlog is gone, although the
+// target could serve what arrives now in time.
+//
+// So first packets wait here while the target is busy, and the most urgent
+// route's newest goes first: its caller can still be answered in time, and the
+// older ones are late whatever happens. A caller whose first packet waited for
+// maxWait is told at once, and truly, that nothing ran.
+const (
+	// maxWait is how long a first packet may wait. Callers give an attempt up
+	// after 1.4 s, and some of that may have been spent before.
+	maxWait = 800 * time.Millisecond
+	// expectFor is how long an admitted flow's first request is expected: two
+	// round trips to a caller in the same region, with room for a slow one.
+	expectFor = 60 * time.Millisecond
+	// maxQueue bounds the first packets that wait at one target.
+	maxQueue = 1_024
+)
+
+// queued is a first packet that waits.
+type queued struct {
+	flow    packet.Flow
+	from    netip.AddrPort
+	raw     []byte
+	at      time.Duration
+	urgency uint32
+}
+
+// expected is an admitted flow whose first request hasn't come.
+type expected struct {
+	flow packet.Flow
+	at   time.Duration
+}
+
+// admission holds what waits and what is expected.
+type admission struct {
+	queue    []queued
+	expected []expected
+}
+
+// SetTable tells the engine which routes are urgent.
+func (e *Engine) SetTable(t *route.Table) { e.table = t }
+
+// room is how many requests a target is given at once: a few more than it has
+// slots, so that none is idle during the handshake of the next flow. That takes
+// a fifth of a request's time; half as many again leaves room for short ones.
+func room(slots uint32) int { return int(max(slots, 1) + max(slots/2, 1)) }
+
+// busy tells whether another flow's request would only wait at the target.
+func (e *Engine) busy() bool {
+	return e.load.running+len(e.admission.expected) >= room(e.target.slots)
+}
+
+// queueFirst lets a first packet wait; false if there is no room to.
+func (e *Engine) queueFirst(now time.Duration, from netip.AddrPort, f packet.Flow, raw []byte) bool {
+	for i := range e.admission.queue {
+		if e.admission.queue[i].flow == f {
+			return true // a copy
+		}
+	}
+	if len(e.admission.queue) >= maxQueue {
+		return false
+	}
+	e.admission.queue = append(e.admission.queue, queued{
+		flow: f, from: from, raw: append([]byte(nil), raw...), at: now, urgency: e.table.Priority(f.Service),
+	})
+	return true
+}
+
+// admitQueued admits what there is room for.
+func (e *Engine) admitQueued(now time.Duration) {
+	for len(e.admission.queue) > 0 && !e.busy() && !e.target.silent && !e.target.draining {
+		q := e.takeNext()
+		e.admit(now, q.from, q.flow, q.raw)
+	}
+}
+
+// takeNext removes the newest first packet of the most urgent route.
+func (e *Engine) takeNext() queued {
+	best := 0
+	for i, q := range e.admission.queue {
+		if q.urgency <= e.admission.queue[best].urgency {
+			best = i // later ones are newer
+		}
+	}
+	q := e.admission.queue[best]
+	e.admission.queue = append(e.admission.queue[:best], e.admission.queue[best+1:]...)
+	return q
+}
+
+// tickAdmission refuses what has waited too long, or waits for a target that
+// takes no more, and stops expecting requests that don't come.
+func (e *Engine) tickAdmission(now time.Duration) {
+	kept := e.admission.queue[:0]
+	for _, q := range e.admission.queue {
+		why := e.whyNot(now, q)
+		if why == 0 {
+			kept = append(kept, q)
+			continue
+		}
+		e.refuse(now, q.from, q.flow, packet.Packet{Flags: packet.SYN}, why, q.raw)
+	}
+	e.admission.queue = kept
+	still := e.admission.expected[:0]
+	for _, x := range e.admission.expected {
+		if now-x.at < expectFor {
+			still = append(still, x)
+		}
+	}
+	e.admission.expected = still
+	e.admitQueued(now)
+}
+
+// whyNot tells why a first packet needn't wait any longer; 0 if it may.
+func (e *Engine) whyNot(now time.Duration, q queued) peer.Reason {
+	switch {
+	case !e.target.known:
+		return peer.NoTarget
+	case e.target.draining || e.leaving:
+		return peer.Draining
+	case e.target.silent:
+		return peer.Silent
+	case now-q.at > maxWait:
+		return peer.Busy
+	}
+	return 0
+}
+
+// expect notes that an admitted flow's request is about to come.
+func (e *Engine) expect(now time.Duration, f packet.Flow) {
+	e.admission.expected = append(e.admission.expected, expected{f, now})
+}
+
+// came notes that a flow's request has come, or won't.
+func (e *Engine) came(f packet.Flow) {
+	for i, x := range e.admission.expected {
+		if x.flow == f {
+			e.admission.expected = append(e.admission.expected[:i], e.admission.expected[i+1:]...)
+			return
+		}
+	}
+}
--- a/internal/pass/flowtable/flowtable.go
+++ b/internal/pass/flowtable/flowtable.go
@@ -15,6 +15,7 @@
 
 	"bergamotstall/internal/pass/packet"
 	"bergamotstall/internal/pass/peer"
+	"bergamotstall/internal/pass/route"
 )
 
 const (
@@ -134,8 +135,11 @@
 	Heartbeat time.Duration
 	// StartedAt is when the agent started, on the clock that the engine is given.
 	StartedAt time.Duration
-	Codec     packet.Codec
-	Out       Output
+	// StartedWall is the same moment as time of day, which targets state their
+	// start in.
+	StartedWall time.Time
+	Codec       packet.Codec
+	Out         Output
 }
 
 // stage is how far a flow has come.
@@ -155,9 +159,14 @@
 	// answered.
 	targetSeq uint32
 	// ack is the client's newest acknowledgement: a reset must be near it.
-	ack     uint32
+	ack uint32
+	// sent is the end of the client's data so far, meaningful once hasSent.
+	sent    uint32
+	hasSent bool
 	stage   stage
-	running bool
+	// running says that a request waits for its answer, since runningAt.
+	running   bool
+	runningAt time.Duration
 	// finClient and finTarget say which ends have closed.
 	finClient, finTarget bool
 	// answered says that the target has answered the first packet.
@@ -173,15 +182,17 @@
 
 // Engine is one agent's state. It isn't safe for concurrent use.
 type Engine struct {
-	cfg     Config
-	target  target
-	flows   map[packet.Flow]flow
-	waiting map[packet.Flow]waitingFirst
-	load    load
-	sweepAt time.Duration
-	number  uint64
-	leaving bool
-	tags    tags
+	cfg       Config
+	target    target
+	flows     map[packet.Flow]flow
+	waiting   map[packet.Flow]waitingFirst
+	load      load
+	sweepAt   time.Duration
+	number    uint64
+	leaving   bool
+	tags      tags
+	table     *route.Table
+	admission admission
 	// startedAt is when the agent began to listen for announcements.
 	startedAt time.Duration
 }
@@ -254,7 +265,19 @@
 	case len(e.flows) >= maxFlows:
 		e.refuse(now, from, f, p, peer.Full, raw)
 		return
+	case e.busy() || len(e.admission.queue) > 0:
+		if !e.queueFirst(now, from, f, raw) {
+			e.refuse(now, from, f, p, peer.Busy, raw)
+		}
+		e.admitQueued(now)
+		return
 	}
+	e.admit(now, from, f, raw)
+}
+
+// admit sends a first packet to the target.
+func (e *Engine) admit(now time.Duration, from netip.AddrPort, f packet.Flow, raw []byte) {
+	e.expect(now, f)
 	e.put(f, flow{stage: opening, seenAt: now})
 	if len(e.waiting) < maxWaiting {
 		e.waiting[f] = waitingFirst{sentAt: now, from: from, raw: append([]byte(nil), raw...)}
@@ -276,8 +299,10 @@
 	if x.stage == opening {
 		x.stage = open
 	}
-	if p.Data > 0 {
+	if x.newData(p) {
 		x.running = true
+		x.runningAt = now
+		e.came(f)
 	}
 	if p.Flags.Has(packet.FIN) {
 		x.finClient = true
@@ -295,6 +320,21 @@
 	return x.answered && ack-x.targetSeq < ackWindow
 }
 
+// newData takes note of a client's data and tells whether it is new. A copy of a
+// request that was answered already must not count as one in progress: after an
+// agent's restart each caller sends several, and the target would look busy for
+// seconds. What the target has acknowledged counts as seen, since the agent may
+// see the answer before the first copy.
+func (x *flow) newData(p packet.Packet) bool {
+	end := p.Seq + uint32(p.Data)
+	if p.Data == 0 || x.hasSent && int32(end-x.sent) <= 0 {
+		return false
+	}
+	x.sent = end
+	x.hasSent = true
+	return true
+}
+
 func (e *Engine) toTarget(from netip.AddrPort, raw []byte) {
 	e.cfg.Codec.Mark(raw, e.tags.of(from))
 	e.cfg.Out.ToTarget(raw)
@@ -315,6 +355,10 @@
 	}
 	x.seenAt = now
 	x.answered = true
+	if p.Flags.Has(packet.ACK) && !p.Flags.Has(packet.SYN) && (!x.hasSent || int32(p.Ack-x.sent) > 0) {
+		x.sent = p.Ack
+		x.hasSent = true
+	}
 	switch {
 	case p.Flags.Has(packet.SYN | packet.ACK):
 		x.targetSeq = p.Seq
@@ -336,6 +380,7 @@
 	}
 	e.put(f, x)
 	e.cfg.Out.ToClient(f.Client, raw)
+	e.admitQueued(now)
 }
 
 // bounced takes a packet that the target handed back.
@@ -345,6 +390,7 @@
 	if p.Opens() {
 		why = peer.Full
 		delete(e.waiting, f)
+		e.came(f)
 		e.remove(f)
 	} else {
 		e.put(f, flow{stage: lacking, seenAt: now})
--- a/internal/pass/flowtable/target.go
+++ b/internal/pass/flowtable/target.go
@@ -62,10 +62,25 @@
 	leftAt time.Duration
 }
 
-// earlyAnnouncements is the number up to which an announcement counts as among
-// the first of its incarnation: whoever hears it has seen all flows, since
-// targets get none before they are known.
-const earlyAnnouncements = 1
+const (
+	// firstAnnouncement is the number of the first announcement of an
+	// incarnation: whoever hears it has seen all flows, since targets get none
+	// before they are known.
+	firstAnnouncement = 1
+	// bornTogether is how much older than the agent's process a target may be
+	// that no earlier process can have sent flows to. An agent takes longer than
+	// this to end and start again while its target already has flows; when a VM
+	// starts, target and agent start within half a second.
+	bornTogether = 1200 * time.Millisecond
+)
+
+// missed tells whether the target may have flows from before the agent's start.
+func (e *Engine) missed(a Announcement) bool {
+	if a.Number <= firstAnnouncement {
+		return false
+	}
+	return a.Born == 0 || e.cfg.StartedWall.Sub(time.UnixMilli(a.Born)) > bornTogether
+}
 
 // Announced takes what a target says of itself.
 func (e *Engine) Announced(now time.Duration, a Announcement) Ruling {
@@ -105,7 +120,7 @@
 	seenBefore := e.target.id != ""
 	e.target = target{
 		known: true, id: a.ID, service: route.IDOf(a.Service), born: a.Born, metAt: now,
-		older: !seenBefore && a.Number > earlyAnnouncements,
+		older: !seenBefore && e.missed(a),
 	}
 	e.note(now, Decision{Verdict: TargetArrived})
 	e.cfg.Out.Report()
@@ -159,6 +174,7 @@
 func (e *Engine) Tick(now time.Duration) {
 	e.load.settle(now)
 	e.rescue(now)
+	e.tickAdmission(now)
 	t := &e.target
 	if t.known && t.leftAt > 0 && now-t.leftAt > afterLeft {
 		e.resetAll(now)
@@ -190,6 +206,7 @@
 			continue
 		}
 		delete(e.waiting, f)
+		e.came(f)
 		e.remove(f)
 		if !e.target.silent && e.target.lifeAt < w.sentAt {
 			e.target.silent = true
@@ -218,6 +235,24 @@
 	e.waiting = map[packet.Flow]waitingFirst{}
 	e.load.flows = 0
 	e.load.running = 0
+	e.admission.expected = nil
+}
+
+const (
+	// unknownTimeout stands for the timeout of a route that the agent doesn't
+	// know yet.
+	unknownTimeout = 10 * time.Second
+	// overtime is how much longer than its route's timeout a request may count as
+	// in progress: its caller has left by then, and so will the target.
+	overtime = time.Second
+)
+
+// longest is how long a request of the flow can be in progress.
+func (e *Engine) longest(f packet.Flow) time.Duration {
+	if timeout := e.table.Timeout(f.Service); timeout > 0 {
+		return timeout + overtime
+	}
+	return unknownTimeout
 }
 
 // sweep forgets what is long over.
@@ -232,8 +267,12 @@
 		case lacking:
 			kept = lacksKept
 		}
-		if now-x.seenAt > kept {
+		switch {
+		case now-x.seenAt > kept:
 			e.remove(f)
+		case x.running && now-x.runningAt > e.longest(f):
+			x.running = false
+			e.put(f, x)
 		}
 	}
 }
@@ -259,7 +298,7 @@
 	t := &e.target
 	r := peer.Report{
 		Process: e.cfg.Process, Number: e.number, Zone: e.cfg.Zone, Leaving: e.leaving,
-		Slots: t.slots, Running: uint32(e.load.running), Load: uint32(e.load.mean * 100), Flows: uint32(e.load.flows),
+		Slots: t.slots, Running: uint32(e.load.running + len(e.admission.queue)), Load: uint32(e.load.mean * 100), Flows: uint32(e.load.flows),
 	}
 	if t.known {
 		r.Service = uint64(t.service)
--- a/internal/pass/forward/early.go
+++ b/internal/pass/forward/early.go
@@ -16,7 +16,7 @@
 	// youth is how long after the first table the agents may take to report.
 	// They learn of the balancer within 100 ms of its first contact with
 	// control, which comes before the table, and report within 100 ms more.
-	youth = 300 * time.Millisecond
+	youth = 150 * time.Millisecond
 	// earlyKept is how long a packet waits: callers give an attempt up after
 	// 1.4 s.
 	earlyKept = 1400 * time.Millisecond
--- a/internal/pass/forward/forward.go
+++ b/internal/pass/forward/forward.go
@@ -307,7 +307,7 @@
 		return // a copy has gone to another agent already
 	}
 	switch why {
-	case peer.Full:
+	case peer.Full, peer.Busy:
 		e.agents.list[agent].avoidUntil = now + fullPause
 	case peer.Silent, peer.Draining, peer.NoTarget, peer.WrongService:
 		e.agents.list[agent].report.Open = false // until its next report
--- a/internal/pass/peer/messages.go
+++ b/internal/pass/peer/messages.go
@@ -61,8 +61,9 @@
 	Leaving bool `msg:"l"`
 	// Slots is how many requests the target runs at once.
 	Slots uint32 `msg:"t"`
-	// Running is how many requests are in progress or queued there now; Load is
-	// their mean over the last second, in hundredths.
+	// Running is how many requests are in progress there now, with the first
+	// packets that wait for a slot; Load is the mean of those in progress over
+	// the last second, in hundredths.
 	Running uint32 `msg:"r"`
 	Load    uint32 `msg:"m"`
 	Flows   uint32 `msg:"f"`
--- a/internal/pass/peer/peer.go
+++ b/internal/pass/peer/peer.go
@@ -44,9 +44,11 @@
 	WrongService
 	// NoTarget means that no target is known there yet, or no longer.
 	NoTarget
+	// Busy means that the first packet waited in vain for a free slot.
+	Busy
 )
 
-var reasonNames = [...]string{"", "not-held", "draining", "full", "silent", "wrong-service", "no-target"}
+var reasonNames = [...]string{"", "not-held", "draining", "full", "silent", "wrong-service", "no-target", "busy"}
 
 func (r Reason) String() string {
 	if int(r) < len(reasonNames) {
--- a/internal/pass/roster/server.go
+++ b/internal/pass/roster/server.go
@@ -315,6 +315,10 @@
 		case b := <-p.beats:
 			p.beat = b
 			continue
+		case <-confirmed:
+			p.confirmed = true
+			confirmed = nil
+			continue
 		case <-ctx.Done():
 			return
 		}
--- a/internal/pass/route/route.go
+++ b/internal/pass/route/route.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
@@ -49,6 +50,8 @@
 	Backends []Backed `msg:"b"`
 	// TimeoutMS is how long a request over the route may take, in milliseconds.
 	TimeoutMS uint32 `msg:"t"`
+	// Priority orders routes under load; 0 is the most urgent.
+	Priority uint32 `msg:"u"`
 }
 
 // Backed is a service behind a route, with its share of new flows.
@@ -143,8 +146,10 @@
 
 // lookup is what a Table knows of one route.
 type lookup struct {
-	choices []Choice
-	total   uint64
+	choices  []Choice
+	total    uint64
+	priority uint32
+	timeout  time.Duration
 }
 
 // Table answers which services an address's new flows may go to. It doesn't
@@ -159,7 +164,7 @@
 	t := &Table{Version: d.Version, routes: make(map[packet.Endpoint]lookup, len(d.Routes))}
 	for i := range d.Routes {
 		r := &d.Routes[i]
-		var l lookup
+		l := lookup{priority: r.Priority, timeout: time.Duration(r.TimeoutMS) * time.Millisecond}
 		for _, b := range r.Backends {
 			if b.Weight == 0 {
 				continue
@@ -180,6 +185,24 @@
 	return t.routes[at].choices
 }
 
+// Priority returns how urgent an address's route is; 0 is the most urgent, and
+// what is said of an address without a route.
+func (t *Table) Priority(at packet.Endpoint) uint32 {
+	if t == nil {
+		return 0
+	}
+	return t.routes[at].priority
+}
+
+// Timeout returns how long a request over an address's route may take, 0 if it
+// has no route.
+func (t *Table) Timeout(at packet.Endpoint) time.Duration {
+	if t == nil {
+		return 0
+	}
+	return t.routes[at].timeout
+}
+
 // Pick returns the service of a new flow. The flow's hash decides, so that the
 // copies of a first packet get the same service at every node.
 func (t *Table) Pick(f packet.Flow) (ServiceID, bool) {
--- a/internal/pass/route/route_gen.go
+++ b/internal/pass/route/route_gen.go
@@ -241,9 +241,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Route) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "n"
-	o = append(o, 0x85, 0xa1, 0x6e)
+	o = append(o, 0x86, 0xa1, 0x6e)
 	o = msgp.AppendString(o, z.Name)
 	// string "a"
 	o = append(o, 0xa1, 0x61)
@@ -266,6 +266,9 @@
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendUint32(o, z.TimeoutMS)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendUint32(o, z.Priority)
 	return
 }
 
@@ -359,6 +362,12 @@
 				err = msgp.WrapError(err, "TimeoutMS")
 				return
 			}
+		case "u":
+			z.Priority, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Priority")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -377,7 +386,7 @@
 	for za0002 := range z.Backends {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Backends[za0002].Service) + 2 + msgp.Uint32Size
 	}
-	s += 2 + msgp.Uint32Size
+	s += 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
 	return
 }
 
