--- a/internal/pass/flowtable/flows_test.go
+++ b/internal/pass/flowtable/flows_test.go
@@ -129,6 +129,27 @@
 	is.Equal(r.verdictOn(11, 5), peer.Lacks)
 }
 
+// The agent's process restarted and its target lives, but hasn't announced
+// itself again. A caller's packet goes to the target, which hands it back if it
+// lacks the flow; a balancer that asks gets no word. If the agent said that
+// nothing is held here, the balancer would reset the open flow.
+func TestRestartedAgentBeforeTheFirstAnnouncement(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.engine = New(Config{Service: desk, Address: address, Heartbeat: time.Second, StartedAt: r.now, StartedWall: started, Codec: codec{}, Out: r})
+	r.engine.Ask(r.now, balancer, peer.QuestionOf(flowOf(9), 5))
+	is.Equal(len(r.answers), 0)
+	r.fromClient(9, packet.ACK, 11, 5, 10)
+	is.Equal(r.toTarget, []uint16{9})
+	is.Equal(len(r.refused), 0)
+	r.syn(10) // a new flow doesn't wait for what may never come
+	is.Equal(r.refused, []refusal{{10, peer.NoTarget}})
+	r.pass(3 * time.Second)
+	is.Equal(r.verdictOn(9, 5), peer.Lacks) // no target came
+	r.fromClient(9, packet.ACK, 11, 5, 10)
+	is.Equal(r.refused[1], refusal{9, peer.NoTarget})
+}
+
 // All VMs lost power; target and agent start together, and the target's first
 // announcements came before the agent took any. No earlier agent can have sent
 // it flows, so the agent is sure, and callers of dead flows are told at once.
--- a/internal/pass/flowtable/flowtable.go
+++ b/internal/pass/flowtable/flowtable.go
@@ -211,7 +211,7 @@
 // FromBalancer takes a client's packet.
 func (e *Engine) FromBalancer(now time.Duration, from netip.AddrPort, h peer.Head, p packet.Packet, raw []byte) {
 	f := p.FromClient()
-	if why := e.misdirected(h); why != 0 {
+	if why := e.misdirected(now, h, p); why != 0 {
 		e.refuse(now, from, f, p, why, raw)
 		return
 	}
@@ -230,8 +230,10 @@
 
 // misdirected tells why a packet isn't for the target here. Addresses are used
 // again by other services, and balancers learn of it a moment later.
-func (e *Engine) misdirected(h peer.Head) peer.Reason {
+func (e *Engine) misdirected(now time.Duration, h peer.Head, p packet.Packet) peer.Reason {
 	switch {
+	case !e.target.known && !p.Opens() && !e.empty(now) && h.Service == route.IDOf(e.cfg.Service):
+		return 0 // the agent may have restarted beside a target that lives
 	case !e.target.known:
 		return peer.NoTarget
 	case h.Service != 0 && h.Service != e.target.service:
@@ -403,8 +405,13 @@
 	e.refuse(now, to, f, p, why, raw)
 }
 
-// Ask answers a balancer's question who holds a flow.
+// Ask answers a balancer's question who holds a flow. While a target may be
+// there that hasn't announced itself to this process, there is no answer:
+// whatever the others say, the flow may be open here.
 func (e *Engine) Ask(now time.Duration, from netip.AddrPort, q peer.Question) {
+	if !e.target.known && !e.empty(now) {
+		return
+	}
 	e.cfg.Out.Answer(from, peer.Ruling{Question: q, Verdict: e.verdict(now, q)})
 }
 
@@ -431,7 +438,10 @@
 
 // unsure tells whether the target may hold flows that this agent hasn't seen.
 func (e *Engine) unsure(now time.Duration) bool {
-	return e.target.known && e.target.older && now-e.target.metAt < learning
+	if !e.target.known {
+		return !e.empty(now)
+	}
+	return e.target.older && now-e.target.metAt < learning
 }
 
 func (e *Engine) note(now time.Duration, d Decision) {
--- a/internal/pass/flowtable/target.go
+++ b/internal/pass/flowtable/target.go
@@ -277,6 +277,11 @@
 	}
 }
 
+// empty tells whether no target is there that could hold flows.
+func (e *Engine) empty(now time.Duration) bool {
+	return !e.target.known && now-max(e.target.leftAt, e.startedAt) > e.unannounced()
+}
+
 // unannounced is how long an agent without a target waits before it says that
 // there is none: a target that lives announces itself twice meanwhile. Until
 // then a balancer doesn't reset flows that nobody claims.
@@ -305,7 +310,7 @@
 		r.Born = t.born
 		r.Open = !t.draining && !t.silent && !e.leaving
 	}
-	r.Empty = !t.known && now-max(t.leftAt, e.startedAt) > e.unannounced()
+	r.Empty = e.empty(now)
 	if t.coldTill > now {
 		r.ColdMS = uint32((t.coldTill - now).Milliseconds())
 	}
