Questions about flows are compact, and some flows at a time are asked for

Each balancer asked 48 agents for every open flow at once; the questions filled its link of 7 Mbit/s, new flows' packets were lost with the answers, and callers' copies kept it full. Change: 64 flows at most are asked for at a time, the others wait for their turn; questions are 16 bytes in place of 36, and share datagrams for 15 ms while many are asked for. The test failed before (all at once).

--- a/internal/pass/agent/agent.go
+++ b/internal/pass/agent/agent.go
@@ -204,14 +204,9 @@
 		}
 		a.engine.FromBalancer(now, from, h, p, carried)
 	case peer.KindAsk:
-		var ask peer.Ask
-		if _, err := ask.UnmarshalMsg(raw[1:]); err != nil {
-			return errors.Wrap(err, "agent: questions")
-		}
-		for _, q := range ask.Questions {
-			a.engine.Ask(now, from, q)
-		}
+		err := peer.ReadAsk(raw, func(q peer.Question) { a.engine.Ask(now, from, q) })
 		a.answers.Flush(a.sendAnswer)
+		return err
 	default:
 		return errors.Errorf("agent: datagram kind %d", raw[0])
 	}
--- a/internal/pass/agent/output.go
+++ b/internal/pass/agent/output.go
@@ -33,22 +33,14 @@
 }
 
 // Answer implements flowtable.Output; the answers to one datagram's questions
-// share one.
+// share one, sent once all are there.
 func (a *Agent) Answer(to netip.AddrPort, r peer.Ruling) {
-	a.answers.Add(to, r, func() {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		a.answers.Flush(a.sendAnswer)
-	})
+	a.answers.Add(to, r, 0, nil)
 }
 
 func (a *Agent) sendAnswer(to netip.AddrPort, rs []peer.Ruling) {
-	body, err := (&peer.Answer{Rulings: rs}).MarshalMsg([]byte{byte(peer.KindAnswer)})
-	if err != nil {
-		a.cfg.Log.WithError(err).Error("agent: encode answers")
-		return
-	}
-	datagram.Send(a.nodes, body, to, a.cfg.Metrics)
+	a.buf = peer.AppendAnswer(a.buf[:0], rs)
+	datagram.Send(a.nodes, a.buf, to, a.cfg.Metrics)
 }
 
 // Reset implements flowtable.Output.
--- a/internal/pass/balancer/balancer.go
+++ b/internal/pass/balancer/balancer.go
@@ -190,13 +190,7 @@
 		}
 		b.engine.Refused(now, from, h.Reason, p, carried)
 	case peer.KindAnswer:
-		var a peer.Answer
-		if _, err := a.UnmarshalMsg(raw[1:]); err != nil {
-			return errors.Wrap(err, "balancer: answer")
-		}
-		for _, r := range a.Rulings {
-			b.engine.Answered(now, from, r)
-		}
+		return peer.ReadAnswer(raw, func(r peer.Ruling) { b.engine.Answered(now, from, r) })
 	case peer.KindReport:
 		var r peer.Report
 		if _, err := r.UnmarshalMsg(raw[1:]); err != nil {
--- a/internal/pass/balancer/output.go
+++ b/internal/pass/balancer/output.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"net/netip"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -34,11 +35,24 @@
 	b.send(b.buf, to)
 }
 
-// Ask implements forward.Output. Questions that come within askPause share a
-// datagram: after a restart of the fabric's choice thousands of flows are asked
-// for at once.
+const (
+	// askPause is how long a question waits for others to the same agent: a
+	// small part of the round trip that it costs anyway.
+	askPause = 2 * time.Millisecond
+	// manySearches is from when on questions wait longer, for askPauseMany: when
+	// all flows are asked for at once, fifty agents get fifty datagrams for each
+	// pause, and datagrams cost more than what they carry.
+	manySearches = 16
+	askPauseMany = 15 * time.Millisecond
+)
+
+// Ask implements forward.Output.
 func (b *Balancer) Ask(to netip.AddrPort, q peer.Question) {
-	b.asks.Add(to, q, func() {
+	pause := askPause
+	if b.engine.Searches() >= manySearches {
+		pause = askPauseMany
+	}
+	b.asks.Add(to, q, pause, func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		b.asks.Flush(b.sendAsk)
@@ -46,12 +60,8 @@
 }
 
 func (b *Balancer) sendAsk(to netip.AddrPort, qs []peer.Question) {
-	body, err := (&peer.Ask{Questions: qs}).MarshalMsg([]byte{byte(peer.KindAsk)})
-	if err != nil {
-		b.cfg.Log.WithError(err).Error("balancer: encode questions")
-		return
-	}
-	b.send(body, to)
+	b.buf = peer.AppendAsk(b.buf[:0], qs)
+	b.send(b.buf, to)
 }
 
 // Reset implements forward.Output.
--- a/internal/pass/datagram/datagram.go
+++ b/internal/pass/datagram/datagram.go
@@ -20,12 +20,9 @@
 	// errorPause keeps a socket that fails again and again from taking the
 	// whole processor.
 	errorPause = 10 * time.Millisecond
-	// batchPause is how long entries for one peer are gathered. A question
-	// costs a round trip of a few milliseconds anyway.
-	batchPause = 2 * time.Millisecond
-	// batchSize bounds the entries of one datagram: 30 rulings of 45 bytes stay
-	// under 1,400 bytes, which passes every link whole.
-	batchSize = 30
+	// batchSize bounds the entries of one datagram: 75 rulings of 17 bytes stay
+	// under 1,300 bytes, which passes every link whole.
+	batchSize = 75
 )
 
 // Read hands each datagram to take until ctx is done or the socket is closed.
@@ -61,16 +58,16 @@
 	pending bool
 }
 
-// Add puts an entry to a peer's batch. The first one of a batch has flush called
-// a little later, on a goroutine of its own.
-func (b *Batches[T]) Add(to netip.AddrPort, x T, flush func()) {
+// Add puts an entry to a peer's batch. The first one has flush called after the
+// pause, on a goroutine of its own, unless flush is nil.
+func (b *Batches[T]) Add(to netip.AddrPort, x T, pause time.Duration, flush func()) {
 	if b.byPeer == nil {
 		b.byPeer = map[netip.AddrPort][]T{}
 	}
 	b.byPeer[to] = append(b.byPeer[to], x)
-	if !b.pending {
+	if !b.pending && flush != nil {
 		b.pending = true
-		time.AfterFunc(batchPause, flush)
+		time.AfterFunc(pause, flush)
 	}
 }
 
--- a/internal/pass/flowtable/flows_test.go
+++ b/internal/pass/flowtable/flows_test.go
@@ -137,7 +137,7 @@
 	is := is.New(t)
 	r := newRig(t)
 	r.engine = New(Config{Service: desk, Address: address, Heartbeat: time.Second, StartedAt: r.now, StartedWall: started, Codec: codec{}, Out: r})
-	r.engine.Ask(r.now, balancer, peer.QuestionOf(flowOf(9), 5))
+	r.engine.Ask(r.now, balancer, peer.Question{Flow: flowOf(9), Ack: 5})
 	is.Equal(len(r.answers), 0)
 	r.fromClient(9, packet.ACK, 11, 5, 10)
 	is.Equal(r.toTarget, []uint16{9})
--- a/internal/pass/flowtable/flowtable.go
+++ b/internal/pass/flowtable/flowtable.go
@@ -419,7 +419,7 @@
 	if !e.target.known {
 		return peer.Lacks
 	}
-	x, known := e.flows[q.FlowOf()]
+	x, known := e.flows[q.Flow]
 	switch {
 	case known && x.stage == opening:
 		if x.completedBy(q.Ack) {
--- a/internal/pass/flowtable/rig_test.go
+++ b/internal/pass/flowtable/rig_test.go
@@ -138,6 +138,6 @@
 func (r *rig) report() peer.Report { return r.engine.Report(r.now) }
 
 func (r *rig) verdictOn(port uint16, ack uint32) peer.Verdict {
-	r.engine.Ask(r.now, balancer, peer.QuestionOf(flowOf(port), ack))
+	r.engine.Ask(r.now, balancer, peer.Question{Flow: flowOf(port), Ack: ack})
 	return r.answers[len(r.answers)-1].Verdict
 }
--- a/internal/pass/forward/forward.go
+++ b/internal/pass/forward/forward.go
@@ -138,7 +138,11 @@
 	flows    map[packet.Flow]holder
 	searches map[packet.Flow]*search
 	held     int
-	sweepAt  time.Duration
+	// queue holds the flows whose search waits for its turn, asking counts those
+	// that are being asked for.
+	queue   []packet.Flow
+	asking  int
+	sweepAt time.Duration
 	// tabledAt is when the first table came; early are the packets that came
 	// before the engine could place them.
 	tabledAt time.Duration
--- a/internal/pass/forward/placing_test.go
+++ b/internal/pass/forward/placing_test.go
@@ -188,7 +188,7 @@
 		p.Src.IP[2], p.Src.IP[3] = 9, byte(i>>16)
 		delete(e.flows, p.FromClient())
 		e.FromClient(time.Hour, p, raw)
-		e.Answered(time.Hour, at, peer.Ruling{Question: peer.QuestionOf(p.FromClient(), 5), Verdict: peer.Holds})
+		e.Answered(time.Hour, at, peer.Ruling{Question: peer.Question{Flow: p.FromClient(), Ack: 5}, Verdict: peer.Holds})
 	}
 }
 
--- a/internal/pass/forward/rig_test.go
+++ b/internal/pass/forward/rig_test.go
@@ -154,3 +154,5 @@
 	}
 	return r.notes[len(r.notes)-1]
 }
+
+func portOf(f packet.Flow) uint16 { return f.Client.Port }
--- a/internal/pass/forward/search.go
+++ b/internal/pass/forward/search.go
@@ -17,9 +17,19 @@
 	// askPatience is when a search ends without the answers that lack. The
 	// caller sends its packet again after 200 ms, and a new search begins.
 	askPatience = 160 * time.Millisecond
+	// queuePatience is how long a flow waits for its turn to be asked for; its
+	// caller has sent a copy by then.
+	queuePatience = time.Second
 	// probePatience is how long a packet that was sent to an agent that isn't
 	// sure may take to come back. A target hands it back within a millisecond.
 	probePatience = 40 * time.Millisecond
+	// maxAsking bounds the flows asked for at the same time. Without it, all
+	// flows of a service with fifty targets that are asked for at once, as after
+	// all lost power, fill a balancer's link with questions; the answers come
+	// late, callers send their packets again, and no flow gets through any more.
+	// At 64 and a round trip of 20 ms, 3,200 flows a second are found; where the
+	// link is full, 400 a second are asked for, a third of 7 Mbit/s.
+	maxAsking = 64
 	// maxSearches bounds the flows searched at once. Past it the packet is
 	// dropped, and the caller sends it again.
 	maxSearches = 8_192
@@ -50,6 +60,11 @@
 	// probe is the agent that has been sent a packet to see; noAgent if none.
 	probe   uint32
 	probeAt time.Duration
+	// lacks is an agent known not to hold the flow; noAgent if none.
+	lacks uint32
+	// begun says that agents have been asked; until then the search waits for
+	// its turn.
+	begun bool
 	// mute says that a client ended the flow: nobody is to be answered.
 	mute bool
 }
@@ -66,14 +81,32 @@
 		s = &search{begunAt: now, probe: noAgent, mute: p.Flags.Has(packet.RST)}
 		e.searches[f] = s
 		s.ack, s.flags = p.Ack, p.Flags
+		s.lacks = lacks
 		e.hold(f, s, raw)
-		e.askAll(now, f, s, lacks)
+		e.queue = append(e.queue, f)
+		e.beginQueued(now)
 		return
 	}
 	s.ack, s.flags = p.Ack, p.Flags
 	e.hold(f, s, raw)
 }
 
+// beginQueued asks for the flows whose turn it is.
+func (e *Engine) beginQueued(now time.Duration) {
+	for e.asking < maxAsking && len(e.queue) > 0 {
+		f := e.queue[0]
+		e.queue = e.queue[1:]
+		s := e.searches[f]
+		if s == nil || s.begun {
+			continue // over, or in the queue twice
+		}
+		s.begun = true
+		s.begunAt = now
+		e.asking++
+		e.askAll(now, f, s, s.lacks)
+	}
+}
+
 func (e *Engine) hold(f packet.Flow, s *search, raw []byte) {
 	if len(s.held) >= maxHeldPerFlow || e.held >= maxHeld {
 		e.note(Decision{Flow: f, Verdict: DroppedBusy})
@@ -94,7 +127,7 @@
 		}
 		s.waiting = append(s.waiting, agent)
 		s.asked = append(s.asked, agent)
-		e.cfg.Out.Ask(a.address, peer.QuestionOf(f, s.ack))
+		e.cfg.Out.Ask(a.address, peer.Question{Flow: f, Ack: s.ack})
 	}
 	if len(s.waiting) == 0 {
 		e.advance(now, f, s)
@@ -112,9 +145,9 @@
 
 // Answered takes an agent's word on a flow.
 func (e *Engine) Answered(now time.Duration, from netip.AddrPort, r peer.Ruling) {
-	f := r.Question.FlowOf()
+	f := r.Question.Flow
 	s := e.searches[f]
-	if s == nil {
+	if s == nil || !s.begun {
 		return
 	}
 	agent := e.agents.number(from)
@@ -129,10 +162,15 @@
 	case peer.Lacks:
 		e.lacks(now, f, s, agent)
 	}
+	e.beginQueued(now)
 }
 
 // lacks takes word that an agent's target doesn't hold the flow.
 func (e *Engine) lacks(now time.Duration, f packet.Flow, s *search, agent uint32) {
+	if !s.begun {
+		s.lacks = agent
+		return
+	}
 	remove(&s.waiting, agent)
 	if s.probe == agent {
 		s.probe = noAgent
@@ -209,6 +247,9 @@
 func (e *Engine) dropSearch(f packet.Flow) {
 	if s := e.searches[f]; s != nil {
 		e.held -= len(s.held)
+		if s.begun {
+			e.asking--
+		}
 		delete(e.searches, f)
 	}
 }
@@ -216,6 +257,11 @@
 func (e *Engine) tickSearches(now time.Duration) {
 	for f, s := range e.searches {
 		switch {
+		case !s.begun:
+			if now-s.begunAt > queuePatience {
+				e.note(Decision{Flow: f, Verdict: DroppedBusy})
+				e.dropSearch(f)
+			}
 		case s.probe != noAgent:
 			if now-s.probeAt > probePatience {
 				e.found(now, f, s, s.probe) // it wasn't handed back
@@ -227,10 +273,11 @@
 		case now-s.begunAt > askAgain && !s.again:
 			s.again = true
 			for _, agent := range s.waiting {
-				e.cfg.Out.Ask(e.agents.list[agent].address, peer.QuestionOf(f, s.ack))
+				e.cfg.Out.Ask(e.agents.list[agent].address, peer.Question{Flow: f, Ack: s.ack})
 			}
 		}
 	}
+	e.beginQueued(now)
 }
 
 // remove takes an agent out of a list; false if it isn't there.
--- a/internal/pass/forward/search_test.go
+++ b/internal/pass/forward/search_test.go
@@ -124,3 +124,48 @@
 	is.Equal(len(r.resets), 0)
 	is.Equal(r.engine.Searches(), maxSearches)
 }
+
+// All VMs lost power, and every open flow of a large service is asked for at
+// once. Asked all together, the questions filled the balancer's link, answers
+// came too late, callers sent their packets again, and nobody was served for as
+// long as one looked. So some flows at a time are asked for, and the next ones as
+// those are settled; every caller is answered in the end.
+func TestFlowsAreAskedForSomeAtATime(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	a := r.agentAt(1, desk)
+	const flows = 5 * maxAsking
+	for port := range uint16(flows) {
+		r.send(data(port, 77))
+	}
+	is.Equal(r.askedOf(a), maxAsking)
+	for len(r.asked) < flows {
+		before := len(r.asked)
+		r.answer(a, peer.Lacks)
+		if len(r.asked) == before {
+			t.Fatalf("stuck after %d questions", before)
+		}
+	}
+	r.answer(a, peer.Lacks)
+	is.Equal(len(r.resets), flows)
+	is.Equal(r.engine.Searches(), 0)
+	is.Equal(r.engine.asking, 0)
+	is.Equal(r.engine.held, 0)
+}
+
+// The agents don't answer, their links are full. The flows that wait for their
+// turn get it as the first ones are given up; none is reset.
+func TestQueuedFlowsOutlastUnansweredOnes(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	a := r.agentAt(1, desk)
+	for port := range uint16(maxAsking + 1) {
+		r.send(data(port, 77))
+	}
+	r.pass(askPatience + 40*time.Millisecond)
+	is.Equal(len(r.resets), 0)
+	is.Equal(r.engine.Searches(), 1)
+	r.answer(a, peer.Holds)
+	is.Equal(len(r.delivered), 1)
+	is.Equal(portOf(r.last().Flow), uint16(maxAsking))
+}
--- a/internal/pass/peer/messages.go
+++ b/internal/pass/peer/messages.go
@@ -1,46 +1,5 @@
 package peer
 
-// Question asks an agent whether its target holds a flow.
-type Question struct {
-	ClientIP    [4]byte `msg:"c"`
-	ClientPort  uint16  `msg:"p"`
-	ServiceIP   [4]byte `msg:"s"`
-	ServicePort uint16  `msg:"q"`
-	// Ack is the acknowledgement number of the client's packet: it tells the
-	// target whose handshake the client completed from one that only answered a
-	// copy of the first packet.
-	Ack uint32 `msg:"a"`
-}
-
-// Ask is a batch of questions from a balancer.
-type Ask struct {
-	Questions []Question `msg:"q"`
-}
-
-// Verdict is an agent's word on a flow.
-type Verdict uint8
-
-const (
-	// Holds means that the target has the flow open.
-	Holds Verdict = iota + 1
-	// Lacks means that the target surely doesn't have it.
-	Lacks
-	// Unsure means that the target may have it: the agent started after its
-	// target and hasn't seen all flows yet.
-	Unsure
-)
-
-// Ruling answers one question.
-type Ruling struct {
-	Question Question `msg:"q"`
-	Verdict  Verdict  `msg:"v"`
-}
-
-// Answer is a batch of rulings from an agent.
-type Answer struct {
-	Rulings []Ruling `msg:"r"`
-}
-
 // Report is what an agent tells balancers of its target.
 type Report struct {
 	// Process is random for each start of the agent.
--- a/internal/pass/peer/peer.go
+++ b/internal/pass/peer/peer.go
@@ -22,7 +22,8 @@
 	KindDeliver Kind = iota + 1
 	// KindRefused carries it back.
 	KindRefused
-	// KindAsk, KindAnswer and KindReport have msgpack bodies.
+	// KindAsk and KindAnswer carry batches of questions and rulings, KindReport a
+	// Report in msgpack.
 	KindAsk
 	KindAnswer
 	KindReport
@@ -71,10 +72,6 @@
 // HeadSize is the bytes before a carried packet.
 const HeadSize = 10
 
-// MaxDatagram bounds what is read; the largest is a report or a batch of
-// questions.
-const MaxDatagram = 2048
-
 // ErrShort means that a datagram is shorter than its kind demands.
 var ErrShort = errors.New("peer: datagram too short")
 
@@ -94,18 +91,97 @@
 	return h, b[HeadSize:], nil
 }
 
-// FlowOf returns the flow of a question.
-func (q Question) FlowOf() packet.Flow {
-	return packet.Flow{
-		Client:  packet.Endpoint{IP: q.ClientIP, Port: q.ClientPort},
-		Service: packet.Endpoint{IP: q.ServiceIP, Port: q.ServicePort},
+// Question asks an agent whether its target holds a flow.
+type Question struct {
+	Flow packet.Flow
+	// Ack is the acknowledgement number of the client's packet: it tells the
+	// target whose handshake the client completed from one that only answered a
+	// copy of the first packet.
+	Ack uint32
+}
+
+// Verdict is an agent's word on a flow.
+type Verdict uint8
+
+const (
+	// Holds means that the target has the flow open.
+	Holds Verdict = iota + 1
+	// Lacks means that the target surely doesn't have it.
+	Lacks
+	// Unsure means that the target may have it: the agent started after its
+	// target and hasn't seen all flows yet.
+	Unsure
+)
+
+// Ruling answers one question.
+type Ruling struct {
+	Question Question
+	Verdict  Verdict
+}
+
+// Questions and rulings are fixed in size: when all flows of a large service are
+// asked for at once, they are most of what a balancer's link carries. In msgpack
+// they took more than twice as much.
+const (
+	questionSize = 16
+	rulingSize   = questionSize + 1
+)
+
+// AppendAsk writes a batch of questions.
+func AppendAsk(to []byte, qs []Question) []byte {
+	to = append(to, byte(KindAsk))
+	for _, q := range qs {
+		to = q.append(to)
 	}
+	return to
 }
 
-// QuestionOf asks for a flow.
-func QuestionOf(f packet.Flow, ack uint32) Question {
+// AppendAnswer writes a batch of rulings.
+func AppendAnswer(to []byte, rs []Ruling) []byte {
+	to = append(to, byte(KindAnswer))
+	for _, r := range rs {
+		to = r.Question.append(to)
+		to = append(to, byte(r.Verdict))
+	}
+	return to
+}
+
+func (q Question) append(to []byte) []byte {
+	to = append(to, q.Flow.Client.IP[:]...)
+	to = binary.BigEndian.AppendUint16(to, q.Flow.Client.Port)
+	to = append(to, q.Flow.Service.IP[:]...)
+	to = binary.BigEndian.AppendUint16(to, q.Flow.Service.Port)
+	return binary.BigEndian.AppendUint32(to, q.Ack)
+}
+
+func decodeQuestion(b []byte) Question {
 	return Question{
-		ClientIP: f.Client.IP, ClientPort: f.Client.Port,
-		ServiceIP: f.Service.IP, ServicePort: f.Service.Port, Ack: ack,
+		Flow: packet.Flow{
+			Client:  packet.Endpoint{IP: [4]byte(b), Port: binary.BigEndian.Uint16(b[4:])},
+			Service: packet.Endpoint{IP: [4]byte(b[6:]), Port: binary.BigEndian.Uint16(b[10:])},
+		},
+		Ack: binary.BigEndian.Uint32(b[12:]),
+	}
+}
+
+// ReadAsk hands each question of a datagram to take.
+func ReadAsk(b []byte, take func(Question)) error {
+	if len(b) < 1 || (len(b)-1)%questionSize != 0 {
+		return errors.Wrapf(ErrShort, "questions in %d bytes", len(b))
+	}
+	for b = b[1:]; len(b) > 0; b = b[questionSize:] {
+		take(decodeQuestion(b))
+	}
+	return nil
+}
+
+// ReadAnswer hands each ruling of a datagram to take.
+func ReadAnswer(b []byte, take func(Ruling)) error {
+	if len(b) < 1 || (len(b)-1)%rulingSize != 0 {
+		return errors.Wrapf(ErrShort, "rulings in %d bytes", len(b))
+	}
+	for b = b[1:]; len(b) > 0; b = b[rulingSize:] {
+		take(Ruling{Question: decodeQuestion(b), Verdict: Verdict(b[questionSize])})
 	}
+	return nil
 }
--- /dev/null
+++ b/internal/pass/peer/peer_test.go
@@ -0,0 +1,68 @@
+package peer
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"bergamotstall/internal/pass/packet"
+)
+
+func question(port uint16) Question {
+	return Question{
+		Flow: packet.Flow{
+			Client:  packet.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: port},
+			Service: packet.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443},
+		},
+		Ack: 0xfedcba98,
+	}
+}
+
+func TestBatchesComeBack(t *testing.T) {
+	is := is.New(t)
+	qs := []Question{question(1), question(2)}
+	var got []Question
+	is.NoErr(ReadAsk(AppendAsk(nil, qs), func(q Question) { got = append(got, q) }))
+	is.Equal(got, qs)
+	rs := []Ruling{{qs[0], Holds}, {qs[1], Unsure}}
+	var back []Ruling
+	is.NoErr(ReadAnswer(AppendAnswer(nil, rs), func(r Ruling) { back = append(back, r) }))
+	is.Equal(back, rs)
+}
+
+func TestHeadComesBack(t *testing.T) {
+	is := is.New(t)
+	h := Head{Kind: KindRefused, Reason: Silent, Service: 77}
+	got, carried, err := DecodeHead(h.Append(nil, []byte("packet")))
+	is.NoErr(err)
+	is.Equal(got, h)
+	is.Equal(string(carried), "packet")
+	_, _, err = DecodeHead(make([]byte, HeadSize-1))
+	is.True(err != nil)
+}
+
+// A datagram that was cut on its way is refused; a part of an entry must not be
+// taken for another flow.
+func TestCutBatches(t *testing.T) {
+	is := is.New(t)
+	whole := AppendAnswer(nil, []Ruling{{question(1), Holds}})
+	for n := range whole {
+		if n == 1 {
+			continue // an empty batch
+		}
+		is.True(ReadAnswer(whole[:n], func(Ruling) { t.Error("taken") }) != nil)
+	}
+}
+
+func FuzzReadAnswer(f *testing.F) {
+	f.Add(AppendAnswer(nil, []Ruling{{question(1), Holds}}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var rs []Ruling
+		if ReadAnswer(data, func(r Ruling) { rs = append(rs, r) }) != nil {
+			return
+		}
+		if again := AppendAnswer(nil, rs); string(again[1:]) != string(data[1:]) {
+			t.Errorf("%x came back as %x", data, again)
+		}
+	})
+}
