Agents try whether their target's process is there

And a crashed target's callers waited until its announcements were overdue. Change: while no target is known, or one owes a reaction for 0.2 s, the agent opens a connection to its address; a refusal means that nothing is held there.

--- a/internal/pass/agent/agent.go
+++ b/internal/pass/agent/agent.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -34,6 +35,10 @@
 	// heardFor is how long a balancer that isn't listed gets reports after a
 	// datagram of its own: control may be away when a balancer starts.
 	heardFor = 5 * time.Second
+	// probeInterval paces tries whether the target's process is there; each takes
+	// probeTimeout at most, on the same VM.
+	probeInterval = 100 * time.Millisecond
+	probeTimeout  = 100 * time.Millisecond
 	// farewell is how long a stopping agent waits for its last datagrams to
 	// leave.
 	farewell = 20 * time.Millisecond
@@ -120,7 +125,7 @@
 	carry, stop := context.WithCancel(context.Background())
 	defer stop()
 	var running sync.WaitGroup
-	for _, loop := range []func(context.Context){a.readTarget, a.readNodes, a.tick, a.client.Run} {
+	for _, loop := range []func(context.Context){a.readTarget, a.readNodes, a.tick, a.probe, a.client.Run} {
 		running.Add(1)
 		go func() {
 			defer running.Done()
@@ -258,3 +263,39 @@
 		}
 	}
 }
+
+// probe tries the target's address while the engine wants to know whether
+// anything is there.
+func (a *Agent) probe(ctx context.Context) {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		a.mu.Lock()
+		wanted := a.engine.WantsProbe(a.now())
+		a.mu.Unlock()
+		if wanted {
+			a.probeOnce(ctx)
+		}
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+// probeOnce opens a connection to the target and closes it.
+func (a *Agent) probeOnce(ctx context.Context) {
+	dialer := net.Dialer{Timeout: probeTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", a.cfg.Target.String())
+	if err == nil {
+		_ = conn.Close()
+	} else if !errors.Is(err, syscall.ECONNREFUSED) {
+		return // no answer says nothing
+	}
+	a.cfg.Metrics.Counter("pass_target_probes").Add(1)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.engine.WantsProbe(a.now()) {
+		a.engine.Probed(a.now(), err == nil)
+	}
+}
--- a/internal/pass/flowtable/target.go
+++ b/internal/pass/flowtable/target.go
@@ -60,6 +60,8 @@
 	silent bool
 	// leftAt is when an incarnation said that it ends.
 	leftAt time.Duration
+	// absent says that nothing took connections at its address when last tried.
+	absent bool
 }
 
 const (
@@ -89,10 +91,12 @@
 	}
 	t := &e.target
 	switch {
-	case t.id == a.ID && t.born == a.Born:
+	case t.id == a.ID && t.born == a.Born && (t.known || t.leftAt > 0):
 		if a.Number <= t.number || !t.known {
 			return Late
 		}
+	case t.id == a.ID && t.born == a.Born && a.Number <= t.number:
+		return Late // it was taken for dead, and this was said before
 	case t.id != "" && a.Born < t.born:
 		e.note(now, Decision{Verdict: StaleAnnouncement})
 		return Late
@@ -117,10 +121,11 @@
 	if e.target.known {
 		e.resetAll(now)
 	}
-	seenBefore := e.target.id != ""
+	another := e.target.id != "" && (e.target.id != a.ID || e.target.born != a.Born)
+	takenForDead := e.target.id != "" && !another
 	e.target = target{
 		known: true, id: a.ID, service: route.IDOf(a.Service), born: a.Born, metAt: now,
-		older: !seenBefore && e.missed(a),
+		older: takenForDead || !another && e.missed(a),
 	}
 	e.note(now, Decision{Verdict: TargetArrived})
 	e.cfg.Out.Report()
@@ -170,6 +175,36 @@
 // afterLeft is how long after its farewell a target's process may still run.
 const afterLeft = 300 * time.Millisecond
 
+// owePatience is how long a target may owe a reaction before its address is
+// tried. It acknowledges every second packet at once and answers a lone one when
+// its request is done; the longest requests take a third of a second.
+const owePatience = 200 * time.Millisecond
+
+// WantsProbe tells whether it should be tried if anything takes connections at
+// the target's address: while no target is known, since one may be there from
+// before the agent's start, and while one owes a reaction.
+func (e *Engine) WantsProbe(now time.Duration) bool {
+	t := &e.target
+	if !t.known {
+		return !e.empty(now)
+	}
+	return t.silent || t.owesAt > 0 && now-t.owesAt > owePatience
+}
+
+// Probed takes whether anything took a connection at the target's address. A
+// refusal means that the target's process is gone, and its flows with it. No
+// answer at all isn't to be passed on: it says nothing.
+func (e *Engine) Probed(now time.Duration, listening bool) {
+	e.target.absent = !listening
+	if listening || !e.target.known {
+		return
+	}
+	e.note(now, Decision{Verdict: TargetDead, Flows: e.load.flows})
+	e.resetAll(now)
+	e.target.known = false
+	e.cfg.Out.Report()
+}
+
 // Tick lets time pass.
 func (e *Engine) Tick(now time.Duration) {
 	e.load.settle(now)
@@ -279,7 +314,7 @@
 
 // empty tells whether no target is there that could hold flows.
 func (e *Engine) empty(now time.Duration) bool {
-	return !e.target.known && now-max(e.target.leftAt, e.startedAt) > e.unannounced()
+	return !e.target.known && (e.target.absent || now-max(e.target.leftAt, e.startedAt) > e.unannounced())
 }
 
 // unannounced is how long an agent without a target waits before it says that
--- a/internal/pass/flowtable/target_test.go
+++ b/internal/pass/flowtable/target_test.go
@@ -118,3 +118,54 @@
 	r.pass(5 * meanOver)
 	is.True(r.report().Load < 5)
 }
+
+// The agent restarted after all VMs lost power, on a VM without a target. Nothing
+// takes connections at the target's address, so nothing is held here, and the
+// agent says so at once. As long as it said nothing, balancers couldn't reset
+// callers' dead flows.
+func TestNobodyAtTheTargetsAddress(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.engine = New(Config{Service: desk, Address: address, Heartbeat: time.Second, StartedAt: r.now, Codec: codec{}, Out: r})
+	is.True(r.engine.WantsProbe(r.now))
+	r.engine.Probed(r.now, true) // somebody is there
+	is.Equal(r.report().Empty, false)
+	r.engine.Probed(r.now, false)
+	is.Equal(r.report().Empty, true)
+	is.Equal(r.verdictOn(9, 5), peer.Lacks)
+	r.announce("i-1", 0, 1)
+	is.Equal(r.report().Empty, false)
+	is.Equal(r.engine.WantsProbe(r.now), false)
+}
+
+// The target crashed with a request in hand. Its process is gone, and the
+// address refuses connections: callers are told a quarter of a second after, not
+// when its announcements are overdue.
+func TestCrashIsSeenByRefusedConnections(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.open(9, 1000)
+	r.ask(9, 0)
+	is.Equal(r.engine.WantsProbe(r.now), false)
+	r.pass(owePatience + 10*time.Millisecond)
+	is.True(r.engine.WantsProbe(r.now))
+	r.engine.Probed(r.now, true) // only slow
+	is.Equal(len(r.resets), 0)
+	r.engine.Probed(r.now, false)
+	is.Equal(r.resets, []reset{{9, 1001}})
+	is.Equal(r.report().Open, false)
+	is.Equal(r.report().Empty, true)
+	r.announce("i-1", 3000, 1) // reborn
+	is.Equal(r.report().Open, true)
+}
+
+// A target was taken for dead, and announces itself on: it lives, with flows
+// that this agent has forgotten.
+func TestTargetTakenForDeadComesBack(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.engine.Probed(r.now, false)
+	is.Equal(r.announce("i-1", 0, 2), Taken)
+	is.Equal(r.report().Open, true)
+	is.Equal(r.verdictOn(9, 5), peer.Unsure)
+}
