First packets are ordered by their age

Cause: after an outage balancers hand on first packets that they held for up to a second, and callers send copies; agents took both for new, so that they went before those that could still be answered in time. Change: balancers say how long a first packet waited, copies count for their time.

--- a/internal/pass/balancer/output.go
+++ b/internal/pass/balancer/output.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"math"
 	"net/netip"
 	"time"
 
@@ -30,8 +31,9 @@
 var _ forward.Output = (*Balancer)(nil)
 
 // Deliver implements forward.Output.
-func (b *Balancer) Deliver(to netip.AddrPort, service route.ServiceID, raw []byte) {
-	b.buf = peer.Head{Kind: peer.KindDeliver, Service: service}.Append(b.buf[:0], raw)
+func (b *Balancer) Deliver(to netip.AddrPort, service route.ServiceID, age time.Duration, raw []byte) {
+	ms := min(age.Milliseconds(), math.MaxUint16)
+	b.buf = peer.Head{Kind: peer.KindDeliver, Service: service, Age: uint16(ms)}.Append(b.buf[:0], raw)
 	b.send(b.buf, to)
 }
 
--- a/internal/pass/flowtable/admission.go
+++ b/internal/pass/flowtable/admission.go
@@ -35,9 +35,10 @@
 
 // queued is a first packet that waits.
 type queued struct {
-	flow    packet.Flow
-	from    netip.AddrPort
-	raw     []byte
+	flow packet.Flow
+	from netip.AddrPort
+	raw  []byte
+	// at is when the client sent it first, as far as is known.
 	at      time.Duration
 	urgency uint32
 }
@@ -68,7 +69,7 @@
 }
 
 // queueFirst lets a first packet wait; false if there is no room to.
-func (e *Engine) queueFirst(now time.Duration, from netip.AddrPort, f packet.Flow, raw []byte) bool {
+func (e *Engine) queueFirst(sentAt time.Duration, from netip.AddrPort, f packet.Flow, raw []byte) bool {
 	for i := range e.admission.queue {
 		if e.admission.queue[i].flow == f {
 			return true // a copy
@@ -78,7 +79,7 @@
 		return false
 	}
 	e.admission.queue = append(e.admission.queue, queued{
-		flow: f, from: from, raw: append([]byte(nil), raw...), at: now, urgency: e.table.Priority(f.Service),
+		flow: f, from: from, raw: append([]byte(nil), raw...), at: sentAt, urgency: e.table.Priority(f.Service),
 	})
 	return true
 }
@@ -91,12 +92,32 @@
 	}
 }
 
+// before tells whether a first packet goes before another one.
+func (q queued) before(other queued) bool {
+	if q.urgency != other.urgency {
+		return q.urgency < other.urgency
+	}
+	return q.at >= other.at
+}
+
+// copyAge is how long before a copy of a first packet the first one was sent, by
+// the number of the copy.
+var copyAge = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+
+// ageOf is how long ago at least a first packet's client sent it first. After an
+// outage balancers hold many that are old; taken for new they would go before
+// those that can still be answered in time.
+func ageOf(h peer.Head, p packet.Packet) time.Duration {
+	copies := min(p.Ack, uint32(len(copyAge)-1))
+	return time.Duration(h.Age)*time.Millisecond + copyAge[copies]
+}
+
 // takeNext removes the newest first packet of the most urgent route.
 func (e *Engine) takeNext() queued {
 	best := 0
 	for i, q := range e.admission.queue {
-		if q.urgency <= e.admission.queue[best].urgency {
-			best = i // later ones are newer
+		if q.before(e.admission.queue[best]) {
+			best = i
 		}
 	}
 	q := e.admission.queue[best]
--- a/internal/pass/flowtable/admission_test.go
+++ b/internal/pass/flowtable/admission_test.go
@@ -165,3 +165,26 @@
 		t.Errorf("%d of %d new callers reached the target in time", quick, fresh)
 	}
 }
+
+// After an outage a balancer hands on first packets that it held for a second,
+// and a caller sends the second copy of its own. They are older than they look
+// and go after one that was sent just now.
+func TestHeldAndCopiedFirstPacketsAreOld(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	busyTarget(r)
+	first := func(port uint16, copies uint32, held uint16) {
+		p := packet.Packet{Src: flowOf(port).Client, Dst: service, Flags: packet.SYN, Ack: copies}
+		r.engine.FromBalancer(r.now, balancer, peer.Head{Service: route.IDOf(desk), Age: held}, p, rawOf(port))
+	}
+	first(1, 0, 0)
+	first(2, 2, 0)
+	first(3, 0, 700)
+	for port := uint16(100); port < 103; port++ {
+		r.answered(port, 0)
+	}
+	is.Equal(r.toTarget, []uint16{1, 2, 3})
+	first(4, 0, 900) // nobody waits for it any more
+	r.pass(20 * time.Millisecond)
+	is.Equal(r.refused[len(r.refused)-1], refusal{4, peer.Busy})
+}
--- a/internal/pass/flowtable/flowtable.go
+++ b/internal/pass/flowtable/flowtable.go
@@ -218,7 +218,7 @@
 	x, known := e.flows[f]
 	switch {
 	case p.Opens():
-		e.first(now, from, f, x, known, raw)
+		e.first(now, now-ageOf(h, p), from, f, x, known, raw)
 	case known && x.stage != lacking:
 		e.later(now, from, f, x, p, raw)
 	case e.unsure(now) && !known:
@@ -251,8 +251,9 @@
 	e.note(now, Decision{Verdict: verdict, Flow: f, Reason: why})
 }
 
-// first takes a first packet or a copy of one.
-func (e *Engine) first(now time.Duration, from netip.AddrPort, f packet.Flow, x flow, known bool, raw []byte) {
+// first takes a first packet or a copy of one, which its client sent first at
+// sentAt.
+func (e *Engine) first(now, sentAt time.Duration, from netip.AddrPort, f packet.Flow, x flow, known bool, raw []byte) {
 	p := packet.Packet{Flags: packet.SYN}
 	switch {
 	case known && x.stage != lacking && x.stage != ended:
@@ -268,7 +269,7 @@
 		e.refuse(now, from, f, p, peer.Full, raw)
 		return
 	case e.busy() || len(e.admission.queue) > 0:
-		if !e.queueFirst(now, from, f, raw) {
+		if !e.queueFirst(sentAt, from, f, raw) {
 			e.refuse(now, from, f, p, peer.Busy, raw)
 		}
 		e.admitQueued(now)
--- a/internal/pass/forward/early.go
+++ b/internal/pass/forward/early.go
@@ -38,7 +38,7 @@
 // started.
 func (e *Engine) young(now time.Duration) bool { return now-e.tabledAt < youth }
 
-func (e *Engine) keepEarly(now time.Duration, p packet.Packet, f packet.Flow, raw []byte, searched bool) {
+func (e *Engine) keepEarly(came time.Duration, p packet.Packet, f packet.Flow, raw []byte, searched bool) {
 	if _, ok := e.early[f]; !ok && len(e.early) >= maxEarly {
 		e.note(Decision{Flow: f, Verdict: DroppedBusy})
 		return
@@ -46,7 +46,7 @@
 	if _, ok := e.early[f]; !ok {
 		e.note(Decision{Flow: f, Verdict: HeldEarly})
 	}
-	e.early[f] = earlyPacket{at: now, p: p, raw: append([]byte(nil), raw...), searched: searched}
+	e.early[f] = earlyPacket{at: came, p: p, raw: append([]byte(nil), raw...), searched: searched}
 }
 
 // replayEarly handles what waits once there is a table and an agent.
@@ -61,7 +61,7 @@
 		}
 		if e.able(now, x) {
 			delete(e.early, f)
-			e.FromClient(now, x.p, x.raw)
+			e.fromClient(now, x.at, x.p, x.raw)
 		}
 	}
 }
--- a/internal/pass/forward/forward.go
+++ b/internal/pass/forward/forward.go
@@ -48,8 +48,8 @@
 
 // Output takes what the engine decides. Slices are valid during the call.
 type Output interface {
-	// Deliver sends a client's packet to an agent.
-	Deliver(to netip.AddrPort, service route.ServiceID, raw []byte)
+	// Deliver sends a client's packet to an agent; age is how long it waited here.
+	Deliver(to netip.AddrPort, service route.ServiceID, age time.Duration, raw []byte)
 	// Ask sends a question to an agent; questions may be batched.
 	Ask(to netip.AddrPort, q peer.Question)
 	// Reset tells the client that the flow is over.
@@ -173,9 +173,14 @@
 
 // FromClient takes a packet from the fabric.
 func (e *Engine) FromClient(now time.Duration, p packet.Packet, raw []byte) {
+	e.fromClient(now, now, p, raw)
+}
+
+// fromClient takes a packet that came at the given moment.
+func (e *Engine) fromClient(now, came time.Duration, p packet.Packet, raw []byte) {
 	f := p.FromClient()
 	if e.table == nil {
-		e.keepEarly(now, p, f, raw, false)
+		e.keepEarly(came, p, f, raw, false)
 		return
 	}
 	if len(e.table.Services(f.Service)) == 0 {
@@ -185,7 +190,7 @@
 	at, known := e.flows[f]
 	switch {
 	case p.Opens():
-		e.open(now, p, f, at, known, raw)
+		e.open(now, came, p, f, at, known, raw)
 	case known:
 		at.seenAt = now
 		e.flows[f] = at
@@ -215,30 +220,30 @@
 // open takes a first packet or a copy of it. Copies follow the first one while
 // its agent is alive: two targets that both answer cost each other a flow's
 // worth of state.
-func (e *Engine) open(now time.Duration, p packet.Packet, f packet.Flow, at holder, known bool, raw []byte) {
+func (e *Engine) open(now, came time.Duration, p packet.Packet, f packet.Flow, at holder, known bool, raw []byte) {
 	if known && now-e.agents.list[at.agent].heardAt < reportStale {
 		at.seenAt = now
 		e.flows[f] = at
-		e.deliver(at.agent, raw)
+		e.deliverAged(at.agent, now-came, raw)
 		return
 	}
 	if known {
 		at.tried |= bit(at.agent)
-		e.place(now, f, at, raw, peer.Silent)
+		e.place(now, came, f, at, raw, peer.Silent)
 		return
 	}
-	e.place(now, f, holder{}, raw, 0)
+	e.place(now, came, f, holder{}, raw, 0)
 }
 
 // place offers a first packet to a target that hasn't handed it back.
-func (e *Engine) place(now time.Duration, f packet.Flow, at holder, raw []byte, why peer.Reason) {
+func (e *Engine) place(now, came time.Duration, f packet.Flow, at holder, raw []byte, why peer.Reason) {
 	service, _ := e.table.Pick(f)
 	agent, ok := e.choose(now, service, at.tried)
 	if !ok {
 		agent, ok = e.chooseOther(now, f, service, at.tried)
 	}
 	if !ok && at.tries == 0 && e.young(now) {
-		e.keepEarly(now, packet.Packet{Src: f.Client, Dst: f.Service, Flags: packet.SYN}, f, raw, false)
+		e.keepEarly(came, packet.Packet{Src: f.Client, Dst: f.Service, Flags: packet.SYN}, f, raw, false)
 		return
 	}
 	if !ok || at.tries >= maxTries {
@@ -259,7 +264,7 @@
 	}
 	a := &e.agents.list[agent]
 	a.sent++
-	e.deliver(agent, raw)
+	e.deliverAged(agent, now-came, raw)
 	e.note(Decision{Flow: f, Verdict: verdict, Agent: a.address, Reason: why, ReportAge: now - a.heardAt})
 }
 
@@ -277,9 +282,13 @@
 	return 0, false
 }
 
-func (e *Engine) deliver(agent uint32, raw []byte) {
+func (e *Engine) deliver(agent uint32, raw []byte) { e.deliverAged(agent, 0, raw) }
+
+// deliverAged sends a first packet with the time that it has waited: agents whose
+// targets are busy let the newest go first.
+func (e *Engine) deliverAged(agent uint32, age time.Duration, raw []byte) {
 	a := &e.agents.list[agent]
-	e.cfg.Out.Deliver(a.address, a.service(), raw)
+	e.cfg.Out.Deliver(a.address, a.service(), age, raw)
 }
 
 // Refused takes a packet that an agent handed back.
@@ -320,7 +329,7 @@
 	if at.tries == 0 {
 		at.tries = 1
 	}
-	e.place(now, f, at, raw, why)
+	e.place(now, now, f, at, raw, why)
 }
 
 // Tick lets time pass: unanswered questions are asked again or given up, and
--- a/internal/pass/forward/placing_test.go
+++ b/internal/pass/forward/placing_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/netip"
+	"runtime"
+	"strconv"
 	"testing"
 	"time"
 
@@ -213,7 +215,33 @@
 // silent is an Output that keeps nothing.
 type silent struct{ Output }
 
-func (silent) Deliver(netip.AddrPort, route.ServiceID, []byte) {}
-func (silent) Ask(netip.AddrPort, peer.Question)               {}
-func (silent) Reset(packet.Flow, uint32)                       {}
-func (silent) Note(Decision)                                   {}
+func (silent) Deliver(netip.AddrPort, route.ServiceID, time.Duration, []byte) {}
+func (silent) Ask(netip.AddrPort, peer.Question)                              {}
+func (silent) Reset(packet.Flow, uint32)                                      {}
+func (silent) Note(Decision)                                                  {}
+
+// BenchmarkFlowMemory measures what a remembered flow takes.
+func BenchmarkFlowMemory(b *testing.B) {
+	for _, n := range []int{10_000, 50_000, 100_000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			for range b.N {
+				before := heap()
+				e := New(Config{Out: silent{}})
+				for i := range n {
+					p := syn(uint16(i))
+					p.Src.IP[3] = byte(i >> 16)
+					e.flows[p.FromClient()] = holder{agent: 1, seenAt: time.Hour}
+				}
+				b.ReportMetric(float64(heap()-before)/float64(n), "B/flow")
+				runtime.KeepAlive(e)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/pass/forward/rig_test.go
+++ b/internal/pass/forward/rig_test.go
@@ -27,6 +27,7 @@
 
 type delivery struct {
 	to  netip.AddrPort
+	age time.Duration
 	raw []byte
 }
 
@@ -40,8 +41,8 @@
 	seq  uint32
 }
 
-func (r *rig) Deliver(to netip.AddrPort, _ route.ServiceID, raw []byte) {
-	r.delivered = append(r.delivered, delivery{to, append([]byte(nil), raw...)})
+func (r *rig) Deliver(to netip.AddrPort, _ route.ServiceID, age time.Duration, raw []byte) {
+	r.delivered = append(r.delivered, delivery{to, age, append([]byte(nil), raw...)})
 }
 func (r *rig) Ask(to netip.AddrPort, q peer.Question) { r.asked = append(r.asked, question{to, q}) }
 func (r *rig) Reset(f packet.Flow, seq uint32)        { r.resets = append(r.resets, reset{f, seq}) }
--- a/internal/pass/peer/peer.go
+++ b/internal/pass/peer/peer.go
@@ -67,10 +67,12 @@
 	// Service is whom the packet is for; an agent whose target is of another
 	// service refuses it, as after an address was used again.
 	Service route.ServiceID
+	// Age is for how many milliseconds the packet has waited at the balancer.
+	Age uint16
 }
 
 // HeadSize is the bytes before a carried packet.
-const HeadSize = 10
+const HeadSize = 12
 
 // ErrShort means that a datagram is shorter than its kind demands.
 var ErrShort = errors.New("peer: datagram too short")
@@ -79,6 +81,7 @@
 func (h Head) Append(to, raw []byte) []byte {
 	to = append(to, byte(h.Kind), byte(h.Reason))
 	to = binary.BigEndian.AppendUint64(to, uint64(h.Service))
+	to = binary.BigEndian.AppendUint16(to, h.Age)
 	return append(to, raw...)
 }
 
@@ -87,7 +90,7 @@
 	if len(b) < HeadSize {
 		return Head{}, nil, errors.Wrapf(ErrShort, "%d bytes", len(b))
 	}
-	h := Head{Kind: Kind(b[0]), Reason: Reason(b[1]), Service: route.ServiceID(binary.BigEndian.Uint64(b[2:]))}
+	h := Head{Kind: Kind(b[0]), Reason: Reason(b[1]), Service: route.ServiceID(binary.BigEndian.Uint64(b[2:])), Age: binary.BigEndian.Uint16(b[10:])}
 	return h, b[HeadSize:], nil
 }
 
--- a/internal/pass/peer/peer_test.go
+++ b/internal/pass/peer/peer_test.go
@@ -32,7 +32,7 @@
 
 func TestHeadComesBack(t *testing.T) {
 	is := is.New(t)
-	h := Head{Kind: KindRefused, Reason: Silent, Service: 77}
+	h := Head{Kind: KindRefused, Reason: Silent, Service: 77, Age: 1234}
 	got, carried, err := DecodeHead(h.Append(nil, []byte("packet")))
 	is.NoErr(err)
 	is.Equal(got, h)
--- /dev/null
+++ b/internal/pass/route/cost_test.go
@@ -0,0 +1,30 @@
+package route
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+)
+
+// BenchmarkLeanTable measures what nodes are sent, by routes.
+func BenchmarkLeanTable(b *testing.B) {
+	for _, n := range []int{100, 600, 2100} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			d := good()
+			for i := range n {
+				d.Routes = append(d.Routes, Route{
+					Name: fmt.Sprintf("r-%07x", i), IP: [4]byte{198, 18, byte(i >> 8), byte(i)}, Port: 8443, TimeoutMS: 2500, Priority: 2,
+					Backends: []Backed{{"huvo11a", 9000}, {"wuno96b", 1000}},
+				})
+			}
+			for range b.N {
+				s := NewStore()
+				if err := s.put(d); err != nil {
+					b.Fatal(err)
+				}
+				NewTable(d)
+				b.ReportMetric(float64(len(s.Current().Lean))/float64(n), "B/route")
+			}
+		})
+	}
+}
