--- a/internal/pass/agent/agent.go
+++ b/internal/pass/agent/agent.go
@@ -84,6 +84,8 @@
 	heard    map[netip.AddrPort]time.Duration
 	reportAt time.Duration
 	verdicts []*expvar.Int
+
+	answeredAfter, admittedAfter *metrics.Histogram
 }
 
 // New opens the agent's sockets.
@@ -97,6 +99,8 @@
 		_ = a.outbound.Close()
 		return nil, errors.Wrap(err, "agent: listen for nodes")
 	}
+	a.answeredAfter = cfg.Metrics.Histogram("pass_answered_after")
+	a.admittedAfter = cfg.Metrics.Histogram("pass_admitted_after")
 	process := rand.Uint64()
 	a.engine = flowtable.New(flowtable.Config{
 		Service: cfg.Service, Address: cfg.Target.String(), Zone: cfg.Zone, Process: process,
--- a/internal/pass/agent/output.go
+++ b/internal/pass/agent/output.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -90,3 +91,9 @@
 	}
 	events.Log(a.cfg.Log, events.PassFlowRefused, fields)
 }
+
+// Answered implements flowtable.Output.
+func (a *Agent) Answered(took time.Duration) { a.answeredAfter.Record(took) }
+
+// Admitted implements flowtable.Output.
+func (a *Agent) Admitted(waited time.Duration) { a.admittedAfter.Record(waited) }
--- a/internal/pass/balancer/balancer.go
+++ b/internal/pass/balancer/balancer.go
@@ -71,6 +71,7 @@
 	stopping atomic.Bool
 	wasReady atomic.Bool
 	verdicts []counter
+	waits    map[forward.Verdict]*metrics.Histogram
 }
 
 // New opens the balancer's sockets.
@@ -91,6 +92,7 @@
 		Seeds: cfg.Seeds, Port: cfg.ControlPort, Table: b.setTable, Log: cfg.Log, Metrics: cfg.Metrics,
 	})
 	b.verdicts = counters(cfg.Metrics)
+	b.waits = waitHistograms(cfg.Metrics)
 	cfg.Metrics.Gauge("pass_flows", func() int64 { return b.gauge((*forward.Engine).Flows) })
 	cfg.Metrics.Gauge("pass_searches", func() int64 { return b.gauge((*forward.Engine).Searches) })
 	return b, nil
--- a/internal/pass/balancer/output.go
+++ b/internal/pass/balancer/output.go
@@ -19,6 +19,13 @@
 
 type counter = *expvar.Int
 
+// waitHistograms are how long packets were held back, by verdict.
+func waitHistograms(m *metrics.Set) map[forward.Verdict]*metrics.Histogram {
+	return map[forward.Verdict]*metrics.Histogram{
+		forward.Found: m.Histogram("pass_found_after"), forward.Placed: m.Histogram("pass_placed_after"),
+	}
+}
+
 // counters are one for each verdict.
 func counters(m *metrics.Set) []counter {
 	var out []counter
@@ -84,6 +91,12 @@
 		fields["agent"] = d.Agent.String()
 		fields["report_age_ms"] = d.ReportAge.Milliseconds()
 	}
+	if d.Waited > 0 {
+		fields["waited_ms"] = d.Waited.Milliseconds()
+	}
+	if d.Verdict == forward.Found || d.Verdict == forward.Placed {
+		b.waits[d.Verdict].Record(d.Waited)
+	}
 	if d.Reason != 0 {
 		fields["reason"] = d.Reason.String()
 	}
--- /dev/null
+++ b/internal/pass/control/control_test.go
@@ -0,0 +1,159 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"bergamotstall/internal/metrics"
+	"bergamotstall/internal/pass/route"
+	"bergamotstall/internal/quorum"
+)
+
+const patience = 30 * time.Second
+
+func start(t *testing.T, net byte, n int) []*Control {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	seeds := []string{}
+	for i := range n {
+		seeds = append(seeds, fmt.Sprintf("127.%d.1.%d", net, i+1))
+	}
+	var out []*Control
+	for i := range n {
+		c := New(Config{
+			Name: fmt.Sprint("control-", i+1), IP: netip.MustParseAddr(seeds[i]), Folder: filepath.Join(t.TempDir(), fmt.Sprint(i)),
+			ReplicaPort: 7941, StreamPort: 7942, Seeds: func() []string { return seeds }, FirstStart: true,
+			Log: log, Metrics: metrics.New(),
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- c.Run(ctx) }()
+		t.Cleanup(func() {
+			cancel()
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		})
+		out = append(out, c)
+	}
+	return out
+}
+
+func definition(v route.Version) *route.Definition {
+	return &route.Definition{Version: v, Document: []byte(fmt.Sprintf(`{"version":%d}`, v))}
+}
+
+// eventually repeats what operators repeat until it is acknowledged.
+func eventually(t *testing.T, do func() error) {
+	t.Helper()
+	var err error
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if err = do(); err == nil {
+			return
+		}
+	}
+	t.Fatal(err)
+}
+
+// All seeds start at the same moment, and none knows which others run. One
+// cluster comes of it; operators at any VM agree on the highest version, and an
+// invalid one changes nothing.
+func TestSeedsMakeOneCluster(t *testing.T) {
+	is := is.New(t)
+	vms := start(t, 51, 3)
+	eventually(t, func() error { return vms[2].Put(t.Context(), definition(5)) })
+	eventually(t, func() error {
+		if n := len(vms[0].Controls()); n != 3 {
+			return fmt.Errorf("%d control VMs", n)
+		}
+		return nil
+	})
+	for _, c := range vms {
+		eventually(t, func() error {
+			document, err := c.Get(t.Context())
+			if err == nil && string(document) != `{"version":5}` {
+				t.Errorf("read back %s", document)
+			}
+			return err
+		})
+	}
+	is.NoErr(vms[1].Put(t.Context(), definition(3))) // acknowledged, changes nothing
+	bad := definition(9)
+	bad.Routes = []route.Route{{Name: "r", TimeoutMS: 0}}
+	is.True(errors.Is(vms[0].Put(t.Context(), bad), route.ErrNoTimeout))
+	document, err := vms[0].Get(t.Context())
+	is.NoErr(err)
+	is.Equal(string(document), `{"version":5}`)
+}
+
+// A VM without its quorum answers neither reads nor writes as current: what it
+// has may be old, and what it takes may never be agreed on.
+func TestMinorityAnswersNothing(t *testing.T) {
+	is := is.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	c := New(Config{
+		Name: "control-2", IP: netip.MustParseAddr("127.52.1.2"), Folder: t.TempDir(), ReplicaPort: 7941, StreamPort: 7942,
+		Seeds: func() []string { return []string{"127.52.1.1", "127.52.1.2"} }, FirstStart: true, Log: log, Metrics: metrics.New(),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- c.Run(ctx) }()
+	began := time.Now()
+	_, err := c.Get(t.Context())
+	is.True(errors.Is(err, ErrUnavailable))
+	is.True(errors.Is(c.Put(t.Context(), definition(5)), ErrUnavailable))
+	is.True(time.Since(began) < patience)
+	cancel()
+	is.NoErr(<-ended)
+}
+
+// The replica ends, as when the disk was full. The process goes on, opens it
+// again with what the folder holds, and operators read what was accepted.
+func TestReplicaIsOpenedAgain(t *testing.T) {
+	vms := start(t, 53, 1)
+	c := vms[0]
+	eventually(t, func() error { return c.Put(t.Context(), definition(5)) })
+	first := c.replica.Load()
+	if err := first.Close(); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, func() error {
+		if c.replica.Load() == first {
+			return errors.New("not opened again")
+		}
+		_, err := c.Get(t.Context())
+		return err
+	})
+}
+
+// A replica that the others removed is set aside, and the VM comes back as a
+// fresh one; one that ended for another reason keeps its folder.
+func TestRemovedReplicaIsSetAside(t *testing.T) {
+	is := is.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	c := New(Config{Folder: t.TempDir(), Log: log, Metrics: metrics.New()})
+	keep := func() { is.NoErr(os.MkdirAll(c.folder(), 0o700)) }
+	keep()
+	c.afterFailure(errors.New("disk full"))
+	_, err := os.Stat(c.folder())
+	is.NoErr(err)
+	for range 2 { // also where an older one stands aside
+		keep()
+		c.afterFailure(quorum.ErrRemoved)
+		_, err = os.Stat(c.folder())
+		is.True(os.IsNotExist(err))
+	}
+}
--- a/internal/pass/control/operator.go
+++ b/internal/pass/control/operator.go
@@ -47,11 +47,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, putPatience)
 	defer cancel()
+	began := time.Now()
 	out, err := r.Propose(ctx, command)
 	if err != nil {
 		c.decided(d, "unavailable", err)
 		return errors.Wrap(ErrUnavailable, err.Error())
 	}
+	c.cfg.Metrics.Histogram("definition_agreed_after").Record(time.Since(began))
 	if len(out) != 1 || route.Outcome(out[0]) == route.Unreadable {
 		c.decided(d, "unreadable", nil)
 		return errors.New("control: the log could not read the definition")
--- a/internal/pass/flowtable/admission.go
+++ b/internal/pass/flowtable/admission.go
@@ -88,6 +88,7 @@
 func (e *Engine) admitQueued(now time.Duration) {
 	for len(e.admission.queue) > 0 && !e.busy() && !e.target.silent && !e.target.draining {
 		q := e.takeNext()
+		e.cfg.Out.Admitted(now - q.at)
 		e.admit(now, q.from, q.flow, q.raw)
 	}
 }
--- a/internal/pass/flowtable/flowtable.go
+++ b/internal/pass/flowtable/flowtable.go
@@ -70,6 +70,10 @@
 	Report()
 	// Note tells of a decision, for the log.
 	Note(d Decision)
+	// Answered tells how long the target took from a request to the begin of its
+	// answer, Admitted how long a first packet waited for room.
+	Answered(took time.Duration)
+	Admitted(waited time.Duration)
 }
 
 // Verdict is the outcome of a decision.
@@ -371,8 +375,9 @@
 	case p.Flags.Has(packet.RST):
 		x.stage = ended
 	}
-	if p.Data > 0 {
+	if p.Data > 0 && x.running {
 		x.running = false
+		e.cfg.Out.Answered(now - x.runningAt)
 	}
 	if p.Flags.Has(packet.FIN) {
 		x.finTarget = true
--- a/internal/pass/flowtable/rig_test.go
+++ b/internal/pass/flowtable/rig_test.go
@@ -53,8 +53,10 @@
 func (r *rig) Reset(f packet.Flow, seq uint32) {
 	r.resets = append(r.resets, reset{f.Client.Port, seq})
 }
-func (r *rig) Report()         { r.reports++ }
-func (r *rig) Note(d Decision) { r.notes = append(r.notes, d) }
+func (r *rig) Answered(time.Duration) {}
+func (r *rig) Admitted(time.Duration) {}
+func (r *rig) Report()                { r.reports++ }
+func (r *rig) Note(d Decision)        { r.notes = append(r.notes, d) }
 func (r *rig) Refuse(_ netip.AddrPort, why peer.Reason, raw []byte) {
 	r.refused = append(r.refused, refusal{portOf(raw), why})
 }
--- a/internal/pass/forward/forward.go
+++ b/internal/pass/forward/forward.go
@@ -106,6 +106,8 @@
 	Reason peer.Reason
 	// ReportAge is how old the chosen agent's report was.
 	ReportAge time.Duration
+	// Waited is how long the packet was held back, in a search or before it.
+	Waited time.Duration
 	// Asked and Silent count the agents asked, and those without an answer.
 	Asked, Silent int
 }
@@ -265,7 +267,7 @@
 	a := &e.agents.list[agent]
 	a.sent++
 	e.deliverAged(agent, now-came, raw)
-	e.note(Decision{Flow: f, Verdict: verdict, Agent: a.address, Reason: why, ReportAge: now - a.heardAt})
+	e.note(Decision{Flow: f, Verdict: verdict, Agent: a.address, Reason: why, ReportAge: now - a.heardAt, Waited: now - came})
 }
 
 // chooseOther looks at the other services of the route, where the picked one
--- a/internal/pass/forward/search.go
+++ b/internal/pass/forward/search.go
@@ -41,6 +41,8 @@
 
 // search is a flow whose holder is being asked for.
 type search struct {
+	// cameAt is when its first packet came, begunAt when its round began.
+	cameAt  time.Duration
 	begunAt time.Duration
 	again   bool
 	// ack and flags are of the newest packet; a reset must be near the ack.
@@ -78,7 +80,7 @@
 			e.note(Decision{Flow: f, Verdict: DroppedBusy})
 			return
 		}
-		s = &search{begunAt: now, probe: noAgent, mute: p.Flags.Has(packet.RST)}
+		s = &search{cameAt: now, begunAt: now, probe: noAgent, mute: p.Flags.Has(packet.RST)}
 		e.searches[f] = s
 		s.ack, s.flags = p.Ack, p.Flags
 		s.lacks = lacks
@@ -187,7 +189,7 @@
 		e.deliver(agent, raw)
 	}
 	a := &e.agents.list[agent]
-	e.note(Decision{Flow: f, Verdict: Found, Agent: a.address, ReportAge: now - a.heardAt, Asked: len(s.asked), Silent: s.silent + len(s.waiting)})
+	e.note(Decision{Flow: f, Verdict: Found, Agent: a.address, ReportAge: now - a.heardAt, Waited: now - s.cameAt, Asked: len(s.asked), Silent: s.silent + len(s.waiting)})
 	e.dropSearch(f)
 }
 
--- a/internal/pass/roster/client.go
+++ b/internal/pass/roster/client.go
@@ -130,6 +130,7 @@
 				delete(started, ip)
 			}
 		}
+		c.dropStaleLists()
 		select {
 		case <-ctx.Done():
 			return
@@ -138,6 +139,25 @@
 	}
 }
 
+// dropStaleLists lets the lists of VMs that aren't heard any more lapse. A
+// balancer that left meanwhile would otherwise stay on them until the next change
+// of any list.
+func (c *Client) dropStaleLists() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	dropped := false
+	for _, s := range c.streams {
+		if s.nodes != nil && time.Since(s.heardAt) > listKept {
+			s.nodes = nil
+			s.digest = 0
+			dropped = true
+		}
+	}
+	if dropped {
+		c.cfg.Nodes(c.union())
+	}
+}
+
 // addresses are the seeds and the control VMs that streams told of.
 func (c *Client) addresses() []string {
 	seeds := c.cfg.Seeds()
@@ -313,9 +333,6 @@
 func (c *Client) union() []Node {
 	byAddress := map[string]Node{}
 	for _, s := range c.streams {
-		if time.Since(s.heardAt) > listKept {
-			continue
-		}
 		for _, n := range s.nodes {
 			byAddress[n.Address] = n
 		}
--- /dev/null
+++ b/internal/pass/roster/roster_test.go
@@ -0,0 +1,297 @@
+package roster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"bergamotstall/internal/metrics"
+	"bergamotstall/internal/pass/route"
+)
+
+// patience bounds waits for what must happen; no verdict depends on its length.
+const patience = 20 * time.Second
+
+// port is where all control VMs of these tests take streams.
+const port = 7931
+
+var nextNet atomic.Uint32
+
+func quiet() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// vm is a control VM of a test: a store and streams, without a replica.
+type vm struct {
+	ip     string
+	store  *route.Store
+	server *Server
+	stop   context.CancelFunc
+	// cut says that it has no contact with a quorum.
+	cut      atomic.Bool
+	controls []string
+}
+
+var errCut = errors.New("no quorum")
+
+func (v *vm) Barrier(context.Context) error {
+	if v.cut.Load() {
+		return errCut
+	}
+	return nil
+}
+
+func (v *vm) ContactAge() time.Duration {
+	if v.cut.Load() {
+		return time.Minute
+	}
+	return 0
+}
+
+func (v *vm) Controls() []string { return v.controls }
+
+// vms starts control VMs; all name each other.
+func vms(t *testing.T, n int) []*vm {
+	t.Helper()
+	net := nextNet.Add(1)
+	var out []*vm
+	var ips []string
+	for i := range n {
+		ips = append(ips, fmt.Sprintf("127.%d.1.%d", 60+net, i+1))
+	}
+	for _, ip := range ips {
+		v := &vm{ip: ip, store: route.NewStore(), controls: ips}
+		v.start(t)
+		out = append(out, v)
+	}
+	return out
+}
+
+func (v *vm) start(t *testing.T) {
+	t.Helper()
+	ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", v.ip, port))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	v.stop = cancel
+	v.server = NewServer(ServerConfig{Store: v.store, Source: v, Log: quiet(), Metrics: metrics.New()})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if err := v.server.Serve(ctx, ln); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+}
+
+// put has a version agreed on at a VM.
+func (v *vm) put(t *testing.T, version route.Version) {
+	t.Helper()
+	command, err := route.Command(&route.Definition{Version: version})
+	if err != nil {
+		t.Fatal(err)
+	}
+	v.store.Apply(1, command)
+}
+
+// node is a balancer or agent of a test.
+type node struct {
+	client *Client
+	mu     sync.Mutex
+	tables []route.Version
+	nodes  []Node
+	stop   context.CancelFunc
+}
+
+func startNode(t *testing.T, role Role, name string, seeds ...*vm) *node {
+	t.Helper()
+	n := &node{}
+	n.client = NewClient(ClientConfig{
+		Node: Node{Role: role, Address: name, Process: 1}, Port: port, Log: quiet(), Metrics: metrics.New(),
+		Seeds: func() []string {
+			var out []string
+			for _, v := range seeds {
+				out = append(out, v.ip)
+			}
+			return out
+		},
+		Table: func(table *route.Table) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.tables = append(n.tables, table.Version)
+		},
+		Nodes: func(nodes []Node) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.nodes = nodes
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		n.client.Run(ctx)
+	}()
+	n.stop = func() {
+		cancel()
+		<-ended
+	}
+	t.Cleanup(n.stop)
+	return n
+}
+
+func (n *node) seen() []route.Version {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]route.Version(nil), n.tables...)
+}
+
+func (n *node) listed() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.nodes)
+}
+
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
+// A node starts with one seed, learns the other control VMs, and follows the
+// definition.
+func TestNodeFollowsTheDefinition(t *testing.T) {
+	is := is.New(t)
+	all := vms(t, 3)
+	for _, v := range all {
+		v.put(t, 1)
+	}
+	n := startNode(t, Balancer, "10.0.0.1:1", all[0])
+	await(t, "three control VMs", func() bool { return n.client.Heard() == 3 })
+	for _, v := range all {
+		v.put(t, 2)
+	}
+	await(t, "version 2", func() bool { return n.client.Version() == 2 })
+	is.Equal(n.seen(), []route.Version{1, 2})
+}
+
+// A control VM that is cut off from the others doesn't know whether it has the
+// newest definition. A node that starts must not serve by what it says.
+func TestNodeStartsByNobodysStaleWord(t *testing.T) {
+	is := is.New(t)
+	all := vms(t, 1)
+	all[0].put(t, 1)
+	all[0].cut.Store(true)
+	n := startNode(t, Balancer, "10.0.0.1:1", all[0])
+	await(t, "a stream", func() bool { return n.client.Heard() == 1 })
+	time.Sleep(3 * pushPause)
+	is.Equal(len(n.seen()), 0)
+	all[0].cut.Store(false)
+	await(t, "the table", func() bool { return n.client.Version() == 1 })
+}
+
+// The VM that a node takes tables from is cut off and stays behind. The node
+// takes the newer version from another one, and never goes back, though the
+// first one goes on telling of the older.
+func TestNodeTakesTheNewestVersion(t *testing.T) {
+	is := is.New(t)
+	all := vms(t, 3)
+	for _, v := range all {
+		v.put(t, 1)
+	}
+	n := startNode(t, Balancer, "10.0.0.1:1", all...)
+	await(t, "streams", func() bool { return n.client.Heard() == 3 && n.client.Version() == 1 })
+	n.client.mu.Lock()
+	wanted := n.client.wanted
+	n.client.mu.Unlock()
+	for _, v := range all {
+		if v.ip == wanted {
+			v.cut.Store(true)
+		} else {
+			v.put(t, 2)
+		}
+	}
+	await(t, "version 2", func() bool { return n.client.Version() == 2 })
+	time.Sleep(3 * BeatInterval)
+	is.Equal(n.seen(), []route.Version{1, 2})
+}
+
+// Agents learn of balancers that come and go; one whose stream broke off stays
+// listed for a moment, since streams end with each restart of a control VM.
+func TestAgentsLearnOfBalancers(t *testing.T) {
+	is := is.New(t)
+	all := vms(t, 2)
+	agent := startNode(t, Agent, "10.0.0.9:1", all...)
+	first := startNode(t, Balancer, "10.0.0.1:1", all...)
+	startNode(t, Balancer, "10.0.0.2:1", all...)
+	await(t, "two balancers", func() bool { return agent.listed() == 2 })
+	all[0].stop() // a control VM's process ends; the other one's list stands
+	time.Sleep(2 * BeatInterval)
+	is.Equal(agent.listed(), 2)
+	first.stop()
+	began := time.Now()
+	await(t, "one balancer", func() bool { return agent.listed() == 1 })
+	is.True(time.Since(began) > lingering/2)
+}
+
+// A storm of versions costs a node a table each tenth of a second, not one for
+// each, and ends with the newest.
+func TestStormIsGathered(t *testing.T) {
+	all := vms(t, 1)
+	all[0].put(t, 1)
+	n := startNode(t, Balancer, "10.0.0.1:1", all[0])
+	await(t, "version 1", func() bool { return n.client.Version() == 1 })
+	for v := route.Version(2); v <= 200; v++ {
+		all[0].put(t, v)
+		time.Sleep(2 * time.Millisecond)
+	}
+	await(t, "the newest", func() bool { return n.client.Version() == 200 })
+	if got := len(n.seen()); got > 40 {
+		t.Errorf("%d tables for 200 versions in half a second", got)
+	}
+}
+
+// A control VM's address is taken by something that accepts connections and says
+// nothing. The node gives such a stream up and goes on with the others.
+func TestSilentPeerIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	all := vms(t, 1)
+	all[0].put(t, 1)
+	silent := &vm{ip: fmt.Sprintf("127.%d.1.9", 60+nextNet.Load())}
+	ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", silent.ip, port))
+	is.NoErr(err)
+	defer ln.Close()
+	var accepted atomic.Int32
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			accepted.Add(1)
+			defer conn.Close()
+		}
+	}()
+	n := startNode(t, Balancer, "10.0.0.1:1", silent, all[0])
+	await(t, "the table", func() bool { return n.client.Version() == 1 })
+	await(t, "a second try", func() bool { return accepted.Load() >= 2 })
+}
