--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -49,3 +49,11 @@
 		entry.Info(e.Text)
 	}
 }
+
+// ErrorText returns an error's text for a field, empty for nil.
+func ErrorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/internal/pass/agent/agent.go
+++ b/internal/pass/agent/agent.go
@@ -24,6 +24,7 @@
 	"bergamotstall/internal/pass/peer"
 	"bergamotstall/internal/pass/roster"
 	"bergamotstall/internal/pass/route"
+	"bergamotstall/internal/wait"
 )
 
 const (
@@ -70,8 +71,8 @@
 type Agent struct {
 	cfg      Config
 	started  time.Time
-	outbound *net.UDPConn
-	nodes    *net.UDPConn
+	outbound *datagram.Socket
+	nodes    *datagram.Socket
 	client   *roster.Client
 
 	mu      sync.Mutex
@@ -92,10 +93,10 @@
 func New(cfg Config) (*Agent, error) {
 	a := &Agent{cfg: cfg, started: time.Now(), heard: map[netip.AddrPort]time.Duration{}}
 	var err error
-	if a.outbound, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.Outbound)); err != nil {
+	if a.outbound, err = datagram.Listen(cfg.Outbound, cfg.Log, cfg.Metrics); err != nil {
 		return nil, errors.Wrap(err, "agent: listen for the target")
 	}
-	if a.nodes, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.Nodes)); err != nil {
+	if a.nodes, err = datagram.Listen(cfg.Nodes, cfg.Log, cfg.Metrics); err != nil {
 		_ = a.outbound.Close()
 		return nil, errors.Wrap(err, "agent: listen for nodes")
 	}
@@ -128,14 +129,7 @@
 func (a *Agent) Run(ctx context.Context) error {
 	carry, stop := context.WithCancel(context.Background())
 	defer stop()
-	var running sync.WaitGroup
-	for _, loop := range []func(context.Context){a.readTarget, a.readNodes, a.tick, a.probe, a.client.Run} {
-		running.Add(1)
-		go func() {
-			defer running.Done()
-			loop(carry)
-		}()
-	}
+	running := wait.Start(carry, a.readTarget, a.readNodes, a.tick, a.probe, a.client.Run)
 	<-ctx.Done()
 	a.mu.Lock()
 	a.engine.Stop(a.now())
@@ -171,55 +165,40 @@
 }
 
 func (a *Agent) readTarget(ctx context.Context) {
-	datagram.Read(ctx, a.outbound, a.cfg.Log, func(_ netip.AddrPort, raw []byte) {
+	a.outbound.Read(ctx, func(_ netip.AddrPort, raw []byte) error {
 		p, err := a.cfg.Codec.Decode(raw)
 		if err != nil {
-			a.cfg.Metrics.Counter("pass_unreadable").Add(1)
-			return
+			return err
 		}
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		a.engine.FromTarget(a.now(), p, raw)
+		return nil
 	})
 }
 
-func (a *Agent) readNodes(ctx context.Context) {
-	datagram.Read(ctx, a.nodes, a.cfg.Log, func(from netip.AddrPort, raw []byte) {
-		if err := a.fromNode(from, raw); err != nil {
-			a.cfg.Metrics.Counter("pass_unreadable").Add(1)
-			a.cfg.Log.WithError(err).WithField("from", from.String()).Debug("agent: datagram")
-		}
-	})
-}
+func (a *Agent) readNodes(ctx context.Context) { a.nodes.Read(ctx, a.fromNode) }
 
 // fromNode takes a balancer's datagram.
 func (a *Agent) fromNode(from netip.AddrPort, raw []byte) error {
-	if len(raw) == 0 {
-		return peer.ErrShort
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.now()
 	a.heard[from] = now
-	switch peer.Kind(raw[0]) {
+	switch peer.KindOf(raw) {
 	case peer.KindDeliver:
-		h, carried, err := peer.DecodeHead(raw)
-		if err != nil {
-			return err
-		}
-		p, err := a.cfg.Codec.Decode(carried)
+		h, p, carried, err := peer.DecodeCarried(a.cfg.Codec, raw)
 		if err != nil {
 			return err
 		}
 		a.engine.FromBalancer(now, from, h, p, carried)
+		return nil
 	case peer.KindAsk:
 		err := peer.ReadAsk(raw, func(q peer.Question) { a.engine.Ask(now, from, q) })
 		a.answers.Flush(a.sendAnswer)
 		return err
-	default:
-		return errors.Errorf("agent: datagram kind %d", raw[0])
 	}
-	return nil
+	return errors.Errorf("agent: datagram kind %d", peer.KindOf(raw))
 }
 
 // setTable tells the engine which routes are urgent.
--- a/internal/pass/agent/output.go
+++ b/internal/pass/agent/output.go
@@ -8,7 +8,6 @@
 	"github.com/sirupsen/logrus"
 
 	"bergamotstall/internal/events"
-	"bergamotstall/internal/pass/datagram"
 	"bergamotstall/internal/pass/flowtable"
 	"bergamotstall/internal/pass/packet"
 	"bergamotstall/internal/pass/peer"
@@ -18,19 +17,19 @@
 
 // ToTarget implements flowtable.Output.
 func (a *Agent) ToTarget(raw []byte) {
-	datagram.Send(a.outbound, raw, a.cfg.Target, a.cfg.Metrics)
+	a.outbound.Send(raw, a.cfg.Target)
 }
 
 // ToClient implements flowtable.Output. Answers go straight to the client: the
 // balancers carry only the client's half.
 func (a *Agent) ToClient(client packet.Endpoint, raw []byte) {
-	datagram.Send(a.outbound, raw, netip.AddrPortFrom(netip.AddrFrom4(client.IP), a.cfg.ClientPort), a.cfg.Metrics)
+	a.outbound.Send(raw, netip.AddrPortFrom(netip.AddrFrom4(client.IP), a.cfg.ClientPort))
 }
 
 // Refuse implements flowtable.Output.
 func (a *Agent) Refuse(to netip.AddrPort, why peer.Reason, raw []byte) {
 	a.buf = peer.Head{Kind: peer.KindRefused, Reason: why}.Append(a.buf[:0], raw)
-	datagram.Send(a.nodes, a.buf, to, a.cfg.Metrics)
+	a.nodes.Send(a.buf, to)
 }
 
 // Answer implements flowtable.Output; the answers to one datagram's questions
@@ -41,7 +40,7 @@
 
 func (a *Agent) sendAnswer(to netip.AddrPort, rs []peer.Ruling) {
 	a.buf = peer.AppendAnswer(a.buf[:0], rs)
-	datagram.Send(a.nodes, a.buf, to, a.cfg.Metrics)
+	a.nodes.Send(a.buf, to)
 }
 
 // Reset implements flowtable.Output.
@@ -64,14 +63,14 @@
 		return
 	}
 	for _, to := range a.listed {
-		datagram.Send(a.nodes, body, to, a.cfg.Metrics)
+		a.nodes.Send(body, to)
 	}
 	for to, at := range a.heard {
 		switch {
 		case now-at > heardFor:
 			delete(a.heard, to)
 		case !slices.Contains(a.listed, to):
-			datagram.Send(a.nodes, body, to, a.cfg.Metrics)
+			a.nodes.Send(body, to)
 		}
 	}
 }
--- a/internal/pass/balancer/balancer.go
+++ b/internal/pass/balancer/balancer.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -57,8 +56,8 @@
 type Balancer struct {
 	cfg     Config
 	started time.Time
-	fabric  *net.UDPConn
-	nodes   *net.UDPConn
+	fabric  *datagram.Socket
+	nodes   *datagram.Socket
 	client  *roster.Client
 
 	mu     sync.Mutex
@@ -78,10 +77,10 @@
 func New(cfg Config) (*Balancer, error) {
 	b := &Balancer{cfg: cfg, started: time.Now()}
 	var err error
-	if b.fabric, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.Fabric)); err != nil {
+	if b.fabric, err = datagram.Listen(cfg.Fabric, cfg.Log, cfg.Metrics); err != nil {
 		return nil, errors.Wrap(err, "balancer: listen for the fabric")
 	}
-	if b.nodes, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.Nodes)); err != nil {
+	if b.nodes, err = datagram.Listen(cfg.Nodes, cfg.Log, cfg.Metrics); err != nil {
 		_ = b.fabric.Close()
 		return nil, errors.Wrap(err, "balancer: listen for nodes")
 	}
@@ -110,14 +109,7 @@
 func (b *Balancer) Run(ctx context.Context) error {
 	carry, stop := context.WithCancel(context.Background())
 	defer stop()
-	var running sync.WaitGroup
-	for _, loop := range []func(context.Context){b.readFabric, b.readNodes, b.tick, b.client.Run} {
-		running.Add(1)
-		go func() {
-			defer running.Done()
-			loop(carry)
-		}()
-	}
+	running := wait.Start(carry, b.readFabric, b.readNodes, b.tick, b.client.Run)
 	<-ctx.Done()
 	b.stopping.Store(true)
 	b.Ready()
@@ -151,46 +143,33 @@
 }
 
 func (b *Balancer) readFabric(ctx context.Context) {
-	datagram.Read(ctx, b.fabric, b.cfg.Log, func(_ netip.AddrPort, raw []byte) {
+	b.fabric.Read(ctx, func(_ netip.AddrPort, raw []byte) error {
 		p, err := b.cfg.Codec.Decode(raw)
 		if err != nil {
-			b.cfg.Metrics.Counter("pass_unreadable").Add(1)
-			return
+			return err
 		}
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		b.engine.FromClient(b.now(), p, raw)
+		return nil
 	})
 }
 
-func (b *Balancer) readNodes(ctx context.Context) {
-	datagram.Read(ctx, b.nodes, b.cfg.Log, func(from netip.AddrPort, raw []byte) {
-		if err := b.fromNode(from, raw); err != nil {
-			b.cfg.Metrics.Counter("pass_unreadable").Add(1)
-			b.cfg.Log.WithError(err).WithField("from", from.String()).Debug("balancer: datagram")
-		}
-	})
-}
+func (b *Balancer) readNodes(ctx context.Context) { b.nodes.Read(ctx, b.fromNode) }
 
 // fromNode takes an agent's datagram.
 func (b *Balancer) fromNode(from netip.AddrPort, raw []byte) error {
-	if len(raw) == 0 {
-		return peer.ErrShort
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	switch peer.Kind(raw[0]) {
+	switch peer.KindOf(raw) {
 	case peer.KindRefused:
-		h, carried, err := peer.DecodeHead(raw)
-		if err != nil {
-			return err
-		}
-		p, err := b.cfg.Codec.Decode(carried)
+		h, p, carried, err := peer.DecodeCarried(b.cfg.Codec, raw)
 		if err != nil {
 			return err
 		}
 		b.engine.Refused(now, from, h.Reason, p, carried)
+		return nil
 	case peer.KindAnswer:
 		return peer.ReadAnswer(raw, func(r peer.Ruling) { b.engine.Answered(now, from, r) })
 	case peer.KindReport:
@@ -199,10 +178,9 @@
 			return errors.Wrap(err, "balancer: report")
 		}
 		b.engine.Reported(now, from, r)
-	default:
-		return errors.Errorf("balancer: datagram kind %d", raw[0])
+		return nil
 	}
-	return nil
+	return errors.Errorf("balancer: datagram kind %d", peer.KindOf(raw))
 }
 
 func (b *Balancer) tick(ctx context.Context) {
--- a/internal/pass/balancer/output.go
+++ b/internal/pass/balancer/output.go
@@ -10,7 +10,6 @@
 
 	"bergamotstall/internal/events"
 	"bergamotstall/internal/metrics"
-	"bergamotstall/internal/pass/datagram"
 	"bergamotstall/internal/pass/forward"
 	"bergamotstall/internal/pass/packet"
 	"bergamotstall/internal/pass/peer"
@@ -41,7 +40,7 @@
 func (b *Balancer) Deliver(to netip.AddrPort, service route.ServiceID, age time.Duration, raw []byte) {
 	ms := min(age.Milliseconds(), math.MaxUint16)
 	b.buf = peer.Head{Kind: peer.KindDeliver, Service: service, Age: uint16(ms)}.Append(b.buf[:0], raw)
-	b.send(b.buf, to)
+	b.nodes.Send(b.buf, to)
 }
 
 const (
@@ -70,17 +69,13 @@
 
 func (b *Balancer) sendAsk(to netip.AddrPort, qs []peer.Question) {
 	b.buf = peer.AppendAsk(b.buf[:0], qs)
-	b.send(b.buf, to)
+	b.nodes.Send(b.buf, to)
 }
 
 // Reset implements forward.Output.
 func (b *Balancer) Reset(f packet.Flow, seq uint32) {
 	b.buf = b.cfg.Codec.AppendReset(b.buf[:0], f, seq)
-	datagram.Send(b.fabric, b.buf, netip.AddrPortFrom(netip.AddrFrom4(f.Client.IP), b.cfg.Fabric.Port()), b.cfg.Metrics)
-}
-
-func (b *Balancer) send(raw []byte, to netip.AddrPort) {
-	datagram.Send(b.nodes, raw, to, b.cfg.Metrics)
+	b.fabric.Send(b.buf, netip.AddrPortFrom(netip.AddrFrom4(f.Client.IP), b.cfg.Fabric.Port()))
 }
 
 // Note implements forward.Output.
--- a/internal/pass/control/control.go
+++ b/internal/pass/control/control.go
@@ -187,7 +187,7 @@
 // or that lacks what it once acknowledged. Its word counts for nothing any more,
 // as if the disk were lost, and the VM comes back as a fresh replica.
 func (c *Control) afterFailure(cause error) {
-	events.Log(c.cfg.Log, events.ReplicaReopened, logrus.Fields{"cause": errorText(cause)})
+	events.Log(c.cfg.Log, events.ReplicaReopened, logrus.Fields{"cause": events.ErrorText(cause)})
 	if !errors.Is(cause, quorum.ErrRemoved) && !errors.Is(cause, quorum.ErrRegressed) {
 		return
 	}
@@ -203,13 +203,6 @@
 	events.Log(c.cfg.Log, events.FolderAbandoned, logrus.Fields{"folder": aside})
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // Barrier implements roster.Source.
 func (c *Control) Barrier(ctx context.Context) error {
 	r := c.replica.Load()
--- a/internal/pass/control/operator.go
+++ b/internal/pass/control/operator.go
@@ -73,7 +73,7 @@
 func (c *Control) decided(d *route.Definition, outcome string, cause error) {
 	c.cfg.Metrics.Counter("definitions_" + outcome).Add(1)
 	events.Log(c.cfg.Log, events.DefinitionDecided, logrus.Fields{
-		"version": uint64(d.Version), "held": uint64(c.store.Version()), "outcome": outcome, "cause": errorText(cause),
+		"version": uint64(d.Version), "held": uint64(c.store.Version()), "outcome": outcome, "cause": events.ErrorText(cause),
 		"contact_age_ms": c.ContactAge().Milliseconds(), "routes": len(d.Routes),
 	})
 }
--- a/internal/pass/datagram/datagram.go
+++ b/internal/pass/datagram/datagram.go
@@ -25,30 +25,56 @@
 	batchSize = 75
 )
 
+// Socket sends and receives datagrams, and counts what can't be read or sent.
+type Socket struct {
+	conn    *net.UDPConn
+	log     logrus.FieldLogger
+	metrics *metrics.Set
+}
+
+// Listen opens a socket at an address.
+func Listen(at netip.AddrPort, log logrus.FieldLogger, m *metrics.Set) (*Socket, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, errors.Wrap(err, "datagram: listen")
+	}
+	return &Socket{conn: conn, log: log, metrics: m}, nil
+}
+
+// Close closes the socket; Read returns.
+func (s *Socket) Close() error { return s.conn.Close() }
+
 // Read hands each datagram to take until ctx is done or the socket is closed.
-// The bytes are valid during the call.
-func Read(ctx context.Context, conn *net.UDPConn, log logrus.FieldLogger, take func(from netip.AddrPort, raw []byte)) {
+// The bytes are valid during the call. What take refuses is counted.
+func (s *Socket) Read(ctx context.Context, take func(from netip.AddrPort, raw []byte) error) {
 	buf := make([]byte, readSize)
 	for ctx.Err() == nil {
-		n, from, err := conn.ReadFromUDPAddrPort(buf)
+		n, from, err := s.conn.ReadFromUDPAddrPort(buf)
 		switch {
 		case err == nil:
-			take(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buf[:n])
+			s.hand(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buf[:n], take)
 		case errors.Is(err, net.ErrClosed):
 			return
 		default:
 			// An earlier datagram met a port without a listener, as a rule.
-			log.WithError(err).Debug("datagram: read")
+			s.log.WithError(err).Debug("datagram: read")
 			time.Sleep(errorPause)
 		}
 	}
 }
 
+func (s *Socket) hand(from netip.AddrPort, raw []byte, take func(netip.AddrPort, []byte) error) {
+	if err := take(from, raw); err != nil {
+		s.metrics.Counter("pass_unreadable").Add(1)
+		s.log.WithError(err).WithField("from", from.String()).Debug("datagram: unreadable")
+	}
+}
+
 // Send sends one datagram. One that can't be sent is lost like any other, and
 // counted.
-func Send(conn *net.UDPConn, raw []byte, to netip.AddrPort, m *metrics.Set) {
-	if _, err := conn.WriteToUDPAddrPort(raw, to); err != nil {
-		m.Counter("pass_send_failed").Add(1)
+func (s *Socket) Send(raw []byte, to netip.AddrPort) {
+	if _, err := s.conn.WriteToUDPAddrPort(raw, to); err != nil {
+		s.metrics.Counter("pass_send_failed").Add(1)
 	}
 }
 
--- a/internal/pass/flowtable/flowtable.go
+++ b/internal/pass/flowtable/flowtable.go
@@ -54,77 +54,6 @@
 	ackWindow = 100_000
 )
 
-// Output takes what the engine decides. Slices are valid during the call.
-type Output interface {
-	// ToTarget sends a client's packet to the target.
-	ToTarget(raw []byte)
-	// ToClient sends a target's packet to its client.
-	ToClient(client packet.Endpoint, raw []byte)
-	// Refuse hands a packet back to a balancer.
-	Refuse(to netip.AddrPort, why peer.Reason, raw []byte)
-	// Answer tells a balancer who holds a flow.
-	Answer(to netip.AddrPort, r peer.Ruling)
-	// Reset tells a client that its flow is over.
-	Reset(f packet.Flow, seq uint32)
-	// Report says that balancers should hear of a change at once.
-	Report()
-	// Note tells of a decision, for the log.
-	Note(d Decision)
-	// Answered tells how long the target took from a request to the begin of its
-	// answer, Admitted how long a first packet waited for room.
-	Answered(took time.Duration)
-	Admitted(waited time.Duration)
-}
-
-// Verdict is the outcome of a decision.
-type Verdict uint8
-
-const (
-	// RefusedFirst: a first packet was handed back.
-	RefusedFirst Verdict = iota + 1
-	// RefusedLater: another packet was handed back, since the flow isn't here.
-	RefusedLater
-	// TargetArrived, TargetDrains and TargetLeft follow announcements.
-	TargetArrived
-	TargetDrains
-	TargetLeft
-	// TargetSilent: the target doesn't answer; it gets no new flows.
-	TargetSilent
-	// TargetAnswers: it does again.
-	TargetAnswers
-	// TargetDead: its flows are reset.
-	TargetDead
-	// StaleAnnouncement: an announcement of an incarnation that is over.
-	StaleAnnouncement
-	// FlowsReset: flows of a target that is gone were reset.
-	FlowsReset
-)
-
-var verdictNames = [...]string{"", "refused-first", "refused-later", "target-arrived", "target-drains", "target-left",
-	"target-silent", "target-answers", "target-dead", "stale-announcement", "flows-reset"}
-
-func (v Verdict) String() string {
-	if int(v) < len(verdictNames) {
-		return verdictNames[v]
-	}
-	return "unknown"
-}
-
-// Decision is one decision with the inputs that decided it.
-type Decision struct {
-	Verdict Verdict
-	// Flow is set for decisions on one flow.
-	Flow   packet.Flow
-	Reason peer.Reason
-	// Target and Born tell the incarnation.
-	Target string
-	Born   int64
-	// Age is how old the deciding input was: the target's last sign of life.
-	Age time.Duration
-	// Flows counts the flows concerned.
-	Flows int
-}
-
 // Config sets an engine up.
 type Config struct {
 	// Service is the one that the VM's targets belong to; "" takes any.
@@ -411,45 +340,6 @@
 	e.refuse(now, to, f, p, why, raw)
 }
 
-// Ask answers a balancer's question who holds a flow. While a target may be
-// there that hasn't announced itself to this process, there is no answer:
-// whatever the others say, the flow may be open here.
-func (e *Engine) Ask(now time.Duration, from netip.AddrPort, q peer.Question) {
-	if !e.target.known && !e.empty(now) {
-		return
-	}
-	e.cfg.Out.Answer(from, peer.Ruling{Question: q, Verdict: e.verdict(now, q)})
-}
-
-func (e *Engine) verdict(now time.Duration, q peer.Question) peer.Verdict {
-	if !e.target.known {
-		return peer.Lacks
-	}
-	x, known := e.flows[q.Flow]
-	switch {
-	case known && x.stage == opening:
-		if x.completedBy(q.Ack) {
-			return peer.Holds
-		}
-		return peer.Lacks
-	case known && x.stage == lacking:
-		return peer.Lacks
-	case known:
-		return peer.Holds
-	case e.unsure(now):
-		return peer.Unsure
-	}
-	return peer.Lacks
-}
-
-// unsure tells whether the target may hold flows that this agent hasn't seen.
-func (e *Engine) unsure(now time.Duration) bool {
-	if !e.target.known {
-		return !e.empty(now)
-	}
-	return e.target.older && now-e.target.metAt < learning
-}
-
 func (e *Engine) note(now time.Duration, d Decision) {
 	d.Target = e.target.id
 	d.Born = e.target.born
--- a/internal/pass/peer/peer.go
+++ b/internal/pass/peer/peer.go
@@ -94,6 +94,24 @@
 	return h, b[HeadSize:], nil
 }
 
+// DecodeCarried splits a datagram into head and packet, and reads the packet.
+func DecodeCarried(codec packet.Codec, b []byte) (Head, packet.Packet, []byte, error) {
+	h, raw, err := DecodeHead(b)
+	if err != nil {
+		return h, packet.Packet{}, nil, err
+	}
+	p, err := codec.Decode(raw)
+	return h, p, raw, err
+}
+
+// KindOf returns a datagram's kind, 0 if it is empty.
+func KindOf(b []byte) Kind {
+	if len(b) == 0 {
+		return 0
+	}
+	return Kind(b[0])
+}
+
 // Question asks an agent whether its target holds a flow.
 type Question struct {
 	Flow packet.Flow
--- a/internal/pass/roster/client.go
+++ b/internal/pass/roster/client.go
@@ -180,7 +180,7 @@
 		err := c.follow(ctx, s)
 		if !s.heardAt.IsZero() && !told {
 			told = true
-			events.Log(c.cfg.Log, events.ControlLeft, logrus.Fields{"control": ip, "error": errorText(err)})
+			events.Log(c.cfg.Log, events.ControlLeft, logrus.Fields{"control": ip, "error": events.ErrorText(err)})
 		}
 		if time.Since(s.heardAt) < BeatInterval {
 			told = false
@@ -195,13 +195,6 @@
 	delete(c.streams, ip)
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // follow runs one stream until it fails.
 func (c *Client) follow(ctx context.Context, s *clientStream) error {
 	dialer := net.Dialer{Timeout: dialTimeout}
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 )
 
@@ -21,3 +22,17 @@
 		return false
 	}
 }
+
+// Start runs each loop on a goroutine of its own with ctx; the group is done once
+// all have returned.
+func Start(ctx context.Context, loops ...func(context.Context)) *sync.WaitGroup {
+	var running sync.WaitGroup
+	for _, loop := range loops {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			loop(ctx)
+		}()
+	}
+	return &running
+}
