Control remembers open flows; a new incarnation keeps its own

Change: agents tell control VMs which flows last, control VMs keep them on disk, and an agent whose target was born anew resets those of the one before; where the target is the one remembered, they are known again. Flows that began after a target's birth aren't reset by its announcement.

--- a/internal/pass/agent/agent.go
+++ b/internal/pass/agent/agent.go
@@ -19,6 +19,7 @@
 	"bergamotstall/internal/events"
 	"bergamotstall/internal/metrics"
 	"bergamotstall/internal/pass/datagram"
+	"bergamotstall/internal/pass/flowlog"
 	"bergamotstall/internal/pass/flowtable"
 	"bergamotstall/internal/pass/packet"
 	"bergamotstall/internal/pass/peer"
@@ -40,6 +41,8 @@
 	// probeTimeout at most, on the same VM.
 	probeInterval = 100 * time.Millisecond
 	probeTimeout  = 100 * time.Millisecond
+	// tellInterval is how often control is told of flows that began and ended.
+	tellInterval = 500 * time.Millisecond
 	// farewell is how long a stopping agent waits for its last datagrams to
 	// leave.
 	farewell = 20 * time.Millisecond
@@ -109,7 +112,7 @@
 	})
 	a.client = roster.NewClient(roster.ClientConfig{
 		Node:  roster.Node{Role: roster.Agent, Address: cfg.Nodes.String(), Zone: cfg.Zone, Process: process},
-		Seeds: cfg.Seeds, Port: cfg.ControlPort, Table: a.setTable, Nodes: a.setNodes, Log: cfg.Log, Metrics: cfg.Metrics,
+		Seeds: cfg.Seeds, Port: cfg.ControlPort, Table: a.setTable, Nodes: a.setNodes, Recalled: a.recalled, Log: cfg.Log, Metrics: cfg.Metrics,
 	})
 	for v := flowtable.Verdict(0); v.String() != "unknown"; v++ {
 		a.verdicts = append(a.verdicts, cfg.Metrics.Counter("pass_"+v.String()))
@@ -129,7 +132,7 @@
 func (a *Agent) Run(ctx context.Context) error {
 	carry, stop := context.WithCancel(context.Background())
 	defer stop()
-	running := wait.Start(carry, a.readTarget, a.readNodes, a.tick, a.probe, a.client.Run)
+	running := wait.Start(carry, a.readTarget, a.readNodes, a.tick, a.probe, a.tellFlows, a.client.Run)
 	<-ctx.Done()
 	a.mu.Lock()
 	a.engine.Stop(a.now())
@@ -282,3 +285,35 @@
 		a.engine.Probed(a.now(), err == nil)
 	}
 }
+
+// recalled takes what a control VM remembers of the flows here.
+func (a *Agent) recalled(u flowlog.Update) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.engine.Recalled(a.now(), u)
+}
+
+// tellFlows tells control of the flows held, so that they are known after a power
+// cut.
+func (a *Agent) tellFlows(ctx context.Context) {
+	for wait.For(ctx, tellInterval) {
+		a.mu.Lock()
+		settled := a.engine.Settled(a.now())
+		var changes flowlog.Update
+		changed := false
+		if settled {
+			changes, changed = a.engine.Changes(a.now(), false)
+		}
+		a.mu.Unlock()
+		if settled {
+			a.client.TellFlows(changes, changed, a.wholeFlows)
+		}
+	}
+}
+
+func (a *Agent) wholeFlows() flowlog.Update {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	u, _ := a.engine.Changes(a.now(), true)
+	return u
+}
--- a/internal/pass/control/control.go
+++ b/internal/pass/control/control.go
@@ -23,6 +23,7 @@
 
 	"bergamotstall/internal/events"
 	"bergamotstall/internal/metrics"
+	"bergamotstall/internal/pass/flowlog"
 	"bergamotstall/internal/pass/roster"
 	"bergamotstall/internal/pass/route"
 	"bergamotstall/internal/quorum"
@@ -96,11 +97,20 @@
 	if err != nil {
 		return errors.Wrap(err, "control: listen for nodes")
 	}
-	server := roster.NewServer(roster.ServerConfig{Store: c.store, Source: c, Log: c.cfg.Log, Metrics: c.cfg.Metrics})
+	flows, err := flowlog.Open(c.cfg.Folder, c.cfg.Log, c.cfg.Metrics)
+	if err != nil {
+		_ = streams.Close()
+		return err
+	}
+	server := roster.NewServer(roster.ServerConfig{Store: c.store, Source: c, Flows: flows, Log: c.cfg.Log, Metrics: c.cfg.Metrics})
 	c.cfg.Metrics.Gauge("definition_version", func() int64 { return int64(c.store.Version()) })
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return server.Serve(ctx, streams) })
 	group.Go(func() error { return c.keepReplica(ctx) })
+	group.Go(func() error {
+		flows.Run(ctx)
+		return nil
+	})
 	return group.Wait()
 }
 
--- /dev/null
+++ b/internal/pass/flowlog/flowlog_test.go
@@ -0,0 +1,137 @@
+package flowlog
+
+import (
+	"context"
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"bergamotstall/internal/metrics"
+	"bergamotstall/internal/pass/packet"
+)
+
+func quiet() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+func record(port uint16, ack uint32) Record {
+	return Of(packet.Flow{
+		Client:  packet.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: port},
+		Service: packet.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443},
+	}, ack)
+}
+
+func open(t *testing.T, folder string) *Log {
+	t.Helper()
+	l, err := Open(folder, quiet(), metrics.New())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func recall(t *testing.T, l *Log, agent string) Update {
+	t.Helper()
+	u, _ := l.Recall(agent)
+	return u
+}
+
+// The VM loses power and comes back: what was written is remembered, an ended
+// flow isn't.
+func TestFlowsOutliveARestart(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	l := open(t, folder)
+	l.Apply(Update{Agent: "a", Target: "i-1", Born: 5, Opened: []Record{record(1, 10), record(2, 20)}})
+	is.NoErr(l.write())
+	l.Apply(Update{Agent: "a", Target: "i-1", Born: 5, Ended: []Record{record(1, 0)}})
+	l.Apply(Update{Agent: "b", Target: "i-2", Born: 6, Opened: []Record{record(3, 30)}})
+	is.NoErr(l.write())
+	l.Apply(Update{Agent: "b", Target: "i-2", Born: 6, Opened: []Record{record(4, 40)}}) // not written
+
+	back := open(t, folder)
+	is.Equal(recall(t, back, "a").Opened, []Record{record(2, 20)})
+	is.Equal(recall(t, back, "b").Opened, []Record{record(3, 30)})
+	_, ok := back.Recall("c")
+	is.Equal(ok, false)
+}
+
+// Another incarnation at the agent's address begins anew: what the one before
+// held isn't mixed with it.
+func TestNewIncarnationBeginsAnew(t *testing.T) {
+	is := is.New(t)
+	l := open(t, t.TempDir())
+	l.Apply(Update{Agent: "a", Target: "i-1", Born: 5, Opened: []Record{record(1, 10)}})
+	l.Apply(Update{Agent: "a", Target: "i-1", Born: 9, Opened: []Record{record(2, 20)}})
+	u := recall(t, l, "a")
+	is.Equal(u.Born, int64(9))
+	is.Equal(u.Opened, []Record{record(2, 20)})
+	l.Apply(Update{Agent: "a", Target: "i-1", Born: 9, Whole: true, Opened: []Record{record(3, 30)}})
+	is.Equal(recall(t, l, "a").Opened, []Record{record(3, 30)})
+}
+
+// The last write was torn by the power cut, at any byte. What came before it is
+// remembered, and the file is whole again after the next write.
+func TestTornTail(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	l := open(t, folder)
+	l.Apply(Update{Agent: "a", Target: "i-1", Born: 5, Opened: []Record{record(1, 10)}})
+	is.NoErr(l.write())
+	path := filepath.Join(folder, fileName)
+	first, err := os.ReadFile(path)
+	is.NoErr(err)
+	l.Apply(Update{Agent: "a", Target: "i-1", Born: 5, Opened: []Record{record(2, 20)}})
+	is.NoErr(l.write())
+	whole, err := os.ReadFile(path)
+	is.NoErr(err)
+	for n := len(first); n < len(whole); n++ {
+		is.NoErr(os.WriteFile(path, whole[:n], 0o600))
+		is.Equal(recall(t, open(t, folder), "a").Opened, []Record{record(1, 10)})
+	}
+	damaged := append([]byte(nil), whole...)
+	damaged[len(first)+frameHead+3] ^= 1
+	is.NoErr(os.WriteFile(path, damaged, 0o600))
+	back := open(t, folder)
+	back.Apply(Update{Agent: "a", Target: "i-1", Born: 5, Opened: []Record{record(3, 30)}})
+	is.NoErr(back.write())
+	is.Equal(len(recall(t, open(t, folder), "a").Opened), 2)
+}
+
+// The disk takes nothing for a while. Agents and the store go on, and once the
+// disk works the file holds all.
+func TestDiskThatTakesNothing(t *testing.T) {
+	is := is.New(t)
+	folder := filepath.Join(t.TempDir(), "disk")
+	l := open(t, folder)
+	is.NoErr(l.write())
+	is.NoErr(os.RemoveAll(folder))
+	l.Apply(Update{Agent: "a", Target: "i-1", Born: 5, Opened: []Record{record(1, 10)}})
+	is.True(l.write() != nil)
+	is.Equal(len(recall(t, l, "a").Opened), 1)
+	is.NoErr(os.MkdirAll(folder, 0o700))
+	is.NoErr(l.write())
+	is.Equal(recall(t, open(t, folder), "a").Opened, []Record{record(1, 10)})
+}
+
+// The file doesn't grow without end.
+func TestFileIsWrittenAnew(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	l := open(t, folder)
+	l.size = rewriteSize
+	l.Apply(Update{Agent: "a", Target: "i-1", Born: 5, Opened: []Record{record(1, 10)}})
+	is.NoErr(l.write())
+	is.True(l.size < 1000)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	l.Apply(Update{Agent: "a", Target: "i-1", Born: 5, Opened: []Record{record(2, 20)}})
+	l.Run(ctx) // a last write
+	is.Equal(len(recall(t, open(t, folder), "a").Opened), 2)
+}
--- /dev/null
+++ b/internal/pass/flowlog/messages.go
@@ -0,0 +1,28 @@
+package flowlog
+
+//go:generate env GOWORK=off go -C ../../../tools tool msgp -file ../internal/pass/flowlog/messages.go -o ../internal/pass/flowlog/messages_gen.go -tests=false -io=false
+
+// Record is one open flow.
+type Record struct {
+	ClientIP    [4]byte `msg:"c"`
+	ClientPort  uint16  `msg:"p"`
+	ServiceIP   [4]byte `msg:"s"`
+	ServicePort uint16  `msg:"q"`
+	// Ack is an acknowledgement of the client's, not long ago: a reset must be
+	// near the newest one.
+	Ack uint32 `msg:"a"`
+}
+
+// Update is what an agent tells of its target's flows.
+type Update struct {
+	// Agent is the address at which the agent takes datagrams.
+	Agent string `msg:"g"`
+	// Target and Born are the incarnation that holds the flows.
+	Target string `msg:"t"`
+	Born   int64  `msg:"b"`
+	// Whole says that the flows opened are all there are; what was told before
+	// is void.
+	Whole  bool     `msg:"w"`
+	Opened []Record `msg:"o"`
+	Ended  []Record `msg:"e"`
+}
--- a/internal/pass/flowtable/decision.go
+++ b/internal/pass/flowtable/decision.go
@@ -52,10 +52,13 @@
 	StaleAnnouncement
 	// FlowsReset: flows of a target that is gone were reset.
 	FlowsReset
+	// FlowsRecalled: flows of a living target are known again after the agent's
+	// restart.
+	FlowsRecalled
 )
 
 var verdictNames = [...]string{"", "refused-first", "refused-later", "target-arrived", "target-drains", "target-left",
-	"target-silent", "target-answers", "target-dead", "stale-announcement", "flows-reset"}
+	"target-silent", "target-answers", "target-dead", "stale-announcement", "flows-reset", "flows-recalled"}
 
 func (v Verdict) String() string {
 	if int(v) < len(verdictNames) {
--- a/internal/pass/flowtable/flowtable.go
+++ b/internal/pass/flowtable/flowtable.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"time"
 
+	"bergamotstall/internal/pass/flowlog"
 	"bergamotstall/internal/pass/packet"
 	"bergamotstall/internal/pass/peer"
 	"bergamotstall/internal/pass/route"
@@ -100,6 +101,11 @@
 	// running says that a request waits for its answer, since runningAt.
 	running   bool
 	runningAt time.Duration
+	// openedAt is when the handshake was completed, as far as was seen.
+	openedAt time.Duration
+	// recorded says that control was told of the flow, with recordedAck.
+	recorded    bool
+	recordedAck uint32
 	// finClient and finTarget say which ends have closed.
 	finClient, finTarget bool
 	// answered says that the target has answered the first packet.
@@ -126,6 +132,10 @@
 	tags      tags
 	table     *route.Table
 	admission admission
+	// recall is what control remembers of earlier flows, until it is acted on;
+	// ended are flows that it is to be told are over.
+	recall *flowlog.Update
+	ended  []packet.Flow
 	// startedAt is when the agent began to listen for announcements.
 	startedAt time.Duration
 }
@@ -234,6 +244,7 @@
 	}
 	if x.stage == opening {
 		x.stage = open
+		x.openedAt = now
 	}
 	if x.newData(p) {
 		x.running = true
@@ -287,7 +298,7 @@
 	delete(e.waiting, f)
 	x, known := e.flows[f]
 	if !known || x.stage == lacking {
-		x = flow{stage: open}
+		x = flow{stage: open, openedAt: now}
 	}
 	x.seenAt = now
 	x.answered = true
--- a/internal/pass/flowtable/load.go
+++ b/internal/pass/flowtable/load.go
@@ -34,12 +34,17 @@
 	if x.stage == ended || x.stage == lacking {
 		x.running = false
 	}
+	if x.stage != open && x.recorded {
+		e.noteEnded(f, x)
+		x.recorded = false
+	}
 	e.uncount(e.flows[f])
 	e.flows[f] = x
 	e.count(x)
 }
 
 func (e *Engine) remove(f packet.Flow) {
+	e.noteEnded(f, e.flows[f])
 	e.uncount(e.flows[f])
 	delete(e.flows, f)
 }
--- a/internal/pass/flowtable/target.go
+++ b/internal/pass/flowtable/target.go
@@ -116,10 +116,34 @@
 	return Taken
 }
 
+// clockSlack is how far the time of day may be off between a target's birth and
+// the agent's start; clocks that are set jump by a second or two. A flow that
+// began within it may be of either incarnation, and is left to its next packet,
+// which the target hands back if it lacks the flow.
+const clockSlack = 2500 * time.Millisecond
+
+// resetBefore resets the flows that began before a new incarnation was born. It
+// may take flows before it announces itself, and those are its own.
+func (e *Engine) resetBefore(now time.Duration, born int64) {
+	if born == 0 {
+		return
+	}
+	bornAt := e.startedAt + time.UnixMilli(born).Sub(e.cfg.StartedWall)
+	e.resetFlows(now, func(x flow) bool { return x.began() < bornAt-clockSlack })
+}
+
+// began is when a flow began, as far as was seen.
+func (x flow) began() time.Duration {
+	if x.openedAt > 0 {
+		return x.openedAt
+	}
+	return x.seenAt
+}
+
 // arrive begins a new incarnation. What the one before held is gone.
 func (e *Engine) arrive(now time.Duration, a Announcement) {
 	if e.target.known {
-		e.resetAll(now)
+		e.resetBefore(now, a.Born)
 	}
 	another := e.target.id != "" && (e.target.id != a.ID || e.target.born != a.Born)
 	takenForDead := e.target.id != "" && !another
@@ -128,6 +152,7 @@
 		older: takenForDead || !another && e.missed(a),
 	}
 	e.note(now, Decision{Verdict: TargetArrived})
+	e.settleRecall(now)
 	e.cfg.Out.Report()
 }
 
@@ -210,6 +235,7 @@
 	e.load.settle(now)
 	e.rescue(now)
 	e.tickAdmission(now)
+	e.settleRecall(now)
 	t := &e.target
 	if t.known && t.leftAt > 0 && now-t.leftAt > afterLeft {
 		e.resetAll(now)
@@ -256,21 +282,28 @@
 // resetAll resets the flows of a target that is gone, so that callers needn't
 // wait for their deadline.
 func (e *Engine) resetAll(now time.Duration) {
+	e.resetFlows(now, func(flow) bool { return true })
+	e.waiting = map[packet.Flow]waitingFirst{}
+	e.admission.expected = nil
+}
+
+// resetFlows resets and forgets the flows that are gone.
+func (e *Engine) resetFlows(now time.Duration, gone func(flow) bool) {
 	n := 0
 	for f, x := range e.flows {
+		if !gone(x) {
+			continue
+		}
 		if x.stage == open || x.stage == opening {
 			e.cfg.Out.Reset(f, x.ack)
 			n++
 		}
+		e.came(f)
+		e.remove(f)
 	}
 	if n > 0 {
 		e.note(now, Decision{Verdict: FlowsReset, Flows: n})
 	}
-	e.flows = map[packet.Flow]flow{}
-	e.waiting = map[packet.Flow]waitingFirst{}
-	e.load.flows = 0
-	e.load.running = 0
-	e.admission.expected = nil
 }
 
 const (
--- a/internal/pass/flowtable/target_test.go
+++ b/internal/pass/flowtable/target_test.go
@@ -169,3 +169,36 @@
 	is.Equal(r.report().Open, true)
 	is.Equal(r.verdictOn(9, 5), peer.Unsure)
 }
+
+// A target crashed and was back a moment later, before its agent had noticed. It
+// takes flows at once and announces itself only half a second after. Its callers'
+// flows must outlive that announcement; only those of the incarnation before are
+// gone.
+func TestFlowsOfTheNewIncarnationStay(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.open(9, 1000) // at the first incarnation
+	r.now += 10 * time.Second
+	r.open(10, 5000) // at the second one, born a moment ago
+	is.Equal(r.announce("i-1", 9_900, 1), Taken)
+	is.Equal(r.resets, []reset{{9, 1001}})
+	is.Equal(r.verdictOn(10, 5001), peer.Holds)
+	is.Equal(r.verdictOn(9, 1001), peer.Lacks)
+	is.Equal(r.report().Flows, uint32(1))
+}
+
+// Targets that don't say when they were born can't be told apart by it: nothing
+// is reset for an announcement alone, and callers learn of the loss by their next
+// packet.
+func TestUnknownBirthResetsNothing(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.engine = New(Config{Service: desk, Address: address, StartedAt: r.now, StartedWall: started, Codec: codec{}, Out: r})
+	say := func(id string) {
+		r.engine.Announced(r.now, Announcement{ID: id, Service: desk, Address: address, Number: 1, Slots: 4})
+	}
+	say("i-1")
+	r.open(9, 1000)
+	say("i-2")
+	is.Equal(len(r.resets), 0)
+}
--- a/internal/pass/roster/client.go
+++ b/internal/pass/roster/client.go
@@ -15,6 +15,7 @@
 
 	"bergamotstall/internal/events"
 	"bergamotstall/internal/metrics"
+	"bergamotstall/internal/pass/flowlog"
 	"bergamotstall/internal/pass/route"
 	"bergamotstall/internal/wire"
 )
@@ -48,10 +49,13 @@
 	// Table is called with each newer table; Nodes, at agents, with the union of
 	// the VMs' lists of balancers. Both are called from streams' goroutines, one
 	// at a time.
-	Table   func(t *route.Table)
-	Nodes   func(nodes []Node)
-	Log     logrus.FieldLogger
-	Metrics *metrics.Set
+	Table func(t *route.Table)
+	Nodes func(nodes []Node)
+	// Recalled, at agents, is called with the flows that a control VM remembers of
+	// the agent's address.
+	Recalled func(u flowlog.Update)
+	Log      logrus.FieldLogger
+	Metrics  *metrics.Set
 }
 
 // Client keeps a node's streams.
@@ -76,6 +80,10 @@
 	aheadAt time.Time
 	nodes   []Node
 	digest  uint64
+	// conn is the open connection; told says that the VM knows all flows as of
+	// some moment since the connection was made.
+	conn *wire.Conn
+	told bool
 }
 
 // NewClient returns a client; Run keeps its streams.
@@ -213,13 +221,15 @@
 	if _, err := conn.Write(kindHello, &hello); err != nil {
 		return err
 	}
+	c.attach(s, conn)
+	defer c.attach(s, nil)
 	first := true
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go c.beatOn(ctx, conn, s)
 	for {
-		var u Update
-		if err := readInto(conn, kindUpdate, &u); err != nil {
+		u, err := c.nextUpdate(conn)
+		if err != nil {
 			return err
 		}
 		if first {
@@ -230,6 +240,72 @@
 	}
 }
 
+func (c *Client) attach(s *clientStream, conn *wire.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.streams[s.ip] = s
+	s.conn = conn
+	s.told = false
+}
+
+// nextUpdate waits for an update; what a control VM recalls before it is handed
+// on.
+func (c *Client) nextUpdate(conn *wire.Conn) (Update, error) {
+	for {
+		f, err := read(conn)
+		if err != nil {
+			return Update{}, err
+		}
+		switch f.Kind {
+		case kindUpdate:
+			var u Update
+			return u, f.Decode(&u)
+		case kindFlows:
+			var u flowlog.Update
+			if err := f.Decode(&u); err != nil {
+				return Update{}, err
+			}
+			c.cfg.Recalled(u)
+		default:
+			return Update{}, errors.Errorf("roster: frame kind %d", f.Kind)
+		}
+	}
+}
+
+// TellFlows tells the control VMs of changes among the flows held; those that
+// were reached since the last call are told of all. whole returns all.
+func (c *Client) TellFlows(changes flowlog.Update, changed bool, whole func() flowlog.Update) {
+	c.mu.Lock()
+	var knowing, fresh []*wire.Conn
+	for _, s := range c.streams {
+		switch {
+		case s.conn == nil:
+		case s.told:
+			knowing = append(knowing, s.conn)
+		default:
+			s.told = true
+			fresh = append(fresh, s.conn)
+		}
+	}
+	c.mu.Unlock()
+	if changed {
+		c.writeFlows(knowing, changes)
+	}
+	if len(fresh) > 0 {
+		c.writeFlows(fresh, whole())
+	}
+}
+
+// writeFlows sends an update; a stream that fails is made anew, and then told of
+// all.
+func (c *Client) writeFlows(to []*wire.Conn, u flowlog.Update) {
+	for _, conn := range to {
+		if _, err := conn.Write(kindFlows, &u); err != nil {
+			_ = conn.Close()
+		}
+	}
+}
+
 // beatOn sends beats until ctx is done or the stream fails.
 func (c *Client) beatOn(ctx context.Context, conn *wire.Conn, s *clientStream) {
 	ticker := time.NewTicker(BeatInterval)
--- a/internal/pass/roster/messages.go
+++ b/internal/pass/roster/messages.go
@@ -9,6 +9,9 @@
 	kindHello wire.Kind = iota + 1
 	kindBeat
 	kindUpdate
+	// kindFlows carries a flowlog.Update: from an agent what it holds, to a new
+	// agent what was held at its address.
+	kindFlows
 )
 
 // Role is what a node does.
--- a/internal/pass/roster/roster_test.go
+++ b/internal/pass/roster/roster_test.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bergamotstall/internal/metrics"
+	"bergamotstall/internal/pass/flowlog"
 	"bergamotstall/internal/pass/route"
 )
 
@@ -41,6 +42,7 @@
 	// cut says that it has no contact with a quorum.
 	cut      atomic.Bool
 	controls []string
+	flows    *flowlog.Store
 }
 
 var errCut = errors.New("no quorum")
@@ -71,7 +73,7 @@
 		ips = append(ips, fmt.Sprintf("127.%d.1.%d", 60+net, i+1))
 	}
 	for _, ip := range ips {
-		v := &vm{ip: ip, store: route.NewStore(), controls: ips}
+		v := &vm{ip: ip, store: route.NewStore(), controls: ips, flows: flowlog.NewStore()}
 		v.start(t)
 		out = append(out, v)
 	}
@@ -86,7 +88,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	v.stop = cancel
-	v.server = NewServer(ServerConfig{Store: v.store, Source: v, Log: quiet(), Metrics: metrics.New()})
+	v.server = NewServer(ServerConfig{Store: v.store, Source: v, Flows: v.flows, Log: quiet(), Metrics: metrics.New()})
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -112,11 +114,12 @@
 
 // node is a balancer or agent of a test.
 type node struct {
-	client *Client
-	mu     sync.Mutex
-	tables []route.Version
-	nodes  []Node
-	stop   context.CancelFunc
+	client   *Client
+	mu       sync.Mutex
+	tables   []route.Version
+	nodes    []Node
+	recalled []flowlog.Update
+	stop     context.CancelFunc
 }
 
 func startNode(t *testing.T, role Role, name string, seeds ...*vm) *node {
@@ -131,6 +134,11 @@
 			}
 			return out
 		},
+		Recalled: func(u flowlog.Update) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.recalled = append(n.recalled, u)
+		},
 		Table: func(table *route.Table) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -295,3 +303,42 @@
 	await(t, "the table", func() bool { return n.client.Version() == 1 })
 	await(t, "a second try", func() bool { return accepted.Load() >= 2 })
 }
+
+// An agent tells every control VM which flows it holds. After its restart each of
+// them says what it remembers, before the new process's list replaces it; a VM
+// that was reached later is told of all.
+func TestFlowsAreRemembered(t *testing.T) {
+	is := is.New(t)
+	all := vms(t, 2)
+	first := startNode(t, Agent, "10.0.0.9:1", all...)
+	await(t, "streams", func() bool { return first.client.Heard() == 2 })
+	held := flowlog.Update{Target: "i-1", Born: 5, Whole: true, Opened: []flowlog.Record{{ClientPort: 1}, {ClientPort: 2}}}
+	first.client.TellFlows(flowlog.Update{}, false, func() flowlog.Update { return held })
+	remembers := func(n int) func() bool {
+		return func() bool {
+			for _, v := range all {
+				if u, _ := v.flows.Recall("10.0.0.9:1"); len(u.Opened) != n {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	await(t, "both to remember", remembers(2))
+	ended := flowlog.Update{Target: "i-1", Born: 5, Ended: []flowlog.Record{{ClientPort: 1}}}
+	first.client.TellFlows(ended, true, func() flowlog.Update {
+		t.Error("asked for all")
+		return held
+	})
+	await(t, "the end of one", remembers(1))
+	first.stop()
+
+	second := startNode(t, Agent, "10.0.0.9:1", all...)
+	await(t, "both to recall", func() bool {
+		second.mu.Lock()
+		defer second.mu.Unlock()
+		return len(second.recalled) == 2
+	})
+	is.Equal(second.recalled[0].Opened, []flowlog.Record{{ClientPort: 2}})
+	is.Equal(second.recalled[0].Target, "i-1")
+}
--- a/internal/pass/roster/server.go
+++ b/internal/pass/roster/server.go
@@ -22,6 +22,7 @@
 
 	"bergamotstall/internal/events"
 	"bergamotstall/internal/metrics"
+	"bergamotstall/internal/pass/flowlog"
 	"bergamotstall/internal/pass/route"
 	"bergamotstall/internal/wire"
 )
@@ -59,10 +60,17 @@
 	Controls() []string
 }
 
+// FlowKeeper remembers the flows that agents tell of.
+type FlowKeeper interface {
+	Apply(u flowlog.Update)
+	Recall(agent string) (flowlog.Update, bool)
+}
+
 // ServerConfig sets a server up.
 type ServerConfig struct {
 	Store   *route.Store
 	Source  Source
+	Flows   FlowKeeper
 	Log     logrus.FieldLogger
 	Metrics *metrics.Set
 }
@@ -142,12 +150,15 @@
 		return
 	}
 	defer s.leave(hello.Node)
+	if err := s.recall(conn, hello.Node); err != nil {
+		return
+	}
 	p := &pusher{server: s, conn: conn, role: hello.Node.Role, beats: make(chan Beat, 1), beat: hello.Beat}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go p.run(ctx, raw)
 	for {
-		beat, err := readBeat(conn)
+		beat, err := s.nextBeat(conn, hello.Node)
 		if err != nil {
 			return
 		}
@@ -159,33 +170,62 @@
 	}
 }
 
-func readHello(conn *wire.Conn) (Hello, error) {
-	var h Hello
-	err := readInto(conn, kindHello, &h)
-	return h, err
+// recall tells an agent which flows were held at its address when it was last
+// heard, before anything that it tells replaces them.
+func (s *Server) recall(conn *wire.Conn, n Node) error {
+	if n.Role != Agent {
+		return nil
+	}
+	u, ok := s.cfg.Flows.Recall(n.Address)
+	if !ok {
+		return nil
+	}
+	_, err := conn.Write(kindFlows, &u)
+	return err
 }
 
-func readBeat(conn *wire.Conn) (Beat, error) {
-	var b Beat
-	err := readInto(conn, kindBeat, &b)
-	return b, err
+// nextBeat waits for a beat; flows that come before it are noted.
+func (s *Server) nextBeat(conn *wire.Conn, n Node) (Beat, error) {
+	for {
+		f, err := read(conn)
+		if err != nil {
+			return Beat{}, err
+		}
+		switch f.Kind {
+		case kindBeat:
+			var b Beat
+			return b, f.Decode(&b)
+		case kindFlows:
+			var u flowlog.Update
+			if err := f.Decode(&u); err != nil {
+				return Beat{}, err
+			}
+			u.Agent = n.Address // an agent speaks for itself
+			s.cfg.Flows.Apply(u)
+		default:
+			return Beat{}, errors.Errorf("roster: frame kind %d", f.Kind)
+		}
+	}
 }
 
-// readInto waits for one frame of the given kind.
-func readInto(conn *wire.Conn, kind wire.Kind, into interface {
-	UnmarshalMsg([]byte) ([]byte, error)
-}) error {
-	if err := conn.Raw().SetReadDeadline(time.Now().Add(beatPatience)); err != nil {
-		return errors.Wrap(err, "roster: read deadline")
-	}
-	f, err := conn.Read()
+func readHello(conn *wire.Conn) (Hello, error) {
+	var h Hello
+	f, err := read(conn)
 	if err != nil {
-		return err
+		return h, err
+	}
+	if f.Kind != kindHello {
+		return h, errors.Errorf("roster: frame kind %d", f.Kind)
 	}
-	if f.Kind != kind {
-		return errors.Errorf("roster: frame kind %d", f.Kind)
+	return h, f.Decode(&h)
+}
+
+// read waits for one frame; a stream over which nothing comes fails.
+func read(conn *wire.Conn) (wire.Frame, error) {
+	if err := conn.Raw().SetReadDeadline(time.Now().Add(beatPatience)); err != nil {
+		return wire.Frame{}, errors.Wrap(err, "roster: read deadline")
 	}
-	return f.Decode(into)
+	return conn.Read()
 }
 
 func (s *Server) enter(n Node) bool {
