An agent that stops may still hold flows

An agent restarted as planned beside a living target says that it leaves; balancers then took it for one that holds nothing, and reset flows that they asked for in the half second until it was back.

Change: only an agent that says that no target is there is left out of a search.

--- a/internal/pass/flowtable/target.go
+++ b/internal/pass/flowtable/target.go
@@ -173,6 +173,7 @@
 func (e *Engine) Stop(now time.Duration) {
 	if e.target.leftAt > 0 {
 		e.resetAll(now)
+		e.target.known = false
 	}
 	e.leaving = true
 	e.cfg.Out.Report()
@@ -347,7 +348,7 @@
 
 // empty tells whether no target is there that could hold flows.
 func (e *Engine) empty(now time.Duration) bool {
-	return !e.target.known && (e.target.absent || now-max(e.target.leftAt, e.startedAt) > e.unannounced())
+	return !e.target.known && (e.target.absent || now-max(e.target.leftAt, e.startedAt) >= e.unannounced())
 }
 
 // unannounced is how long an agent without a target waits before it says that
--- a/internal/pass/flowtable/target_test.go
+++ b/internal/pass/flowtable/target_test.go
@@ -55,10 +55,23 @@
 	r.engine.Stop(r.now)
 	is.Equal(len(r.resets), 0)
 	is.Equal(r.report().Leaving, true)
+	is.Equal(r.report().Empty, false)
 	r.syn(10)
 	is.Equal(r.refused, []refusal{{10, peer.Draining}})
 }
 
+// The agent's process is stopped after its target has said its farewell: the
+// flows that are left are reset, and balancers learn that nothing is held here.
+func TestStopAfterTheFarewell(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.open(9, 1000)
+	r.engine.Left(r.now, "i-1")
+	r.engine.Stop(r.now)
+	is.Equal(r.resets, []reset{{9, 1001}})
+	is.Equal(r.report().Empty, true)
+}
+
 // A target crashed and came back under its id. Its callers' flows are gone with
 // the old incarnation and are reset; a late announcement of the old one, held up
 // on its way, must not bring that one back.
--- a/internal/pass/forward/agents.go
+++ b/internal/pass/forward/agents.go
@@ -24,9 +24,11 @@
 
 func (a *agent) service() route.ServiceID { return route.ServiceID(a.report.Service) }
 
-// asked tells whether the agent may hold flows.
+// asked tells whether the agent may hold flows. One that stops may: its target
+// lives, unless it says that there is none, and its next process goes on with the
+// flows.
 func (a *agent) asked(now time.Duration) bool {
-	return a.heardAt > 0 && !a.report.Leaving && !a.report.Empty && now-a.heardAt < agentForgotten
+	return a.heardAt > 0 && !a.report.Empty && now-a.heardAt < agentForgotten
 }
 
 // agents numbers addresses, so that an entry of the flow table is small. An
@@ -58,14 +60,6 @@
 	a.sent = 0
 }
 
-// Gone takes word that an agent's VM has left for good.
-func (e *Engine) Gone(address netip.AddrPort) {
-	if n, ok := e.agents.byAddress[address]; ok {
-		e.agents.list[n].report.Leaving = true
-		e.agents.list[n].report.Open = false
-	}
-}
-
 // Heard counts the agents with a fresh report.
 func (e *Engine) Heard(now time.Duration) int {
 	n := 0
--- a/internal/pass/forward/search_test.go
+++ b/internal/pass/forward/search_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"bergamotstall/internal/pass/peer"
+	"bergamotstall/internal/pass/route"
 )
 
 // A caller's feed goes on after its balancer left: the next balancer has never
@@ -169,3 +170,26 @@
 	is.Equal(len(r.delivered), 1)
 	is.Equal(portOf(r.last().Flow), uint16(maxAsking))
 }
+
+// An agent's process is restarted as planned beside a target that lives. It says
+// that it leaves and answers nothing for half a second. A caller's open flow, asked
+// for meanwhile by a balancer that doesn't know it, may be there: it isn't reset.
+func TestStoppingAgentMayHoldTheFlow(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	a, b := r.agentAt(1, desk), r.agentAt(2, desk)
+	r.report(b, peer.Report{Process: 2, Service: uint64(route.IDOf(desk)), Zone: zone, Leaving: true})
+	r.send(data(9, 77))
+	r.answer(a, peer.Lacks)
+	r.pass(2 * askPatience)
+	is.Equal(len(r.resets), 0)
+	is.Equal(r.last().Verdict, DroppedUnfound)
+	r.send(syn(10))
+	is.Equal(r.delivered[0].to, a) // and gets nothing new
+
+	// One that stops because its target has left holds nothing.
+	r.report(b, peer.Report{Process: 2, Service: uint64(route.IDOf(desk)), Zone: zone, Leaving: true, Empty: true})
+	r.send(data(11, 77))
+	r.answer(a, peer.Lacks)
+	is.Equal(r.resets, []reset{{flowOf(11), 77}})
+}
