--- a/internal/pass/agent/agent.go
+++ b/internal/pass/agent/agent.go
@@ -50,7 +50,8 @@
 
 // Config sets an agent up.
 type Config struct {
-	Name, Zone string
+	// Zone is the VM's data centre.
+	Zone string
 	// Service is the one that the VM's targets belong to.
 	Service string
 	// Target is where the target takes packets.
--- a/internal/pass/balancer/balancer.go
+++ b/internal/pass/balancer/balancer.go
@@ -37,7 +37,8 @@
 
 // Config sets a balancer up.
 type Config struct {
-	Name, Zone string
+	// Zone is the VM's data centre.
+	Zone string
 	// Fabric is where the fabric's packets come in, "ip:port". Packets for
 	// clients go to the same port of the client's address.
 	Fabric netip.AddrPort
@@ -85,7 +86,7 @@
 		return nil, errors.Wrap(err, "balancer: listen for nodes")
 	}
 	seed := rand.Uint64()
-	b.engine = forward.New(forward.Config{Zone: cfg.Zone, Rand: rand.New(rand.NewPCG(seed, seed)), Codec: cfg.Codec, Out: b})
+	b.engine = forward.New(forward.Config{Zone: cfg.Zone, Rand: rand.New(rand.NewPCG(seed, seed)), Out: b})
 	b.client = roster.NewClient(roster.ClientConfig{
 		Node:  roster.Node{Role: roster.Balancer, Address: cfg.Nodes.String(), Zone: cfg.Zone, Process: seed},
 		Seeds: cfg.Seeds, Port: cfg.ControlPort, Table: b.setTable, Log: cfg.Log, Metrics: cfg.Metrics,
--- a/internal/pass/forward/forward.go
+++ b/internal/pass/forward/forward.go
@@ -49,10 +49,9 @@
 // Config sets an engine up.
 type Config struct {
 	// Zone is the balancer's data centre.
-	Zone  string
-	Rand  *rand.Rand
-	Codec packet.Codec
-	Out   Output
+	Zone string
+	Rand *rand.Rand
+	Out  Output
 }
 
 // holder is where a flow's packets go.
--- a/internal/pass/forward/placing_test.go
+++ b/internal/pass/forward/placing_test.go
@@ -153,7 +153,7 @@
 	r := newRig(t)
 	r.agentAt(1, desk)
 	r.send(syn(9))
-	quiet := New(Config{Zone: zone, Rand: r.engine.cfg.Rand, Codec: codec{}, Out: silent{}})
+	quiet := New(Config{Zone: zone, Rand: r.engine.cfg.Rand, Out: silent{}})
 	*quiet = *r.engine
 	quiet.cfg.Out = silent{}
 	p, raw := data(9, 5), rawOf(5)
--- a/internal/pass/forward/rig_test.go
+++ b/internal/pass/forward/rig_test.go
@@ -48,13 +48,7 @@
 func (r *rig) Reset(f packet.Flow, seq uint32)        { r.resets = append(r.resets, reset{f, seq}) }
 func (r *rig) Note(d Decision)                        { r.notes = append(r.notes, d) }
 
-// codec is a packet layout of the test's own: flags, seq, ack.
-type codec struct{}
-
-func (codec) Decode([]byte) (packet.Packet, error)                  { return packet.Packet{}, nil }
-func (codec) Mark([]byte, uint16)                                   {}
-func (codec) AppendReset(to []byte, _ packet.Flow, _ uint32) []byte { return to }
-func rawOf(n uint32) []byte                                         { return binary.BigEndian.AppendUint32(nil, n) }
+func rawOf(n uint32) []byte { return binary.BigEndian.AppendUint32(nil, n) }
 
 const (
 	desk    = "casework"
@@ -67,7 +61,7 @@
 // startedRig returns an engine that has just started.
 func startedRig(t *testing.T) *rig {
 	r := &rig{t: t, now: time.Hour}
-	r.engine = New(Config{Zone: zone, Rand: rand.New(rand.NewPCG(1, 2)), Codec: codec{}, Out: r})
+	r.engine = New(Config{Zone: zone, Rand: rand.New(rand.NewPCG(1, 2)), Out: r})
 	return r
 }
 
--- a/internal/pass/route/route.go
+++ b/internal/pass/route/route.go
@@ -32,9 +32,6 @@
 	Version  Version   `msg:"v"`
 	Routes   []Route   `msg:"r"`
 	Services []Service `msg:"s"`
-	// IdleMS is after how many milliseconds without a packet a flow may be
-	// forgotten; 0 if the operator sets none.
-	IdleMS uint32 `msg:"i"`
 	// Document is the definition as the operator sent it. It is kept whole, so
 	// that a reader gets back what was sent, fields this product has no use for
 	// included.
@@ -63,8 +60,6 @@
 // Service is a group of targets.
 type Service struct {
 	Name string `msg:"n"`
-	// MaxFlows is how many flows a target of the service holds; 0 if unknown.
-	MaxFlows uint32 `msg:"m"`
 }
 
 // Errors of a definition that is refused; nothing of it is in force.
--- a/internal/pass/route/route_gen.go
+++ b/internal/pass/route/route_gen.go
@@ -70,9 +70,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Definition) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 4
 	// string "v"
-	o = append(o, 0x85, 0xa1, 0x76)
+	o = append(o, 0x84, 0xa1, 0x76)
 	o = msgp.AppendUint64(o, uint64(z.Version))
 	// string "r"
 	o = append(o, 0xa1, 0x72)
@@ -88,17 +88,11 @@
 	o = append(o, 0xa1, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
 	for za0002 := range z.Services {
-		// map header, size 2
+		// map header, size 1
 		// string "n"
-		o = append(o, 0x82, 0xa1, 0x6e)
+		o = append(o, 0x81, 0xa1, 0x6e)
 		o = msgp.AppendString(o, z.Services[za0002].Name)
-		// string "m"
-		o = append(o, 0xa1, 0x6d)
-		o = msgp.AppendUint32(o, z.Services[za0002].MaxFlows)
 	}
-	// string "i"
-	o = append(o, 0xa1, 0x69)
-	o = msgp.AppendUint32(o, z.IdleMS)
 	// string "d"
 	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendBytes(o, z.Document)
@@ -185,12 +179,6 @@
 							err = msgp.WrapError(err, "Services", za0002, "Name")
 							return
 						}
-					case "m":
-						z.Services[za0002].MaxFlows, bts, err = msgp.ReadUint32Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Services", za0002, "MaxFlows")
-							return
-						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -200,12 +188,6 @@
 					}
 				}
 			}
-		case "i":
-			z.IdleMS, bts, err = msgp.ReadUint32Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "IdleMS")
-				return
-			}
 		case "d":
 			z.Document, bts, err = msgp.ReadBytesBytes(bts, z.Document)
 			if err != nil {
@@ -232,9 +214,9 @@
 	}
 	s += 2 + msgp.ArrayHeaderSize
 	for za0002 := range z.Services {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Services[za0002].Name) + 2 + msgp.Uint32Size
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Services[za0002].Name)
 	}
-	s += 2 + msgp.Uint32Size + 2 + msgp.BytesPrefixSize + len(z.Document)
+	s += 2 + msgp.BytesPrefixSize + len(z.Document)
 	return
 }
 
@@ -393,13 +375,10 @@
 // MarshalMsg implements msgp.Marshaler
 func (z Service) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 1
 	// string "n"
-	o = append(o, 0x82, 0xa1, 0x6e)
+	o = append(o, 0x81, 0xa1, 0x6e)
 	o = msgp.AppendString(o, z.Name)
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendUint32(o, z.MaxFlows)
 	return
 }
 
@@ -427,12 +406,6 @@
 				err = msgp.WrapError(err, "Name")
 				return
 			}
-		case "m":
-			z.MaxFlows, bts, err = msgp.ReadUint32Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "MaxFlows")
-				return
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -447,7 +420,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Service) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.Uint32Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name)
 	return
 }
 
