Paused agent's test: a paused agent sends nothing either

Cause, by the counters of failed runs: the test held up only the agent's reader. Its QUIC ends went on sending retransmissions, balancers heard them and judged the agent well, and the inquiry that the test waits for began only after 18 to 21 s. That is over the idle timeout of 15 s, so the agent's own end had closed the flow by right: the stateless reset came 2 to 8 ms after the pause ended, and was the agent's own, not the inquiry's. Product code wasn't at fault; counting unanswered probes, the mend tried before, could not help.

Change: the pause holds senders up as well, through a field that stands for the method; six callers instead of one, so that a balancer which has judged the agent sees a packet soon; the pause is checked against the idle timeout, and all six answers are wanted from the paused agent.

--- a/internal/flow/agents_test.go
+++ b/internal/flow/agents_test.go
@@ -197,8 +197,14 @@
 	}
 }
 
-// A caller whose agent gets no processor time for seconds keeps its flow and gets
-// its answer: balancers and the other agent get no answer to their probes, but
+// answer is what a caller got: which agent answered, or why none did.
+type answer struct {
+	agent string
+	err   error
+}
+
+// Callers whose agent gets no processor time for seconds keep their flows and get
+// their answers: balancers and the other agent get no answer to their probes, but
 // nobody refuses them either, and an open flow isn't given up on that.
 func TestPausedAgentKeepsItsFlows(t *testing.T) {
 	r := newRig(t)
@@ -211,21 +217,33 @@
 	resume = sync.OnceFunc(resume)
 	r.addAgent(2, desk, "", target(2))
 	r.apply()
-	c := r.flowAt(1)
+	// Several callers, as only the packets that meet a balancer which has judged
+	// the agent already lead to an inquiry. A single caller's retransmissions, each
+	// at another balancer, may take longer for that than the idle timeout.
+	var callers [6]*caller
+	for i := range callers {
+		callers[i] = r.flowAt(1)
+	}
 	pause()
+	paused := time.Now()
 	r.Cleanup(resume) // a paused agent can't end
-	var agent string
-	answered := make(chan error, 1)
-	go func() {
-		var err error
-		_, agent, err = c.get("/")
-		answered <- err
-	}()
+	answers := make(chan answer, len(callers))
+	for _, c := range callers {
+		go func() {
+			_, agent, err := c.get("/")
+			answers <- answer{agent, err}
+		}()
+	}
 	other := r.agents[2].metrics
 	r.eventually("the other agent looks into it", func() bool { return other.Value("flow_probes") >= 3 })
 	resume()
-	r.is.NoErr(<-answered)
-	r.is.Equal(agent, "1")
+	// A longer pause ends flows by right, and says nothing of the inquiry.
+	r.is.True(time.Since(paused) < flow.IdleTimeout)
+	for range callers {
+		a := <-answers
+		r.is.NoErr(a.err)
+		r.is.Equal(a.agent, "1")
+	}
 	r.is.Equal(other.Value("flow_reset_unreachable"), int64(0))
 }
 
--- a/internal/flow/endpoint.go
+++ b/internal/flow/endpoint.go
@@ -116,6 +116,9 @@
 	// decide judges each packet; it is a Deflector's but in measurements of what
 	// deflection brings.
 	decide func(*Standing, *Arrival) Verdict
+	// send takes the flows' packets to callers; it is answer but in tests of an
+	// agent that gets no processor time.
+	send   func(packet []byte, caller netip.AddrPort)
 	router reader
 	memory memoryKey
 	closed chan struct{}
@@ -181,6 +184,7 @@
 		memory: memoryKey{k0: rand.Uint64(), k1: rand.Uint64()},
 		closed: make(chan struct{}),
 	}
+	e.send = e.answer
 	e.inquiries.running = make(map[table.AgentNumber]*inquiry)
 	e.serving = newServing(e)
 	c.Metrics.Gauge("flow_open", func() int64 { return e.flows.Load() })
--- a/internal/flow/port.go
+++ b/internal/flow/port.go
@@ -70,7 +70,7 @@
 // any network; QUIC sends its content again.
 func (p *port) WriteTo(packet []byte, to net.Addr) (int, error) {
 	if udp, ok := to.(*net.UDPAddr); ok {
-		p.endpoint.answer(packet, udp.AddrPort())
+		p.endpoint.send(packet, udp.AddrPort())
 	}
 	return len(packet), nil
 }
