--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -88,11 +88,25 @@
 	}
 }
 
+// voters counts the members of the given kind that count for the quorum, by this
+// replica's own view.
+func (r *Replica) voters(which func(quorum.ID) bool) int {
+	n := 0
+	for _, m := range r.status.Load().Members {
+		if m.Role == quorum.Voter && which(m.ID) {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *Replica) gauges() {
 	m := r.cfg.Metrics
 	m.Gauge("replica_term", func() int64 { return int64(r.status.Load().Term) })
 	m.Gauge("replica_commit", func() int64 { return int64(r.status.Load().Commit) })
 	m.Gauge("replica_applied", func() int64 { return int64(r.status.Load().Applied) })
+	m.Gauge("replica_votes", func() int64 { return int64(r.voters(func(m quorum.ID) bool { return m == r.ID() })) })
+	m.Gauge("replica_voters", func() int64 { return int64(r.voters(func(quorum.ID) bool { return true })) })
 	m.Gauge("replica_contact_age_milliseconds", func() int64 { return int64(r.ContactAge() / time.Millisecond) })
 	m.Text("replica_state", func() string { return r.status.Load().State.String() })
 	m.Text("replica_leader", func() string { return r.status.Load().Leader.String() })
