First packets keep their age when they are handed back; a vain wait ends at once

Change: an agent tells with a packet that it hands back how old it is, a balancer passes that on, packets of callers that have given up (1.4 s) aren't offered, and one that waited in vain for a slot is refused at once.

The three tests of the balancer's part fail without it.

--- a/internal/pass/agent/output.go
+++ b/internal/pass/agent/output.go
@@ -27,8 +27,8 @@
 }
 
 // Refuse implements flowtable.Output.
-func (a *Agent) Refuse(to netip.AddrPort, why peer.Reason, raw []byte) {
-	a.buf = peer.Head{Kind: peer.KindRefused, Reason: why}.Append(a.buf[:0], raw)
+func (a *Agent) Refuse(to netip.AddrPort, why peer.Reason, age time.Duration, raw []byte) {
+	a.buf = peer.Head{Kind: peer.KindRefused, Reason: why, Age: peer.AgeOf(age)}.Append(a.buf[:0], raw)
 	a.nodes.Send(a.buf, to)
 }
 
--- a/internal/pass/balancer/balancer.go
+++ b/internal/pass/balancer/balancer.go
@@ -169,7 +169,7 @@
 		if err != nil {
 			return err
 		}
-		b.engine.Refused(now, from, h.Reason, p, carried)
+		b.engine.Refused(now, from, h, p, carried)
 		return nil
 	case peer.KindAnswer:
 		return peer.ReadAnswer(raw, func(r peer.Ruling) { b.engine.Answered(now, from, r) })
--- a/internal/pass/balancer/output.go
+++ b/internal/pass/balancer/output.go
@@ -2,7 +2,6 @@
 
 import (
 	"expvar"
-	"math"
 	"net/netip"
 	"time"
 
@@ -38,8 +37,7 @@
 
 // Deliver implements forward.Output.
 func (b *Balancer) Deliver(to netip.AddrPort, service route.ServiceID, age time.Duration, raw []byte) {
-	ms := min(age.Milliseconds(), math.MaxUint16)
-	b.buf = peer.Head{Kind: peer.KindDeliver, Service: service, Age: uint16(ms)}.Append(b.buf[:0], raw)
+	b.buf = peer.Head{Kind: peer.KindDeliver, Service: service, Age: peer.AgeOf(age)}.Append(b.buf[:0], raw)
 	b.nodes.Send(b.buf, to)
 }
 
--- a/internal/pass/flowtable/admission.go
+++ b/internal/pass/flowtable/admission.go
@@ -33,13 +33,38 @@
 	maxQueue = 1_024
 )
 
-// queued is a first packet that waits.
-type queued struct {
+// firstPacket is a client's first packet of a flow, or a copy of it.
+type firstPacket struct {
 	flow packet.Flow
+	// from is the balancer that sent it.
 	from netip.AddrPort
 	raw  []byte
-	// at is when the client sent it first, as far as is known.
-	at      time.Duration
+	// sentAt is when the client sent it, begunAt when it began to open the flow,
+	// as far as is known. After an outage balancers hold many that are old; taken
+	// for new they would go before those that can still be answered in time.
+	sentAt, begunAt time.Duration
+}
+
+func firstOf(p packet.Packet, sentAt time.Duration, from netip.AddrPort, raw []byte) firstPacket {
+	return firstPacket{flow: p.FromClient(), from: from, raw: raw, sentAt: sentAt, begunAt: sentAt - p.SinceFirst()}
+}
+
+// kept is the packet with bytes of its own.
+func (p firstPacket) kept() firstPacket {
+	p.raw = append([]byte(nil), p.raw...)
+	return p
+}
+
+// unanswered is a first packet that the target has had since a moment and hasn't
+// answered.
+type unanswered struct {
+	firstPacket
+	since time.Duration
+}
+
+// queued is a first packet that waits.
+type queued struct {
+	firstPacket
 	urgency uint32
 }
 
@@ -69,18 +94,16 @@
 }
 
 // queueFirst lets a first packet wait; false if there is no room to.
-func (e *Engine) queueFirst(sentAt time.Duration, from netip.AddrPort, f packet.Flow, raw []byte) bool {
+func (e *Engine) queueFirst(p firstPacket) bool {
 	for i := range e.admission.queue {
-		if e.admission.queue[i].flow == f {
+		if e.admission.queue[i].flow == p.flow {
 			return true // a copy
 		}
 	}
 	if len(e.admission.queue) >= maxQueue {
 		return false
 	}
-	e.admission.queue = append(e.admission.queue, queued{
-		flow: f, from: from, raw: append([]byte(nil), raw...), at: sentAt, urgency: e.table.Priority(f.Service),
-	})
+	e.admission.queue = append(e.admission.queue, queued{firstPacket: p.kept(), urgency: e.table.Priority(p.flow.Service)})
 	return true
 }
 
@@ -88,8 +111,8 @@
 func (e *Engine) admitQueued(now time.Duration) {
 	for len(e.admission.queue) > 0 && !e.busy() && !e.target.silent && !e.target.draining {
 		q := e.takeNext()
-		e.cfg.Out.Admitted(now - q.at)
-		e.admit(now, q.from, q.flow, q.raw)
+		e.cfg.Out.Admitted(now - q.begunAt)
+		e.admit(now, q.firstPacket)
 	}
 }
 
@@ -98,19 +121,7 @@
 	if q.urgency != other.urgency {
 		return q.urgency < other.urgency
 	}
-	return q.at >= other.at
-}
-
-// copyAge is how long before a copy of a first packet the first one was sent, by
-// the number of the copy.
-var copyAge = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
-
-// ageOf is how long ago at least a first packet's client sent it first. After an
-// outage balancers hold many that are old; taken for new they would go before
-// those that can still be answered in time.
-func ageOf(h peer.Head, p packet.Packet) time.Duration {
-	copies := min(p.Ack, uint32(len(copyAge)-1))
-	return time.Duration(h.Age)*time.Millisecond + copyAge[copies]
+	return q.begunAt >= other.begunAt
 }
 
 // takeNext removes the newest first packet of the most urgent route.
@@ -136,7 +147,7 @@
 			kept = append(kept, q)
 			continue
 		}
-		e.refuse(now, q.from, q.flow, packet.Packet{Flags: packet.SYN}, why, q.raw)
+		e.refuseFirst(now, q.firstPacket, why)
 	}
 	e.admission.queue = kept
 	still := e.admission.expected[:0]
@@ -149,6 +160,11 @@
 	e.admitQueued(now)
 }
 
+// refuseFirst hands a first packet back.
+func (e *Engine) refuseFirst(now time.Duration, p firstPacket, why peer.Reason) {
+	e.refuse(now, p.from, p.flow, packet.Packet{Flags: packet.SYN}, why, p.sentAt, p.raw)
+}
+
 // whyNot tells why a first packet needn't wait any longer; 0 if it may.
 func (e *Engine) whyNot(now time.Duration, q queued) peer.Reason {
 	switch {
@@ -158,7 +174,7 @@
 		return peer.Draining
 	case e.target.silent:
 		return peer.Silent
-	case now-q.at > maxWait:
+	case now-q.begunAt > maxWait:
 		return peer.Busy
 	}
 	return 0
--- a/internal/pass/flowtable/admission_test.go
+++ b/internal/pass/flowtable/admission_test.go
@@ -188,3 +188,19 @@
 	r.pass(20 * time.Millisecond)
 	is.Equal(r.refused[len(r.refused)-1], refusal{4, peer.Busy})
 }
+
+// A caller's first packet came with 300 ms behind it and waited here for 200 ms
+// more when the target began to leave. It is handed back with its whole age, so
+// that the next target doesn't take it for new.
+func TestRefusalTellsTheAge(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	busyTarget(r)
+	p := packet.Packet{Src: flowOf(9).Client, Dst: service, Flags: packet.SYN}
+	r.engine.FromBalancer(r.now, balancer, peer.Head{Service: route.IDOf(desk), Age: 300}, p, rawOf(9))
+	r.pass(200 * time.Millisecond)
+	r.say("i-1", 0, 2, true)
+	r.pass(10 * time.Millisecond)
+	is.Equal(r.refused, []refusal{{9, peer.Draining}})
+	is.Equal(r.refusedAge, 510*time.Millisecond)
+}
--- a/internal/pass/flowtable/decision.go
+++ b/internal/pass/flowtable/decision.go
@@ -14,8 +14,9 @@
 	ToTarget(raw []byte)
 	// ToClient sends a target's packet to its client.
 	ToClient(client packet.Endpoint, raw []byte)
-	// Refuse hands a packet back to a balancer.
-	Refuse(to netip.AddrPort, why peer.Reason, raw []byte)
+	// Refuse hands a packet back to a balancer; age is how long ago its client
+	// sent it, as far as is known.
+	Refuse(to netip.AddrPort, why peer.Reason, age time.Duration, raw []byte)
 	// Answer tells a balancer who holds a flow.
 	Answer(to netip.AddrPort, r peer.Ruling)
 	// Reset tells a client that its flow is over.
--- a/internal/pass/flowtable/flowtable.go
+++ b/internal/pass/flowtable/flowtable.go
@@ -112,19 +112,12 @@
 	answered bool
 }
 
-// waitingFirst is a first packet that the target hasn't answered.
-type waitingFirst struct {
-	sentAt time.Duration
-	from   netip.AddrPort
-	raw    []byte
-}
-
 // Engine is one agent's state. It isn't safe for concurrent use.
 type Engine struct {
 	cfg       Config
 	target    target
 	flows     map[packet.Flow]flow
-	waiting   map[packet.Flow]waitingFirst
+	waiting   map[packet.Flow]unanswered
 	load      load
 	sweepAt   time.Duration
 	number    uint64
@@ -143,7 +136,7 @@
 // New returns an engine without a target.
 func New(cfg Config) *Engine {
 	return &Engine{
-		cfg: cfg, flows: map[packet.Flow]flow{}, waiting: map[packet.Flow]waitingFirst{},
+		cfg: cfg, flows: map[packet.Flow]flow{}, waiting: map[packet.Flow]unanswered{},
 		tags: tags{byAddress: map[netip.AddrPort]uint16{}}, startedAt: cfg.StartedAt, load: load{meanAt: cfg.StartedAt},
 	}
 }
@@ -155,19 +148,19 @@
 func (e *Engine) FromBalancer(now time.Duration, from netip.AddrPort, h peer.Head, p packet.Packet, raw []byte) {
 	f := p.FromClient()
 	if why := e.misdirected(now, h, p); why != 0 {
-		e.refuse(now, from, f, p, why, raw)
+		e.refuse(now, from, f, p, why, now-h.Waited(), raw)
 		return
 	}
 	x, known := e.flows[f]
 	switch {
 	case p.Opens():
-		e.first(now, now-ageOf(h, p), from, f, x, known, raw)
+		e.first(now, firstOf(p, now-h.Waited(), from, raw), x, known)
 	case known && x.stage != lacking:
 		e.later(now, from, f, x, p, raw)
 	case e.unsure(now) && !known:
 		e.toTarget(from, raw) // it is handed back if the target lacks the flow
 	default:
-		e.refuse(now, from, f, p, peer.NotHeld, raw)
+		e.refuse(now, from, f, p, peer.NotHeld, now, raw)
 	}
 }
 
@@ -185,57 +178,52 @@
 	return 0
 }
 
-func (e *Engine) refuse(now time.Duration, to netip.AddrPort, f packet.Flow, p packet.Packet, why peer.Reason, raw []byte) {
+// refuse hands a packet back that its client sent at sentAt, as far as is known.
+func (e *Engine) refuse(now time.Duration, to netip.AddrPort, f packet.Flow, p packet.Packet, why peer.Reason, sentAt time.Duration, raw []byte) {
 	verdict := RefusedLater
 	if p.Opens() {
 		verdict = RefusedFirst
 	}
-	e.cfg.Out.Refuse(to, why, raw)
+	e.cfg.Out.Refuse(to, why, now-sentAt, raw)
 	e.note(now, Decision{Verdict: verdict, Flow: f, Reason: why})
 }
 
-// first takes a first packet or a copy of one, which its client sent first at
-// sentAt.
-func (e *Engine) first(now, sentAt time.Duration, from netip.AddrPort, f packet.Flow, x flow, known bool, raw []byte) {
-	p := packet.Packet{Flags: packet.SYN}
+// first takes a first packet or a copy of one.
+func (e *Engine) first(now time.Duration, p firstPacket, x flow, known bool) {
 	switch {
 	case known && x.stage != lacking && x.stage != ended:
-		e.toTarget(from, raw)
-		return
+		e.toTarget(p.from, p.raw)
 	case e.target.draining || e.leaving:
-		e.refuse(now, from, f, p, peer.Draining, raw)
-		return
+		e.refuseFirst(now, p, peer.Draining)
 	case e.target.silent:
-		e.refuse(now, from, f, p, peer.Silent, raw)
-		return
+		e.refuseFirst(now, p, peer.Silent)
 	case len(e.flows) >= maxFlows:
-		e.refuse(now, from, f, p, peer.Full, raw)
-		return
+		e.refuseFirst(now, p, peer.Full)
 	case e.busy() || len(e.admission.queue) > 0:
-		if !e.queueFirst(sentAt, from, f, raw) {
-			e.refuse(now, from, f, p, peer.Busy, raw)
+		if !e.queueFirst(p) {
+			e.refuseFirst(now, p, peer.Full)
 		}
 		e.admitQueued(now)
-		return
+	default:
+		e.admit(now, p)
 	}
-	e.admit(now, from, f, raw)
 }
 
 // admit sends a first packet to the target.
-func (e *Engine) admit(now time.Duration, from netip.AddrPort, f packet.Flow, raw []byte) {
-	e.expect(now, f)
-	e.put(f, flow{stage: opening, seenAt: now})
+func (e *Engine) admit(now time.Duration, p firstPacket) {
+	e.expect(now, p.flow)
+	e.put(p.flow, flow{stage: opening, seenAt: now})
 	if len(e.waiting) < maxWaiting {
-		e.waiting[f] = waitingFirst{sentAt: now, from: from, raw: append([]byte(nil), raw...)}
+		e.waiting[p.flow] = unanswered{firstPacket: p.kept(), since: now}
 	}
-	e.toTarget(from, raw)
+	e.toTarget(p.from, p.raw)
 }
 
 // later takes a packet of a known flow. A caller that completes the handshake of
 // another target, which answered a copy of its first packet, is sent there.
 func (e *Engine) later(now time.Duration, from netip.AddrPort, f packet.Flow, x flow, p packet.Packet, raw []byte) {
 	if x.stage == opening && !x.completedBy(p.Ack) {
-		e.refuse(now, from, f, p, peer.NotHeld, raw)
+		e.refuse(now, from, f, p, peer.NotHeld, now, raw)
 		return
 	}
 	x.seenAt = now
@@ -335,8 +323,12 @@
 func (e *Engine) bounced(now time.Duration, p packet.Packet, raw []byte) {
 	f := p.FromClient()
 	why := peer.NotHeld
+	sentAt := now
 	if p.Opens() {
 		why = peer.Full
+		if w, ok := e.waiting[f]; ok {
+			sentAt = w.sentAt
+		}
 		delete(e.waiting, f)
 		e.came(f)
 		e.remove(f)
@@ -348,7 +340,7 @@
 		return // from before this process; the caller sends it again
 	}
 	e.cfg.Codec.Mark(raw, 0)
-	e.refuse(now, to, f, p, why, raw)
+	e.refuse(now, to, f, p, why, sentAt, raw)
 }
 
 func (e *Engine) note(now time.Duration, d Decision) {
--- a/internal/pass/flowtable/rig_test.go
+++ b/internal/pass/flowtable/rig_test.go
@@ -31,10 +31,12 @@
 	toTarget []uint16 // client ports
 	toClient []uint16
 	refused  []refusal
-	answers  []peer.Ruling
-	resets   []reset
-	reports  int
-	notes    []Decision
+	// refusedAge is the age told with the last refusal.
+	refusedAge time.Duration
+	answers    []peer.Ruling
+	resets     []reset
+	reports    int
+	notes      []Decision
 }
 
 type refusal struct {
@@ -57,8 +59,9 @@
 func (r *rig) Admitted(time.Duration) {}
 func (r *rig) Report()                { r.reports++ }
 func (r *rig) Note(d Decision)        { r.notes = append(r.notes, d) }
-func (r *rig) Refuse(_ netip.AddrPort, why peer.Reason, raw []byte) {
+func (r *rig) Refuse(_ netip.AddrPort, why peer.Reason, age time.Duration, raw []byte) {
 	r.refused = append(r.refused, refusal{portOf(raw), why})
+	r.refusedAge = age
 }
 
 // codec is a packet layout of the test's own: the client's port, then the tag.
--- a/internal/pass/flowtable/target.go
+++ b/internal/pass/flowtable/target.go
@@ -265,19 +265,19 @@
 // that another target answers the caller well within its patience.
 func (e *Engine) rescue(now time.Duration) {
 	for f, w := range e.waiting {
-		if now-w.sentAt < firstPatience {
+		if now-w.since < firstPatience {
 			continue
 		}
 		delete(e.waiting, f)
 		e.came(f)
 		e.remove(f)
-		if !e.target.silent && e.target.lifeAt < w.sentAt {
+		if !e.target.silent && e.target.lifeAt < w.since {
 			e.target.silent = true
 			e.note(now, Decision{Verdict: TargetSilent, Flow: f})
 			e.cfg.Out.Report()
 		}
 		e.cfg.Codec.Mark(w.raw, 0)
-		e.refuse(now, w.from, f, packet.Packet{Flags: packet.SYN}, peer.Silent, w.raw)
+		e.refuseFirst(now, w.firstPacket, peer.Silent)
 	}
 }
 
@@ -285,7 +285,7 @@
 // wait for their deadline.
 func (e *Engine) resetAll(now time.Duration) {
 	e.resetFlows(now, func(flow) bool { return true })
-	e.waiting = map[packet.Flow]waitingFirst{}
+	e.waiting = map[packet.Flow]unanswered{}
 	e.admission.expected = nil
 }
 
--- a/internal/pass/forward/early.go
+++ b/internal/pass/forward/early.go
@@ -17,9 +17,8 @@
 	// They learn of the balancer within 100 ms of its first contact with
 	// control, which comes before the table, and report within 100 ms more.
 	youth = 150 * time.Millisecond
-	// earlyKept is how long a packet waits: callers give an attempt up after
-	// 1.4 s.
-	earlyKept = 1400 * time.Millisecond
+	// earlyKept is how long a packet waits.
+	earlyKept = packet.OpenPatience
 	// maxEarly bounds the packets that wait, 1.3 kB each.
 	maxEarly = 4_096
 )
@@ -55,7 +54,7 @@
 		return
 	}
 	for f, x := range e.early {
-		if now-x.at > earlyKept {
+		if now-x.at+x.p.SinceFirst() > earlyKept {
 			delete(e.early, f)
 			continue
 		}
--- a/internal/pass/forward/forward.go
+++ b/internal/pass/forward/forward.go
@@ -182,9 +182,7 @@
 		return
 	}
 	if !ok || at.tries >= maxTries {
-		delete(e.flows, f)
-		e.cfg.Out.Reset(f, 0)
-		e.note(Decision{Flow: f, Verdict: RefusedNoTarget, Reason: why, Asked: int(at.tries)})
+		e.refuseCaller(f, at, why)
 		return
 	}
 	verdict := Placed
@@ -203,6 +201,13 @@
 	e.note(Decision{Flow: f, Verdict: verdict, Agent: a.address, Reason: why, ReportAge: now - a.heardAt, Waited: now - came})
 }
 
+// refuseCaller tells a caller that nobody takes its flow; nothing ran.
+func (e *Engine) refuseCaller(f packet.Flow, at holder, why peer.Reason) {
+	delete(e.flows, f)
+	e.cfg.Out.Reset(f, 0)
+	e.note(Decision{Flow: f, Verdict: RefusedNoTarget, Reason: why, Asked: int(at.tries)})
+}
+
 // chooseOther looks at the other services of the route, where the picked one
 // has no target that takes flows.
 func (e *Engine) chooseOther(now time.Duration, f packet.Flow, not route.ServiceID, tried uint64) (uint32, bool) {
@@ -226,8 +231,9 @@
 	e.cfg.Out.Deliver(a.address, a.service(), age, raw)
 }
 
-// Refused takes a packet that an agent handed back.
-func (e *Engine) Refused(now time.Duration, from netip.AddrPort, why peer.Reason, p packet.Packet, raw []byte) {
+// Refused takes a packet that an agent handed back. The head tells why, and how
+// long the packet has been under way.
+func (e *Engine) Refused(now time.Duration, from netip.AddrPort, h peer.Head, p packet.Packet, raw []byte) {
 	f := p.FromClient()
 	agent := e.agents.number(from)
 	if e.table == nil || len(e.table.Services(f.Service)) == 0 {
@@ -235,7 +241,7 @@
 	}
 	at, known := e.flows[f]
 	if p.Opens() {
-		e.refusedFirst(now, f, at, known, agent, why, raw)
+		e.refusedFirst(now, f, at, known, agent, h, p, raw)
 		return
 	}
 	if known && at.agent != agent {
@@ -250,12 +256,21 @@
 	e.seek(now, p, f, raw, agent)
 }
 
-func (e *Engine) refusedFirst(now time.Duration, f packet.Flow, at holder, known bool, agent uint32, why peer.Reason, raw []byte) {
+// refusedFirst offers a first packet elsewhere, unless its caller is better told
+// at once. The packet stays as old as it is: taken for new by the next agent, it
+// would go before callers that can still be answered in time, and be offered from
+// one to the next long after its own caller has given up.
+func (e *Engine) refusedFirst(now time.Duration, f packet.Flow, at holder, known bool, agent uint32, h peer.Head, p packet.Packet, raw []byte) {
 	if known && at.agent != agent {
 		return // a copy has gone to another agent already
 	}
-	switch why {
-	case peer.Full, peer.Busy:
+	came := now - h.Waited()
+	if h.Reason == peer.Busy || now-came+p.SinceFirst() >= packet.OpenPatience {
+		e.refuseCaller(f, at, h.Reason)
+		return
+	}
+	switch h.Reason {
+	case peer.Full:
 		e.agents.list[agent].avoidUntil = now + fullPause
 	case peer.Silent, peer.Draining, peer.NoTarget, peer.WrongService:
 		e.agents.list[agent].report.Open = false // until its next report
@@ -264,7 +279,7 @@
 	if at.tries == 0 {
 		at.tries = 1
 	}
-	e.place(now, now, f, at, raw, why)
+	e.place(now, came, f, at, raw, h.Reason)
 }
 
 // Tick lets time pass: unanswered questions are asked again or given up, and
--- a/internal/pass/forward/placing_test.go
+++ b/internal/pass/forward/placing_test.go
@@ -27,7 +27,7 @@
 	for i, why := range []peer.Reason{peer.Draining, peer.Full} {
 		to := r.delivered[i].to
 		seen[to.String()] = true
-		r.engine.Refused(r.now, to, why, syn(9), rawOf(0))
+		r.engine.Refused(r.now, to, peer.Head{Reason: why}, syn(9), rawOf(0))
 		is.Equal(r.last().Verdict, Moved)
 		is.Equal(r.last().Reason, why)
 	}
@@ -43,7 +43,7 @@
 	r := newRig(t)
 	a := r.agentAt(1, desk)
 	r.send(syn(9))
-	r.engine.Refused(r.now, a, peer.Silent, syn(9), rawOf(0))
+	r.engine.Refused(r.now, a, peer.Head{Reason: peer.Silent}, syn(9), rawOf(0))
 	is.Equal(len(r.resets), 1)
 	is.Equal(r.last().Verdict, RefusedNoTarget)
 	is.Equal(r.engine.Flows(), 0)
@@ -245,3 +245,48 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// An outage left a backlog. A caller's first packet waited for a slot as long as
+// is good for it, in vain. It is told at once: offered to the next target, it
+// would wait there again, for a caller that has given up by then, in the place of
+// one that can still be answered.
+func TestVainWaitIsNotOfferedElsewhere(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.agentAt(1, desk)
+	r.agentAt(2, desk)
+	r.send(syn(9))
+	r.engine.Refused(r.now, r.delivered[0].to, peer.Head{Reason: peer.Busy, Age: 800}, syn(9), rawOf(0))
+	is.Equal(len(r.delivered), 1)
+	is.Equal(r.resets, []reset{{flowOf(9), 0}})
+	is.Equal(r.last().Verdict, RefusedNoTarget)
+}
+
+// A first packet that one target kept for 300 ms goes to another one, and is as
+// old there as it is: taken for new, it would go before callers that came later.
+func TestMovedFirstPacketKeepsItsAge(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.agentAt(1, desk)
+	r.agentAt(2, desk)
+	r.send(syn(9))
+	r.engine.Refused(r.now, r.delivered[0].to, peer.Head{Reason: peer.Draining, Age: 300}, syn(9), rawOf(0))
+	is.Equal(r.last().Verdict, Moved)
+	is.Equal(r.delivered[1].age, 300*time.Millisecond)
+}
+
+// The caller sent its second copy, 600 ms after the first packet, and the target
+// that got it handed it back 0.9 s later. The caller has given up; a target that
+// opened the flow now would hold it for nobody.
+func TestFirstPacketOfACallerThatGaveUpIsNotOffered(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.agentAt(1, desk)
+	r.agentAt(2, desk)
+	second := syn(9)
+	second.Ack = 2
+	r.send(second)
+	r.engine.Refused(r.now, r.delivered[0].to, peer.Head{Reason: peer.Silent, Age: 900}, second, rawOf(2))
+	is.Equal(len(r.delivered), 1)
+	is.Equal(len(r.resets), 1)
+}
--- a/internal/pass/forward/search_test.go
+++ b/internal/pass/forward/search_test.go
@@ -100,7 +100,7 @@
 	r.answer(b, peer.Unsure)
 	is.Equal(len(r.delivered), 1) // one target at a time
 	is.Equal(r.delivered[0].to, a)
-	r.engine.Refused(r.now, a, peer.NotHeld, data(9, 77), rawOf(77))
+	r.engine.Refused(r.now, a, peer.Head{Reason: peer.NotHeld}, data(9, 77), rawOf(77))
 	is.Equal(r.delivered[1].to, b)
 	r.pass(probePatience + 20*time.Millisecond)
 	is.Equal(r.last().Verdict, Found)
--- a/internal/pass/packet/packet.go
+++ b/internal/pass/packet/packet.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 )
 
 // Endpoint is one end of a flow: an IPv4 address and a port. It is a plain
@@ -63,6 +64,19 @@
 // Opens tells whether this is the first packet of a flow, or a copy of it.
 func (p Packet) Opens() bool { return p.Flags&(SYN|ACK) == SYN }
 
+// OpenPatience is how long a client waits for a target's answer to the first
+// packet of a flow: the platform's figure. After it the flow is of no use.
+const OpenPatience = 1400 * time.Millisecond
+
+// copiesAfter is when the platform's clients send the copies of a first packet.
+var copiesAfter = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+
+// SinceFirst is how long before this packet its client began to open the flow, for
+// a first packet or a copy of it.
+func (p Packet) SinceFirst() time.Duration {
+	return copiesAfter[min(p.Ack, uint32(len(copiesAfter)-1))]
+}
+
 // FromClient returns the flow of a packet that a client sent.
 func (p Packet) FromClient() Flow { return Flow{Client: p.Src, Service: p.Dst} }
 
--- a/internal/pass/peer/peer.go
+++ b/internal/pass/peer/peer.go
@@ -5,6 +5,8 @@
 
 import (
 	"encoding/binary"
+	"math"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -37,7 +39,8 @@
 	NotHeld Reason = iota + 1
 	// Draining means that the target takes no new flows because it leaves.
 	Draining
-	// Full means that the target handed the first packet back.
+	// Full means that the target handed the first packet back, or that too many
+	// wait there.
 	Full
 	// Silent means that the target didn't answer the first packet in time.
 	Silent
@@ -45,7 +48,8 @@
 	WrongService
 	// NoTarget means that no target is known there yet, or no longer.
 	NoTarget
-	// Busy means that the first packet waited in vain for a free slot.
+	// Busy means that the first packet waited in vain for a free slot, for as long
+	// as is good for its caller: it isn't to be offered elsewhere.
 	Busy
 )
 
@@ -67,10 +71,19 @@
 	// Service is whom the packet is for; an agent whose target is of another
 	// service refuses it, as after an address was used again.
 	Service route.ServiceID
-	// Age is for how many milliseconds the packet has waited at the balancer.
+	// Age is for how many milliseconds the packet has been with balancers and
+	// agents.
 	Age uint16
 }
 
+// AgeOf is an age as a head tells it.
+func AgeOf(d time.Duration) uint16 {
+	return uint16(max(0, min(d.Milliseconds(), math.MaxUint16)))
+}
+
+// Waited is the age of the packet.
+func (h Head) Waited() time.Duration { return time.Duration(h.Age) * time.Millisecond }
+
 // HeadSize is the bytes before a carried packet.
 const HeadSize = 12
 
