Flows overflow to their route's other services when their own has no free slot

Change: where every target of the service that the weights picked is saturated, the flow goes to another service of the same route that keeps half of its slots free. While one target of its own has room the weights hold; a service without a weight gets nothing.

--- a/internal/pass/forward/agents.go
+++ b/internal/pass/forward/agents.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"bergamotstall/internal/pass/packet"
 	"bergamotstall/internal/pass/peer"
 	"bergamotstall/internal/pass/place"
 	"bergamotstall/internal/pass/route"
@@ -71,11 +72,72 @@
 	return n
 }
 
-// choose picks an agent of the service for a new flow.
-func (e *Engine) choose(now time.Duration, service route.ServiceID, tried uint64) (uint32, bool) {
-	var numbers [maxCandidates]uint32
-	var targets [maxCandidates]place.Target
-	n := 0
+// candidates are the agents of a service that take new flows, and their targets.
+type candidates struct {
+	numbers [maxCandidates]uint32
+	targets [maxCandidates]place.Target
+	n       int
+}
+
+func (c *candidates) add(number uint32, t place.Target) {
+	c.numbers[c.n] = number
+	c.targets[c.n] = t
+	c.n++
+}
+
+// list is what there is to choose from.
+func (c *candidates) list() []place.Target { return c.targets[:c.n] }
+
+// choose picks an agent for a new flow: of the service that the weights say, or of
+// another one of the route where that one has no target, or none with a free slot.
+func (e *Engine) choose(now time.Duration, f packet.Flow, tried uint64) (uint32, bool) {
+	service, _ := e.table.Pick(f)
+	var own candidates
+	e.gather(now, service, tried, &own)
+	if place.Overflow(own.list()) {
+		if agent, ok := e.overflow(now, f, service, tried, own.n == 0); ok {
+			return agent, true
+		}
+	}
+	return e.pick(&own)
+}
+
+// overflow picks an agent of the route's other services: an idle one, or any where
+// the own service has none.
+func (e *Engine) overflow(now time.Duration, f packet.Flow, own route.ServiceID, tried uint64, anyLoad bool) (uint32, bool) {
+	var other candidates
+	for _, c := range e.table.Services(f.Service) {
+		if c.Service != own {
+			e.gather(now, c.Service, tried, &other)
+		}
+	}
+	if !anyLoad {
+		other.keepIdle()
+	}
+	return e.pick(&other)
+}
+
+// keepIdle leaves the targets that have room for another service's flows.
+func (c *candidates) keepIdle() {
+	n := c.n
+	c.n = 0
+	for i := range n {
+		if c.targets[i].Idle() {
+			c.add(c.numbers[i], c.targets[i])
+		}
+	}
+}
+
+func (e *Engine) pick(c *candidates) (uint32, bool) {
+	at, ok := place.Pick(e.cfg.Rand, c.list())
+	if !ok {
+		return 0, false
+	}
+	return c.numbers[at], true
+}
+
+// gather adds the agents of a service that take new flows.
+func (e *Engine) gather(now time.Duration, service route.ServiceID, tried uint64, to *candidates) {
 	// A service with more targets is looked at from a random place on, so that
 	// all get flows.
 	offset := 0
@@ -83,27 +145,20 @@
 		offset = e.cfg.Rand.IntN(len(e.agents.list))
 	}
 	for i := range e.agents.list {
-		if n == maxCandidates {
-			break
+		if to.n == maxCandidates {
+			return
 		}
 		at := (i + offset) % len(e.agents.list)
 		a := &e.agents.list[at]
 		if a.service() != service || !e.takes(now, a) || tried&bit(uint32(at)) != 0 {
 			continue
 		}
-		numbers[n] = uint32(at)
-		targets[n] = place.Target{
+		to.add(uint32(at), place.Target{
 			Near: a.report.Zone == e.cfg.Zone, Slots: a.report.Slots,
 			Running: float64(a.report.Running), Mean: float64(a.report.Load) / 100,
 			Flows: a.report.Flows, Sent: a.sent, Cold: a.report.ColdMS > 0,
-		}
-		n++
-	}
-	at, ok := place.Pick(e.cfg.Rand, targets[:n])
-	if !ok {
-		return 0, false
+		})
 	}
-	return numbers[at], true
 }
 
 // maxCandidates bounds the targets looked at for one new flow; two are drawn
--- a/internal/pass/forward/forward.go
+++ b/internal/pass/forward/forward.go
@@ -172,11 +172,7 @@
 
 // place offers a first packet to a target that hasn't handed it back.
 func (e *Engine) place(now, came time.Duration, f packet.Flow, at holder, raw []byte, why peer.Reason) {
-	service, _ := e.table.Pick(f)
-	agent, ok := e.choose(now, service, at.tried)
-	if !ok {
-		agent, ok = e.chooseOther(now, f, service, at.tried)
-	}
+	agent, ok := e.choose(now, f, at.tried)
 	if !ok && at.tries == 0 && e.young(now) {
 		e.keepEarly(came, packet.Packet{Src: f.Client, Dst: f.Service, Flags: packet.SYN}, f, raw, false)
 		return
@@ -208,20 +204,6 @@
 	e.note(Decision{Flow: f, Verdict: RefusedNoTarget, Reason: why, Asked: int(at.tries)})
 }
 
-// chooseOther looks at the other services of the route, where the picked one
-// has no target that takes flows.
-func (e *Engine) chooseOther(now time.Duration, f packet.Flow, not route.ServiceID, tried uint64) (uint32, bool) {
-	for _, c := range e.table.Services(f.Service) {
-		if c.Service == not {
-			continue
-		}
-		if agent, ok := e.choose(now, c.Service, tried); ok {
-			return agent, true
-		}
-	}
-	return 0, false
-}
-
 func (e *Engine) deliver(agent uint32, raw []byte) { e.deliverAged(agent, 0, raw) }
 
 // deliverAged sends a first packet with the time that it has waited: agents whose
--- a/internal/pass/forward/placing_test.go
+++ b/internal/pass/forward/placing_test.go
@@ -290,3 +290,53 @@
 	is.Equal(len(r.delivered), 1)
 	is.Equal(len(r.resets), 1)
 }
+
+// loaded has an agent report what its target runs.
+func (r *rig) loaded(n byte, service string, running uint32) netip.AddrPort {
+	at := r.agentAt(n, service)
+	r.report(at, peer.Report{
+		Process: uint64(n), Service: uint64(route.IDOf(service)), Zone: zone, Open: true, Slots: 4,
+		Running: running, Load: running * 100,
+	})
+	return at
+}
+
+// After an outage all targets of the desk have more to do than slots, while the
+// archive, which the route gives a small share, is idle. Callers overflow to it
+// instead of waiting: all of them, as long as it has room.
+func TestBacklogOverflowsToTheRoutesOtherService(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.weighted(2, route.Backed{Service: desk, Weight: 1_000_000}, route.Backed{Service: archive, Weight: 1})
+	r.loaded(1, desk, 20)
+	r.loaded(2, desk, 20)
+	idle := r.loaded(3, archive, 0)
+	for port := range uint16(3) {
+		r.send(syn(port))
+		is.Equal(r.delivered[port].to, idle)
+	}
+	// Now that it has been sent three flows it keeps its other slots.
+	for port := uint16(3); port < 40; port++ {
+		r.send(syn(port))
+	}
+	n := 0
+	for _, d := range r.delivered {
+		if d.to == idle {
+			n++
+		}
+	}
+	is.True(n <= 4)
+}
+
+// One target of the desk has a free slot: the weights hold, however idle the
+// archive is.
+func TestWeightsHoldWhileThereIsRoom(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.weighted(2, route.Backed{Service: desk, Weight: 1_000_000}, route.Backed{Service: archive, Weight: 1})
+	r.loaded(1, desk, 20)
+	free := r.loaded(2, desk, 1)
+	r.loaded(3, archive, 0)
+	r.send(syn(9))
+	is.Equal(r.delivered[0].to, free)
+}
--- a/internal/pass/forward/rig_test.go
+++ b/internal/pass/forward/rig_test.go
@@ -75,12 +75,18 @@
 
 // table puts a version in force that sends the service's flows to the given ones.
 func (r *rig) table(version route.Version, services ...string) {
-	d := &route.Definition{Version: version}
-	at := route.Route{Name: "r", IP: service.IP, Port: service.Port, TimeoutMS: 1000}
+	var backends []route.Backed
 	for _, s := range services {
-		at.Backends = append(at.Backends, route.Backed{Service: s, Weight: 1})
+		backends = append(backends, route.Backed{Service: s, Weight: 1})
 	}
-	if len(services) > 0 {
+	r.weighted(version, backends...)
+}
+
+// weighted puts a version in force that shares the service's flows out.
+func (r *rig) weighted(version route.Version, backends ...route.Backed) {
+	d := &route.Definition{Version: version}
+	at := route.Route{Name: "r", IP: service.IP, Port: service.Port, TimeoutMS: 1000, Backends: backends}
+	if len(backends) > 0 {
 		d.Routes = []route.Route{at}
 	}
 	r.engine.SetTable(r.now, route.NewTable(d))
--- a/internal/pass/place/place.go
+++ b/internal/pass/place/place.go
@@ -11,6 +11,10 @@
 //     flows to the same target until its next report.
 //   - A burst between two reports: flows sent since the last report count.
 //   - A target that has just started is slow and counts as smaller until warm.
+//   - An outage or a burst that leaves one service of a route without a free slot
+//     while another one of the same route has many idle: flows overflow to it
+//     (Overflow). The weights say how the operator shares the work out while
+//     there is room; nobody waits for a share.
 //   - Distance: targets of the same data centre first; another one's only while
 //     the near ones are busy and the far one clearly isn't. Bytes between data
 //     centres are paid for, and each packet pays the way both ways.
@@ -37,6 +41,15 @@
 	coldSlowdown = 1.6
 )
 
+const (
+	// saturated is the load, as a part of the slots, from which on a flow's request
+	// waits for others at the target.
+	saturated = 1.0
+	// idle is the load under which a target takes flows of a route that its
+	// service has the smaller share of: half its slots stay free for its own.
+	idle = 0.5
+)
+
 // Target is one that may get the flow.
 type Target struct {
 	// Near is set for targets of the same data centre.
@@ -62,6 +75,20 @@
 	return (load + flowShare*float64(t.Flows) + sentShare*float64(t.Sent)) / slots
 }
 
+// Overflow tells whether a flow should go to another service of its route: all
+// targets of its own are saturated.
+func Overflow(own []Target) bool {
+	for i := range own {
+		if own[i].Score() < saturated {
+			return false
+		}
+	}
+	return true
+}
+
+// Idle tells whether the target has room for the overflow of another service.
+func (t Target) Idle() bool { return t.Score() < idle }
+
 // Pick returns the index of the chosen target, false if there is none.
 func Pick(rng *rand.Rand, targets []Target) (int, bool) {
 	near, far := drawTwo(rng, targets, true), drawTwo(rng, targets, false)
--- a/internal/pass/place/place_test.go
+++ b/internal/pass/place/place_test.go
@@ -80,3 +80,15 @@
 		}
 	}
 }
+
+// Work leaves its own service only when no target of it has a free slot, and only
+// for targets that keep half of theirs for their own service's flows.
+func TestOverflow(t *testing.T) {
+	is := is.New(t)
+	full, half := Target{Slots: 4, Mean: 4, Running: 9}, Target{Slots: 4, Mean: 3}
+	is.True(!Overflow([]Target{full, half}))
+	is.True(Overflow([]Target{full, full}))
+	is.True(Overflow(nil))
+	is.True(!half.Idle())
+	is.True(Target{Slots: 4, Mean: 1}.Idle())
+}
