Packets that came before the table are handed on newest first

Cause: a balancer that has just got its table handed on what it held in the random order of a map. After all lost power the targets fill with the first that come, and 900 of 1,000 of those were too old to be answered in time.

Change: sorted by age; a packet and when it came are one type, arrival, in place of four parameters, and a first packet that waits for the first reports keeps its number of copies.

Kept for the order, not for a gain.

--- a/internal/pass/forward/early.go
+++ b/internal/pass/forward/early.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"bergamotstall/internal/pass/packet"
@@ -25,9 +27,7 @@
 
 // earlyPacket is the newest packet of a flow that came too early.
 type earlyPacket struct {
-	at  time.Duration
-	p   packet.Packet
-	raw []byte
+	arrival
 	// searched says that its flow was searched in vain among the agents that had
 	// reported by then.
 	searched bool
@@ -37,7 +37,7 @@
 // started.
 func (e *Engine) young(now time.Duration) bool { return now-e.tabledAt < youth }
 
-func (e *Engine) keepEarly(came time.Duration, p packet.Packet, f packet.Flow, raw []byte, searched bool) {
+func (e *Engine) keepEarly(f packet.Flow, a arrival, searched bool) {
 	if _, ok := e.early[f]; !ok && len(e.early) >= maxEarly {
 		e.note(Decision{Flow: f, Verdict: DroppedBusy})
 		return
@@ -45,24 +45,32 @@
 	if _, ok := e.early[f]; !ok {
 		e.note(Decision{Flow: f, Verdict: HeldEarly})
 	}
-	e.early[f] = earlyPacket{at: came, p: p, raw: append([]byte(nil), raw...), searched: searched}
+	a.raw = append([]byte(nil), a.raw...)
+	e.early[f] = earlyPacket{arrival: a, searched: searched}
 }
 
-// replayEarly handles what waits once there is a table and an agent.
+// replayEarly handles what waits once there is a table and an agent, the newest
+// first: the targets admit what comes first while they have room, and only the
+// newest callers can still be answered in time.
 func (e *Engine) replayEarly(now time.Duration) {
 	if len(e.early) == 0 {
 		return
 	}
+	var ready []earlyPacket
 	for f, x := range e.early {
-		if now-x.at+x.p.SinceFirst() > earlyKept {
+		if x.age(now) > earlyKept {
 			delete(e.early, f)
 			continue
 		}
 		if e.able(now, x) {
 			delete(e.early, f)
-			e.fromClient(now, x.at, x.p, x.raw)
+			ready = append(ready, x)
 		}
 	}
+	slices.SortFunc(ready, func(a, b earlyPacket) int { return cmp.Compare(a.age(now), b.age(now)) })
+	for _, x := range ready {
+		e.fromClient(now, x.arrival)
+	}
 }
 
 // able tells whether a packet that waits can be handled: it takes an agent to ask
--- a/internal/pass/forward/early_test.go
+++ b/internal/pass/forward/early_test.go
@@ -73,3 +73,26 @@
 	r.pass(youth)
 	is.Equal(len(r.delivered), 0)
 }
+
+// All VMs lost power, and 40 callers' first packets came before the table. The
+// target has slots for a few: what reaches it first is what it admits, so the
+// newest callers' packets are handed on first; the oldest are late in any order.
+func TestEarlyPacketsGoNewestFirst(t *testing.T) {
+	is := is.New(t)
+	r := startedRig(t)
+	for port := range uint16(40) {
+		r.send(syn(port))
+		r.now += time.Millisecond
+	}
+	second := syn(40) // a second copy is 600 ms older than it looks
+	second.Ack = 2
+	r.send(second)
+	r.table(1, desk)
+	r.agentAt(1, desk)
+	r.pass(20 * time.Millisecond)
+	is.Equal(len(r.delivered), 41)
+	for i := 1; i < 40; i++ {
+		is.True(r.delivered[i].age > r.delivered[i-1].age)
+	}
+	is.Equal(r.delivered[40].raw, rawOf(2))
+}
--- a/internal/pass/forward/forward.go
+++ b/internal/pass/forward/forward.go
@@ -106,32 +106,48 @@
 // Searches returns how many flows are being searched.
 func (e *Engine) Searches() int { return len(e.searches) }
 
+// arrival is a client's packet and when it came.
+type arrival struct {
+	at  time.Duration
+	p   packet.Packet
+	raw []byte
+}
+
+// age is how long ago the client began to open the flow, or sent the packet of an
+// open one.
+func (a arrival) age(now time.Duration) time.Duration {
+	if a.p.Opens() {
+		return now - a.at + a.p.SinceFirst()
+	}
+	return now - a.at
+}
+
 // FromClient takes a packet from the fabric.
 func (e *Engine) FromClient(now time.Duration, p packet.Packet, raw []byte) {
-	e.fromClient(now, now, p, raw)
+	e.fromClient(now, arrival{at: now, p: p, raw: raw})
 }
 
-// fromClient takes a packet that came at the given moment.
-func (e *Engine) fromClient(now, came time.Duration, p packet.Packet, raw []byte) {
-	f := p.FromClient()
+// fromClient takes a packet that came some time ago.
+func (e *Engine) fromClient(now time.Duration, a arrival) {
+	f := a.p.FromClient()
 	if e.table == nil {
-		e.keepEarly(came, p, f, raw, false)
+		e.keepEarly(f, a, false)
 		return
 	}
 	if len(e.table.Services(f.Service)) == 0 {
-		e.noRoute(p, f)
+		e.noRoute(a.p, f)
 		return
 	}
 	at, known := e.flows[f]
 	switch {
-	case p.Opens():
-		e.open(now, came, p, f, at, known, raw)
+	case a.p.Opens():
+		e.open(now, a, f, at, known)
 	case known:
 		at.seenAt = now
 		e.flows[f] = at
-		e.deliver(at.agent, raw)
+		e.deliver(at.agent, a.raw)
 	default:
-		e.seek(now, p, f, raw, noAgent)
+		e.seek(now, a.p, f, a.raw, noAgent)
 	}
 }
 
@@ -155,26 +171,26 @@
 // open takes a first packet or a copy of it. Copies follow the first one while
 // its agent is alive: two targets that both answer cost each other a flow's
 // worth of state.
-func (e *Engine) open(now, came time.Duration, p packet.Packet, f packet.Flow, at holder, known bool, raw []byte) {
+func (e *Engine) open(now time.Duration, a arrival, f packet.Flow, at holder, known bool) {
 	if known && now-e.agents.list[at.agent].heardAt < reportStale {
 		at.seenAt = now
 		e.flows[f] = at
-		e.deliverAged(at.agent, now-came, raw)
+		e.deliverAged(at.agent, now-a.at, a.raw)
 		return
 	}
 	if known {
 		at.tried |= bit(at.agent)
-		e.place(now, came, f, at, raw, peer.Silent)
+		e.place(now, a, f, at, peer.Silent)
 		return
 	}
-	e.place(now, came, f, holder{}, raw, 0)
+	e.place(now, a, f, holder{}, 0)
 }
 
 // place offers a first packet to a target that hasn't handed it back.
-func (e *Engine) place(now, came time.Duration, f packet.Flow, at holder, raw []byte, why peer.Reason) {
+func (e *Engine) place(now time.Duration, x arrival, f packet.Flow, at holder, why peer.Reason) {
 	agent, ok := e.choose(now, f, at.tried)
 	if !ok && at.tries == 0 && e.young(now) {
-		e.keepEarly(came, packet.Packet{Src: f.Client, Dst: f.Service, Flags: packet.SYN}, f, raw, false)
+		e.keepEarly(f, x, false)
 		return
 	}
 	if !ok || at.tries >= maxTries {
@@ -193,8 +209,8 @@
 	}
 	a := &e.agents.list[agent]
 	a.sent++
-	e.deliverAged(agent, now-came, raw)
-	e.note(Decision{Flow: f, Verdict: verdict, Agent: a.address, Reason: why, ReportAge: now - a.heardAt, Waited: now - came})
+	e.deliverAged(agent, now-x.at, x.raw)
+	e.note(Decision{Flow: f, Verdict: verdict, Agent: a.address, Reason: why, ReportAge: now - a.heardAt, Waited: now - x.at})
 }
 
 // refuseCaller tells a caller that nobody takes its flow; nothing ran.
@@ -223,7 +239,7 @@
 	}
 	at, known := e.flows[f]
 	if p.Opens() {
-		e.refusedFirst(now, f, at, known, agent, h, p, raw)
+		e.refusedFirst(now, arrival{at: now - h.Waited(), p: p, raw: raw}, f, at, known, agent, h.Reason)
 		return
 	}
 	if known && at.agent != agent {
@@ -242,16 +258,15 @@
 // at once. The packet stays as old as it is: taken for new by the next agent, it
 // would go before callers that can still be answered in time, and be offered from
 // one to the next long after its own caller has given up.
-func (e *Engine) refusedFirst(now time.Duration, f packet.Flow, at holder, known bool, agent uint32, h peer.Head, p packet.Packet, raw []byte) {
+func (e *Engine) refusedFirst(now time.Duration, a arrival, f packet.Flow, at holder, known bool, agent uint32, why peer.Reason) {
 	if known && at.agent != agent {
 		return // a copy has gone to another agent already
 	}
-	came := now - h.Waited()
-	if h.Reason == peer.Busy || now-came+p.SinceFirst() >= packet.OpenPatience {
-		e.refuseCaller(f, at, h.Reason)
+	if why == peer.Busy || a.age(now) >= packet.OpenPatience {
+		e.refuseCaller(f, at, why)
 		return
 	}
-	switch h.Reason {
+	switch why {
 	case peer.Full:
 		e.agents.list[agent].avoidUntil = now + fullPause
 	case peer.Silent, peer.Draining, peer.NoTarget, peer.WrongService:
@@ -261,7 +276,7 @@
 	if at.tries == 0 {
 		at.tries = 1
 	}
-	e.place(now, came, f, at, raw, h.Reason)
+	e.place(now, a, f, at, why)
 }
 
 // Tick lets time pass: unanswered questions are asked again or given up, and
--- a/internal/pass/forward/search.go
+++ b/internal/pass/forward/search.go
@@ -221,7 +221,8 @@
 func (e *Engine) giveUp(now time.Duration, f packet.Flow, s *search) {
 	if e.young(now) && len(s.held) > 0 {
 		newest := s.held[len(s.held)-1]
-		e.keepEarly(now, packet.Packet{Src: f.Client, Dst: f.Service, Flags: s.flags, Ack: s.ack}, f, newest, true)
+		p := packet.Packet{Src: f.Client, Dst: f.Service, Flags: s.flags, Ack: s.ack}
+		e.keepEarly(f, arrival{at: now, p: p, raw: newest}, true)
 		e.dropSearch(f)
 		return
 	}
