A balancer resets no flow while an agent that control knows of hasn't reported

Cause: a balancer learns of agents by their reports. One that has just joined takes the agents that have reported for all there are; if an open flow's agent isn't among them, because it gets no processor time, or its word is late, the others lack the flow and the caller is reset. Shown with processes: an agent paused while a balancer joins under the mod scheme, 1 open flow reset by the carrier.

Change: control's updates tell how many agents are listed, agents stay on that count for 12 s after their streams ended, and a search that finds nobody ends without a reset while a balancer has heard of fewer.

--- a/internal/pass/balancer/balancer.go
+++ b/internal/pass/balancer/balancer.go
@@ -89,7 +89,7 @@
 	b.engine = forward.New(forward.Config{Zone: cfg.Zone, Rand: rand.New(rand.NewPCG(seed, seed)), Out: b})
 	b.client = roster.NewClient(roster.ClientConfig{
 		Node:  roster.Node{Role: roster.Balancer, Address: cfg.Nodes.String(), Zone: cfg.Zone, Process: seed},
-		Seeds: cfg.Seeds, Port: cfg.ControlPort, Table: b.setTable, Log: cfg.Log, Metrics: cfg.Metrics,
+		Seeds: cfg.Seeds, Port: cfg.ControlPort, Table: b.setTable, Agents: b.setAgents, Log: cfg.Log, Metrics: cfg.Metrics,
 	})
 	b.verdicts = counters(cfg.Metrics)
 	b.waits = waitHistograms(cfg.Metrics)
@@ -143,6 +143,13 @@
 	b.tabledAt.CompareAndSwap(0, int64(b.now()))
 }
 
+// setAgents tells the engine how many agents there are.
+func (b *Balancer) setAgents(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.engine.SetAgents(n)
+}
+
 func (b *Balancer) readFabric(ctx context.Context) {
 	b.fabric.Read(ctx, func(_ netip.AddrPort, raw []byte) error {
 		p, err := b.cfg.Codec.Decode(raw)
--- a/internal/pass/forward/forward.go
+++ b/internal/pass/forward/forward.go
@@ -78,6 +78,8 @@
 	queue   []packet.Flow
 	asking  int
 	sweepAt time.Duration
+	// listed is how many agents control tells of.
+	listed int
 	// tabledAt is when the first table came; early are the packets that came
 	// before the engine could place them.
 	tabledAt time.Duration
@@ -100,6 +102,9 @@
 	e.table = t
 }
 
+// SetAgents says how many agents control tells of.
+func (e *Engine) SetAgents(n int) { e.listed = n }
+
 // Flows returns how many flows have a known place.
 func (e *Engine) Flows() int { return len(e.flows) }
 
--- a/internal/pass/forward/search.go
+++ b/internal/pass/forward/search.go
@@ -217,7 +217,8 @@
 
 // giveUp ends a search without a holder. If every agent said that it lacks the
 // flow, its target is gone, and a reset spares the caller its whole deadline.
-// If any was silent, the flow may be open there.
+// If any was silent, or control tells of more agents than have reported, the flow
+// may be open there.
 func (e *Engine) giveUp(now time.Duration, f packet.Flow, s *search) {
 	if e.young(now) && len(s.held) > 0 {
 		newest := s.held[len(s.held)-1]
@@ -236,15 +237,22 @@
 	e.dropSearch(f)
 }
 
-// unheard counts the agents that may hold flows and have been silent lately.
+// unheard counts the agents that may hold flows and have been silent lately, or
+// ever since this balancer's start. The latter keep open flows whole when a
+// balancer joins before an agent has heard of it: with the silent ones alone, all
+// that this balancer knows would lack the flows of the one that it doesn't.
 func (e *Engine) unheard(now time.Duration) int {
-	n := 0
+	n, known := 0, 0
 	for i := range e.agents.list {
-		if a := &e.agents.list[i]; a.asked(now) && now-a.heardAt > reportStale {
+		a := &e.agents.list[i]
+		if a.heardAt > 0 && now-a.heardAt < agentForgotten {
+			known++
+		}
+		if a.asked(now) && now-a.heardAt > reportStale {
 			n++
 		}
 	}
-	return n
+	return n + max(0, e.listed-known)
 }
 
 func (e *Engine) dropSearch(f packet.Flow) {
--- a/internal/pass/forward/search_test.go
+++ b/internal/pass/forward/search_test.go
@@ -193,3 +193,37 @@
 	r.answer(a, peer.Lacks)
 	is.Equal(r.resets, []reset{{flowOf(11), 77}})
 }
+
+// A balancer joins, and one of the three agents that control tells of hasn't heard
+// of it yet; that one holds a caller's download. The two others lack it. The packet
+// is dropped, and the caller's next one is carried once the third has reported; a
+// reset would cut the download.
+func TestNothingIsResetWhileAnAgentIsMissing(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.engine.SetAgents(3)
+	a, b := r.agentAt(1, desk), r.agentAt(2, desk)
+	r.send(data(9, 77))
+	r.answer(a, peer.Lacks)
+	r.answer(b, peer.Lacks)
+	is.Equal(len(r.resets), 0)
+	is.Equal(r.last().Verdict, DroppedUnfound)
+	holder := r.agentAt(3, desk)
+	r.asked = nil
+	r.send(data(9, 77))
+	r.answer(holder, peer.Holds)
+	is.Equal(r.delivered[len(r.delivered)-1].to, holder)
+	is.Equal(len(r.resets), 0)
+}
+
+// All agents that control tells of have reported, and all lack the flow: its
+// target is gone, and the caller is told.
+func TestFlowThatAllLackIsReset(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.engine.SetAgents(1)
+	a := r.agentAt(1, desk)
+	r.send(data(9, 77))
+	r.answer(a, peer.Lacks)
+	is.Equal(len(r.resets), 1)
+}
--- a/internal/pass/roster/client.go
+++ b/internal/pass/roster/client.go
@@ -47,10 +47,12 @@
 	// Port is where control VMs take streams, the same at all of them.
 	Port uint16
 	// Table is called with each newer table; Nodes, at agents, with the union of
-	// the VMs' lists of balancers. Both are called from streams' goroutines, one
-	// at a time.
-	Table func(t *route.Table)
-	Nodes func(nodes []Node)
+	// the VMs' lists of balancers; Agents, at balancers, with the number of agents
+	// that the VM which lists most of them tells of. All are called from streams'
+	// goroutines, one at a time.
+	Table  func(t *route.Table)
+	Nodes  func(nodes []Node)
+	Agents func(n int)
 	// Recalled, at agents, is called with the flows that a control VM remembers of
 	// the agent's address.
 	Recalled func(u flowlog.Update)
@@ -80,6 +82,7 @@
 	aheadAt time.Time
 	nodes   []Node
 	digest  uint64
+	agents  int
 	// conn is the open connection; told says that the VM knows all flows as of
 	// some moment since the connection was made.
 	conn *wire.Conn
@@ -373,6 +376,10 @@
 		s.version = version
 		s.aheadAt = s.heardAt
 	}
+	s.agents = int(u.Agents)
+	if c.cfg.Node.Role == Balancer {
+		c.cfg.Agents(c.agents())
+	}
 	if u.Lean != nil {
 		c.takeTable(u)
 	}
@@ -383,6 +390,18 @@
 	}
 }
 
+// agents is the largest number of agents that a VM heard lately tells of; the lock
+// is held. One that has just started hasn't heard of all.
+func (c *Client) agents() int {
+	most := 0
+	for _, s := range c.streams {
+		if time.Since(s.heardAt) < beatPatience {
+			most = max(most, s.agents)
+		}
+	}
+	return most
+}
+
 // takeTable puts a table in force if it is newer; the lock is held.
 func (c *Client) takeTable(u Update) {
 	if route.Version(u.Version) <= c.version {
--- a/internal/pass/roster/messages.go
+++ b/internal/pass/roster/messages.go
@@ -72,6 +72,9 @@
 	// digest isn't the node's. Only agents get it.
 	Digest uint64 `msg:"d"`
 	Nodes  []Node `msg:"n"`
+	// Agents is how many agents the VM lists. Balancers learn of agents by their
+	// reports; the count tells one that has just started whether any are missing.
+	Agents uint32 `msg:"g"`
 	// Controls are the IP numbers of all control VMs.
 	Controls []string `msg:"m"`
 	// ContactAgeMS is how long ago the VM was in touch with a quorum.
--- a/internal/pass/roster/messages_gen.go
+++ b/internal/pass/roster/messages_gen.go
@@ -299,9 +299,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Update) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "v"
-	o = append(o, 0x87, 0xa1, 0x76)
+	o = append(o, 0x88, 0xa1, 0x76)
 	o = msgp.AppendUint64(o, z.Version)
 	// string "c"
 	o = append(o, 0xa1, 0x63)
@@ -322,6 +322,9 @@
 			return
 		}
 	}
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendUint32(o, z.Agents)
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Controls)))
@@ -395,6 +398,12 @@
 					return
 				}
 			}
+		case "g":
+			z.Agents, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Agents")
+				return
+			}
 		case "m":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -438,7 +447,7 @@
 	for za0001 := range z.Nodes {
 		s += z.Nodes[za0001].Msgsize()
 	}
-	s += 2 + msgp.ArrayHeaderSize
+	s += 2 + msgp.Uint32Size + 2 + msgp.ArrayHeaderSize
 	for za0002 := range z.Controls {
 		s += msgp.StringPrefixSize + len(z.Controls[za0002])
 	}
--- a/internal/pass/roster/roster_test.go
+++ b/internal/pass/roster/roster_test.go
@@ -118,6 +118,7 @@
 	mu       sync.Mutex
 	tables   []route.Version
 	nodes    []Node
+	agents   int
 	recalled []flowlog.Update
 	stop     context.CancelFunc
 }
@@ -144,6 +145,11 @@
 			defer n.mu.Unlock()
 			n.tables = append(n.tables, table.Version)
 		},
+		Agents: func(agents int) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.agents = agents
+		},
 		Nodes: func(nodes []Node) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -342,3 +348,28 @@
 	is.Equal(second.recalled[0].Opened, []flowlog.Record{{ClientPort: 2}})
 	is.Equal(second.recalled[0].Target, "i-1")
 }
+
+// A balancer that starts is told how many agents there are by its first update, so
+// that it knows whether any has yet to report to it. A control VM that has just
+// started knows fewer; the one that knows most counts.
+func TestBalancerLearnsHowManyAgentsThereAre(t *testing.T) {
+	is := is.New(t)
+	all := vms(t, 2)
+	for _, v := range all {
+		v.put(t, 1)
+	}
+	first := startNode(t, Agent, "10.0.0.1:1", all...)
+	startNode(t, Agent, "10.0.0.2:1", all[0])
+	startNode(t, Balancer, "10.0.0.8:1", all...)
+	await(t, "the agents' list of balancers", func() bool { return first.listed() == 1 })
+	b := startNode(t, Balancer, "10.0.0.9:1", all...)
+	await(t, "a table", func() bool { return len(b.seen()) > 0 })
+	await(t, "two agents", func() bool { return b.count() == 2 })
+	is.Equal(b.count(), 2)
+}
+
+func (n *node) count() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.agents
+}
--- a/internal/pass/roster/server.go
+++ b/internal/pass/roster/server.go
@@ -41,9 +41,14 @@
 	pushPause = 100 * time.Millisecond
 	// frameLimit bounds an update; 2,100 routes take 200 kB.
 	frameLimit = 8 << 20
-	// lingering is how long a node whose stream ended stays listed. Streams end
+	// lingering is how long a balancer whose stream ended stays listed. Streams end
 	// with each restart of a control VM, and nodes with each of their own.
 	lingering = 3 * time.Second
+	// agentLingering is the same for agents. One that is cut off from control but
+	// not from clients goes on holding flows, and a balancer that starts meanwhile
+	// must know that there is one more than it hears. It is as long as balancers
+	// ask an agent that they don't hear any more.
+	agentLingering = 12 * time.Second
 	// maxStreams bounds the nodes of one control VM.
 	maxStreams = 3_000
 	// confirmPatience bounds one question whether the VM is current.
@@ -280,7 +285,7 @@
 	defer s.mu.Unlock()
 	dropped := false
 	for address, l := range s.nodes {
-		if l.streams == 0 && time.Since(l.goneAt) > lingering {
+		if l.streams == 0 && time.Since(l.goneAt) > lingeringOf(l.node.Role) {
 			delete(s.nodes, address)
 			dropped = dropped || l.node.Role == Balancer
 			events.Log(s.cfg.Log, events.NodeDelisted, logrus.Fields{"node": address, "role": l.node.Role.String(), "silent": time.Since(l.goneAt).String()})
@@ -291,6 +296,20 @@
 	}
 }
 
+func lingeringOf(r Role) time.Duration {
+	if r == Agent {
+		return agentLingering
+	}
+	return lingering
+}
+
+// agents counts the agents listed.
+func (s *Server) agents() uint32 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return uint32(len(s.nodes) - len(s.list))
+}
+
 // relist makes the list of balancers anew and wakes the streams; the lock is
 // held. Agents need the list to report to all balancers; balancers learn of
 // agents by their reports.
@@ -397,7 +416,7 @@
 	list, digest, _ := p.server.view()
 	u := Update{
 		Confirmed: p.confirmed, Digest: digest, Controls: p.server.cfg.Source.Controls(),
-		ContactAgeMS: p.server.cfg.Source.ContactAge().Milliseconds(),
+		ContactAgeMS: p.server.cfg.Source.ContactAge().Milliseconds(), Agents: p.server.agents(),
 	}
 	if digest != p.beat.Nodes && p.role == Agent {
 		u.Nodes = list
