Replicas that meet after a common restart ask at once, and vote at once

A replica asks what is known of it once a heartbeat, a message sent before the connection stands is lost, one that is still asking gives no vote, elections began at the next half heartbeat, and the order of a common restart left time for voters that nobody had met.

Change: a connection that stands is asked over at once, a replica that asks is asked back, the loop wakes for an election that presses, and only voters that have answered come before another one.

--- a/internal/quorum/probation.go
+++ b/internal/quorum/probation.go
@@ -83,6 +83,34 @@
 		k.Leader = c.lead
 	}
 	c.send(Message{Kind: MsgHelloReply, To: m.From, Context: m.Context, Known: &k})
+	c.askBack(m.From)
+}
+
+// askBack asks a replica that has just shown that it is there what it knows of
+// this one. After all lost power replicas come back one by one, and the one that
+// makes the quorum complete would otherwise be asked, and ask, up to a heartbeat
+// later; until then it gives no vote.
+func (c *Core) askBack(id ID) {
+	if _, answered := c.helloFrom[id]; c.probation && !answered {
+		c.sendHello(id)
+	}
+}
+
+// Met says that the connection to a replica has just been made: what was sent to
+// it before is lost.
+func (c *Core) Met(now time.Duration, id ID) {
+	c.setNow(now)
+	if c.halted() {
+		return
+	}
+	c.askBack(id)
+}
+
+// WakeAt is when the core has something to do before the next tick, false if
+// nothing presses: an election after a common restart, which nobody's word is
+// waited for.
+func (c *Core) WakeAt() (time.Duration, bool) {
+	return c.electionAt, c.leaderless && !c.probation && !c.halted() && c.state != Leader
 }
 
 func (c *Core) handleHelloReply(m Message) {
@@ -136,8 +164,8 @@
 
 // firstShare sets how soon a restarted replica asks for an election where nobody
 // hears a leader, as after all lost power at once: as many twenty-fifths of the
-// shortest election timeout as it has voters before it, by their identities. The
-// timeout waits for a leader's word that may be under way; here all that could
+// shortest election timeout as voters before it, by their identities, have answered
+// it. One that hasn't may be gone, and isn't waited for. The timeout waits for a leader's word that may be under way; here all that could
 // send one have said that they hear none. The order keeps two that start together
 // from splitting the votes, which would cost a whole timeout. A pre-vote comes
 // first, so one that asks in vain disturbs nobody. Measured with three replicas
@@ -158,7 +186,7 @@
 func (c *Core) firstDelay() time.Duration {
 	rank := 0
 	for _, id := range c.newest.Voters() {
-		if id < c.cfg.ID {
+		if _, answered := c.helloFrom[id]; answered && id < c.cfg.ID {
 			rank++
 		}
 	}
--- a/internal/replica/link.go
+++ b/internal/replica/link.go
@@ -200,6 +200,7 @@
 			pause = backoffMin
 			told = false
 			k.links.setUp(k, true)
+			k.links.r.meet(k.replica)
 			err = k.carry(conn)
 			k.links.setUp(k, false)
 			if errors.Is(err, errLinkEnds) {
@@ -242,6 +243,17 @@
 	}
 }
 
+// meet tells the loop that a connection stands.
+func (r *Replica) meet(id quorum.ID) {
+	if id == 0 {
+		return
+	}
+	select {
+	case r.met <- id:
+	default: // the next heartbeat asks
+	}
+}
+
 func (k *link) connect() (*wire.Conn, error) {
 	raw, err := k.links.r.dial(k.links.ctx, k.address)
 	if err != nil {
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -26,6 +26,11 @@
 	defer ticker.Stop()
 	for {
 		select {
+		case <-r.soon():
+			r.drain()
+			r.core.Tick(r.now())
+		case id := <-r.met:
+			r.core.Met(r.now(), id)
 		case m := <-r.inbox:
 			r.receive(m)
 		case q := <-r.requests:
@@ -51,6 +56,16 @@
 	}
 }
 
+// soon ends when the core has something to do that doesn't wait for a tick; nil,
+// and so never, if nothing presses.
+func (r *Replica) soon() <-chan time.Time {
+	at, presses := r.core.WakeAt()
+	if !presses {
+		return nil
+	}
+	return time.After(at - r.now())
+}
+
 // drain takes what waits, messages first: after a stall they often hold the
 // leader's heartbeats, and without them a tick would begin an election.
 func (r *Replica) drain() {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -151,6 +151,7 @@
 	inbox    chan inbound
 	requests chan *request
 	barriers chan *barrier
+	met      chan quorum.ID
 	stopping chan struct{}
 	stopOnce sync.Once
 	// ended is closed once the loop has ended.
@@ -217,6 +218,7 @@
 		inbox:    make(chan inbound, inboxSize),
 		requests: make(chan *request, cfg.QueueLimit),
 		barriers: make(chan *barrier, cfg.QueueLimit),
+		met:      make(chan quorum.ID, inboxSize),
 		stopping: make(chan struct{}),
 		ended:    make(chan struct{}),
 		changed:  make(chan struct{}),
