Nodes wait until their control VM's replica is open

Cause: after all lost power a control VM of an eighth of a core took 70 to 150 ms from its start to an open replica, with dozens of nodes that connect, greet and are told their flows meanwhile. What all of them wait for first is the table, and that needs a quorum of open replicas.

Change: streams are served once the replica was opened, or couldn't be. The listener is open before, so nodes' connections wait in its queue.

--- a/internal/pass/control/control.go
+++ b/internal/pass/control/control.go
@@ -14,6 +14,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -105,8 +106,14 @@
 	server := roster.NewServer(roster.ServerConfig{Store: c.store, Source: c, Flows: flows, Log: c.cfg.Log, Metrics: c.cfg.Metrics})
 	c.cfg.Metrics.Gauge("definition_version", func() int64 { return int64(c.store.Version()) })
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return server.Serve(ctx, streams) })
-	group.Go(func() error { return c.keepReplica(ctx) })
+	// Nodes wait until the replica is open: after all lost power they come all at
+	// once, and what they ask for first, the table, needs the replica.
+	tried := make(chan struct{})
+	group.Go(func() error { return c.keepReplica(ctx, tried) })
+	group.Go(func() error {
+		<-tried
+		return server.Serve(ctx, streams)
+	})
 	group.Go(func() error {
 		flows.Run(ctx)
 		return nil
@@ -114,10 +121,14 @@
 	return group.Wait()
 }
 
-// keepReplica keeps a replica open until ctx is done.
-func (c *Control) keepReplica(ctx context.Context) error {
+// keepReplica keeps a replica open until ctx is done; tried is closed once it was
+// opened, or couldn't be.
+func (c *Control) keepReplica(ctx context.Context, tried chan<- struct{}) error {
+	first := sync.OnceFunc(func() { close(tried) })
+	defer first()
 	for ctx.Err() == nil {
 		r, err := c.open()
+		first()
 		if err != nil {
 			c.cfg.Log.WithError(err).Error("control: open replica")
 			wait.For(ctx, reopenPause)
