Stand-in, streams and the agent's engine in files by duty

No change of behaviour: installation.go gives definitions to operator.go and control VMs to controls.go; the roster's client gives its streams to client_stream.go and what it takes from updates to client_take.go; the agent's target.go gives what time brings to tick.go and reports to report.go. Tests of the packages pass as before.

--- /dev/null
+++ b/internal/pass/roster/client_stream.go
@@ -0,0 +1,160 @@
+package roster
+
+import (
+	"context"
+	mathrand "math/rand/v2"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"bergamotstall/internal/events"
+	"bergamotstall/internal/pass/flowlog"
+	"bergamotstall/internal/wire"
+)
+
+// keep makes one stream anew whenever it ends.
+func (c *Client) keep(ctx context.Context, ip string) {
+	s := &clientStream{ip: ip}
+	told := false
+	for ctx.Err() == nil {
+		err := c.follow(ctx, s)
+		if !s.heardAt.IsZero() && !told {
+			told = true
+			events.Log(c.cfg.Log, events.ControlLeft, logrus.Fields{"control": ip, "error": events.ErrorText(err)})
+		}
+		if time.Since(s.heardAt) < BeatInterval {
+			told = false
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(dialPause/2 + mathrand.N(dialPause)):
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.streams, ip)
+}
+
+// follow runs one stream until it fails.
+func (c *Client) follow(ctx context.Context, s *clientStream) error {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", net.JoinHostPort(s.ip, strconv.Itoa(int(c.cfg.Port))))
+	if err != nil {
+		return errors.Wrap(err, "roster: dial")
+	}
+	defer raw.Close()
+	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
+	defer stop()
+	conn := wire.NewConn(raw, frameLimit, writeTimeout)
+	c.mu.Lock()
+	s.digest = 0
+	c.mu.Unlock()
+	hello := Hello{Node: c.cfg.Node, Beat: c.beat(s)}
+	if _, err := conn.Write(kindHello, &hello); err != nil {
+		return err
+	}
+	c.attach(s, conn)
+	defer c.attach(s, nil)
+	first := true
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go c.beatOn(ctx, conn, s)
+	for {
+		u, err := c.nextUpdate(conn)
+		if err != nil {
+			return err
+		}
+		if first {
+			first = false
+			events.Log(c.cfg.Log, events.ControlAttached, logrus.Fields{"control": s.ip, "version": u.Version, "contact_age_ms": u.ContactAgeMS})
+		}
+		c.take(s, u)
+	}
+}
+
+func (c *Client) attach(s *clientStream, conn *wire.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.streams[s.ip] = s
+	s.conn = conn
+	s.told = false
+}
+
+// nextUpdate waits for an update; what a control VM recalls before it is handed
+// on.
+func (c *Client) nextUpdate(conn *wire.Conn) (Update, error) {
+	for {
+		f, err := read(conn)
+		if err != nil {
+			return Update{}, err
+		}
+		switch f.Kind {
+		case kindUpdate:
+			var u Update
+			return u, f.Decode(&u)
+		case kindFlows:
+			var u flowlog.Update
+			if err := f.Decode(&u); err != nil {
+				return Update{}, err
+			}
+			c.cfg.Recalled(u)
+		default:
+			return Update{}, errors.Errorf("roster: frame kind %d", f.Kind)
+		}
+	}
+}
+
+// TellFlows tells the control VMs of changes among the flows held; those that
+// were reached since the last call are told of all. whole returns all.
+func (c *Client) TellFlows(changes flowlog.Update, changed bool, whole func() flowlog.Update) {
+	c.mu.Lock()
+	var knowing, fresh []*wire.Conn
+	for _, s := range c.streams {
+		switch {
+		case s.conn == nil:
+		case s.told:
+			knowing = append(knowing, s.conn)
+		default:
+			s.told = true
+			fresh = append(fresh, s.conn)
+		}
+	}
+	c.mu.Unlock()
+	if changed {
+		c.writeFlows(knowing, changes)
+	}
+	if len(fresh) > 0 {
+		c.writeFlows(fresh, whole())
+	}
+}
+
+// writeFlows sends an update; a stream that fails is made anew, and then told of
+// all.
+func (c *Client) writeFlows(to []*wire.Conn, u flowlog.Update) {
+	for _, conn := range to {
+		if _, err := conn.Write(kindFlows, &u); err != nil {
+			_ = conn.Close()
+		}
+	}
+}
+
+// beatOn sends beats until ctx is done or the stream fails.
+func (c *Client) beatOn(ctx context.Context, conn *wire.Conn, s *clientStream) {
+	ticker := time.NewTicker(BeatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		b := c.beat(s)
+		if _, err := conn.Write(kindBeat, &b); err != nil {
+			_ = conn.Close() // the reader ends the stream
+			return
+		}
+	}
+}
