A balancer that hears no agent says that it isn't ready

Refusals stay: where the fabric has no other to use, a caller's next try may meet one that can serve.

--- a/internal/pass/balancer/balancer.go
+++ b/internal/pass/balancer/balancer.go
@@ -124,13 +124,15 @@
 
 // Ready tells whether the fabric should send packets here: not before a control
 // VM in touch with a quorum has told which table is in force, and every agent
-// has had time to report.
+// has had time to report; and not while it hears no agent.
 func (b *Balancer) Ready() bool {
 	tabled := time.Duration(b.tabledAt.Load())
-	ready := !b.stopping.Load() && tabled > 0 && b.now()-tabled > readyAfter
+	isolated, heard := b.reach()
+	ready := !b.stopping.Load() && tabled > 0 && b.now()-tabled > readyAfter && !isolated
 	if b.wasReady.Swap(ready) != ready {
 		events.Log(b.cfg.Log, events.ReadinessChanged, logrus.Fields{
 			"ready": ready, "stopping": b.stopping.Load(), "version": uint64(b.client.Version()), "controls": b.client.Heard(),
+			"isolated": isolated, "agents": heard,
 		})
 	}
 	return ready
@@ -143,6 +145,13 @@
 	b.tabledAt.CompareAndSwap(0, int64(b.now()))
 }
 
+// reach tells whether the balancer hears none of the agents, and how many it does.
+func (b *Balancer) reach() (isolated bool, heard int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.engine.Isolated(b.now()), b.engine.Heard(b.now())
+}
+
 // setAgents tells the engine how many agents there are.
 func (b *Balancer) setAgents(n int) {
 	b.mu.Lock()
--- a/internal/pass/forward/agents.go
+++ b/internal/pass/forward/agents.go
@@ -72,6 +72,11 @@
 	return n
 }
 
+// Isolated tells whether the balancer hears none of the agents that there are, as
+// when it is cut off from them. It can place nothing then, and the fabric does
+// better without it.
+func (e *Engine) Isolated(now time.Duration) bool { return e.listed > 0 && e.Heard(now) == 0 }
+
 // candidates are the agents of a service that take new flows, and their targets.
 type candidates struct {
 	numbers [maxCandidates]uint32
--- a/internal/pass/forward/placing_test.go
+++ b/internal/pass/forward/placing_test.go
@@ -340,3 +340,17 @@
 	r.send(syn(9))
 	is.Equal(r.delivered[0].to, free)
 }
+
+// A balancer is cut off from all agents: its reports grow old, and it says so, that
+// the fabric may leave it out. Where control tells of no agents, none is missing.
+func TestIsolatedBalancer(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	is.True(!r.engine.Isolated(r.now)) // no agent is listed
+	r.engine.SetAgents(1)
+	is.True(r.engine.Isolated(r.now))
+	r.agentAt(1, desk)
+	is.True(!r.engine.Isolated(r.now))
+	r.pass(reportStale + 10*time.Millisecond)
+	is.True(r.engine.Isolated(r.now))
+}
