Targets that break requests off get what the others have no room for

Change: the agent counts which requests begin to be answered and which end in the target's reset, or with the target; three within a second that are a quarter of all make the target unsteady for three seconds. Placement takes unsteady targets only where no steady one has a free slot, and then only while half of theirs are free.

--- a/internal/pass/flowtable/flowtable.go
+++ b/internal/pass/flowtable/flowtable.go
@@ -125,6 +125,7 @@
 	tags      tags
 	table     *route.Table
 	admission admission
+	outcomes  outcomes
 	// recall is what control remembers of earlier flows, until it is acted on;
 	// ended are flows that it is to be told are over.
 	recall *flowlog.Update
@@ -302,9 +303,13 @@
 		}
 	case p.Flags.Has(packet.RST):
 		x.stage = ended
+		if x.running && !x.finTarget {
+			e.outcomes.note(now, 0, 1)
+		}
 	}
 	if p.Data > 0 && x.running {
 		x.running = false
+		e.outcomes.note(now, 1, 0)
 		e.cfg.Out.Answered(now - x.runningAt)
 	}
 	if p.Flags.Has(packet.FIN) {
--- /dev/null
+++ b/internal/pass/flowtable/outcomes.go
@@ -0,0 +1,53 @@
+package flowtable
+
+import "time"
+
+// A target that goes down and up, or that breaks requests off while it announces
+// itself well, looks best when it is worst: it has next to nothing in progress.
+// Placement by load alone would send it more than its share, and callers would
+// spend all their tries there. The agent sees each request go in and whether an
+// answer begins, so it tells balancers when too many end without one.
+const (
+	// outcomesWindow is over how long outcomes are counted. The slowest targets of
+	// the sizes designed for end some ten requests in it.
+	outcomesWindow = time.Second
+	// brokenEnough and brokenShare are how many requests, and which part of all,
+	// must have been broken off: three in a row of few, a quarter of many. Targets
+	// that are well break none off.
+	brokenEnough = 3
+	brokenShare  = 4
+	// unsteadyFor is how long a target counts as unsteady after that. Targets that
+	// go down and up by turns of a second or two stay so through their good times.
+	unsteadyFor = 3 * time.Second
+)
+
+// outcomes counts how the target's requests end.
+type outcomes struct {
+	since            time.Duration
+	answered, broken int
+	unsteadyTill     time.Duration
+}
+
+// note counts requests that were answered, and that were broken off.
+func (o *outcomes) note(now time.Duration, answered, broken int) {
+	if now-o.since > outcomesWindow {
+		o.since = now
+		o.answered, o.broken = 0, 0
+	}
+	o.answered += answered
+	o.broken += broken
+	if o.broken >= brokenEnough && o.broken*brokenShare >= o.answered+o.broken {
+		o.unsteadyTill = now + unsteadyFor
+	}
+}
+
+// unsteady tells whether too many requests were broken off of late.
+func (o *outcomes) unsteady(now time.Duration) bool { return now < o.unsteadyTill }
+
+// died notes the end of the target here, unless it had said that it leaves: what
+// was in progress is lost.
+func (e *Engine) died(now time.Duration) {
+	if !e.target.draining {
+		e.outcomes.note(now, 0, e.load.running)
+	}
+}
--- a/internal/pass/flowtable/report.go
+++ b/internal/pass/flowtable/report.go
@@ -40,6 +40,7 @@
 		r.Open = !t.draining && !t.silent && !e.leaving
 	}
 	r.Empty = e.empty(now)
+	r.Unsteady = e.outcomes.unsteady(now)
 	if t.coldTill > now {
 		r.ColdMS = uint32((t.coldTill - now).Milliseconds())
 	}
--- a/internal/pass/flowtable/target.go
+++ b/internal/pass/flowtable/target.go
@@ -142,6 +142,7 @@
 // arrive begins a new incarnation. What the one before held is gone.
 func (e *Engine) arrive(now time.Duration, a Announcement) {
 	if e.target.known {
+		e.died(now)
 		e.resetBefore(now, a.Born)
 	}
 	another := e.target.id != "" && (e.target.id != a.ID || e.target.born != a.Born)
@@ -225,6 +226,7 @@
 		return
 	}
 	e.note(now, Decision{Verdict: TargetDead, Flows: e.load.flows})
+	e.died(now)
 	e.resetAll(now)
 	e.target.known = false
 	e.cfg.Out.Report()
--- a/internal/pass/forward/agents.go
+++ b/internal/pass/forward/agents.go
@@ -161,7 +161,7 @@
 		to.add(uint32(at), place.Target{
 			Near: a.report.Zone == e.cfg.Zone, Slots: a.report.Slots,
 			Running: float64(a.report.Running), Mean: float64(a.report.Load) / 100,
-			Flows: a.report.Flows, Sent: a.sent, Cold: a.report.ColdMS > 0,
+			Flows: a.report.Flows, Sent: a.sent, Cold: a.report.ColdMS > 0, Unsteady: a.report.Unsteady,
 		})
 	}
 }
--- a/internal/pass/peer/messages.go
+++ b/internal/pass/peer/messages.go
@@ -26,6 +26,8 @@
 	Running uint32 `msg:"r"`
 	Load    uint32 `msg:"m"`
 	Flows   uint32 `msg:"f"`
+	// Unsteady says that the target has broken off too many requests of late.
+	Unsteady bool `msg:"u"`
 	// ColdMS is for how many milliseconds the target stays slow after its start.
 	ColdMS uint32 `msg:"c"`
 }
--- a/internal/pass/peer/messages_gen.go
+++ b/internal/pass/peer/messages_gen.go
@@ -9,9 +9,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 13
+	// map header, size 14
 	// string "p"
-	o = append(o, 0x8d, 0xa1, 0x70)
+	o = append(o, 0x8e, 0xa1, 0x70)
 	o = msgp.AppendUint64(o, z.Process)
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
@@ -46,6 +46,9 @@
 	// string "f"
 	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendUint32(o, z.Flows)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendBool(o, z.Unsteady)
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendUint32(o, z.ColdMS)
@@ -142,6 +145,12 @@
 				err = msgp.WrapError(err, "Flows")
 				return
 			}
+		case "u":
+			z.Unsteady, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unsteady")
+				return
+			}
 		case "c":
 			z.ColdMS, bts, err = msgp.ReadUint32Bytes(bts)
 			if err != nil {
@@ -162,6 +171,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Report) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.Uint32Size
 	return
 }
--- a/internal/pass/place/place.go
+++ b/internal/pass/place/place.go
@@ -15,6 +15,9 @@
 //     while another one of the same route has many idle: flows overflow to it
 //     (Overflow). The weights say how the operator shares the work out while
 //     there is room; nobody waits for a share.
+//   - A target that goes down and up, or breaks requests off: with nothing in
+//     progress it looks best, and what it gets is lost. Such targets are left to the
+//     others' overflow for a while.
 //   - Distance: targets of the same data centre first; another one's only while
 //     the near ones are busy and the far one clearly isn't. Bytes between data
 //     centres are paid for, and each packet pays the way both ways.
@@ -63,6 +66,8 @@
 	Flows, Sent uint32
 	// Cold is set while it is slow after its start.
 	Cold bool
+	// Unsteady is set while it is likely to break requests off.
+	Unsteady bool
 }
 
 // Score is the target's expected load as a part of its slots.
@@ -91,26 +96,40 @@
 
 // Pick returns the index of the chosen target, false if there is none.
 func Pick(rng *rand.Rand, targets []Target) (int, bool) {
-	near, far := drawTwo(rng, targets, true), drawTwo(rng, targets, false)
+	steady := pickAmong(rng, targets, false)
+	if steady >= 0 && targets[steady].Score() < saturated {
+		return steady, true
+	}
+	unsteady := pickAmong(rng, targets, true)
+	if steady < 0 || unsteady >= 0 && targets[unsteady].Idle() {
+		return unsteady, unsteady >= 0
+	}
+	return steady, true
+}
+
+// pickAmong picks among the steady or the unsteady targets, near ones first; -1 if
+// there are none.
+func pickAmong(rng *rand.Rand, targets []Target, unsteady bool) int {
+	near, far := drawTwo(rng, targets, unsteady, true), drawTwo(rng, targets, unsteady, false)
 	switch {
 	case near < 0:
-		return far, far >= 0
+		return far
 	case far < 0:
-		return near, true
+		return near
 	}
 	n, f := targets[near].Score(), targets[far].Score()
 	if n > spillFrom && f < n-spillGain {
-		return far, true
+		return far
 	}
-	return near, true
+	return near
 }
 
-// drawTwo returns the less loaded of two near, or two far, targets drawn at
-// random; -1 if there are none.
-func drawTwo(rng *rand.Rand, targets []Target, near bool) int {
+// drawTwo returns the less loaded of two targets drawn at random among those that
+// are unsteady, or steady, and near, or far; -1 if there are none.
+func drawTwo(rng *rand.Rand, targets []Target, unsteady, near bool) int {
 	first, second, seen := -1, -1, 0
 	for i := range targets {
-		if targets[i].Near != near {
+		if targets[i].Near != near || targets[i].Unsteady != unsteady {
 			continue
 		}
 		seen++
--- a/internal/pass/place/place_test.go
+++ b/internal/pass/place/place_test.go
@@ -92,3 +92,24 @@
 	is.True(!half.Idle())
 	is.True(Target{Slots: 4, Mean: 1}.Idle())
 }
+
+// Two of four targets go down and up. What is sent to one while it is up dies with
+// it; they get nothing while the steady ones have a free slot, and then only what
+// they have room for. If all are unsteady, all are used.
+func TestUnsteadyTargetsGetTheOverflowOnly(t *testing.T) {
+	is := is.New(t)
+	targets := []Target{
+		{Near: true, Slots: 4, Mean: 3}, {Near: true, Slots: 4, Mean: 3},
+		{Near: true, Slots: 4, Unsteady: true}, {Slots: 4, Unsteady: true},
+	}
+	n := picks(t, targets, 100)
+	is.Equal(n[2]+n[3], 0)
+	targets[0].Mean, targets[1].Mean = 6, 6
+	n = picks(t, targets, 100)
+	is.Equal(n[2]+n[3], 100)
+	targets[2].Mean, targets[3].Mean = 3, 3
+	n = picks(t, targets, 100)
+	is.Equal(n[2]+n[3], 0)
+	n = picks(t, targets[2:], 100)
+	is.Equal(n[0], 100) // the near one
+}
