--- a/internal/pass/agent/output.go
+++ b/internal/pass/agent/output.go
@@ -88,6 +88,10 @@
 	if d.Flows > 0 {
 		fields["flows"] = d.Flows
 	}
+	if d.Broken > 0 {
+		fields["answered"] = d.Answered
+		fields["broken"] = d.Broken
+	}
 	events.Log(a.cfg.Log, events.PassFlowRefused, fields)
 }
 
--- a/internal/pass/balancer/output.go
+++ b/internal/pass/balancer/output.go
@@ -84,6 +84,9 @@
 		fields["agent"] = d.Agent.String()
 		fields["report_age_ms"] = d.ReportAge.Milliseconds()
 	}
+	if d.Overflow {
+		fields["overflow"] = true
+	}
 	if d.Waited > 0 {
 		fields["waited_ms"] = d.Waited.Milliseconds()
 	}
--- a/internal/pass/flowtable/decision.go
+++ b/internal/pass/flowtable/decision.go
@@ -56,10 +56,13 @@
 	// FlowsRecalled: flows of a living target are known again after the agent's
 	// restart.
 	FlowsRecalled
+	// TargetUnsteady: the target has broken off too many requests; others go first.
+	TargetUnsteady
 )
 
 var verdictNames = [...]string{"", "refused-first", "refused-later", "target-arrived", "target-drains", "target-left",
-	"target-silent", "target-answers", "target-dead", "stale-announcement", "flows-reset", "flows-recalled"}
+	"target-silent", "target-answers", "target-dead", "stale-announcement", "flows-reset", "flows-recalled",
+	"target-unsteady"}
 
 func (v Verdict) String() string {
 	if int(v) < len(verdictNames) {
@@ -81,4 +84,6 @@
 	Age time.Duration
 	// Flows counts the flows concerned.
 	Flows int
+	// Answered and Broken count the requests that made the target unsteady.
+	Answered, Broken int
 }
--- a/internal/pass/flowtable/flowtable.go
+++ b/internal/pass/flowtable/flowtable.go
@@ -304,7 +304,7 @@
 	case p.Flags.Has(packet.RST):
 		x.stage = ended
 		if x.running && !x.finTarget {
-			e.outcomes.note(now, 0, 1)
+			e.brokeOff(now, 1)
 		}
 	}
 	if p.Data > 0 && x.running {
--- a/internal/pass/flowtable/outcomes.go
+++ b/internal/pass/flowtable/outcomes.go
@@ -28,17 +28,21 @@
 	unsteadyTill     time.Duration
 }
 
-// note counts requests that were answered, and that were broken off.
-func (o *outcomes) note(now time.Duration, answered, broken int) {
+// note counts requests that were answered, and that were broken off. It tells
+// whether the target has just become unsteady.
+func (o *outcomes) note(now time.Duration, answered, broken int) bool {
 	if now-o.since > outcomesWindow {
 		o.since = now
 		o.answered, o.broken = 0, 0
 	}
 	o.answered += answered
 	o.broken += broken
-	if o.broken >= brokenEnough && o.broken*brokenShare >= o.answered+o.broken {
-		o.unsteadyTill = now + unsteadyFor
+	if o.broken < brokenEnough || o.broken*brokenShare < o.answered+o.broken {
+		return false
 	}
+	before := o.unsteady(now)
+	o.unsteadyTill = now + unsteadyFor
+	return !before
 }
 
 // unsteady tells whether too many requests were broken off of late.
@@ -48,6 +52,15 @@
 // was in progress is lost.
 func (e *Engine) died(now time.Duration) {
 	if !e.target.draining {
-		e.outcomes.note(now, 0, e.load.running)
+		e.brokeOff(now, e.load.running)
 	}
 }
+
+// brokeOff notes requests that ended without an answer.
+func (e *Engine) brokeOff(now time.Duration, n int) {
+	if !e.outcomes.note(now, 0, n) {
+		return
+	}
+	e.note(now, Decision{Verdict: TargetUnsteady, Answered: e.outcomes.answered, Broken: e.outcomes.broken})
+	e.cfg.Out.Report()
+}
--- a/internal/pass/flowtable/outcomes_test.go
+++ b/internal/pass/flowtable/outcomes_test.go
@@ -30,6 +30,8 @@
 	is.True(!r.report().Unsteady)
 	brokenOff(r, 3)
 	is.True(r.report().Unsteady)
+	is.Equal(r.notes[len(r.notes)-1].Verdict, TargetUnsteady)
+	is.Equal(r.notes[len(r.notes)-1].Broken, 3)
 	r.pass(unsteadyFor - 100*time.Millisecond)
 	is.True(r.report().Unsteady)
 	r.pass(200 * time.Millisecond)
--- a/internal/pass/forward/decision.go
+++ b/internal/pass/forward/decision.go
@@ -63,6 +63,9 @@
 	Verdict Verdict
 	// Version is the table's.
 	Version route.Version
+	// Overflow says that the agent is of another service of the route than the
+	// weights picked, since that one has no free slot.
+	Overflow bool
 	// Agent is the agent chosen or found, if any.
 	Agent netip.AddrPort
 	// Reason is why the agent before handed the packet back, if one did.
--- a/internal/pass/forward/forward.go
+++ b/internal/pass/forward/forward.go
@@ -215,7 +215,11 @@
 	a := &e.agents.list[agent]
 	a.sent++
 	e.deliverAged(agent, now-x.at, x.raw)
-	e.note(Decision{Flow: f, Verdict: verdict, Agent: a.address, Reason: why, ReportAge: now - a.heardAt, Waited: now - x.at})
+	picked, _ := e.table.Pick(f)
+	e.note(Decision{
+		Flow: f, Verdict: verdict, Agent: a.address, Reason: why, ReportAge: now - a.heardAt, Waited: now - x.at,
+		Overflow: a.service() != picked,
+	})
 }
 
 // refuseCaller tells a caller that nobody takes its flow; nothing ran.
--- a/internal/pass/forward/placing_test.go
+++ b/internal/pass/forward/placing_test.go
@@ -314,6 +314,7 @@
 	for port := range uint16(3) {
 		r.send(syn(port))
 		is.Equal(r.delivered[port].to, idle)
+		is.True(r.last().Overflow)
 	}
 	// Now that it has been sent three flows it keeps its other slots.
 	for port := uint16(3); port < 40; port++ {
@@ -339,6 +340,7 @@
 	r.loaded(3, archive, 0)
 	r.send(syn(9))
 	is.Equal(r.delivered[0].to, free)
+	is.True(!r.last().Overflow)
 }
 
 // A balancer is cut off from all agents: its reports grow old, and it says so, that
