Explorer: replicas that start meet those that run

The explorer drives the new input, Met, at each start; all broken variants that it caught are still caught (go test ./internal/quorum passes).

--- a/internal/quorum/world_test.go
+++ b/internal/quorum/world_test.go
@@ -229,6 +229,19 @@
 		AppendBytes:     50 + w.rng.IntN(200), ChunkBytes: 150, KeepEntries: 4,
 	}
 	n.core = newCore(cfg, n.disk.copy().stored, w.clock(n), w.faults)
+	w.connect(n)
+}
+
+// connect tells a replica that has started, and those that run, of the connections
+// between them.
+func (w *world) connect(n *node) {
+	for _, other := range w.nodes {
+		if other == n || !other.up {
+			continue
+		}
+		n.core.Met(w.clock(n), other.disk.id)
+		other.core.Met(w.clock(other), n.disk.id)
+	}
 }
 
 func (w *world) clock(n *node) time.Duration { return w.now - n.begun }
