--- a/internal/quorum/explorer_test.go
+++ b/internal/quorum/explorer_test.go
@@ -48,6 +48,18 @@
 	}
 }
 
+// connect tells a replica that has started, and those that run, of the connections
+// between them.
+func (w *world) connect(n *node) {
+	for _, other := range w.nodes {
+		if other == n || !other.up {
+			continue
+		}
+		n.core.Met(w.clock(n), other.disk.id)
+		other.core.Met(w.clock(other), n.disk.id)
+	}
+}
+
 func (w *world) mishap() {
 	x := w.profile
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
--- a/internal/quorum/world_test.go
+++ b/internal/quorum/world_test.go
@@ -232,18 +232,6 @@
 	w.connect(n)
 }
 
-// connect tells a replica that has started, and those that run, of the connections
-// between them.
-func (w *world) connect(n *node) {
-	for _, other := range w.nodes {
-		if other == n || !other.up {
-			continue
-		}
-		n.core.Met(w.clock(n), other.disk.id)
-		other.core.Met(w.clock(other), n.disk.id)
-	}
-}
-
 func (w *world) clock(n *node) time.Duration { return w.now - n.begun }
 
 func (w *world) crash(n *node) {
