An agent that restarts shows its target packets that name no service

Change: a packet that names no service is let through to a target that may be there, like one that names the agent's own. The test fails without it.

--- a/internal/pass/flowtable/flows_test.go
+++ b/internal/pass/flowtable/flows_test.go
@@ -204,3 +204,21 @@
 	r.announce("i-1", -890, 4)
 	is.Equal(r.verdictOn(9, 5), peer.Unsure)
 }
+
+// An agent restarts beside its target, and its first report, which names no service
+// yet, overtakes the target's announcement. A caller's packet of a flow that the
+// target holds comes marked with no service. It is shown to the target; handed back
+// as nobody's, the balancer would reset the caller in the middle of an answer.
+func TestPacketForAnUnnamedServiceReachesALivingTarget(t *testing.T) {
+	is := is.New(t)
+	r := &rig{t: t, now: time.Hour}
+	r.engine = New(Config{
+		Service: desk, Address: address, Process: 2, Heartbeat: time.Second,
+		StartedAt: r.now, StartedWall: started, Codec: codec{}, Out: r,
+	})
+	is.Equal(r.report().Service, uint64(0))
+	p := packet.Packet{Src: flowOf(9).Client, Dst: service, Flags: packet.ACK, Seq: 11, Ack: 500, Data: 100}
+	r.engine.FromBalancer(r.now, balancer, peer.Head{}, p, rawOf(9))
+	is.Equal(len(r.refused), 0)
+	is.Equal(r.toTarget, []uint16{9})
+}
--- a/internal/pass/flowtable/flowtable.go
+++ b/internal/pass/flowtable/flowtable.go
@@ -169,8 +169,11 @@
 // again by other services, and balancers learn of it a moment later.
 func (e *Engine) misdirected(now time.Duration, h peer.Head, p packet.Packet) peer.Reason {
 	switch {
-	case !e.target.known && !p.Opens() && !e.empty(now) && h.Service == route.IDOf(e.cfg.Service):
-		return 0 // the agent may have restarted beside a target that lives
+	case !e.target.known && !p.Opens() && !e.empty(now) && (h.Service == 0 || h.Service == route.IDOf(e.cfg.Service)):
+		// The agent may have restarted beside a target that lives. Balancers that
+		// have a report of the new process don't know its service yet, and send 0;
+		// refused, they would reset an open flow as one that nobody has.
+		return 0
 	case !e.target.known:
 		return peer.NoTarget
 	case h.Service != 0 && h.Service != e.target.service:
