Policies as values, and a model of pass-through flows that is drawn at random

Cause: the thresholds of placing and admission were constants chosen on four deployments; nothing told what they are worth elsewhere, and how far any policy is from what can be had.

--- a/cmd/bergamotctl/experiment.go
+++ b/cmd/bergamotctl/experiment.go
@@ -11,11 +11,20 @@
 // defaultSeeds are those of docs/PLACEMENT.md.
 const defaultSeeds = 5
 
+// defaultDeployments takes a minute or two.
+const defaultDeployments = 100
+
 // runExperiment prints the tables from which defaults were chosen.
 func runExperiment(_ context.Context, c *call) int {
 	flags := flag.NewFlagSet("bergamotctl experiment", flag.ContinueOnError)
 	flags.SetOutput(c.errOut)
 	seeds := flags.Int("seeds", defaultSeeds, "runs of each case, for mean and worst")
+	var pass passOptions
+	flags.IntVar(&pass.deployments, "deployments", defaultDeployments, "pass: drawn deployments")
+	flags.Uint64Var(&pass.seed, "seed", 1, "pass: what the deployments are drawn from")
+	flags.BoolVar(&pass.ablation, "ablation", false, "pass: each mechanism switched off by itself")
+	flags.BoolVar(&pass.sweep, "sweep", false, "pass: each threshold a third and three times as large")
+	flags.StringVar(&pass.plot, "plot", "", "pass: PNG file for the gains")
 	switch err := flags.Parse(c.args); {
 	case err == flag.ErrHelp:
 		return exitOK
@@ -23,7 +32,7 @@
 		return exitUsage
 	}
 	switch {
-	case *seeds < 1 || flags.NArg() != 1:
+	case *seeds < 1 || pass.deployments < 1 || flags.NArg() != 1:
 	case flags.Arg(0) == "placement":
 		experiment.Placement(c.out, *seeds)
 		return exitOK
@@ -33,10 +42,12 @@
 	case flags.Arg(0) == "slots":
 		experiment.Slots(c.out)
 		return exitOK
+	case flags.Arg(0) == "pass":
+		return runPass(c, pass)
 	case flags.Arg(0) == "retries":
 		experiment.Retries(c.out)
 		return exitOK
 	}
-	fmt.Fprintln(c.errOut, "usage: bergamotctl experiment [-seeds N] placement|sweeps|slots|retries")
+	fmt.Fprintln(c.errOut, "usage: bergamotctl experiment [-seeds N] placement|sweeps|slots|retries\n       bergamotctl experiment [-deployments N] [-seed N] [-ablation] [-sweep] [-plot FILE] pass")
 	return exitUsage
 }
--- a/internal/pass/agent/agent.go
+++ b/internal/pass/agent/agent.go
@@ -109,7 +109,7 @@
 	process := rand.Uint64()
 	a.engine = flowtable.New(flowtable.Config{
 		Service: cfg.Service, Address: cfg.Target.String(), Zone: cfg.Zone, Process: process,
-		Heartbeat: cfg.Heartbeat, StartedAt: a.now(), StartedWall: a.started, Codec: cfg.Codec, Out: a,
+		Heartbeat: cfg.Heartbeat, StartedAt: a.now(), StartedWall: a.started, Policy: flowtable.DefaultPolicy(), Codec: cfg.Codec, Out: a,
 	})
 	a.client = roster.NewClient(roster.ClientConfig{
 		Node:  roster.Node{Role: roster.Agent, Address: cfg.Nodes.String(), Zone: cfg.Zone, Process: process},
--- a/internal/pass/balancer/balancer.go
+++ b/internal/pass/balancer/balancer.go
@@ -86,7 +86,7 @@
 		return nil, errors.Wrap(err, "balancer: listen for nodes")
 	}
 	seed := rand.Uint64()
-	b.engine = forward.New(forward.Config{Zone: cfg.Zone, Rand: rand.New(rand.NewPCG(seed, seed)), Out: b})
+	b.engine = forward.New(forward.Config{Zone: cfg.Zone, Rand: rand.New(rand.NewPCG(seed, seed)), Policy: forward.DefaultPolicy(), Out: b})
 	b.client = roster.NewClient(roster.ClientConfig{
 		Node:  roster.Node{Role: roster.Balancer, Address: cfg.Nodes.String(), Zone: cfg.Zone, Process: seed},
 		Seeds: cfg.Seeds, Port: cfg.ControlPort, Table: b.setTable, Agents: b.setAgents, Log: cfg.Log, Metrics: cfg.Metrics,
--- a/internal/pass/flowtable/admission.go
+++ b/internal/pass/flowtable/admission.go
@@ -21,17 +21,32 @@
 // So first packets wait here while the target is busy, and the most urgent
 // route's newest goes first: its caller can still be answered in time, and the
 // older ones are late whatever happens. A caller whose first packet waited for
-// maxWait is told at once, and truly, that nothing ran.
-const (
-	// maxWait is how long a first packet may wait. Callers give an attempt up
+// MaxWait is told at once, and truly, that nothing ran.
+//
+// Policy holds the thresholds.
+type Policy struct {
+	// MaxWait is how long a first packet may wait. Callers give an attempt up
 	// after 1.4 s, and some of that may have been spent before.
-	maxWait = 800 * time.Millisecond
-	// expectFor is how long an admitted flow's first request is expected: two
+	MaxWait time.Duration
+	// ExpectFor is how long an admitted flow's first request is expected: two
 	// round trips to a caller in the same region, with room for a slow one.
-	expectFor = 60 * time.Millisecond
-	// maxQueue bounds the first packets that wait at one target.
-	maxQueue = 1_024
-)
+	ExpectFor time.Duration
+	// Ahead is how many requests more than it has slots a target is given, as a
+	// part of the slots, so that none is idle during the handshake of the next
+	// flow.
+	Ahead float64
+	// Unlimited lets all through to the target; OldestFirst admits in the order
+	// of arrival; Unranked ignores which routes are urgent.
+	Unlimited, OldestFirst, Unranked bool
+}
+
+// DefaultPolicy is the policy in use.
+func DefaultPolicy() Policy {
+	return Policy{MaxWait: 800 * time.Millisecond, ExpectFor: 60 * time.Millisecond, Ahead: 0.5}
+}
+
+// maxQueue bounds the first packets that wait at one target.
+const maxQueue = 1_024
 
 // firstPacket is a client's first packet of a flow, or a copy of it.
 type firstPacket struct {
@@ -83,14 +98,15 @@
 // SetTable tells the engine which routes are urgent.
 func (e *Engine) SetTable(t *route.Table) { e.table = t }
 
-// room is how many requests a target is given at once: a few more than it has
-// slots, so that none is idle during the handshake of the next flow. That takes
-// a fifth of a request's time; half as many again leaves room for short ones.
-func room(slots uint32) int { return int(max(slots, 1) + max(slots/2, 1)) }
+// room is how many requests a target is given at once.
+func (p *Policy) room(slots uint32) int {
+	n := int(max(slots, 1))
+	return n + max(1, int(p.Ahead*float64(n)))
+}
 
 // busy tells whether another flow's request would only wait at the target.
 func (e *Engine) busy() bool {
-	return e.load.running+len(e.admission.expected) >= room(e.target.slots)
+	return !e.cfg.Policy.Unlimited && e.load.running+len(e.admission.expected) >= e.cfg.Policy.room(e.target.slots)
 }
 
 // queueFirst lets a first packet wait; false if there is no room to.
@@ -116,19 +132,22 @@
 	}
 }
 
-// before tells whether a first packet goes before another one.
-func (q queued) before(other queued) bool {
-	if q.urgency != other.urgency {
+// before tells whether one first packet goes before another.
+func (p *Policy) before(q, other *queued) bool {
+	if q.urgency != other.urgency && !p.Unranked {
 		return q.urgency < other.urgency
 	}
+	if p.OldestFirst {
+		return q.begunAt < other.begunAt
+	}
 	return q.begunAt >= other.begunAt
 }
 
 // takeNext removes the newest first packet of the most urgent route.
 func (e *Engine) takeNext() queued {
 	best := 0
-	for i, q := range e.admission.queue {
-		if q.before(e.admission.queue[best]) {
+	for i := range e.admission.queue {
+		if e.cfg.Policy.before(&e.admission.queue[i], &e.admission.queue[best]) {
 			best = i
 		}
 	}
@@ -152,7 +171,7 @@
 	e.admission.queue = kept
 	still := e.admission.expected[:0]
 	for _, x := range e.admission.expected {
-		if now-x.at < expectFor {
+		if now-x.at < e.cfg.Policy.ExpectFor {
 			still = append(still, x)
 		}
 	}
@@ -174,7 +193,7 @@
 		return peer.Draining
 	case e.target.silent:
 		return peer.Silent
-	case now-q.begunAt > maxWait:
+	case now-q.begunAt > e.cfg.Policy.MaxWait:
 		return peer.Busy
 	}
 	return 0
--- a/internal/pass/flowtable/admission_test.go
+++ b/internal/pass/flowtable/admission_test.go
@@ -11,9 +11,11 @@
 	"bergamotstall/internal/pass/route"
 )
 
+var policy = DefaultPolicy()
+
 // busyTarget gives the target as many requests as it has room for.
 func busyTarget(r *rig) {
-	for port := uint16(100); port < uint16(100+room(4)); port++ {
+	for port := uint16(100); port < uint16(100+policy.room(4)); port++ {
 		r.open(port, 1000)
 		r.ask(port, 0)
 	}
@@ -29,7 +31,7 @@
 	r.syn(9)
 	r.syn(9) // its copy
 	is.Equal(len(r.toTarget), 0)
-	is.Equal(r.report().Running, uint32(room(4)+1)) // balancers see who waits
+	is.Equal(r.report().Running, uint32(policy.room(4)+1)) // balancers see who waits
 	r.answered(100, 0)
 	is.Equal(r.toTarget, []uint16{9})
 	is.Equal(len(r.refused), 0)
@@ -73,7 +75,7 @@
 	r := newRig(t)
 	busyTarget(r)
 	r.syn(9)
-	r.pass(maxWait - 50*time.Millisecond)
+	r.pass(policy.MaxWait - 50*time.Millisecond)
 	is.Equal(len(r.refused), 0)
 	r.announce("i-1", 0, 2)
 	r.pass(100 * time.Millisecond)
@@ -97,12 +99,12 @@
 func TestIdleFlowGivesItsPlaceUp(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
-	for port := uint16(100); port < uint16(100+room(4)); port++ {
+	for port := uint16(100); port < uint16(100+policy.room(4)); port++ {
 		r.open(port, 1000)
 	}
 	r.syn(9)
-	is.Equal(len(r.toTarget), 2*room(4))
-	r.pass(expectFor + 20*time.Millisecond)
+	is.Equal(len(r.toTarget), 2*policy.room(4))
+	r.pass(policy.ExpectFor + 20*time.Millisecond)
 	is.Equal(r.toTarget[len(r.toTarget)-1], uint16(9))
 }
 
--- a/internal/pass/flowtable/cost_test.go
+++ b/internal/pass/flowtable/cost_test.go
@@ -15,7 +15,7 @@
 		b.Run(strconv.Itoa(n), func(b *testing.B) {
 			for range b.N {
 				before := heap()
-				e := New(Config{Codec: codec{}})
+				e := New(Config{Policy: policy, Codec: codec{}})
 				for i := range n {
 					e.put(flowOf(uint16(i)), flow{stage: open, seenAt: time.Hour})
 				}
--- a/internal/pass/flowtable/flows_test.go
+++ b/internal/pass/flowtable/flows_test.go
@@ -115,7 +115,7 @@
 func TestRestartedAgentLearns(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
-	r.engine = New(Config{Service: desk, Address: address, StartedAt: r.now, StartedWall: started, Codec: codec{}, Out: r})
+	r.engine = New(Config{Service: desk, Address: address, StartedAt: r.now, StartedWall: started, Policy: policy, Codec: codec{}, Out: r})
 	r.announce("i-1", -60_000, 55)
 	is.Equal(r.verdictOn(9, 5), peer.Unsure)
 	r.fromClient(9, packet.ACK, 11, 5, 10)
@@ -136,7 +136,7 @@
 func TestRestartedAgentBeforeTheFirstAnnouncement(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
-	r.engine = New(Config{Service: desk, Address: address, Heartbeat: time.Second, StartedAt: r.now, StartedWall: started, Codec: codec{}, Out: r})
+	r.engine = New(Config{Service: desk, Address: address, Heartbeat: time.Second, StartedAt: r.now, StartedWall: started, Policy: policy, Codec: codec{}, Out: r})
 	r.engine.Ask(r.now, balancer, peer.Question{Flow: flowOf(9), Ack: 5})
 	is.Equal(len(r.answers), 0)
 	r.fromClient(9, packet.ACK, 11, 5, 10)
@@ -156,7 +156,7 @@
 func TestTargetBornWithItsAgentIsKnownWhole(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
-	r.engine = New(Config{Service: desk, Address: address, StartedAt: r.now, StartedWall: started, Codec: codec{}, Out: r})
+	r.engine = New(Config{Service: desk, Address: address, StartedAt: r.now, StartedWall: started, Policy: policy, Codec: codec{}, Out: r})
 	r.announce("i-2", -200, 3)
 	is.Equal(r.verdictOn(9, 5), peer.Lacks)
 }
@@ -200,7 +200,7 @@
 func TestAgentRestartedRightAfterItsTargetsBirth(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
-	r.engine = New(Config{Service: desk, Address: address, StartedAt: r.now, StartedWall: started, Codec: codec{}, Out: r})
+	r.engine = New(Config{Service: desk, Address: address, StartedAt: r.now, StartedWall: started, Policy: policy, Codec: codec{}, Out: r})
 	r.announce("i-1", -890, 4)
 	is.Equal(r.verdictOn(9, 5), peer.Unsure)
 }
@@ -214,7 +214,7 @@
 	r := &rig{t: t, now: time.Hour}
 	r.engine = New(Config{
 		Service: desk, Address: address, Process: 2, Heartbeat: time.Second,
-		StartedAt: r.now, StartedWall: started, Codec: codec{}, Out: r,
+		StartedAt: r.now, StartedWall: started, Policy: policy, Codec: codec{}, Out: r,
 	})
 	is.Equal(r.report().Service, uint64(0))
 	p := packet.Packet{Src: flowOf(9).Client, Dst: service, Flags: packet.ACK, Seq: 11, Ack: 500, Data: 100}
--- a/internal/pass/flowtable/flowtable.go
+++ b/internal/pass/flowtable/flowtable.go
@@ -72,6 +72,7 @@
 	// StartedWall is the same moment as time of day, which targets state their
 	// start in.
 	StartedWall time.Time
+	Policy      Policy
 	Codec       packet.Codec
 	Out         Output
 }
--- a/internal/pass/flowtable/recall_test.go
+++ b/internal/pass/flowtable/recall_test.go
@@ -14,7 +14,7 @@
 // restarted returns a rig whose agent has just started and knows no target.
 func restarted(t *testing.T) *rig {
 	r := newRig(t)
-	r.engine = New(Config{Service: desk, Address: address, Heartbeat: time.Second, StartedAt: r.now, StartedWall: started, Codec: codec{}, Out: r})
+	r.engine = New(Config{Service: desk, Address: address, Heartbeat: time.Second, StartedAt: r.now, StartedWall: started, Policy: policy, Codec: codec{}, Out: r})
 	return r
 }
 
--- a/internal/pass/flowtable/rig_test.go
+++ b/internal/pass/flowtable/rig_test.go
@@ -82,7 +82,7 @@
 	r := &rig{t: t, now: time.Hour}
 	r.engine = New(Config{
 		Service: desk, Address: address, Process: 1, Heartbeat: time.Second,
-		StartedAt: r.now, StartedWall: started, Codec: codec{}, Out: r,
+		StartedAt: r.now, StartedWall: started, Policy: policy, Codec: codec{}, Out: r,
 	})
 	r.announce("i-1", 0, 1)
 	return r
--- a/internal/pass/flowtable/target_test.go
+++ b/internal/pass/flowtable/target_test.go
@@ -103,7 +103,7 @@
 func TestAgentWithoutATarget(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
-	r.engine = New(Config{Service: desk, Address: address, Heartbeat: time.Second, StartedAt: r.now, Codec: codec{}, Out: r})
+	r.engine = New(Config{Service: desk, Address: address, Heartbeat: time.Second, StartedAt: r.now, Policy: policy, Codec: codec{}, Out: r})
 	is.Equal(r.report().Empty, false)
 	r.pass(3 * time.Second)
 	is.Equal(r.report().Empty, true)
@@ -139,7 +139,7 @@
 func TestNobodyAtTheTargetsAddress(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
-	r.engine = New(Config{Service: desk, Address: address, Heartbeat: time.Second, StartedAt: r.now, Codec: codec{}, Out: r})
+	r.engine = New(Config{Service: desk, Address: address, Heartbeat: time.Second, StartedAt: r.now, Policy: policy, Codec: codec{}, Out: r})
 	is.True(r.engine.WantsProbe(r.now))
 	r.engine.Probed(r.now, true) // somebody is there
 	is.Equal(r.report().Empty, false)
@@ -206,7 +206,7 @@
 func TestUnknownBirthResetsNothing(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
-	r.engine = New(Config{Service: desk, Address: address, StartedAt: r.now, StartedWall: started, Codec: codec{}, Out: r})
+	r.engine = New(Config{Service: desk, Address: address, StartedAt: r.now, StartedWall: started, Policy: policy, Codec: codec{}, Out: r})
 	say := func(id string) {
 		r.engine.Announced(r.now, Announcement{ID: id, Service: desk, Address: address, Number: 1, Slots: 4})
 	}
--- a/internal/pass/forward/agents.go
+++ b/internal/pass/forward/agents.go
@@ -101,7 +101,7 @@
 	service, _ := e.table.Pick(f)
 	var own candidates
 	e.gather(now, service, tried, &own)
-	if place.Overflow(own.list()) {
+	if e.cfg.Policy.Place.Overflow(own.list()) {
 		if agent, ok := e.overflow(now, f, service, tried, own.n == 0); ok {
 			return agent, true
 		}
@@ -119,24 +119,24 @@
 		}
 	}
 	if !anyLoad {
-		other.keepIdle()
+		other.keepIdle(&e.cfg.Policy.Place)
 	}
 	return e.pick(&other)
 }
 
 // keepIdle leaves the targets that have room for another service's flows.
-func (c *candidates) keepIdle() {
+func (c *candidates) keepIdle(p *place.Policy) {
 	n := c.n
 	c.n = 0
 	for i := range n {
-		if c.targets[i].Idle() {
+		if p.HasRoom(&c.targets[i]) {
 			c.add(c.numbers[i], c.targets[i])
 		}
 	}
 }
 
 func (e *Engine) pick(c *candidates) (uint32, bool) {
-	at, ok := place.Pick(e.cfg.Rand, c.list())
+	at, ok := e.cfg.Policy.Place.Pick(e.cfg.Rand, c.list())
 	if !ok {
 		return 0, false
 	}
--- a/internal/pass/forward/early.go
+++ b/internal/pass/forward/early.go
@@ -15,10 +15,6 @@
 // packet of each flow waits instead, and is handled once the engine can.
 
 const (
-	// youth is how long after the first table the agents may take to report.
-	// They learn of the balancer within 100 ms of its first contact with
-	// control, which comes before the table, and report within 100 ms more.
-	youth = 150 * time.Millisecond
 	// earlyKept is how long a packet waits.
 	earlyKept = packet.OpenPatience
 	// maxEarly bounds the packets that wait, 1.3 kB each.
@@ -35,9 +31,12 @@
 
 // young tells whether agents may still be missing because the balancer has just
 // started.
-func (e *Engine) young(now time.Duration) bool { return now-e.tabledAt < youth }
+func (e *Engine) young(now time.Duration) bool { return now-e.tabledAt < e.cfg.Policy.Youth }
 
 func (e *Engine) keepEarly(f packet.Flow, a arrival, searched bool) {
+	if e.cfg.Policy.DropEarly {
+		return
+	}
 	if _, ok := e.early[f]; !ok && len(e.early) >= maxEarly {
 		e.note(Decision{Flow: f, Verdict: DroppedBusy})
 		return
@@ -68,6 +67,9 @@
 		}
 	}
 	slices.SortFunc(ready, func(a, b earlyPacket) int { return cmp.Compare(a.age(now), b.age(now)) })
+	if e.cfg.Policy.OldestFirst {
+		slices.Reverse(ready)
+	}
 	for _, x := range ready {
 		e.fromClient(now, x.arrival)
 	}
--- a/internal/pass/forward/early_test.go
+++ b/internal/pass/forward/early_test.go
@@ -53,7 +53,7 @@
 	r.answer(a, peer.Lacks)
 	is.Equal(len(r.resets), 0)
 	late := r.agentAt(2, desk)
-	r.pass(youth + 20*time.Millisecond)
+	r.pass(DefaultPolicy().Youth + 20*time.Millisecond)
 	is.Equal(r.askedOf(late), 1)
 	r.answer(late, peer.Holds)
 	is.Equal(len(r.resets), 0)
@@ -70,7 +70,7 @@
 	r.pass(earlyKept + 100*time.Millisecond)
 	r.table(1, desk)
 	r.agentAt(1, desk)
-	r.pass(youth)
+	r.pass(DefaultPolicy().Youth)
 	is.Equal(len(r.delivered), 0)
 }
 
--- a/internal/pass/forward/forward.go
+++ b/internal/pass/forward/forward.go
@@ -21,6 +21,7 @@
 
 	"bergamotstall/internal/pass/packet"
 	"bergamotstall/internal/pass/peer"
+	"bergamotstall/internal/pass/place"
 	"bergamotstall/internal/pass/route"
 )
 
@@ -49,9 +50,27 @@
 // Config sets an engine up.
 type Config struct {
 	// Zone is the balancer's data centre.
-	Zone string
-	Rand *rand.Rand
-	Out  Output
+	Zone   string
+	Rand   *rand.Rand
+	Policy Policy
+	Out    Output
+}
+
+// Policy holds the thresholds that what callers get depends on most.
+type Policy struct {
+	Place place.Policy
+	// Youth is how long after the first table the agents may take to report. They
+	// learn of the balancer with their own first table, and report at once.
+	Youth time.Duration
+	// DropEarly drops the packets that come before the table.
+	DropEarly bool
+	// OldestFirst hands early packets on in the order in which they came.
+	OldestFirst bool
+}
+
+// DefaultPolicy is the policy in use.
+func DefaultPolicy() Policy {
+	return Policy{Place: place.Default(), Youth: 150 * time.Millisecond}
 }
 
 // holder is where a flow's packets go.
--- a/internal/pass/forward/rig_test.go
+++ b/internal/pass/forward/rig_test.go
@@ -61,7 +61,7 @@
 // startedRig returns an engine that has just started.
 func startedRig(t *testing.T) *rig {
 	r := &rig{t: t, now: time.Hour}
-	r.engine = New(Config{Zone: zone, Rand: rand.New(rand.NewPCG(1, 2)), Out: r})
+	r.engine = New(Config{Zone: zone, Rand: rand.New(rand.NewPCG(1, 2)), Policy: DefaultPolicy(), Out: r})
 	return r
 }
 
@@ -69,7 +69,7 @@
 func newRig(t *testing.T) *rig {
 	r := startedRig(t)
 	r.table(1, desk)
-	r.pass(youth)
+	r.pass(DefaultPolicy().Youth)
 	return r
 }
 
--- /dev/null
+++ b/internal/pass/model/compare.go
@@ -0,0 +1,165 @@
+package model
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"time"
+)
+
+// Variant is what is compared with the policies in use.
+type Variant struct {
+	Name string
+	// Change makes a policy of the one in use.
+	Change func(p *Policies)
+	// Reference plays the reference in place of the nodes.
+	Reference bool
+}
+
+// Reference is the variant that no policy can be; see reference.
+func Reference() Variant {
+	return Variant{Name: "one queue that knows all (reference)", Change: func(*Policies) {}, Reference: true}
+}
+
+// Ablation is each mechanism switched off by itself.
+func Ablation() []Variant {
+	return []Variant{
+		{Name: "no waiting at agents: all through to the target", Change: func(p *Policies) { p.Flowtable.Unlimited = true }},
+		{Name: "waiting callers in order of arrival", Change: func(p *Policies) { p.Flowtable.OldestFirst = true }},
+		{Name: "no priority of urgent routes", Change: func(p *Policies) { p.Flowtable.Unranked = true }},
+		{Name: "early packets dropped", Change: func(p *Policies) { p.Forward.DropEarly = true }},
+		{Name: "early packets in order of arrival", Change: func(p *Policies) { p.Forward.OldestFirst = true }},
+		{Name: "one draw in place of two", Change: func(p *Policies) { p.Forward.Place.Draws = 1 }},
+		{Name: "no preference for the near data centre", Change: func(p *Policies) { p.Forward.Place.Spread = true }},
+		{Name: "no overflow to the route's other service", Change: func(p *Policies) { p.Forward.Place.Strict = true }},
+		{Name: "cold targets weigh like warm ones", Change: func(p *Policies) { p.Forward.Place.ColdSlowdown = 1 }},
+		{Name: "idle flows count for nothing", Change: func(p *Policies) { p.Forward.Place.FlowShare = 0 }},
+		{Name: "flows sent since the last report count for nothing", Change: func(p *Policies) { p.Forward.Place.SentShare = 0 }},
+		{Name: "no youth of a balancer", Change: func(p *Policies) { p.Forward.Youth = 0 }},
+	}
+}
+
+// Sweep is each threshold a third and three times as large.
+func Sweep() []Variant {
+	var out []Variant
+	for _, t := range []struct {
+		name string
+		of   func(p *Policies, by float64)
+	}{
+		{"MaxWait", func(p *Policies, by float64) { p.Flowtable.MaxWait = scaled(p.Flowtable.MaxWait, by) }},
+		{"Ahead", func(p *Policies, by float64) { p.Flowtable.Ahead *= by }},
+		{"ExpectFor", func(p *Policies, by float64) { p.Flowtable.ExpectFor = scaled(p.Flowtable.ExpectFor, by) }},
+		{"Youth", func(p *Policies, by float64) { p.Forward.Youth = scaled(p.Forward.Youth, by) }},
+		{"FlowShare", func(p *Policies, by float64) { p.Forward.Place.FlowShare *= by }},
+		{"SentShare", func(p *Policies, by float64) { p.Forward.Place.SentShare *= by }},
+		{"SpillFrom", func(p *Policies, by float64) { p.Forward.Place.SpillFrom *= by }},
+		{"SpillGain", func(p *Policies, by float64) { p.Forward.Place.SpillGain *= by }},
+		{"ColdSlowdown", func(p *Policies, by float64) { p.Forward.Place.ColdSlowdown *= by }},
+	} {
+		out = append(out,
+			Variant{Name: t.name + " / 3", Change: func(p *Policies) { t.of(p, 1.0/3) }},
+			Variant{Name: t.name + " x 3", Change: func(p *Policies) { t.of(p, 3) }})
+	}
+	return out
+}
+
+func scaled(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
+
+// Comparison is what a policy gives over the drawn deployments.
+type Comparison struct {
+	Name string
+	// Outcomes has one for each scenario and deployment.
+	Outcomes [][]Outcome
+}
+
+// Compare plays every scenario on drawn deployments, by the policy in use and by
+// each variant. The same seed and count give the same comparisons.
+func Compare(variants []Variant, scenarios []Scenario, deployments int, seed uint64) []Comparison {
+	all := append([]Variant{{Name: "as it is", Change: func(*Policies) {}}}, variants...)
+	out := make([]Comparison, len(all))
+	var jobs []func()
+	for v := range all {
+		p := InUse()
+		all[v].Change(&p)
+		out[v] = Comparison{Name: all[v].Name, Outcomes: make([][]Outcome, len(scenarios))}
+		for s := range scenarios {
+			out[v].Outcomes[s] = make([]Outcome, deployments)
+			for n := range deployments {
+				jobs = append(jobs, func() {
+					d := Draw(rand.New(rand.NewPCG(seed, uint64(n))))
+					play := Play
+					if all[v].Reference {
+						play = PlayReference
+					}
+					out[v].Outcomes[s][n] = play(d, scenarios[s], p, seed+uint64(n))
+				})
+			}
+		}
+	}
+	inParallel(jobs)
+	return out
+}
+
+// inParallel runs all jobs on half of the processors.
+func inParallel(jobs []func()) {
+	var wg sync.WaitGroup
+	next := make(chan func())
+	for range max(1, runtime.NumCPU()/2) {
+		wg.Go(func() {
+			for job := range next {
+				job()
+			}
+		})
+	}
+	for _, job := range jobs {
+		next <- job
+	}
+	close(next)
+	wg.Wait()
+}
+
+// Write prints for each scenario and policy what callers get, on average and on the
+// deployment that the variant serves worst against the policy in use.
+func Write(out io.Writer, scenarios []Scenario, comparisons []Comparison) {
+	base := comparisons[0]
+	for s, sc := range scenarios {
+		fmt.Fprintf(out, "\n%s, %d deployments\n", sc.Name, len(base.Outcomes[s]))
+		fmt.Fprintf(out, "%-52s %7s %7s %8s %7s %8s %8s %8s %8s\n", "policy", "in time", "late", "unserved", "worth", "p50 ms", "p99 ms", "gain", "worst")
+		for _, c := range comparisons {
+			writeRow(out, c.Name, c.Outcomes[s], base.Outcomes[s])
+		}
+	}
+}
+
+// Gain is how much more worth a policy gives than another, on average over scenarios
+// and deployments.
+func (c Comparison) Gain(over Comparison) float64 {
+	sum, n := 0.0, 0
+	for s := range c.Outcomes {
+		for i := range c.Outcomes[s] {
+			sum += c.Outcomes[s][i].Worth - over.Outcomes[s][i].Worth
+			n++
+		}
+	}
+	return sum / float64(max(n, 1))
+}
+
+func writeRow(out io.Writer, name string, outcomes, base []Outcome) {
+	var inTime, late, unserved, worth, p50, p99, gain float64
+	worst := 0.0
+	for i, o := range outcomes {
+		inTime += o.Share(o.InTime)
+		late += o.Share(o.Late)
+		unserved += o.Share(o.Unserved)
+		worth += o.Worth
+		p50 += o.P50.Seconds() * 1000
+		p99 += o.P99.Seconds() * 1000
+		gain += o.Worth - base[i].Worth
+		worst = min(worst, o.Worth-base[i].Worth)
+	}
+	n := float64(len(outcomes))
+	fmt.Fprintf(out, "%-52s %7.3f %7.3f %8.3f %7.3f %8.0f %8.0f %+8.4f %+8.3f\n",
+		name, inTime/n, late/n, unserved/n, worth/n, p50/n, p99/n, gain/n, worst)
+}
--- a/internal/pass/place/place.go
+++ b/internal/pass/place/place.go
@@ -13,9 +13,9 @@
 //   - A target that has just started is slow and counts as smaller until warm.
 //   - An outage or a burst that leaves one service of a route without a free slot
 //     while another one of the same route has many idle: flows overflow to it
-//     (Overflow). The weights say how the operator shares the work out while
-//     there is room; nobody waits for a share. Without it, 60 to 150 callers waited
-//     at each of seven targets for 1.2 s after an outage beside three idle ones.
+//     (Policy.Overflow). The weights say how the operator shares the work out while
+//     there is room; nobody waits for a share. Without it callers queue
+//     at every target of one service beside idle ones of the other.
 //   - A target that goes down and up, or breaks requests off: with nothing in
 //     progress it looks best, and what it gets is lost. Such targets are left to the
 //     others' overflow for a while.
@@ -26,33 +26,43 @@
 
 import "math/rand/v2"
 
-const (
-	// flowShare is the part of a slot that an open flow counts for besides what
-	// it runs. A feed that asks once a second for 50 ms takes a twentieth.
-	flowShare = 0.05
-	// sentShare is the part of a slot that a flow sent since the last report
+// Policy holds the thresholds of placing.
+type Policy struct {
+	// FlowShare is the part of a slot that an open flow counts for besides what
+	// it runs: one that is idle just now asks again later.
+	FlowShare float64
+	// SentShare is the part of a slot that a flow sent since the last report
 	// counts for: its first request runs at once more often than not.
-	sentShare = 0.5
-	// spillFrom is the load, as a part of the slots, from which on a far target
+	SentShare float64
+	// SpillFrom is the load, as a part of the slots, from which on a far target
 	// is looked at. Under it a slot is free with the near one almost surely.
-	spillFrom = 0.7
-	// spillGain is how much less loaded a far target must be; under it flows
+	SpillFrom float64
+	// SpillGain is how much less loaded a far target must be; under it flows
 	// would move back and forth between data centres on the noise of reports.
-	spillGain = 0.25
-	// coldSlowdown is how much longer a target takes that has just started.
-	// Platforms state the time it lasts but not the factor; 1.6 is what their
-	// targets show.
-	coldSlowdown = 1.6
-)
-
-const (
-	// saturated is the load, as a part of the slots, from which on a flow's request
+	SpillGain float64
+	// ColdSlowdown is how much longer a target takes that has just started, where
+	// nothing was observed yet.
+	ColdSlowdown float64
+	// Saturated is the load, as a part of the slots, from which on a flow's request
 	// waits for others at the target.
-	saturated = 1.0
-	// idle is the load under which a target takes the overflow of others: half its
-	// slots stay free for what it is meant for.
-	idle = 0.5
-)
+	Saturated float64
+	// Idle is the load under which a target takes the overflow of others: the rest
+	// of its slots stay free for what it is meant for.
+	Idle float64
+	// Draws is 2 to take the less loaded of two targets drawn, 1 to take any.
+	Draws int
+	// Spread gives up the preference for the own data centre; Trusting ignores that
+	// targets are unsteady; Strict never lets a service's flows overflow to another.
+	Spread, Trusting, Strict bool
+}
+
+// Default is the policy in use.
+func Default() Policy {
+	return Policy{
+		FlowShare: 0.05, SentShare: 0.5, SpillFrom: 0.7, SpillGain: 0.25, ColdSlowdown: 1.6,
+		Saturated: 1, Idle: 0.5, Draws: 2,
+	}
+}
 
 // Target is one that may get the flow.
 type Target struct {
@@ -71,38 +81,41 @@
 	Unsteady bool
 }
 
-// Score is the target's expected load as a part of its slots.
-func (t Target) Score() float64 {
+// Score is a target's expected load as a part of its slots.
+func (p *Policy) Score(t *Target) float64 {
 	slots := float64(max(t.Slots, 1))
 	if t.Cold {
-		slots /= coldSlowdown
+		slots /= p.ColdSlowdown
 	}
 	load := max(t.Mean, (t.Mean+t.Running)/2)
-	return (load + flowShare*float64(t.Flows) + sentShare*float64(t.Sent)) / slots
+	return (load + p.FlowShare*float64(t.Flows) + p.SentShare*float64(t.Sent)) / slots
 }
 
 // Overflow tells whether a flow should go to another service of its route: all
 // targets of its own are saturated.
-func Overflow(own []Target) bool {
+func (p *Policy) Overflow(own []Target) bool {
+	if p.Strict {
+		return len(own) == 0
+	}
 	for i := range own {
-		if own[i].Score() < saturated {
+		if p.Score(&own[i]) < p.Saturated {
 			return false
 		}
 	}
 	return true
 }
 
-// Idle tells whether the target has room for the overflow of another service.
-func (t Target) Idle() bool { return t.Score() < idle }
+// HasRoom tells whether a target has room for the overflow of another service.
+func (p *Policy) HasRoom(t *Target) bool { return p.Score(t) < p.Idle }
 
 // Pick returns the index of the chosen target, false if there is none.
-func Pick(rng *rand.Rand, targets []Target) (int, bool) {
-	steady := pickAmong(rng, targets, false)
-	if steady >= 0 && targets[steady].Score() < saturated {
+func (p *Policy) Pick(rng *rand.Rand, targets []Target) (int, bool) {
+	steady := p.pickAmong(rng, targets, false)
+	if steady >= 0 && p.Score(&targets[steady]) < p.Saturated {
 		return steady, true
 	}
-	unsteady := pickAmong(rng, targets, true)
-	if steady < 0 || unsteady >= 0 && targets[unsteady].Idle() {
+	unsteady := p.pickAmong(rng, targets, true)
+	if steady < 0 || unsteady >= 0 && p.HasRoom(&targets[unsteady]) {
 		return unsteady, unsteady >= 0
 	}
 	return steady, true
@@ -110,27 +123,27 @@
 
 // pickAmong picks among the steady or the unsteady targets, near ones first; -1 if
 // there are none.
-func pickAmong(rng *rand.Rand, targets []Target, unsteady bool) int {
-	near, far := drawTwo(rng, targets, unsteady, true), drawTwo(rng, targets, unsteady, false)
+func (p *Policy) pickAmong(rng *rand.Rand, targets []Target, unsteady bool) int {
+	near, far := p.draw(rng, targets, unsteady, true), p.draw(rng, targets, unsteady, false)
 	switch {
 	case near < 0:
 		return far
 	case far < 0:
 		return near
 	}
-	n, f := targets[near].Score(), targets[far].Score()
-	if n > spillFrom && f < n-spillGain {
+	n, f := p.Score(&targets[near]), p.Score(&targets[far])
+	if n > p.SpillFrom && f < n-p.SpillGain {
 		return far
 	}
 	return near
 }
 
-// drawTwo returns the less loaded of two targets drawn at random among those that
+// draw returns the less loaded of two targets drawn at random among those that
 // are unsteady, or steady, and near, or far; -1 if there are none.
-func drawTwo(rng *rand.Rand, targets []Target, unsteady, near bool) int {
+func (p *Policy) draw(rng *rand.Rand, targets []Target, unsteady, near bool) int {
 	first, second, seen := -1, -1, 0
 	for i := range targets {
-		if targets[i].Near != near || targets[i].Unsteady != unsteady {
+		if (targets[i].Near || p.Spread) != near || (targets[i].Unsteady && !p.Trusting) != unsteady {
 			continue
 		}
 		seen++
@@ -148,10 +161,13 @@
 			}
 		}
 	}
-	if second < 0 {
+	if second < 0 || p.Draws < 2 && rng.IntN(2) == 0 {
 		return first
 	}
-	a, b := targets[first].Score(), targets[second].Score()
+	if p.Draws < 2 {
+		return second
+	}
+	a, b := p.Score(&targets[first]), p.Score(&targets[second])
 	// Equal ones share: the places of the reservoir aren't drawn alike.
 	if a < b || a == b && rng.IntN(2) == 0 {
 		return first
--- a/internal/pass/place/place_test.go
+++ b/internal/pass/place/place_test.go
@@ -7,6 +7,8 @@
 	"github.com/matryer/is"
 )
 
+var policy = Default()
+
 func rng() *rand.Rand { return rand.New(rand.NewPCG(3, 4)) }
 
 func picks(t *testing.T, targets []Target, n int) []int {
@@ -14,7 +16,7 @@
 	r := rng()
 	count := make([]int, len(targets))
 	for range n {
-		i, ok := Pick(r, targets)
+		i, ok := policy.Pick(r, targets)
 		if !ok {
 			t.Fatal("no target picked")
 		}
@@ -25,7 +27,7 @@
 
 func TestNothingToPick(t *testing.T) {
 	is := is.New(t)
-	_, ok := Pick(rng(), nil)
+	_, ok := policy.Pick(rng(), nil)
 	is.Equal(ok, false)
 }
 
@@ -45,14 +47,14 @@
 func TestColdTarget(t *testing.T) {
 	is := is.New(t)
 	cold, warm := Target{Slots: 4, Mean: 1, Cold: true}, Target{Slots: 4, Mean: 1}
-	is.True(cold.Score() > warm.Score())
+	is.True(policy.Score(&cold) > policy.Score(&warm))
 }
 
 // Flows that are idle just now count: a target that holds a hundred feeds isn't
 // as free as one that holds none.
 func TestIdleFlowsCount(t *testing.T) {
 	is := is.New(t)
-	is.True(Target{Slots: 4, Flows: 100}.Score() > Target{Slots: 4, Flows: 10}.Score())
+	is.True(policy.Score(&Target{Slots: 4, Flows: 100}) > policy.Score(&Target{Slots: 4, Flows: 10}))
 }
 
 // The near data centre has room: nothing crosses. It is full and the other one
@@ -86,11 +88,11 @@
 func TestOverflow(t *testing.T) {
 	is := is.New(t)
 	full, half := Target{Slots: 4, Mean: 4, Running: 9}, Target{Slots: 4, Mean: 3}
-	is.True(!Overflow([]Target{full, half}))
-	is.True(Overflow([]Target{full, full}))
-	is.True(Overflow(nil))
-	is.True(!half.Idle())
-	is.True(Target{Slots: 4, Mean: 1}.Idle())
+	is.True(!policy.Overflow([]Target{full, half}))
+	is.True(policy.Overflow([]Target{full, full}))
+	is.True(policy.Overflow(nil))
+	is.True(!policy.HasRoom(&half))
+	is.True(policy.HasRoom(&Target{Slots: 4, Mean: 1}))
 }
 
 // Two of four targets go down and up. What is sent to one while it is up dies with
--- a/internal/report/plots.go
+++ b/internal/report/plots.go
@@ -2,6 +2,7 @@
 
 import (
 	"image/color"
+	"slices"
 
 	"github.com/go-faster/errors"
 	"gonum.org/v1/plot"
@@ -132,6 +133,28 @@
 	return save(pl, path)
 }
 
+// PlotGains draws what each policy gains in worth, on average, over the one in use.
+func PlotGains(path string, names []string, gains []float64) error {
+	pl := plot.New()
+	pl.Title.Text = "Worth of what callers get, against the policy in use"
+	pl.X.Label.Text = "gain, in hundredths"
+	values := make(plotter.Values, len(gains))
+	for i, g := range gains {
+		values[len(gains)-1-i] = 100 * g
+	}
+	bars, err := plotter.NewBarChart(values, barWidth)
+	if err != nil {
+		return errors.Wrap(err, "report: bars")
+	}
+	bars.Horizontal = true
+	bars.Color = blue
+	pl.Add(bars)
+	labels := slices.Clone(names)
+	slices.Reverse(labels)
+	pl.NominalY(labels...)
+	return save(pl, path)
+}
+
 func save(pl *plot.Plot, path string) error {
 	if err := pl.Save(plotWidth, plotHeight, path); err != nil {
 		return errors.Wrap(err, "report: plot")
