A target gets as much ahead as ends during a handshake, as observed

Cause: a target was given half as many requests again as it has slots, so that none is idle during a new flow's handshake. That was chosen for one platform. With many slots, slow targets or callers nearby it makes every request wait in the target's own queue, in order of arrival, for half of a request's time; with callers far away and short requests it leaves slots idle. Change: the agent observes how long handshakes and requests take, and gives as many ahead as end meanwhile, one at least.

--- a/internal/pass/flowtable/admission.go
+++ b/internal/pass/flowtable/admission.go
@@ -32,8 +32,8 @@
 	// ExpectFor is how long an admitted flow's first request is expected: two
 	// round trips to a caller in the same region, with room for a slow one.
 	ExpectFor time.Duration
-	// Ahead is how many requests more than it has slots a target is given at once, as
-	// a part of the slots, so that none is idle during the handshake of the next flow.
+	// Ahead, if above 0, is how many requests more than it has slots a target is
+	// given, as a part of the slots, in place of what is observed.
 	Ahead float64
 	// Unlimited lets all through to the target; Bypass lets the requests of open
 	// flows through; OldestFirst admits in the order of arrival; Unranked ignores
@@ -43,7 +43,7 @@
 
 // DefaultPolicy is the policy in use.
 func DefaultPolicy() Policy {
-	return Policy{MaxWait: 800 * time.Millisecond, ExpectFor: 60 * time.Millisecond, Ahead: 0.5}
+	return Policy{MaxWait: 800 * time.Millisecond, ExpectFor: 60 * time.Millisecond}
 }
 
 // admission holds what waits and what is expected.
@@ -63,10 +63,15 @@
 // SetTable tells the engine which routes are urgent.
 func (e *Engine) SetTable(t *route.Table) { e.table = t }
 
-// room is how many requests a target is given at once.
+// room is how many requests a target is given at once: as many as it has slots, and
+// as many as end there during a new flow's handshake, so that no slot is idle
+// meanwhile. More would wait in the target's own queue, in order of arrival.
 func (e *Engine) room() int {
 	slots := int(max(e.target.slots, 1))
-	return slots + max(1, int(e.cfg.Policy.Ahead*float64(slots)))
+	if e.cfg.Policy.Ahead > 0 {
+		return slots + max(1, int(e.cfg.Policy.Ahead*float64(slots)))
+	}
+	return slots + max(1, e.pace.endDuringHandshake(slots))
 }
 
 // busy tells whether another request would only wait at the target.
--- a/internal/pass/flowtable/flowtable.go
+++ b/internal/pass/flowtable/flowtable.go
@@ -128,6 +128,7 @@
 	tags      tags
 	table     *route.Table
 	admission admission
+	pace      pace
 	outcomes  outcomes
 	// recall is what control remembers of earlier flows, until it is acted on;
 	// ended are flows that it is to be told are over.
@@ -247,12 +248,16 @@
 		return
 	}
 	if begins {
-		if _, admitted := e.came(f); !admitted && e.mayHold() {
+		expectedSince, admitted := e.came(f)
+		if !admitted && e.mayHold() {
 			x.held = true
 			e.put(f, x)
 			e.queueRequest(now, f, from, p.Seq, raw)
 			return
 		}
+		if admitted {
+			observe(&e.pace.handshake, now-expectedSince)
+		}
 		x.running = true
 		x.runningAt = now
 	}
@@ -356,6 +361,7 @@
 		x.running = false
 		e.outcomes.note(now, 1, 0)
 		e.cfg.Out.Answered(now - x.runningAt)
+		observe(&e.pace.service, now-x.runningAt)
 	}
 	if p.Flags.Has(packet.FIN) {
 		x.finTarget = true
--- a/internal/pass/model/compare.go
+++ b/internal/pass/model/compare.go
@@ -28,6 +28,7 @@
 	return []Variant{
 		{Name: "no waiting at agents: all through to the target", Change: func(p *Policies) { p.Flowtable.Unlimited = true }},
 		{Name: "requests over open flows through to the target", Change: func(p *Policies) { p.Flowtable.Bypass = true }},
+		{Name: "room for half as many again as slots", Change: func(p *Policies) { p.Flowtable.Ahead = 0.5 }},
 		{Name: "waiting callers in order of arrival", Change: func(p *Policies) { p.Flowtable.OldestFirst = true }},
 		{Name: "no priority of urgent routes", Change: func(p *Policies) { p.Flowtable.Unranked = true }},
 		{Name: "early packets dropped", Change: func(p *Policies) { p.Forward.DropEarly = true }},
@@ -50,7 +51,6 @@
 		of   func(p *Policies, by float64)
 	}{
 		{"MaxWait", func(p *Policies, by float64) { p.Flowtable.MaxWait = scaled(p.Flowtable.MaxWait, by) }},
-		{"Ahead", func(p *Policies, by float64) { p.Flowtable.Ahead *= by }},
 		{"ExpectFor", func(p *Policies, by float64) { p.Flowtable.ExpectFor = scaled(p.Flowtable.ExpectFor, by) }},
 		{"Youth", func(p *Policies, by float64) { p.Forward.Youth = scaled(p.Forward.Youth, by) }},
 		{"FlowShare", func(p *Policies, by float64) { p.Forward.Place.FlowShare *= by }},
