Decision packages: names, and comments without figures

Cause: comments of the decision packages told how thresholds were tuned; a packet that begins a request was called a first packet. No change in behaviour.

--- a/internal/pass/agent/agent.go
+++ b/internal/pass/agent/agent.go
@@ -31,8 +31,8 @@
 const (
 	// tickInterval is how often unanswered first packets are looked at.
 	tickInterval = 20 * time.Millisecond
-	// reportInterval is the time between two reports. Placement by reports of
-	// this age is as even as by fresh ones at ten flows a second and target.
+	// reportInterval is the time between two reports. Placement by older ones is
+	// less even; each report costs a datagram to every balancer.
 	reportInterval = 100 * time.Millisecond
 	// heardFor is how long a balancer that isn't listed gets reports after a
 	// datagram of its own: control may be away when a balancer starts.
--- a/internal/pass/control/control.go
+++ b/internal/pass/control/control.go
@@ -41,7 +41,7 @@
 	commandLimit = 8 << 20
 	// snapshotEvery and keepEntries bound the log. An entry holds a whole
 	// definition, 200 kB at 600 routes, and all are read and written anew at a
-	// start: with fifty, a VM of an eighth of a core took 0.2 s longer.
+	// start, while nodes wait for their table.
 	snapshotEvery = 8
 	keepEntries   = 4
 	// replaceAfter is the silence after which a control VM that comes back with
@@ -107,9 +107,7 @@
 	c.cfg.Metrics.Gauge("definition_version", func() int64 { return int64(c.store.Version()) })
 	group, ctx := errgroup.WithContext(ctx)
 	// Nodes wait until the replica is open: after all lost power they come all at
-	// once, and what they ask for first, the table, needs the replica. With twenty
-	// nodes and an eighth of a core all had it 0.22 s after the second of three
-	// control VMs had started, in place of 0.26 s.
+	// once, and what they ask for first, the table, needs the replica.
 	tried := make(chan struct{})
 	group.Go(func() error { return c.keepReplica(ctx, tried) })
 	group.Go(func() error {
--- a/internal/pass/flowtable/flowtable.go
+++ b/internal/pass/flowtable/flowtable.go
@@ -197,7 +197,7 @@
 }
 
 // first takes a first packet or a copy of one.
-func (e *Engine) first(now time.Duration, p firstPacket, x flow, known bool) {
+func (e *Engine) first(now time.Duration, p arrival, x flow, known bool) {
 	switch {
 	case known && x.stage != lacking && x.stage != ended:
 		e.toTarget(p.from, p.raw)
@@ -218,11 +218,11 @@
 }
 
 // admit sends a first packet to the target.
-func (e *Engine) admit(now time.Duration, p firstPacket) {
+func (e *Engine) admit(now time.Duration, p arrival) {
 	e.expect(now, p.flow)
 	e.put(p.flow, flow{stage: opening, seenAt: now})
 	if len(e.waiting) < maxWaiting {
-		e.waiting[p.flow] = unanswered{firstPacket: p.kept(), since: now}
+		e.waiting[p.flow] = unanswered{arrival: p.kept(), since: now}
 	}
 	e.toTarget(p.from, p.raw)
 }
--- a/internal/pass/flowtable/outcomes.go
+++ b/internal/pass/flowtable/outcomes.go
@@ -6,9 +6,7 @@
 // itself well, looks best when it is worst: it has next to nothing in progress.
 // Placement by load alone would send it more than its share, and callers would
 // spend all their tries there. The agent sees each request go in and whether an
-// answer begins, so it tells balancers when too many end without one. Measured with
-// two fifths of 52 targets going down and up for four seconds: 3.1 % of a day's
-// requests failed without it, 1.4 % with it.
+// answer begins, so it tells balancers when too many end without one.
 const (
 	// outcomesWindow is over how long outcomes are counted: a target of two slots
 	// ends some thirty requests in it.
--- a/internal/pass/flowtable/queue.go
+++ b/internal/pass/flowtable/queue.go
@@ -13,30 +13,31 @@
 	// maxQueue bounds the flows that wait at one target.
 	maxQueue = 1_024
 	// maxHeld bounds the packets of open flows that wait, 1.3 kB each; maxHeldEach
-	// those of one flow, whose window is 16 packets. What comes beyond goes on to
-	// the target.
+	// those of one request besides its first, as many as a client has in flight. What
+	// comes beyond of a request is sent again; further requests go on to the target.
 	maxHeld     = 2_048
 	maxHeldEach = 16
 )
 
-// firstPacket is a client's first packet of a flow, or a copy of it.
-type firstPacket struct {
+// arrival is a client's packet that begins something: the first one of a flow, or a
+// copy of it, or the one with which a request over an open flow is noticed.
+type arrival struct {
 	flow packet.Flow
 	// from is the balancer that sent it.
 	from netip.AddrPort
 	raw  []byte
-	// sentAt is when the client sent it, begunAt when it began to open the flow,
+	// sentAt is when the client sent it, begunAt when it began to open the flow or to ask,
 	// as far as is known. After an outage balancers hold many that are old; taken
 	// for new they would go before those that can still be answered in time.
 	sentAt, begunAt time.Duration
 }
 
-func firstOf(p packet.Packet, sentAt time.Duration, from netip.AddrPort, raw []byte) firstPacket {
-	return firstPacket{flow: p.FromClient(), from: from, raw: raw, sentAt: sentAt, begunAt: sentAt - p.SinceFirst()}
+func firstOf(p packet.Packet, sentAt time.Duration, from netip.AddrPort, raw []byte) arrival {
+	return arrival{flow: p.FromClient(), from: from, raw: raw, sentAt: sentAt, begunAt: sentAt - p.SinceFirst()}
 }
 
 // kept is the packet with bytes of its own.
-func (p firstPacket) kept() firstPacket {
+func (p arrival) kept() arrival {
 	p.raw = append([]byte(nil), p.raw...)
 	return p
 }
@@ -44,13 +45,13 @@
 // unanswered is a first packet that the target has had since a moment and hasn't
 // answered.
 type unanswered struct {
-	firstPacket
+	arrival
 	since time.Duration
 }
 
 // queued waits for room: a first packet, or a request over an open flow.
 type queued struct {
-	firstPacket
+	arrival
 	urgency uint32
 	// request says that the flow is open. Then seq is the place of the packet's
 	// bytes, more are the request's other packets, and leavesAt is when its caller
@@ -86,16 +87,14 @@
 }
 
 // queueFirst lets a first packet wait; false if there is no room to.
-func (e *Engine) queueFirst(p firstPacket) bool {
-	for i := range e.admission.queue {
-		if e.admission.queue[i].flow == p.flow {
-			return true // a copy
-		}
+func (e *Engine) queueFirst(p arrival) bool {
+	if e.queuedAt(p.flow) >= 0 {
+		return true // a copy
 	}
 	if len(e.admission.queue) >= maxQueue {
 		return false
 	}
-	e.admission.queue = append(e.admission.queue, queued{firstPacket: p.kept(), urgency: e.table.Priority(p.flow.Service)})
+	e.admission.queue = append(e.admission.queue, queued{arrival: p.kept(), urgency: e.table.Priority(p.flow.Service)})
 	return true
 }
 
@@ -107,9 +106,9 @@
 // queueRequest lets a request over an open flow wait. Its client sends copies
 // meanwhile, which aren't needed: the one here goes on in any case.
 func (e *Engine) queueRequest(now time.Duration, f packet.Flow, from netip.AddrPort, seq uint32, raw []byte) {
-	p := firstPacket{flow: f, from: from, raw: raw, sentAt: now, begunAt: now}
+	p := arrival{flow: f, from: from, raw: raw, sentAt: now, begunAt: now}
 	e.admission.held++
-	e.admission.queue = append(e.admission.queue, queued{firstPacket: p.kept(), urgency: e.table.Priority(f.Service), request: true, seq: seq, leavesAt: now + e.longest(f)})
+	e.admission.queue = append(e.admission.queue, queued{arrival: p.kept(), urgency: e.table.Priority(f.Service), request: true, seq: seq, leavesAt: now + e.longest(f)})
 }
 
 // queueMore adds a packet to a request that waits, unless it is a copy. A request's
@@ -137,9 +136,10 @@
 	}
 }
 
+// letIn sends the target what waited.
 func (e *Engine) letIn(now time.Duration, q queued) {
 	if !q.request {
-		e.admit(now, q.firstPacket)
+		e.admit(now, q.arrival)
 		return
 	}
 	x := e.flows[q.flow]
@@ -213,7 +213,7 @@
 		}
 		e.uncountHeld(q)
 		if !q.request {
-			e.refuseFirst(now, q.firstPacket, why)
+			e.refuseFirst(now, q.arrival, why)
 			continue
 		}
 		x := e.flows[q.flow]
@@ -225,7 +225,7 @@
 }
 
 // refuseFirst hands a first packet back.
-func (e *Engine) refuseFirst(now time.Duration, p firstPacket, why peer.Reason) {
+func (e *Engine) refuseFirst(now time.Duration, p arrival, why peer.Reason) {
 	e.refuse(now, p.from, p.flow, packet.Packet{Flags: packet.SYN}, why, p.sentAt, p.raw)
 }
 
--- a/internal/pass/flowtable/target.go
+++ b/internal/pass/flowtable/target.go
@@ -70,8 +70,8 @@
 	// bornTogether is how much older than the agent's process a target may be
 	// that no earlier process can have sent flows to: when a VM starts, target and
 	// agent start within a quarter of a second, and an agent takes longer than
-	// this to be known, to send flows, to end and to start again. At 1.2 s a soak
-	// saw open flows reset, of an agent restarted 0.89 s after its target's birth.
+	// this to be known, to send flows, to end and to start again. If it is too long,
+	// open flows of a target are reset whose agent restarted soon after its birth.
 	bornTogether = 400 * time.Millisecond
 )
 
--- a/internal/pass/flowtable/tick.go
+++ b/internal/pass/flowtable/tick.go
@@ -52,7 +52,7 @@
 			e.cfg.Out.Report()
 		}
 		e.cfg.Codec.Mark(w.raw, 0)
-		e.refuseFirst(now, w.firstPacket, peer.Silent)
+		e.refuseFirst(now, w.arrival, peer.Silent)
 	}
 }
 
--- a/internal/pass/forward/agents.go
+++ b/internal/pass/forward/agents.go
@@ -74,9 +74,7 @@
 
 // Isolated tells whether the balancer hears none of the agents that there are, as
 // when it is cut off from them. It can place nothing then, and the fabric does
-// better without it: with some of the entry VMs cut off for three seconds, 0.5 to
-// 0.7 % of a day's requests failed while they stayed in rotation, and next to none
-// where the fabric could leave them out.
+// better without it.
 func (e *Engine) Isolated(now time.Duration) bool { return e.listed > 0 && e.Heard(now) == 0 }
 
 // candidates are the agents of a service that take new flows, and their targets.
--- a/internal/pass/forward/forward.go
+++ b/internal/pass/forward/forward.go
@@ -285,8 +285,7 @@
 // refusedFirst offers a first packet elsewhere, unless its caller is better told
 // at once. The packet stays as old as it is: taken for new by the next agent, it
 // would go before callers that can still be answered in time, and be offered from
-// one to the next long after its own caller has given up. After a power cut that
-// were 50 to 200 packets in each tenth of a second, some of them 1.9 s old.
+// one to the next long after its own caller has given up.
 func (e *Engine) refusedFirst(now time.Duration, a arrival, f packet.Flow, at holder, known bool, agent uint32, why peer.Reason) {
 	if known && at.agent != agent {
 		return // a copy has gone to another agent already
--- a/internal/pass/forward/search.go
+++ b/internal/pass/forward/search.go
@@ -27,8 +27,6 @@
 	// flows of a service with fifty targets that are asked for at once, as after
 	// all lost power, fill a balancer's link with questions; the answers come
 	// late, callers send their packets again, and no flow gets through any more.
-	// At 64 and a round trip of 20 ms, 3,200 flows a second are found; where the
-	// link is full, 400 a second are asked for, a third of 7 Mbit/s.
 	maxAsking = 64
 	// maxSearches bounds the flows searched at once. Past it the packet is
 	// dropped, and the caller sends it again.
@@ -240,8 +238,7 @@
 // unheard counts the agents that may hold flows and have been silent lately, or
 // ever since this balancer's start. The latter keep open flows whole when a
 // balancer joins before an agent has heard of it: with the silent ones alone, all
-// that this balancer knows would lack the flows of the one that it doesn't. Seen with
-// processes: a balancer joined while one of six agents was paused, and reset a flow.
+// that this balancer knows would lack the flows of the one that it doesn't.
 func (e *Engine) unheard(now time.Duration) int {
 	n, known := 0, 0
 	for i := range e.agents.list {
--- a/internal/pass/roster/client.go
+++ b/internal/pass/roster/client.go
@@ -16,8 +16,8 @@
 
 const (
 	// dialTimeout is short because a VM without power doesn't answer at all, and
-	// a lost first packet is sent again by the kernel only after a second. With a
-	// second, nodes came back half a second later after all had lost power.
+	// a lost first packet is sent again by the kernel only after a second: nodes
+	// would come back that much later after all had lost power.
 	dialTimeout = 250 * time.Millisecond
 	// dialPause is the mean wait before the next try; control VMs restart
 	// within a second.
