bergamotctl explain: a flow's story across processes, and failures by cause

Cause: to learn what happened to a flow, an operator walked tables over the logs of twenty processes by hand. Change: package internal/explain reads logs (files or standard input), prints one flow's lines in order of time with what decided them, or groups failed and late flows by cause. Lines that can't be read are counted.

--- /dev/null
+++ b/cmd/bergamotctl/explain.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"bergamotstall/internal/explain"
+)
+
+// examplesPerCause is how many flows -worst names for each cause.
+const examplesPerCause = 3
+
+// runExplain tells from processes' logs what happened to flows.
+func runExplain(_ context.Context, c *call) int {
+	flags := flag.NewFlagSet("bergamotctl explain", flag.ContinueOnError)
+	flags.SetOutput(c.errOut)
+	flow := flags.String("flow", "", "the `flow` to tell of, CALLER:PORT>SERVICE:PORT")
+	worst := flags.Bool("worst", false, "group the flows that failed or were late by cause")
+	late := flags.Duration("late", explain.DefaultLate, "with -worst: the wait from which on a flow is late")
+	switch err := flags.Parse(c.args); {
+	case err == flag.ErrHelp:
+		return exitOK
+	case err != nil:
+		return exitUsage
+	}
+	if (*flow == "") == !*worst {
+		fmt.Fprintln(c.errOut, "usage: bergamotctl explain -flow CALLER:PORT>SERVICE:PORT | -worst [-late TIME] [FILE ...]\nwithout a file the logs are read from standard input")
+		return exitUsage
+	}
+	log := explain.NewLog()
+	if err := addLogs(log, flags.Args()); err != nil {
+		fmt.Fprintln(c.errOut, err)
+		return exitFailed
+	}
+	fmt.Fprintf(c.errOut, "%d lines, %d unreadable, %d flows\n", log.Read, log.Unreadable, log.Flows())
+	if *worst {
+		explain.WriteWorst(c.out, log.Worst(*late), examplesPerCause)
+		return exitOK
+	}
+	story := log.Story(*flow)
+	if len(story) == 0 {
+		fmt.Fprintf(c.errOut, "no line on flow %q: name it as the logs do, and give the logs of all balancers and agents\n", *flow)
+		return exitRefused
+	}
+	explain.WriteStory(c.out, story)
+	return exitOK
+}
+
+// addLogs reads files, or standard input where there are none.
+func addLogs(log *explain.Log, files []string) error {
+	if len(files) == 0 {
+		return log.Add(os.Stdin)
+	}
+	for _, name := range files {
+		if err := addLog(log, name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func addLog(log *explain.Log, name string) error {
+	file, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	return log.Add(file)
+}
--- a/cmd/bergamotctl/main.go
+++ b/cmd/bergamotctl/main.go
@@ -74,7 +74,8 @@
 	{"history", "", "show the audit record", runHistory},
 	{"call", "URL", "send one HTTP/3 request as a caller", runCall},
 	{"load", "IP:PORT", "play callers against a service and report what they got", runLoad},
-	{"experiment", "placement|sweeps|slots|retries", "play the decisions under load in simulated time", runExperiment},
+	{"explain", "-flow FLOW|-worst FILE ...", "tell from logs what happened to pass-through flows", runExplain},
+	{"experiment", "placement|sweeps|slots|retries|pass", "play the decisions under load in simulated time", runExperiment},
 	{"status", "", "show control VMs, balancers and what is in force", runStatus},
 }
 
@@ -109,7 +110,7 @@
 func usage(w io.Writer) {
 	fmt.Fprint(w, usageHeading)
 	for _, c := range commands {
-		fmt.Fprintf(w, "  %-9s %-27s %s\n", c.name, c.args, c.help)
+		fmt.Fprintf(w, "  %-10s %-35s %s\n", c.name, c.args, c.help)
 	}
 	fmt.Fprint(w, usageTail)
 }
