--- a/internal/pass/model/model.go
+++ b/internal/pass/model/model.go
@@ -122,12 +122,6 @@
 	heap.Push(&w.queue, event{w.now + d, w.seq, step})
 }
 
-// every runs a step until the run's end.
-func (w *world) every(d time.Duration, step func()) {
-	step()
-	w.after(d, func() { w.every(d, step) })
-}
-
 func (w *world) run() {
 	for len(w.queue) > 0 && w.queue[0].at < w.end {
 		e := heap.Pop(&w.queue).(event)
