A request that closes its flow isn't held back

Cause: a packet with a request and the client's end of the flow waited like any other request, and the agent didn't note the end: the flow counted as open until it was swept after 75 s. If such a packet came for a request that waited already, it was queued again. Found by reading; no run showed it. Change: packets that close a flow aren't held. TestClosingRequestIsNotHeld fails without it.

--- a/internal/pass/flowtable/flowtable.go
+++ b/internal/pass/flowtable/flowtable.go
@@ -249,7 +249,7 @@
 	}
 	if begins {
 		expectedSince, admitted := e.came(f)
-		if !admitted && e.mayHold() {
+		if !admitted && !p.Closes() && e.mayHold() {
 			x.held = true
 			e.put(f, x)
 			e.queueRequest(now, f, from, p.Seq, raw)
@@ -275,7 +275,7 @@
 // whileHeld takes a packet of a flow whose request waits here. It tells whether the
 // packet is to go no further.
 func (e *Engine) whileHeld(now time.Duration, f packet.Flow, x *flow, p packet.Packet, raw []byte) bool {
-	if p.Flags.Has(packet.RST) || p.Flags.Has(packet.FIN) {
+	if p.Closes() {
 		e.whenLeaving(now, f, x, p)
 		return false
 	}
--- a/internal/pass/flowtable/queue_test.go
+++ b/internal/pass/flowtable/queue_test.go
@@ -83,6 +83,29 @@
 	is.Equal(len(r.engine.admission.queue), 0)
 }
 
+// A caller sends a request and closes its half with the same packet. It goes on at
+// once: held back, the agent wouldn't see the flow end, and would count it as open for
+// more than a minute. So does the rest of a request that waits, if it comes so.
+func TestClosingRequestIsNotHeld(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	idleFlow(r, 8)
+	idleFlow(r, 9)
+	fill(r)
+	open := r.engine.Flows()
+	r.fromClient(9, packet.FIN|packet.ACK, 111, 1501, 100)
+	is.Equal(r.toTarget, []uint16{9})
+	r.fromTarget(9, packet.FIN|packet.ACK, 1501, 211, 500)
+	is.Equal(r.engine.Flows(), open-1)
+	r.toTarget = nil
+	r.engine.admission.expected = append(r.engine.admission.expected, expected{flowOf(7), r.now}) // full again
+	r.ask(8, 1)
+	is.Equal(len(r.toTarget), 0)
+	r.fromClient(8, packet.FIN|packet.ACK, 211, 1501, 50)
+	is.Equal(r.toTarget, []uint16{8, 8})
+	is.Equal(r.engine.queuedAt(flowOf(8)), -1)
+}
+
 // A target begins to drain while a request over one of its flows waits. Nobody else
 // can run it, so the target gets it at once; first packets go to other targets.
 func TestDrainingTargetGetsTheRequestsThatWait(t *testing.T) {
--- a/internal/pass/packet/packet.go
+++ b/internal/pass/packet/packet.go
@@ -64,6 +64,9 @@
 // Opens tells whether this is the first packet of a flow, or a copy of it.
 func (p Packet) Opens() bool { return p.Flags&(SYN|ACK) == SYN }
 
+// Closes tells whether its sender closes its half of the flow, or ends the flow.
+func (p Packet) Closes() bool { return p.Flags&(FIN|RST) != 0 }
+
 // OpenPatience is how long a client waits for a target's answer to the first
 // packet of a flow: the platform's figure. After it the flow is of no use.
 const OpenPatience = 1400 * time.Millisecond
