--- a/internal/pass/model/caller.go
+++ b/internal/pass/model/caller.go
@@ -22,6 +22,8 @@
 	deadline time.Duration
 	work     time.Duration
 	tries    int
+	// flow is the one that it is tried over now.
+	flow *callerFlow
 	// runs counts how often targets began it.
 	runs int
 	// servedAt is when its answer came; 0 if none did. over is set once it was
@@ -87,12 +89,14 @@
 		return
 	}
 	r.over = true
-	for _, cf := range w.flowsOf[r] {
-		cf.req = nil
-		w.drop(cf)
-		if cf.open {
-			w.send(cf, packet.Packet{Flags: packet.RST | packet.ACK, Seq: cf.end, Ack: cf.ack})
-		}
+	cf := r.flow
+	if cf == nil {
+		return // between two tries
+	}
+	w.unassign(cf)
+	w.drop(cf)
+	if cf.open {
+		w.send(cf, packet.Packet{Flags: packet.RST | packet.ACK, Seq: cf.end, Ack: cf.ack})
 	}
 }
 
@@ -133,7 +137,15 @@
 
 func (w *world) assign(cf *callerFlow, r *request) {
 	cf.req = r
-	w.flowsOf[r] = append(w.flowsOf[r][:0], cf)
+	r.flow = cf
+}
+
+// unassign parts a flow from its request.
+func (w *world) unassign(cf *callerFlow) *request {
+	r := cf.req
+	cf.req = nil
+	r.flow = nil
+	return r
 }
 
 // send sends a packet to one of the balancers of the caller's data centre.
@@ -196,11 +208,9 @@
 		w.failed(cf, true)
 		return
 	}
-	r := cf.req
+	r := w.unassign(cf)
 	r.servedAt = w.now
 	r.over = true
-	delete(w.flowsOf, r)
-	cf.req = nil
 	cf.acked = false
 	cf.seq = cf.end
 	if w.d.Classes[r.class].Feed && !w.leaving(cf) {
@@ -238,10 +248,8 @@
 
 // failed ends a try; notRun says that the request surely hasn't run.
 func (w *world) failed(cf *callerFlow, notRun bool) {
-	r := cf.req
-	cf.req = nil
+	r := w.unassign(cf)
 	w.drop(cf)
-	delete(w.flowsOf, r)
 	c := &w.d.Classes[r.class]
 	if c.Once && !notRun || r.tries > w.d.Retries {
 		r.over = true
--- a/internal/pass/model/model.go
+++ b/internal/pass/model/model.go
@@ -66,7 +66,6 @@
 	packets   []sent
 	requests  []*request
 	flows     map[packet.Flow]*callerFlow
-	flowsOf   map[*request][]*callerFlow
 	pending   []pending
 	// reference takes the requests in place of the nodes, if it is set.
 	reference *reference
--- a/internal/pass/model/scenario.go
+++ b/internal/pass/model/scenario.go
@@ -57,7 +57,7 @@
 func newWorld(d Deployment, p Policies, seed uint64) *world {
 	w := &world{
 		d: d, policies: p, rng: rand.New(rand.NewPCG(seed, 17)), load: 1,
-		table: route.NewTable(d.definition()), flows: map[packet.Flow]*callerFlow{}, flowsOf: map[*request][]*callerFlow{},
+		table: route.NewTable(d.definition()), flows: map[packet.Flow]*callerFlow{},
 	}
 	for n := range d.Balancers {
 		b := &balancer{w: w, n: n, zone: n / (d.Balancers / d.Zones)}
