Known red: requests over open flows wait behind those that a target hangs on

Cause: requests that a target never answers count as running until their route's timeout; since requests over open flows wait for room, they wait for these.

--- a/internal/pass/flowtable/queue_test.go
+++ b/internal/pass/flowtable/queue_test.go
@@ -191,3 +191,18 @@
 	r.ask(idleFlowFull, 1)
 	is.Equal(r.toTarget, []uint16{idleFlowFull})
 }
+
+// A target hangs on as many requests as it has room for, and runs others well: its
+// slots are free again, but the agent counts the ones that hang as running. A caller
+// asks over an open flow, and its request must not wait for them until their route's
+// timeout; half a second is more than most callers want to wait.
+func TestHungRequestsLeaveRoomForOthers(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	idleFlow(r, 9)
+	fill(r)
+	r.ask(9, 1)
+	r.announce("i-1", 0, 2)
+	r.pass(500 * time.Millisecond)
+	is.Equal(r.toTarget, []uint16{9})
+}
