Holders of unknown flows are asked for in the order in which they are likely

Cause: at 300 machines the fleet collapsed after a twelfth of its balancers died once. Each search asked every agent of the route, twice, and then all others: some 400 questions a flow, 64 flows at a time.

Change: an index of agents by service and data centre, and rendezvous hashing of flow and agent. New flows are placed among the flow's four preferred agents of each data centre; a search asks the preferred ones of its own data centre first, then those of the others, then all. Questions keep to a fifth of the link's rate, which the settings tell. A flow that was searched among all agents isn't again for three seconds. No choice walks over all agents any more. The agents that handed a first packet back are kept by number: a bit set modulo 64 shut out others by chance.

Tests seen to fail without the change: not run that way; the old code asks all agents of the route, which TestHolderIsFoundWithFewQuestions refuses by its bound.

--- a/internal/pass/balancer/balancer.go
+++ b/internal/pass/balancer/balancer.go
@@ -33,6 +33,9 @@
 	// Linger is how long a stopping balancer goes on carrying packets after its
 	// readiness says no. Fabrics look twice a second and want two misses.
 	Linger = 1300 * time.Millisecond
+	// questionShare is the part of the link that questions to agents may fill. The
+	// rest is for the packets of flows and for control.
+	questionShare = 0.2
 )
 
 // Config sets a balancer up.
@@ -48,9 +51,12 @@
 	// take streams.
 	Seeds       func() []string
 	ControlPort uint16
-	Codec       packet.Codec
-	Log         logrus.FieldLogger
-	Metrics     *metrics.Set
+	// LinkRate is what the VM's link carries each way, in bytes a second; 0 if
+	// unknown.
+	LinkRate float64
+	Codec    packet.Codec
+	Log      logrus.FieldLogger
+	Metrics  *metrics.Set
 }
 
 // Balancer is one balancer.
@@ -86,7 +92,10 @@
 		return nil, errors.Wrap(err, "balancer: listen for nodes")
 	}
 	seed := rand.Uint64()
-	b.engine = forward.New(forward.Config{Zone: cfg.Zone, Rand: rand.New(rand.NewPCG(seed, seed)), Policy: forward.DefaultPolicy(), Out: b})
+	b.engine = forward.New(forward.Config{
+		Zone: cfg.Zone, Rand: rand.New(rand.NewPCG(seed, seed)), Policy: forward.DefaultPolicy(),
+		QuestionRate: questionShare * cfg.LinkRate / peer.QuestionCost, Out: b,
+	})
 	b.client = roster.NewClient(roster.ClientConfig{
 		Node:  roster.Node{Role: roster.Balancer, Address: cfg.Nodes.String(), Zone: cfg.Zone, Process: seed},
 		Seeds: cfg.Seeds, Port: cfg.ControlPort, Table: b.setTable, Agents: b.setAgents, Log: cfg.Log, Metrics: cfg.Metrics,
--- a/internal/pass/forward/agents.go
+++ b/internal/pass/forward/agents.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"bergamotstall/internal/pass/packet"
@@ -21,6 +22,10 @@
 	// sent counts the flows sent since the last report.
 	sent       uint32
 	avoidUntil time.Duration
+	// hash is that of the address; group is where the index holds the agent, nil
+	// once it was forgotten.
+	hash  uint64
+	group *group
 }
 
 func (a *agent) service() route.ServiceID { return route.ServiceID(a.report.Service) }
@@ -37,6 +42,11 @@
 type agents struct {
 	list      []agent
 	byAddress map[netip.AddrPort]uint32
+	index     index
+}
+
+func newAgents() agents {
+	return agents{byAddress: map[netip.AddrPort]uint32{}, index: newIndex()}
 }
 
 func (a *agents) number(address netip.AddrPort) uint32 {
@@ -44,21 +54,54 @@
 		return n
 	}
 	n := uint32(len(a.list))
-	a.list = append(a.list, agent{address: address})
+	a.list = append(a.list, agent{address: address, hash: hashOf(address)})
 	a.byAddress[address] = n
 	return n
 }
 
+// regroup puts an agent where its service and data centre say.
+func (a *agents) regroup(number uint32) {
+	x := &a.list[number]
+	key := groupKey{x.service(), x.report.Zone}
+	if x.group != nil && x.group.service == key.service && x.group.zone == key.zone {
+		return
+	}
+	a.forget(number)
+	x.group = a.index.add(key, number)
+}
+
+// forget takes an agent out of the index.
+func (a *agents) forget(number uint32) {
+	x := &a.list[number]
+	if x.group == nil {
+		return
+	}
+	a.index.remove(x.group, number)
+	x.group = nil
+}
+
 // Reported takes an agent's report. Those of one process that come late are
 // ignored; a new process of the same address starts anew.
 func (e *Engine) Reported(now time.Duration, from netip.AddrPort, r peer.Report) {
-	a := &e.agents.list[e.agents.number(from)]
+	number := e.agents.number(from)
+	a := &e.agents.list[number]
 	if a.report.Process == r.Process && a.report.Number >= r.Number {
 		return
 	}
 	a.report = r
 	a.heardAt = now
 	a.sent = 0
+	e.agents.regroup(number)
+}
+
+// sweepAgents takes agents out of the index that were silent for so long that they
+// are no longer asked.
+func (e *Engine) sweepAgents(now time.Duration) {
+	for i := range e.agents.list {
+		if now-e.agents.list[i].heardAt >= agentForgotten {
+			e.agents.forget(uint32(i))
+		}
+	}
 }
 
 // Heard counts the agents with a fresh report.
@@ -85,6 +128,9 @@
 }
 
 func (c *candidates) add(number uint32, t place.Target) {
+	if c.n == maxCandidates {
+		return
+	}
 	c.numbers[c.n] = number
 	c.targets[c.n] = t
 	c.n++
@@ -95,10 +141,10 @@
 
 // choose picks an agent for a new flow: of the service that the weights say, or of
 // another one of the route where that one has no target, or none with a free slot.
-func (e *Engine) choose(now time.Duration, f packet.Flow, tried uint64) (uint32, bool) {
+func (e *Engine) choose(now time.Duration, f packet.Flow, tried []uint32) (uint32, bool) {
 	service, _ := e.table.Pick(f)
 	var own candidates
-	e.gather(now, service, tried, &own)
+	e.gather(now, f, service, tried, &own)
 	if e.cfg.Policy.Place.Overflow(own.list()) {
 		if agent, ok := e.overflow(now, f, service, tried, own.n == 0); ok {
 			return agent, true
@@ -109,11 +155,11 @@
 
 // overflow picks an agent of the route's other services: an idle one, or any where
 // the own service has none.
-func (e *Engine) overflow(now time.Duration, f packet.Flow, own route.ServiceID, tried uint64, anyLoad bool) (uint32, bool) {
+func (e *Engine) overflow(now time.Duration, f packet.Flow, own route.ServiceID, tried []uint32, anyLoad bool) (uint32, bool) {
 	var other candidates
 	for _, c := range e.table.Services(f.Service) {
 		if c.Service != own {
-			e.gather(now, c.Service, tried, &other)
+			e.gather(now, f, c.Service, tried, &other)
 		}
 	}
 	if !anyLoad {
@@ -141,34 +187,41 @@
 	return c.numbers[at], true
 }
 
-// gather adds the agents of a service that take new flows.
-func (e *Engine) gather(now time.Duration, service route.ServiceID, tried uint64, to *candidates) {
-	// A service with more targets is looked at from a random place on, so that
-	// all get flows.
-	offset := 0
-	if len(e.agents.list) > maxCandidates {
-		offset = e.cfg.Rand.IntN(len(e.agents.list))
-	}
-	for i := range e.agents.list {
-		if to.n == maxCandidates {
-			return
+// gather adds the agents of a service that the flow prefers among those that take
+// new flows, in this data centre and in all others.
+func (e *Engine) gather(now time.Duration, f packet.Flow, service route.ServiceID, tried []uint32, to *candidates) {
+	hash := route.Hash(f)
+	near, far := best{flow: hash}, best{flow: hash}
+	for _, g := range e.agents.index.byService[service] {
+		from := &far
+		if g.zone == e.cfg.Zone {
+			from = &near
 		}
-		at := (i + offset) % len(e.agents.list)
-		a := &e.agents.list[at]
-		if a.service() != service || !e.takes(now, a) || tried&bit(uint32(at)) != 0 {
-			continue
+		for _, number := range g.members {
+			if a := &e.agents.list[number]; e.takes(now, a) && !slices.Contains(tried, number) {
+				from.offer(number, a.hash)
+			}
 		}
-		to.add(uint32(at), place.Target{
-			Near: a.report.Zone == e.cfg.Zone, Slots: a.report.Slots,
-			Running: float64(a.report.Running), Mean: float64(a.report.Load) / 100,
-			Flows: a.report.Flows, Sent: a.sent, Cold: a.report.ColdMS > 0, Unsteady: a.report.Unsteady,
-		})
+	}
+	for _, number := range near.list() {
+		to.add(number, e.targetOf(number, true))
+	}
+	for _, number := range far.list() {
+		to.add(number, e.targetOf(number, false))
+	}
+}
+
+func (e *Engine) targetOf(number uint32, near bool) place.Target {
+	a := &e.agents.list[number]
+	return place.Target{
+		Near: near, Slots: a.report.Slots, Running: float64(a.report.Running), Mean: float64(a.report.Load) / 100,
+		Flows: a.report.Flows, Sent: a.sent, Cold: a.report.ColdMS > 0, Unsteady: a.report.Unsteady,
 	}
 }
 
-// maxCandidates bounds the targets looked at for one new flow; two are drawn
-// from them, so more add nothing.
-const maxCandidates = 128
+// maxCandidates bounds the targets looked at for one new flow: those that it prefers
+// near and far, of up to eight services.
+const maxCandidates = 2 * preferred * 8
 
 // takes tells whether an agent may be sent a new flow.
 func (e *Engine) takes(now time.Duration, a *agent) bool {
--- a/internal/pass/forward/forward.go
+++ b/internal/pass/forward/forward.go
@@ -53,7 +53,10 @@
 	Zone   string
 	Rand   *rand.Rand
 	Policy Policy
-	Out    Output
+	// QuestionRate is how many questions a second may be asked, so that searches
+	// leave the balancer's link to the packets of flows; 0 for no bound.
+	QuestionRate float64
+	Out          Output
 }
 
 // Policy holds the thresholds that what callers get depends on most.
@@ -76,11 +79,29 @@
 // holder is where a flow's packets go.
 type holder struct {
 	seenAt time.Duration
-	// tried has a bit for each agent, by its number modulo 64, that handed the
-	// first packet back.
-	tried uint64
-	agent uint32
-	tries uint8
+	// refused is nil until an agent has handed the first packet back.
+	refused *refusals
+	agent   uint32
+	tries   uint8
+}
+
+// refusals are the agents that handed a flow's first packet back.
+type refusals struct{ agents []uint32 }
+
+// exclude keeps an agent from being offered the first packet again.
+func (h *holder) exclude(agent uint32) {
+	if h.refused == nil {
+		h.refused = &refusals{}
+	}
+	h.refused.agents = append(h.refused.agents, agent)
+}
+
+// excluded are the agents that the first packet isn't offered to.
+func (h *holder) excluded() []uint32 {
+	if h.refused == nil {
+		return nil
+	}
+	return h.refused.agents
 }
 
 // Engine is one balancer's state. It isn't safe for concurrent use; one
@@ -93,9 +114,12 @@
 	searches map[packet.Flow]*search
 	held     int
 	// queue holds the flows whose search waits for its turn, asking counts those
-	// that are being asked for.
-	queue   []packet.Flow
-	asking  int
+	// that are being asked for, and budget bounds the questions.
+	queue  []packet.Flow
+	asking int
+	budget budget
+	// wideAt is when each flow was last searched among all agents.
+	wideAt  map[packet.Flow]time.Duration
 	sweepAt time.Duration
 	// listed is how many agents control tells of.
 	listed int
@@ -108,8 +132,8 @@
 // New returns an engine that knows no table and no agents.
 func New(cfg Config) *Engine {
 	return &Engine{
-		cfg: cfg, flows: map[packet.Flow]holder{}, searches: map[packet.Flow]*search{}, early: map[packet.Flow]earlyPacket{},
-		agents: agents{byAddress: map[netip.AddrPort]uint32{}},
+		cfg: cfg, budget: budget{rate: cfg.QuestionRate}, flows: map[packet.Flow]holder{}, searches: map[packet.Flow]*search{}, early: map[packet.Flow]earlyPacket{},
+		agents: newAgents(), wideAt: map[packet.Flow]time.Duration{},
 	}
 }
 
@@ -203,7 +227,7 @@
 		return
 	}
 	if known {
-		at.tried |= bit(at.agent)
+		at.exclude(at.agent)
 		e.place(now, a, f, at, peer.Silent)
 		return
 	}
@@ -212,7 +236,7 @@
 
 // place offers a first packet to a target that hasn't handed it back.
 func (e *Engine) place(now time.Duration, x arrival, f packet.Flow, at holder, why peer.Reason) {
-	agent, ok := e.choose(now, f, at.tried)
+	agent, ok := e.choose(now, f, at.excluded())
 	if !ok && at.tries == 0 && e.young(now) {
 		e.keepEarly(f, x, false)
 		return
@@ -300,7 +324,7 @@
 	case peer.Silent, peer.Draining, peer.NoTarget, peer.WrongService:
 		e.agents.list[agent].report.Open = false // until its next report
 	}
-	at.tried |= bit(agent)
+	at.exclude(agent)
 	if at.tries == 0 {
 		at.tries = 1
 	}
@@ -321,6 +345,8 @@
 			delete(e.flows, f)
 		}
 	}
+	e.sweepSearches(now)
+	e.sweepAgents(now)
 }
 
 func (e *Engine) note(d Decision) {
@@ -329,5 +355,3 @@
 	}
 	e.cfg.Out.Note(d)
 }
-
-func bit(agent uint32) uint64 { return 1 << (agent % 64) }
--- /dev/null
+++ b/internal/pass/forward/ranking_test.go
@@ -0,0 +1,198 @@
+package forward
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bergamotstall/internal/pass/packet"
+	"bergamotstall/internal/pass/peer"
+	"bergamotstall/internal/pass/route"
+)
+
+// fleetZones are the data centres of a large fleet.
+var fleetZones = []string{"a", "b", "c", "d", "e"}
+
+// fleetAddress is where the nth agent of a fleet takes datagrams.
+func fleetAddress(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), 7000)
+}
+
+// fleetRig returns a balancer of a data centre before n agents of the desk that are
+// spread over the data centres.
+func fleetRig(t testing.TB, zone string, n int, rate float64) *rig {
+	r := &rig{now: time.Hour}
+	r.t, _ = t.(*testing.T)
+	r.engine = New(Config{Zone: zone, Rand: rand.New(rand.NewPCG(1, 2)), Policy: DefaultPolicy(), QuestionRate: rate, Out: r})
+	r.table(1, desk)
+	r.pass(DefaultPolicy().Youth)
+	r.fleetReports(n)
+	return r
+}
+
+func (r *rig) fleetReports(n int) {
+	for i := range n {
+		r.report(fleetAddress(i), peer.Report{
+			Process: 1, Service: uint64(route.IDOf(desk)), Zone: fleetZones[i%len(fleetZones)], Open: true, Slots: 2,
+		})
+	}
+}
+
+// answerAll has agents answer what they were asked: the holder holds, all others lack.
+func (r *rig) answerAll(holder netip.AddrPort) {
+	for len(r.asked) > 0 {
+		asked := r.asked
+		r.asked = nil
+		for _, q := range asked {
+			v := peer.Lacks
+			if q.to == holder {
+				v = peer.Holds
+			}
+			r.engine.Answered(r.now, q.to, peer.Ruling{Question: q.q, Verdict: v})
+		}
+	}
+}
+
+// Guards against searches that ask the whole fleet: flows of a balancer that died are
+// found by others, of the same data centre or another, with a few questions.
+func TestHolderIsFoundWithFewQuestions(t *testing.T) {
+	const agents, flows = 400, 200
+	for _, c := range []struct {
+		zone string
+		most int
+	}{{"a", firstRound}, {"b", preferred * len(fleetZones)}} {
+		placer, finder := fleetRig(t, "a", agents, 0), fleetRig(t, c.zone, agents, 0)
+		for port := range uint16(flows) {
+			placer.send(syn(port))
+			placer.fleetReports(agents)
+			finder.send(data(port, 77))
+			finder.answerAll(placer.delivered[port].to)
+			d := finder.last()
+			if d.Verdict != Found || d.Asked > c.most {
+				t.Errorf("from %s: flow %d: %v after %d questions", c.zone, port, d.Verdict, d.Asked)
+			}
+		}
+	}
+}
+
+// Guards against searches whose questions fill the link: beyond the budget flows wait,
+// and all are found within the time that the budget allows.
+func TestSearchesKeepToTheirBudget(t *testing.T) {
+	is := is.New(t)
+	const flows, rate = 100, 1000
+	placer, finder := fleetRig(t, "a", 200, 0), fleetRig(t, "a", 200, rate)
+	for port := range uint16(flows) {
+		placer.send(syn(port))
+		placer.fleetReports(200)
+	}
+	start, questions := finder.now, 0
+	for port := range uint16(flows) {
+		finder.send(data(port, 77))
+	}
+	for finder.engine.Searches() > 0 && finder.now < start+10*time.Second {
+		asked := finder.asked
+		finder.asked = nil
+		questions += len(asked)
+		is.True(float64(questions) <= rate*(burstShare+(finder.now-start).Seconds())+1)
+		for _, q := range asked {
+			v := peer.Lacks
+			if q.to == placer.delivered[portOf(q.q.Flow)].to {
+				v = peer.Holds
+			}
+			finder.engine.Answered(finder.now, q.to, peer.Ruling{Question: q.q, Verdict: v})
+		}
+		finder.pass(10 * time.Millisecond)
+	}
+	is.Equal(finder.engine.Searches(), 0)
+	is.True(finder.now-start <= time.Second*flows*firstRound/rate)
+	for port := range uint16(flows) {
+		is.Equal(finder.engine.flows[flowOf(port)].agent, finder.engine.agents.number(placer.delivered[port].to))
+	}
+}
+
+// Guards against a loop by which copies of a packet make as many questions as there
+// are agents, each.
+func TestCopiesAreNotSearchedAmongAllAgain(t *testing.T) {
+	is := is.New(t)
+	const agents = 200
+	r := fleetRig(t, "a", agents, 0)
+	silent := fleetAddress(0)
+	search := func() int {
+		n := 0
+		r.send(data(9, 77))
+		for end := r.now + 2*askPatience; r.now < end; r.pass(10 * time.Millisecond) {
+			asked := r.asked
+			r.asked = nil
+			n += len(asked)
+			for _, q := range asked {
+				if q.to != silent {
+					r.engine.Answered(r.now, q.to, peer.Ruling{Question: q.q, Verdict: peer.Lacks})
+				}
+			}
+			r.fleetReports(agents)
+		}
+		return n
+	}
+	is.True(search() >= agents)
+	is.Equal(r.last().Verdict, DroppedUnfound)
+	is.True(search() <= preferred*len(fleetZones)+1)
+	is.Equal(len(r.resets), 0)
+}
+
+// Guards against agents that are shut out since another one, whose number has the same
+// remainder, handed the packet back.
+func TestRefusalShutsOutItsAgentOnly(t *testing.T) {
+	is := is.New(t)
+	r := fleetRig(t, "a", 2, 0)
+	for n := 2; n <= 64; n++ {
+		r.engine.agents.number(fleetAddress(n + 500)) // known, but not of the service
+	}
+	last := fleetAddress(900)
+	r.report(last, peer.Report{Process: 1, Service: uint64(route.IDOf(desk)), Zone: "a", Open: true, Slots: 2})
+	is.Equal(r.engine.agents.number(last)%64, uint32(1))
+	f := packet.Flow{Client: client(9), Service: service}
+	agent, ok := r.engine.choose(r.now, f, []uint32{0, 1})
+	is.True(ok)
+	is.Equal(r.engine.agents.list[agent].address, last)
+}
+
+// Guards against uneven shares: the flows' preferences give each target of a data
+// centre its part.
+func TestPreferencesSpreadFlows(t *testing.T) {
+	const agents, flows = 50, 4000
+	r := fleetRig(t, "a", agents, 0)
+	got := map[netip.AddrPort]int{}
+	for port := range uint16(flows) {
+		r.send(syn(port))
+		got[r.delivered[port].to]++
+		r.fleetReports(agents)
+	}
+	even := flows / (agents / len(fleetZones))
+	for to, n := range got {
+		if n < even*2/3 || n > even*4/3 {
+			t.Errorf("%v got %d flows, an even share is %d", to, n, even)
+		}
+	}
+}
+
+// BenchmarkChoose measures the choice of an agent for a new flow in a service of a
+// sixth of the fleet's agents, and of six agents.
+func BenchmarkChoose(b *testing.B) {
+	for _, agents := range []int{10, 200, 12_000} {
+		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
+			r := fleetRig(b, "a", agents, 0)
+			r.engine.cfg.Out = silent{}
+			b.ReportAllocs()
+			for i := range b.N {
+				f := flowOf(uint16(i))
+				if _, ok := r.engine.choose(r.now, f, nil); !ok {
+					b.Fatal("no agent")
+				}
+			}
+		})
+	}
+}
--- a/internal/pass/forward/search.go
+++ b/internal/pass/forward/search.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
 	"bergamotstall/internal/pass/packet"
@@ -10,24 +9,32 @@
 )
 
 const (
-	// askAgain is when agents that haven't answered are asked once more: several
-	// round trips between data centres of one region, in case a datagram was
-	// lost.
+	// roundPatience is how long a round of questions waits for all its answers
+	// before the next one begins: several round trips between data centres of one
+	// region.
+	roundPatience = 40 * time.Millisecond
+	// askAgain is when agents that haven't answered are asked once more, in case
+	// a datagram was lost.
 	askAgain = 60 * time.Millisecond
-	// askPatience is when a search ends without the answers that lack. The
-	// caller sends its packet again after 200 ms, and a new search begins.
+	// askPatience is when a search ends without the answers that lack, counted
+	// from its last round. The caller sends its packet again after 200 ms, and a
+	// new search begins.
 	askPatience = 160 * time.Millisecond
-	// queuePatience is how long a flow waits for its turn to be asked for; its
-	// caller has sent a copy by then.
+	// queuePatience is how long a flow waits for its turn to be asked for, or for
+	// the questions that its next round costs; its caller has sent a copy by then.
 	queuePatience = time.Second
 	// probePatience is how long a packet that was sent to an agent that isn't
 	// sure may take to come back. A target hands it back within a millisecond.
 	probePatience = 40 * time.Millisecond
-	// maxAsking bounds the flows asked for at the same time. Without it, all
-	// flows of a service with fifty targets that are asked for at once, as after
-	// all lost power, fill a balancer's link with questions; the answers come
-	// late, callers send their packets again, and no flow gets through any more.
+	// maxAsking bounds the flows asked for at the same time, and with them the
+	// answers that come back at once.
 	maxAsking = 64
+	// firstRound is how many agents are asked first: the flow's preferred ones of
+	// this data centre in a large fleet, all of the route in a small one.
+	firstRound = 8
+	// wideAgain is how long a flow that was searched among all agents isn't again.
+	// Without it every copy that a caller sends of a packet asks all of them.
+	wideAgain = 3 * time.Second
 	// maxSearches bounds the flows searched at once. Past it the packet is
 	// dropped, and the caller sends it again.
 	maxSearches = 8_192
@@ -37,26 +44,30 @@
 	maxHeldPerFlow = 16
 )
 
-// search is a flow whose holder is being asked for.
+// search is a flow whose holder is being asked for, in widening rounds: the agents
+// that likely hold it, then all others.
 type search struct {
-	// cameAt is when its first packet came, begunAt when its round began.
+	// cameAt is when its first packet came, begunAt when its turn came, roundAt when
+	// its last questions were sent.
 	cameAt  time.Duration
 	begunAt time.Duration
+	roundAt time.Duration
 	again   bool
 	// ack and flags are of the newest packet; a reset must be near the ack.
 	ack   uint32
 	flags packet.Flags
 	held  [][]byte
+	// next are the agents that the present stage is still to ask.
+	next []uint32
+	// wide is set once all agents are to be asked, narrow if they won't be.
+	wide, narrow bool
 	// waiting are the agents that haven't answered, unsure those that may hold
 	// the flow without knowing.
 	waiting []uint32
 	unsure  []uint32
 	// asked are all agents that were asked, or are known to lack the flow. The
 	// table may change meanwhile, so it can't tell who was.
-	asked  []uint32
-	silent int
-	// wide is set once agents of services outside of the route are asked too.
-	wide bool
+	asked map[uint32]struct{}
 	// probe is the agent that has been sent a packet to see; noAgent if none.
 	probe   uint32
 	probeAt time.Duration
@@ -78,7 +89,7 @@
 			e.note(Decision{Flow: f, Verdict: DroppedBusy})
 			return
 		}
-		s = &search{cameAt: now, begunAt: now, probe: noAgent, mute: p.Flags.Has(packet.RST)}
+		s = &search{cameAt: now, begunAt: now, probe: noAgent, mute: p.Flags.Has(packet.RST), asked: map[uint32]struct{}{}}
 		e.searches[f] = s
 		s.ack, s.flags = p.Ack, p.Flags
 		s.lacks = lacks
@@ -91,9 +102,10 @@
 	e.hold(f, s, raw)
 }
 
-// beginQueued asks for the flows whose turn it is.
+// beginQueued asks for the flows whose turn it is, while the budget lasts.
 func (e *Engine) beginQueued(now time.Duration) {
-	for e.asking < maxAsking && len(e.queue) > 0 {
+	e.budget.refill(now)
+	for e.asking < maxAsking && len(e.queue) > 0 && e.budget.allows(firstRound) {
 		f := e.queue[0]
 		e.queue = e.queue[1:]
 		s := e.searches[f]
@@ -103,7 +115,11 @@
 		s.begun = true
 		s.begunAt = now
 		e.asking++
-		e.askAll(now, f, s, s.lacks)
+		if s.lacks != noAgent {
+			s.asked[s.lacks] = struct{}{}
+		}
+		s.next = e.likely(now, f)
+		e.advance(now, f, s)
 	}
 }
 
@@ -116,31 +132,45 @@
 	e.held++
 }
 
-// askAll asks the agents of the route's services, or in the wide round all
-// others: a flow stays where it is when its route goes over to another service.
-func (e *Engine) askAll(now time.Duration, f packet.Flow, s *search, lacks uint32) {
-	for i := range e.agents.list {
-		a := &e.agents.list[i]
-		agent := uint32(i)
-		if agent == lacks || !a.asked(now) || !s.wide && !e.onRoute(f, a) || slices.Contains(s.asked, agent) {
+// ask sends the questions of the next round, as many as the budget allows. It
+// returns false if there are none left in this stage.
+func (e *Engine) ask(now time.Duration, f packet.Flow, s *search) bool {
+	size := firstRound
+	if len(s.asked) >= firstRound {
+		size = len(s.next)
+	}
+	for ; len(s.next) > 0 && size > 0 && e.budget.allows(1); s.next = s.next[1:] {
+		agent := s.next[0]
+		if _, done := s.asked[agent]; done {
 			continue
 		}
+		size--
+		e.budget.spend(1)
+		s.asked[agent] = struct{}{}
 		s.waiting = append(s.waiting, agent)
-		s.asked = append(s.asked, agent)
-		e.cfg.Out.Ask(a.address, peer.Question{Flow: f, Ack: s.ack})
-	}
-	if len(s.waiting) == 0 {
-		e.advance(now, f, s)
+		s.roundAt = now
+		s.again = false
+		e.cfg.Out.Ask(e.agents.list[agent].address, peer.Question{Flow: f, Ack: s.ack})
 	}
+	return len(s.waiting) > 0 || len(s.next) > 0
 }
 
-func (e *Engine) onRoute(f packet.Flow, a *agent) bool {
-	for _, c := range e.table.Services(f.Service) {
-		if c.Service == a.service() {
-			return true
+// widen goes over to all agents: a flow stays where it is when its route goes over
+// to another service, and may have been placed when other agents were there.
+func (e *Engine) widen(now time.Duration, f packet.Flow, s *search) {
+	s.wide = true
+	if at, ok := e.wideAt[f]; ok && now-at < wideAgain {
+		s.narrow = true
+		return
+	}
+	if len(e.wideAt) < maxSearches {
+		e.wideAt[f] = now
+	}
+	for i := range e.agents.list {
+		if _, done := s.asked[uint32(i)]; !done && e.agents.list[i].asked(now) {
+			s.next = append(s.next, uint32(i))
 		}
 	}
-	return false
 }
 
 // Answered takes an agent's word on a flow.
@@ -187,30 +217,32 @@
 		e.deliver(agent, raw)
 	}
 	a := &e.agents.list[agent]
-	e.note(Decision{Flow: f, Verdict: Found, Agent: a.address, ReportAge: now - a.heardAt, Waited: now - s.cameAt, Asked: len(s.asked), Silent: s.silent + len(s.waiting)})
+	e.note(Decision{Flow: f, Verdict: Found, Agent: a.address, ReportAge: now - a.heardAt, Waited: now - s.cameAt, Asked: len(s.asked), Silent: len(s.waiting)})
 	e.dropSearch(f)
 }
 
-// advance takes the next step of a search once all answers of a round are in.
+// advance takes the next step of a search once all answers of a round are in, or
+// have been waited for.
 func (e *Engine) advance(now time.Duration, f packet.Flow, s *search) {
-	if len(s.waiting) > 0 || s.probe != noAgent {
+	switch {
+	case s.probe != noAgent, len(s.waiting) > 0 && now-s.roundAt < roundPatience:
 		return
-	}
-	if len(s.unsure) > 0 && len(s.held) > 0 {
+	case len(s.unsure) > 0 && len(s.held) > 0:
 		s.probe = s.unsure[0]
 		s.unsure = s.unsure[1:]
 		s.probeAt = now
 		e.deliver(s.probe, s.held[0])
 		return
+	case len(s.next) == 0 && !s.wide:
+		e.widen(now, f, s)
 	}
-	if !s.wide {
-		s.wide = true
-		s.begunAt = now
-		s.again = false
-		e.askAll(now, f, s, noAgent)
-		return
+	if !e.ask(now, f, s) {
+		if !s.wide {
+			e.advance(now, f, s)
+			return
+		}
+		e.giveUp(now, f, s)
 	}
-	e.giveUp(now, f, s)
 }
 
 // giveUp ends a search without a holder. If every agent said that it lacks the
@@ -225,9 +257,9 @@
 		e.dropSearch(f)
 		return
 	}
-	silent := s.silent + e.unheard(now)
+	silent := len(s.waiting) + e.unheard(now)
 	verdict := DroppedUnfound
-	if silent == 0 && len(s.asked) > 0 && !s.mute {
+	if silent == 0 && !s.narrow && len(s.next) == 0 && len(s.asked) > 0 && !s.mute {
 		verdict = ResetNowhere
 		e.cfg.Out.Reset(f, s.ack)
 	}
@@ -264,6 +296,7 @@
 }
 
 func (e *Engine) tickSearches(now time.Duration) {
+	e.budget.refill(now)
 	for f, s := range e.searches {
 		switch {
 		case !s.begun:
@@ -275,20 +308,39 @@
 			if now-s.probeAt > probePatience {
 				e.found(now, f, s, s.probe) // it wasn't handed back
 			}
-		case now-s.begunAt > askPatience:
-			s.silent += len(s.waiting)
-			s.waiting = nil
+		case len(s.next) == 0 && s.wide && now-s.roundAt > askPatience, now-s.begunAt > queuePatience:
+			e.giveUp(now, f, s)
+		case len(s.waiting) > 0 && now-s.roundAt > askAgain && !s.again:
+			e.askOnceMore(now, f, s)
+		default:
 			e.advance(now, f, s)
-		case now-s.begunAt > askAgain && !s.again:
-			s.again = true
-			for _, agent := range s.waiting {
-				e.cfg.Out.Ask(e.agents.list[agent].address, peer.Question{Flow: f, Ack: s.ack})
-			}
 		}
 	}
 	e.beginQueued(now)
 }
 
+// askOnceMore repeats the questions that weren't answered, and goes on.
+func (e *Engine) askOnceMore(now time.Duration, f packet.Flow, s *search) {
+	s.again = true
+	for _, agent := range s.waiting {
+		if !e.budget.allows(1) {
+			break
+		}
+		e.budget.spend(1)
+		e.cfg.Out.Ask(e.agents.list[agent].address, peer.Question{Flow: f, Ack: s.ack})
+	}
+	e.advance(now, f, s)
+}
+
+// sweepSearches forgets which flows were searched among all agents long ago.
+func (e *Engine) sweepSearches(now time.Duration) {
+	for f, at := range e.wideAt {
+		if now-at >= wideAgain {
+			delete(e.wideAt, f)
+		}
+	}
+}
+
 // remove takes an agent out of a list; false if it isn't there.
 func remove(list *[]uint32, agent uint32) bool {
 	for i, x := range *list {
--- a/internal/pass/peer/peer.go
+++ b/internal/pass/peer/peer.go
@@ -161,6 +161,10 @@
 	rulingSize   = questionSize + 1
 )
 
+// QuestionCost is the bytes that a question takes in a datagram of its own, with the
+// headers of UDP and IP.
+const QuestionCost = 1 + questionSize + 28
+
 // AppendAsk writes a batch of questions.
 func AppendAsk(to []byte, qs []Question) []byte {
 	to = append(to, byte(KindAsk))
