--- a/internal/pass/agent/agent.go
+++ b/internal/pass/agent/agent.go
@@ -31,11 +31,8 @@
 const (
 	// tickInterval is how often unanswered first packets are looked at.
 	tickInterval = 20 * time.Millisecond
-	// reportInterval is the time between two reports. Placement by older ones is
-	// less even; each report costs a datagram to every balancer.
-	reportInterval = 100 * time.Millisecond
-	// heardFor is how long a balancer that isn't listed gets reports after a
-	// datagram of its own: control may be away when a balancer starts.
+	// heardFor is how long after a datagram of its own a balancer is told of changes
+	// of the target without asking.
 	heardFor = 5 * time.Second
 	// probeInterval paces tries whether the target's process is there; each takes
 	// probeTimeout at most, on the same VM.
@@ -83,11 +80,8 @@
 	engine  *flowtable.Engine
 	answers datagram.Batches[peer.Ruling]
 	buf     []byte
-	// listed are the balancers that control tells of, heard when others last
-	// sent something.
-	listed   []netip.AddrPort
+	// heard is when each balancer last sent something.
 	heard    map[netip.AddrPort]time.Duration
-	reportAt time.Duration
 	verdicts []*expvar.Int
 
 	answeredAfter, admittedAfter *metrics.Histogram
@@ -112,8 +106,8 @@
 		Heartbeat: cfg.Heartbeat, StartedAt: a.now(), StartedWall: a.started, Policy: flowtable.DefaultPolicy(), Codec: cfg.Codec, Out: a,
 	})
 	a.client = roster.NewClient(roster.ClientConfig{
-		Node:  roster.Node{Role: roster.Agent, Address: cfg.Nodes.String(), Zone: cfg.Zone, Process: process},
-		Seeds: cfg.Seeds, Port: cfg.ControlPort, Table: a.setTable, Nodes: a.setNodes, Recalled: a.recalled, Log: cfg.Log, Metrics: cfg.Metrics,
+		Node:  roster.Node{Role: roster.Agent, Address: cfg.Nodes.String(), Zone: cfg.Zone, Service: uint64(route.IDOf(cfg.Service)), Process: process},
+		Seeds: cfg.Seeds, Port: cfg.ControlPort, Table: a.setTable, Recalled: a.recalled, Log: cfg.Log, Metrics: cfg.Metrics,
 	})
 	for v := flowtable.Verdict(0); v.String() != "unknown"; v++ {
 		a.verdicts = append(a.verdicts, cfg.Metrics.Counter("pass_"+v.String()))
@@ -138,7 +132,11 @@
 	a.mu.Lock()
 	a.engine.Stop(a.now())
 	a.report()
+	retires := a.engine.Empty(a.now())
 	a.mu.Unlock()
+	if retires {
+		a.client.Retire()
+	}
 	time.Sleep(farewell)
 	stop()
 	_ = a.outbound.Close()
@@ -201,6 +199,9 @@
 		err := peer.ReadAsk(raw, func(q peer.Question) { a.engine.Ask(now, from, q) })
 		a.answers.Flush(a.sendAnswer)
 		return err
+	case peer.KindProbe:
+		a.reportTo(from)
+		return nil
 	}
 	return errors.Errorf("agent: datagram kind %d", peer.KindOf(raw))
 }
@@ -212,26 +213,6 @@
 	a.engine.SetTable(t)
 }
 
-// setNodes takes the list of nodes, and tells new balancers of the target.
-func (a *Agent) setNodes(nodes []roster.Node) {
-	var balancers []netip.AddrPort
-	for _, n := range nodes {
-		if n.Role != roster.Balancer {
-			continue
-		}
-		address, err := netip.ParseAddrPort(n.Address)
-		if err != nil {
-			a.cfg.Log.WithError(err).Warn("agent: a node's address can't be read")
-			continue
-		}
-		balancers = append(balancers, address)
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.listed = balancers
-	a.report()
-}
-
 func (a *Agent) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -241,11 +222,7 @@
 			return
 		case <-ticker.C:
 			a.mu.Lock()
-			now := a.now()
-			a.engine.Tick(now)
-			if now >= a.reportAt {
-				a.report()
-			}
+			a.engine.Tick(a.now())
 			a.mu.Unlock()
 		}
 	}
--- a/internal/pass/agent/output.go
+++ b/internal/pass/agent/output.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -52,27 +51,38 @@
 // Report implements flowtable.Output.
 func (a *Agent) Report() { a.report() }
 
-// report tells all balancers of the target; the lock is held.
+// report tells the balancers that sent something lately of the target; the lock is
+// held. Others ask before they send it a flow.
 func (a *Agent) report() {
-	now := a.now()
-	a.reportAt = now + reportInterval
-	r := a.engine.Report(now)
-	body, err := r.MarshalMsg([]byte{byte(peer.KindReport)})
-	if err != nil {
-		a.cfg.Log.WithError(err).Error("agent: encode report")
+	body, ok := a.encodeReport()
+	if !ok {
 		return
 	}
-	for _, to := range a.listed {
-		a.nodes.Send(body, to)
-	}
+	now := a.now()
 	for to, at := range a.heard {
-		switch {
-		case now-at > heardFor:
+		if now-at > heardFor {
 			delete(a.heard, to)
-		case !slices.Contains(a.listed, to):
-			a.nodes.Send(body, to)
+			continue
 		}
+		a.nodes.Send(body, to)
+	}
+}
+
+// reportTo tells one balancer of the target; the lock is held.
+func (a *Agent) reportTo(to netip.AddrPort) {
+	if body, ok := a.encodeReport(); ok {
+		a.nodes.Send(body, to)
+	}
+}
+
+func (a *Agent) encodeReport() (body []byte, ok bool) {
+	r := a.engine.Report(a.now())
+	body, err := r.MarshalMsg([]byte{byte(peer.KindReport)})
+	if err != nil {
+		a.cfg.Log.WithError(err).Error("agent: encode report")
+		return nil, false
 	}
+	return body, true
 }
 
 // Note implements flowtable.Output.
--- a/internal/pass/balancer/balancer.go
+++ b/internal/pass/balancer/balancer.go
@@ -27,8 +27,8 @@
 const (
 	// tickInterval is how often unanswered questions are looked at.
 	tickInterval = 20 * time.Millisecond
-	// readyAfter is how long a balancer waits after its first table, so that the
-	// agents have heard of it and reported: ten times a second each.
+	// readyAfter is how long a balancer waits after its first table, so that control
+	// has told it of all agents: those that restart with it attach one after the other.
 	readyAfter = 150 * time.Millisecond
 	// Linger is how long a stopping balancer goes on carrying packets after its
 	// readiness says no. Fabrics look twice a second and want two misses.
@@ -133,15 +133,15 @@
 
 // Ready tells whether the fabric should send packets here: not before a control
 // VM in touch with a quorum has told which table is in force, and every agent
-// has had time to report; and not while it hears no agent.
+// has had time to be listed; and not while it hears no agent.
 func (b *Balancer) Ready() bool {
 	tabled := time.Duration(b.tabledAt.Load())
-	isolated, heard := b.reach()
+	isolated, agents := b.reach()
 	ready := !b.stopping.Load() && tabled > 0 && b.now()-tabled > readyAfter && !isolated
 	if b.wasReady.Swap(ready) != ready {
 		events.Log(b.cfg.Log, events.ReadinessChanged, logrus.Fields{
 			"ready": ready, "stopping": b.stopping.Load(), "version": uint64(b.client.Version()), "controls": b.client.Heard(),
-			"isolated": isolated, "agents": heard,
+			"isolated": isolated, "agents": agents,
 		})
 	}
 	return ready
@@ -154,18 +154,24 @@
 	b.tabledAt.CompareAndSwap(0, int64(b.now()))
 }
 
-// reach tells whether the balancer hears none of the agents, and how many it does.
-func (b *Balancer) reach() (isolated bool, heard int) {
+// reach tells whether the balancer hears none of the agents, and how many it knows.
+func (b *Balancer) reach() (isolated bool, agents int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.engine.Isolated(b.now()), b.engine.Heard(b.now())
+	return b.engine.Isolated(b.now()), b.engine.Known()
 }
 
-// setAgents tells the engine how many agents there are.
-func (b *Balancer) setAgents(n int) {
+// setAgents tells the engine which agents there are.
+func (b *Balancer) setAgents(c roster.Changes) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.engine.SetAgents(n)
+	now := b.now()
+	for _, n := range c.Present {
+		b.engine.List(now, forward.Listed{Address: n.Address, Zone: n.Zone, Service: route.ServiceID(n.Service), Process: n.Process})
+	}
+	for _, at := range c.Gone {
+		b.engine.Delist(now, at)
+	}
 }
 
 func (b *Balancer) readFabric(ctx context.Context) {
--- a/internal/pass/balancer/output.go
+++ b/internal/pass/balancer/output.go
@@ -65,6 +65,12 @@
 	})
 }
 
+// Probe implements forward.Output.
+func (b *Balancer) Probe(to netip.AddrPort) {
+	b.buf = append(b.buf[:0], byte(peer.KindProbe))
+	b.nodes.Send(b.buf, to)
+}
+
 func (b *Balancer) sendAsk(to netip.AddrPort, qs []peer.Question) {
 	b.buf = peer.AppendAsk(b.buf[:0], qs)
 	b.nodes.Send(b.buf, to)
--- a/internal/pass/flowtable/report.go
+++ b/internal/pass/flowtable/report.go
@@ -6,6 +6,9 @@
 	"bergamotstall/internal/pass/peer"
 )
 
+// Empty tells whether no target is there that could hold flows.
+func (e *Engine) Empty(now time.Duration) bool { return e.empty(now) }
+
 // empty tells whether no target is there that could hold flows.
 func (e *Engine) empty(now time.Duration) bool {
 	return !e.target.known && (e.target.absent || now-max(e.target.leftAt, e.startedAt) >= e.unannounced())
--- a/internal/pass/forward/agents.go
+++ b/internal/pass/forward/agents.go
@@ -2,23 +2,39 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
-	"bergamotstall/internal/pass/packet"
 	"bergamotstall/internal/pass/peer"
-	"bergamotstall/internal/pass/place"
 	"bergamotstall/internal/pass/route"
 )
 
 // noAgent is the number of no agent.
 const noAgent = ^uint32(0)
 
-// agent is what a balancer knows of one agent, all by the agent's own reports.
+// Listed is an agent that control tells of.
+type Listed struct {
+	Address netip.AddrPort
+	Zone    string
+	// Service is the one that the agent's VM belongs to, 0 if any.
+	Service route.ServiceID
+	// Process is random for each start of the agent.
+	Process uint64
+}
+
+// agent is what a balancer knows of one agent: that it exists, by control's list,
+// and how its target fares, by the agent's own reports.
 type agent struct {
 	address netip.AddrPort
-	report  peer.Report
-	heardAt time.Duration
+	// listed says that control lists the agent; goneAt is since when not.
+	listed bool
+	entry  Listed
+	goneAt time.Duration
+	report peer.Report
+	// heardAt is the time of the report, aliveAt of the last datagram, probedAt of
+	// the last probe sent.
+	heardAt  time.Duration
+	aliveAt  time.Duration
+	probedAt time.Duration
 	// sent counts the flows sent since the last report.
 	sent       uint32
 	avoidUntil time.Duration
@@ -28,13 +44,44 @@
 	group *group
 }
 
-func (a *agent) service() route.ServiceID { return route.ServiceID(a.report.Service) }
+// service is the target's by the last report, or else by control's list.
+func (a *agent) service() route.ServiceID {
+	if a.report.Service != 0 {
+		return route.ServiceID(a.report.Service)
+	}
+	return a.entry.Service
+}
+
+func (a *agent) zone() string {
+	if a.heardAt > 0 {
+		return a.report.Zone
+	}
+	return a.entry.Zone
+}
 
 // asked tells whether the agent may hold flows. One that stops may: its target
 // lives, unless it says that there is none, and its next process goes on with the
 // flows.
 func (a *agent) asked(now time.Duration) bool {
-	return a.heardAt > 0 && !a.report.Empty && now-a.heardAt < agentForgotten
+	if a.report.Empty && (a.report.Leaving || a.fresh(now)) {
+		return false
+	}
+	return a.listed || max(a.heardAt, a.goneAt) > 0 && now-max(a.heardAt, a.goneAt) < agentForgotten
+}
+
+// fresh tells whether the last report is as good as one asked for now.
+func (a *agent) fresh(now time.Duration) bool {
+	return a.heardAt > 0 && now-a.heardAt < loadFresh
+}
+
+// unanswered tells whether the last probe should have been answered by now.
+func (a *agent) unanswered(now time.Duration) bool {
+	return a.probedAt > a.aliveAt && now-a.probedAt >= loadPatience
+}
+
+// silent tells whether the agent left a probe unanswered a moment ago.
+func (a *agent) silent(now time.Duration) bool {
+	return a.unanswered(now) && now-a.probedAt < silentFor
 }
 
 // agents numbers addresses, so that an entry of the flow table is small. An
@@ -43,6 +90,14 @@
 	list      []agent
 	byAddress map[netip.AddrPort]uint32
 	index     index
+	// addedAt is when an agent was last added to the index, aliveAt when any was
+	// last heard, listed how many control lists.
+	addedAt time.Duration
+	aliveAt time.Duration
+	listed  int
+	// watched is the agent that was probed last to see whether any can be reached.
+	watched int
+	watchAt time.Duration
 }
 
 func newAgents() agents {
@@ -60,12 +115,15 @@
 }
 
 // regroup puts an agent where its service and data centre say.
-func (a *agents) regroup(number uint32) {
+func (a *agents) regroup(now time.Duration, number uint32) {
 	x := &a.list[number]
-	key := groupKey{x.service(), x.report.Zone}
+	key := groupKey{x.service(), x.zone()}
 	if x.group != nil && x.group.service == key.service && x.group.zone == key.zone {
 		return
 	}
+	if x.group == nil {
+		a.addedAt = now
+	}
 	a.forget(number)
 	x.group = a.index.add(key, number)
 }
@@ -80,10 +138,47 @@
 	x.group = nil
 }
 
+// alive takes note that an agent has sent something.
+func (a *agents) alive(now time.Duration, from netip.AddrPort) uint32 {
+	number := a.number(from)
+	a.list[number].aliveAt = now
+	a.aliveAt = now
+	return number
+}
+
+// List takes control's word that an agent exists.
+func (e *Engine) List(now time.Duration, x Listed) {
+	number := e.agents.number(x.Address)
+	a := &e.agents.list[number]
+	if !a.listed {
+		e.agents.listed++
+	}
+	if a.report.Process != x.Process {
+		// Another process, maybe beside another service's target.
+		a.report = peer.Report{}
+		a.heardAt = 0
+	}
+	a.listed = true
+	a.entry = x
+	e.agents.regroup(now, number)
+}
+
+// Delist takes control's word that an agent is gone. It is asked for flows some time
+// longer, since it may be cut off from control only.
+func (e *Engine) Delist(now time.Duration, at netip.AddrPort) {
+	a := &e.agents.list[e.agents.number(at)]
+	if !a.listed {
+		return
+	}
+	a.listed = false
+	a.goneAt = now
+	e.agents.listed--
+}
+
 // Reported takes an agent's report. Those of one process that come late are
 // ignored; a new process of the same address starts anew.
 func (e *Engine) Reported(now time.Duration, from netip.AddrPort, r peer.Report) {
-	number := e.agents.number(from)
+	number := e.agents.alive(now, from)
 	a := &e.agents.list[number]
 	if a.report.Process == r.Process && a.report.Number >= r.Number {
 		return
@@ -91,26 +186,24 @@
 	a.report = r
 	a.heardAt = now
 	a.sent = 0
-	e.agents.regroup(number)
+	e.agents.regroup(now, number)
+	e.resumeAfter(now, number)
 }
 
-// sweepAgents takes agents out of the index that were silent for so long that they
-// are no longer asked.
+// sweepAgents takes agents out of the index that are no longer asked.
 func (e *Engine) sweepAgents(now time.Duration) {
 	for i := range e.agents.list {
-		if now-e.agents.list[i].heardAt >= agentForgotten {
+		if !e.agents.list[i].asked(now) {
 			e.agents.forget(uint32(i))
 		}
 	}
 }
 
-// Heard counts the agents with a fresh report.
-func (e *Engine) Heard(now time.Duration) int {
+// Known counts the agents that flows are placed at or asked for.
+func (e *Engine) Known() int {
 	n := 0
-	for i := range e.agents.list {
-		if a := &e.agents.list[i]; a.heardAt > 0 && now-a.heardAt < reportStale {
-			n++
-		}
+	for _, g := range e.agents.index.groups {
+		n += len(g.members)
 	}
 	return n
 }
@@ -118,112 +211,32 @@
 // Isolated tells whether the balancer hears none of the agents that there are, as
 // when it is cut off from them. It can place nothing then, and the fabric does
 // better without it.
-func (e *Engine) Isolated(now time.Duration) bool { return e.listed > 0 && e.Heard(now) == 0 }
-
-// candidates are the agents of a service that take new flows, and their targets.
-type candidates struct {
-	numbers [maxCandidates]uint32
-	targets [maxCandidates]place.Target
-	n       int
+func (e *Engine) Isolated(now time.Duration) bool {
+	return e.agents.listed > 0 && (e.agents.aliveAt == 0 || now-e.agents.aliveAt > isolatedAfter)
 }
 
-func (c *candidates) add(number uint32, t place.Target) {
-	if c.n == maxCandidates {
+// watch probes one agent after the other, so that a balancer without new flows knows
+// whether it can be reached.
+func (e *Engine) watch(now time.Duration) {
+	if now < e.agents.watchAt || len(e.agents.list) == 0 {
 		return
 	}
-	c.numbers[c.n] = number
-	c.targets[c.n] = t
-	c.n++
-}
-
-// list is what there is to choose from.
-func (c *candidates) list() []place.Target { return c.targets[:c.n] }
-
-// choose picks an agent for a new flow: of the service that the weights say, or of
-// another one of the route where that one has no target, or none with a free slot.
-func (e *Engine) choose(now time.Duration, f packet.Flow, tried []uint32) (uint32, bool) {
-	service, _ := e.table.Pick(f)
-	var own candidates
-	e.gather(now, f, service, tried, &own)
-	if e.cfg.Policy.Place.Overflow(own.list()) {
-		if agent, ok := e.overflow(now, f, service, tried, own.n == 0); ok {
-			return agent, true
-		}
-	}
-	return e.pick(&own)
-}
-
-// overflow picks an agent of the route's other services: an idle one, or any where
-// the own service has none.
-func (e *Engine) overflow(now time.Duration, f packet.Flow, own route.ServiceID, tried []uint32, anyLoad bool) (uint32, bool) {
-	var other candidates
-	for _, c := range e.table.Services(f.Service) {
-		if c.Service != own {
-			e.gather(now, f, c.Service, tried, &other)
-		}
-	}
-	if !anyLoad {
-		other.keepIdle(&e.cfg.Policy.Place)
-	}
-	return e.pick(&other)
-}
-
-// keepIdle leaves the targets that have room for another service's flows.
-func (c *candidates) keepIdle(p *place.Policy) {
-	n := c.n
-	c.n = 0
-	for i := range n {
-		if p.HasRoom(&c.targets[i]) {
-			c.add(c.numbers[i], c.targets[i])
-		}
-	}
-}
-
-func (e *Engine) pick(c *candidates) (uint32, bool) {
-	at, ok := e.cfg.Policy.Place.Pick(e.cfg.Rand, c.list())
-	if !ok {
-		return 0, false
-	}
-	return c.numbers[at], true
-}
-
-// gather adds the agents of a service that the flow prefers among those that take
-// new flows, in this data centre and in all others.
-func (e *Engine) gather(now time.Duration, f packet.Flow, service route.ServiceID, tried []uint32, to *candidates) {
-	hash := route.Hash(f)
-	near, far := best{flow: hash}, best{flow: hash}
-	for _, g := range e.agents.index.byService[service] {
-		from := &far
-		if g.zone == e.cfg.Zone {
-			from = &near
+	e.agents.watchAt = now + watchInterval
+	for range e.agents.list {
+		e.agents.watched = (e.agents.watched + 1) % len(e.agents.list)
+		if e.agents.list[e.agents.watched].asked(now) {
+			e.probe(now, uint32(e.agents.watched))
+			return
 		}
-		for _, number := range g.members {
-			if a := &e.agents.list[number]; e.takes(now, a) && !slices.Contains(tried, number) {
-				from.offer(number, a.hash)
-			}
-		}
-	}
-	for _, number := range near.list() {
-		to.add(number, e.targetOf(number, true))
-	}
-	for _, number := range far.list() {
-		to.add(number, e.targetOf(number, false))
 	}
 }
 
-func (e *Engine) targetOf(number uint32, near bool) place.Target {
+// probe asks an agent for a report, unless an answer is under way.
+func (e *Engine) probe(now time.Duration, number uint32) {
 	a := &e.agents.list[number]
-	return place.Target{
-		Near: near, Slots: a.report.Slots, Running: float64(a.report.Running), Mean: float64(a.report.Load) / 100,
-		Flows: a.report.Flows, Sent: a.sent, Cold: a.report.ColdMS > 0, Unsteady: a.report.Unsteady,
+	if a.probedAt > a.aliveAt && now-a.probedAt < loadPatience {
+		return
 	}
-}
-
-// maxCandidates bounds the targets looked at for one new flow: those that it prefers
-// near and far, of up to eight services.
-const maxCandidates = 2 * preferred * 8
-
-// takes tells whether an agent may be sent a new flow.
-func (e *Engine) takes(now time.Duration, a *agent) bool {
-	return a.report.Open && !a.report.Leaving && now-a.heardAt < reportStale && now >= a.avoidUntil
+	a.probedAt = now
+	e.cfg.Out.Probe(a.address)
 }
--- a/internal/pass/forward/decision.go
+++ b/internal/pass/forward/decision.go
@@ -15,6 +15,8 @@
 	Deliver(to netip.AddrPort, service route.ServiceID, age time.Duration, raw []byte)
 	// Ask sends a question to an agent; questions may be batched.
 	Ask(to netip.AddrPort, q peer.Question)
+	// Probe asks an agent for a report.
+	Probe(to netip.AddrPort)
 	// Reset tells the client that the flow is over.
 	Reset(f packet.Flow, seq uint32)
 	// Note tells of a decision, for the log.
--- a/internal/pass/forward/early.go
+++ b/internal/pass/forward/early.go
@@ -77,10 +77,10 @@
 
 // able tells whether a packet that waits can be handled: it takes an agent to ask
 // or to send it to, and after a search in vain all of them, or an agent that is
-// late with its first report would be taken for none.
+// listed late would be taken for none.
 func (e *Engine) able(now time.Duration, x earlyPacket) bool {
 	if e.table == nil {
 		return false
 	}
-	return !e.young(now) || !x.searched && e.Heard(now) > 0
+	return !e.young(now) || !x.searched && e.Known() > 0
 }
--- a/internal/pass/forward/forward.go
+++ b/internal/pass/forward/forward.go
@@ -26,11 +26,8 @@
 )
 
 const (
-	// reportStale is the age of a report after which its agent gets no new
-	// flows: several reports are overdue, and single datagrams get lost.
-	reportStale = 600 * time.Millisecond
-	// agentForgotten is the silence after which an agent is no longer asked.
-	// A frozen VM that wakes up within it still finds its flows.
+	// agentForgotten is how long an agent that control no longer lists is asked.
+	// A VM that was cut off from control, or frozen, still finds its flows.
 	agentForgotten = 12 * time.Second
 	// flowKept is how long a flow without a packet keeps its place in the
 	// table. Forgetting early costs a question to the agents, not the flow.
@@ -62,8 +59,8 @@
 // Policy holds the thresholds that what callers get depends on most.
 type Policy struct {
 	Place place.Policy
-	// Youth is how long after the first table the agents may take to report. They
-	// learn of the balancer with their own first table, and report at once.
+	// Youth is how long after the first table control may take to list all agents:
+	// those that restart with it attach to it one after the other.
 	Youth time.Duration
 	// DropEarly drops the packets that come before the table.
 	DropEarly bool
@@ -121,8 +118,8 @@
 	// wideAt is when each flow was last searched among all agents.
 	wideAt  map[packet.Flow]time.Duration
 	sweepAt time.Duration
-	// listed is how many agents control tells of.
-	listed int
+	// placements are the first packets that wait for their candidates' loads.
+	placements placements
 	// tabledAt is when the first table came; early are the packets that came
 	// before the engine could place them.
 	tabledAt time.Duration
@@ -133,7 +130,7 @@
 func New(cfg Config) *Engine {
 	return &Engine{
 		cfg: cfg, budget: budget{rate: cfg.QuestionRate}, flows: map[packet.Flow]holder{}, searches: map[packet.Flow]*search{}, early: map[packet.Flow]earlyPacket{},
-		agents: newAgents(), wideAt: map[packet.Flow]time.Duration{},
+		agents: newAgents(), placements: newPlacements(), wideAt: map[packet.Flow]time.Duration{},
 	}
 }
 
@@ -145,9 +142,6 @@
 	e.table = t
 }
 
-// SetAgents says how many agents control tells of.
-func (e *Engine) SetAgents(n int) { e.listed = n }
-
 // Flows returns how many flows have a known place.
 func (e *Engine) Flows() int { return len(e.flows) }
 
@@ -220,49 +214,17 @@
 // its agent is alive: two targets that both answer cost each other a flow's
 // worth of state.
 func (e *Engine) open(now time.Duration, a arrival, f packet.Flow, at holder, known bool) {
-	if known && now-e.agents.list[at.agent].heardAt < reportStale {
-		at.seenAt = now
-		e.flows[f] = at
-		e.deliverAged(at.agent, now-a.at, a.raw)
-		return
-	}
-	if known {
+	switch {
+	case e.placements.byFlow[f] != nil:
+		// The first packet waits for its place.
+	case !known:
+		e.place(now, a, f, holder{}, 0)
+	case e.agents.list[at.agent].silent(now):
 		at.exclude(at.agent)
 		e.place(now, a, f, at, peer.Silent)
-		return
-	}
-	e.place(now, a, f, holder{}, 0)
-}
-
-// place offers a first packet to a target that hasn't handed it back.
-func (e *Engine) place(now time.Duration, x arrival, f packet.Flow, at holder, why peer.Reason) {
-	agent, ok := e.choose(now, f, at.excluded())
-	if !ok && at.tries == 0 && e.young(now) {
-		e.keepEarly(f, x, false)
-		return
-	}
-	if !ok || at.tries >= maxTries {
-		e.refuseCaller(f, at, why)
-		return
-	}
-	verdict := Placed
-	if at.tries > 0 {
-		verdict = Moved
-	}
-	at.tries++
-	at.agent = agent
-	at.seenAt = now
-	if len(e.flows) < maxFlows {
-		e.flows[f] = at
+	default:
+		e.followFirst(now, a, f, at)
 	}
-	a := &e.agents.list[agent]
-	a.sent++
-	e.deliverAged(agent, now-x.at, x.raw)
-	picked, _ := e.table.Pick(f)
-	e.note(Decision{
-		Flow: f, Verdict: verdict, Agent: a.address, Reason: why, ReportAge: now - a.heardAt, Waited: now - x.at,
-		Overflow: a.service() != picked,
-	})
 }
 
 // refuseCaller tells a caller that nobody takes its flow; nothing ran.
@@ -285,7 +247,7 @@
 // long the packet has been under way.
 func (e *Engine) Refused(now time.Duration, from netip.AddrPort, h peer.Head, p packet.Packet, raw []byte) {
 	f := p.FromClient()
-	agent := e.agents.number(from)
+	agent := e.agents.alive(now, from)
 	if e.table == nil || len(e.table.Services(f.Service)) == 0 {
 		return // the client's next packet meets the new table
 	}
@@ -334,6 +296,8 @@
 // Tick lets time pass: unanswered questions are asked again or given up, and
 // flows that are long over forgotten.
 func (e *Engine) Tick(now time.Duration) {
+	e.watch(now)
+	e.tickPlacements(now)
 	e.tickSearches(now)
 	e.replayEarly(now)
 	if now < e.sweepAt {
--- a/internal/pass/forward/placing_test.go
+++ b/internal/pass/forward/placing_test.go
@@ -64,18 +64,84 @@
 	is.Equal(r.delivered[2].to, r.delivered[0].to)
 }
 
-// The agent of a first packet fell silent, frozen with its VM. The copy, 600 ms
-// later, goes to another one, and the caller is served.
+// Guards against a caller whose copies follow its first packet to a dead agent: the
+// agent is probed, and the copy goes elsewhere well before the caller sends another.
 func TestCopyLeavesASilentAgent(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
 	a := r.agentAt(1, desk)
 	r.send(syn(9))
 	is.Equal(r.delivered[0].to, a)
-	r.pass(reportStale + 10*time.Millisecond)
+	for range 20 { // the agent lives until shortly before the copy
+		r.agentAt(1, desk)
+		r.pass(10 * time.Millisecond)
+	}
+	r.now += loadFresh
 	b := r.agentAt(2, desk)
+	r.probed = nil
+	r.send(syn(9))
+	is.Equal(r.probed, []netip.AddrPort{a})
+	for r.delivered[len(r.delivered)-1].to != b && r.now < 2*time.Hour {
+		r.agentAt(2, desk)
+		r.pass(10 * time.Millisecond)
+	}
+	is.True(len(r.delivered) == 3)
+	is.Equal(r.last().Reason, peer.Silent)
+	is.True(r.last().Waited <= loadPatience+10*time.Millisecond)
+}
+
+// Guards against flows that wait for dead agents, or are refused: of three that are
+// probed two answer, and the flow is placed at once.
+func TestFirstPacketDoesNotWaitForADeadAgent(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	for n := byte(1); n <= 4; n++ {
+		r.list(n, desk)
+	}
 	r.send(syn(9))
-	is.Equal(r.delivered[1].to, b)
+	is.Equal(len(r.delivered), 0)
+	is.Equal(len(r.probed), enough+1)
+	for _, at := range r.probed[1:] {
+		r.report(at, peer.Report{Process: uint64(at.Addr().As4()[3]), Service: uint64(route.IDOf(desk)), Zone: zone, Open: true, Slots: 4})
+	}
+	is.Equal(len(r.delivered), 1)
+	is.Equal(r.last().Waited, time.Duration(0))
+}
+
+// Guards against callers refused since answers come late: when links or processors are
+// overloaded the flow goes where it would have gone by an earlier report.
+func TestLateReportsDoNotRefuseCallers(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	a := r.agentAt(1, desk)
+	r.pass(time.Second)
+	r.send(syn(9))
+	r.pass(placePatience + 20*time.Millisecond)
+	is.Equal(len(r.resets), 0)
+	is.Equal(r.delivered[0].to, a)
+}
+
+// Guards against probes that grow with the number of agents: each new flow costs a few,
+// and a report serves the flows that come soon after.
+func TestProbesGrowWithFlowsOnly(t *testing.T) {
+	for _, agents := range []int{10, 200, 2000} {
+		r := fleetRig(t, "a", 0, 0)
+		for n := range agents {
+			r.engine.List(r.now, Listed{Address: fleetAddress(n), Zone: fleetZones[n%len(fleetZones)], Service: route.IDOf(desk)})
+		}
+		const flows = 1000
+		for port := range uint16(flows) {
+			r.send(syn(port))
+			r.answerProbes()
+			r.now += time.Millisecond
+		}
+		if n := len(r.delivered); n != flows {
+			t.Errorf("%d agents: %d of %d flows placed", agents, n, flows)
+		}
+		if n := r.probes; n > (enough+1)*flows {
+			t.Errorf("%d agents: %d probes for %d flows", agents, n, flows)
+		}
+	}
 }
 
 // A route is dropped: new flows to it are refused and its open ones end. Flows
@@ -217,6 +283,7 @@
 
 func (silent) Deliver(netip.AddrPort, route.ServiceID, time.Duration, []byte) {}
 func (silent) Ask(netip.AddrPort, peer.Question)                              {}
+func (silent) Probe(netip.AddrPort)                                           {}
 func (silent) Reset(packet.Flow, uint32)                                      {}
 func (silent) Note(Decision)                                                  {}
 
@@ -343,16 +410,18 @@
 	is.True(!r.last().Overflow)
 }
 
-// A balancer is cut off from all agents: its reports grow old, and it says so, that
+// A balancer is cut off from all agents: no probe is answered, and it says so, that
 // the fabric may leave it out. Where control tells of no agents, none is missing.
 func TestIsolatedBalancer(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
 	is.True(!r.engine.Isolated(r.now)) // no agent is listed
-	r.engine.SetAgents(1)
+	r.list(1, desk)
 	is.True(r.engine.Isolated(r.now))
+	r.pass(watchInterval)
+	is.True(len(r.probed) > 0) // without a flow to place
 	r.agentAt(1, desk)
 	is.True(!r.engine.Isolated(r.now))
-	r.pass(reportStale + 10*time.Millisecond)
+	r.pass(isolatedAfter + 10*time.Millisecond)
 	is.True(r.engine.Isolated(r.now))
 }
--- a/internal/pass/forward/ranking_test.go
+++ b/internal/pass/forward/ranking_test.go
@@ -42,6 +42,20 @@
 	}
 }
 
+// answerProbes has all agents that were probed report that they are idle.
+func (r *rig) answerProbes() {
+	for len(r.probed) > 0 {
+		probed := r.probed
+		r.probed = nil
+		r.probes += len(probed)
+		for _, at := range probed {
+			ip := at.Addr().As4()
+			z := fleetZones[(int(ip[2])<<8|int(ip[3]))%len(fleetZones)]
+			r.report(at, peer.Report{Service: uint64(route.IDOf(desk)), Zone: z, Open: true, Slots: 2})
+		}
+	}
+}
+
 // answerAll has agents answer what they were asked: the holder holds, all others lack.
 func (r *rig) answerAll(holder netip.AddrPort) {
 	for len(r.asked) > 0 {
@@ -155,9 +169,8 @@
 	r.report(last, peer.Report{Process: 1, Service: uint64(route.IDOf(desk)), Zone: "a", Open: true, Slots: 2})
 	is.Equal(r.engine.agents.number(last)%64, uint32(1))
 	f := packet.Flow{Client: client(9), Service: service}
-	agent, ok := r.engine.choose(r.now, f, []uint32{0, 1})
-	is.True(ok)
-	is.Equal(r.engine.agents.list[agent].address, last)
+	c := chooser{e: r.engine, now: r.now, flow: f, excluded: []uint32{0, 1}}
+	is.Equal(r.engine.agents.list[c.choose().agent].address, last)
 }
 
 // Guards against uneven shares: the flows' preferences give each target of a data
@@ -189,7 +202,8 @@
 			b.ReportAllocs()
 			for i := range b.N {
 				f := flowOf(uint16(i))
-				if _, ok := r.engine.choose(r.now, f, nil); !ok {
+				c := chooser{e: r.engine, now: r.now, flow: f}
+				if c.choose().agent == noAgent {
 					b.Fatal("no agent")
 				}
 			}
--- a/internal/pass/forward/rig_test.go
+++ b/internal/pass/forward/rig_test.go
@@ -21,6 +21,8 @@
 
 	delivered []delivery
 	asked     []question
+	probed    []netip.AddrPort
+	probes    int
 	resets    []reset
 	notes     []Decision
 }
@@ -45,6 +47,7 @@
 	r.delivered = append(r.delivered, delivery{to, age, append([]byte(nil), raw...)})
 }
 func (r *rig) Ask(to netip.AddrPort, q peer.Question) { r.asked = append(r.asked, question{to, q}) }
+func (r *rig) Probe(to netip.AddrPort)                { r.probed = append(r.probed, to) }
 func (r *rig) Reset(f packet.Flow, seq uint32)        { r.resets = append(r.resets, reset{f, seq}) }
 func (r *rig) Note(d Decision)                        { r.notes = append(r.notes, d) }
 
@@ -99,6 +102,13 @@
 	return at
 }
 
+// list has control tell of an agent.
+func (r *rig) list(n byte, service string) netip.AddrPort {
+	at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 7000)
+	r.engine.List(r.now, Listed{Address: at, Zone: zone, Service: route.IDOf(service), Process: uint64(n)})
+	return at
+}
+
 func (r *rig) report(at netip.AddrPort, x peer.Report) {
 	r.number++
 	x.Number = r.number
--- a/internal/pass/forward/search.go
+++ b/internal/pass/forward/search.go
@@ -61,6 +61,8 @@
 	next []uint32
 	// wide is set once all agents are to be asked, narrow if they won't be.
 	wide, narrow bool
+	// wideAt is when the agents to ask were listed.
+	wideAt time.Duration
 	// waiting are the agents that haven't answered, unsure those that may hold
 	// the flow without knowing.
 	waiting []uint32
@@ -159,6 +161,7 @@
 // to another service, and may have been placed when other agents were there.
 func (e *Engine) widen(now time.Duration, f packet.Flow, s *search) {
 	s.wide = true
+	s.wideAt = now
 	if at, ok := e.wideAt[f]; ok && now-at < wideAgain {
 		s.narrow = true
 		return
@@ -180,7 +183,7 @@
 	if s == nil || !s.begun {
 		return
 	}
-	agent := e.agents.number(from)
+	agent := e.agents.alive(now, from)
 	switch r.Verdict {
 	case peer.Holds:
 		e.found(now, f, s, agent)
@@ -247,8 +250,8 @@
 
 // giveUp ends a search without a holder. If every agent said that it lacks the
 // flow, its target is gone, and a reset spares the caller its whole deadline.
-// If any was silent, or control tells of more agents than have reported, the flow
-// may be open there.
+// If any was silent, or came to be known only after all were asked, the flow may be
+// open there.
 func (e *Engine) giveUp(now time.Duration, f packet.Flow, s *search) {
 	if e.young(now) && len(s.held) > 0 {
 		newest := s.held[len(s.held)-1]
@@ -257,9 +260,9 @@
 		e.dropSearch(f)
 		return
 	}
-	silent := len(s.waiting) + e.unheard(now)
+	silent := len(s.waiting)
 	verdict := DroppedUnfound
-	if silent == 0 && !s.narrow && len(s.next) == 0 && len(s.asked) > 0 && !s.mute {
+	if silent == 0 && e.agents.addedAt <= s.wideAt && !s.narrow && len(s.next) == 0 && len(s.asked) > 0 && !s.mute {
 		verdict = ResetNowhere
 		e.cfg.Out.Reset(f, s.ack)
 	}
@@ -267,24 +270,6 @@
 	e.dropSearch(f)
 }
 
-// unheard counts the agents that may hold flows and have been silent lately, or
-// ever since this balancer's start. The latter keep open flows whole when a
-// balancer joins before an agent has heard of it: with the silent ones alone, all
-// that this balancer knows would lack the flows of the one that it doesn't.
-func (e *Engine) unheard(now time.Duration) int {
-	n, known := 0, 0
-	for i := range e.agents.list {
-		a := &e.agents.list[i]
-		if a.heardAt > 0 && now-a.heardAt < agentForgotten {
-			known++
-		}
-		if a.asked(now) && now-a.heardAt > reportStale {
-			n++
-		}
-	}
-	return n + max(0, e.listed-known)
-}
-
 func (e *Engine) dropSearch(f packet.Flow) {
 	if s := e.searches[f]; s != nil {
 		e.held -= len(s.held)
--- a/internal/pass/forward/search_test.go
+++ b/internal/pass/forward/search_test.go
@@ -66,7 +66,7 @@
 	is := is.New(t)
 	r := newRig(t)
 	r.agentAt(1, desk)
-	r.pass(reportStale + 100*time.Millisecond)
+	r.pass(time.Second)
 	b := r.agentAt(2, desk)
 	r.send(data(9, 77))
 	r.answer(b, peer.Lacks)
@@ -184,6 +184,7 @@
 	r.pass(2 * askPatience)
 	is.Equal(len(r.resets), 0)
 	is.Equal(r.last().Verdict, DroppedUnfound)
+	r.agentAt(1, desk)
 	r.send(syn(10))
 	is.Equal(r.delivered[0].to, a) // and gets nothing new
 
@@ -194,19 +195,19 @@
 	is.Equal(r.resets, []reset{{flowOf(11), 77}})
 }
 
-// A balancer joins, and one of the three agents that control tells of hasn't heard
-// of it yet; that one holds a caller's download. The two others lack it. The packet
-// is dropped, and the caller's next one is carried once the third has reported; a
-// reset would cut the download.
+// Guards against a reset of an open flow by a balancer that joins: an agent that control
+// lists but that hasn't reported yet may hold it.
 func TestNothingIsResetWhileAnAgentIsMissing(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
-	r.engine.SetAgents(3)
+	r.list(3, desk)
 	a, b := r.agentAt(1, desk), r.agentAt(2, desk)
 	r.send(data(9, 77))
 	r.answer(a, peer.Lacks)
 	r.answer(b, peer.Lacks)
 	is.Equal(len(r.resets), 0)
+	r.pass(2 * askPatience)
+	is.Equal(len(r.resets), 0)
 	is.Equal(r.last().Verdict, DroppedUnfound)
 	holder := r.agentAt(3, desk)
 	r.asked = nil
@@ -216,13 +217,47 @@
 	is.Equal(len(r.resets), 0)
 }
 
-// All agents that control tells of have reported, and all lack the flow: its
+// Guards against a reset of an open flow whose agent control began to list while the
+// others were asked.
+func TestNothingIsResetWhileAnAgentJoins(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	a := r.agentAt(1, desk)
+	r.send(data(9, 77))
+	r.now += time.Millisecond
+	r.list(2, archive)
+	r.answer(a, peer.Lacks)
+	r.pass(2 * askPatience)
+	is.Equal(len(r.resets), 0)
+}
+
+// Guards against a reset of an open flow whose agent control has just taken off its
+// list: it may be cut off from control only.
+func TestDelistedAgentMayHoldTheFlow(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.list(2, desk)
+	a, b := r.agentAt(1, desk), r.agentAt(2, desk)
+	r.pass(agentForgotten)
+	r.agentAt(1, desk)
+	r.engine.Delist(r.now, b)
+	r.send(data(9, 77))
+	r.answer(a, peer.Lacks)
+	r.pass(2 * askPatience)
+	is.Equal(len(r.resets), 0)
+	r.pass(agentForgotten)
+	r.agentAt(1, desk)
+	r.send(data(10, 77))
+	r.answer(a, peer.Lacks)
+	is.Equal(len(r.resets), 1) // nobody is left that may hold it
+}
+
+// All agents that control tells of have answered, and all lack the flow: its
 // target is gone, and the caller is told.
 func TestFlowThatAllLackIsReset(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
-	r.engine.SetAgents(1)
-	a := r.agentAt(1, desk)
+	a := r.list(1, desk)
 	r.send(data(9, 77))
 	r.answer(a, peer.Lacks)
 	is.Equal(len(r.resets), 1)
--- a/internal/pass/model/model_test.go
+++ b/internal/pass/model/model_test.go
@@ -38,7 +38,7 @@
 // mean plays a scenario with some seeds.
 func mean(t *testing.T, name string, p Policies) (worth, unserved float64) {
 	t.Helper()
-	const seeds = 6
+	const seeds = 16
 	for seed := range uint64(seeds) {
 		o := Play(quoting(), scenario(t, name), p, seed)
 		if o.Twice > 0 {
--- a/internal/pass/model/node.go
+++ b/internal/pass/model/node.go
@@ -13,12 +13,8 @@
 	"bergamotstall/internal/pass/route"
 )
 
-// reportInterval is the time between two reports of an agent, announceInterval
-// between two announcements of a target.
-const (
-	reportInterval   = 100 * time.Millisecond
-	announceInterval = 770 * time.Millisecond
-)
+// announceInterval is the time between two announcements of a target.
+const announceInterval = 770 * time.Millisecond
 
 // balancer is one balancer's process, or the place for one.
 type balancer struct {
@@ -43,7 +39,11 @@
 	})
 	b.alive(tableAfter, func() {
 		b.engine.SetTable(w.clock(), w.table)
-		b.engine.SetAgents(w.attached())
+		for _, a := range w.agents {
+			if a.up && a.attached {
+				b.engine.List(w.clock(), a.listed())
+			}
+		}
 	})
 	b.tick()
 }
@@ -94,6 +94,17 @@
 	})
 }
 
+// Probe implements forward.Output.
+func (b *balancer) Probe(to netip.AddrPort) {
+	a := b.w.agentAt(to)
+	b.w.after(b.w.way(b.zone, a.zone), func() {
+		if a.up {
+			a.know(b)
+			a.reportTo(b)
+		}
+	})
+}
+
 // Reset implements forward.Output.
 func (b *balancer) Reset(f packet.Flow, _ uint32) { b.w.reset(f) }
 
@@ -108,11 +119,11 @@
 	engine  *flowtable.Engine
 	process int
 	up      bool
-	// attached says that control knows the agent, which knows the balancers.
+	// attached says that control lists the agent; known are the balancers that sent
+	// something.
 	attached bool
 	known    map[int]bool
 	target   *target
-	reportAt time.Duration
 }
 
 func (a *agent) address() netip.AddrPort { return addressOf(1, a.n) }
@@ -140,12 +151,15 @@
 		a.engine.Recalled(a.w.clock(), u)
 	}
 	for _, b := range a.w.balancers {
-		a.known[b.n] = true
 		if b.up {
-			b.engine.SetAgents(a.w.attached())
+			b.engine.List(a.w.clock(), a.listed())
 		}
 	}
-	a.Report()
+}
+
+// listed is how control tells of the agent.
+func (a *agent) listed() forward.Listed {
+	return forward.Listed{Address: a.address(), Zone: zoneName(a.zone), Service: route.IDOf(a.service), Process: uint64(a.process)}
 }
 
 // know has a balancer that sent something get reports.
@@ -162,9 +176,6 @@
 
 func (a *agent) tick() {
 	a.engine.Tick(a.w.clock())
-	if a.w.now >= a.reportAt {
-		a.Report()
-	}
 	a.alive(tickInterval, a.tick)
 }
 
@@ -206,15 +217,21 @@
 
 // Report implements flowtable.Output.
 func (a *agent) Report() {
-	a.reportAt = a.w.now + reportInterval
-	r := a.engine.Report(a.w.clock())
 	for _, b := range a.w.balancers {
-		if a.known[b.n] && b.up {
-			b.alive(a.w.way(a.zone, b.zone), func() { b.engine.Reported(a.w.clock(), a.address(), r) })
+		if a.known[b.n] {
+			a.reportTo(b)
 		}
 	}
 }
 
+func (a *agent) reportTo(b *balancer) {
+	if !b.up {
+		return
+	}
+	r := a.engine.Report(a.w.clock())
+	b.alive(a.w.way(a.zone, b.zone), func() { b.engine.Reported(a.w.clock(), a.address(), r) })
+}
+
 // Note implements flowtable.Output.
 func (a *agent) Note(flowtable.Decision) {}
 
@@ -229,15 +246,4 @@
 	return w.agents[int(ip[2])<<8|int(ip[3])]
 }
 
-// attached counts the agents that control knows.
-func (w *world) attached() int {
-	n := 0
-	for _, a := range w.agents {
-		if a.up && a.attached {
-			n++
-		}
-	}
-	return n
-}
-
 func zoneName(zone int) string { return string(rune('a' + zone)) }
--- a/internal/pass/peer/peer.go
+++ b/internal/pass/peer/peer.go
@@ -29,6 +29,8 @@
 	KindAsk
 	KindAnswer
 	KindReport
+	// KindProbe asks an agent for a Report; nothing follows.
+	KindProbe
 )
 
 // Reason says why an agent hands a packet back.
--- a/internal/pass/place/place.go
+++ b/internal/pass/place/place.go
@@ -105,6 +105,20 @@
 	return true
 }
 
+// HasSlot tells whether a steady target among near ones has a slot free almost surely,
+// so that no other data centre's need be looked at.
+func (p *Policy) HasSlot(near []Target) bool {
+	if p.Spread {
+		return false
+	}
+	for i := range near {
+		if (p.Trusting || !near[i].Unsteady) && p.Score(&near[i]) <= p.SpillFrom {
+			return true
+		}
+	}
+	return false
+}
+
 // HasRoom tells whether a target has room for the overflow of another service.
 func (p *Policy) HasRoom(t *Target) bool { return p.Score(t) < p.Idle }
 
--- a/internal/pass/roster/client.go
+++ b/internal/pass/roster/client.go
@@ -40,13 +40,11 @@
 	Seeds func() []string
 	// Port is where control VMs take streams, the same at all of them.
 	Port uint16
-	// Table is called with each newer table; Nodes, at agents, with the union of
-	// the VMs' lists of balancers; Agents, at balancers, with the number of agents
-	// that the VM which lists most of them tells of. All are called from streams'
+	// Table is called with each newer table; Agents, at balancers, with what changed
+	// in the union of the VMs' lists of agents. Both are called from streams'
 	// goroutines, one at a time.
 	Table  func(t *route.Table)
-	Nodes  func(nodes []Node)
-	Agents func(n int)
+	Agents func(c Changes)
 	// Recalled, at agents, is called with the flows that a control VM remembers of
 	// the agent's address.
 	Recalled func(u flowlog.Update)
@@ -74,9 +72,8 @@
 	version    route.Version
 	// aheadAt is since when the VM has a newer version than the node.
 	aheadAt time.Time
-	nodes   []Node
-	digest  uint64
-	agents  int
+	// view is the VM's list of agents, at balancers.
+	view view
 	// conn is the open connection; told says that the VM knows all flows as of
 	// some moment since the connection was made.
 	conn *wire.Conn
@@ -144,25 +141,6 @@
 	}
 }
 
-// dropStaleLists lets the lists of VMs that aren't heard any more lapse. A
-// balancer that left meanwhile would otherwise stay on them until the next change
-// of any list.
-func (c *Client) dropStaleLists() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	dropped := false
-	for _, s := range c.streams {
-		if s.nodes != nil && time.Since(s.heardAt) > listKept {
-			s.nodes = nil
-			s.digest = 0
-			dropped = true
-		}
-	}
-	if dropped {
-		c.cfg.Nodes(c.union())
-	}
-}
-
 // addresses are the seeds and the control VMs that streams told of.
 func (c *Client) addresses() []string {
 	seeds := c.cfg.Seeds()
--- /dev/null
+++ b/internal/pass/roster/client_list.go
@@ -0,0 +1,113 @@
+package roster
+
+import (
+	"net/netip"
+	"time"
+)
+
+// ListedAgent is an agent on a control VM's list.
+type ListedAgent struct {
+	Address netip.AddrPort
+	Zone    string
+	// Service is the one that the agent's VM belongs to.
+	Service uint64
+	// Process is random for each start of the agent.
+	Process uint64
+}
+
+// Changes are agents that came or became another process, and agents that no control VM
+// lists any more.
+type Changes struct {
+	Present []ListedAgent
+	Gone    []netip.AddrPort
+}
+
+// view is one control VM's list as the node has it.
+type view struct {
+	epoch, number uint64
+	agents        map[netip.AddrPort]ListedAgent
+}
+
+// apply takes what changed, and returns the addresses concerned.
+func (v *view) apply(l *Listing) []netip.AddrPort {
+	var changed []netip.AddrPort
+	if l.Whole || v.agents == nil {
+		for address := range v.agents {
+			changed = append(changed, address)
+		}
+		v.agents = map[netip.AddrPort]ListedAgent{}
+	}
+	v.epoch, v.number = l.Epoch, l.Number
+	for _, x := range l.Present {
+		a := ListedAgent{Address: x.At.address(), Service: x.Service, Process: x.Process}
+		if int(x.Zone) < len(l.Zones) {
+			a.Zone = l.Zones[x.Zone]
+		}
+		v.agents[a.Address] = a
+		changed = append(changed, a.Address)
+	}
+	for _, p := range l.Gone {
+		delete(v.agents, p.address())
+		changed = append(changed, p.address())
+	}
+	return changed
+}
+
+// takeListing puts a VM's changes in force; the lock is held. An agent is there as long
+// as any VM lists it.
+func (c *Client) takeListing(s *clientStream, l *Listing) {
+	changed := s.view.apply(l)
+	c.tellAgents(s, changed)
+}
+
+// tellAgents hands on what the lists now say of some agents; news is the VM whose list
+// has just changed. The lock is held.
+func (c *Client) tellAgents(news *clientStream, changed []netip.AddrPort) {
+	var out Changes
+	told := map[netip.AddrPort]bool{}
+	for _, address := range changed {
+		if told[address] {
+			continue
+		}
+		told[address] = true
+		if a, ok := c.lookUp(news, address); ok {
+			out.Present = append(out.Present, a)
+		} else {
+			out.Gone = append(out.Gone, address)
+		}
+	}
+	if len(told) > 0 && c.cfg.Agents != nil {
+		c.cfg.Agents(out)
+	}
+}
+
+// lookUp finds an agent on a VM's list, or else on any; the lock is held.
+func (c *Client) lookUp(first *clientStream, address netip.AddrPort) (ListedAgent, bool) {
+	if a, ok := first.view.agents[address]; ok {
+		return a, true
+	}
+	for _, s := range c.streams {
+		if a, ok := s.view.agents[address]; ok {
+			return a, true
+		}
+	}
+	return ListedAgent{}, false
+}
+
+// dropStaleLists lets the lists of VMs that aren't heard any more lapse. An agent that
+// left meanwhile would otherwise stay on them.
+func (c *Client) dropStaleLists() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.streams {
+		if len(s.view.agents) == 0 || time.Since(s.heardAt) <= listKept {
+			continue
+		}
+		var changed []netip.AddrPort
+		for address := range s.view.agents {
+			changed = append(changed, address)
+		}
+		s.view = view{}
+		c.tellAgents(s, changed)
+	}
+}
--- a/internal/pass/roster/client_stream.go
+++ b/internal/pass/roster/client_stream.go
@@ -49,9 +49,6 @@
 	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
 	defer stop()
 	conn := wire.NewConn(raw, frameLimit, writeTimeout)
-	c.mu.Lock()
-	s.digest = 0
-	c.mu.Unlock()
 	hello := Hello{Node: c.cfg.Node, Beat: c.beat(s)}
 	if _, err := conn.Write(kindHello, &hello); err != nil {
 		return err
@@ -141,6 +138,24 @@
 	}
 }
 
+// Retire has the control VMs take the node off their lists, since it ends with its
+// target.
+func (c *Client) Retire() {
+	c.mu.Lock()
+	var conns []*wire.Conn
+	for _, s := range c.streams {
+		if s.conn != nil {
+			conns = append(conns, s.conn)
+		}
+	}
+	c.mu.Unlock()
+	for _, conn := range conns {
+		if _, err := conn.Write(kindRetire, &Retire{}); err != nil {
+			_ = conn.Close() // the VM notices the end of the stream
+		}
+	}
+}
+
 // beatOn sends beats until ctx is done or the stream fails.
 func (c *Client) beatOn(ctx context.Context, conn *wire.Conn, s *clientStream) {
 	ticker := time.NewTicker(BeatInterval)
--- a/internal/pass/roster/client_take.go
+++ b/internal/pass/roster/client_take.go
@@ -14,7 +14,7 @@
 func (c *Client) beat(s *clientStream) Beat {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	b := Beat{Version: uint64(c.version), Nodes: s.digest}
+	b := Beat{Version: uint64(c.version), Epoch: s.view.epoch, Number: s.view.number}
 	c.chooseWanted()
 	ahead := s.version > c.version && time.Since(s.aheadAt) > aheadPatience
 	b.Want = c.version == 0 || c.wanted == s.ip || ahead
@@ -59,30 +59,12 @@
 		s.version = version
 		s.aheadAt = s.heardAt
 	}
-	s.agents = int(u.Agents)
-	if c.cfg.Node.Role == Balancer {
-		c.cfg.Agents(c.agents())
+	if u.List != nil {
+		c.takeListing(s, u.List)
 	}
 	if u.Lean != nil {
 		c.takeTable(u)
 	}
-	if c.cfg.Node.Role == Agent && (u.Nodes != nil || u.Digest != s.digest) {
-		s.nodes = u.Nodes
-		s.digest = u.Digest
-		c.cfg.Nodes(c.union())
-	}
-}
-
-// agents is the largest number of agents that a VM heard lately tells of; the lock
-// is held. One that has just started hasn't heard of all.
-func (c *Client) agents() int {
-	most := 0
-	for _, s := range c.streams {
-		if time.Since(s.heardAt) < beatPatience {
-			most = max(most, s.agents)
-		}
-	}
-	return most
 }
 
 // takeTable puts a table in force if it is newer; the lock is held.
@@ -99,18 +81,3 @@
 	c.cfg.Table(route.NewTable(d))
 	events.Log(c.cfg.Log, events.PassTableInForce, logrus.Fields{"version": u.Version, "routes": len(d.Routes)})
 }
-
-// union merges the lists of all VMs that were heard lately; the lock is held.
-func (c *Client) union() []Node {
-	byAddress := map[string]Node{}
-	for _, s := range c.streams {
-		for _, n := range s.nodes {
-			byAddress[n.Address] = n
-		}
-	}
-	out := make([]Node, 0, len(byAddress))
-	for _, n := range byAddress {
-		out = append(out, n)
-	}
-	return out
-}
--- a/internal/pass/roster/messages.go
+++ b/internal/pass/roster/messages.go
@@ -12,6 +12,9 @@
 	// kindFlows carries a flowlog.Update: from an agent what it holds, to a new
 	// agent what was held at its address.
 	kindFlows
+	// kindRetire comes from an agent that ends with its target: it is taken off the
+	// list at once.
+	kindRetire
 )
 
 // Role is what a node does.
@@ -37,6 +40,8 @@
 	// Address is where it takes datagrams of other nodes, "ip:port".
 	Address string `msg:"a"`
 	Zone    string `msg:"z"`
+	// Service is an agent's; see route.ServiceID.
+	Service uint64 `msg:"s"`
 	// Process is random for each start.
 	Process uint64 `msg:"p"`
 }
@@ -54,8 +59,44 @@
 	// Want asks for newer tables as they come; without it the node only hears
 	// which version there is.
 	Want bool `msg:"w"`
-	// Nodes is the digest of the list of nodes that it holds from this VM.
-	Nodes uint64 `msg:"n"`
+	// Epoch and Number say as of when a balancer holds this VM's list of agents.
+	Epoch  uint64 `msg:"e"`
+	Number uint64 `msg:"n"`
+}
+
+// Retire says that an agent ends and its target is gone.
+type Retire struct{}
+
+// Place is where a node takes datagrams.
+//
+//msgp:tuple Place
+type Place struct {
+	IP   [4]byte
+	Port uint16
+}
+
+// Entry is an agent on a VM's list.
+//
+//msgp:tuple Entry
+type Entry struct {
+	At Place
+	// Zone is the index of its data centre in the listing.
+	Zone    uint16
+	Service uint64
+	Process uint64
+}
+
+// Listing is what changed in a VM's list of agents, or all of it.
+type Listing struct {
+	// Epoch is random for each process of the VM; Number counts its changes.
+	Epoch  uint64 `msg:"e"`
+	Number uint64 `msg:"n"`
+	// Whole says that the list begins anew.
+	Whole bool `msg:"w"`
+	// Zones are the data centres that entries name.
+	Zones   []string `msg:"z"`
+	Present []Entry  `msg:"p"`
+	Gone    []Place  `msg:"g"`
 }
 
 // Update answers a beat, and is sent unasked when something changes.
@@ -68,13 +109,8 @@
 	// Lean is the definition without its document, if newer than the node's and
 	// wanted.
 	Lean []byte `msg:"l"`
-	// Digest is that of the list of balancers; Nodes is the list where the
-	// digest isn't the node's. Only agents get it.
-	Digest uint64 `msg:"d"`
-	Nodes  []Node `msg:"n"`
-	// Agents is how many agents the VM lists. Balancers learn of agents by their
-	// reports; the count tells one that has just started whether any are missing.
-	Agents uint32 `msg:"g"`
+	// List is what a balancer lacks of the VM's list of agents.
+	List *Listing `msg:"n"`
 	// Controls are the IP numbers of all control VMs.
 	Controls []string `msg:"m"`
 	// ContactAgeMS is how long ago the VM was in touch with a quorum.
--- a/internal/pass/roster/messages_gen.go
+++ b/internal/pass/roster/messages_gen.go
@@ -7,18 +7,21 @@
 )
 
 // MarshalMsg implements msgp.Marshaler
-func (z Beat) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Beat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "v"
-	o = append(o, 0x83, 0xa1, 0x76)
+	o = append(o, 0x84, 0xa1, 0x76)
 	o = msgp.AppendUint64(o, z.Version)
 	// string "w"
 	o = append(o, 0xa1, 0x77)
 	o = msgp.AppendBool(o, z.Want)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendUint64(o, z.Epoch)
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendUint64(o, z.Nodes)
+	o = msgp.AppendUint64(o, z.Number)
 	return
 }
 
@@ -52,10 +55,16 @@
 				err = msgp.WrapError(err, "Want")
 				return
 			}
+		case "e":
+			z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
 		case "n":
-			z.Nodes, bts, err = msgp.ReadUint64Bytes(bts)
+			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Nodes")
+				err = msgp.WrapError(err, "Number")
 				return
 			}
 		default:
@@ -71,8 +80,80 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Beat) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Uint64Size
+func (z *Beat) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Entry) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendBytes(o, (z.At.IP)[:])
+	o = msgp.AppendUint16(o, z.At.Port)
+	o = msgp.AppendUint16(o, z.Zone)
+	o = msgp.AppendUint64(o, z.Service)
+	o = msgp.AppendUint64(o, z.Process)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Entry) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "At")
+		return
+	}
+	if zb0002 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0002}
+		return
+	}
+	bts, err = msgp.ReadExactBytes(bts, (z.At.IP)[:])
+	if err != nil {
+		err = msgp.WrapError(err, "At", "IP")
+		return
+	}
+	z.At.Port, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "At", "Port")
+		return
+	}
+	z.Zone, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	z.Service, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Process, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Process")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Entry) Msgsize() (s int) {
+	s = 1 + 1 + msgp.ArrayHeaderSize + (4 * (msgp.ByteSize)) + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint64Size + msgp.Uint64Size
 	return
 }
 
@@ -89,16 +170,11 @@
 	}
 	// string "b"
 	o = append(o, 0xa1, 0x62)
-	// map header, size 3
-	// string "v"
-	o = append(o, 0x83, 0xa1, 0x76)
-	o = msgp.AppendUint64(o, z.Beat.Version)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendBool(o, z.Beat.Want)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendUint64(o, z.Beat.Nodes)
+	o, err = z.Beat.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Beat")
+		return
+	}
 	return
 }
 
@@ -127,44 +203,176 @@
 				return
 			}
 		case "b":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			bts, err = z.Beat.UnmarshalMsg(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Beat")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Hello) Msgsize() (s int) {
+	s = 1 + 2 + z.Node.Msgsize() + 2 + z.Beat.Msgsize()
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Listing) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "e"
+	o = append(o, 0x86, 0xa1, 0x65)
+	o = msgp.AppendUint64(o, z.Epoch)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.Number)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendBool(o, z.Whole)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Zones)))
+	for za0001 := range z.Zones {
+		o = msgp.AppendString(o, z.Zones[za0001])
+	}
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Present)))
+	for za0002 := range z.Present {
+		o, err = z.Present[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Present", za0002)
+			return
+		}
+	}
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Gone)))
+	for za0003 := range z.Gone {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendBytes(o, (z.Gone[za0003].IP)[:])
+		o = msgp.AppendUint16(o, z.Gone[za0003].Port)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Listing) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "e":
+			z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "n":
+			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Number")
+				return
+			}
+		case "w":
+			z.Whole, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Whole")
+				return
+			}
+		case "z":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zones")
+				return
+			}
+			if cap(z.Zones) >= int(zb0002) {
+				z.Zones = (z.Zones)[:zb0002]
+			} else {
+				z.Zones = make([]string, zb0002)
+			}
+			for za0001 := range z.Zones {
+				z.Zones[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Zones", za0001)
+					return
+				}
+			}
+		case "p":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Present")
+				return
+			}
+			if cap(z.Present) >= int(zb0003) {
+				z.Present = (z.Present)[:zb0003]
+			} else {
+				z.Present = make([]Entry, zb0003)
+			}
+			for za0002 := range z.Present {
+				bts, err = z.Present[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Present", za0002)
+					return
+				}
+			}
+		case "g":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Gone")
+				return
+			}
+			if cap(z.Gone) >= int(zb0004) {
+				z.Gone = (z.Gone)[:zb0004]
+			} else {
+				z.Gone = make([]Place, zb0004)
+			}
+			for za0003 := range z.Gone {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Beat")
+					err = msgp.WrapError(err, "Gone", za0003)
 					return
 				}
-				switch msgp.UnsafeString(field) {
-				case "v":
-					z.Beat.Version, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Beat", "Version")
-						return
-					}
-				case "w":
-					z.Beat.Want, bts, err = msgp.ReadBoolBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Beat", "Want")
-						return
-					}
-				case "n":
-					z.Beat.Nodes, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Beat", "Nodes")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Beat")
-						return
-					}
+				if zb0005 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0005}
+					return
+				}
+				bts, err = msgp.ReadExactBytes(bts, (z.Gone[za0003].IP)[:])
+				if err != nil {
+					err = msgp.WrapError(err, "Gone", za0003, "IP")
+					return
+				}
+				z.Gone[za0003].Port, bts, err = msgp.ReadUint16Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Gone", za0003, "Port")
+					return
 				}
 			}
 		default:
@@ -180,17 +388,25 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Hello) Msgsize() (s int) {
-	s = 1 + 2 + z.Node.Msgsize() + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Uint64Size
+func (z *Listing) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Zones {
+		s += msgp.StringPrefixSize + len(z.Zones[za0001])
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Present {
+		s += z.Present[za0002].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize + (len(z.Gone) * (9 + (4 * (msgp.ByteSize)) + msgp.Uint16Size))
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Node) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "r"
-	o = append(o, 0x84, 0xa1, 0x72)
+	o = append(o, 0x85, 0xa1, 0x72)
 	o = msgp.AppendUint8(o, uint8(z.Role))
 	// string "a"
 	o = append(o, 0xa1, 0x61)
@@ -198,6 +414,9 @@
 	// string "z"
 	o = append(o, 0xa1, 0x7a)
 	o = msgp.AppendString(o, z.Zone)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendUint64(o, z.Service)
 	// string "p"
 	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendUint64(o, z.Process)
@@ -244,6 +463,12 @@
 				err = msgp.WrapError(err, "Zone")
 				return
 			}
+		case "s":
+			z.Service, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
 		case "p":
 			z.Process, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -264,7 +489,94 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Node) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.Uint64Size
+	s = 1 + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Place) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendBytes(o, (z.IP)[:])
+	o = msgp.AppendUint16(o, z.Port)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Place) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	bts, err = msgp.ReadExactBytes(bts, (z.IP)[:])
+	if err != nil {
+		err = msgp.WrapError(err, "IP")
+		return
+	}
+	z.Port, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Port")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Place) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize + (4 * (msgp.ByteSize)) + msgp.Uint16Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Retire) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 0
+	_ = z
+	o = append(o, 0x80)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Retire) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Retire) Msgsize() (s int) {
+	s = 1
 	return
 }
 
@@ -299,9 +611,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Update) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 6
 	// string "v"
-	o = append(o, 0x88, 0xa1, 0x76)
+	o = append(o, 0x86, 0xa1, 0x76)
 	o = msgp.AppendUint64(o, z.Version)
 	// string "c"
 	o = append(o, 0xa1, 0x63)
@@ -309,27 +621,22 @@
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendBytes(o, z.Lean)
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendUint64(o, z.Digest)
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Nodes)))
-	for za0001 := range z.Nodes {
-		o, err = z.Nodes[za0001].MarshalMsg(o)
+	if z.List == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.List.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Nodes", za0001)
+			err = msgp.WrapError(err, "List")
 			return
 		}
 	}
-	// string "g"
-	o = append(o, 0xa1, 0x67)
-	o = msgp.AppendUint32(o, z.Agents)
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Controls)))
-	for za0002 := range z.Controls {
-		o = msgp.AppendString(o, z.Controls[za0002])
+	for za0001 := range z.Controls {
+		o = msgp.AppendString(o, z.Controls[za0001])
 	}
 	// string "a"
 	o = append(o, 0xa1, 0x61)
@@ -373,53 +680,39 @@
 				err = msgp.WrapError(err, "Lean")
 				return
 			}
-		case "d":
-			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Digest")
-				return
-			}
 		case "n":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Nodes")
-				return
-			}
-			if cap(z.Nodes) >= int(zb0002) {
-				z.Nodes = (z.Nodes)[:zb0002]
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.List = nil
 			} else {
-				z.Nodes = make([]Node, zb0002)
-			}
-			for za0001 := range z.Nodes {
-				bts, err = z.Nodes[za0001].UnmarshalMsg(bts)
+				if z.List == nil {
+					z.List = new(Listing)
+				}
+				bts, err = z.List.UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Nodes", za0001)
+					err = msgp.WrapError(err, "List")
 					return
 				}
 			}
-		case "g":
-			z.Agents, bts, err = msgp.ReadUint32Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Agents")
-				return
-			}
 		case "m":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Controls")
 				return
 			}
-			if cap(z.Controls) >= int(zb0003) {
-				z.Controls = (z.Controls)[:zb0003]
+			if cap(z.Controls) >= int(zb0002) {
+				z.Controls = (z.Controls)[:zb0002]
 			} else {
-				z.Controls = make([]string, zb0003)
+				z.Controls = make([]string, zb0002)
 			}
-			for za0002 := range z.Controls {
-				z.Controls[za0002], bts, err = msgp.ReadStringBytes(bts)
+			for za0001 := range z.Controls {
+				z.Controls[za0001], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Controls", za0002)
+					err = msgp.WrapError(err, "Controls", za0001)
 					return
 				}
 			}
@@ -443,13 +736,15 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Update) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Lean) + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Nodes {
-		s += z.Nodes[za0001].Msgsize()
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Lean) + 2
+	if z.List == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.List.Msgsize()
 	}
-	s += 2 + msgp.Uint32Size + 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Controls {
-		s += msgp.StringPrefixSize + len(z.Controls[za0002])
+	s += 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Controls {
+		s += msgp.StringPrefixSize + len(z.Controls[za0001])
 	}
 	s += 2 + msgp.Int64Size
 	return
--- a/internal/pass/roster/roster_test.go
+++ b/internal/pass/roster/roster_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -117,15 +118,15 @@
 	client   *Client
 	mu       sync.Mutex
 	tables   []route.Version
-	nodes    []Node
-	agents   int
+	agents   map[netip.AddrPort]ListedAgent
+	changes  int
 	recalled []flowlog.Update
 	stop     context.CancelFunc
 }
 
 func startNode(t *testing.T, role Role, name string, seeds ...*vm) *node {
 	t.Helper()
-	n := &node{}
+	n := &node{agents: map[netip.AddrPort]ListedAgent{}}
 	n.client = NewClient(ClientConfig{
 		Node: Node{Role: role, Address: name, Process: 1}, Port: port, Log: quiet(), Metrics: metrics.New(),
 		Seeds: func() []string {
@@ -145,15 +146,16 @@
 			defer n.mu.Unlock()
 			n.tables = append(n.tables, table.Version)
 		},
-		Agents: func(agents int) {
+		Agents: func(c Changes) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
-			n.agents = agents
-		},
-		Nodes: func(nodes []Node) {
-			n.mu.Lock()
-			defer n.mu.Unlock()
-			n.nodes = nodes
+			n.changes += len(c.Present) + len(c.Gone)
+			for _, a := range c.Present {
+				n.agents[a.Address] = a
+			}
+			for _, at := range c.Gone {
+				delete(n.agents, at)
+			}
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -179,7 +181,7 @@
 func (n *node) listed() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return len(n.nodes)
+	return len(n.agents)
 }
 
 func await(t *testing.T, what string, ok func() bool) {
@@ -249,22 +251,107 @@
 	is.Equal(n.seen(), []route.Version{1, 2})
 }
 
-// Agents learn of balancers that come and go; one whose stream broke off stays
-// listed for a moment, since streams end with each restart of a control VM.
-func TestAgentsLearnOfBalancers(t *testing.T) {
+// Balancers learn of agents that come and go; one whose stream broke off stays listed
+// for a while, since it may be cut off from control only.
+func TestBalancersLearnOfAgents(t *testing.T) {
 	is := is.New(t)
 	all := vms(t, 2)
-	agent := startNode(t, Agent, "10.0.0.9:1", all...)
-	first := startNode(t, Balancer, "10.0.0.1:1", all...)
-	startNode(t, Balancer, "10.0.0.2:1", all...)
-	await(t, "two balancers", func() bool { return agent.listed() == 2 })
+	balancer := startNode(t, Balancer, "10.0.0.9:1", all...)
+	first := startNode(t, Agent, "10.0.0.1:1", all...)
+	second := startNode(t, Agent, "10.0.0.2:1", all...)
+	await(t, "two agents", func() bool { return balancer.listed() == 2 })
 	all[0].stop() // a control VM's process ends; the other one's list stands
 	time.Sleep(2 * BeatInterval)
-	is.Equal(agent.listed(), 2)
-	first.stop()
-	began := time.Now()
-	await(t, "one balancer", func() bool { return agent.listed() == 1 })
-	is.True(time.Since(began) > lingering/2)
+	is.Equal(balancer.listed(), 2)
+	second.stop()
+	time.Sleep(2 * BeatInterval)
+	is.Equal(balancer.listed(), 2)
+	first.client.Retire() // its target is gone
+	await(t, "one agent", func() bool { return balancer.listed() == 1 })
+}
+
+// Guards against lists that are sent whole with each change: a fleet of agents costs a
+// balancer one entry each, and one that joins later an entry more.
+func TestListIsSentAsChanges(t *testing.T) {
+	is := is.New(t)
+	all := vms(t, 1)
+	balancer := startNode(t, Balancer, "10.0.0.9:1", all...)
+	for n := range 30 {
+		startNode(t, Agent, fmt.Sprintf("10.0.1.%d:1", n), all...)
+	}
+	await(t, "all agents", func() bool { return balancer.listed() == 30 })
+	balancer.mu.Lock()
+	is.Equal(balancer.changes, 30)
+	balancer.mu.Unlock()
+	startNode(t, Agent, "10.0.2.1:1", all...)
+	await(t, "one more", func() bool { return balancer.listed() == 31 })
+	balancer.mu.Lock()
+	defer balancer.mu.Unlock()
+	is.Equal(balancer.changes, 31)
+}
+
+// Guards against an agent that vanishes with one control VM's list while another still
+// has it, and against one that stays after a VM started anew without it.
+func TestListsAreUnited(t *testing.T) {
+	is := is.New(t)
+	told := map[netip.AddrPort]bool{}
+	c := NewClient(ClientConfig{Node: Node{Role: Balancer}, Log: quiet(), Agents: func(x Changes) {
+		for _, a := range x.Present {
+			told[a.Address] = true
+		}
+		for _, at := range x.Gone {
+			delete(told, at)
+		}
+	}})
+	one, two := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")
+	a, b := &clientStream{ip: "a"}, &clientStream{ip: "b"}
+	c.streams["a"], c.streams["b"] = a, b
+	first, second := newDirectory(), newDirectory()
+	first.put(one, Node{})
+	first.put(two, Node{})
+	second.put(two, Node{})
+	c.takeListing(a, first.since(a.view.epoch, a.view.number))
+	c.takeListing(b, second.since(b.view.epoch, b.view.number))
+	is.Equal(len(told), 2)
+	first.remove(two)
+	c.takeListing(a, first.since(a.view.epoch, a.view.number))
+	is.Equal(len(told), 2) // the other VM lists it
+	restarted := newDirectory()
+	restarted.put(one, Node{})
+	c.takeListing(b, restarted.since(b.view.epoch, b.view.number))
+	is.Equal(told, map[netip.AddrPort]bool{one: true})
+	a.heardAt = time.Now().Add(-2 * listKept)
+	b.heardAt = a.heardAt
+	c.dropStaleLists()
+	is.Equal(len(told), 0)
+}
+
+// Guards against a node that is told of changes it has, or that misses some after many.
+func TestDirectoryTellsWhatANodeLacks(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory()
+	at := func(n int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 1)
+	}
+	var v view
+	for n := range 3 * maxChanges {
+		d.put(at(n%500), Node{Process: uint64(n)})
+		if n%7 == 0 {
+			d.remove(at((n + 3) % 500))
+		}
+		if n%1000 != 0 && n != 3*maxChanges-1 {
+			continue
+		}
+		v.apply(d.since(v.epoch, v.number))
+		is.Equal(len(v.agents), len(d.agents))
+		for address, x := range d.agents {
+			is.Equal(v.agents[address].Process, x.Process)
+		}
+		is.True(d.since(v.epoch, v.number) == nil)
+	}
+	is.True(len(d.changes) <= maxChanges)
+	late := d.since(v.epoch, 1) // its changes aren't kept any more
+	is.True(late.Whole)
 }
 
 // A storm of versions costs a node a table each tenth of a second, not one for
@@ -349,27 +436,18 @@
 	is.Equal(second.recalled[0].Target, "i-1")
 }
 
-// A balancer that starts is told how many agents there are by its first update, so
-// that it knows whether any has yet to report to it. A control VM that has just
-// started knows fewer; the one that knows most counts.
-func TestBalancerLearnsHowManyAgentsThereAre(t *testing.T) {
-	is := is.New(t)
+// Guards against open flows reset by a balancer that starts and asks some agents only:
+// its first updates list all, also one that only one control VM knows.
+func TestBalancerLearnsOfAllAgents(t *testing.T) {
 	all := vms(t, 2)
 	for _, v := range all {
 		v.put(t, 1)
 	}
-	first := startNode(t, Agent, "10.0.0.1:1", all...)
+	startNode(t, Agent, "10.0.0.1:1", all...)
 	startNode(t, Agent, "10.0.0.2:1", all[0])
-	startNode(t, Balancer, "10.0.0.8:1", all...)
-	await(t, "the agents' list of balancers", func() bool { return first.listed() == 1 })
-	b := startNode(t, Balancer, "10.0.0.9:1", all...)
-	await(t, "a table", func() bool { return len(b.seen()) > 0 })
-	await(t, "two agents", func() bool { return b.count() == 2 })
-	is.Equal(b.count(), 2)
-}
-
-func (n *node) count() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.agents
+	first := startNode(t, Balancer, "10.0.0.8:1", all...)
+	await(t, "two agents", func() bool { return first.listed() == 2 })
+	second := startNode(t, Balancer, "10.0.0.9:1", all...)
+	await(t, "a table", func() bool { return len(second.seen()) > 0 })
+	await(t, "two agents", func() bool { return second.listed() == 2 })
 }
--- a/internal/pass/roster/server.go
+++ b/internal/pass/roster/server.go
@@ -4,19 +4,17 @@
 //
 // Every node keeps a stream to every control VM. A VM that is cut off, frozen or
 // behind then costs nothing: nodes take the highest version that any of them
-// has, and the list of nodes is the union of what they say. The table itself is
-// sent on one stream only.
+// has, and the list of agents is the union of what they say. The table itself is
+// sent on one stream only, and of the list only what changed.
 package roster
 
 import (
 	"context"
 	"net"
-	"slices"
-	"strings"
+	"net/netip"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
@@ -41,14 +39,10 @@
 	pushPause = 100 * time.Millisecond
 	// frameLimit bounds an update; 2,100 routes take 200 kB.
 	frameLimit = 8 << 20
-	// lingering is how long a balancer whose stream ended stays listed. Streams end
-	// with each restart of a control VM, and nodes with each of their own.
-	lingering = 3 * time.Second
-	// agentLingering is the same for agents. One that is cut off from control but
-	// not from clients goes on holding flows, and a balancer that starts meanwhile
-	// must know that there is one more than it hears. It is as long as balancers
-	// ask an agent that they don't hear any more.
-	agentLingering = 12 * time.Second
+	// lingering is how long a node whose streams ended stays listed. An agent that is
+	// cut off from control but not from clients goes on holding flows, and a balancer
+	// that starts meanwhile must ask it.
+	lingering = 12 * time.Second
 	// maxStreams bounds the nodes of one control VM.
 	maxStreams = 3_000
 	// confirmPatience bounds one question whether the VM is current.
@@ -84,12 +78,11 @@
 type Server struct {
 	cfg ServerConfig
 
-	mu      sync.Mutex
-	nodes   map[string]*listed
-	list    []Node
-	digest  uint64
-	changed chan struct{}
-	streams int
+	mu        sync.Mutex
+	nodes     map[string]*listed
+	directory *directory
+	changed   chan struct{}
+	streams   int
 }
 
 // listed is a node with its streams' state.
@@ -98,15 +91,17 @@
 	streams int
 	// goneAt is when its last stream ended.
 	goneAt time.Time
+	// retired says that the node ends with its target.
+	retired bool
 }
 
 // NewServer returns a server without nodes.
 func NewServer(cfg ServerConfig) *Server {
-	s := &Server{cfg: cfg, nodes: map[string]*listed{}, changed: make(chan struct{})}
+	s := &Server{cfg: cfg, nodes: map[string]*listed{}, directory: newDirectory(), changed: make(chan struct{})}
 	cfg.Metrics.Gauge("nodes_listed", func() int64 {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return int64(len(s.list))
+		return int64(len(s.nodes))
 	})
 	return s
 }
@@ -207,6 +202,8 @@
 			}
 			u.Agent = n.Address // an agent speaks for itself
 			s.cfg.Flows.Apply(u)
+		case kindRetire:
+			s.retire(n)
 		default:
 			return Beat{}, errors.Errorf("roster: frame kind %d", f.Kind)
 		}
@@ -248,9 +245,8 @@
 	l.streams++
 	if l.node != n {
 		l.node = n
-		if n.Role == Balancer {
-			s.relist()
-		}
+		l.retired = false
+		s.list(n)
 		events.Log(s.cfg.Log, events.NodeListed, logrus.Fields{"node": n.Address, "role": n.Role.String(), "zone": n.Zone})
 	}
 	return true
@@ -283,65 +279,71 @@
 func (s *Server) dropGone() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	dropped := false
 	for address, l := range s.nodes {
-		if l.streams == 0 && time.Since(l.goneAt) > lingeringOf(l.node.Role) {
+		if l.streams == 0 && (l.retired || time.Since(l.goneAt) > lingering) {
 			delete(s.nodes, address)
-			dropped = dropped || l.node.Role == Balancer
+			if !l.retired {
+				s.unlist(l.node)
+			}
 			events.Log(s.cfg.Log, events.NodeDelisted, logrus.Fields{"node": address, "role": l.node.Role.String(), "silent": time.Since(l.goneAt).String()})
 		}
 	}
-	if dropped {
-		s.relist()
+}
+
+// list puts an agent on the list and wakes the balancers' streams; the lock is held.
+func (s *Server) list(n Node) {
+	if n.Role != Agent {
+		return
+	}
+	address, err := netip.ParseAddrPort(n.Address)
+	if err != nil {
+		s.cfg.Log.WithError(err).Warn("roster: a node's address can't be read")
+		return
 	}
+	s.directory.put(address, n)
+	s.wake()
 }
 
-func lingeringOf(r Role) time.Duration {
-	if r == Agent {
-		return agentLingering
+// unlist takes an agent off the list; the lock is held.
+func (s *Server) unlist(n Node) {
+	if n.Role != Agent {
+		return
+	}
+	if address, err := netip.ParseAddrPort(n.Address); err == nil {
+		s.directory.remove(address)
+		s.wake()
 	}
-	return lingering
 }
 
-// agents counts the agents listed.
-func (s *Server) agents() uint32 {
+// retire takes an agent off the list whose target is gone, before its stream ends.
+func (s *Server) retire(n Node) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return uint32(len(s.nodes) - len(s.list))
+	l := s.nodes[n.Address]
+	if l == nil || l.node != n || l.retired {
+		return
+	}
+	l.retired = true
+	s.unlist(n)
 }
 
-// relist makes the list of balancers anew and wakes the streams; the lock is
-// held. Agents need the list to report to all balancers; balancers learn of
-// agents by their reports.
-func (s *Server) relist() {
-	s.list = s.list[:0:0]
-	for _, l := range s.nodes {
-		if l.node.Role == Balancer {
-			s.list = append(s.list, l.node)
-		}
-	}
-	slices.SortFunc(s.list, func(a, b Node) int { return strings.Compare(a.Address, b.Address) })
-	s.digest = digestOf(s.list)
+// wake has the balancers' streams look at the list; the lock is held.
+func (s *Server) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-func digestOf(nodes []Node) uint64 {
-	d := xxhash.New()
-	for i := range nodes {
-		b, err := nodes[i].MarshalMsg(nil)
-		if err != nil {
-			continue // plain values always encode
-		}
-		_, _ = d.Write(b) // never fails
-	}
-	return d.Sum64()
+func (s *Server) listChanged() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
 }
 
-func (s *Server) view() (list []Node, digest uint64, changed <-chan struct{}) {
+// listing is what a balancer lacks of the list.
+func (s *Server) listing(b Beat) *Listing {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.list, s.digest, s.changed
+	return s.directory.since(b.Epoch, b.Number)
 }
 
 // pusher sends one node its updates.
@@ -360,9 +362,9 @@
 	confirmed := make(chan struct{})
 	go p.server.confirm(ctx, confirmed)
 	for {
-		_, _, nodesChanged := p.server.view()
-		if p.role != Agent {
-			nodesChanged = nil
+		var listChanged <-chan struct{} // agents aren't woken by it
+		if p.role == Balancer {
+			listChanged = p.server.listChanged()
 		}
 		tableChanged := p.server.cfg.Store.Changed()
 		if err := p.push(); err != nil {
@@ -387,7 +389,7 @@
 		case <-confirmed:
 			p.confirmed = true
 			confirmed = nil
-		case <-nodesChanged:
+		case <-listChanged:
 		case <-tableChanged:
 		case <-ctx.Done():
 			return
@@ -413,13 +415,12 @@
 
 // push sends what the node lacks.
 func (p *pusher) push() error {
-	list, digest, _ := p.server.view()
 	u := Update{
-		Confirmed: p.confirmed, Digest: digest, Controls: p.server.cfg.Source.Controls(),
-		ContactAgeMS: p.server.cfg.Source.ContactAge().Milliseconds(), Agents: p.server.agents(),
+		Confirmed: p.confirmed, Controls: p.server.cfg.Source.Controls(),
+		ContactAgeMS: p.server.cfg.Source.ContactAge().Milliseconds(),
 	}
-	if digest != p.beat.Nodes && p.role == Agent {
-		u.Nodes = list
+	if p.role == Balancer {
+		u.List = p.server.listing(p.beat)
 	}
 	if state := p.server.cfg.Store.Current(); state != nil && p.confirmed {
 		u.Version = uint64(state.Definition.Version)
@@ -430,7 +431,9 @@
 	if _, err := p.conn.Write(kindUpdate, &u); err != nil {
 		return err
 	}
-	p.beat.Nodes = digest
+	if u.List != nil {
+		p.beat.Epoch, p.beat.Number = u.List.Epoch, u.List.Number
+	}
 	if u.Lean != nil {
 		p.beat.Version = u.Version
 	}
