Tables travel as changes, from one control VM at a time

Cause: nodes got the whole table with each version, 69 bytes a route, and a node that starts from each of five control VMs at once.

Change: what nodes need of a definition is its own type (26 bytes a route with two services: no names, services by index), whole or as changes from a version on. The store keeps the changes of the last 64 versions; each encoding is made once and not once a node. A node takes tables from one VM at a time; it goes over to another that has had a newer version for 300 ms, and asks at once when it has chosen one.

--- a/internal/pass/roster/client.go
+++ b/internal/pass/roster/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"slices"
 	"sync"
 	"time"
@@ -22,8 +23,9 @@
 	// dialPause is the mean wait before the next try; control VMs restart
 	// within a second.
 	dialPause = 100 * time.Millisecond
-	// aheadPatience is how long a version that only an unwanted stream tells of
-	// may be missing before the table is asked for there.
+	// aheadPatience is how long a version that another VM tells of may be missing
+	// before the table is asked for there. It is more than a table takes on a thin
+	// link.
 	aheadPatience = 300 * time.Millisecond
 	// contactBound is the contact age from which on a VM's stream isn't the one
 	// that tables are taken from.
@@ -55,12 +57,17 @@
 // Client keeps a node's streams.
 type Client struct {
 	cfg ClientConfig
+	// received counts the bytes of control VMs' messages.
+	received *expvar.Int
 
 	mu      sync.Mutex
 	streams map[string]*clientStream
 	known   []string
 	version route.Version
-	wanted  string
+	table   *route.Table
+	// wanted is the VM that tables are taken from, since wantedAt or its last table.
+	wanted   string
+	wantedAt time.Time
 }
 
 // clientStream is what the node knows of one control VM.
@@ -78,11 +85,25 @@
 	// some moment since the connection was made.
 	conn *wire.Conn
 	told bool
+	// kick has a beat sent at once.
+	kick chan struct{}
+}
+
+func newClientStream(ip string) *clientStream {
+	return &clientStream{ip: ip, kick: make(chan struct{}, 1)}
+}
+
+// beatNow has a beat sent at once.
+func (s *clientStream) beatNow() {
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
 }
 
 // NewClient returns a client; Run keeps its streams.
 func NewClient(cfg ClientConfig) *Client {
-	return &Client{cfg: cfg, streams: map[string]*clientStream{}}
+	return &Client{cfg: cfg, received: cfg.Metrics.Counter("control_bytes_received"), streams: map[string]*clientStream{}}
 }
 
 // Version returns that of the table held, 0 for none.
--- a/internal/pass/roster/client_stream.go
+++ b/internal/pass/roster/client_stream.go
@@ -17,7 +17,7 @@
 
 // keep makes one stream anew whenever it ends.
 func (c *Client) keep(ctx context.Context, ip string) {
-	s := &clientStream{ip: ip}
+	s := newClientStream(ip)
 	told := false
 	for ctx.Err() == nil {
 		err := c.follow(ctx, s)
@@ -88,6 +88,7 @@
 		if err != nil {
 			return Update{}, err
 		}
+		c.received.Add(int64(len(f.Body)))
 		switch f.Kind {
 		case kindUpdate:
 			var u Update
@@ -165,6 +166,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-s.kick:
 		}
 		b := c.beat(s)
 		if _, err := conn.Write(kindBeat, &b); err != nil {
--- a/internal/pass/roster/client_take.go
+++ b/internal/pass/roster/client_take.go
@@ -14,29 +14,45 @@
 func (c *Client) beat(s *clientStream) Beat {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	b := Beat{Version: uint64(c.version), Epoch: s.view.epoch, Number: s.view.number}
-	c.chooseWanted()
-	ahead := s.version > c.version && time.Since(s.aheadAt) > aheadPatience
-	b.Want = c.version == 0 || c.wanted == s.ip || ahead
-	return b
+	c.chooseWanted(time.Now())
+	return Beat{Version: uint64(c.version), Want: c.wanted == s.ip, Epoch: s.view.epoch, Number: s.view.number}
 }
 
-// chooseWanted keeps taking tables from one VM while it is in touch, so that
-// they travel once; the lock is held. Nodes start at different ones by a hash.
-func (c *Client) chooseWanted() {
-	if s := c.streams[c.wanted]; s != nil && s.current() {
+// chooseWanted keeps taking tables from one VM while it is in touch, so that they
+// travel once: a whole table for each stream fills a balancer's link when it starts.
+// The VM is left if another has had a newer version for longer than a table takes.
+// Nodes start at different ones by a hash. The lock is held.
+func (c *Client) chooseWanted(now time.Time) {
+	held := c.streams[c.wanted]
+	late := c.ahead(now) && now.Sub(c.wantedAt) > aheadPatience
+	if held != nil && held.current() && !late {
 		return
 	}
 	best := uint64(0)
+	wanted := ""
 	for ip, s := range c.streams {
-		if !s.current() {
+		if !s.current() || s.version == 0 || late && (s == held || s.version <= c.version) {
 			continue
 		}
 		if h := maphash.String(wantSeed, ip); h >= best {
 			best = h
-			c.wanted = ip
+			wanted = ip
 		}
 	}
+	if wanted != "" {
+		c.wanted = wanted
+		c.wantedAt = now
+	}
+}
+
+// ahead tells whether any VM has had a newer version for a while; the lock is held.
+func (c *Client) ahead(now time.Time) bool {
+	for _, s := range c.streams {
+		if s.current() && s.version > c.version && now.Sub(s.aheadAt) > aheadPatience {
+			return true
+		}
+	}
+	return false
 }
 
 var wantSeed = maphash.MakeSeed()
@@ -63,21 +79,36 @@
 		c.takeListing(s, u.List)
 	}
 	if u.Lean != nil {
-		c.takeTable(u)
+		c.takeTable(s, u)
+	}
+	wanted := c.wanted
+	if c.chooseWanted(s.heardAt); c.wanted != wanted {
+		c.streams[c.wanted].beatNow()
 	}
 }
 
 // takeTable puts a table in force if it is newer; the lock is held.
-func (c *Client) takeTable(u Update) {
+func (c *Client) takeTable(s *clientStream, u Update) {
 	if route.Version(u.Version) <= c.version {
 		return
 	}
-	d := new(route.Definition)
-	if _, err := d.UnmarshalMsg(u.Lean); err != nil {
+	var lean route.Lean
+	if _, err := lean.UnmarshalMsg(u.Lean); err != nil {
 		c.cfg.Log.WithError(err).Error("roster: table can't be read")
 		return
 	}
-	c.version = d.Version
-	c.cfg.Table(route.NewTable(d))
-	events.Log(c.cfg.Log, events.PassTableInForce, logrus.Fields{"version": u.Version, "routes": len(d.Routes)})
+	table, err := lean.Table(c.table)
+	if err != nil {
+		// Another VM's table came in between; the beat says which version is held.
+		c.cfg.Log.WithError(err).Debug("roster: table doesn't fit")
+		s.beatNow()
+		return
+	}
+	c.table = table
+	c.version = table.Version
+	c.wantedAt = s.heardAt
+	c.cfg.Table(table)
+	events.Log(c.cfg.Log, events.PassTableInForce, logrus.Fields{
+		"version": u.Version, "routes": table.Len(), "from": uint64(lean.From), "changes": len(lean.Routes) + len(lean.Removed), "bytes": len(u.Lean),
+	})
 }
--- a/internal/pass/roster/messages.go
+++ b/internal/pass/roster/messages.go
@@ -57,7 +57,7 @@
 	// Version is that of the table held.
 	Version uint64 `msg:"v"`
 	// Want asks for newer tables as they come; without it the node only hears
-	// which version there is.
+	// which version there is. A node wants them of one VM at a time.
 	Want bool `msg:"w"`
 	// Epoch and Number say as of when a balancer holds this VM's list of agents.
 	Epoch  uint64 `msg:"e"`
@@ -106,8 +106,8 @@
 	Version uint64 `msg:"v"`
 	// Confirmed says that the VM has been.
 	Confirmed bool `msg:"c"`
-	// Lean is the definition without its document, if newer than the node's and
-	// wanted.
+	// Lean is the encoded route.Lean from the node's version on, or of all routes, if
+	// there is a newer one and it is wanted.
 	Lean []byte `msg:"l"`
 	// List is what a balancer lacks of the VM's list of agents.
 	List *Listing `msg:"n"`
--- a/internal/pass/roster/roster_test.go
+++ b/internal/pass/roster/roster_test.go
@@ -251,6 +251,40 @@
 	is.Equal(n.seen(), []route.Version{1, 2})
 }
 
+// Guards against a start at which every control VM sends the whole table at once over
+// the node's link, and against a stream of whole tables while one changes.
+func TestTableComesOnce(t *testing.T) {
+	is := is.New(t)
+	all := vms(t, 5)
+	put := func(version route.Version, timeout uint32) {
+		d := &route.Definition{Version: version, Services: []route.Service{{Name: "desk"}}}
+		for n := range 1000 {
+			d.Routes = append(d.Routes, route.Route{
+				IP: [4]byte{198, 18, byte(n >> 8), byte(n)}, Port: 443, TimeoutMS: 1000, Backends: []route.Backed{{Service: "desk", Weight: 1}},
+			})
+		}
+		d.Routes[0].TimeoutMS = timeout
+		command, err := route.Command(d)
+		is.NoErr(err)
+		for _, v := range all {
+			v.store.Apply(1, command)
+		}
+	}
+	put(1, 1000)
+	whole, err := all[0].store.Current().Since(0)
+	is.NoErr(err)
+	n := startNode(t, Balancer, "10.0.0.1:1", all...)
+	await(t, "streams and a table", func() bool { return n.client.Heard() == 5 && n.client.Version() == 1 })
+	for version := route.Version(2); version <= 6; version++ {
+		put(version, uint32(version))
+		await(t, "the next version", func() bool { return n.client.Version() == version })
+	}
+	time.Sleep(3 * BeatInterval)
+	if got := n.client.received.Value(); got > int64(len(whole))*3/2 {
+		t.Errorf("%d bytes received; a whole table takes %d", got, len(whole))
+	}
+}
+
 // Balancers learn of agents that come and go; one whose stream broke off stays listed
 // for a while, since it may be cut off from control only.
 func TestBalancersLearnOfAgents(t *testing.T) {
@@ -295,7 +329,7 @@
 func TestListsAreUnited(t *testing.T) {
 	is := is.New(t)
 	told := map[netip.AddrPort]bool{}
-	c := NewClient(ClientConfig{Node: Node{Role: Balancer}, Log: quiet(), Agents: func(x Changes) {
+	c := NewClient(ClientConfig{Node: Node{Role: Balancer}, Log: quiet(), Metrics: metrics.New(), Agents: func(x Changes) {
 		for _, a := range x.Present {
 			told[a.Address] = true
 		}
@@ -304,7 +338,7 @@
 		}
 	}})
 	one, two := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")
-	a, b := &clientStream{ip: "a"}, &clientStream{ip: "b"}
+	a, b := newClientStream("a"), newClientStream("b")
 	c.streams["a"], c.streams["b"] = a, b
 	first, second := newDirectory(), newDirectory()
 	first.put(one, Node{})
--- a/internal/pass/roster/server.go
+++ b/internal/pass/roster/server.go
@@ -425,7 +425,11 @@
 	if state := p.server.cfg.Store.Current(); state != nil && p.confirmed {
 		u.Version = uint64(state.Definition.Version)
 		if p.beat.Want && u.Version > p.beat.Version {
-			u.Lean = state.Lean
+			lean, err := state.Since(route.Version(p.beat.Version))
+			if err != nil {
+				return err
+			}
+			u.Lean = lean
 		}
 	}
 	if _, err := p.conn.Write(kindUpdate, &u); err != nil {
--- a/internal/pass/route/cost_test.go
+++ b/internal/pass/route/cost_test.go
@@ -19,11 +19,12 @@
 			}
 			for range b.N {
 				s := NewStore()
-				if err := s.put(d); err != nil {
+				s.put(d)
+				whole, err := s.Current().Since(0)
+				if err != nil {
 					b.Fatal(err)
 				}
-				NewTable(d)
-				b.ReportMetric(float64(len(s.Current().Lean))/float64(n), "B/route")
+				b.ReportMetric(float64(len(whole))/float64(n), "B/route")
 			}
 		})
 	}
--- /dev/null
+++ b/internal/pass/route/lean.go
@@ -0,0 +1,205 @@
+package route
+
+import (
+	"maps"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotstall/internal/pass/packet"
+)
+
+//go:generate env GOWORK=off go -C ../../../tools tool msgp -file ../internal/pass/route/lean.go -o ../internal/pass/route/lean_gen.go -tests=false -io=false
+
+//msgp:ignore leanWriter changes
+
+// Lean is what nodes need of a definition, or of the changes between two.
+type Lean struct {
+	Version Version `msg:"v"`
+	// From is the version that the changes are to, 0 where all routes are there.
+	From Version `msg:"f"`
+	// Services are the identities that routes name by their index.
+	Services []uint64    `msg:"s"`
+	Routes   []LeanRoute `msg:"r"`
+	Removed  []LeanPlace `msg:"x"`
+}
+
+// LeanRoute is a route without its name.
+//
+//msgp:tuple LeanRoute
+type LeanRoute struct {
+	At        LeanPlace
+	TimeoutMS uint32
+	Priority  uint32
+	Backends  []LeanBacked
+}
+
+// LeanPlace is a route's service address.
+//
+//msgp:tuple LeanPlace
+type LeanPlace struct {
+	IP   [4]byte
+	Port uint16
+}
+
+// LeanBacked is a service behind a route.
+//
+//msgp:tuple LeanBacked
+type LeanBacked struct {
+	Service uint16
+	Weight  uint32
+}
+
+// ErrOtherVersion means that changes are to another version than the one held.
+var ErrOtherVersion = errors.New("route: changes to another version")
+
+func (p LeanPlace) address() packet.Endpoint { return packet.Endpoint{IP: p.IP, Port: p.Port} }
+
+func placeOf(r *Route) LeanPlace { return LeanPlace{IP: r.IP, Port: r.Port} }
+
+// leanWriter gathers routes and the services that they name.
+type leanWriter struct {
+	lean  Lean
+	index map[string]uint16
+}
+
+func newLeanWriter(version, from Version) *leanWriter {
+	return &leanWriter{lean: Lean{Version: version, From: from}, index: map[string]uint16{}}
+}
+
+func (w *leanWriter) add(r *Route) {
+	out := LeanRoute{At: placeOf(r), TimeoutMS: r.TimeoutMS, Priority: r.Priority}
+	for _, b := range r.Backends {
+		if b.Weight > 0 {
+			out.Backends = append(out.Backends, LeanBacked{Service: w.service(b.Service), Weight: b.Weight})
+		}
+	}
+	w.lean.Routes = append(w.lean.Routes, out)
+}
+
+func (w *leanWriter) service(name string) uint16 {
+	if at, ok := w.index[name]; ok {
+		return at
+	}
+	at := uint16(len(w.lean.Services))
+	w.index[name] = at
+	w.lean.Services = append(w.lean.Services, uint64(IDOf(name)))
+	return at
+}
+
+// LeanOf returns what nodes need of a whole definition.
+func LeanOf(d *Definition) *Lean {
+	w := newLeanWriter(d.Version, 0)
+	for i := range d.Routes {
+		w.add(&d.Routes[i])
+	}
+	return &w.lean
+}
+
+// changes are the routes that differ between two definitions.
+type changes struct {
+	from    Version
+	changed map[LeanPlace]*Route
+	removed map[LeanPlace]bool
+}
+
+// changesBetween compares two definitions.
+func changesBetween(old, next *Definition) *changes {
+	c := &changes{from: old.Version, changed: map[LeanPlace]*Route{}, removed: map[LeanPlace]bool{}}
+	before := make(map[LeanPlace]*Route, len(old.Routes))
+	for i := range old.Routes {
+		before[placeOf(&old.Routes[i])] = &old.Routes[i]
+	}
+	for i := range next.Routes {
+		r := &next.Routes[i]
+		if was := before[placeOf(r)]; was == nil || !sameForNodes(was, r) {
+			kept := *r // the definitions themselves aren't
+			c.changed[placeOf(r)] = &kept
+		}
+		delete(before, placeOf(r))
+	}
+	for at := range before {
+		c.removed[at] = true
+	}
+	return c
+}
+
+// sameForNodes tells whether nodes treat two routes alike.
+func sameForNodes(a, b *Route) bool {
+	if a.TimeoutMS != b.TimeoutMS || a.Priority != b.Priority || len(a.Backends) != len(b.Backends) {
+		return false
+	}
+	for i := range a.Backends {
+		if a.Backends[i] != b.Backends[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// then adds later changes.
+func (c *changes) then(later *changes) {
+	for at, r := range later.changed {
+		c.changed[at] = r
+		delete(c.removed, at)
+	}
+	for at := range later.removed {
+		c.removed[at] = true
+		delete(c.changed, at)
+	}
+}
+
+func (c *changes) size() int { return len(c.changed) + len(c.removed) }
+
+// lean returns the changes as nodes get them, to a version.
+func (c *changes) lean(version Version) *Lean {
+	w := newLeanWriter(version, c.from)
+	for _, r := range c.changed {
+		w.add(r)
+	}
+	for at := range c.removed {
+		w.lean.Removed = append(w.lean.Removed, at)
+	}
+	return &w.lean
+}
+
+// Table makes the lookup; held is the table in force, nil if none.
+func (l *Lean) Table(held *Table) (*Table, error) {
+	for _, r := range l.Routes {
+		for _, b := range r.Backends {
+			if int(b.Service) >= len(l.Services) {
+				return nil, errors.Errorf("route: service %d of %d", b.Service, len(l.Services))
+			}
+		}
+	}
+	if l.From == 0 {
+		return l.whole(), nil
+	}
+	if held == nil || held.Version != l.From {
+		return nil, errors.Wrapf(ErrOtherVersion, "from %d", l.From)
+	}
+	t := &Table{Version: l.Version, routes: maps.Clone(held.routes)}
+	l.putInto(t)
+	return t, nil
+}
+
+// whole makes the lookup of all routes.
+func (l *Lean) whole() *Table {
+	t := &Table{Version: l.Version, routes: make(map[packet.Endpoint]lookup, len(l.Routes))}
+	l.putInto(t)
+	return t
+}
+
+func (l *Lean) putInto(t *Table) {
+	for _, r := range l.Routes {
+		x := lookup{priority: r.Priority, timeout: time.Duration(r.TimeoutMS) * time.Millisecond}
+		for _, b := range r.Backends {
+			x.choices = append(x.choices, Choice{Service: ServiceID(l.Services[b.Service]), Weight: b.Weight})
+			x.total += uint64(b.Weight)
+		}
+		t.routes[r.At.address()] = x
+	}
+	for _, at := range l.Removed {
+		delete(t.routes, at.address())
+	}
+}
--- a/internal/pass/route/route.go
+++ b/internal/pass/route/route.go
@@ -155,22 +155,10 @@
 }
 
 // NewTable makes the lookup of a valid definition.
-func NewTable(d *Definition) *Table {
-	t := &Table{Version: d.Version, routes: make(map[packet.Endpoint]lookup, len(d.Routes))}
-	for i := range d.Routes {
-		r := &d.Routes[i]
-		l := lookup{priority: r.Priority, timeout: time.Duration(r.TimeoutMS) * time.Millisecond}
-		for _, b := range r.Backends {
-			if b.Weight == 0 {
-				continue
-			}
-			l.choices = append(l.choices, Choice{Service: IDOf(b.Service), Weight: b.Weight})
-			l.total += uint64(b.Weight)
-		}
-		t.routes[r.Address()] = l
-	}
-	return t
-}
+func NewTable(d *Definition) *Table { return LeanOf(d).whole() }
+
+// Len returns the number of routes.
+func (t *Table) Len() int { return len(t.routes) }
 
 // Services returns the choices of an address, nil if it has no route.
 func (t *Table) Services(at packet.Endpoint) []Choice {
--- a/internal/pass/route/store.go
+++ b/internal/pass/route/store.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -18,11 +19,57 @@
 	changed chan struct{}
 }
 
+// maxSteps is from how many versions ago a node is brought up to date by the changes.
+const maxSteps = 64
+
 // State is a definition in force with what is derived from it once.
 type State struct {
 	Definition *Definition
-	// Lean is the encoded definition without its document, as nodes get it.
-	Lean []byte
+	// steps are the changes that led here, each to the version of the next.
+	steps []*changes
+
+	mu sync.Mutex
+	// encoded is what nodes get, by the version that they hold.
+	encoded map[Version][]byte
+}
+
+// Since returns the encoded Lean for a node that holds a version, 0 for none. Most
+// nodes hold the same few, so each is encoded once and not once a node.
+func (s *State) Since(held Version) ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lean := s.lean(held)
+	if data, ok := s.encoded[lean.From]; ok {
+		return data, nil
+	}
+	data, err := lean.MarshalMsg(nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "route: encode")
+	}
+	if s.encoded == nil {
+		s.encoded = map[Version][]byte{}
+	}
+	s.encoded[lean.From] = data
+	return data, nil
+}
+
+// lean returns the changes since a version, or all if these are no longer known or no
+// less.
+func (s *State) lean(held Version) *Lean {
+	for i, first := range s.steps {
+		if first.from != held {
+			continue
+		}
+		all := &changes{from: held, changed: map[LeanPlace]*Route{}, removed: map[LeanPlace]bool{}}
+		for _, step := range s.steps[i:] {
+			all.then(step)
+		}
+		if all.size() < len(s.Definition.Routes) {
+			return all.lean(s.Definition.Version)
+		}
+		break
+	}
+	return LeanOf(s.Definition)
 }
 
 // Outcome says what became of a command.
@@ -77,25 +124,21 @@
 	if d.Version <= s.Version() {
 		return []byte{byte(Overtaken)}
 	}
-	if err := s.put(d); err != nil {
-		return []byte{byte(Unreadable)}
-	}
+	s.put(d)
 	return []byte{byte(Accepted)}
 }
 
-func (s *Store) put(d *Definition) error {
-	lean := *d
-	lean.Document = nil
-	data, err := lean.MarshalMsg(nil)
-	if err != nil {
-		return errors.Wrap(err, "route: encode")
+func (s *Store) put(d *Definition) {
+	next := &State{Definition: d}
+	if held := s.current.Load(); held != nil {
+		next.steps = append(slices.Clone(held.steps), changesBetween(held.Definition, d))
+		next.steps = next.steps[max(0, len(next.steps)-maxSteps):]
 	}
-	s.current.Store(&State{Definition: d, Lean: data})
+	s.current.Store(next)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return nil
 }
 
 // Snapshot implements replica.StateMachine.
@@ -121,5 +164,6 @@
 	if d.Version <= s.Version() {
 		return nil
 	}
-	return s.put(d)
+	s.put(d)
+	return nil
 }
