A flow is searched among all agents again soon; questions are paid by their bytes

Callers waited for their deadline.

Change: the pause between two searches of a flow among all agents begins at 150 ms and doubles up to 5 s. Wide rounds leave half of a burst to first rounds, and a question that shares its datagram with others costs 16 bytes and not 45. A control VM that starts serves nodes once it is in touch with a quorum, after one second at the latest, so that the election has the processor to itself; the first update to a node waits for the confirmation that follows, and the first VM reached is asked for the table with the first message.

Test: TestCopyIsSearchedAmongAllAgainSoon fails without the change.

--- a/internal/pass/control/control.go
+++ b/internal/pass/control/control.go
@@ -47,6 +47,11 @@
 	// replaceAfter is the silence after which a control VM that comes back with
 	// an empty disk takes its old place. Ten heartbeats; see replica.Upkeep.
 	replaceAfter = time.Second
+	// contactWait bounds how long a starting VM lets nodes wait until it is in touch
+	// with a quorum; contactPoll is how often it looks. Past it nodes are served all
+	// the same: a VM that is cut off still lists the agents that it hears.
+	contactWait = time.Second
+	contactPoll = 5 * time.Millisecond
 	// evictAfter is the silence after which a VM stops counting where more than
 	// three others vote: a VM whose successor came first and that then went for
 	// good. The platform lets the next loss come four seconds after.
@@ -106,12 +111,11 @@
 	server := roster.NewServer(roster.ServerConfig{Store: c.store, Source: c, Flows: flows, Log: c.cfg.Log, Metrics: c.cfg.Metrics})
 	c.cfg.Metrics.Gauge("definition_version", func() int64 { return int64(c.store.Version()) })
 	group, ctx := errgroup.WithContext(ctx)
-	// Nodes wait until the replica is open: after all lost power they come all at
-	// once, and what they ask for first, the table, needs the replica.
 	tried := make(chan struct{})
 	group.Go(func() error { return c.keepReplica(ctx, tried) })
 	group.Go(func() error {
 		<-tried
+		c.awaitContact(ctx)
 		return server.Serve(ctx, streams)
 	})
 	group.Go(func() error {
@@ -121,6 +125,19 @@
 	return group.Wait()
 }
 
+// awaitContact waits until this VM is in touch with a quorum, but not for long. After
+// all lost power every node attaches to every control VM at once; served first, they
+// take the processor time that the election needs, and can be told of no table before
+// it. Their connections wait in the listener's queue.
+func (c *Control) awaitContact(ctx context.Context) {
+	for end := time.Now().Add(contactWait); time.Now().Before(end) && ctx.Err() == nil; {
+		if c.ContactAge() < contactWait {
+			return
+		}
+		wait.For(ctx, contactPoll)
+	}
+}
+
 // keepReplica keeps a replica open until ctx is done; tried is closed once it was
 // opened, or couldn't be.
 func (c *Control) keepReplica(ctx context.Context, tried chan<- struct{}) error {
--- a/internal/pass/forward/agents.go
+++ b/internal/pass/forward/agents.go
@@ -31,10 +31,11 @@
 	goneAt time.Duration
 	report peer.Report
 	// heardAt is the time of the report, aliveAt of the last datagram, probedAt of
-	// the last probe sent.
+	// the last probe sent, askedAt of the last question.
 	heardAt  time.Duration
 	aliveAt  time.Duration
 	probedAt time.Duration
+	askedAt  time.Duration
 	// sent counts the flows sent since the last report.
 	sent       uint32
 	avoidUntil time.Duration
--- a/internal/pass/forward/forward.go
+++ b/internal/pass/forward/forward.go
@@ -50,8 +50,8 @@
 	Zone   string
 	Rand   *rand.Rand
 	Policy Policy
-	// QuestionRate is how many questions a second may be asked, so that searches
-	// leave the balancer's link to the packets of flows; 0 for no bound.
+	// QuestionRate is how many bytes of questions a second may be sent, so that
+	// searches leave the balancer's link to the packets of flows; 0 for no bound.
 	QuestionRate float64
 	Out          Output
 }
@@ -115,8 +115,8 @@
 	queue  []packet.Flow
 	asking int
 	budget budget
-	// wideAt is when each flow was last searched among all agents.
-	wideAt  map[packet.Flow]time.Duration
+	// wide tells of the flows that were searched among all agents lately.
+	wide    map[packet.Flow]wideSearch
 	sweepAt time.Duration
 	// placements are the first packets that wait for their candidates' loads.
 	placements placements
@@ -130,7 +130,7 @@
 func New(cfg Config) *Engine {
 	return &Engine{
 		cfg: cfg, budget: budget{rate: cfg.QuestionRate}, flows: map[packet.Flow]holder{}, searches: map[packet.Flow]*search{}, early: map[packet.Flow]earlyPacket{},
-		agents: newAgents(), placements: newPlacements(), wideAt: map[packet.Flow]time.Duration{},
+		agents: newAgents(), placements: newPlacements(), wide: map[packet.Flow]wideSearch{},
 	}
 }
 
--- a/internal/pass/forward/search.go
+++ b/internal/pass/forward/search.go
@@ -32,9 +32,11 @@
 	// firstRound is how many agents are asked first: the flow's preferred ones of
 	// this data centre in a large fleet, all of the route in a small one.
 	firstRound = 8
-	// wideAgain is how long a flow that was searched among all agents isn't again.
-	// Without it every copy that a caller sends of a packet asks all of them.
-	wideAgain = 3 * time.Second
+	// wideAgain is how long a flow that was searched among all agents isn't at first,
+	// wideLater at most: the pause doubles with each such search. Without it every copy
+	// that a caller sends of a packet asks all of them.
+	wideAgain = 150 * time.Millisecond
+	wideLater = 5 * time.Second
 	// maxSearches bounds the flows searched at once. Past it the packet is
 	// dropped, and the caller sends it again.
 	maxSearches = 8_192
@@ -82,6 +84,13 @@
 	mute bool
 }
 
+// wideSearch is when a flow was last searched among all agents.
+type wideSearch struct {
+	// notBefore is when it may be again, pause how long that was after the last time.
+	notBefore time.Duration
+	pause     time.Duration
+}
+
 // seek begins or joins the search for a flow's holder. lacks is an agent known
 // not to hold it.
 func (e *Engine) seek(now time.Duration, p packet.Packet, f packet.Flow, raw []byte, lacks uint32) {
@@ -107,7 +116,7 @@
 // beginQueued asks for the flows whose turn it is, while the budget lasts.
 func (e *Engine) beginQueued(now time.Duration) {
 	e.budget.refill(now)
-	for e.asking < maxAsking && len(e.queue) > 0 && e.budget.allows(firstRound) {
+	for e.asking < maxAsking && len(e.queue) > 0 && e.budget.allows(false) {
 		f := e.queue[0]
 		e.queue = e.queue[1:]
 		s := e.searches[f]
@@ -141,33 +150,43 @@
 	if len(s.asked) >= firstRound {
 		size = len(s.next)
 	}
-	for ; len(s.next) > 0 && size > 0 && e.budget.allows(1); s.next = s.next[1:] {
+	for ; len(s.next) > 0 && size > 0 && e.budget.allows(s.wide); s.next = s.next[1:] {
 		agent := s.next[0]
 		if _, done := s.asked[agent]; done {
 			continue
 		}
 		size--
-		e.budget.spend(1)
 		s.asked[agent] = struct{}{}
 		s.waiting = append(s.waiting, agent)
 		s.roundAt = now
 		s.again = false
-		e.cfg.Out.Ask(e.agents.list[agent].address, peer.Question{Flow: f, Ack: s.ack})
+		e.question(now, f, s, agent)
 	}
 	return len(s.waiting) > 0 || len(s.next) > 0
 }
 
+// question asks one agent.
+func (e *Engine) question(now time.Duration, f packet.Flow, s *search, agent uint32) {
+	a := &e.agents.list[agent]
+	e.budget.spend(a.askedAt == now)
+	a.askedAt = now
+	e.cfg.Out.Ask(a.address, peer.Question{Flow: f, Ack: s.ack})
+}
+
 // widen goes over to all agents: a flow stays where it is when its route goes over
 // to another service, and may have been placed when other agents were there.
 func (e *Engine) widen(now time.Duration, f packet.Flow, s *search) {
 	s.wide = true
 	s.wideAt = now
-	if at, ok := e.wideAt[f]; ok && now-at < wideAgain {
+	w, again := e.wide[f]
+	if again && now < w.notBefore {
 		s.narrow = true
 		return
 	}
-	if len(e.wideAt) < maxSearches {
-		e.wideAt[f] = now
+	w.pause = min(max(2*w.pause, wideAgain), wideLater)
+	w.notBefore = now + w.pause
+	if again || len(e.wide) < maxSearches {
+		e.wide[f] = w
 	}
 	for i := range e.agents.list {
 		if _, done := s.asked[uint32(i)]; !done && e.agents.list[i].asked(now) {
@@ -308,20 +327,19 @@
 func (e *Engine) askOnceMore(now time.Duration, f packet.Flow, s *search) {
 	s.again = true
 	for _, agent := range s.waiting {
-		if !e.budget.allows(1) {
+		if !e.budget.allows(true) {
 			break
 		}
-		e.budget.spend(1)
-		e.cfg.Out.Ask(e.agents.list[agent].address, peer.Question{Flow: f, Ack: s.ack})
+		e.question(now, f, s, agent)
 	}
 	e.advance(now, f, s)
 }
 
 // sweepSearches forgets which flows were searched among all agents long ago.
 func (e *Engine) sweepSearches(now time.Duration) {
-	for f, at := range e.wideAt {
-		if now-at >= wideAgain {
-			delete(e.wideAt, f)
+	for f, w := range e.wide {
+		if now >= w.notBefore+wideLater {
+			delete(e.wide, f)
 		}
 	}
 }
--- a/internal/pass/peer/peer.go
+++ b/internal/pass/peer/peer.go
@@ -167,6 +167,9 @@
 // headers of UDP and IP.
 const QuestionCost = 1 + questionSize + 28
 
+// SharedQuestionCost is the bytes that each further question takes in a datagram.
+const SharedQuestionCost = questionSize
+
 // AppendAsk writes a batch of questions.
 func AppendAsk(to []byte, qs []Question) []byte {
 	to = append(to, byte(KindAsk))
--- a/internal/pass/roster/client_take.go
+++ b/internal/pass/roster/client_take.go
@@ -15,6 +15,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.chooseWanted(time.Now())
+	if c.wanted == "" {
+		// The first VM to be reached is asked for the first table, others if they
+		// are sooner in touch with a quorum.
+		c.wanted = s.ip
+		c.wantedAt = time.Now()
+	}
 	return Beat{Version: uint64(c.version), Want: c.wanted == s.ip, Epoch: s.view.epoch, Number: s.view.number}
 }
 
@@ -28,6 +34,9 @@
 	if held != nil && held.current() && !late {
 		return
 	}
+	if held != nil && held.conn != nil && c.version == 0 && now.Sub(c.wantedAt) < aheadPatience {
+		return // the first table may be on its way
+	}
 	best := uint64(0)
 	wanted := ""
 	for ip, s := range c.streams {
--- a/internal/pass/roster/server.go
+++ b/internal/pass/roster/server.go
@@ -361,6 +361,16 @@
 	defer raw.Close()
 	confirmed := make(chan struct{})
 	go p.server.confirm(ctx, confirmed)
+	// A VM in touch with a quorum is confirmed within a round trip, and its first
+	// update then has the table.
+	select {
+	case <-confirmed:
+		p.confirmed = true
+		confirmed = nil
+	case <-time.After(pushPause):
+	case <-ctx.Done():
+		return
+	}
 	for {
 		var listChanged <-chan struct{} // agents aren't woken by it
 		if p.role == Balancer {
