A request that hangs takes no room at a target

Change: a request that runs for six times the observed mean, and for 400 ms at least, takes no room. It still counts in reports, so the target gets fewer new flows.

Two tests played a target that answers nothing for seconds and called it slow; they observe a slow pace first now, with the same demands.

--- a/internal/pass/flowtable/admission.go
+++ b/internal/pass/flowtable/admission.go
@@ -75,15 +75,34 @@
 	return slots + max(1, e.pace.endDuringHandshake(slots))
 }
 
-// busy tells whether another request would only wait at the target.
+// busy tells whether another request would only wait at the target. A target that hangs
+// on some requests runs others well in the slots that it has given up; counted as
+// running until their timeout, the ones that hang would have all others wait.
 func (e *Engine) busy() bool {
-	return !e.cfg.Policy.Unlimited && e.load.running+len(e.admission.expected) >= e.room()
+	running := max(0, e.load.running-e.load.hung)
+	return !e.cfg.Policy.Unlimited && running+len(e.admission.expected) >= e.room()
+}
+
+// countHung looks for requests that take many times what others take.
+func (e *Engine) countHung(now time.Duration) {
+	if now < e.load.hungAt {
+		return
+	}
+	e.load.hungAt = now + hungScan
+	e.load.hung = 0
+	after := e.pace.hungAfter()
+	for _, x := range e.flows {
+		if x.running && now-x.runningAt > after {
+			e.load.hung++
+		}
+	}
 }
 
 // tickAdmission refuses what has waited too long, or waits for a target that
 // takes no more, and stops expecting requests that don't come.
 func (e *Engine) tickAdmission(now time.Duration) {
 	e.dropOverdue(now)
+	e.countHung(now)
 	still := e.admission.expected[:0]
 	for _, x := range e.admission.expected {
 		if now-x.at < e.cfg.Policy.ExpectFor {
--- a/internal/pass/flowtable/admission_test.go
+++ b/internal/pass/flowtable/admission_test.go
@@ -81,6 +81,7 @@
 	is := is.New(t)
 	r := newRig(t)
 	busyTarget(r)
+	r.engine.pace.service = time.Second // the target is slow, and doesn't hang
 	r.syn(9)
 	r.pass(policy.MaxWait - 50*time.Millisecond)
 	is.Equal(len(r.refused), 0)
--- a/internal/pass/flowtable/load.go
+++ b/internal/pass/flowtable/load.go
@@ -12,8 +12,11 @@
 type load struct {
 	// flows are open, running of them wait for an answer.
 	flows, running int
-	mean           float64
-	meanAt         time.Duration
+	// hung of those running hang, as of the last look.
+	hung   int
+	hungAt time.Duration
+	mean   float64
+	meanAt time.Duration
 }
 
 // meanOver is the time constant of the mean load: about as long as a feed waits
--- a/internal/pass/flowtable/pace.go
+++ b/internal/pass/flowtable/pace.go
@@ -11,8 +11,16 @@
 	handshake, service time.Duration
 }
 
-// paceMemory is over how many observations a mean goes.
-const paceMemory = 8
+const (
+	// paceMemory is over how many observations a mean goes.
+	paceMemory = 8
+	// hungTimes is how many times the mean a request may take before it counts as hung,
+	// hungLeast the least time that it may.
+	hungTimes = 6
+	hungLeast = 400 * time.Millisecond
+	// hungScan is the time between two looks for hung requests.
+	hungScan = 100 * time.Millisecond
+)
 
 // observe takes one more observation into a mean.
 func observe(mean *time.Duration, took time.Duration) {
@@ -23,6 +31,9 @@
 	*mean += (took - *mean) / paceMemory
 }
 
+// hungAfter is how long a request may run before it is taken to hang.
+func (p *pace) hungAfter() time.Duration { return max(hungLeast, hungTimes*p.service) }
+
 // endDuringHandshake is how many of the requests in the slots end during one.
 func (p *pace) endDuringHandshake(slots int) int {
 	if p.service == 0 {
--- a/internal/pass/flowtable/queue_test.go
+++ b/internal/pass/flowtable/queue_test.go
@@ -159,6 +159,7 @@
 	r := newRig(t)
 	idleFlow(r, 9)
 	fill(r)
+	r.engine.pace.service = time.Hour // the target is slow, and doesn't hang
 	r.ask(9, 1)
 	for number := uint64(2); r.engine.queuedAt(flowOf(9)) >= 0; number++ {
 		r.announce("i-1", 0, number)
@@ -192,6 +193,25 @@
 	is.Equal(r.toTarget, []uint16{idleFlowFull})
 }
 
+// Guards against free slots given away on a guess: a request that takes as long as others
+// do keeps its room, however long that is.
+func TestSlowRequestsKeepTheirRoom(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	idleFlow(r, 9)
+	for n := range uint32(3 * paceMemory) {
+		r.ask(9, n)
+		r.pass(time.Second)
+		r.answered(9, n)
+		r.announce("i-1", 0, uint64(n)+2)
+	}
+	fill(r)
+	r.ask(9, 3*paceMemory)
+	r.pass(time.Second)
+	is.Equal(len(r.toTarget), 0)
+	is.Equal(r.report().Running, uint32(r.engine.room()+1))
+}
+
 // A target hangs on as many requests as it has room for, and runs others well: its
 // slots are free again, but the agent counts the ones that hang as running. A caller
 // asks over an open flow, and its request must not wait for them until their route's
