Requests over open flows wait beside busy targets again

They had been let through since a target that hangs on requests made the others wait; such requests take no room any more.

--- a/internal/pass/flowtable/admission.go
+++ b/internal/pass/flowtable/admission.go
@@ -41,10 +41,9 @@
 	Unlimited, Bypass, OldestFirst, Unranked bool
 }
 
-// DefaultPolicy is the policy in use. Requests over open flows bypass admission: held
-// back, they would wait behind requests that a target hangs on.
+// DefaultPolicy is the policy in use.
 func DefaultPolicy() Policy {
-	return Policy{MaxWait: 800 * time.Millisecond, ExpectFor: 60 * time.Millisecond, Bypass: true}
+	return Policy{MaxWait: 800 * time.Millisecond, ExpectFor: 60 * time.Millisecond}
 }
 
 // admission holds what waits and what is expected.
--- a/internal/pass/flowtable/admission_test.go
+++ b/internal/pass/flowtable/admission_test.go
@@ -11,14 +11,7 @@
 	"bergamotstall/internal/pass/route"
 )
 
-var policy = holding()
-
-// holding is the policy in use, with requests over open flows held back.
-func holding() Policy {
-	p := DefaultPolicy()
-	p.Bypass = false
-	return p
-}
+var policy = DefaultPolicy()
 
 // busyTarget gives the target as many requests as it has room for.
 func busyTarget(r *rig) {
--- a/internal/pass/model/model_test.go
+++ b/internal/pass/model/model_test.go
@@ -77,7 +77,6 @@
 	for _, name := range []string{"burst", "saturation"} {
 		through, held := InUse(), InUse()
 		through.Flowtable.Bypass = true
-		held.Flowtable.Bypass = false
 		with, _ := mean(t, name, held)
 		without, _ := mean(t, name, through)
 		t.Logf("%s: worth %.3f, %.3f if requests over open flows don't wait", name, with, without)
