The agents of a wide round are asked step by step

Change: 32 agents each 10 ms; agents that haven't answered are asked again as soon as the budget allows, and waited for after that.

Test: TestWideRoundsGoStepByStep, which the code before refuses by its bound.

--- a/internal/pass/forward/ranking_test.go
+++ b/internal/pass/forward/ranking_test.go
@@ -163,6 +163,29 @@
 	is.Equal(len(r.resets), 0)
 }
 
+// Guards against agents that are taken to be silent since all answered at once, more than
+// a thin link queues: the agents of a wide round are asked step by step.
+func TestWideRoundsGoStepByStep(t *testing.T) {
+	is := is.New(t)
+	const agents = 200
+	r := fleetRig(t, "a", agents, 0)
+	r.send(data(9, 77))
+	began, total := r.now, 0
+	for len(r.resets) == 0 && r.now < began+time.Second {
+		asked := r.asked
+		r.asked = nil
+		total += len(asked)
+		is.True(total <= wideStep*int(1+(r.now-began)/widePause))
+		for _, q := range asked {
+			r.engine.Answered(r.now, q.to, peer.Ruling{Question: q.q, Verdict: peer.Lacks})
+		}
+		r.pass(10 * time.Millisecond)
+	}
+	is.Equal(len(r.resets), 1)
+	is.Equal(r.last().Asked, agents)
+	is.True(r.now-began < 200*time.Millisecond) // before the caller's next copy
+}
+
 // Guards against callers that wait for their deadline since a first search, shortly after
 // the start of the fleet, was in vain: a copy is searched among all again.
 func TestCopyIsSearchedAmongAllAgainSoon(t *testing.T) {
--- a/internal/pass/forward/search.go
+++ b/internal/pass/forward/search.go
@@ -32,6 +32,11 @@
 	// firstRound is how many agents are asked first: the flow's preferred ones of
 	// this data centre in a large fleet, all of the route in a small one.
 	firstRound = 8
+	// wideStep is how many agents of a wide round are asked at once, widePause the time
+	// between two steps. The answers of a whole fleet at once are more than a thin link
+	// queues, and a lost one looks like an agent that is silent.
+	wideStep  = 32
+	widePause = 10 * time.Millisecond
 	// wideAgain is how long a flow that was searched among all agents isn't at first,
 	// wideLater at most: the pause doubles with each such search. Without it every copy
 	// that a caller sends of a packet asks all of them.
@@ -146,10 +151,7 @@
 // ask sends the questions of the next round, as many as the budget allows. It
 // returns false if there are none left in this stage.
 func (e *Engine) ask(now time.Duration, f packet.Flow, s *search) bool {
-	size := firstRound
-	if len(s.asked) >= firstRound {
-		size = len(s.next)
-	}
+	size := s.roundSize()
 	for ; len(s.next) > 0 && size > 0 && e.budget.allows(s.wide); s.next = s.next[1:] {
 		agent := s.next[0]
 		if _, done := s.asked[agent]; done {
@@ -165,6 +167,25 @@
 	return len(s.waiting) > 0 || len(s.next) > 0
 }
 
+// roundSize is how many agents the next round asks.
+func (s *search) roundSize() int {
+	switch {
+	case s.wide:
+		return wideStep
+	case len(s.asked) < firstRound:
+		return firstRound
+	}
+	return len(s.next)
+}
+
+// pausing tells whether the present round is given more time before the next one.
+func (s *search) pausing(now time.Duration) bool {
+	if s.wide && len(s.next) > 0 {
+		return now-s.roundAt < widePause
+	}
+	return len(s.waiting) > 0 && now-s.roundAt < roundPatience
+}
+
 // question asks one agent.
 func (e *Engine) question(now time.Duration, f packet.Flow, s *search, agent uint32) {
 	a := &e.agents.list[agent]
@@ -247,7 +268,7 @@
 // have been waited for.
 func (e *Engine) advance(now time.Duration, f packet.Flow, s *search) {
 	switch {
-	case s.probe != noAgent, len(s.waiting) > 0 && now-s.roundAt < roundPatience:
+	case s.probe != noAgent, s.pausing(now):
 		return
 	case len(s.unsure) > 0 && len(s.held) > 0:
 		s.probe = s.unsure[0]
@@ -312,9 +333,9 @@
 			if now-s.probeAt > probePatience {
 				e.found(now, f, s, s.probe) // it wasn't handed back
 			}
-		case len(s.next) == 0 && s.wide && now-s.roundAt > askPatience, now-s.begunAt > queuePatience:
+		case s.over(now):
 			e.giveUp(now, f, s)
-		case len(s.waiting) > 0 && now-s.roundAt > askAgain && !s.again:
+		case len(s.next) == 0 && len(s.waiting) > 0 && !s.again && now-s.roundAt > askAgain:
 			e.askOnceMore(now, f, s)
 		default:
 			e.advance(now, f, s)
@@ -323,14 +344,22 @@
 	e.beginQueued(now)
 }
 
+// over tells whether nothing more can come of a search.
+func (s *search) over(now time.Duration) bool {
+	if now-s.begunAt > queuePatience {
+		return true
+	}
+	return s.wide && len(s.next) == 0 && s.again && now-s.roundAt > askPatience-askAgain
+}
+
 // askOnceMore repeats the questions that weren't answered, and goes on.
 func (e *Engine) askOnceMore(now time.Duration, f packet.Flow, s *search) {
-	s.again = true
-	for _, agent := range s.waiting {
-		if !e.budget.allows(true) {
-			break
+	if e.budget.allows(s.wide) {
+		s.again = true
+		s.roundAt = now
+		for _, agent := range s.waiting {
+			e.question(now, f, s, agent)
 		}
-		e.question(now, f, s, agent)
 	}
 	e.advance(now, f, s)
 }
