Traffic by kind of message, on the metrics address and in a log line each 10 s

Cause: what filled the links of the large fleet had to be worked out from the log lines of single decisions; no counter told how much questions, reports or control's streams take.

Counting allocates nothing.

--- a/internal/pass/agent/agent.go
+++ b/internal/pass/agent/agent.go
@@ -25,6 +25,7 @@
 	"bergamotstall/internal/pass/peer"
 	"bergamotstall/internal/pass/roster"
 	"bergamotstall/internal/pass/route"
+	"bergamotstall/internal/pass/traffic"
 	"bergamotstall/internal/wait"
 )
 
@@ -75,6 +76,7 @@
 	outbound *datagram.Socket
 	nodes    *datagram.Socket
 	client   *roster.Client
+	meter    *traffic.Meter
 
 	mu      sync.Mutex
 	engine  *flowtable.Engine
@@ -100,6 +102,9 @@
 	}
 	a.answeredAfter = cfg.Metrics.Histogram("pass_answered_after")
 	a.admittedAfter = cfg.Metrics.Histogram("pass_admitted_after")
+	a.meter = peer.NewMeter(cfg.Metrics)
+	a.outbound.Count(a.meter, peer.PacketKind)
+	a.nodes.Count(a.meter, peer.NodeKind)
 	process := rand.Uint64()
 	a.engine = flowtable.New(flowtable.Config{
 		Service: cfg.Service, Address: cfg.Target.String(), Zone: cfg.Zone, Process: process,
@@ -107,7 +112,7 @@
 	})
 	a.client = roster.NewClient(roster.ClientConfig{
 		Node:  roster.Node{Role: roster.Agent, Address: cfg.Nodes.String(), Zone: cfg.Zone, Service: uint64(route.IDOf(cfg.Service)), Process: process},
-		Seeds: cfg.Seeds, Port: cfg.ControlPort, Table: a.setTable, Recalled: a.recalled, Log: cfg.Log, Metrics: cfg.Metrics,
+		Seeds: cfg.Seeds, Port: cfg.ControlPort, Table: a.setTable, Recalled: a.recalled, Meter: a.meter, Log: cfg.Log,
 	})
 	for v := flowtable.Verdict(0); v.String() != "unknown"; v++ {
 		a.verdicts = append(a.verdicts, cfg.Metrics.Counter("pass_"+v.String()))
@@ -127,7 +132,7 @@
 func (a *Agent) Run(ctx context.Context) error {
 	carry, stop := context.WithCancel(context.Background())
 	defer stop()
-	running := wait.Start(carry, a.readTarget, a.readNodes, a.tick, a.probe, a.tellFlows, a.client.Run)
+	running := wait.Start(carry, a.readTarget, a.readNodes, a.tick, a.probe, a.tellFlows, a.client.Run, a.logTraffic)
 	<-ctx.Done()
 	a.mu.Lock()
 	a.engine.Stop(a.now())
@@ -228,6 +233,8 @@
 	}
 }
 
+func (a *Agent) logTraffic(ctx context.Context) { a.meter.Run(ctx, a.cfg.Log) }
+
 // probe tries the target's address while the engine wants to know whether
 // anything is there.
 func (a *Agent) probe(ctx context.Context) {
--- a/internal/pass/balancer/balancer.go
+++ b/internal/pass/balancer/balancer.go
@@ -21,6 +21,7 @@
 	"bergamotstall/internal/pass/peer"
 	"bergamotstall/internal/pass/roster"
 	"bergamotstall/internal/pass/route"
+	"bergamotstall/internal/pass/traffic"
 	"bergamotstall/internal/wait"
 )
 
@@ -66,6 +67,7 @@
 	fabric  *datagram.Socket
 	nodes   *datagram.Socket
 	client  *roster.Client
+	meter   *traffic.Meter
 
 	mu     sync.Mutex
 	engine *forward.Engine
@@ -91,6 +93,9 @@
 		_ = b.fabric.Close()
 		return nil, errors.Wrap(err, "balancer: listen for nodes")
 	}
+	b.meter = peer.NewMeter(cfg.Metrics)
+	b.fabric.Count(b.meter, peer.PacketKind)
+	b.nodes.Count(b.meter, peer.NodeKind)
 	seed := rand.Uint64()
 	b.engine = forward.New(forward.Config{
 		Zone: cfg.Zone, Rand: rand.New(rand.NewPCG(seed, seed)), Policy: forward.DefaultPolicy(),
@@ -98,7 +103,7 @@
 	})
 	b.client = roster.NewClient(roster.ClientConfig{
 		Node:  roster.Node{Role: roster.Balancer, Address: cfg.Nodes.String(), Zone: cfg.Zone, Process: seed},
-		Seeds: cfg.Seeds, Port: cfg.ControlPort, Table: b.setTable, Agents: b.setAgents, Log: cfg.Log, Metrics: cfg.Metrics,
+		Seeds: cfg.Seeds, Port: cfg.ControlPort, Table: b.setTable, Agents: b.setAgents, Meter: b.meter, Log: cfg.Log,
 	})
 	b.verdicts = counters(cfg.Metrics)
 	b.waits = waitHistograms(cfg.Metrics)
@@ -119,7 +124,7 @@
 func (b *Balancer) Run(ctx context.Context) error {
 	carry, stop := context.WithCancel(context.Background())
 	defer stop()
-	running := wait.Start(carry, b.readFabric, b.readNodes, b.tick, b.client.Run)
+	running := wait.Start(carry, b.readFabric, b.readNodes, b.tick, b.client.Run, b.logTraffic)
 	<-ctx.Done()
 	b.stopping.Store(true)
 	b.Ready()
@@ -215,6 +220,8 @@
 	return errors.Errorf("balancer: datagram kind %d", peer.KindOf(raw))
 }
 
+func (b *Balancer) logTraffic(ctx context.Context) { b.meter.Run(ctx, b.cfg.Log) }
+
 func (b *Balancer) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
--- a/internal/pass/datagram/datagram.go
+++ b/internal/pass/datagram/datagram.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bergamotstall/internal/metrics"
+	"bergamotstall/internal/pass/traffic"
 )
 
 const (
@@ -25,11 +26,18 @@
 	batchSize = 75
 )
 
-// Socket sends and receives datagrams, and counts what can't be read or sent.
+// Socket sends and receives datagrams, and counts them.
 type Socket struct {
 	conn    *net.UDPConn
 	log     logrus.FieldLogger
 	metrics *metrics.Set
+	meter   *traffic.Meter
+	kind    func(raw []byte) int
+}
+
+// Count has datagrams counted by the kind that a function tells.
+func (s *Socket) Count(meter *traffic.Meter, kind func(raw []byte) int) {
+	s.meter, s.kind = meter, kind
 }
 
 // Listen opens a socket at an address.
@@ -64,6 +72,9 @@
 }
 
 func (s *Socket) hand(from netip.AddrPort, raw []byte, take func(netip.AddrPort, []byte) error) {
+	if s.meter != nil {
+		s.meter.In(s.kind(raw), len(raw))
+	}
 	if err := take(from, raw); err != nil {
 		s.metrics.Counter("pass_unreadable").Add(1)
 		s.log.WithError(err).WithField("from", from.String()).Debug("datagram: unreadable")
@@ -75,6 +86,10 @@
 func (s *Socket) Send(raw []byte, to netip.AddrPort) {
 	if _, err := s.conn.WriteToUDPAddrPort(raw, to); err != nil {
 		s.metrics.Counter("pass_send_failed").Add(1)
+		return
+	}
+	if s.meter != nil {
+		s.meter.Out(s.kind(raw), len(raw))
 	}
 }
 
--- a/internal/pass/peer/peer.go
+++ b/internal/pass/peer/peer.go
@@ -10,8 +10,10 @@
 
 	"github.com/go-faster/errors"
 
+	"bergamotstall/internal/metrics"
 	"bergamotstall/internal/pass/packet"
 	"bergamotstall/internal/pass/route"
+	"bergamotstall/internal/pass/traffic"
 )
 
 //go:generate env GOWORK=off go -C ../../../tools tool msgp -file ../internal/pass/peer/messages.go -o ../internal/pass/peer/messages_gen.go -tests=false -io=false
@@ -33,6 +35,24 @@
 	KindProbe
 )
 
+// Kinds of traffic besides the datagrams between nodes: packets of the fabric, clients and
+// targets, and the messages of control's streams.
+const (
+	KindPacket Kind = 0
+	KindStream Kind = KindProbe + 1
+)
+
+var kindNames = [...]string{"packet", "deliver", "refused", "ask", "answer", "report", "probe", "control"}
+
+// NewMeter returns a meter of a node's traffic by Kind.
+func NewMeter(m *metrics.Set) *traffic.Meter { return traffic.New(m, kindNames[:]...) }
+
+// PacketKind tells the kind of what the fabric, a client or a target sends or gets.
+func PacketKind([]byte) int { return int(KindPacket) }
+
+// NodeKind tells the kind of a datagram between nodes.
+func NodeKind(raw []byte) int { return int(KindOf(raw)) }
+
 // Reason says why an agent hands a packet back.
 type Reason uint8
 
--- a/internal/pass/roster/client.go
+++ b/internal/pass/roster/client.go
@@ -2,16 +2,15 @@
 
 import (
 	"context"
-	"expvar"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"bergamotstall/internal/metrics"
 	"bergamotstall/internal/pass/flowlog"
 	"bergamotstall/internal/pass/route"
+	"bergamotstall/internal/pass/traffic"
 	"bergamotstall/internal/wire"
 )
 
@@ -50,15 +49,14 @@
 	// Recalled, at agents, is called with the flows that a control VM remembers of
 	// the agent's address.
 	Recalled func(u flowlog.Update)
-	Log      logrus.FieldLogger
-	Metrics  *metrics.Set
+	// Meter counts the streams' messages.
+	Meter *traffic.Meter
+	Log   logrus.FieldLogger
 }
 
 // Client keeps a node's streams.
 type Client struct {
 	cfg ClientConfig
-	// received counts the bytes of control VMs' messages.
-	received *expvar.Int
 	// startedAt is when Run began.
 	startedAt time.Time
 
@@ -105,7 +103,7 @@
 
 // NewClient returns a client; Run keeps its streams.
 func NewClient(cfg ClientConfig) *Client {
-	return &Client{cfg: cfg, received: cfg.Metrics.Counter("control_bytes_received"), streams: map[string]*clientStream{}}
+	return &Client{cfg: cfg, streams: map[string]*clientStream{}}
 }
 
 // Version returns that of the table held, 0 for none.
--- a/internal/pass/roster/client_stream.go
+++ b/internal/pass/roster/client_stream.go
@@ -9,12 +9,17 @@
 
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
+	"github.com/tinylib/msgp/msgp"
 
 	"bergamotstall/internal/events"
 	"bergamotstall/internal/pass/flowlog"
+	"bergamotstall/internal/pass/peer"
 	"bergamotstall/internal/wire"
 )
 
+// streamKind is the kind that streams' messages are counted as.
+const streamKind = int(peer.KindStream)
+
 // keep makes one stream anew whenever it ends.
 func (c *Client) keep(ctx context.Context, ip string) {
 	s := newClientStream(ip)
@@ -52,7 +57,7 @@
 	defer stop()
 	conn := wire.NewConn(raw, frameLimit, writeTimeout)
 	hello := Hello{Node: c.cfg.Node, Beat: c.beat(s)}
-	if _, err := conn.Write(kindHello, &hello); err != nil {
+	if err := c.write(conn, kindHello, &hello); err != nil {
 		return err
 	}
 	c.attach(s, conn)
@@ -74,6 +79,13 @@
 	}
 }
 
+// write sends one message and counts it.
+func (c *Client) write(conn *wire.Conn, kind wire.Kind, m msgp.Marshaler) error {
+	n, err := conn.Write(kind, m)
+	c.cfg.Meter.Out(streamKind, n)
+	return err
+}
+
 func (c *Client) attach(s *clientStream, conn *wire.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -90,7 +102,7 @@
 		if err != nil {
 			return Update{}, err
 		}
-		c.received.Add(int64(len(f.Body)))
+		c.cfg.Meter.In(streamKind, len(f.Body))
 		switch f.Kind {
 		case kindUpdate:
 			var u Update
@@ -135,7 +147,7 @@
 // all.
 func (c *Client) writeFlows(to []*wire.Conn, u flowlog.Update) {
 	for _, conn := range to {
-		if _, err := conn.Write(kindFlows, &u); err != nil {
+		if err := c.write(conn, kindFlows, &u); err != nil {
 			_ = conn.Close()
 		}
 	}
@@ -153,7 +165,7 @@
 	}
 	c.mu.Unlock()
 	for _, conn := range conns {
-		if _, err := conn.Write(kindRetire, &Retire{}); err != nil {
+		if err := c.write(conn, kindRetire, &Retire{}); err != nil {
 			_ = conn.Close() // the VM notices the end of the stream
 		}
 	}
@@ -171,7 +183,7 @@
 		case <-s.kick:
 		}
 		b := c.beat(s)
-		if _, err := conn.Write(kindBeat, &b); err != nil {
+		if err := c.write(conn, kindBeat, &b); err != nil {
 			_ = conn.Close() // the reader ends the stream
 			return
 		}
--- a/internal/pass/roster/roster_test.go
+++ b/internal/pass/roster/roster_test.go
@@ -17,6 +17,7 @@
 
 	"bergamotstall/internal/metrics"
 	"bergamotstall/internal/pass/flowlog"
+	"bergamotstall/internal/pass/peer"
 	"bergamotstall/internal/pass/route"
 )
 
@@ -120,15 +121,16 @@
 	tables   []route.Version
 	agents   map[netip.AddrPort]ListedAgent
 	changes  int
+	metrics  *metrics.Set
 	recalled []flowlog.Update
 	stop     context.CancelFunc
 }
 
 func startNode(t *testing.T, role Role, name string, seeds ...*vm) *node {
 	t.Helper()
-	n := &node{agents: map[netip.AddrPort]ListedAgent{}}
+	n := &node{metrics: metrics.New(), agents: map[netip.AddrPort]ListedAgent{}}
 	n.client = NewClient(ClientConfig{
-		Node: Node{Role: role, Address: name, Process: 1}, Port: port, Log: quiet(), Metrics: metrics.New(),
+		Node: Node{Role: role, Address: name, Process: 1}, Port: port, Log: quiet(), Meter: peer.NewMeter(n.metrics),
 		Seeds: func() []string {
 			var out []string
 			for _, v := range seeds {
@@ -280,7 +282,7 @@
 		await(t, "the next version", func() bool { return n.client.Version() == version })
 	}
 	time.Sleep(3 * BeatInterval)
-	if got := n.client.received.Value(); got > int64(len(whole))*3/2 {
+	if got := n.metrics.Value("bytes_in_control"); got > int64(len(whole))*3/2 {
 		t.Errorf("%d bytes received; a whole table takes %d", got, len(whole))
 	}
 }
@@ -329,7 +331,7 @@
 func TestListsAreUnited(t *testing.T) {
 	is := is.New(t)
 	told := map[netip.AddrPort]bool{}
-	c := NewClient(ClientConfig{Node: Node{Role: Balancer}, Log: quiet(), Metrics: metrics.New(), Agents: func(x Changes) {
+	c := NewClient(ClientConfig{Node: Node{Role: Balancer}, Log: quiet(), Agents: func(x Changes) {
 		for _, a := range x.Present {
 			told[a.Address] = true
 		}
