A dial to a control VM without power ends when that VM connects

Change: the dial ends when the peer connects, and another begins at once.

Test: TestDialEndsWhenThePeerConnects.

--- a/internal/replica/link.go
+++ b/internal/replica/link.go
@@ -208,6 +208,9 @@
 			}
 		}
 		k.links.r.count.reconnects.Add(1)
+		if errors.Is(err, errPeerIsBack) {
+			continue
+		}
 		if !told {
 			told = true
 			events.Log(k.links.r.cfg.Log, events.ReplicaPeerLost, logrus.Fields{"address": k.address, "error": err.Error()})
@@ -219,7 +222,11 @@
 	}
 }
 
-var errLinkEnds = errors.New("replica: link no longer needed")
+var (
+	errLinkEnds = errors.New("replica: link no longer needed")
+	// errPeerIsBack means that the peer connected while it was being dialled.
+	errPeerIsBack = errors.New("replica: peer is back")
+)
 
 // sleep waits and drops what is queued meanwhile: a message that waited for a
 // connection is older than what the core sends once there is one.
@@ -254,8 +261,9 @@
 	}
 }
 
+// connect dials the peer and greets it.
 func (k *link) connect() (*wire.Conn, error) {
-	raw, err := k.links.r.dial(k.links.ctx, k.address)
+	raw, err := k.dial()
 	if err != nil {
 		return nil, err
 	}
@@ -274,6 +282,26 @@
 	return conn, nil
 }
 
+// dial connects to the peer. A dial that began while the peer had no power hangs until
+// its timeout, although the peer is there by then; it ends as soon as the peer connects.
+// Without this, replicas that come back one after the other grant their votes late.
+func (k *link) dial() (net.Conn, error) {
+	ctx, cancel := context.WithCancelCause(k.links.ctx)
+	defer cancel(nil)
+	go func() {
+		select {
+		case <-k.wake:
+			cancel(errPeerIsBack)
+		case <-ctx.Done():
+		}
+	}()
+	raw, err := k.links.r.dial(ctx, k.address)
+	if err != nil && errors.Is(context.Cause(ctx), errPeerIsBack) {
+		return nil, errPeerIsBack
+	}
+	return raw, err
+}
+
 // carry sends frames until the connection fails or nothing needs it.
 func (k *link) carry(conn *wire.Conn) error {
 	defer conn.Close()
--- /dev/null
+++ b/internal/replica/link_test.go
@@ -0,0 +1,34 @@
+package replica
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+)
+
+// Guards against votes that come late after a power cut: a dial that began before the peer
+// had power ends when the peer connects, not at its timeout.
+func TestDialEndsWhenThePeerConnects(t *testing.T) {
+	is := is.New(t)
+	dialled := make(chan struct{})
+	r := &Replica{cfg: Config{Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+		close(dialled)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}}}
+	l := newLinks(r)
+	defer l.close()
+	k := &link{links: l, replica: 7, wake: make(chan struct{}, 1)}
+	l.byReplica[7] = k
+	ended := make(chan error, 1)
+	go func() {
+		_, err := k.dial()
+		ended <- err
+	}()
+	<-dialled
+	l.note(7, "10.0.0.7:1")
+	is.True(errors.Is(<-ended, errPeerIsBack))
+}
