A balancer whose table may be an old one isn't ready

Change: it says that it isn't ready after 2.5 s without a word of any control VM, or 1.5 s after it heard of a newer version.

Test: TestNodeKnowsThatItsTableMayBeOld.

--- a/internal/pass/balancer/balancer.go
+++ b/internal/pass/balancer/balancer.go
@@ -138,15 +138,17 @@
 
 // Ready tells whether the fabric should send packets here: not before a control
 // VM in touch with a quorum has told which table is in force, and every agent
-// has had time to be listed; and not while it hears no agent.
+// has had time to be listed; and not while it hears no agent, or while its table may be
+// an old one: flows would go by a definition that was replaced long ago.
 func (b *Balancer) Ready() bool {
 	tabled := time.Duration(b.tabledAt.Load())
 	isolated, agents := b.reach()
-	ready := !b.stopping.Load() && tabled > 0 && b.now()-tabled > readyAfter && !isolated
+	inTouch := b.client.InTouch(time.Now())
+	ready := !b.stopping.Load() && tabled > 0 && b.now()-tabled > readyAfter && !isolated && inTouch
 	if b.wasReady.Swap(ready) != ready {
 		events.Log(b.cfg.Log, events.ReadinessChanged, logrus.Fields{
 			"ready": ready, "stopping": b.stopping.Load(), "version": uint64(b.client.Version()), "controls": b.client.Heard(),
-			"isolated": isolated, "agents": agents,
+			"isolated": isolated, "agents": agents, "in_touch": inTouch,
 		})
 	}
 	return ready
--- a/internal/pass/roster/client.go
+++ b/internal/pass/roster/client.go
@@ -29,6 +29,11 @@
 	// contactBound is the contact age from which on a VM's stream isn't the one
 	// that tables are taken from.
 	contactBound = 1500 * time.Millisecond
+	// silentBound is how long no control VM may have been heard, and behindBound how
+	// long a newer version may have been known of, before the node is out of touch.
+	// The platform wants an accepted version in force within three seconds.
+	silentBound = 2500 * time.Millisecond
+	behindBound = 1500 * time.Millisecond
 	// listKept is how long the list of a control VM that can't be reached still
 	// counts.
 	listKept = 10 * time.Second
@@ -77,7 +82,7 @@
 	heardAt    time.Time
 	contactAge time.Duration
 	version    route.Version
-	// aheadAt is since when the VM has a newer version than the node.
+	// aheadAt is when the VM told of its version.
 	aheadAt time.Time
 	// view is the VM's list of agents, at balancers.
 	view view
@@ -126,6 +131,22 @@
 	return n
 }
 
+// InTouch tells whether the node's table is in all likelihood the newest: it hears control
+// VMs, and none has had a newer version for long. A VM that has lost its quorum counts as
+// heard, since there is no newer version then.
+func (c *Client) InTouch(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	heard := false
+	for _, s := range c.streams {
+		heard = heard || now.Sub(s.heardAt) < silentBound
+		if s.version > c.version && now.Sub(s.aheadAt) > behindBound {
+			return false
+		}
+	}
+	return heard
+}
+
 // keptStream is a stream that is kept up since a moment.
 type keptStream struct {
 	at   time.Time
--- a/internal/pass/roster/roster_test.go
+++ b/internal/pass/roster/roster_test.go
@@ -362,6 +362,29 @@
 	is.Equal(len(told), 0)
 }
 
+// Guards against a balancer that goes on placing by a version replaced long ago: it knows
+// that it hears nothing of control, or that the newer table doesn't come.
+func TestNodeKnowsThatItsTableMayBeOld(t *testing.T) {
+	is := is.New(t)
+	c := NewClient(ClientConfig{Node: Node{Role: Balancer}, Log: quiet()})
+	now := time.Now()
+	is.True(!c.InTouch(now)) // nobody was ever heard
+	s := newClientStream("a")
+	c.streams["a"] = s
+	s.heardAt, s.version, s.aheadAt = now, 7, now
+	c.version = 7
+	is.True(c.InTouch(now))
+	s.contactAge = time.Minute // its VM has lost the quorum: no version can be accepted
+	is.True(c.InTouch(now))
+	is.True(!c.InTouch(now.Add(silentBound)))
+	s.version = 8
+	is.True(c.InTouch(now))
+	s.heardAt = now.Add(2 * behindBound)
+	is.True(!c.InTouch(now.Add(2 * behindBound)))
+	c.version = 8
+	is.True(c.InTouch(now.Add(2 * behindBound)))
+}
+
 // Guards against a node that is told of changes it has, or that misses some after many.
 func TestDirectoryTellsWhatANodeLacks(t *testing.T) {
 	is := is.New(t)
