--- a/cmd/bergamotctl/explain.go
+++ b/cmd/bergamotctl/explain.go
@@ -18,6 +18,7 @@
 	flags.SetOutput(c.errOut)
 	flow := flags.String("flow", "", "the `flow` to tell of, CALLER:PORT>SERVICE:PORT")
 	worst := flags.Bool("worst", false, "group the flows that failed or were late by cause")
+	traffic := flags.Bool("traffic", false, "tell how much the processes sent and received, by kind of message")
 	late := flags.Duration("late", explain.DefaultLate, "with -worst: the wait from which on a flow is late")
 	switch err := flags.Parse(c.args); {
 	case err == flag.ErrHelp:
@@ -25,8 +26,8 @@
 	case err != nil:
 		return exitUsage
 	}
-	if (*flow == "") == !*worst {
-		fmt.Fprintln(c.errOut, "usage: bergamotctl explain -flow CALLER:PORT>SERVICE:PORT | -worst [-late TIME] [FILE ...]\nwithout a file the logs are read from standard input")
+	if !exactlyOne(*flow != "", *worst, *traffic) {
+		fmt.Fprintln(c.errOut, "usage: bergamotctl explain -flow CALLER:PORT>SERVICE:PORT | -worst [-late TIME] | -traffic [FILE ...]\nwithout a file the logs are read from standard input")
 		return exitUsage
 	}
 	log := explain.NewLog()
@@ -35,7 +36,11 @@
 		return exitFailed
 	}
 	fmt.Fprintf(c.errOut, "%d lines, %d unreadable, %d flows\n", log.Read, log.Unreadable, log.Flows())
-	if *worst {
+	switch {
+	case *traffic:
+		explain.WriteTraffic(c.out, log.Traffic())
+		return exitOK
+	case *worst:
 		explain.WriteWorst(c.out, log.Worst(*late), examplesPerCause)
 		return exitOK
 	}
@@ -48,6 +53,17 @@
 	return exitOK
 }
 
+// exactlyOne tells whether one of the choices was made.
+func exactlyOne(choices ...bool) bool {
+	n := 0
+	for _, chosen := range choices {
+		if chosen {
+			n++
+		}
+	}
+	return n == 1
+}
+
 // addLogs reads files, or standard input where there are none.
 func addLogs(log *explain.Log, files []string) error {
 	if len(files) == 0 {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -1,5 +1,6 @@
 // Package explain reads the logs of balancers and agents of pass-through flows and
-// tells what happened to one flow, or which causes failed and late flows have.
+// tells what happened to one flow, which causes failed and late flows have, or how much
+// the processes said to each other.
 //
 // Nothing of the system can read a request; a complaint about one starts with its
 // flow, and each decision on a flow is one line in the log of the process that took
@@ -48,13 +49,14 @@
 
 // Log holds the lines on flows of any number of processes.
 type Log struct {
-	byFlow map[string][]Line
+	byFlow  map[string][]Line
+	traffic map[string]*vmTraffic
 	// Read and Unreadable count lines: all, and those that are no log line.
 	Read, Unreadable int
 }
 
 // NewLog returns a log without lines.
-func NewLog() *Log { return &Log{byFlow: map[string][]Line{}} }
+func NewLog() *Log { return &Log{byFlow: map[string][]Line{}, traffic: map[string]*vmTraffic{}} }
 
 // Add reads one process's log, or several in one. What stands before the JSON, as
 // collectors put it there, is passed over. Lines that can't be read are counted: a
@@ -79,6 +81,10 @@
 		l.Unreadable++
 		return
 	}
+	if line.Event == trafficEvent && l.takeTraffic(line.VM, raw[begin:]) != nil {
+		l.Unreadable++
+		return
+	}
 	if line.Flow != "" {
 		l.byFlow[line.Flow] = append(l.byFlow[line.Flow], line)
 	}
