--- a/internal/pass/packet/packet.go
+++ b/internal/pass/packet/packet.go
@@ -5,22 +5,9 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"time"
 )
 
-// Endpoint is one end of a flow: an IPv4 address and a port. It is a plain
-// value of six bytes, so that a table of flows holds no pointers.
-type Endpoint struct {
-	IP   [4]byte
-	Port uint16
-}
-
-// String returns "ip:port".
-func (e Endpoint) String() string {
-	return netip.AddrPortFrom(netip.AddrFrom4(e.IP), e.Port).String()
-}
-
 // Flow names one connection between a client and a service address.
 type Flow struct {
 	Client  Endpoint
--- a/internal/pass/roster/client_list.go
+++ b/internal/pass/roster/client_list.go
@@ -39,7 +39,7 @@
 	}
 	v.epoch, v.number = l.Epoch, l.Number
 	for _, x := range l.Present {
-		a := ListedAgent{Address: x.At.address(), Service: x.Service, Process: x.Process}
+		a := ListedAgent{Address: x.At.AddrPort(), Service: x.Service, Process: x.Process}
 		if int(x.Zone) < len(l.Zones) {
 			a.Zone = l.Zones[x.Zone]
 		}
@@ -47,8 +47,8 @@
 		changed = append(changed, a.Address)
 	}
 	for _, p := range l.Gone {
-		delete(v.agents, p.address())
-		changed = append(changed, p.address())
+		delete(v.agents, p.AddrPort())
+		changed = append(changed, p.AddrPort())
 	}
 	return changed
 }
--- a/internal/pass/roster/directory.go
+++ b/internal/pass/roster/directory.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+
+	"bergamotstall/internal/pass/packet"
 )
 
 // maxChanges bounds the changes of the list that are kept, 40 B each. A node that has
@@ -74,7 +76,7 @@
 		if n, ok := d.agents[c.address]; ok {
 			l.add(c.address, n)
 		} else {
-			l.Gone = append(l.Gone, placeOf(c.address))
+			l.Gone = append(l.Gone, packet.EndpointOf(c.address))
 		}
 	}
 	return l
@@ -86,11 +88,5 @@
 		zone = len(l.Zones)
 		l.Zones = append(l.Zones, n.Zone)
 	}
-	l.Present = append(l.Present, Entry{At: placeOf(address), Zone: uint16(zone), Service: n.Service, Process: n.Process})
-}
-
-func placeOf(a netip.AddrPort) Place { return Place{IP: a.Addr().As4(), Port: a.Port()} }
-
-func (p Place) address() netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4(p.IP), p.Port)
+	l.Present = append(l.Present, Entry{At: packet.EndpointOf(address), Zone: uint16(zone), Service: n.Service, Process: n.Process})
 }
--- a/internal/pass/roster/messages.go
+++ b/internal/pass/roster/messages.go
@@ -1,6 +1,9 @@
 package roster
 
-import "bergamotstall/internal/wire"
+import (
+	"bergamotstall/internal/pass/packet"
+	"bergamotstall/internal/wire"
+)
 
 //go:generate env GOWORK=off go -C ../../../tools tool msgp -file ../internal/pass/roster/messages.go -o ../internal/pass/roster/messages_gen.go -tests=false -io=false
 
@@ -67,19 +70,12 @@
 // Retire says that an agent ends and its target is gone.
 type Retire struct{}
 
-// Place is where a node takes datagrams.
-//
-//msgp:tuple Place
-type Place struct {
-	IP   [4]byte
-	Port uint16
-}
-
 // Entry is an agent on a VM's list.
 //
 //msgp:tuple Entry
 type Entry struct {
-	At Place
+	// At is where it takes datagrams.
+	At packet.Endpoint
 	// Zone is the index of its data centre in the listing.
 	Zone    uint16
 	Service uint64
@@ -94,9 +90,9 @@
 	// Whole says that the list begins anew.
 	Whole bool `msg:"w"`
 	// Zones are the data centres that entries name.
-	Zones   []string `msg:"z"`
-	Present []Entry  `msg:"p"`
-	Gone    []Place  `msg:"g"`
+	Zones   []string          `msg:"z"`
+	Present []Entry           `msg:"p"`
+	Gone    []packet.Endpoint `msg:"g"`
 }
 
 // Update answers a beat, and is sent unasked when something changes.
--- a/internal/pass/roster/messages_gen.go
+++ b/internal/pass/roster/messages_gen.go
@@ -3,6 +3,8 @@
 package roster
 
 import (
+	"bergamotstall/internal/pass/packet"
+
 	"github.com/tinylib/msgp/msgp"
 )
 
@@ -90,10 +92,11 @@
 	o = msgp.Require(b, z.Msgsize())
 	// array header, size 4
 	o = append(o, 0x94)
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendBytes(o, (z.At.IP)[:])
-	o = msgp.AppendUint16(o, z.At.Port)
+	o, err = z.At.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "At")
+		return
+	}
 	o = msgp.AppendUint16(o, z.Zone)
 	o = msgp.AppendUint64(o, z.Service)
 	o = msgp.AppendUint64(o, z.Process)
@@ -112,26 +115,11 @@
 		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	bts, err = z.At.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "At")
 		return
 	}
-	if zb0002 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0002}
-		return
-	}
-	bts, err = msgp.ReadExactBytes(bts, (z.At.IP)[:])
-	if err != nil {
-		err = msgp.WrapError(err, "At", "IP")
-		return
-	}
-	z.At.Port, bts, err = msgp.ReadUint16Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "At", "Port")
-		return
-	}
 	z.Zone, bts, err = msgp.ReadUint16Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Zone")
@@ -153,7 +141,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Entry) Msgsize() (s int) {
-	s = 1 + 1 + msgp.ArrayHeaderSize + (4 * (msgp.ByteSize)) + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint64Size + msgp.Uint64Size
+	s = 1 + z.At.Msgsize() + msgp.Uint16Size + msgp.Uint64Size + msgp.Uint64Size
 	return
 }
 
@@ -259,10 +247,11 @@
 	o = append(o, 0xa1, 0x67)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Gone)))
 	for za0003 := range z.Gone {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendBytes(o, (z.Gone[za0003].IP)[:])
-		o = msgp.AppendUint16(o, z.Gone[za0003].Port)
+		o, err = z.Gone[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Gone", za0003)
+			return
+		}
 	}
 	return
 }
@@ -351,29 +340,14 @@
 			if cap(z.Gone) >= int(zb0004) {
 				z.Gone = (z.Gone)[:zb0004]
 			} else {
-				z.Gone = make([]Place, zb0004)
+				z.Gone = make([]packet.Endpoint, zb0004)
 			}
 			for za0003 := range z.Gone {
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				bts, err = z.Gone[za0003].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Gone", za0003)
 					return
 				}
-				if zb0005 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0005}
-					return
-				}
-				bts, err = msgp.ReadExactBytes(bts, (z.Gone[za0003].IP)[:])
-				if err != nil {
-					err = msgp.WrapError(err, "Gone", za0003, "IP")
-					return
-				}
-				z.Gone[za0003].Port, bts, err = msgp.ReadUint16Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Gone", za0003, "Port")
-					return
-				}
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -397,7 +371,10 @@
 	for za0002 := range z.Present {
 		s += z.Present[za0002].Msgsize()
 	}
-	s += 2 + msgp.ArrayHeaderSize + (len(z.Gone) * (9 + (4 * (msgp.ByteSize)) + msgp.Uint16Size))
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Gone {
+		s += z.Gone[za0003].Msgsize()
+	}
 	return
 }
 
@@ -493,48 +470,6 @@
 	return
 }
 
-// MarshalMsg implements msgp.Marshaler
-func (z *Place) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendBytes(o, (z.IP)[:])
-	o = msgp.AppendUint16(o, z.Port)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Place) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	bts, err = msgp.ReadExactBytes(bts, (z.IP)[:])
-	if err != nil {
-		err = msgp.WrapError(err, "IP")
-		return
-	}
-	z.Port, bts, err = msgp.ReadUint16Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Port")
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Place) Msgsize() (s int) {
-	s = 1 + msgp.ArrayHeaderSize + (4 * (msgp.ByteSize)) + msgp.Uint16Size
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z Retire) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/pass/route/lean.go
+++ b/internal/pass/route/lean.go
@@ -19,29 +19,21 @@
 	// From is the version that the changes are to, 0 where all routes are there.
 	From Version `msg:"f"`
 	// Services are the identities that routes name by their index.
-	Services []uint64    `msg:"s"`
-	Routes   []LeanRoute `msg:"r"`
-	Removed  []LeanPlace `msg:"x"`
+	Services []uint64          `msg:"s"`
+	Routes   []LeanRoute       `msg:"r"`
+	Removed  []packet.Endpoint `msg:"x"`
 }
 
 // LeanRoute is a route without its name.
 //
 //msgp:tuple LeanRoute
 type LeanRoute struct {
-	At        LeanPlace
+	At        packet.Endpoint
 	TimeoutMS uint32
 	Priority  uint32
 	Backends  []LeanBacked
 }
 
-// LeanPlace is a route's service address.
-//
-//msgp:tuple LeanPlace
-type LeanPlace struct {
-	IP   [4]byte
-	Port uint16
-}
-
 // LeanBacked is a service behind a route.
 //
 //msgp:tuple LeanBacked
@@ -53,10 +45,6 @@
 // ErrOtherVersion means that changes are to another version than the one held.
 var ErrOtherVersion = errors.New("route: changes to another version")
 
-func (p LeanPlace) address() packet.Endpoint { return packet.Endpoint{IP: p.IP, Port: p.Port} }
-
-func placeOf(r *Route) LeanPlace { return LeanPlace{IP: r.IP, Port: r.Port} }
-
 // leanWriter gathers routes and the services that they name.
 type leanWriter struct {
 	lean  Lean
@@ -68,7 +56,7 @@
 }
 
 func (w *leanWriter) add(r *Route) {
-	out := LeanRoute{At: placeOf(r), TimeoutMS: r.TimeoutMS, Priority: r.Priority}
+	out := LeanRoute{At: r.Address(), TimeoutMS: r.TimeoutMS, Priority: r.Priority}
 	for _, b := range r.Backends {
 		if b.Weight > 0 {
 			out.Backends = append(out.Backends, LeanBacked{Service: w.service(b.Service), Weight: b.Weight})
@@ -99,24 +87,24 @@
 // changes are the routes that differ between two definitions.
 type changes struct {
 	from    Version
-	changed map[LeanPlace]*Route
-	removed map[LeanPlace]bool
+	changed map[packet.Endpoint]*Route
+	removed map[packet.Endpoint]bool
 }
 
 // changesBetween compares two definitions.
 func changesBetween(old, next *Definition) *changes {
-	c := &changes{from: old.Version, changed: map[LeanPlace]*Route{}, removed: map[LeanPlace]bool{}}
-	before := make(map[LeanPlace]*Route, len(old.Routes))
+	c := &changes{from: old.Version, changed: map[packet.Endpoint]*Route{}, removed: map[packet.Endpoint]bool{}}
+	before := make(map[packet.Endpoint]*Route, len(old.Routes))
 	for i := range old.Routes {
-		before[placeOf(&old.Routes[i])] = &old.Routes[i]
+		before[old.Routes[i].Address()] = &old.Routes[i]
 	}
 	for i := range next.Routes {
 		r := &next.Routes[i]
-		if was := before[placeOf(r)]; was == nil || !sameForNodes(was, r) {
+		if was := before[r.Address()]; was == nil || !sameForNodes(was, r) {
 			kept := *r // the definitions themselves aren't
-			c.changed[placeOf(r)] = &kept
+			c.changed[r.Address()] = &kept
 		}
-		delete(before, placeOf(r))
+		delete(before, r.Address())
 	}
 	for at := range before {
 		c.removed[at] = true
@@ -197,9 +185,9 @@
 			x.choices = append(x.choices, Choice{Service: ServiceID(l.Services[b.Service]), Weight: b.Weight})
 			x.total += uint64(b.Weight)
 		}
-		t.routes[r.At.address()] = x
+		t.routes[r.At] = x
 	}
 	for _, at := range l.Removed {
-		delete(t.routes, at.address())
+		delete(t.routes, at)
 	}
 }
--- a/internal/pass/route/lean_gen.go
+++ b/internal/pass/route/lean_gen.go
@@ -3,6 +3,8 @@
 package route
 
 import (
+	"bergamotstall/internal/pass/packet"
+
 	"github.com/tinylib/msgp/msgp"
 )
 
@@ -44,10 +46,11 @@
 	o = append(o, 0xa1, 0x78)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Removed)))
 	for za0003 := range z.Removed {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendBytes(o, (z.Removed[za0003].IP)[:])
-		o = msgp.AppendUint16(o, z.Removed[za0003].Port)
+		o, err = z.Removed[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Removed", za0003)
+			return
+		}
 	}
 	return
 }
@@ -130,29 +133,14 @@
 			if cap(z.Removed) >= int(zb0004) {
 				z.Removed = (z.Removed)[:zb0004]
 			} else {
-				z.Removed = make([]LeanPlace, zb0004)
+				z.Removed = make([]packet.Endpoint, zb0004)
 			}
 			for za0003 := range z.Removed {
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				bts, err = z.Removed[za0003].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Removed", za0003)
 					return
 				}
-				if zb0005 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0005}
-					return
-				}
-				bts, err = msgp.ReadExactBytes(bts, (z.Removed[za0003].IP)[:])
-				if err != nil {
-					err = msgp.WrapError(err, "Removed", za0003, "IP")
-					return
-				}
-				z.Removed[za0003].Port, bts, err = msgp.ReadUint16Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Removed", za0003, "Port")
-					return
-				}
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -172,7 +160,10 @@
 	for za0002 := range z.Routes {
 		s += z.Routes[za0002].Msgsize()
 	}
-	s += 2 + msgp.ArrayHeaderSize + (len(z.Removed) * (9 + (4 * (msgp.ByteSize)) + msgp.Uint16Size))
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Removed {
+		s += z.Removed[za0003].Msgsize()
+	}
 	return
 }
 
@@ -218,65 +209,24 @@
 	return
 }
 
-// MarshalMsg implements msgp.Marshaler
-func (z *LeanPlace) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendBytes(o, (z.IP)[:])
-	o = msgp.AppendUint16(o, z.Port)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *LeanPlace) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	bts, err = msgp.ReadExactBytes(bts, (z.IP)[:])
-	if err != nil {
-		err = msgp.WrapError(err, "IP")
-		return
-	}
-	z.Port, bts, err = msgp.ReadUint16Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Port")
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *LeanPlace) Msgsize() (s int) {
-	s = 1 + msgp.ArrayHeaderSize + (4 * (msgp.ByteSize)) + msgp.Uint16Size
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *LeanRoute) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// array header, size 4
 	o = append(o, 0x94)
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendBytes(o, (z.At.IP)[:])
-	o = msgp.AppendUint16(o, z.At.Port)
+	o, err = z.At.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "At")
+		return
+	}
 	o = msgp.AppendUint32(o, z.TimeoutMS)
 	o = msgp.AppendUint32(o, z.Priority)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Backends)))
-	for za0002 := range z.Backends {
+	for za0001 := range z.Backends {
 		// array header, size 2
 		o = append(o, 0x92)
-		o = msgp.AppendUint16(o, z.Backends[za0002].Service)
-		o = msgp.AppendUint32(o, z.Backends[za0002].Weight)
+		o = msgp.AppendUint16(o, z.Backends[za0001].Service)
+		o = msgp.AppendUint32(o, z.Backends[za0001].Weight)
 	}
 	return
 }
@@ -293,26 +243,11 @@
 		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	bts, err = z.At.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "At")
 		return
 	}
-	if zb0002 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0002}
-		return
-	}
-	bts, err = msgp.ReadExactBytes(bts, (z.At.IP)[:])
-	if err != nil {
-		err = msgp.WrapError(err, "At", "IP")
-		return
-	}
-	z.At.Port, bts, err = msgp.ReadUint16Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "At", "Port")
-		return
-	}
 	z.TimeoutMS, bts, err = msgp.ReadUint32Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "TimeoutMS")
@@ -323,36 +258,36 @@
 		err = msgp.WrapError(err, "Priority")
 		return
 	}
-	var zb0003 uint32
-	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Backends")
 		return
 	}
-	if cap(z.Backends) >= int(zb0003) {
-		z.Backends = (z.Backends)[:zb0003]
+	if cap(z.Backends) >= int(zb0002) {
+		z.Backends = (z.Backends)[:zb0002]
 	} else {
-		z.Backends = make([]LeanBacked, zb0003)
+		z.Backends = make([]LeanBacked, zb0002)
 	}
-	for za0002 := range z.Backends {
-		var zb0004 uint32
-		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	for za0001 := range z.Backends {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Backends", za0002)
+			err = msgp.WrapError(err, "Backends", za0001)
 			return
 		}
-		if zb0004 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
 			return
 		}
-		z.Backends[za0002].Service, bts, err = msgp.ReadUint16Bytes(bts)
+		z.Backends[za0001].Service, bts, err = msgp.ReadUint16Bytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Backends", za0002, "Service")
+			err = msgp.WrapError(err, "Backends", za0001, "Service")
 			return
 		}
-		z.Backends[za0002].Weight, bts, err = msgp.ReadUint32Bytes(bts)
+		z.Backends[za0001].Weight, bts, err = msgp.ReadUint32Bytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Backends", za0002, "Weight")
+			err = msgp.WrapError(err, "Backends", za0001, "Weight")
 			return
 		}
 	}
@@ -362,6 +297,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *LeanRoute) Msgsize() (s int) {
-	s = 1 + 1 + msgp.ArrayHeaderSize + (4 * (msgp.ByteSize)) + msgp.Uint16Size + msgp.Uint32Size + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Backends) * (16 + msgp.Uint16Size + msgp.Uint32Size))
+	s = 1 + z.At.Msgsize() + msgp.Uint32Size + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Backends) * (16 + msgp.Uint16Size + msgp.Uint32Size))
 	return
 }
--- a/internal/pass/route/store.go
+++ b/internal/pass/route/store.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
+
+	"bergamotstall/internal/pass/packet"
 )
 
 // Store is the replicated state machine that keeps the definition with the
@@ -62,7 +64,7 @@
 	if step < 0 {
 		return LeanOf(s.Definition)
 	}
-	all := &changes{from: s.steps[step].from, changed: map[LeanPlace]*Route{}, removed: map[LeanPlace]bool{}}
+	all := &changes{from: s.steps[step].from, changed: map[packet.Endpoint]*Route{}, removed: map[packet.Endpoint]bool{}}
 	for _, later := range s.steps[step:] {
 		all.then(later)
 	}
