A scenario's run lasts until its steps are done

Its log: peak took 4.9 s to be in force and ordinary 4.2 s; the run of 12 s ended meanwhile, and the switch to maintenance, which the check after it waits for, was never sent: the control VMs' logs have two operator commands.

Steps that weren't reached when the callers ended were left out without a word. Now callers go on until all steps are done, and a run that is cut short names the step left out. What is checked stays the same.

--- a/internal/scenario/run.go
+++ b/internal/scenario/run.go
@@ -84,8 +84,8 @@
 	return p, nil
 }
 
-// Run plays callers and steps for the given time and judges the run. The error
-// is of a step that couldn't be done.
+// Run plays callers and steps for the given time, or until the steps are done if that is
+// later, and judges the run. The error is of a step that couldn't be done.
 func (p *Play) Run(ctx context.Context, s Scenario, length time.Duration) (Result, error) {
 	p.Rec = load.NewRecorder()
 	p.mu.Lock()
@@ -96,7 +96,7 @@
 		loads = (*Play).Usual
 	}
 	began := time.Now()
-	callers, endCallers := context.WithTimeout(ctx, length)
+	callers, endCallers := context.WithCancel(ctx)
 	defer endCallers()
 	var wg sync.WaitGroup
 	for _, spec := range loads(p, length) {
@@ -111,20 +111,21 @@
 	looks := make(chan []check.InForce, 1)
 	go func() { looks <- p.look(looking) }()
 
-	failed := p.steps(ctx, callers, s, began, length)
+	failed := p.steps(ctx, s, began, length)
+	wait.For(ctx, time.Until(began.Add(length)))
+	endCallers()
 	wg.Wait()
 	endLooking()
 	return p.result(s, <-looks), failed
 }
 
-// steps does each step in its time. A step that is under way when the callers
-// end may still finish.
-func (p *Play) steps(ctx, callers context.Context, s Scenario, began time.Time, length time.Duration) error {
+// steps does each step in its time, or after the one before if that takes longer.
+func (p *Play) steps(ctx context.Context, s Scenario, began time.Time, length time.Duration) error {
 	var failed error
 	for _, step := range s.Steps {
 		at := time.Duration(float64(length) * step.At)
-		if !wait.For(callers, time.Until(began.Add(at))) {
-			return failed
+		if !wait.For(ctx, time.Until(began.Add(at))) {
+			return errors.Join(failed, errors.Wrap(ctx.Err(), step.What))
 		}
 		p.progress("%6.1fs  %s", time.Since(began).Seconds(), step.What)
 		p.Rec.Mark(step.What)
