--- a/internal/pass/balancer/balancer.go
+++ b/internal/pass/balancer/balancer.go
@@ -99,7 +99,7 @@
 	seed := rand.Uint64()
 	b.engine = forward.New(forward.Config{
 		Zone: cfg.Zone, Rand: rand.New(rand.NewPCG(seed, seed)), Policy: forward.DefaultPolicy(),
-		QuestionRate: questionShare * cfg.LinkRate, Out: b,
+		QuestionBudget: questionShare * cfg.LinkRate, Out: b,
 	})
 	b.client = roster.NewClient(roster.ClientConfig{
 		Node:  roster.Node{Role: roster.Balancer, Address: cfg.Nodes.String(), Zone: cfg.Zone, Process: seed},
--- a/internal/pass/forward/fleet_test.go
+++ b/internal/pass/forward/fleet_test.go
@@ -138,7 +138,7 @@
 	b.process++
 	b.engine = New(Config{
 		Zone: fleetZones[b.n%len(fleetZones)], Rand: rand.New(rand.NewPCG(uint64(b.n), 9)), Policy: DefaultPolicy(),
-		QuestionRate: 0.2 * fleetLink, Out: b,
+		QuestionBudget: 0.2 * fleetLink, Out: b,
 	})
 	d := &route.Definition{Version: 1, Routes: []route.Route{{
 		IP: service.IP, Port: service.Port, TimeoutMS: 1000, Backends: []route.Backed{{Service: desk, Weight: 1}},
--- a/internal/pass/forward/forward.go
+++ b/internal/pass/forward/forward.go
@@ -9,6 +9,10 @@
 // targets and are asked; the packet waits for that round trip. Guessing instead
 // would break flows, since packets that reach other targets count as lost ones.
 //
+// Each flow prefers a few agents by a hash (ranking.go). New flows are placed among them,
+// by loads that are asked for then (placement.go, choose.go), and searched among them
+// first (search.go), so that neither costs more in a larger fleet.
+//
 // A first packet that can't be placed is reset at once: nothing ran, and the
 // caller may try elsewhere. A packet of a flow that may be open anywhere is never
 // answered with a reset.
@@ -50,10 +54,10 @@
 	Zone   string
 	Rand   *rand.Rand
 	Policy Policy
-	// QuestionRate is how many bytes of questions a second may be sent, so that
+	// QuestionBudget is how many bytes of questions may be sent a second, so that
 	// searches leave the balancer's link to the packets of flows; 0 for no bound.
-	QuestionRate float64
-	Out          Output
+	QuestionBudget float64
+	Out            Output
 }
 
 // Policy holds the thresholds that what callers get depends on most.
@@ -115,9 +119,9 @@
 	queue  []packet.Flow
 	asking int
 	budget budget
-	// wide tells of the flows that were searched among all agents lately.
-	wide    map[packet.Flow]wideSearch
-	sweepAt time.Duration
+	// wideSearches tell of the flows that were searched among all agents lately.
+	wideSearches map[packet.Flow]wideSearch
+	sweepAt      time.Duration
 	// placements are the first packets that wait for their candidates' loads.
 	placements placements
 	// tabledAt is when the first table came; early are the packets that came
@@ -129,8 +133,8 @@
 // New returns an engine that knows no table and no agents.
 func New(cfg Config) *Engine {
 	return &Engine{
-		cfg: cfg, budget: budget{rate: cfg.QuestionRate}, flows: map[packet.Flow]holder{}, searches: map[packet.Flow]*search{}, early: map[packet.Flow]earlyPacket{},
-		agents: newAgents(), placements: newPlacements(), wide: map[packet.Flow]wideSearch{},
+		cfg: cfg, budget: budget{rate: cfg.QuestionBudget}, flows: map[packet.Flow]holder{}, searches: map[packet.Flow]*search{}, early: map[packet.Flow]earlyPacket{},
+		agents: newAgents(), placements: newPlacements(), wideSearches: map[packet.Flow]wideSearch{},
 	}
 }
 
--- a/internal/pass/forward/ranking_test.go
+++ b/internal/pass/forward/ranking_test.go
@@ -27,7 +27,7 @@
 func fleetRig(t testing.TB, zone string, n int, rate float64) *rig {
 	r := &rig{now: time.Hour}
 	r.t, _ = t.(*testing.T)
-	r.engine = New(Config{Zone: zone, Rand: rand.New(rand.NewPCG(1, 2)), Policy: DefaultPolicy(), QuestionRate: rate, Out: r})
+	r.engine = New(Config{Zone: zone, Rand: rand.New(rand.NewPCG(1, 2)), Policy: DefaultPolicy(), QuestionBudget: rate, Out: r})
 	r.table(1, desk)
 	r.pass(DefaultPolicy().Youth)
 	r.fleetReports(n)
--- a/internal/pass/forward/search.go
+++ b/internal/pass/forward/search.go
@@ -32,16 +32,6 @@
 	// firstRound is how many agents are asked first: the flow's preferred ones of
 	// this data centre in a large fleet, all of the route in a small one.
 	firstRound = 8
-	// wideStep is how many agents of a wide round are asked at once, widePause the time
-	// between two steps. The answers of a whole fleet at once are more than a thin link
-	// queues, and a lost one looks like an agent that is silent.
-	wideStep  = 32
-	widePause = 10 * time.Millisecond
-	// wideAgain is how long a flow that was searched among all agents isn't at first,
-	// wideLater at most: the pause doubles with each such search. Without it every copy
-	// that a caller sends of a packet asks all of them.
-	wideAgain = 150 * time.Millisecond
-	wideLater = 5 * time.Second
 	// maxSearches bounds the flows searched at once. Past it the packet is
 	// dropped, and the caller sends it again.
 	maxSearches = 8_192
@@ -89,13 +79,6 @@
 	mute bool
 }
 
-// wideSearch is when a flow was last searched among all agents.
-type wideSearch struct {
-	// notBefore is when it may be again, pause how long that was after the last time.
-	notBefore time.Duration
-	pause     time.Duration
-}
-
 // seek begins or joins the search for a flow's holder. lacks is an agent known
 // not to hold it.
 func (e *Engine) seek(now time.Duration, p packet.Packet, f packet.Flow, raw []byte, lacks uint32) {
@@ -194,28 +177,6 @@
 	e.cfg.Out.Ask(a.address, peer.Question{Flow: f, Ack: s.ack})
 }
 
-// widen goes over to all agents: a flow stays where it is when its route goes over
-// to another service, and may have been placed when other agents were there.
-func (e *Engine) widen(now time.Duration, f packet.Flow, s *search) {
-	s.wide = true
-	s.wideAt = now
-	w, again := e.wide[f]
-	if again && now < w.notBefore {
-		s.narrow = true
-		return
-	}
-	w.pause = min(max(2*w.pause, wideAgain), wideLater)
-	w.notBefore = now + w.pause
-	if again || len(e.wide) < maxSearches {
-		e.wide[f] = w
-	}
-	for i := range e.agents.list {
-		if _, done := s.asked[uint32(i)]; !done && e.agents.list[i].asked(now) {
-			s.next = append(s.next, uint32(i))
-		}
-	}
-}
-
 // Answered takes an agent's word on a flow.
 func (e *Engine) Answered(now time.Duration, from netip.AddrPort, r peer.Ruling) {
 	f := r.Question.Flow
@@ -364,15 +325,6 @@
 	e.advance(now, f, s)
 }
 
-// sweepSearches forgets which flows were searched among all agents long ago.
-func (e *Engine) sweepSearches(now time.Duration) {
-	for f, w := range e.wide {
-		if now >= w.notBefore+wideLater {
-			delete(e.wide, f)
-		}
-	}
-}
-
 // remove takes an agent out of a list; false if it isn't there.
 func remove(list *[]uint32, agent uint32) bool {
 	for i, x := range *list {
