--- a/internal/pass/flowtable/queue_test.go
+++ b/internal/pass/flowtable/queue_test.go
@@ -193,8 +193,7 @@
 	is.Equal(r.toTarget, []uint16{idleFlowFull})
 }
 
-// Guards against free slots given away on a guess: a request that takes as long as others
-// do keeps its room, however long that is.
+// Guards against slots given away twice: a request as slow as the others keeps its room.
 func TestSlowRequestsKeepTheirRoom(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
--- a/internal/pass/forward/fleet_test.go
+++ b/internal/pass/forward/fleet_test.go
@@ -363,10 +363,7 @@
 	}
 }
 
-// Guards against a fleet that never comes back: a twelfth of the balancers dies three times
-// within six seconds. Each survivor searches five flows, with eight questions each; with a
-// fabric that goes by modulo all of its fifty, 18 KB over its link's 52 KB a second for
-// questions. So all packets sent a second after a blow must arrive in time.
+// Guards against a fleet that never comes back after a twelfth of its balancers dies, three times in six seconds.
 func TestFleetComesBackAfterBalancersDie(t *testing.T) {
 	for _, mod := range []bool{false, true} {
 		f := newFleet(mod)
@@ -376,6 +373,8 @@
 			f.run(3 * time.Second)
 		}
 		f.run(5 * time.Second)
+		// Each survivor searches five flows, by modulo all of its fifty: 18 KB of questions
+		// within 52 KB a second. A second after a blow all must be in time.
 		for _, second := range []int{4, 6, 9, 12, 15, 17} {
 			if got := f.share(second); got < 0.999 {
 				t.Errorf("mod %v: second %d: %.3f in time", mod, second, got)
@@ -384,9 +383,7 @@
 	}
 }
 
-// Guards against a fleet that never comes back after all lost power for 1.3 s, targets
-// included: callers whose flows are gone are reset, or give up after their patience and
-// open others. A second after that all packets must arrive in time.
+// Guards against a fleet that never comes back after all, targets included, lost power for 1.3 s.
 func TestFleetComesBackAfterAPowerCut(t *testing.T) {
 	for _, mod := range []bool{false, true} {
 		f := newFleet(mod)
@@ -401,6 +398,8 @@
 			f.after(1300*time.Millisecond, func() { a.up = true })
 		}
 		f.run(8 * time.Second)
+		// Callers whose flows aren't reset give up after their patience; a second later all
+		// must be in time.
 		for second := 10; second < 12; second++ {
 			if got := f.share(second); got < 0.999 {
 				t.Errorf("mod %v: second %d: %.3f in time", mod, second, got)
@@ -409,9 +408,7 @@
 	}
 }
 
-// Guards against talk among nodes that grows with the product of their numbers: in quiet
-// times a balancer's questions and probes stay under the 5 KB a second that the plan gives
-// a node for control, before any number of agents.
+// Guards against talk that grows with the fleet: questions and probes stay under the plan's 5 KB a second.
 func TestQuietFleetTalksLittle(t *testing.T) {
 	f := newFleet(false)
 	f.run(5 * time.Second) // flows are opened
--- a/internal/pass/forward/placing_test.go
+++ b/internal/pass/forward/placing_test.go
@@ -90,8 +90,7 @@
 	is.True(r.last().Waited <= loadPatience+10*time.Millisecond)
 }
 
-// Guards against flows that wait for dead agents, or are refused: of three that are
-// probed two answer, and the flow is placed at once.
+// Guards against flows that wait for a dead agent: of three that are probed two answers are enough.
 func TestFirstPacketDoesNotWaitForADeadAgent(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
@@ -108,8 +107,7 @@
 	is.Equal(r.last().Waited, time.Duration(0))
 }
 
-// Guards against callers refused since answers come late: when links or processors are
-// overloaded the flow goes where it would have gone by an earlier report.
+// Guards against callers refused since no probe is answered in time, as on overloaded links.
 func TestLateReportsDoNotRefuseCallers(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
@@ -121,8 +119,7 @@
 	is.Equal(r.delivered[0].to, a)
 }
 
-// Guards against probes that grow with the number of agents: each new flow costs a few,
-// and a report serves the flows that come soon after.
+// Guards against probes that grow with the number of agents.
 func TestProbesGrowWithFlowsOnly(t *testing.T) {
 	for _, agents := range []int{10, 200, 2000} {
 		r := fleetRig(t, "a", 0, 0)
--- a/internal/pass/forward/ranking_test.go
+++ b/internal/pass/forward/ranking_test.go
@@ -71,8 +71,7 @@
 	}
 }
 
-// Guards against searches that ask the whole fleet: flows of a balancer that died are
-// found by others, of the same data centre or another, with a few questions.
+// Guards against searches that ask the whole fleet, from the same data centre or another.
 func TestHolderIsFoundWithFewQuestions(t *testing.T) {
 	const agents, flows = 400, 200
 	for _, c := range []struct {
@@ -93,8 +92,7 @@
 	}
 }
 
-// Guards against searches whose questions fill the link: beyond the budget flows wait,
-// and all are found within the time that the budget allows.
+// Guards against searches whose questions fill the link.
 func TestSearchesKeepToTheirBudget(t *testing.T) {
 	is := is.New(t)
 	const flows, rate = 100, 45_000
@@ -128,8 +126,7 @@
 	}
 }
 
-// Guards against a loop by which copies of a packet make as many questions as there
-// are agents, each.
+// Guards against a loop in which each copy of a packet is asked of all agents.
 func TestCopiesAreNotSearchedAmongAllAgain(t *testing.T) {
 	is := is.New(t)
 	const agents = 200
@@ -163,8 +160,7 @@
 	is.Equal(len(r.resets), 0)
 }
 
-// Guards against agents that are taken to be silent since all answered at once, more than
-// a thin link queues: the agents of a wide round are asked step by step.
+// Guards against agents taken to be silent since all answered at once, more than a thin link queues.
 func TestWideRoundsGoStepByStep(t *testing.T) {
 	is := is.New(t)
 	const agents = 200
@@ -186,8 +182,7 @@
 	is.True(r.now-began < 200*time.Millisecond) // before the caller's next copy
 }
 
-// Guards against callers that wait for their deadline since a first search, shortly after
-// the start of the fleet, was in vain: a copy is searched among all again.
+// Guards against callers left to their deadline since the first search of their flow came too early.
 func TestCopyIsSearchedAmongAllAgainSoon(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
@@ -204,8 +199,7 @@
 	is.Equal(len(r.resets), 1)
 }
 
-// Guards against agents that are shut out since another one, whose number has the same
-// remainder, handed the packet back.
+// Guards against agents shut out since one whose number has the same remainder refused the packet.
 func TestRefusalShutsOutItsAgentOnly(t *testing.T) {
 	is := is.New(t)
 	r := fleetRig(t, "a", 2, 0)
@@ -220,8 +214,7 @@
 	is.Equal(r.engine.agents.list[c.choose().agent].address, last)
 }
 
-// Guards against uneven shares: the flows' preferences give each target of a data
-// centre its part.
+// Guards against uneven shares of flows among the targets of a data centre.
 func TestPreferencesSpreadFlows(t *testing.T) {
 	const agents, flows = 50, 4000
 	r := fleetRig(t, "a", agents, 0)
@@ -239,8 +232,7 @@
 	}
 }
 
-// BenchmarkChoose measures the choice of an agent for a new flow in a service of a
-// sixth of the fleet's agents, and of six agents.
+// BenchmarkChoose measures the choice for a new flow; the agents are of one service in five data centres.
 func BenchmarkChoose(b *testing.B) {
 	for _, agents := range []int{10, 200, 12_000} {
 		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
--- a/internal/pass/forward/search_test.go
+++ b/internal/pass/forward/search_test.go
@@ -217,8 +217,7 @@
 	is.Equal(len(r.resets), 0)
 }
 
-// Guards against a reset of an open flow whose agent control began to list while the
-// others were asked.
+// Guards against a reset of an open flow whose agent was listed while the others were asked.
 func TestNothingIsResetWhileAnAgentJoins(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
@@ -231,8 +230,7 @@
 	is.Equal(len(r.resets), 0)
 }
 
-// Guards against a reset of an open flow whose agent control has just taken off its
-// list: it may be cut off from control only.
+// Guards against a reset of an open flow whose agent is cut off from control only.
 func TestDelistedAgentMayHoldTheFlow(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
--- a/internal/pass/roster/attach_test.go
+++ b/internal/pass/roster/attach_test.go
@@ -12,8 +12,7 @@
 	"bergamotstall/internal/wire"
 )
 
-// BenchmarkAttach measures how long a fleet takes to attach to one control VM and get its
-// table, as after a power cut: nodes of which one in three is a balancer.
+// BenchmarkAttach measures how long nodes, a third of them balancers, take to get their table of one VM.
 func BenchmarkAttach(b *testing.B) {
 	v := &vm{ip: "127.99.1.1", store: route.NewStore(), flows: flowlog.NewStore()}
 	v.start(b)
--- a/internal/pass/roster/roster_test.go
+++ b/internal/pass/roster/roster_test.go
@@ -253,8 +253,7 @@
 	is.Equal(n.seen(), []route.Version{1, 2})
 }
 
-// Guards against a start at which every control VM sends the whole table at once over
-// the node's link, and against a stream of whole tables while one changes.
+// Guards against whole tables from every control VM at a start, and for each change of one route.
 func TestTableComesOnce(t *testing.T) {
 	is := is.New(t)
 	all := vms(t, 5)
@@ -287,8 +286,7 @@
 	}
 }
 
-// Balancers learn of agents that come and go; one whose stream broke off stays listed
-// for a while, since it may be cut off from control only.
+// Guards against agents that vanish from the list while they are cut off from control, or stay when they end.
 func TestBalancersLearnOfAgents(t *testing.T) {
 	is := is.New(t)
 	all := vms(t, 2)
@@ -306,8 +304,7 @@
 	await(t, "one agent", func() bool { return balancer.listed() == 1 })
 }
 
-// Guards against lists that are sent whole with each change: a fleet of agents costs a
-// balancer one entry each, and one that joins later an entry more.
+// Guards against lists that are sent whole with each change.
 func TestListIsSentAsChanges(t *testing.T) {
 	is := is.New(t)
 	all := vms(t, 1)
@@ -326,8 +323,7 @@
 	is.Equal(balancer.changes, 31)
 }
 
-// Guards against an agent that vanishes with one control VM's list while another still
-// has it, and against one that stays after a VM started anew without it.
+// Guards against an agent that vanishes with one control VM's list while another still has it.
 func TestListsAreUnited(t *testing.T) {
 	is := is.New(t)
 	told := map[netip.AddrPort]bool{}
@@ -362,8 +358,7 @@
 	is.Equal(len(told), 0)
 }
 
-// Guards against a balancer that goes on placing by a version replaced long ago: it knows
-// that it hears nothing of control, or that the newer table doesn't come.
+// Guards against a balancer that goes on placing by a version replaced long ago.
 func TestNodeKnowsThatItsTableMayBeOld(t *testing.T) {
 	is := is.New(t)
 	c := NewClient(ClientConfig{Node: Node{Role: Balancer}, Log: quiet()})
@@ -495,8 +490,7 @@
 	is.Equal(second.recalled[0].Target, "i-1")
 }
 
-// Guards against open flows reset by a balancer that starts and asks some agents only:
-// its first updates list all, also one that only one control VM knows.
+// Guards against open flows reset by a balancer that starts and knows some agents only.
 func TestBalancerLearnsOfAllAgents(t *testing.T) {
 	all := vms(t, 2)
 	for _, v := range all {
--- a/internal/pass/route/lean_test.go
+++ b/internal/pass/route/lean_test.go
@@ -46,8 +46,7 @@
 	return table
 }
 
-// Guards against nodes that act on another table than the definition's, from whatever
-// version they are brought up to date.
+// Guards against nodes that act on another table than that of the definition in force.
 func TestChangesLeadToTheSameTable(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(20) {
--- a/internal/replica/link_test.go
+++ b/internal/replica/link_test.go
@@ -9,8 +9,7 @@
 	"github.com/matryer/is"
 )
 
-// Guards against votes that come late after a power cut: a dial that began before the peer
-// had power ends when the peer connects, not at its timeout.
+// Guards against votes that come late since a dial began before the peer had power.
 func TestDialEndsWhenThePeerConnects(t *testing.T) {
 	is := is.New(t)
 	dialled := make(chan struct{})
--- a/internal/scenario/run_test.go
+++ b/internal/scenario/run_test.go
@@ -10,8 +10,7 @@
 	"bergamotstall/internal/load"
 )
 
-// Guards against a run that ends before its steps are done and says nothing: on a busy
-// machine a step takes longer than planned, and what later checks expect never happened.
+// Guards against a run on a busy machine that ends before its steps are done and says nothing.
 func TestRunLastsUntilItsStepsAreDone(t *testing.T) {
 	is := is.New(t)
 	p := &Play{Fleet: &Fleet{}, progress: t.Logf}
