Evacuation: an operator empties a data centre, and takes it back

It reaches balancers and agents on each stream, whole with a revision: some 20 bytes a data centre, once a change and stream; a beat grows by 3 bytes. No message or state grows with the nodes. Balancers place nothing there, agents there refuse first packets by themselves, so a balancer that lags does no harm.

--- a/internal/events/pass.go
+++ b/internal/events/pass.go
@@ -19,4 +19,6 @@
 	ReplicaReopened     = define(712, logrus.WarnLevel, "replica opened again after a failure")
 	Traffic             = define(714, logrus.InfoLevel, "messages sent and received")
 	FolderAbandoned     = define(713, logrus.WarnLevel, "folder of a removed replica set aside")
+	EvacuationDecided   = define(715, logrus.InfoLevel, "evacuation order decided on")
+	EvacuationsInForce  = define(716, logrus.InfoLevel, "evacuations in force")
 )
--- a/internal/pass/agent/agent.go
+++ b/internal/pass/agent/agent.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -112,7 +113,7 @@
 	})
 	a.client = roster.NewClient(roster.ClientConfig{
 		Node:  roster.Node{Role: roster.Agent, Address: cfg.Nodes.String(), Zone: cfg.Zone, Service: uint64(route.IDOf(cfg.Service)), Process: process},
-		Seeds: cfg.Seeds, Port: cfg.ControlPort, Table: a.setTable, Recalled: a.recalled, Meter: a.meter, Log: cfg.Log,
+		Seeds: cfg.Seeds, Port: cfg.ControlPort, Table: a.setTable, Evacuated: a.setEvacuated, Recalled: a.recalled, Meter: a.meter, Log: cfg.Log,
 	})
 	for v := flowtable.Verdict(0); v.String() != "unknown"; v++ {
 		a.verdicts = append(a.verdicts, cfg.Metrics.Counter("pass_"+v.String()))
@@ -218,6 +219,13 @@
 	a.engine.SetTable(t)
 }
 
+// setEvacuated tells the engine whether its data centre is evacuated.
+func (a *Agent) setEvacuated(zones []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.engine.SetEvacuated(a.now(), slices.Contains(zones, a.cfg.Zone))
+}
+
 func (a *Agent) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
--- a/internal/pass/balancer/balancer.go
+++ b/internal/pass/balancer/balancer.go
@@ -103,7 +103,7 @@
 	})
 	b.client = roster.NewClient(roster.ClientConfig{
 		Node:  roster.Node{Role: roster.Balancer, Address: cfg.Nodes.String(), Zone: cfg.Zone, Process: seed},
-		Seeds: cfg.Seeds, Port: cfg.ControlPort, Table: b.setTable, Agents: b.setAgents, Meter: b.meter, Log: cfg.Log,
+		Seeds: cfg.Seeds, Port: cfg.ControlPort, Table: b.setTable, Evacuated: b.setEvacuated, Agents: b.setAgents, Meter: b.meter, Log: cfg.Log,
 	})
 	b.verdicts = counters(cfg.Metrics)
 	b.waits = waitHistograms(cfg.Metrics)
@@ -161,6 +161,13 @@
 	b.tabledAt.CompareAndSwap(0, int64(b.now()))
 }
 
+// setEvacuated tells the engine which data centres take no new flows.
+func (b *Balancer) setEvacuated(zones []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.engine.SetEvacuated(zones)
+}
+
 // reach tells whether the balancer hears none of the agents, and how many it knows.
 func (b *Balancer) reach() (isolated bool, agents int) {
 	b.mu.Lock()
--- a/internal/pass/control/control.go
+++ b/internal/pass/control/control.go
@@ -80,8 +80,11 @@
 	Seeds func() []string
 	// FirstStart is set when the whole system starts for the first time.
 	FirstStart bool
-	Log        logrus.FieldLogger
-	Metrics    *metrics.Set
+	// ResendWindow is how long operators send an evacuation order again whose answer
+	// they lack.
+	ResendWindow time.Duration
+	Log          logrus.FieldLogger
+	Metrics      *metrics.Set
 }
 
 // Control is one control VM.
@@ -110,6 +113,7 @@
 	}
 	server := roster.NewServer(roster.ServerConfig{Store: c.store, Source: c, Flows: flows, Log: c.cfg.Log, Metrics: c.cfg.Metrics})
 	c.cfg.Metrics.Gauge("definition_version", func() int64 { return int64(c.store.Version()) })
+	c.cfg.Metrics.Gauge("evacuated_zones", func() int64 { return int64(len(c.Evacuated())) })
 	group, ctx := errgroup.WithContext(ctx)
 	tried := make(chan struct{})
 	group.Go(func() error { return c.keepReplica(ctx, tried) })
--- a/internal/pass/control/control_test.go
+++ b/internal/pass/control/control_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -22,6 +23,13 @@
 const patience = 30 * time.Second
 
 func start(t *testing.T, net byte, n int) []*Control {
+	t.Helper()
+	vms, _ := startIn(t, t.TempDir(), net, n)
+	return vms
+}
+
+// startIn starts control VMs with disks under a folder; stop ends them all.
+func startIn(t *testing.T, folder string, net byte, n int) (vms []*Control, stop func()) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -30,24 +38,31 @@
 		seeds = append(seeds, fmt.Sprintf("127.%d.1.%d", net, i+1))
 	}
 	var out []*Control
+	var stops []func()
 	for i := range n {
 		c := New(Config{
-			Name: fmt.Sprint("control-", i+1), IP: netip.MustParseAddr(seeds[i]), Folder: filepath.Join(t.TempDir(), fmt.Sprint(i)),
+			Name: fmt.Sprint("control-", i+1), IP: netip.MustParseAddr(seeds[i]), Folder: filepath.Join(folder, fmt.Sprint(i)),
 			ReplicaPort: 7941, StreamPort: 7942, Seeds: func() []string { return seeds }, FirstStart: true,
-			Log: log, Metrics: metrics.New(),
+			ResendWindow: time.Second, Log: log, Metrics: metrics.New(),
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
 		go func() { ended <- c.Run(ctx) }()
-		t.Cleanup(func() {
+		stops = append(stops, sync.OnceFunc(func() {
 			cancel()
 			if err := <-ended; err != nil {
 				t.Error(err)
 			}
-		})
+		}))
 		out = append(out, c)
 	}
-	return out
+	stop = func() {
+		for _, end := range stops {
+			end()
+		}
+	}
+	t.Cleanup(stop)
+	return out, stop
 }
 
 func definition(v route.Version) *route.Definition {
--- /dev/null
+++ b/internal/pass/control/evacuation_test.go
@@ -0,0 +1,58 @@
+package control
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bergamotstall/internal/pass/route"
+)
+
+// awaitEvacuated waits until each VM knows the same evacuations.
+func awaitEvacuated(t *testing.T, vms []*Control, want ...string) {
+	t.Helper()
+	for _, c := range vms {
+		eventually(t, func() error {
+			if got := c.Evacuated(); !slices.Equal(got, want) {
+				return fmt.Errorf("evacuated: %q", got)
+			}
+			return nil
+		})
+	}
+}
+
+// Guards against evacuations that are acknowledged and gone after all control VMs were off.
+func TestEvacuationOutlivesAllVMs(t *testing.T) {
+	folder := t.TempDir()
+	vms, stop := startIn(t, folder, 54, 3)
+	eventually(t, func() error { return vms[2].Put(t.Context(), definition(5)) })
+	eventually(t, func() error { return vms[0].Evacuate(t.Context(), "accra-a") })
+	eventually(t, func() error { return vms[1].Evacuate(t.Context(), "accra-b") })
+	eventually(t, func() error { return vms[2].Withdraw(t.Context(), "accra-b") })
+	awaitEvacuated(t, vms, "accra-a")
+	stop()
+	vms, _ = startIn(t, folder, 54, 3)
+	awaitEvacuated(t, vms, "accra-a")
+	eventually(t, func() error { return vms[0].Withdraw(t.Context(), "accra-a") })
+	awaitEvacuated(t, vms)
+}
+
+// Guards against a resend that is refused, and a late copy that is carried out: it is left
+// without a clear answer until no operator sends copies any more.
+func TestEvacuationOrdersResent(t *testing.T) {
+	is := is.New(t)
+	c := start(t, 55, 1)[0]
+	eventually(t, func() error { return c.Evacuate(t.Context(), "accra-a") })
+	is.NoErr(c.Evacuate(t.Context(), "accra-a"))
+	is.NoErr(c.Withdraw(t.Context(), "accra-a"))
+	is.NoErr(c.Withdraw(t.Context(), "accra-a"))
+	is.True(errors.Is(c.Evacuate(t.Context(), "accra-a"), ErrUnavailable))
+	is.Equal(len(c.Evacuated()), 0)
+	time.Sleep(c.cfg.ResendWindow)
+	is.NoErr(c.Evacuate(t.Context(), "accra-a"))
+	is.True(errors.Is(c.Evacuate(t.Context(), "a b"), route.ErrZoneName))
+}
--- a/internal/pass/control/operator.go
+++ b/internal/pass/control/operator.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// putPatience bounds how long an operator's definition waits for a quorum.
+	// putPatience bounds how long an operator's order waits for a quorum.
 	// An election takes one to one and a half seconds.
 	putPatience = 2500 * time.Millisecond
 	// getPatience bounds how long a reader waits; readers ask another VM after
@@ -40,26 +40,38 @@
 	if err != nil {
 		return err
 	}
+	outcome, err := c.propose(ctx, command)
+	if err != nil {
+		c.decided(d, "unavailable", err)
+		return err
+	}
+	if outcome == route.Unreadable {
+		c.decided(d, "unreadable", nil)
+		return errors.New("control: the log could not read the definition")
+	}
+	c.decided(d, outcomeText(outcome), nil)
+	return nil
+}
+
+// propose has a command agreed on. ErrUnavailable means that it may come into force, now
+// or later.
+func (c *Control) propose(ctx context.Context, command []byte) (route.Outcome, error) {
 	r := c.replica.Load()
 	if r == nil {
-		c.decided(d, "unavailable", nil)
-		return ErrUnavailable
+		return 0, ErrUnavailable
 	}
 	ctx, cancel := context.WithTimeout(ctx, putPatience)
 	defer cancel()
 	began := time.Now()
 	out, err := r.Propose(ctx, command)
 	if err != nil {
-		c.decided(d, "unavailable", err)
-		return errors.Wrap(ErrUnavailable, err.Error())
+		return 0, errors.Wrap(ErrUnavailable, err.Error())
 	}
-	c.cfg.Metrics.Histogram("definition_agreed_after").Record(time.Since(began))
-	if len(out) != 1 || route.Outcome(out[0]) == route.Unreadable {
-		c.decided(d, "unreadable", nil)
-		return errors.New("control: the log could not read the definition")
+	c.cfg.Metrics.Histogram("order_agreed_after").Record(time.Since(began))
+	if len(out) != 1 {
+		return route.Unreadable, nil
 	}
-	c.decided(d, outcomeText(route.Outcome(out[0])), nil)
-	return nil
+	return route.Outcome(out[0]), nil
 }
 
 func outcomeText(o route.Outcome) string {
--- /dev/null
+++ b/internal/pass/flowtable/evacuation_test.go
@@ -0,0 +1,48 @@
+package flowtable
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"bergamotstall/internal/pass/peer"
+)
+
+// Guards against flows that a balancer which hasn't heard of an evacuation still sends.
+func TestAgentRefusesNewFlowsWhileEvacuated(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.open(1, 1000)
+	reports := r.reports
+	r.engine.SetEvacuated(r.now, true)
+	is.Equal(r.reports, reports+1)
+	is.True(!r.report().Open)
+	r.syn(2)
+	is.Equal(r.refused, []refusal{{2, peer.Evacuated}})
+	sent := len(r.toTarget)
+	r.ask(1, 1) // an open flow goes on
+	is.Equal(len(r.toTarget), sent+1)
+	r.engine.SetEvacuated(r.now, false)
+	is.True(r.report().Open)
+	r.syn(3)
+	is.Equal(r.toTarget[len(r.toTarget)-1], uint16(3))
+}
+
+// Guards against a first packet that waited for a slot when the evacuation came, and is
+// let in after it.
+func TestWaitingFirstPacketsAreHandedBackAtAnEvacuation(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	for port := uint16(1); port <= 5; port++ { // four slots, and what ends during a handshake
+		r.open(port, 1000)
+		r.ask(port, 1)
+	}
+	r.syn(9)
+	is.Equal(len(r.refused), 0)
+	r.engine.SetEvacuated(r.now, true)
+	is.Equal(r.refused, []refusal{{9, peer.Evacuated}})
+	for port := uint16(1); port <= 5; port++ {
+		r.answered(port, 1)
+	}
+	is.True(r.toTarget[len(r.toTarget)-1] != 9)
+}
--- a/internal/pass/flowtable/flowtable.go
+++ b/internal/pass/flowtable/flowtable.go
@@ -117,14 +117,16 @@
 
 // Engine is one agent's state. It isn't safe for concurrent use.
 type Engine struct {
-	cfg       Config
-	target    target
-	flows     map[packet.Flow]flow
-	waiting   map[packet.Flow]unanswered
-	load      load
-	sweepAt   time.Duration
-	number    uint64
-	leaving   bool
+	cfg     Config
+	target  target
+	flows   map[packet.Flow]flow
+	waiting map[packet.Flow]unanswered
+	load    load
+	sweepAt time.Duration
+	number  uint64
+	leaving bool
+	// evacuated says that the data centre's targets take no new flows.
+	evacuated bool
 	tags      tags
 	table     *route.Table
 	admission admission
@@ -203,6 +205,8 @@
 		e.toTarget(p.from, p.raw)
 	case e.target.draining || e.leaving:
 		e.refuseFirst(now, p, peer.Draining)
+	case e.evacuated:
+		e.refuseFirst(now, p, peer.Evacuated)
 	case e.target.silent:
 		e.refuseFirst(now, p, peer.Silent)
 	case len(e.flows) >= maxFlows:
--- a/internal/pass/flowtable/queue.go
+++ b/internal/pass/flowtable/queue.go
@@ -242,6 +242,8 @@
 		return peer.NoTarget
 	case e.target.draining || e.leaving:
 		return peer.Draining
+	case e.evacuated:
+		return peer.Evacuated
 	case e.target.silent:
 		return peer.Silent
 	case now-q.begunAt > e.cfg.Policy.MaxWait:
--- a/internal/pass/forward/choose.go
+++ b/internal/pass/forward/choose.go
@@ -123,7 +123,7 @@
 func (c *chooser) gather(service route.ServiceID, near bool, to *candidates) (probe []uint32) {
 	b := best{flow: route.Hash(c.flow)}
 	for _, g := range c.e.agents.index.byService[service] {
-		if (g.zone == c.e.cfg.Zone) != near {
+		if (g.zone == c.e.cfg.Zone) != near || c.e.evacuated[g.zone] {
 			continue
 		}
 		for _, number := range g.members {
@@ -166,9 +166,12 @@
 	for _, near := range []bool{true, false} {
 		b := best{flow: route.Hash(c.flow)}
 		for _, g := range c.e.agents.index.byService[service] {
+			if (g.zone == c.e.cfg.Zone) != near || c.e.evacuated[g.zone] {
+				continue
+			}
 			for _, number := range g.members {
 				a := &c.e.agents.list[number]
-				if (g.zone == c.e.cfg.Zone) == near && !slices.Contains(c.excluded, number) && c.now >= a.avoidUntil && a.guessed(c.now) {
+				if !slices.Contains(c.excluded, number) && c.now >= a.avoidUntil && a.guessed(c.now) {
 					b.offer(number, a.hash)
 				}
 			}
--- a/internal/pass/forward/forward.go
+++ b/internal/pass/forward/forward.go
@@ -108,12 +108,14 @@
 // Engine is one balancer's state. It isn't safe for concurrent use; one
 // goroutine owns it.
 type Engine struct {
-	cfg      Config
-	table    *route.Table
-	agents   agents
-	flows    map[packet.Flow]holder
-	searches map[packet.Flow]*search
-	held     int
+	cfg   Config
+	table *route.Table
+	// evacuated are the data centres whose targets take no new flows.
+	evacuated map[string]bool
+	agents    agents
+	flows     map[packet.Flow]holder
+	searches  map[packet.Flow]*search
+	held      int
 	// queue holds the flows whose search waits for its turn, asking counts those
 	// that are being asked for, and budget bounds the questions.
 	queue  []packet.Flow
@@ -146,6 +148,15 @@
 	e.table = t
 }
 
+// SetEvacuated tells which data centres' targets take no new flows. Open flows there go
+// on, and are searched there.
+func (e *Engine) SetEvacuated(zones []string) {
+	e.evacuated = map[string]bool{}
+	for _, zone := range zones {
+		e.evacuated[zone] = true
+	}
+}
+
 // Flows returns how many flows have a known place.
 func (e *Engine) Flows() int { return len(e.flows) }
 
@@ -287,7 +298,7 @@
 	switch why {
 	case peer.Full:
 		e.agents.list[agent].avoidUntil = now + fullPause
-	case peer.Silent, peer.Draining, peer.NoTarget, peer.WrongService:
+	case peer.Silent, peer.Draining, peer.NoTarget, peer.WrongService, peer.Evacuated:
 		e.agents.list[agent].report.Open = false // until its next report
 	}
 	at.exclude(agent)
--- a/internal/pass/peer/peer.go
+++ b/internal/pass/peer/peer.go
@@ -73,9 +73,11 @@
 	// Busy means that the first packet waited in vain for a free slot, for as long
 	// as is good for its caller: it isn't to be offered elsewhere.
 	Busy
+	// Evacuated means that the target's data centre takes no new flows.
+	Evacuated
 )
 
-var reasonNames = [...]string{"", "not-held", "draining", "full", "silent", "wrong-service", "no-target", "busy"}
+var reasonNames = [...]string{"", "not-held", "draining", "full", "silent", "wrong-service", "no-target", "busy", "evacuated"}
 
 func (r Reason) String() string {
 	if int(r) < len(reasonNames) {
--- a/internal/pass/roster/client.go
+++ b/internal/pass/roster/client.go
@@ -46,11 +46,13 @@
 	Seeds func() []string
 	// Port is where control VMs take streams, the same at all of them.
 	Port uint16
-	// Table is called with each newer table; Agents, at balancers, with what changed
-	// in the union of the VMs' lists of agents. Both are called from streams'
-	// goroutines, one at a time.
-	Table  func(t *route.Table)
-	Agents func(c Changes)
+	// Table is called with each newer table; Evacuated with the data centres that take
+	// no new flows, whenever that changes; Agents, at balancers, with what changed in
+	// the union of the VMs' lists of agents. All are called from streams' goroutines,
+	// one at a time.
+	Table     func(t *route.Table)
+	Evacuated func(zones []string)
+	Agents    func(c Changes)
 	// Recalled, at agents, is called with the flows that a control VM remembers of
 	// the agent's address.
 	Recalled func(u flowlog.Update)
@@ -70,6 +72,8 @@
 	known   []string
 	version route.Version
 	table   *route.Table
+	// evacuations is the revision of those in force here.
+	evacuations uint64
 	// wanted is the VM that tables are taken from, since wantedAt or its last table.
 	wanted   string
 	wantedAt time.Time
--- a/internal/pass/roster/client_take.go
+++ b/internal/pass/roster/client_take.go
@@ -21,7 +21,7 @@
 		c.wanted = s.ip
 		c.wantedAt = time.Now()
 	}
-	return Beat{Version: uint64(c.version), Want: c.wanted == s.ip, Epoch: s.view.epoch, Number: s.view.number}
+	return Beat{Version: uint64(c.version), Want: c.wanted == s.ip, Epoch: s.view.epoch, Number: s.view.number, Evacuations: c.evacuations}
 }
 
 // chooseWanted keeps taking tables from one VM while it is in touch, so that they
@@ -87,6 +87,10 @@
 	if u.List != nil {
 		c.takeListing(s, u.List)
 	}
+	// First, so that a node whose first table this is places nothing in between.
+	if u.Evacuated != nil {
+		c.takeEvacuated(u.Evacuated)
+	}
 	if u.Lean != nil {
 		c.takeTable(s, u)
 	}
@@ -121,3 +125,13 @@
 		"version": u.Version, "routes": table.Len(), "from": uint64(lean.From), "changes": len(lean.Routes) + len(lean.Removed), "bytes": len(u.Lean),
 	})
 }
+
+// takeEvacuated puts evacuations in force if they are newer; the lock is held.
+func (c *Client) takeEvacuated(e *Evacuated) {
+	if e.Revision <= c.evacuations {
+		return
+	}
+	c.evacuations = e.Revision
+	c.cfg.Evacuated(e.Zones)
+	events.Log(c.cfg.Log, events.EvacuationsInForce, logrus.Fields{"revision": e.Revision, "zones": e.Zones})
+}
--- a/internal/pass/roster/messages.go
+++ b/internal/pass/roster/messages.go
@@ -65,6 +65,8 @@
 	// Epoch and Number say as of when a balancer holds this VM's list of agents.
 	Epoch  uint64 `msg:"e"`
 	Number uint64 `msg:"n"`
+	// Evacuations is the revision of the evacuations held.
+	Evacuations uint64 `msg:"x"`
 }
 
 // Retire says that an agent ends and its target is gone.
@@ -95,6 +97,12 @@
 	Gone    []packet.Endpoint `msg:"g"`
 }
 
+// Evacuated is which data centres take no new flows, whole: there are few.
+type Evacuated struct {
+	Revision uint64   `msg:"r"`
+	Zones    []string `msg:"z"`
+}
+
 // Update answers a beat, and is sent unasked when something changes.
 type Update struct {
 	// Version is the newest known to be agreed on, 0 for none or if the VM
@@ -107,6 +115,8 @@
 	Lean []byte `msg:"l"`
 	// List is what a balancer lacks of the VM's list of agents.
 	List *Listing `msg:"n"`
+	// Evacuated is there if the node holds an older revision.
+	Evacuated *Evacuated `msg:"x"`
 	// Controls are the IP numbers of all control VMs.
 	Controls []string `msg:"m"`
 	// ContactAgeMS is how long ago the VM was in touch with a quorum.
--- a/internal/pass/roster/messages_gen.go
+++ b/internal/pass/roster/messages_gen.go
@@ -11,9 +11,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Beat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "v"
-	o = append(o, 0x84, 0xa1, 0x76)
+	o = append(o, 0x85, 0xa1, 0x76)
 	o = msgp.AppendUint64(o, z.Version)
 	// string "w"
 	o = append(o, 0xa1, 0x77)
@@ -24,6 +24,9 @@
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
 	o = msgp.AppendUint64(o, z.Number)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendUint64(o, z.Evacuations)
 	return
 }
 
@@ -69,6 +72,12 @@
 				err = msgp.WrapError(err, "Number")
 				return
 			}
+		case "x":
+			z.Evacuations, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Evacuations")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -83,7 +92,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Beat) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
 	return
 }
 
@@ -145,6 +154,86 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Evacuated) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "r"
+	o = append(o, 0x82, 0xa1, 0x72)
+	o = msgp.AppendUint64(o, z.Revision)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Zones)))
+	for za0001 := range z.Zones {
+		o = msgp.AppendString(o, z.Zones[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Evacuated) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
+		case "z":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zones")
+				return
+			}
+			if cap(z.Zones) >= int(zb0002) {
+				z.Zones = (z.Zones)[:zb0002]
+			} else {
+				z.Zones = make([]string, zb0002)
+			}
+			for za0001 := range z.Zones {
+				z.Zones[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Zones", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Evacuated) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Zones {
+		s += msgp.StringPrefixSize + len(z.Zones[za0001])
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Hello) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -546,9 +635,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Update) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "v"
-	o = append(o, 0x86, 0xa1, 0x76)
+	o = append(o, 0x87, 0xa1, 0x76)
 	o = msgp.AppendUint64(o, z.Version)
 	// string "c"
 	o = append(o, 0xa1, 0x63)
@@ -567,11 +656,27 @@
 			return
 		}
 	}
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	if z.Evacuated == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		// map header, size 2
+		// string "r"
+		o = append(o, 0x82, 0xa1, 0x72)
+		o = msgp.AppendUint64(o, z.Evacuated.Revision)
+		// string "z"
+		o = append(o, 0xa1, 0x7a)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Evacuated.Zones)))
+		for za0001 := range z.Evacuated.Zones {
+			o = msgp.AppendString(o, z.Evacuated.Zones[za0001])
+		}
+	}
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Controls)))
-	for za0001 := range z.Controls {
-		o = msgp.AppendString(o, z.Controls[za0001])
+	for za0002 := range z.Controls {
+		o = msgp.AppendString(o, z.Controls[za0002])
 	}
 	// string "a"
 	o = append(o, 0xa1, 0x61)
@@ -632,22 +737,81 @@
 					return
 				}
 			}
+		case "x":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Evacuated = nil
+			} else {
+				if z.Evacuated == nil {
+					z.Evacuated = new(Evacuated)
+				}
+				var zb0002 uint32
+				zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Evacuated")
+					return
+				}
+				for zb0002 > 0 {
+					zb0002--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Evacuated")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "r":
+						z.Evacuated.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Evacuated", "Revision")
+							return
+						}
+					case "z":
+						var zb0003 uint32
+						zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Evacuated", "Zones")
+							return
+						}
+						if cap(z.Evacuated.Zones) >= int(zb0003) {
+							z.Evacuated.Zones = (z.Evacuated.Zones)[:zb0003]
+						} else {
+							z.Evacuated.Zones = make([]string, zb0003)
+						}
+						for za0001 := range z.Evacuated.Zones {
+							z.Evacuated.Zones[za0001], bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Evacuated", "Zones", za0001)
+								return
+							}
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Evacuated")
+							return
+						}
+					}
+				}
+			}
 		case "m":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Controls")
 				return
 			}
-			if cap(z.Controls) >= int(zb0002) {
-				z.Controls = (z.Controls)[:zb0002]
+			if cap(z.Controls) >= int(zb0004) {
+				z.Controls = (z.Controls)[:zb0004]
 			} else {
-				z.Controls = make([]string, zb0002)
+				z.Controls = make([]string, zb0004)
 			}
-			for za0001 := range z.Controls {
-				z.Controls[za0001], bts, err = msgp.ReadStringBytes(bts)
+			for za0002 := range z.Controls {
+				z.Controls[za0002], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Controls", za0001)
+					err = msgp.WrapError(err, "Controls", za0002)
 					return
 				}
 			}
@@ -677,9 +841,18 @@
 	} else {
 		s += z.List.Msgsize()
 	}
+	s += 2
+	if z.Evacuated == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+		for za0001 := range z.Evacuated.Zones {
+			s += msgp.StringPrefixSize + len(z.Evacuated.Zones[za0001])
+		}
+	}
 	s += 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Controls {
-		s += msgp.StringPrefixSize + len(z.Controls[za0001])
+	for za0002 := range z.Controls {
+		s += msgp.StringPrefixSize + len(z.Controls[za0002])
 	}
 	s += 2 + msgp.Int64Size
 	return
--- a/internal/pass/roster/roster_test.go
+++ b/internal/pass/roster/roster_test.go
@@ -114,16 +114,31 @@
 	v.store.Apply(1, command)
 }
 
+// order has an evacuation, or its end, agreed on at a VM.
+func (v *vm) order(t *testing.T, zone string, evacuate bool) {
+	t.Helper()
+	o := route.EvacuationOrder{Zone: zone, Evacuate: evacuate, Seen: v.store.Evacuations().Revision}
+	command, err := o.Command()
+	if err != nil {
+		t.Fatal(err)
+	}
+	v.store.Apply(1, command)
+}
+
 // node is a balancer or agent of a test.
 type node struct {
-	client   *Client
-	mu       sync.Mutex
-	tables   []route.Version
-	agents   map[netip.AddrPort]ListedAgent
-	changes  int
-	metrics  *metrics.Set
-	recalled []flowlog.Update
-	stop     context.CancelFunc
+	client *Client
+	mu     sync.Mutex
+	tables []route.Version
+	// evacuated are the data centres that were last told of; tabledBefore says that the
+	// first table came before any were.
+	evacuated    []string
+	tabledBefore bool
+	agents       map[netip.AddrPort]ListedAgent
+	changes      int
+	metrics      *metrics.Set
+	recalled     []flowlog.Update
+	stop         context.CancelFunc
 }
 
 func startNode(t *testing.T, role Role, name string, seeds ...*vm) *node {
@@ -147,6 +162,12 @@
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			n.tables = append(n.tables, table.Version)
+			n.tabledBefore = n.tabledBefore || n.evacuated == nil
+		},
+		Evacuated: func(zones []string) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.evacuated = append([]string{}, zones...)
 		},
 		Agents: func(c Changes) {
 			n.mu.Lock()
--- a/internal/pass/roster/server.go
+++ b/internal/pass/roster/server.go
@@ -443,6 +443,9 @@
 			u.Lean = lean
 		}
 	}
+	if e := p.server.cfg.Store.Evacuations(); p.confirmed && e.Revision > p.beat.Evacuations {
+		u.Evacuated = &Evacuated{Revision: e.Revision, Zones: e.Evacuated()}
+	}
 	if _, err := p.conn.Write(kindUpdate, &u); err != nil {
 		return err
 	}
@@ -452,5 +455,8 @@
 	if u.Lean != nil {
 		p.beat.Version = u.Version
 	}
+	if u.Evacuated != nil {
+		p.beat.Evacuations = u.Evacuated.Revision
+	}
 	return nil
 }
--- a/internal/pass/route/store.go
+++ b/internal/pass/route/store.go
@@ -6,16 +6,18 @@
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
+	"github.com/tinylib/msgp/msgp"
 
 	"bergamotstall/internal/pass/packet"
 )
 
 // Store is the replicated state machine that keeps the definition with the
-// highest version. Versions come from operators who may race, resend and lose
-// answers: by keeping the highest, every replica ends with the same definition
-// in whatever order the commands come, and a resend changes nothing.
+// highest version, and the evacuations in force. Versions come from operators who may
+// race, resend and lose answers: by keeping the highest, every replica ends with the same
+// definition in whatever order the commands come, and a resend changes nothing.
 type Store struct {
-	current atomic.Pointer[State]
+	current     atomic.Pointer[State]
+	evacuations atomic.Pointer[Evacuations]
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -82,12 +84,24 @@
 	Accepted Outcome = iota + 1
 	// Overtaken means that the same or a higher version was in force.
 	Overtaken
-	// Unreadable means that the command is no definition; nothing changed.
+	// Unreadable means that the command is no definition or order; nothing changed.
 	Unreadable
+	// Conflicting means that another order for the same data centre came first, one that
+	// the VM didn't know of when it took this one; nothing changed.
+	Conflicting
+	// Full means that no more data centres are remembered; nothing changed.
+	Full
 )
 
 // NewStore returns a store without a definition.
-func NewStore() *Store { return &Store{changed: make(chan struct{})} }
+func NewStore() *Store {
+	s := &Store{changed: make(chan struct{})}
+	s.evacuations.Store(&Evacuations{})
+	return s
+}
+
+// Evacuations returns those in force.
+func (s *Store) Evacuations() *Evacuations { return s.evacuations.Load() }
 
 // Current returns what is in force, nil before the first definition.
 func (s *Store) Current() *State { return s.current.Load() }
@@ -100,8 +114,8 @@
 	return 0
 }
 
-// Changed returns a channel that is closed when another definition comes into
-// force.
+// Changed returns a channel that is closed when another definition, or an evacuation
+// order, comes into force.
 func (s *Store) Changed() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -117,8 +131,12 @@
 	return data, nil
 }
 
-// Apply implements replica.StateMachine.
+// Apply implements replica.StateMachine. Definitions are encoded as maps, evacuation
+// orders as arrays.
 func (s *Store) Apply(_ uint64, command []byte) []byte {
+	if msgp.NextType(command) == msgp.ArrayType {
+		return []byte{byte(s.applyOrder(command))}
+	}
 	d := new(Definition)
 	if _, err := d.UnmarshalMsg(command); err != nil {
 		return []byte{byte(Unreadable)}
@@ -130,6 +148,18 @@
 	return []byte{byte(Accepted)}
 }
 
+func (s *Store) applyOrder(command []byte) Outcome {
+	var o EvacuationOrder
+	if _, err := o.UnmarshalMsg(command); err != nil || ValidateZone(o.Zone) != nil {
+		return Unreadable
+	}
+	next, outcome := s.Evacuations().after(o)
+	if outcome == Accepted {
+		s.putEvacuations(next)
+	}
+	return outcome
+}
+
 func (s *Store) put(d *Definition) {
 	next := &State{Definition: d}
 	if held := s.current.Load(); held != nil {
@@ -137,19 +167,40 @@
 		next.steps = next.steps[max(0, len(next.steps)-maxSteps):]
 	}
 	s.current.Store(next)
+	s.tellChanged()
+}
+
+func (s *Store) putEvacuations(e *Evacuations) {
+	s.evacuations.Store(e)
+	s.tellChanged()
+}
+
+func (s *Store) tellChanged() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-// Snapshot implements replica.StateMachine.
+// Snapshot implements replica.StateMachine. Without evacuation orders it is the encoded
+// definition alone, as written by versions that know of no evacuations.
 func (s *Store) Snapshot() ([]byte, error) {
-	c := s.current.Load()
-	if c == nil {
+	var d *Definition
+	if c := s.current.Load(); c != nil {
+		d = c.Definition
+	}
+	evacuations := s.Evacuations()
+	switch {
+	case evacuations.Revision > 0:
+		data, err := (&StoreSnapshot{Definition: d, Evacuations: *evacuations}).MarshalMsg(nil)
+		if err != nil {
+			return nil, errors.Wrap(err, "route: encode")
+		}
+		return data, nil
+	case d == nil:
 		return []byte{}, nil
 	}
-	return Command(c.Definition)
+	return Command(d)
 }
 
 // Restore implements replica.StateMachine. A replica that was opened anew may be
@@ -159,13 +210,22 @@
 	if len(snapshot) == 0 {
 		return nil
 	}
-	d := new(Definition)
-	if _, err := d.UnmarshalMsg(snapshot); err != nil {
+	var state StoreSnapshot
+	var err error
+	if msgp.NextType(snapshot) == msgp.ArrayType {
+		_, err = state.UnmarshalMsg(snapshot)
+	} else {
+		state.Definition = new(Definition)
+		_, err = state.Definition.UnmarshalMsg(snapshot)
+	}
+	if err != nil {
 		return errors.Wrap(err, "route: snapshot")
 	}
-	if d.Version <= s.Version() {
-		return nil
+	if d := state.Definition; d != nil && d.Version > s.Version() {
+		s.put(d)
+	}
+	if state.Evacuations.Revision > s.Evacuations().Revision {
+		s.putEvacuations(&state.Evacuations)
 	}
-	s.put(d)
 	return nil
 }
