Limits of cold targets, and homes of routes

Cause: a definition may state how many requests a cold target bears a second (coldPerS), and the regions whose targets may take a route's flows (allowedRegions). Neither was read.

The agent, which sees all first packets of its target, holds the limit in every second over all balancers; what is beyond is handed on to other targets, and the report says that this one takes none now. Balancers place a route's flows in its homes only, agents elsewhere refuse them. No message or state grows with the nodes: the count is of one target's flows of a second.

--- a/internal/pass/agent/agent.go
+++ b/internal/pass/agent/agent.go
@@ -51,6 +51,10 @@
 type Config struct {
 	// Zone is the VM's data centre.
 	Zone string
+	// Region is the data centre's.
+	Region string
+	// ColdOverage and ColdSlack: see flowtable.Config.
+	ColdOverage, ColdSlack float64
 	// Service is the one that the VM's targets belong to.
 	Service string
 	// Target is where the target takes packets.
@@ -108,7 +112,8 @@
 	a.nodes.Count(a.meter, peer.NodeKind)
 	process := rand.Uint64()
 	a.engine = flowtable.New(flowtable.Config{
-		Service: cfg.Service, Address: cfg.Target.String(), Zone: cfg.Zone, Process: process,
+		Service: cfg.Service, Address: cfg.Target.String(), Zone: cfg.Zone, Region: cfg.Region, Process: process,
+		ColdOverage: cfg.ColdOverage, ColdSlack: cfg.ColdSlack,
 		Heartbeat: cfg.Heartbeat, StartedAt: a.now(), StartedWall: a.started, Policy: flowtable.DefaultPolicy(), Codec: cfg.Codec, Out: a,
 	})
 	a.client = roster.NewClient(roster.ClientConfig{
--- a/internal/pass/balancer/balancer.go
+++ b/internal/pass/balancer/balancer.go
@@ -43,6 +43,8 @@
 type Config struct {
 	// Zone is the VM's data centre.
 	Zone string
+	// Regions are those of all data centres, by their names.
+	Regions map[string]string
 	// Fabric is where the fabric's packets come in, "ip:port". Packets for
 	// clients go to the same port of the client's address.
 	Fabric netip.AddrPort
@@ -98,7 +100,7 @@
 	b.nodes.Count(b.meter, peer.NodeKind)
 	seed := rand.Uint64()
 	b.engine = forward.New(forward.Config{
-		Zone: cfg.Zone, Rand: rand.New(rand.NewPCG(seed, seed)), Policy: forward.DefaultPolicy(),
+		Zone: cfg.Zone, Regions: cfg.Regions, Rand: rand.New(rand.NewPCG(seed, seed)), Policy: forward.DefaultPolicy(),
 		QuestionBudget: questionShare * cfg.LinkRate, Out: b,
 	})
 	b.client = roster.NewClient(roster.ClientConfig{
--- a/internal/pass/flowtable/evacuation.go
+++ b/internal/pass/flowtable/evacuation.go
@@ -1,6 +1,11 @@
 package flowtable
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"bergamotstall/internal/pass/packet"
+)
 
 // SetEvacuated tells whether the data centre's targets take no new flows.
 //
@@ -18,3 +23,9 @@
 	e.dropOverdue(now)
 	e.cfg.Out.Report()
 }
+
+// atHome tells whether a flow's route may use targets of this region.
+func (e *Engine) atHome(f packet.Flow) bool {
+	homes := e.table.Homes(f.Service)
+	return homes == nil || slices.Contains(homes, e.cfg.Region)
+}
--- a/internal/pass/flowtable/flowtable.go
+++ b/internal/pass/flowtable/flowtable.go
@@ -63,6 +63,11 @@
 	// address are another target's. "" takes any.
 	Address string
 	Zone    string
+	// Region is the data centre's.
+	Region string
+	// ColdOverage and ColdSlack say by how much a cold target's limit may be exceeded: a
+	// factor, and new flows a second.
+	ColdOverage, ColdSlack float64
 	// Process is random for each start of the agent.
 	Process uint64
 	// Heartbeat is the interval of the target's announcements; 0 if unknown.
@@ -127,6 +132,8 @@
 	leaving bool
 	// evacuated says that the data centre's targets take no new flows.
 	evacuated bool
+	// cold counts the new flows of a cold target.
+	cold      coldLimit
 	tags      tags
 	table     *route.Table
 	admission admission
@@ -207,6 +214,10 @@
 		e.refuseFirst(now, p, peer.Draining)
 	case e.evacuated:
 		e.refuseFirst(now, p, peer.Evacuated)
+	case !e.atHome(p.flow):
+		e.refuseFirst(now, p, peer.NotHome)
+	case e.coldFull(now):
+		e.refuseFirst(now, p, peer.Cold)
 	case e.target.silent:
 		e.refuseFirst(now, p, peer.Silent)
 	case len(e.flows) >= maxFlows:
@@ -223,6 +234,7 @@
 
 // admit sends a first packet to the target.
 func (e *Engine) admit(now time.Duration, p arrival) {
+	e.cold.admitted(now)
 	e.expect(now, p.flow)
 	e.put(p.flow, flow{stage: opening, seenAt: now})
 	if len(e.waiting) < maxWaiting {
--- a/internal/pass/flowtable/queue.go
+++ b/internal/pass/flowtable/queue.go
@@ -131,6 +131,10 @@
 func (e *Engine) admitQueued(now time.Duration) {
 	for len(e.admission.queue) > 0 && !e.busy() && !e.target.silent && !e.target.draining {
 		q := e.unqueue(e.nextQueued())
+		if !q.request && e.coldFull(now) {
+			e.refuseFirst(now, q.arrival, peer.Cold)
+			continue
+		}
 		e.cfg.Out.Admitted(now - q.begunAt)
 		e.letIn(now, q)
 	}
--- a/internal/pass/flowtable/report.go
+++ b/internal/pass/flowtable/report.go
@@ -40,7 +40,7 @@
 	if t.known {
 		r.Service = uint64(t.service)
 		r.Born = t.born
-		r.Open = !t.draining && !t.silent && !e.leaving && !e.evacuated
+		r.Open = !t.draining && !t.silent && !e.leaving && !e.evacuated && !e.coldFull(now)
 	}
 	r.Empty = e.empty(now)
 	r.Unsteady = e.outcomes.unsteady(now)
--- a/internal/pass/forward/choose.go
+++ b/internal/pass/forward/choose.go
@@ -123,7 +123,7 @@
 func (c *chooser) gather(service route.ServiceID, near bool, to *candidates) (probe []uint32) {
 	b := best{flow: route.Hash(c.flow)}
 	for _, g := range c.e.agents.index.byService[service] {
-		if (g.zone == c.e.cfg.Zone) != near || c.e.evacuated[g.zone] {
+		if (g.zone == c.e.cfg.Zone) != near || !c.admits(g.zone) {
 			continue
 		}
 		for _, number := range g.members {
@@ -148,6 +148,16 @@
 	return probe[:min(len(probe), enough-known+1)]
 }
 
+// admits tells whether targets of a data centre may take the flow: it isn't evacuated,
+// and in a home of the flow's route.
+func (c *chooser) admits(zone string) bool {
+	if c.e.evacuated[zone] {
+		return false
+	}
+	homes := c.e.table.Homes(c.flow.Service)
+	return homes == nil || slices.Contains(homes, c.e.cfg.Regions[zone])
+}
+
 // mayTake tells whether an agent may take the flow, as far as is known.
 func (c *chooser) mayTake(number uint32, a *agent) bool {
 	switch {
@@ -166,7 +176,7 @@
 	for _, near := range []bool{true, false} {
 		b := best{flow: route.Hash(c.flow)}
 		for _, g := range c.e.agents.index.byService[service] {
-			if (g.zone == c.e.cfg.Zone) != near || c.e.evacuated[g.zone] {
+			if (g.zone == c.e.cfg.Zone) != near || !c.admits(g.zone) {
 				continue
 			}
 			for _, number := range g.members {
--- a/internal/pass/forward/evacuation_test.go
+++ b/internal/pass/forward/evacuation_test.go
@@ -67,3 +67,28 @@
 	is.Equal(r.last().Verdict, Found)
 	is.Equal(r.delivered[len(r.delivered)-1].to, a)
 }
+
+// Guards against flows of a route with homes that are placed in another region, also where
+// the homes have no target: then they are refused at once.
+func TestFlowsStayInTheirHomes(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.engine.cfg.Regions = map[string]string{zone: "accra", "kumasi-a": "ashanti"}
+	r.agentIn(1, desk, zone)
+	away := r.agentIn(2, desk, "kumasi-a")
+	d := &route.Definition{Version: 2, Routes: []route.Route{{
+		IP: service.IP, Port: service.Port, TimeoutMS: 1000, Backends: []route.Backed{{Service: desk, Weight: 1}}, Homes: []string{"ashanti"},
+	}}}
+	r.engine.SetTable(r.now, route.NewTable(d))
+	for port := range uint16(20) {
+		r.send(syn(port))
+	}
+	is.Equal(len(r.delivered), 20)
+	for _, x := range r.delivered {
+		is.Equal(x.to, away)
+	}
+	d.Routes[0].Homes = []string{"volta"}
+	r.engine.SetTable(r.now, route.NewTable(d))
+	r.send(syn(99))
+	is.Equal(len(r.resets), 1)
+}
--- a/internal/pass/forward/forward.go
+++ b/internal/pass/forward/forward.go
@@ -51,9 +51,11 @@
 // Config sets an engine up.
 type Config struct {
 	// Zone is the balancer's data centre.
-	Zone   string
-	Rand   *rand.Rand
-	Policy Policy
+	Zone string
+	// Regions are those of all data centres, by their names.
+	Regions map[string]string
+	Rand    *rand.Rand
+	Policy  Policy
 	// QuestionBudget is how many bytes of questions may be sent a second, so that
 	// searches leave the balancer's link to the packets of flows; 0 for no bound.
 	QuestionBudget float64
@@ -298,7 +300,7 @@
 	switch why {
 	case peer.Full:
 		e.agents.list[agent].avoidUntil = now + fullPause
-	case peer.Silent, peer.Draining, peer.NoTarget, peer.WrongService, peer.Evacuated:
+	case peer.Silent, peer.Draining, peer.NoTarget, peer.WrongService, peer.Evacuated, peer.Cold, peer.NotHome:
 		e.agents.list[agent].report.Open = false // until its next report
 	}
 	at.exclude(agent)
--- a/internal/pass/peer/peer.go
+++ b/internal/pass/peer/peer.go
@@ -75,9 +75,13 @@
 	Busy
 	// Evacuated means that the target's data centre takes no new flows.
 	Evacuated
+	// Cold means that the target has just started and bears no more new flows now.
+	Cold
+	// NotHome means that the route's flows may not go to targets of this region.
+	NotHome
 )
 
-var reasonNames = [...]string{"", "not-held", "draining", "full", "silent", "wrong-service", "no-target", "busy", "evacuated"}
+var reasonNames = [...]string{"", "not-held", "draining", "full", "silent", "wrong-service", "no-target", "busy", "evacuated", "cold", "not-home"}
 
 func (r Reason) String() string {
 	if int(r) < len(reasonNames) {
--- a/internal/pass/route/lean.go
+++ b/internal/pass/route/lean.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -22,6 +23,10 @@
 	Services []uint64          `msg:"s"`
 	Routes   []LeanRoute       `msg:"r"`
 	Removed  []packet.Endpoint `msg:"x"`
+	// Regions are what homes name by their index.
+	Regions []string `msg:"g"`
+	// Cold are the limits of all services that have one.
+	Cold []LeanCold `msg:"c"`
 }
 
 // LeanRoute is a route without its name.
@@ -32,6 +37,16 @@
 	TimeoutMS uint32
 	Priority  uint32
 	Backends  []LeanBacked
+	// Homes are empty where targets of all regions may be used.
+	Homes []uint16
+}
+
+// LeanCold is how many requests a second a cold target of a service bears.
+//
+//msgp:tuple LeanCold
+type LeanCold struct {
+	Service   uint64
+	PerSecond float32
 }
 
 // LeanBacked is a service behind a route.
@@ -47,12 +62,20 @@
 
 // leanWriter gathers routes and the services that they name.
 type leanWriter struct {
-	lean  Lean
-	index map[string]uint16
+	lean    Lean
+	index   map[string]uint16
+	regions map[string]uint16
 }
 
-func newLeanWriter(version, from Version) *leanWriter {
-	return &leanWriter{lean: Lean{Version: version, From: from}, index: map[string]uint16{}}
+// newLeanWriter returns a writer of what leads from a version to a definition.
+func newLeanWriter(d *Definition, from Version) *leanWriter {
+	w := &leanWriter{lean: Lean{Version: d.Version, From: from}, index: map[string]uint16{}, regions: map[string]uint16{}}
+	for _, s := range d.Services {
+		if s.ColdPerSecond > 0 {
+			w.lean.Cold = append(w.lean.Cold, LeanCold{Service: uint64(IDOf(s.Name)), PerSecond: float32(s.ColdPerSecond)})
+		}
+	}
+	return w
 }
 
 func (w *leanWriter) add(r *Route) {
@@ -62,9 +85,22 @@
 			out.Backends = append(out.Backends, LeanBacked{Service: w.service(b.Service), Weight: b.Weight})
 		}
 	}
+	for _, region := range r.Homes {
+		out.Homes = append(out.Homes, w.region(region))
+	}
 	w.lean.Routes = append(w.lean.Routes, out)
 }
 
+func (w *leanWriter) region(name string) uint16 {
+	if at, ok := w.regions[name]; ok {
+		return at
+	}
+	at := uint16(len(w.lean.Regions))
+	w.regions[name] = at
+	w.lean.Regions = append(w.lean.Regions, name)
+	return at
+}
+
 func (w *leanWriter) service(name string) uint16 {
 	if at, ok := w.index[name]; ok {
 		return at
@@ -77,7 +113,7 @@
 
 // LeanOf returns what nodes need of a whole definition.
 func LeanOf(d *Definition) *Lean {
-	w := newLeanWriter(d.Version, 0)
+	w := newLeanWriter(d, 0)
 	for i := range d.Routes {
 		w.add(&d.Routes[i])
 	}
@@ -114,15 +150,10 @@
 
 // sameForNodes tells whether nodes treat two routes alike.
 func sameForNodes(a, b *Route) bool {
-	if a.TimeoutMS != b.TimeoutMS || a.Priority != b.Priority || len(a.Backends) != len(b.Backends) {
+	if a.TimeoutMS != b.TimeoutMS || a.Priority != b.Priority {
 		return false
 	}
-	for i := range a.Backends {
-		if a.Backends[i] != b.Backends[i] {
-			return false
-		}
-	}
-	return true
+	return slices.Equal(a.Backends, b.Backends) && slices.Equal(a.Homes, b.Homes)
 }
 
 // then adds later changes.
@@ -139,9 +170,9 @@
 
 func (c *changes) size() int { return len(c.changed) + len(c.removed) }
 
-// lean returns the changes as nodes get them, to a version.
-func (c *changes) lean(version Version) *Lean {
-	w := newLeanWriter(version, c.from)
+// lean returns the changes as nodes get them, to a definition.
+func (c *changes) lean(d *Definition) *Lean {
+	w := newLeanWriter(d, c.from)
 	for _, r := range c.changed {
 		w.add(r)
 	}
@@ -159,6 +190,11 @@
 				return nil, errors.Errorf("route: service %d of %d", b.Service, len(l.Services))
 			}
 		}
+		for _, h := range r.Homes {
+			if int(h) >= len(l.Regions) {
+				return nil, errors.Errorf("route: region %d of %d", h, len(l.Regions))
+			}
+		}
 	}
 	if l.From == 0 {
 		return l.whole(), nil
@@ -185,8 +221,17 @@
 			x.choices = append(x.choices, Choice{Service: ServiceID(l.Services[b.Service]), Weight: b.Weight})
 			x.total += uint64(b.Weight)
 		}
+		for _, h := range r.Homes {
+			x.homes = append(x.homes, l.Regions[h])
+		}
 		t.routes[r.At] = x
 	}
+	for _, c := range l.Cold {
+		if t.cold == nil {
+			t.cold = map[ServiceID]float64{}
+		}
+		t.cold[ServiceID(c.Service)] = float64(c.PerSecond)
+	}
 	for _, at := range l.Removed {
 		delete(t.routes, at)
 	}
--- a/internal/pass/route/lean_gen.go
+++ b/internal/pass/route/lean_gen.go
@@ -11,9 +11,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Lean) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 7
 	// string "v"
-	o = append(o, 0x85, 0xa1, 0x76)
+	o = append(o, 0x87, 0xa1, 0x76)
 	o, err = z.Version.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Version")
@@ -52,6 +52,21 @@
 			return
 		}
 	}
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Regions)))
+	for za0004 := range z.Regions {
+		o = msgp.AppendString(o, z.Regions[za0004])
+	}
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Cold)))
+	for za0005 := range z.Cold {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendUint64(o, z.Cold[za0005].Service)
+		o = msgp.AppendFloat32(o, z.Cold[za0005].PerSecond)
+	}
 	return
 }
 
@@ -142,6 +157,59 @@
 					return
 				}
 			}
+		case "g":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Regions")
+				return
+			}
+			if cap(z.Regions) >= int(zb0005) {
+				z.Regions = (z.Regions)[:zb0005]
+			} else {
+				z.Regions = make([]string, zb0005)
+			}
+			for za0004 := range z.Regions {
+				z.Regions[za0004], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Regions", za0004)
+					return
+				}
+			}
+		case "c":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Cold")
+				return
+			}
+			if cap(z.Cold) >= int(zb0006) {
+				z.Cold = (z.Cold)[:zb0006]
+			} else {
+				z.Cold = make([]LeanCold, zb0006)
+			}
+			for za0005 := range z.Cold {
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Cold", za0005)
+					return
+				}
+				if zb0007 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0007}
+					return
+				}
+				z.Cold[za0005].Service, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Cold", za0005, "Service")
+					return
+				}
+				z.Cold[za0005].PerSecond, bts, err = msgp.ReadFloat32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Cold", za0005, "PerSecond")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -164,6 +232,11 @@
 	for za0003 := range z.Removed {
 		s += z.Removed[za0003].Msgsize()
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0004 := range z.Regions {
+		s += msgp.StringPrefixSize + len(z.Regions[za0004])
+	}
+	s += 2 + msgp.ArrayHeaderSize + (len(z.Cold) * (19 + msgp.Uint64Size + msgp.Float32Size))
 	return
 }
 
@@ -209,11 +282,53 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z LeanCold) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint64(o, z.Service)
+	o = msgp.AppendFloat32(o, z.PerSecond)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LeanCold) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Service, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.PerSecond, bts, err = msgp.ReadFloat32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "PerSecond")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z LeanCold) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Float32Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *LeanRoute) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o, err = z.At.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "At")
@@ -228,6 +343,10 @@
 		o = msgp.AppendUint16(o, z.Backends[za0001].Service)
 		o = msgp.AppendUint32(o, z.Backends[za0001].Weight)
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Homes)))
+	for za0002 := range z.Homes {
+		o = msgp.AppendUint16(o, z.Homes[za0002])
+	}
 	return
 }
 
@@ -239,8 +358,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	bts, err = z.At.UnmarshalMsg(bts)
@@ -291,12 +410,30 @@
 			return
 		}
 	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Homes")
+		return
+	}
+	if cap(z.Homes) >= int(zb0004) {
+		z.Homes = (z.Homes)[:zb0004]
+	} else {
+		z.Homes = make([]uint16, zb0004)
+	}
+	for za0002 := range z.Homes {
+		z.Homes[za0002], bts, err = msgp.ReadUint16Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Homes", za0002)
+			return
+		}
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *LeanRoute) Msgsize() (s int) {
-	s = 1 + z.At.Msgsize() + msgp.Uint32Size + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Backends) * (16 + msgp.Uint16Size + msgp.Uint32Size))
+	s = 1 + z.At.Msgsize() + msgp.Uint32Size + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Backends) * (16 + msgp.Uint16Size + msgp.Uint32Size)) + msgp.ArrayHeaderSize + (len(z.Homes) * (msgp.Uint16Size))
 	return
 }
--- a/internal/pass/route/lean_test.go
+++ b/internal/pass/route/lean_test.go
@@ -11,7 +11,7 @@
 
 // drawn is a definition of some routes out of 40, with drawn timeouts and shares.
 func drawn(rng *rand.Rand, version Version) *Definition {
-	d := &Definition{Version: version, Services: []Service{{"desk"}, {"archive"}, {"quotes"}}}
+	d := &Definition{Version: version, Services: []Service{{Name: "desk"}, {Name: "archive", ColdPerSecond: float64(rng.IntN(3))}, {Name: "quotes"}}}
 	for n := range 40 {
 		if rng.IntN(8) == 0 {
 			continue
@@ -19,6 +19,7 @@
 		d.Routes = append(d.Routes, Route{
 			Name: fmt.Sprint(n), IP: [4]byte{198, 18, 0, byte(n)}, Port: 443, TimeoutMS: uint32(1 + rng.IntN(3)), Priority: uint32(rng.IntN(2)),
 			Backends: []Backed{{d.Services[rng.IntN(3)].Name, uint32(rng.IntN(2))}, {"desk", 1}},
+			Homes:    [][]string{nil, {"lombardia"}, {"lombardia", "ashanti"}}[rng.IntN(3)],
 		})
 	}
 	return d
@@ -73,7 +74,7 @@
 	is := is.New(t)
 	size := func(routes int) int {
 		s := NewStore()
-		d := &Definition{Version: 1, Services: []Service{{"desk"}}}
+		d := &Definition{Version: 1, Services: []Service{{Name: "desk"}}}
 		for n := range routes {
 			d.Routes = append(d.Routes, Route{IP: [4]byte{198, 18, byte(n >> 8), byte(n)}, Port: 443, TimeoutMS: 1000, Backends: []Backed{{"desk", 1}}})
 		}
--- a/internal/pass/route/route.go
+++ b/internal/pass/route/route.go
@@ -49,6 +49,8 @@
 	TimeoutMS uint32 `msg:"t"`
 	// Priority orders routes under load; 0 is the most urgent.
 	Priority uint32 `msg:"u"`
+	// Homes are the regions whose targets may take the route's flows; nil for all.
+	Homes []string `msg:"h"`
 }
 
 // Backed is a service behind a route, with its share of new flows.
@@ -60,6 +62,9 @@
 // Service is a group of targets.
 type Service struct {
 	Name string `msg:"n"`
+	// ColdPerSecond is how many requests a second a target bears while it is cold; 0 if
+	// there is no limit.
+	ColdPerSecond float64 `msg:"c"`
 }
 
 // Errors of a definition that is refused; nothing of it is in force.
@@ -145,6 +150,7 @@
 	total    uint64
 	priority uint32
 	timeout  time.Duration
+	homes    []string
 }
 
 // Table answers which services an address's new flows may go to. It doesn't
@@ -152,6 +158,8 @@
 type Table struct {
 	Version Version
 	routes  map[packet.Endpoint]lookup
+	// cold holds the limits of services whose cold targets bear few requests.
+	cold map[ServiceID]float64
 }
 
 // NewTable makes the lookup of a valid definition.
@@ -186,6 +194,23 @@
 	return t.routes[at].timeout
 }
 
+// Homes returns the regions whose targets may take an address's flows; nil for all.
+func (t *Table) Homes(at packet.Endpoint) []string {
+	if t == nil {
+		return nil
+	}
+	return t.routes[at].homes
+}
+
+// ColdPerSecond returns how many requests a second a cold target of a service bears; 0 if
+// there is no limit.
+func (t *Table) ColdPerSecond(s ServiceID) float64 {
+	if t == nil {
+		return 0
+	}
+	return t.cold[s]
+}
+
 // Pick returns the service of a new flow. The flow's hash decides, so that the
 // copies of a first packet get the same service at every node.
 func (t *Table) Pick(f packet.Flow) (ServiceID, bool) {
--- a/internal/pass/route/route_gen.go
+++ b/internal/pass/route/route_gen.go
@@ -88,10 +88,13 @@
 	o = append(o, 0xa1, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
 	for za0002 := range z.Services {
-		// map header, size 1
+		// map header, size 2
 		// string "n"
-		o = append(o, 0x81, 0xa1, 0x6e)
+		o = append(o, 0x82, 0xa1, 0x6e)
 		o = msgp.AppendString(o, z.Services[za0002].Name)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendFloat64(o, z.Services[za0002].ColdPerSecond)
 	}
 	// string "d"
 	o = append(o, 0xa1, 0x64)
@@ -179,6 +182,12 @@
 							err = msgp.WrapError(err, "Services", za0002, "Name")
 							return
 						}
+					case "c":
+						z.Services[za0002].ColdPerSecond, bts, err = msgp.ReadFloat64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Services", za0002, "ColdPerSecond")
+							return
+						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -214,7 +223,7 @@
 	}
 	s += 2 + msgp.ArrayHeaderSize
 	for za0002 := range z.Services {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Services[za0002].Name)
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Services[za0002].Name) + 2 + msgp.Float64Size
 	}
 	s += 2 + msgp.BytesPrefixSize + len(z.Document)
 	return
@@ -223,9 +232,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Route) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "n"
-	o = append(o, 0x86, 0xa1, 0x6e)
+	o = append(o, 0x87, 0xa1, 0x6e)
 	o = msgp.AppendString(o, z.Name)
 	// string "a"
 	o = append(o, 0xa1, 0x61)
@@ -251,6 +260,12 @@
 	// string "u"
 	o = append(o, 0xa1, 0x75)
 	o = msgp.AppendUint32(o, z.Priority)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Homes)))
+	for za0003 := range z.Homes {
+		o = msgp.AppendString(o, z.Homes[za0003])
+	}
 	return
 }
 
@@ -350,6 +365,25 @@
 				err = msgp.WrapError(err, "Priority")
 				return
 			}
+		case "h":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Homes")
+				return
+			}
+			if cap(z.Homes) >= int(zb0004) {
+				z.Homes = (z.Homes)[:zb0004]
+			} else {
+				z.Homes = make([]string, zb0004)
+			}
+			for za0003 := range z.Homes {
+				z.Homes[za0003], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Homes", za0003)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -368,17 +402,23 @@
 	for za0002 := range z.Backends {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Backends[za0002].Service) + 2 + msgp.Uint32Size
 	}
-	s += 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
+	s += 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Homes {
+		s += msgp.StringPrefixSize + len(z.Homes[za0003])
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z Service) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
+	// map header, size 2
 	// string "n"
-	o = append(o, 0x81, 0xa1, 0x6e)
+	o = append(o, 0x82, 0xa1, 0x6e)
 	o = msgp.AppendString(o, z.Name)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendFloat64(o, z.ColdPerSecond)
 	return
 }
 
@@ -406,6 +446,12 @@
 				err = msgp.WrapError(err, "Name")
 				return
 			}
+		case "c":
+			z.ColdPerSecond, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ColdPerSecond")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -420,7 +466,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Service) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name)
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.Float64Size
 	return
 }
 
--- a/internal/pass/route/store.go
+++ b/internal/pass/route/store.go
@@ -73,7 +73,7 @@
 	if all.size() >= len(s.Definition.Routes) {
 		return LeanOf(s.Definition)
 	}
-	return all.lean(s.Definition.Version)
+	return all.lean(s.Definition)
 }
 
 // Outcome says what became of a command.
