Replica: links to a replica that was removed for good end

Cause: a VM whose disk was lost comes back as a fresh replica at its address. Links to the replica that it was went on being dialled for as long as the others ran, and were refused each time (event 511, several a second from three VMs after two replacements at 300 machines): such a link had no end but an idle connection, and it never had a connection.

Change: a link that can't be made ends if its replica was removed. A message to it, as the word that it was removed, opens a new one. TestLinksToARemovedReplicaEnd waited in vain before.

--- a/internal/replica/link.go
+++ b/internal/replica/link.go
@@ -4,6 +4,7 @@
 	"context"
 	mathrand "math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -177,6 +178,21 @@
 	return true
 }
 
+// endIfRemoved ends a link that can't be made to a replica that was removed for good. Its
+// VM may be back as a fresh replica at the same address, which would be dialled for ever
+// as the one that it no longer is.
+func (l *links) endIfRemoved(k *link) bool {
+	if !slices.Contains(l.r.Status().Removed, k.replica) {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.byReplica[k.replica] == k {
+		delete(l.byReplica, k.replica)
+	}
+	return true
+}
+
 func (l *links) setUp(k *link, up bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -215,7 +231,7 @@
 			told = true
 			events.Log(k.links.r.cfg.Log, events.ReplicaPeerLost, logrus.Fields{"address": k.address, "error": err.Error()})
 		}
-		if !k.sleep(pause/2 + mathrand.N(pause)) {
+		if k.links.endIfRemoved(k) || !k.sleep(pause/2+mathrand.N(pause)) {
 			return
 		}
 		pause = min(2*pause, backoffMax)
--- a/internal/replica/upkeep_test.go
+++ b/internal/replica/upkeep_test.go
@@ -47,6 +47,29 @@
 	sameCommands(t, members, []string{"before"})
 }
 
+// linked tells whether a replica keeps a link to another one.
+func (m *member) linked(id quorum.ID) bool {
+	m.links.mu.Lock()
+	defer m.links.mu.Unlock()
+	return m.links.byReplica[id] != nil
+}
+
+// Guards against replicas that go on dialling one that was removed, for as long as they
+// run, and are answered by the fresh one at its address.
+func TestLinksToARemovedReplicaEnd(t *testing.T) {
+	is := is.New(t)
+	members := trio(t, testUpkeep)
+	lost := members[2]
+	old := lost.ID()
+	is.NoErr(lost.Close())
+	is.NoErr(os.RemoveAll(lost.folder))
+	lost.start()
+	await(t, "its vote", func() bool { return votes(members, lost.ID()) && !votes(members, old) })
+	for _, m := range members[:2] {
+		await(t, "the link's end", func() bool { return !m.linked(old) })
+	}
+}
+
 // A control VM is gone for good and an empty one comes under another name. If it
 // joined beside the lost one, four would vote with one gone, and the loss of one
 // more disk, with the others back from a power cut, would leave two of four: no
