Agents: a caller that has gone keeps a slot free for three handshakes, not 60 ms

Cause: an admitted flow's first request was expected for 60 ms, and counts as running meanwhile.

Change: where handshakes have been observed, a request is expected for three of their mean, 5 ms at least; the agent's next look comes as soon as one is over while something waits.

--- a/internal/pass/agent/agent.go
+++ b/internal/pass/agent/agent.go
@@ -232,16 +232,18 @@
 }
 
 func (a *Agent) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(tickInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 			a.mu.Lock()
 			a.engine.Tick(a.now())
+			next := a.engine.NextTick(tickInterval)
 			a.mu.Unlock()
+			timer.Reset(next)
 		}
 	}
 }
--- a/internal/pass/flowtable/admission.go
+++ b/internal/pass/flowtable/admission.go
@@ -1,6 +1,7 @@
 package flowtable
 
 import (
+	"slices"
 	"time"
 
 	"bergamotstall/internal/pass/packet"
@@ -29,9 +30,12 @@
 	// MaxWait is how long a first packet may wait. Callers give an attempt up
 	// after 1.4 s, and some of that may have been spent before.
 	MaxWait time.Duration
-	// ExpectFor is how long an admitted flow's first request is expected: two
-	// round trips to a caller in the same region, with room for a slow one.
-	ExpectFor time.Duration
+	// ExpectFor is how long an admitted flow's first request is expected while nothing
+	// was observed. ExpectTimes, if above 0, is for how many times the mean handshake it
+	// is expected otherwise: callers that have given up send nothing, and each keeps a
+	// slot free meanwhile.
+	ExpectFor   time.Duration
+	ExpectTimes float64
 	// Ahead, if above 0, is how many requests more than it has slots a target is
 	// given, as a part of the slots, in place of what is observed.
 	Ahead float64
@@ -43,7 +47,7 @@
 
 // DefaultPolicy is the policy in use.
 func DefaultPolicy() Policy {
-	return Policy{MaxWait: 800 * time.Millisecond, ExpectFor: 60 * time.Millisecond}
+	return Policy{MaxWait: 800 * time.Millisecond, ExpectFor: 60 * time.Millisecond, ExpectTimes: 3}
 }
 
 // admission holds what waits and what is expected.
@@ -54,6 +58,10 @@
 	held int
 }
 
+// leastExpected is how long a first request is expected at least: processors that are
+// shared take turns.
+const leastExpected = 5 * time.Millisecond
+
 // expected is an admitted flow whose first request hasn't come.
 type expected struct {
 	flow packet.Flow
@@ -77,7 +85,8 @@
 // busy tells whether another request would only wait at the target. A target that hangs
 // on some requests runs others well in the slots that it has given up; counted as
 // running until their timeout, the ones that hang would have all others wait.
-func (e *Engine) busy() bool {
+func (e *Engine) busy(now time.Duration) bool {
+	e.dropOverdueExpected(now)
 	running := max(0, e.load.running-e.load.hung)
 	return !e.cfg.Policy.Unlimited && running+len(e.admission.expected) >= e.room()
 }
@@ -102,16 +111,34 @@
 func (e *Engine) tickAdmission(now time.Duration) {
 	e.dropOverdue(now)
 	e.countHung(now)
-	still := e.admission.expected[:0]
-	for _, x := range e.admission.expected {
-		if now-x.at < e.cfg.Policy.ExpectFor {
-			still = append(still, x)
-		}
-	}
-	e.admission.expected = still
+	e.dropOverdueExpected(now)
 	e.admitQueued(now)
 }
 
+// expectFor is how long an admitted flow's first request is expected.
+func (e *Engine) expectFor() time.Duration {
+	times, handshake := e.cfg.Policy.ExpectTimes, e.pace.handshake
+	if times <= 0 || handshake == 0 {
+		return e.cfg.Policy.ExpectFor
+	}
+	return max(leastExpected, time.Duration(times*float64(handshake)))
+}
+
+// dropOverdueExpected stops expecting requests that don't come.
+func (e *Engine) dropOverdueExpected(now time.Duration) {
+	after := e.expectFor()
+	e.admission.expected = slices.DeleteFunc(e.admission.expected, func(x expected) bool { return now-x.at >= after })
+}
+
+// NextTick returns when the engine is to be let know of the time again: after the usual
+// interval, or sooner while something waits for a request that may not come.
+func (e *Engine) NextTick(usual time.Duration) time.Duration {
+	if len(e.admission.queue) == 0 || len(e.admission.expected) == 0 {
+		return usual
+	}
+	return min(usual, e.expectFor())
+}
+
 // expect notes that an admitted flow's request is about to come.
 func (e *Engine) expect(now time.Duration, f packet.Flow) {
 	e.admission.expected = append(e.admission.expected, expected{f, now})
--- a/internal/pass/flowtable/admission_test.go
+++ b/internal/pass/flowtable/admission_test.go
@@ -109,6 +109,33 @@
 	is.Equal(r.toTarget[len(r.toTarget)-1], uint16(9))
 }
 
+// Guards against slots that stand idle for callers who have given up: where callers send
+// their first request within a few milliseconds, nobody is waited for much longer.
+func TestPlaceOfACallerThatHasGoneIsGivenUpSoon(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	const handshake = 4 * time.Millisecond
+	for port := uint16(1); port <= 20; port++ {
+		r.syn(port)
+		r.fromTarget(port, packet.SYN|packet.ACK, 1000, 11, 0)
+		r.now += handshake
+		r.ask(port, 1)
+		r.answered(port, 1)
+	}
+	busy := uint16(r.engine.room())
+	for port := 100; port < 100+int(busy); port++ {
+		r.syn(uint16(port))
+		r.fromTarget(uint16(port), packet.SYN|packet.ACK, 1000, 11, 0)
+	}
+	r.syn(99)
+	next := r.engine.NextTick(time.Second)
+	is.True(next <= 4*handshake) // the agent doesn't sleep meanwhile
+	r.now += next
+	r.engine.Tick(r.now)
+	is.Equal(r.toTarget[len(r.toTarget)-1], uint16(99))
+	is.Equal(r.engine.NextTick(time.Second), time.Second) // nobody waits any more
+}
+
 // An outage left 200 callers waiting; 20 more come each second. The target runs
 // 4 requests of 50 ms, 80 a second. Played for two seconds, most of those that
 // come in that time are answered within 200 ms, while in order of arrival each
--- a/internal/pass/flowtable/flowtable.go
+++ b/internal/pass/flowtable/flowtable.go
@@ -222,7 +222,7 @@
 		e.refuseFirst(now, p, peer.Silent)
 	case len(e.flows) >= maxFlows:
 		e.refuseFirst(now, p, peer.Full)
-	case e.busy() || len(e.admission.queue) > 0:
+	case e.busy(now) || len(e.admission.queue) > 0:
 		if !e.queueFirst(p) {
 			e.refuseFirst(now, p, peer.Full)
 		}
@@ -265,7 +265,7 @@
 	}
 	if begins {
 		expectedSince, admitted := e.came(f)
-		if !admitted && !p.Closes() && e.mayHold() {
+		if !admitted && !p.Closes() && e.mayHold(now) {
 			x.held = true
 			e.put(f, x)
 			e.queueRequest(now, f, from, p.Seq, raw)
--- a/internal/pass/flowtable/queue.go
+++ b/internal/pass/flowtable/queue.go
@@ -99,8 +99,8 @@
 }
 
 // mayHold tells whether a request over an open flow should wait here.
-func (e *Engine) mayHold() bool {
-	return !e.cfg.Policy.Bypass && e.busy() && !e.target.draining && !e.leaving && len(e.admission.queue) < maxQueue && e.admission.held < maxHeld
+func (e *Engine) mayHold(now time.Duration) bool {
+	return !e.cfg.Policy.Bypass && e.busy(now) && !e.target.draining && !e.leaving && len(e.admission.queue) < maxQueue && e.admission.held < maxHeld
 }
 
 // queueRequest lets a request over an open flow wait. Its client sends copies
@@ -129,7 +129,7 @@
 
 // admitQueued admits what there is room for.
 func (e *Engine) admitQueued(now time.Duration) {
-	for len(e.admission.queue) > 0 && !e.busy() && !e.target.silent && !e.target.draining {
+	for len(e.admission.queue) > 0 && !e.busy(now) && !e.target.silent && !e.target.draining {
 		q := e.unqueue(e.nextQueued())
 		if !q.request && e.coldFull(now) {
 			e.refuseFirst(now, q.arrival, peer.Cold)
--- a/internal/pass/model/compare.go
+++ b/internal/pass/model/compare.go
@@ -29,6 +29,7 @@
 		{Name: "no waiting at agents: all through to the target", Change: func(p *Policies) { p.Flowtable.Unlimited = true }},
 		{Name: "requests over open flows through to the target", Change: func(p *Policies) { p.Flowtable.Bypass = true }},
 		{Name: "room for half as many again as slots", Change: func(p *Policies) { p.Flowtable.Ahead = 0.5 }},
+		{Name: "first requests expected for a fixed time", Change: func(p *Policies) { p.Flowtable.ExpectTimes = 0 }},
 		{Name: "waiting callers in order of arrival", Change: func(p *Policies) { p.Flowtable.OldestFirst = true }},
 		{Name: "no priority of urgent routes", Change: func(p *Policies) { p.Flowtable.Unranked = true }},
 		{Name: "early packets dropped", Change: func(p *Policies) { p.Forward.DropEarly = true }},
@@ -52,6 +53,7 @@
 	}{
 		{"MaxWait", func(p *Policies, by float64) { p.Flowtable.MaxWait = scaled(p.Flowtable.MaxWait, by) }},
 		{"ExpectFor", func(p *Policies, by float64) { p.Flowtable.ExpectFor = scaled(p.Flowtable.ExpectFor, by) }},
+		{"ExpectTimes", func(p *Policies, by float64) { p.Flowtable.ExpectTimes *= by }},
 		{"Youth", func(p *Policies, by float64) { p.Forward.Youth = scaled(p.Forward.Youth, by) }},
 		{"FlowShare", func(p *Policies, by float64) { p.Forward.Place.FlowShare *= by }},
 		{"SentShare", func(p *Policies, by float64) { p.Forward.Place.SentShare *= by }},
--- a/internal/pass/model/node.go
+++ b/internal/pass/model/node.go
@@ -176,7 +176,7 @@
 
 func (a *agent) tick() {
 	a.engine.Tick(a.w.clock())
-	a.alive(tickInterval, a.tick)
+	a.alive(a.engine.NextTick(tickInterval), a.tick)
 }
 
 // ToTarget implements flowtable.Output.
