Placing: open flows no longer make a target look saturated

Cause: each open flow counted for a twentieth of a slot. So no near target ever had a free slot, far ones were asked each time, no target was idle enough to take the overflow of another service, and after the power cut ten targets of the archive held 900 to 1,000 waiting callers while 10 to 22 of the desk's 38 were idle.

Change: a target's load is what it ran in the last second, and what it was sent. Open flows count only where one of two targets drawn is taken, as before. TestIdleFlowsCount states that by what is picked, no longer by the score; TestIdleFlowsLeaveSlotsFree failed before.

--- a/internal/pass/place/place.go
+++ b/internal/pass/place/place.go
@@ -4,8 +4,9 @@
 // Load patterns and rules:
 //
 //   - Long flows make early choices last: a target is judged by what its open
-//     flows ask for and by how many they are, not only by what runs just now.
-//     Flows that are idle at the moment of choice ask again later.
+//     flows asked for lately, not only by what runs just now, and of two targets
+//     the one with fewer open flows is preferred: those that are idle at the moment
+//     of choice ask again later.
 //   - Many balancers with the same reports: of two targets drawn at random the
 //     better one is taken. With the best of all, every balancer sends its next
 //     flows to the same target until its next report.
@@ -28,8 +29,10 @@
 
 // Policy holds the thresholds of placing.
 type Policy struct {
-	// FlowShare is the part of a slot that an open flow counts for besides what
-	// it runs: one that is idle just now asks again later.
+	// FlowShare is the part of a slot that an open flow counts for, besides what it
+	// runs, where one of two targets is taken: one that is idle just now asks again
+	// later. What flows ask for on the mean shows in the load; counted there again,
+	// targets with many long flows would all look saturated.
 	FlowShare float64
 	// SentShare is the part of a slot that a flow sent since the last report
 	// counts for: its first request runs at once, or waits there.
@@ -83,12 +86,22 @@
 
 // Score is a target's expected load as a part of its slots.
 func (p *Policy) Score(t *Target) float64 {
+	load := max(t.Mean, (t.Mean+t.Running)/2)
+	return (load + p.SentShare*float64(t.Sent)) / p.slots(t)
+}
+
+// slots is how many slots a target counts as.
+func (p *Policy) slots(t *Target) float64 {
 	slots := float64(max(t.Slots, 1))
 	if t.Cold {
 		slots /= p.ColdSlowdown
 	}
-	load := max(t.Mean, (t.Mean+t.Running)/2)
-	return (load + p.FlowShare*float64(t.Flows) + p.SentShare*float64(t.Sent)) / slots
+	return slots
+}
+
+// preference orders two targets drawn; the lower one is taken.
+func (p *Policy) preference(t *Target) float64 {
+	return p.Score(t) + p.FlowShare*float64(t.Flows)/p.slots(t)
 }
 
 // Overflow tells whether a flow should go to another service of its route: all
@@ -181,7 +194,7 @@
 	if p.Draws < 2 {
 		return second
 	}
-	a, b := p.Score(&targets[first]), p.Score(&targets[second])
+	a, b := p.preference(&targets[first]), p.preference(&targets[second])
 	// Equal ones share: the places of the reservoir aren't drawn alike.
 	if a < b || a == b && rng.IntN(2) == 0 {
 		return first
