Placing: a service with a long backlog is relieved by targets that aren't idle

Cause: flows overflow to another service of their route while its targets are under half full. In the first moments after a power cut all balancers place what they held; each fills those halves at once, and the rest queues at the flow's own service, however long its queue.

Change: a target also relieves a service if it is less loaded than all of that service's targets that are looked at by a round of requests (OverflowGain). While callers wait for less than that more, half of its slots stay free as before.

--- a/internal/pass/forward/choose.go
+++ b/internal/pass/forward/choose.go
@@ -32,12 +32,13 @@
 // list is what there is to choose from.
 func (c *candidates) list() []place.Target { return c.targets[:c.n] }
 
-// keepIdle leaves the targets that have room for another service's flows.
-func (c *candidates) keepIdle(p *place.Policy) {
+// keepRelieving leaves the targets that take flows of a service with the given targets,
+// all of them saturated.
+func (c *candidates) keepRelieving(p *place.Policy, own []place.Target) {
 	n := c.n
 	c.n = 0
 	for i := range n {
-		if p.HasRoom(&c.targets[i]) {
+		if p.Relieves(&c.targets[i], own) {
 			c.add(c.numbers[i], c.targets[i])
 		}
 	}
@@ -94,9 +95,7 @@
 		if probe := c.gatherOthers(service, &other); len(probe) > 0 {
 			return choice{agent: noAgent, probe: probe}
 		}
-		if own.n > 0 {
-			other.keepIdle(policy)
-		}
+		other.keepRelieving(policy, own.list())
 		if agent, ok := c.e.pick(&other); ok {
 			return choice{agent: agent}
 		}
--- a/internal/pass/model/compare.go
+++ b/internal/pass/model/compare.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"runtime"
 	"sync"
@@ -37,6 +38,7 @@
 		{Name: "one draw in place of two", Change: func(p *Policies) { p.Forward.Place.Draws = 1 }},
 		{Name: "no preference for the near data centre", Change: func(p *Policies) { p.Forward.Place.Spread = true }},
 		{Name: "no overflow to the route's other service", Change: func(p *Policies) { p.Forward.Place.Strict = true }},
+		{Name: "overflow to idle targets only", Change: func(p *Policies) { p.Forward.Place.OverflowGain = math.Inf(1) }},
 		{Name: "cold targets weigh like warm ones", Change: func(p *Policies) { p.Forward.Place.ColdSlowdown = 1 }},
 		{Name: "idle flows count for nothing", Change: func(p *Policies) { p.Forward.Place.FlowShare = 0 }},
 		{Name: "flows sent since the last report count for nothing", Change: func(p *Policies) { p.Forward.Place.SentShare = 0 }},
@@ -54,6 +56,7 @@
 		{"MaxWait", func(p *Policies, by float64) { p.Flowtable.MaxWait = scaled(p.Flowtable.MaxWait, by) }},
 		{"ExpectFor", func(p *Policies, by float64) { p.Flowtable.ExpectFor = scaled(p.Flowtable.ExpectFor, by) }},
 		{"ExpectTimes", func(p *Policies, by float64) { p.Flowtable.ExpectTimes *= by }},
+		{"OverflowGain", func(p *Policies, by float64) { p.Forward.Place.OverflowGain *= by }},
 		{"Youth", func(p *Policies, by float64) { p.Forward.Youth = scaled(p.Forward.Youth, by) }},
 		{"FlowShare", func(p *Policies, by float64) { p.Forward.Place.FlowShare *= by }},
 		{"SentShare", func(p *Policies, by float64) { p.Forward.Place.SentShare *= by }},
--- a/internal/pass/place/place.go
+++ b/internal/pass/place/place.go
@@ -14,9 +14,10 @@
 //   - A target that has just started is slow and counts as smaller until warm.
 //   - An outage or a burst that leaves one service of a route without a free slot
 //     while another one of the same route has many idle: flows overflow to it
-//     (Policy.Overflow). The weights say how the operator shares the work out while
+//     (Policy.Overflow), and to busy ones where callers wait for much less
+//     (Policy.Relieves). The weights say how the operator shares the work out while
 //     there is room; nobody waits for a share. Without it callers queue
-//     at every target of one service beside idle ones of the other.
+//     at every target of one service beside free ones of the other.
 //   - A target that goes down and up, or breaks requests off: with nothing in
 //     progress it looks best, and what it gets is lost. Such targets are left to the
 //     others' overflow for a while.
@@ -52,6 +53,10 @@
 	// Idle is the load under which a target takes the overflow of others: the rest
 	// of its slots stay free for what it is meant for.
 	Idle float64
+	// OverflowGain is how much less loaded than all targets of a flow's own service
+	// one that isn't idle must be to take the overflow all the same. Under it services
+	// would fill each other's queues.
+	OverflowGain float64
 	// Draws is 2 to take the less loaded of two targets drawn, 1 to take any.
 	Draws int
 	// Spread gives up the preference for the own data centre; Trusting ignores that
@@ -63,7 +68,7 @@
 func Default() Policy {
 	return Policy{
 		FlowShare: 0.05, SentShare: 1, SpillFrom: 0.7, SpillGain: 0.25, ColdSlowdown: 1.6,
-		Saturated: 1, Idle: 0.5, Draws: 2,
+		Saturated: 1, Idle: 0.5, OverflowGain: 1, Draws: 2,
 	}
 }
 
@@ -135,6 +140,20 @@
 // HasRoom tells whether a target has room for the overflow of another service.
 func (p *Policy) HasRoom(t *Target) bool { return p.Score(t) < p.Idle }
 
+// Relieves tells whether a target takes a flow of another service, all of whose targets
+// are saturated: it has room, or its callers wait for much less.
+func (p *Policy) Relieves(t *Target, own []Target) bool {
+	if p.HasRoom(t) {
+		return true
+	}
+	for i := range own {
+		if p.Score(t) > p.Score(&own[i])-p.OverflowGain {
+			return false
+		}
+	}
+	return true
+}
+
 // Pick returns the index of the chosen target, false if there is none.
 func (p *Policy) Pick(rng *rand.Rand, targets []Target) (int, bool) {
 	steady := p.pickAmong(rng, targets, false)
