Roster: an agent that has moved or ended isn't asked for flows any more

Cause: after a power cut agents attach to the control VM that answers first and go over to the two that they prefer. The first one listed them for 12 s more, and when the agent then ended with its target it told its two only; balancers, which unite the lists, took it for silent for 12 s, and asked it for 12 s more. Meanwhile no search among all agents could end in a reset: callers of flows that nobody holds waited for their deadline.

Change: an agent that goes over to other VMs tells the one it leaves, which takes it off its list (not as gone for good). One that ends with its target is told apart on the lists: it is dropped from all, by its process, and not asked any more. 1 byte a listing, 6 bytes for each agent that ends.

TestAgentThatMovedIsNotListedTwice waited 12.4 s and failed before; TestRetiredAgentsAreToldApart, TestRetiredAgentIsNotAsked.

--- a/internal/pass/balancer/balancer.go
+++ b/internal/pass/balancer/balancer.go
@@ -188,6 +188,9 @@
 	for _, at := range c.Gone {
 		b.engine.Delist(now, at)
 	}
+	for _, at := range c.Retired {
+		b.engine.Retire(at)
+	}
 }
 
 func (b *Balancer) readFabric(ctx context.Context) {
--- a/internal/pass/forward/agents.go
+++ b/internal/pass/forward/agents.go
@@ -176,6 +176,18 @@
 	e.agents.listed--
 }
 
+// Retire takes control's word that an agent is gone with its target. It isn't asked any
+// more: no flow can be open there.
+func (e *Engine) Retire(at netip.AddrPort) {
+	a := &e.agents.list[e.agents.number(at)]
+	if a.listed {
+		e.agents.listed--
+	}
+	a.listed = false
+	a.goneAt, a.heardAt = 0, 0
+	a.report = peer.Report{}
+}
+
 // Reported takes an agent's report. Those of one process that come late are
 // ignored; a new process of the same address starts anew.
 func (e *Engine) Reported(now time.Duration, from netip.AddrPort, r peer.Report) {
--- a/internal/pass/forward/search_test.go
+++ b/internal/pass/forward/search_test.go
@@ -260,3 +260,20 @@
 	r.answer(a, peer.Lacks)
 	is.Equal(len(r.resets), 1)
 }
+
+// Guards against callers who wait for their deadline since an agent that ended with its
+// target doesn't answer: no flow can be open there.
+func TestRetiredAgentIsNotAsked(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.list(2, desk)
+	a, b := r.agentAt(1, desk), r.agentAt(2, desk)
+	r.engine.Retire(b)
+	r.send(data(9, 77))
+	r.answer(a, peer.Lacks)
+	is.Equal(r.askedOf(b), 0)
+	is.Equal(len(r.resets), 1)
+	r.list(2, desk) // another target's agent comes at the address
+	r.send(data(10, 77))
+	is.Equal(r.askedOf(b), 1)
+}
--- a/internal/pass/roster/choice_test.go
+++ b/internal/pass/roster/choice_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -87,3 +88,34 @@
 	await(t, "two others", others)
 	is.Equal(balancer.listed(), 1)
 }
+
+// Guards against control VMs that go on listing an agent which has long gone over to others:
+// after it has ended balancers would take it for silent, and let callers of lost flows wait.
+func TestAgentThatMovedIsNotListedTwice(t *testing.T) {
+	is := is.New(t)
+	all := vms(t, 5)
+	for _, v := range all {
+		v.put(t, 1)
+	}
+	const address = "10.0.0.1:1"
+	order := preference(address, all[0].controls)
+	last := all[slices.IndexFunc(all, func(v *vm) bool { return v.ip == order[len(order)-1] })]
+	listed := func(v *vm) bool {
+		v.server.mu.Lock()
+		defer v.server.mu.Unlock()
+		l := v.server.nodes[address]
+		return l != nil && !l.retired
+	}
+	began := time.Now()
+	startNode(t, Agent, address, last)
+	await(t, "the first stream", func() bool { return listed(last) })
+	await(t, "the move", func() bool {
+		for _, v := range all {
+			if listed(v) != slices.Contains(order[:agentStreams], v.ip) {
+				return false
+			}
+		}
+		return true
+	})
+	is.True(time.Since(began) < lingering)
+}
--- a/internal/pass/roster/client.go
+++ b/internal/pass/roster/client.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
 	"bergamotstall/internal/pass/flowlog"
@@ -154,9 +155,12 @@
 // keptStream is a stream that is kept up since a moment.
 type keptStream struct {
 	at   time.Time
-	stop context.CancelFunc
+	stop context.CancelCauseFunc
 }
 
+// errMoved ends a stream to a control VM that isn't chosen any more.
+var errMoved = errors.New("roster: moved to other control VMs")
+
 // Run keeps streams to control VMs until ctx is done: a balancer to each one known, an
 // agent to a few.
 func (c *Client) Run(ctx context.Context) {
@@ -173,7 +177,7 @@
 			if _, ok := started[ip]; ok {
 				continue
 			}
-			one, cancel := context.WithCancel(ctx)
+			one, cancel := context.WithCancelCause(ctx)
 			started[ip] = keptStream{at: now, stop: cancel}
 			running.Add(1)
 			go func() {
@@ -183,7 +187,7 @@
 		}
 		for ip, kept := range started {
 			if !slices.Contains(wanted, ip) {
-				kept.stop()
+				kept.stop(errMoved)
 				delete(started, ip)
 			}
 		}
--- a/internal/pass/roster/client_list.go
+++ b/internal/pass/roster/client_list.go
@@ -20,6 +20,8 @@
 type Changes struct {
 	Present []ListedAgent
 	Gone    []netip.AddrPort
+	// Retired are gone with their targets: no flow can be open there.
+	Retired []netip.AddrPort
 }
 
 // view is one control VM's list as the node has it.
@@ -28,9 +30,9 @@
 	agents        map[netip.AddrPort]ListedAgent
 }
 
-// apply takes what changed, and returns the addresses concerned.
-func (v *view) apply(l *Listing) []netip.AddrPort {
-	var changed []netip.AddrPort
+// apply takes what changed, and returns the addresses concerned, and the processes that went
+// with their targets.
+func (v *view) apply(l *Listing) (changed []netip.AddrPort, retired map[netip.AddrPort]uint64) {
 	if l.Whole || v.agents == nil {
 		for address := range v.agents {
 			changed = append(changed, address)
@@ -50,19 +52,28 @@
 		delete(v.agents, p.AddrPort())
 		changed = append(changed, p.AddrPort())
 	}
-	return changed
+	retired = map[netip.AddrPort]uint64{}
+	for _, p := range l.Retired {
+		if a, ok := v.agents[p.AddrPort()]; ok {
+			retired[a.Address] = a.Process
+		}
+		delete(v.agents, p.AddrPort())
+		changed = append(changed, p.AddrPort())
+	}
+	return changed, retired
 }
 
 // takeListing puts a VM's changes in force; the lock is held. An agent is there as long
 // as any VM lists it.
 func (c *Client) takeListing(s *clientStream, l *Listing) {
-	changed := s.view.apply(l)
-	c.tellAgents(s, changed)
+	changed, retired := s.view.apply(l)
+	c.tellAgents(s, changed, retired)
 }
 
 // tellAgents hands on what the lists now say of some agents; news is the VM whose list
-// has just changed. The lock is held.
-func (c *Client) tellAgents(news *clientStream, changed []netip.AddrPort) {
+// has just changed, retired the processes that went with their targets: one VM's word is
+// enough, others may have been out of the agent's reach. The lock is held.
+func (c *Client) tellAgents(news *clientStream, changed []netip.AddrPort, retired map[netip.AddrPort]uint64) {
 	var out Changes
 	told := map[netip.AddrPort]bool{}
 	for _, address := range changed {
@@ -70,9 +81,16 @@
 			continue
 		}
 		told[address] = true
-		if a, ok := c.lookUp(news, address); ok {
+		process, ended := retired[address]
+		if ended {
+			c.dropProcess(address, process)
+		}
+		switch a, ok := c.lookUp(news, address); {
+		case ok:
 			out.Present = append(out.Present, a)
-		} else {
+		case ended:
+			out.Retired = append(out.Retired, address)
+		default:
 			out.Gone = append(out.Gone, address)
 		}
 	}
@@ -81,6 +99,15 @@
 	}
 }
 
+// dropProcess takes a process of an agent that is gone off all lists; the lock is held.
+func (c *Client) dropProcess(address netip.AddrPort, process uint64) {
+	for _, s := range c.streams {
+		if s.view.agents[address].Process == process {
+			delete(s.view.agents, address)
+		}
+	}
+}
+
 // lookUp finds an agent on a VM's list, or else on any; the lock is held.
 func (c *Client) lookUp(first *clientStream, address netip.AddrPort) (ListedAgent, bool) {
 	if a, ok := first.view.agents[address]; ok {
@@ -108,6 +135,6 @@
 			changed = append(changed, address)
 		}
 		s.view = view{}
-		c.tellAgents(s, changed)
+		c.tellAgents(s, changed, nil)
 	}
 }
--- a/internal/pass/roster/client_stream.go
+++ b/internal/pass/roster/client_stream.go
@@ -53,9 +53,9 @@
 		return errors.Wrap(err, "roster: dial")
 	}
 	defer raw.Close()
-	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
-	defer stop()
 	conn := wire.NewConn(raw, frameLimit, writeTimeout)
+	stop := context.AfterFunc(ctx, func() { c.end(ctx, raw, conn) })
+	defer stop()
 	hello := Hello{Node: c.cfg.Node, Beat: c.beat(s)}
 	if err := c.write(conn, kindHello, &hello); err != nil {
 		return err
@@ -79,6 +79,22 @@
 	}
 }
 
+// end closes a stream. A control VM that the node leaves for others is told so: it would
+// otherwise list the node for a while after it has ended, and balancers would take its
+// silence for a target that may hold their flows.
+func (c *Client) end(ctx context.Context, raw net.Conn, conn *wire.Conn) {
+	tcp, ok := raw.(*net.TCPConn)
+	if !ok || !errors.Is(context.Cause(ctx), errMoved) || c.write(conn, kindRetire, &Retire{Moved: true}) != nil {
+		_ = raw.Close()
+		return
+	}
+	// What is still unread would turn a close into a reset, and the message would be lost;
+	// the VM closes its end.
+	if err := tcp.CloseWrite(); err != nil {
+		_ = raw.Close()
+	}
+}
+
 // write sends one message and counts it.
 func (c *Client) write(conn *wire.Conn, kind wire.Kind, m msgp.Marshaler) error {
 	n, err := conn.Write(kind, m)
--- a/internal/pass/roster/directory.go
+++ b/internal/pass/roster/directory.go
@@ -27,6 +27,8 @@
 type change struct {
 	number  uint64
 	address netip.AddrPort
+	// retired says that the agent went with its target.
+	retired bool
 }
 
 func newDirectory() *directory {
@@ -36,21 +38,21 @@
 // put lists an agent.
 func (d *directory) put(address netip.AddrPort, n Node) {
 	d.agents[address] = n
-	d.note(address)
+	d.note(address, false)
 }
 
-// remove takes an agent off the list.
-func (d *directory) remove(address netip.AddrPort) {
+// remove takes an agent off the list; retired says that its target is gone.
+func (d *directory) remove(address netip.AddrPort, retired bool) {
 	delete(d.agents, address)
-	d.note(address)
+	d.note(address, retired)
 }
 
-func (d *directory) note(address netip.AddrPort) {
+func (d *directory) note(address netip.AddrPort, retired bool) {
 	d.number++
 	if len(d.changes) == maxChanges {
 		d.changes = slices.Clone(d.changes[maxChanges/2:])
 	}
-	d.changes = append(d.changes, change{d.number, address})
+	d.changes = append(d.changes, change{d.number, address, retired})
 }
 
 // since returns what a node lacks that has the list as of a number; nil if nothing.
@@ -68,15 +70,19 @@
 		return l
 	}
 	told := map[netip.AddrPort]bool{}
-	for _, c := range d.changes[number+1-oldest:] {
+	for _, c := range slices.Backward(d.changes[number+1-oldest:]) {
 		if told[c.address] {
 			continue
 		}
 		told[c.address] = true
-		if n, ok := d.agents[c.address]; ok {
+		at := packet.EndpointOf(c.address)
+		switch n, ok := d.agents[c.address]; {
+		case ok:
 			l.add(c.address, n)
-		} else {
-			l.Gone = append(l.Gone, packet.EndpointOf(c.address))
+		case c.retired:
+			l.Retired = append(l.Retired, at)
+		default:
+			l.Gone = append(l.Gone, at)
 		}
 	}
 	return l
--- a/internal/pass/roster/list_test.go
+++ b/internal/pass/roster/list_test.go
@@ -27,6 +27,43 @@
 	await(t, "one agent", func() bool { return balancer.listed() == 1 })
 }
 
+// Guards against agents that count as silent after they have ended with their targets: their
+// flows are gone, and callers would wait for their deadlines. One control VM's word is
+// enough, also where another hasn't heard it.
+func TestRetiredAgentsAreToldApart(t *testing.T) {
+	is := is.New(t)
+	var last Changes
+	c := NewClient(ClientConfig{Node: Node{Role: Balancer}, Log: quiet(), Agents: func(x Changes) { last = x }})
+	first, second := newDirectory(), newDirectory()
+	one, other := newClientStream("1"), newClientStream("2")
+	c.streams["1"], c.streams["2"] = one, other
+	a, b := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")
+	for _, at := range []netip.AddrPort{a, b} {
+		first.put(at, Node{Process: 5})
+		second.put(at, Node{Process: 5})
+	}
+	tell := func(s *clientStream, d *directory) {
+		c.takeListing(s, d.since(s.view.epoch, s.view.number))
+	}
+	tell(one, first)
+	tell(other, second)
+	first.remove(a, true)
+	tell(one, first)
+	is.Equal(last, Changes{Retired: []netip.AddrPort{a}})
+	second.put(a, Node{Process: 6}) // another process beside another target
+	tell(other, second)
+	is.Equal(len(last.Present), 1)
+	first.put(a, Node{Process: 5})
+	first.remove(a, true) // late word of the one before
+	tell(one, first)
+	is.Equal(len(last.Retired), 0)
+	first.remove(b, false)
+	second.remove(b, false)
+	tell(one, first)
+	tell(other, second)
+	is.Equal(last, Changes{Gone: []netip.AddrPort{b}})
+}
+
 // Guards against lists that are sent whole with each change.
 func TestListIsSentAsChanges(t *testing.T) {
 	is := is.New(t)
@@ -68,7 +105,7 @@
 	c.takeListing(a, first.since(a.view.epoch, a.view.number))
 	c.takeListing(b, second.since(b.view.epoch, b.view.number))
 	is.Equal(len(told), 2)
-	first.remove(two)
+	first.remove(two, false)
 	c.takeListing(a, first.since(a.view.epoch, a.view.number))
 	is.Equal(len(told), 2) // the other VM lists it
 	restarted := newDirectory()
@@ -92,7 +129,7 @@
 	for n := range 3 * maxChanges {
 		d.put(at(n%500), Node{Process: uint64(n)})
 		if n%7 == 0 {
-			d.remove(at((n + 3) % 500))
+			d.remove(at((n+3)%500), false)
 		}
 		if n%1000 != 0 && n != 3*maxChanges-1 {
 			continue
--- a/internal/pass/roster/messages.go
+++ b/internal/pass/roster/messages.go
@@ -15,8 +15,8 @@
 	// kindFlows carries a flowlog.Update: from an agent what it holds, to a new
 	// agent what was held at its address.
 	kindFlows
-	// kindRetire comes from an agent that ends with its target: it is taken off the
-	// list at once.
+	// kindRetire comes from an agent that ends with its target, or goes over to other
+	// control VMs: it is taken off the list at once.
 	kindRetire
 )
 
@@ -70,7 +70,10 @@
 }
 
 // Retire says that an agent ends and its target is gone.
-type Retire struct{}
+type Retire struct {
+	// Moved says that the agent goes on, and other control VMs list it.
+	Moved bool `msg:"m"`
+}
 
 // Entry is an agent on a VM's list.
 //
@@ -95,6 +98,8 @@
 	Zones   []string          `msg:"z"`
 	Present []Entry           `msg:"p"`
 	Gone    []packet.Endpoint `msg:"g"`
+	// Retired are gone with their targets: no flow can be open there.
+	Retired []packet.Endpoint `msg:"r"`
 }
 
 // Evacuated is which data centres take no new flows, whole: there are few.
--- a/internal/pass/roster/messages_gen.go
+++ b/internal/pass/roster/messages_gen.go
@@ -306,9 +306,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Listing) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "e"
-	o = append(o, 0x86, 0xa1, 0x65)
+	o = append(o, 0x87, 0xa1, 0x65)
 	o = msgp.AppendUint64(o, z.Epoch)
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
@@ -342,6 +342,16 @@
 			return
 		}
 	}
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Retired)))
+	for za0004 := range z.Retired {
+		o, err = z.Retired[za0004].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Retired", za0004)
+			return
+		}
+	}
 	return
 }
 
@@ -438,6 +448,25 @@
 					return
 				}
 			}
+		case "r":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Retired")
+				return
+			}
+			if cap(z.Retired) >= int(zb0005) {
+				z.Retired = (z.Retired)[:zb0005]
+			} else {
+				z.Retired = make([]packet.Endpoint, zb0005)
+			}
+			for za0004 := range z.Retired {
+				bts, err = z.Retired[za0004].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Retired", za0004)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -464,6 +493,10 @@
 	for za0003 := range z.Gone {
 		s += z.Gone[za0003].Msgsize()
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0004 := range z.Retired {
+		s += z.Retired[za0004].Msgsize()
+	}
 	return
 }
 
@@ -562,9 +595,10 @@
 // MarshalMsg implements msgp.Marshaler
 func (z Retire) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 0
-	_ = z
-	o = append(o, 0x80)
+	// map header, size 1
+	// string "m"
+	o = append(o, 0x81, 0xa1, 0x6d)
+	o = msgp.AppendBool(o, z.Moved)
 	return
 }
 
@@ -586,6 +620,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "m":
+			z.Moved, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Moved")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -600,7 +640,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Retire) Msgsize() (s int) {
-	s = 1
+	s = 1 + 2 + msgp.BoolSize
 	return
 }
 
--- a/internal/pass/roster/roster_test.go
+++ b/internal/pass/roster/roster_test.go
@@ -135,10 +135,12 @@
 	evacuated    []string
 	tabledBefore bool
 	agents       map[netip.AddrPort]ListedAgent
-	changes      int
-	metrics      *metrics.Set
-	recalled     []flowlog.Update
-	stop         context.CancelFunc
+	// retired are the agents that went with their targets.
+	retired  []netip.AddrPort
+	changes  int
+	metrics  *metrics.Set
+	recalled []flowlog.Update
+	stop     context.CancelFunc
 }
 
 func startNode(t *testing.T, role Role, name string, seeds ...*vm) *node {
--- a/internal/pass/roster/server.go
+++ b/internal/pass/roster/server.go
@@ -92,7 +92,7 @@
 	streams int
 	// goneAt is when its last stream ended.
 	goneAt time.Time
-	// retired says that the node ends with its target.
+	// retired says that the node ends with its target, or has gone over to other VMs.
 	retired bool
 }
 
@@ -204,7 +204,11 @@
 			u.Agent = n.Address // an agent speaks for itself
 			s.cfg.Flows.Apply(u)
 		case kindRetire:
-			s.retire(n)
+			var x Retire
+			if err := f.Decode(&x); err != nil {
+				return Beat{}, err
+			}
+			s.retire(n, x.Moved)
 		default:
 			return Beat{}, errors.Errorf("roster: frame kind %d", f.Kind)
 		}
@@ -244,7 +248,7 @@
 		s.nodes[n.Address] = l
 	}
 	l.streams++
-	if l.node != n {
+	if l.node != n || l.retired {
 		l.node = n
 		l.retired = false
 		s.list(n)
@@ -284,7 +288,7 @@
 		if l.streams == 0 && (l.retired || time.Since(l.goneAt) > lingering) {
 			delete(s.nodes, address)
 			if !l.retired {
-				s.unlist(l.node)
+				s.unlist(l.node, false)
 			}
 			events.Log(s.cfg.Log, events.NodeDelisted, logrus.Fields{"node": address, "role": l.node.Role.String(), "silent": time.Since(l.goneAt).String()})
 		}
@@ -305,19 +309,21 @@
 	s.wake()
 }
 
-// unlist takes an agent off the list; the lock is held.
-func (s *Server) unlist(n Node) {
+// unlist takes an agent off the list; retired says that its target is gone. The lock is
+// held.
+func (s *Server) unlist(n Node, retired bool) {
 	if n.Role != Agent {
 		return
 	}
 	if address, err := netip.ParseAddrPort(n.Address); err == nil {
-		s.directory.remove(address)
+		s.directory.remove(address, retired)
 		s.wake()
 	}
 }
 
-// retire takes an agent off the list whose target is gone, before its stream ends.
-func (s *Server) retire(n Node) {
+// retire takes an agent off the list whose target is gone, or that goes over to other
+// control VMs, before its stream ends.
+func (s *Server) retire(n Node, moved bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.nodes[n.Address]
@@ -325,7 +331,7 @@
 		return
 	}
 	l.retired = true
-	s.unlist(n)
+	s.unlist(n, !moved)
 }
 
 // wake has the balancers' streams look at the list; the lock is held.
