Forward: names of a search by what they hold

seek, likely, widen, mute, narrow and best are startSearch, candidateHolders, searchAll, clientReset, skippedAll and topAgents; comments on the last stage say what it does, not what it once did. No change of behaviour.

--- a/internal/pass/forward/choose.go
+++ b/internal/pass/forward/choose.go
@@ -120,7 +120,7 @@
 // gather adds the flow's preferred agents of a service, in this data centre or in all
 // others, whose load is known. If these are too few it returns the ones to probe.
 func (c *chooser) gather(service route.ServiceID, near bool, to *candidates) (probe []uint32) {
-	b := best{flow: route.Hash(c.flow)}
+	b := topAgents{flow: route.Hash(c.flow)}
 	for _, g := range c.e.agents.index.byService[service] {
 		if (g.zone == c.e.cfg.Zone) != near || !c.admits(g.zone) {
 			continue
@@ -173,7 +173,7 @@
 // are better served by a guess than refused.
 func (c *chooser) unheard(service route.ServiceID) uint32 {
 	for _, near := range []bool{true, false} {
-		b := best{flow: route.Hash(c.flow)}
+		b := topAgents{flow: route.Hash(c.flow)}
 		for _, g := range c.e.agents.index.byService[service] {
 			if (g.zone == c.e.cfg.Zone) != near || !c.admits(g.zone) {
 				continue
--- a/internal/pass/forward/forward.go
+++ b/internal/pass/forward/forward.go
@@ -206,7 +206,7 @@
 		e.flows[f] = at
 		e.deliver(at.agent, a.raw)
 	default:
-		e.seek(now, a.p, f, a.raw, noAgent)
+		e.startSearch(now, a.p, f, a.raw, noAgent)
 	}
 }
 
@@ -282,7 +282,7 @@
 		return
 	}
 	delete(e.flows, f)
-	e.seek(now, p, f, raw, agent)
+	e.startSearch(now, p, f, raw, agent)
 }
 
 // refusedFirst offers a first packet elsewhere, unless its caller is better told
--- a/internal/pass/forward/ranking.go
+++ b/internal/pass/forward/ranking.go
@@ -19,9 +19,9 @@
 // many agents there are. Balancers needn't agree on the list of agents: one more or
 // less changes the preference of the few flows that prefer it.
 
-// preferred is how many agents of one service and data centre a flow prefers. Two
-// are drawn from them, so more even the load out little, and each costs a question
-// in a search.
+// preferred is how many agents of one service and data centre a flow prefers. New flows
+// choose between two of them, so a larger number would hardly balance the load better,
+// and each further one costs a question in a search.
 const preferred = 4
 
 // group is the agents of one service in one data centre.
@@ -96,15 +96,15 @@
 	return x ^ x>>31
 }
 
-// best gathers the agents with the highest affinity to a flow.
-type best struct {
+// topAgents gathers the agents with the highest affinity to a flow.
+type topAgents struct {
 	flow    uint64
 	numbers [preferred]uint32
 	weights [preferred]uint64
 	n       int
 }
 
-func (b *best) offer(number uint32, agent uint64) {
+func (b *topAgents) offer(number uint32, agent uint64) {
 	w := affinity(b.flow, agent)
 	at := b.n
 	for at > 0 && b.weights[at-1] < w {
@@ -120,12 +120,12 @@
 }
 
 // list is the agents gathered, the most preferred first.
-func (b *best) list() []uint32 { return b.numbers[:b.n] }
+func (b *topAgents) list() []uint32 { return b.numbers[:b.n] }
 
-// likely lists the agents that may hold a flow, in the order in which they are
-// likely to: the flow's preferred ones of the route's services in this data centre,
+// candidateHolders lists the agents that most likely hold a flow, the likeliest first: the
+// flow's preferred ones of the route's services in this data centre,
 // then those of the others. Balancers of every data centre place flows among them.
-func (e *Engine) likely(now time.Duration, f packet.Flow) []uint32 {
+func (e *Engine) candidateHolders(now time.Duration, f packet.Flow) []uint32 {
 	var out []uint32
 	choices := e.table.Services(f.Service)
 	picked, _ := e.table.Pick(f)
@@ -152,7 +152,7 @@
 		if (g.zone == e.cfg.Zone) != near {
 			continue
 		}
-		b := best{flow: hash}
+		b := topAgents{flow: hash}
 		for _, number := range g.members {
 			if a := &e.agents.list[number]; a.asked(now) {
 				b.offer(number, a.hash)
--- a/internal/pass/forward/search.go
+++ b/internal/pass/forward/search.go
@@ -56,10 +56,11 @@
 	held  [][]byte
 	// next are the agents that the present stage is still to ask.
 	next []uint32
-	// wide is set once all agents are to be asked, narrow if they won't be.
-	wide, narrow bool
-	// wideAt is when the agents to ask were listed.
-	wideAt time.Duration
+	// all is set once the last stage has begun, in which all agents are asked; skippedAll
+	// if they aren't, since the flow was searched among all a moment ago.
+	all, skippedAll bool
+	// allAt is when the agents of the last stage were listed.
+	allAt time.Duration
 	// waiting are the agents that haven't answered, unsure those that may hold
 	// the flow without knowing.
 	waiting []uint32
@@ -75,20 +76,20 @@
 	// begun says that agents have been asked; until then the search waits for
 	// its turn.
 	begun bool
-	// mute says that a client ended the flow: nobody is to be answered.
-	mute bool
+	// clientReset says that the search is for a client's reset, which gets no answer.
+	clientReset bool
 }
 
-// seek begins or joins the search for a flow's holder. lacks is an agent known
+// startSearch begins or joins the search for a flow's holder. lacks is an agent known
 // not to hold it.
-func (e *Engine) seek(now time.Duration, p packet.Packet, f packet.Flow, raw []byte, lacks uint32) {
+func (e *Engine) startSearch(now time.Duration, p packet.Packet, f packet.Flow, raw []byte, lacks uint32) {
 	s := e.searches[f]
 	if s == nil {
 		if len(e.searches) >= maxSearches {
 			e.note(Decision{Flow: f, Verdict: DroppedBusy})
 			return
 		}
-		s = &search{cameAt: now, begunAt: now, probe: noAgent, mute: p.Flags.Has(packet.RST), asked: map[uint32]struct{}{}}
+		s = &search{cameAt: now, begunAt: now, probe: noAgent, clientReset: p.Flags.Has(packet.RST), asked: map[uint32]struct{}{}}
 		e.searches[f] = s
 		s.ack, s.flags = p.Ack, p.Flags
 		s.lacks = lacks
@@ -117,7 +118,7 @@
 		if s.lacks != noAgent {
 			s.asked[s.lacks] = struct{}{}
 		}
-		s.next = e.likely(now, f)
+		s.next = e.candidateHolders(now, f)
 		e.advance(now, f, s)
 	}
 }
@@ -135,7 +136,7 @@
 // returns false if there are none left in this stage.
 func (e *Engine) ask(now time.Duration, f packet.Flow, s *search) bool {
 	size := s.roundSize()
-	for ; len(s.next) > 0 && size > 0 && e.budget.allows(s.wide); s.next = s.next[1:] {
+	for ; len(s.next) > 0 && size > 0 && e.budget.allows(s.all); s.next = s.next[1:] {
 		agent := s.next[0]
 		if _, done := s.asked[agent]; done {
 			continue
@@ -153,7 +154,7 @@
 // roundSize is how many agents the next round asks.
 func (s *search) roundSize() int {
 	switch {
-	case s.wide:
+	case s.all:
 		return wideStep
 	case len(s.asked) < firstRound:
 		return firstRound
@@ -163,7 +164,7 @@
 
 // pausing tells whether the present round is given more time before the next one.
 func (s *search) pausing(now time.Duration) bool {
-	if s.wide && len(s.next) > 0 {
+	if s.all && len(s.next) > 0 {
 		return now-s.roundAt < widePause
 	}
 	return len(s.waiting) > 0 && now-s.roundAt < roundPatience
@@ -237,11 +238,11 @@
 		s.probeAt = now
 		e.deliver(s.probe, s.held[0])
 		return
-	case len(s.next) == 0 && !s.wide:
-		e.widen(now, f, s)
+	case len(s.next) == 0 && !s.all:
+		e.searchAll(now, f, s)
 	}
 	if !e.ask(now, f, s) {
-		if !s.wide {
+		if !s.all {
 			e.advance(now, f, s)
 			return
 		}
@@ -263,7 +264,7 @@
 	}
 	silent := len(s.waiting)
 	verdict := DroppedUnfound
-	if silent == 0 && e.agents.addedAt <= s.wideAt && !s.narrow && len(s.next) == 0 && len(s.asked) > 0 && !s.mute {
+	if silent == 0 && e.agents.addedAt <= s.allAt && !s.skippedAll && len(s.next) == 0 && len(s.asked) > 0 && !s.clientReset {
 		verdict = ResetNowhere
 		e.cfg.Out.Reset(f, s.ack)
 	}
@@ -310,12 +311,12 @@
 	if now-s.begunAt > queuePatience {
 		return true
 	}
-	return s.wide && len(s.next) == 0 && s.again && now-s.roundAt > askPatience-askAgain
+	return s.all && len(s.next) == 0 && s.again && now-s.roundAt > askPatience-askAgain
 }
 
 // askOnceMore repeats the questions that weren't answered, and goes on.
 func (e *Engine) askOnceMore(now time.Duration, f packet.Flow, s *search) {
-	if e.budget.allows(s.wide) {
+	if e.budget.allows(s.all) {
 		s.again = true
 		s.roundAt = now
 		for _, agent := range s.waiting {
--- a/internal/pass/forward/wide.go
+++ b/internal/pass/forward/wide.go
@@ -6,19 +6,20 @@
 	"bergamotstall/internal/pass/packet"
 )
 
-// The last round of a search asks all agents. Few flows need it, but those of targets that
-// are gone do, and all of them at once after an outage. It is what filled the links of a
-// large fleet, so it goes step by step, within the budget, and seldom for one flow.
+// The last stage of a search asks all agents. Few flows need it, but those of targets that
+// are gone do, and all of them at once after an outage. The questions of so many searches
+// would fill the balancers' links, so they are sent in small steps, within a budget, and
+// the same flow is searched among all agents again only after a growing pause.
 
 const (
-	// wideStep is how many agents of a wide round are asked at once, widePause the time
+	// wideStep is how many agents of the last stage are asked at once, widePause the time
 	// between two steps. The answers of a whole fleet at once are more than a thin link
 	// queues, and a lost one looks like an agent that is silent.
 	wideStep  = 32
 	widePause = 10 * time.Millisecond
-	// wideAgain is how long a flow that was searched among all agents isn't at first,
-	// wideLater at most: the pause doubles with each such search. Without it every copy
-	// that a caller sends of a packet asks all of them.
+	// wideAgain is the first pause between two searches for the same flow among all agents.
+	// It doubles with each such search, up to wideLater. Without it each retransmission of
+	// a caller would ask all agents.
 	wideAgain = 150 * time.Millisecond
 	wideLater = 5 * time.Second
 )
@@ -30,14 +31,14 @@
 	pause     time.Duration
 }
 
-// widen goes over to all agents: a flow stays where it is when its route goes over
-// to another service, and may have been placed when other agents were there.
-func (e *Engine) widen(now time.Duration, f packet.Flow, s *search) {
-	s.wide = true
-	s.wideAt = now
+// searchAll begins the last stage, with all agents: a flow stays where it is when its
+// route goes over to another service, and may have been placed when other agents were there.
+func (e *Engine) searchAll(now time.Duration, f packet.Flow, s *search) {
+	s.all = true
+	s.allAt = now
 	w, again := e.wideSearches[f]
 	if again && now < w.notBefore {
-		s.narrow = true
+		s.skippedAll = true
 		return
 	}
 	w.pause = min(max(2*w.pause, wideAgain), wideLater)
