--- a/internal/pass/control/evacuation.go
+++ b/internal/pass/control/evacuation.go
@@ -79,3 +79,21 @@
 
 // Evacuated returns the data centres that are evacuated, as far as this VM knows.
 func (c *Control) Evacuated() []string { return c.store.Evacuations().Evacuated() }
+
+// Evacuations returns the orders in force. It fails with ErrUnavailable where this VM can't
+// be sure of them.
+func (c *Control) Evacuations(ctx context.Context) ([]route.ZoneOrder, error) {
+	ctx, cancel := context.WithTimeout(ctx, getPatience)
+	defer cancel()
+	if err := c.Barrier(ctx); err != nil {
+		c.cfg.Metrics.Counter("reads_unavailable").Add(1)
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	var out []route.ZoneOrder
+	for _, z := range c.store.Evacuations().Zones {
+		if z.Evacuated {
+			out = append(out, z)
+		}
+	}
+	return out, nil
+}
