Evacuation: a VM whose clock is far off still takes orders

A late copy is told by the times at which VMs took the orders. Had one taken an order with its clock an hour ahead, every VM would have left the reversal's reversal open for an hour.

--- a/internal/pass/route/evacuation.go
+++ b/internal/pass/route/evacuation.go
@@ -136,7 +136,9 @@
 	if last.PreviousMS == 0 || last.Evacuated == o.Evacuate {
 		return false
 	}
-	return time.Duration(o.AtMS-last.PreviousMS)*time.Millisecond < resendWindow
+	age := time.Duration(o.AtMS-last.PreviousMS) * time.Millisecond
+	// Clocks of VMs that differ by more say nothing of the order's age.
+	return -resendWindow < age && age < resendWindow
 }
 
 func withdrawn(z ZoneOrder) bool { return !z.Evacuated }
--- a/internal/pass/route/evacuation_test.go
+++ b/internal/pass/route/evacuation_test.go
@@ -74,6 +74,7 @@
 	order(t, s, "accra-a", true, 2, at+window)
 	is.True(late(false, at+window+time.Second)) // of the withdrawal two seconds after at
 	is.True(!late(false, at+window+2*time.Second))
+	is.True(!late(false, at-2*window)) // a VM whose clock is far behind still takes orders
 }
 
 // Guards against evacuations that a restart, or a replica that is far behind, forgets.
