Roster tests: nodes of tests take note of agents that ended

TestBalancersLearnOfAgents passed since another agent's listing lapsed after 12 s, not by the agent that ended: the test's node didn't take the new list of those.

--- a/internal/pass/roster/roster_test.go
+++ b/internal/pass/roster/roster_test.go
@@ -135,12 +135,10 @@
 	evacuated    []string
 	tabledBefore bool
 	agents       map[netip.AddrPort]ListedAgent
-	// retired are the agents that went with their targets.
-	retired  []netip.AddrPort
-	changes  int
-	metrics  *metrics.Set
-	recalled []flowlog.Update
-	stop     context.CancelFunc
+	changes      int
+	metrics      *metrics.Set
+	recalled     []flowlog.Update
+	stop         context.CancelFunc
 }
 
 func startNode(t *testing.T, role Role, name string, seeds ...*vm) *node {
@@ -174,11 +172,11 @@
 		Agents: func(c Changes) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
-			n.changes += len(c.Present) + len(c.Gone)
+			n.changes += len(c.Present) + len(c.Gone) + len(c.Retired)
 			for _, a := range c.Present {
 				n.agents[a.Address] = a
 			}
-			for _, at := range c.Gone {
+			for _, at := range append(c.Gone, c.Retired...) {
 				delete(n.agents, at)
 			}
 		},
