--- a/internal/pass/roster/client_stream.go
+++ b/internal/pass/roster/client_stream.go
@@ -63,9 +63,9 @@
 	c.attach(s, conn)
 	defer c.attach(s, nil)
 	first := true
-	ctx, cancel := context.WithCancel(ctx)
+	beating, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go c.beatOn(ctx, conn, s)
+	go c.beatOn(beating, conn, s)
 	for {
 		u, err := c.nextUpdate(conn)
 		if err != nil {
