--- a/cmd/bergamotctl/evacuate_test.go
+++ b/cmd/bergamotctl/evacuate_test.go
@@ -10,8 +10,7 @@
 	"github.com/matryer/is"
 )
 
-// Guards against an operator who can't tell from output and exit code whether a data centre
-// is evacuated.
+// Guards against output and exit codes that hide whether a data centre is evacuated.
 func TestEvacuate(t *testing.T) {
 	var asked []string
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/pass/forward/placing_test.go
+++ b/internal/pass/forward/placing_test.go
@@ -384,9 +384,7 @@
 	is.Equal(r.sentTo(idle), 2)
 }
 
-// Guards against callers who queue at one service of their route while a target of another
-// one, though no longer idle, would have run them long before. It never becomes as loaded
-// as those that it relieves.
+// Guards against callers who queue at one service while another of their route waits less.
 func TestLongBacklogIsSharedWithTheRoutesOtherService(t *testing.T) {
 	is := is.New(t)
 	r, other := overflowRig(t, 20)
--- a/internal/replica/link.go
+++ b/internal/replica/link.go
@@ -178,9 +178,8 @@
 	return true
 }
 
-// endIfRemoved ends a link that can't be made to a replica that was removed for good. Its
-// VM may be back as a fresh replica at the same address, which would be dialled for ever
-// as the one that it no longer is.
+// endIfRemoved ends a link that can't be made to a replica that was removed for good. A
+// fresh replica at the same address would refuse each dial meant for the removed one.
 func (l *links) endIfRemoved(k *link) bool {
 	if !slices.Contains(l.r.Status().Removed, k.replica) {
 		return false
