membership: separate connecting from running a stream

Cause: the order of events between a node's first message and the registration of its stream can't be set in a test while runStream also dials. Change: serveStream runs a stream over an open connection. No behavior changes.

--- a/internal/passthrough/membership/client_stream.go
+++ b/internal/passthrough/membership/client_stream.go
@@ -45,13 +45,19 @@
 	}
 }
 
-// runStream runs one connection until it fails.
+// runStream connects to a control VM and runs the stream until it fails.
 func (c *Client) runStream(ctx context.Context, s *clientStream) error {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", net.JoinHostPort(s.ip, strconv.Itoa(int(c.cfg.Port))))
 	if err != nil {
 		return errors.Wrap(err, "membership: dial")
 	}
+	return c.serveStream(ctx, s, raw)
+}
+
+// serveStream runs a stream over an open connection until it fails or ctx is done, and
+// closes the connection.
+func (c *Client) serveStream(ctx context.Context, s *clientStream, raw net.Conn) error {
 	defer raw.Close()
 	conn := framing.NewConn(raw, maxFrameBytes, writeTimeout)
 	stop := context.AfterFunc(ctx, func() { c.closeStream(ctx, raw, conn) })
