membership: register a stream before it requests the first table

Callers saw: a node that starts could receive the whole table from two control VMs, over the link that its callers use. TestTableIsSentOnce failed once so: 44,320 bytes in place of 20,033. Cause: the VM that is asked for the first table is named as the source before the first message is written, and the stream was registered only after that. An update of another VM that was applied in between found no open stream for the source and chose itself, so both sent the table. Change: the stream is registered as open and the source is named under one lock. Other messages still wait until the first is written. A stream that ends is no longer open, so another VM is chosen as before.

--- a/internal/passthrough/membership/client.go
+++ b/internal/passthrough/membership/client.go
@@ -92,8 +92,10 @@
 	versionAt time.Time
 	// view is the VM's list of agents, at balancers.
 	view view
-	// conn is the open connection; flowsReported means that all flows were reported over
-	// it.
+	// open means that the stream's first message has been sent or is being sent.
+	open bool
+	// conn is the open connection once the first message has been sent; flowsReported
+	// means that all flows were reported over it.
 	conn          *framing.Conn
 	flowsReported bool
 	// wake triggers an immediate heartbeat.
--- a/internal/passthrough/membership/client_stream.go
+++ b/internal/passthrough/membership/client_stream.go
@@ -62,12 +62,12 @@
 	conn := framing.NewConn(raw, maxFrameBytes, writeTimeout)
 	stop := context.AfterFunc(ctx, func() { c.closeStream(ctx, raw, conn) })
 	defer stop()
-	hello := Hello{Node: c.cfg.Node, Heartbeat: c.heartbeat(s)}
+	hello := c.openStream(s)
+	defer c.endStream(s)
 	if err := c.write(conn, kindHello, &hello); err != nil {
 		return err
 	}
 	c.setConn(s, conn)
-	defer c.setConn(s, nil)
 	first := true
 	heartbeatCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -108,14 +108,31 @@
 	return err
 }
 
-func (c *Client) setConn(s *clientStream, conn *framing.Conn) {
+// openStream registers a stream and returns its first message. Both happen under one lock,
+// so that no other VM is asked for the table that the message requests.
+func (c *Client) openStream(s *clientStream) Hello {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.streams[s.ip] = s
+	s.open = true
+	return Hello{Node: c.cfg.Node, Heartbeat: c.nextHeartbeat(s)}
+}
+
+// setConn makes the connection available to other messages, which must follow the first.
+func (c *Client) setConn(s *clientStream, conn *framing.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	s.conn = conn
 	s.flowsReported = false
 }
 
+func (c *Client) endStream(s *clientStream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.open = false
+	s.conn = nil
+}
+
 // nextUpdate waits for an update. Flow records that arrive first go to OnFlowRecords.
 func (c *Client) nextUpdate(conn *framing.Conn) (Update, error) {
 	for {
--- a/internal/passthrough/membership/client_update.go
+++ b/internal/passthrough/membership/client_update.go
@@ -10,11 +10,15 @@
 	"bergamotstall/internal/passthrough/route"
 )
 
-// heartbeat returns the node's state for a control VM, and whether the VM is to send
-// tables.
 func (c *Client) heartbeat(s *clientStream) Heartbeat {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.nextHeartbeat(s)
+}
+
+// nextHeartbeat returns the node's state for a control VM, and whether the VM is to send
+// tables. The lock is held.
+func (c *Client) nextHeartbeat(s *clientStream) Heartbeat {
 	c.chooseTableSource(time.Now())
 	if c.tableSource == "" {
 		// The first VM that is reached is asked for the first table; another replaces it
@@ -36,7 +40,7 @@
 	if source != nil && source.current() && !late {
 		return
 	}
-	if source != nil && source.conn != nil && c.version == 0 && now.Sub(c.tableSourceAt) < tableTimeout {
+	if source != nil && source.open && c.version == 0 && now.Sub(c.tableSourceAt) < tableTimeout {
 		return // the first table may be in transit
 	}
 	best := uint64(0)
