membership: updateSender in a file of its own

Cause: server.go holds the server, the list of nodes and the sender of updates. Change: the type and its methods move to update_sender.go.

--- /dev/null
+++ b/internal/passthrough/membership/update_sender.go
@@ -0,0 +1,108 @@
+package membership
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"bergamotstall/internal/framing"
+	"bergamotstall/internal/passthrough/route"
+)
+
+// updateSender sends updates to one node.
+type updateSender struct {
+	server     *Server
+	conn       *framing.Conn
+	nodeRole   Role
+	heartbeats chan Heartbeat
+	// heartbeat is the node's last heartbeat, updated with what was sent since.
+	heartbeat Heartbeat
+	confirmed bool
+}
+
+func (p *updateSender) run(ctx context.Context, raw net.Conn) {
+	defer raw.Close()
+	confirmed := make(chan struct{})
+	go p.server.confirm(ctx, confirmed)
+	// A VM in contact with a quorum is confirmed within a round trip, so that its first
+	// update contains the table.
+	select {
+	case <-confirmed:
+		p.confirmed = true
+		confirmed = nil
+	case <-time.After(pushInterval):
+	case <-ctx.Done():
+		return
+	}
+	for {
+		var listChanged <-chan struct{} // nil for agents: they don't get the list
+		if p.nodeRole == Balancer {
+			listChanged = p.server.listChanged()
+		}
+		tableChanged := p.server.cfg.Store.Changed()
+		if err := p.push(); err != nil {
+			return
+		}
+		// Versions of a burst are combined; a heartbeat is answered at once.
+		select {
+		case <-time.After(pushInterval):
+		case b := <-p.heartbeats:
+			p.heartbeat = b
+			continue
+		case <-confirmed:
+			p.confirmed = true
+			confirmed = nil
+			continue
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case b := <-p.heartbeats:
+			p.heartbeat = b
+		case <-confirmed:
+			p.confirmed = true
+			confirmed = nil
+		case <-listChanged:
+		case <-tableChanged:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// push sends the node the changes that it doesn't have yet.
+func (p *updateSender) push() error {
+	u := Update{
+		Confirmed: p.confirmed, Controls: p.server.cfg.Source.Controls(),
+		ContactAgeMS: p.server.cfg.Source.ContactAge().Milliseconds(),
+	}
+	if p.nodeRole == Balancer {
+		u.List = p.server.listUpdate(p.heartbeat)
+	}
+	if state := p.server.cfg.Store.Current(); state != nil && p.confirmed {
+		u.Version = uint64(state.Definition.Version)
+		if p.heartbeat.WantTables && u.Version > p.heartbeat.Version {
+			update, err := state.Since(route.Version(p.heartbeat.Version))
+			if err != nil {
+				return err
+			}
+			u.Table = update
+		}
+	}
+	if e := p.server.cfg.Store.Evacuations(); p.confirmed && e.Revision > p.heartbeat.EvacuationRevision {
+		u.Evacuated = &EvacuatedZones{Revision: e.Revision, Zones: e.Evacuated()}
+	}
+	if _, err := p.conn.Write(kindUpdate, &u); err != nil {
+		return err
+	}
+	if u.List != nil {
+		p.heartbeat.Epoch, p.heartbeat.Number = u.List.Epoch, u.List.Number
+	}
+	if u.Table != nil {
+		p.heartbeat.Version = u.Version
+	}
+	if u.Evacuated != nil {
+		p.heartbeat.EvacuationRevision = u.Evacuated.Revision
+	}
+	return nil
+}
