membership: don't send again what is in transit

Callers saw: a balancer or agent behind a thin link received each new table several times, over the link that its callers use, and the link was slower for it. A whole table that takes 0.9 s to arrive came three times. Cause: a control VM notes what it has sent to a node, and replaced the note by each heartbeat of the node. A heartbeat that was written before the table arrived names the older version, so the table was sent again. Heartbeats come every 400 ms. The list of agents and the evacuations were repeated in the same way. Change: updates that hold a table, a list or evacuations are numbered on their stream, and heartbeats name the last number received. The streams keep their order, so a heartbeat with a lower number was written before the update arrived, and the note stays. Builds before: a node of one says nothing of numbers, and its heartbeats count as they did; a control VM of one sends no numbers, and ignores what the heartbeat names.

--- a/internal/passthrough/membership/attach_test.go
+++ b/internal/passthrough/membership/attach_test.go
@@ -65,7 +65,8 @@
 	time.Sleep(time.Millisecond)
 }
 
-func awaitTable(b *testing.B, conn *framing.Conn) {
+// awaitTable returns the next update that holds a table.
+func awaitTable(b testing.TB, conn *framing.Conn) Update {
 	b.Helper()
 	for {
 		f, err := read(conn)
@@ -77,7 +78,7 @@
 			b.Fatal(err)
 		}
 		if u.Table != nil {
-			return
+			return u
 		}
 	}
 }
--- a/internal/passthrough/membership/client.go
+++ b/internal/passthrough/membership/client.go
@@ -92,6 +92,8 @@
 	versionAt time.Time
 	// view is the VM's list of agents, at balancers.
 	view view
+	// received is the highest Update.Number received on the stream.
+	received uint64
 	// open means that the stream's first message has been sent or is being sent.
 	open bool
 	// conn is the open connection once the first message has been sent; flowsReported
--- a/internal/passthrough/membership/client_stream.go
+++ b/internal/passthrough/membership/client_stream.go
@@ -115,7 +115,8 @@
 	defer c.mu.Unlock()
 	c.streams[s.ip] = s
 	s.open = true
-	return Hello{Node: c.cfg.Node, Heartbeat: c.nextHeartbeat(s)}
+	s.received = 0
+	return Hello{Node: c.cfg.Node, Heartbeat: c.nextHeartbeat(s), Acknowledges: true}
 }
 
 // setConn makes the connection available to other messages, which must follow the first.
--- a/internal/passthrough/membership/client_update.go
+++ b/internal/passthrough/membership/client_update.go
@@ -26,7 +26,10 @@
 		c.tableSource = s.ip
 		c.tableSourceAt = time.Now()
 	}
-	return Heartbeat{Version: uint64(c.version), WantTables: c.tableSource == s.ip, Epoch: s.view.epoch, Number: s.view.number, EvacuationRevision: c.evacuations}
+	return Heartbeat{
+		Version: uint64(c.version), WantTables: c.tableSource == s.ip, Epoch: s.view.epoch, Number: s.view.number,
+		EvacuationRevision: c.evacuations, Received: s.received,
+	}
 }
 
 // chooseTableSource keeps requesting tables from one VM while the VM has contact with a
@@ -83,6 +86,7 @@
 	defer c.mu.Unlock()
 	c.streams[s.ip] = s
 	s.heardAt = time.Now()
+	s.received = max(s.received, u.Number)
 	s.contactAge = time.Duration(u.ContactAgeMS) * time.Millisecond
 	if len(u.Controls) > 0 {
 		c.knownControls = u.Controls
--- a/internal/passthrough/membership/messages.go
+++ b/internal/passthrough/membership/messages.go
@@ -53,6 +53,8 @@
 type Hello struct {
 	Node      Node      `msg:"n"`
 	Heartbeat Heartbeat `msg:"b"`
+	// Acknowledges means that the node sets Heartbeat.Received.
+	Acknowledges bool `msg:"k"`
 }
 
 // Heartbeat reports that a node is alive, and its state.
@@ -67,6 +69,9 @@
 	Number uint64 `msg:"n"`
 	// EvacuationRevision is the revision of the evacuations in force at the node.
 	EvacuationRevision uint64 `msg:"x"`
+	// Received is the highest Update.Number that the node has received on this stream,
+	// 0 for none.
+	Received uint64 `msg:"u"`
 }
 
 // Retire announces that an agent ends together with its target.
@@ -110,6 +115,9 @@
 
 // Update answers a heartbeat, and is also sent when something changes.
 type Update struct {
+	// Number counts the stream's updates that hold a table, changes of the list or
+	// evacuations. It is 0 in other updates.
+	Number uint64 `msg:"u,omitempty"`
 	// Version is the newest committed version that the VM knows of. It is 0 if there is
 	// none, or if the VM has had no contact with a quorum since the stream began.
 	Version uint64 `msg:"v"`
--- a/internal/passthrough/membership/messages_gen.go
+++ b/internal/passthrough/membership/messages_gen.go
@@ -149,9 +149,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "v"
-	o = append(o, 0x85, 0xa1, 0x76)
+	o = append(o, 0x86, 0xa1, 0x76)
 	o = msgp.AppendUint64(o, z.Version)
 	// string "w"
 	o = append(o, 0xa1, 0x77)
@@ -165,6 +165,9 @@
 	// string "x"
 	o = append(o, 0xa1, 0x78)
 	o = msgp.AppendUint64(o, z.EvacuationRevision)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendUint64(o, z.Received)
 	return
 }
 
@@ -216,6 +219,12 @@
 				err = msgp.WrapError(err, "EvacuationRevision")
 				return
 			}
+		case "u":
+			z.Received, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Received")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -230,16 +239,16 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Heartbeat) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Hello) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "n"
-	o = append(o, 0x82, 0xa1, 0x6e)
+	o = append(o, 0x83, 0xa1, 0x6e)
 	o, err = z.Node.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Node")
@@ -252,6 +261,9 @@
 		err = msgp.WrapError(err, "Heartbeat")
 		return
 	}
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendBool(o, z.Acknowledges)
 	return
 }
 
@@ -285,6 +297,12 @@
 				err = msgp.WrapError(err, "Heartbeat")
 				return
 			}
+		case "k":
+			z.Acknowledges, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Acknowledges")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -299,7 +317,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Hello) Msgsize() (s int) {
-	s = 1 + 2 + z.Node.Msgsize() + 2 + z.Heartbeat.Msgsize()
+	s = 1 + 2 + z.Node.Msgsize() + 2 + z.Heartbeat.Msgsize() + 2 + msgp.BoolSize
 	return
 }
 
@@ -675,52 +693,70 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Update) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
-	// string "v"
-	o = append(o, 0x87, 0xa1, 0x76)
-	o = msgp.AppendUint64(o, z.Version)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendBool(o, z.Confirmed)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendBytes(o, z.Table)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	if z.List == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		o, err = z.List.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "List")
-			return
+	// check for omitted fields
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
+	_ = zb0001Mask
+	if z.Number == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "u"
+			o = append(o, 0xa1, 0x75)
+			o = msgp.AppendUint64(o, z.Number)
 		}
-	}
-	// string "x"
-	o = append(o, 0xa1, 0x78)
-	if z.Evacuated == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		// map header, size 2
-		// string "r"
-		o = append(o, 0x82, 0xa1, 0x72)
-		o = msgp.AppendUint64(o, z.Evacuated.Revision)
-		// string "z"
-		o = append(o, 0xa1, 0x7a)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Evacuated.Zones)))
-		for za0001 := range z.Evacuated.Zones {
-			o = msgp.AppendString(o, z.Evacuated.Zones[za0001])
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendUint64(o, z.Version)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendBool(o, z.Confirmed)
+		// string "l"
+		o = append(o, 0xa1, 0x6c)
+		o = msgp.AppendBytes(o, z.Table)
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		if z.List == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			o, err = z.List.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "List")
+				return
+			}
 		}
+		// string "x"
+		o = append(o, 0xa1, 0x78)
+		if z.Evacuated == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			// map header, size 2
+			// string "r"
+			o = append(o, 0x82, 0xa1, 0x72)
+			o = msgp.AppendUint64(o, z.Evacuated.Revision)
+			// string "z"
+			o = append(o, 0xa1, 0x7a)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Evacuated.Zones)))
+			for za0001 := range z.Evacuated.Zones {
+				o = msgp.AppendString(o, z.Evacuated.Zones[za0001])
+			}
+		}
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Controls)))
+		for za0002 := range z.Controls {
+			o = msgp.AppendString(o, z.Controls[za0002])
+		}
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendInt64(o, z.ContactAgeMS)
 	}
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Controls)))
-	for za0002 := range z.Controls {
-		o = msgp.AppendString(o, z.Controls[za0002])
-	}
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendInt64(o, z.ContactAgeMS)
 	return
 }
 
@@ -742,6 +778,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "u":
+			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Number")
+				return
+			}
 		case "v":
 			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -875,7 +917,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Update) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Table) + 2
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Table) + 2
 	if z.List == nil {
 		s += msgp.NilSize
 	} else {
--- a/internal/passthrough/membership/server.go
+++ b/internal/passthrough/membership/server.go
@@ -155,7 +155,7 @@
 	if err := s.recall(conn, hello.Node); err != nil {
 		return
 	}
-	p := &updateSender{server: s, conn: conn, nodeRole: hello.Node.Role, heartbeats: make(chan Heartbeat, 1), heartbeat: hello.Heartbeat}
+	p := newUpdateSender(s, conn, hello)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go p.run(ctx, raw)
--- a/internal/passthrough/membership/update_sender.go
+++ b/internal/passthrough/membership/update_sender.go
@@ -15,9 +15,15 @@
 	conn       *framing.Conn
 	nodeRole   Role
 	heartbeats chan Heartbeat
-	// heartbeat is the node's last heartbeat, updated with what was sent since.
-	heartbeat Heartbeat
-	confirmed bool
+	held       heldState
+	confirmed  bool
+}
+
+func newUpdateSender(s *Server, conn *framing.Conn, h Hello) *updateSender {
+	return &updateSender{
+		server: s, conn: conn, nodeRole: h.Node.Role, heartbeats: make(chan Heartbeat, 1),
+		held: heldState{Heartbeat: h.Heartbeat, acknowledges: h.Acknowledges},
+	}
 }
 
 func (p *updateSender) run(ctx context.Context, raw net.Conn) {
@@ -47,7 +53,7 @@
 		select {
 		case <-time.After(pushInterval):
 		case b := <-p.heartbeats:
-			p.heartbeat = b
+			p.held.merge(b)
 			continue
 		case <-confirmed:
 			p.confirmed = true
@@ -58,7 +64,7 @@
 		}
 		select {
 		case b := <-p.heartbeats:
-			p.heartbeat = b
+			p.held.merge(b)
 		case <-confirmed:
 			p.confirmed = true
 			confirmed = nil
@@ -77,32 +83,22 @@
 		ContactAgeMS: p.server.cfg.Source.ContactAge().Milliseconds(),
 	}
 	if p.nodeRole == Balancer {
-		u.List = p.server.listUpdate(p.heartbeat)
+		u.List = p.server.listUpdate(p.held.Heartbeat)
 	}
 	if state := p.server.cfg.Store.Current(); state != nil && p.confirmed {
 		u.Version = uint64(state.Definition.Version)
-		if p.heartbeat.WantTables && u.Version > p.heartbeat.Version {
-			update, err := state.Since(route.Version(p.heartbeat.Version))
+		if p.held.WantTables && u.Version > p.held.Version {
+			update, err := state.Since(route.Version(p.held.Version))
 			if err != nil {
 				return err
 			}
 			u.Table = update
 		}
 	}
-	if e := p.server.cfg.Store.Evacuations(); p.confirmed && e.Revision > p.heartbeat.EvacuationRevision {
+	if e := p.server.cfg.Store.Evacuations(); p.confirmed && e.Revision > p.held.EvacuationRevision {
 		u.Evacuated = &EvacuatedZones{Revision: e.Revision, Zones: e.Evacuated()}
 	}
-	if _, err := p.conn.Write(kindUpdate, &u); err != nil {
-		return err
-	}
-	if u.List != nil {
-		p.heartbeat.Epoch, p.heartbeat.Number = u.List.Epoch, u.List.Number
-	}
-	if u.Table != nil {
-		p.heartbeat.Version = u.Version
-	}
-	if u.Evacuated != nil {
-		p.heartbeat.EvacuationRevision = u.Evacuated.Revision
-	}
-	return nil
+	p.held.add(&u)
+	_, err := p.conn.Write(kindUpdate, &u)
+	return err
 }
