membership: ask no other control VM for a table while it arrives

Callers saw: a node that starts behind a thin link received the whole table from one control VM after the other, over the link that its callers use, and had its table later for it. Cause: a table that isn't there 300 ms after it was requested was requested from another VM, and again from the next. A table of 366 kB takes 1.8 s at 1.6 Mbit/s; the constant's comment said that no table takes so long. Evidence: in the new test five VMs send over links of 20 kB/s, and a table of 18,033 bytes takes 0.9 s. Change: framing tells whether a frame is arriving and how long ago its last bytes came. While an update of the source is arriving, without a pause of 300 ms, no other VM is asked. A transfer that stops is replaced as before, which a test holds, and so is a VM that has lost its quorum as soon as its update says so.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -46,13 +47,16 @@
 	return nil
 }
 
-// Conn sends and receives frames. Write is safe for concurrent use; only one goroutine
-// may call Read.
+// Conn sends and receives frames. Write and Receiving are safe for concurrent use; only
+// one goroutine may call Read.
 type Conn struct {
-	raw   net.Conn
-	in    *bufio.Reader
-	limit int
-	body  []byte
+	raw      net.Conn
+	arrivals arrivals
+	in       *bufio.Reader
+	limit    int
+	body     []byte
+	// inFrame is set from when a frame's header has been read to the next call of Read.
+	inFrame atomic.Bool
 
 	mu  sync.Mutex
 	out []byte
@@ -67,7 +71,37 @@
 	if limit <= 0 {
 		limit = DefaultLimit
 	}
-	return &Conn{raw: raw, in: bufio.NewReaderSize(raw, bufferSize), limit: limit, writeTimeout: writeTimeout}
+	c := &Conn{raw: raw, arrivals: arrivals{from: raw, createdAt: time.Now()}, limit: limit, writeTimeout: writeTimeout}
+	c.in = bufio.NewReaderSize(&c.arrivals, bufferSize)
+	return c
+}
+
+// arrivals is a reader that keeps the time of the last bytes read.
+type arrivals struct {
+	from      io.Reader
+	createdAt time.Time
+	// last is the time from createdAt to the last bytes, in nanoseconds. Clock steps don't
+	// change it.
+	last atomic.Int64
+}
+
+func (a *arrivals) Read(p []byte) (int, error) {
+	n, err := a.from.Read(p)
+	if n > 0 {
+		a.last.Store(int64(time.Since(a.createdAt)))
+	}
+	return n, err
+}
+
+// quiet returns the time since the last bytes.
+func (a *arrivals) quiet() time.Duration {
+	return time.Since(a.createdAt) - time.Duration(a.last.Load())
+}
+
+// Receiving reports whether a frame is arriving, with less than maxPause since its last
+// bytes. A complete frame counts until the next call of Read, while it is being handled.
+func (c *Conn) Receiving(maxPause time.Duration) bool {
+	return c.inFrame.Load() && c.arrivals.quiet() < maxPause
 }
 
 // Raw returns the underlying connection.
@@ -107,10 +141,12 @@
 // Read waits for the next frame, at most until the read deadline set on Raw. It returns
 // ErrTooLarge for a body over the limit.
 func (c *Conn) Read() (Frame, error) {
+	c.inFrame.Store(false)
 	var head [headerSize]byte
 	if _, err := io.ReadFull(c.in, head[:]); err != nil {
 		return Frame{}, errors.Wrap(err, "framing: read header")
 	}
+	c.inFrame.Store(true)
 	size := int(binary.BigEndian.Uint32(head[:4]))
 	if size > c.limit {
 		return Frame{}, errors.Wrapf(ErrTooLarge, "kind %d: %d bytes", head[4], size)
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
@@ -48,3 +49,34 @@
 	_, err := NewConn(b, 64, 0).Read()
 	is.True(errors.Is(err, ErrTooLarge))
 }
+
+// Guards against a connection that counts as busy after its peer has stopped in the middle
+// of a frame, or as idle while a frame arrives or is handled.
+func TestReceiving(t *testing.T) {
+	is := is.New(t)
+	a, b := net.Pipe()
+	defer a.Close()
+	defer b.Close()
+	conn := NewConn(b, 64, 0)
+	is.True(!conn.Receiving(time.Hour))
+	read := make(chan error, 1)
+	go func() {
+		_, err := conn.Read()
+		read <- err
+	}()
+	_, err := a.Write([]byte{0, 0, 0, 2, 1, 'a'})
+	is.NoErr(err)
+	for !conn.Receiving(time.Hour) {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(2 * time.Millisecond)
+	is.True(!conn.Receiving(time.Millisecond))
+	_, err = a.Write([]byte{'b'})
+	is.NoErr(err)
+	is.NoErr(<-read)
+	is.True(conn.Receiving(time.Hour)) // the frame is being handled
+	go func() { _, _ = conn.Read() }()
+	for conn.Receiving(time.Hour) {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/passthrough/membership/client.go
+++ b/internal/passthrough/membership/client.go
@@ -24,8 +24,7 @@
 	// second.
 	redialDelay = 100 * time.Millisecond
 	// tableTimeout is how long a version that another VM has announced may be missing
-	// before the table is requested from that VM. It is longer than a table takes over a
-	// slow link.
+	// before the table is requested from that VM, unless it is arriving.
 	tableTimeout = 300 * time.Millisecond
 	// maxContactAge is the quorum contact age from which on no tables are requested from
 	// a VM.
--- a/internal/passthrough/membership/client_update.go
+++ b/internal/passthrough/membership/client_update.go
@@ -19,7 +19,7 @@
 // nextHeartbeat returns the node's state for a control VM, and whether the VM is to send
 // tables. The lock is held.
 func (c *Client) nextHeartbeat(s *clientStream) Heartbeat {
-	c.chooseTableSource(time.Now())
+	c.chooseTableSource(time.Now(), nil)
 	if c.tableSource == "" {
 		// The first VM that is reached is asked for the first table; another replaces it
 		// if it has contact with a quorum sooner.
@@ -35,10 +35,14 @@
 // chooseTableSource keeps requesting tables from one VM while the VM has contact with a
 // quorum, so that each table is transferred once: a full table over every stream
 // saturates a balancer's link when it starts. The node switches if another VM has had a
-// newer version for longer than a table takes. A seeded hash spreads the nodes over the
-// VMs. The lock is held.
-func (c *Client) chooseTableSource(now time.Time) {
+// newer version for longer than tableTimeout, but not while an update of the source is
+// arriving, which may hold the table. handled is the stream whose update has just been
+// applied, nil for none. A seeded hash spreads the nodes over the VMs. The lock is held.
+func (c *Client) chooseTableSource(now time.Time, handled *clientStream) {
 	source := c.streams[c.tableSource]
+	if source != nil && source != handled && source.receiving() {
+		return
+	}
 	late := c.behind(now) && now.Sub(c.tableSourceAt) > tableTimeout
 	if source != nil && source.current() && !late {
 		return
@@ -80,6 +84,11 @@
 	return time.Since(s.heardAt) < streamTimeout && s.contactAge < maxContactAge
 }
 
+// receiving reports whether an update is arriving, without a pause of tableTimeout.
+func (s *clientStream) receiving() bool {
+	return s.conn != nil && s.conn.Receiving(tableTimeout)
+}
+
 // applyUpdate applies an update.
 func (c *Client) applyUpdate(s *clientStream, u Update) {
 	c.mu.Lock()
@@ -107,7 +116,7 @@
 		c.applyTable(s, u)
 	}
 	previous := c.tableSource
-	if c.chooseTableSource(s.heardAt); c.tableSource != previous {
+	if c.chooseTableSource(s.heardAt, s); c.tableSource != previous {
 		c.streams[c.tableSource].heartbeatNow()
 	}
 }
--- a/internal/passthrough/membership/stream_test.go
+++ b/internal/passthrough/membership/stream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -40,3 +41,27 @@
 	c.applyUpdate(other, Update{Version: 1, Confirmed: true})
 	is.Equal(source(), "b") // the stream of the source has ended
 }
+
+// Guards against a node that waits for a table whose transfer has stopped.
+func TestStalledTableIsRequestedFromAnotherVM(t *testing.T) {
+	is := is.New(t)
+	c := NewClient(ClientConfig{Node: Node{Role: Balancer}, Log: discardLog()})
+	stalled, other := newClientStream("a"), newClientStream("b")
+	local, remote := net.Pipe()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = c.serveStream(ctx, stalled, local) }()
+	_, err := readHello(framing.NewConn(remote, maxFrameBytes, writeTimeout))
+	is.NoErr(err)
+	go func() { _, _ = remote.Write([]byte{0, 0, 1, 0, byte(kindUpdate), 0}) }() // the start of a frame
+	receiving := func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return stalled.receiving()
+	}
+	await(t, "the start of the table", receiving)
+	c.applyUpdate(other, Update{Version: 1, Confirmed: true})
+	time.Sleep(2 * tableTimeout)
+	c.applyUpdate(other, Update{Version: 1, Confirmed: true})
+	is.True(c.heartbeat(other).WantTables)
+}
--- a/internal/passthrough/membership/transfer_test.go
+++ b/internal/passthrough/membership/transfer_test.go
@@ -125,3 +125,21 @@
 		})
 	}
 }
+
+// Guards against a table from every control VM, one after the other, because the first
+// takes long over a slow link.
+func TestSlowTableIsRequestedFromOneVM(t *testing.T) {
+	all := startVMs(t, 5)
+	l := &link{bytesPerSecond: 20_000}
+	seeds := l.attach(t, all)
+	var whole int64
+	for _, v := range all {
+		whole = v.putRoutes(t, 1, 1000)
+	}
+	n := startNode(t, Balancer, "10.0.0.1:1", seeds...)
+	await(t, "the table", func() bool { return n.client.Version() == 1 })
+	time.Sleep(3 * HeartbeatInterval)
+	if got := l.sent.Load(); got > whole*3/2 {
+		t.Errorf("%d bytes sent; a whole table takes %d", got, whole)
+	}
+}
