membership: a stream doesn't time out while data arrives

Callers saw: a balancer or agent whose link needs more than two seconds for a table never got one. Its streams ended after two seconds, and each new stream carried the table from the start. Cause: the read deadline of two seconds held for a whole message, not for the time without data. Change: the deadline is set anew with each read, on both ends of a stream. A peer that sends nothing is still dropped after two seconds, as TestSilentPeerTimesOut holds. Not changed: a write still has one second for what doesn't fit into the socket's buffer.

--- a/internal/passthrough/membership/client_stream.go
+++ b/internal/passthrough/membership/client_stream.go
@@ -59,7 +59,7 @@
 // closes the connection.
 func (c *Client) serveStream(ctx context.Context, s *clientStream, raw net.Conn) error {
 	defer raw.Close()
-	conn := framing.NewConn(raw, maxFrameBytes, writeTimeout)
+	conn := framing.NewConn(idleTimeoutConn{raw}, maxFrameBytes, writeTimeout)
 	stop := context.AfterFunc(ctx, func() { c.closeStream(ctx, raw, conn) })
 	defer stop()
 	hello := c.openStream(s)
@@ -137,7 +137,7 @@
 // nextUpdate waits for an update. Flow records that arrive first go to OnFlowRecords.
 func (c *Client) nextUpdate(conn *framing.Conn) (Update, error) {
 	for {
-		f, err := read(conn)
+		f, err := conn.Read()
 		if err != nil {
 			return Update{}, err
 		}
--- a/internal/passthrough/membership/server.go
+++ b/internal/passthrough/membership/server.go
@@ -30,7 +30,7 @@
 	// HeartbeatInterval is the time between a node's heartbeats. A silent node is
 	// detected after streamTimeout.
 	HeartbeatInterval = 400 * time.Millisecond
-	// streamTimeout is the time without a message after which a stream is closed. A
+	// streamTimeout is the time without received data after which a stream is closed. A
 	// connection that is lost without a reset would otherwise stay open for the kernel's
 	// retransmission timeout, a quarter of an hour.
 	streamTimeout = 2 * time.Second
@@ -141,7 +141,7 @@
 	defer raw.Close()
 	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
 	defer stop()
-	conn := framing.NewConn(raw, maxFrameBytes, writeTimeout)
+	conn := framing.NewConn(idleTimeoutConn{raw}, maxFrameBytes, writeTimeout)
 	hello, err := readHello(conn)
 	if err != nil {
 		s.cfg.Log.WithError(err).WithField("address", raw.RemoteAddr().String()).Debug("membership: stream closed: no valid hello")
@@ -190,7 +190,7 @@
 // processed.
 func (s *Server) nextHeartbeat(conn *framing.Conn, n Node) (Heartbeat, error) {
 	for {
-		f, err := read(conn)
+		f, err := conn.Read()
 		if err != nil {
 			return Heartbeat{}, err
 		}
@@ -219,7 +219,7 @@
 
 func readHello(conn *framing.Conn) (Hello, error) {
 	var h Hello
-	f, err := read(conn)
+	f, err := conn.Read()
 	if err != nil {
 		return h, err
 	}
@@ -229,14 +229,6 @@
 	return h, f.Decode(&h)
 }
 
-// read waits for one frame; it fails if nothing arrives within streamTimeout.
-func read(conn *framing.Conn) (framing.Frame, error) {
-	if err := conn.Raw().SetReadDeadline(time.Now().Add(streamTimeout)); err != nil {
-		return framing.Frame{}, errors.Wrap(err, "membership: read deadline")
-	}
-	return conn.Read()
-}
-
 // streamStarted registers a stream and lists its node. It returns false if the limit on
 // streams is reached.
 func (s *Server) streamStarted(n Node) bool {
