membership: give the VM that was asked for the first table time to answer

Callers saw: a node that starts received the whole table from two control VMs if the one that was asked first took more than 300 ms to answer. Cause: the time for the first table ran from the request. Once it was over, the first update of any other VM moved the request to that VM, although both answers are equally late behind a slow path. Change: a VM that hasn't answered on its open stream keeps the request until another VM has announced a version for 300 ms. A VM that has answered and has no quorum is replaced as before, so the return after a loss of power doesn't wait for it.

--- a/internal/passthrough/membership/client.go
+++ b/internal/passthrough/membership/client.go
@@ -93,8 +93,9 @@
 	view view
 	// received is the highest Update.Number received on the stream.
 	received uint64
-	// open means that the stream's first message has been sent or is being sent.
-	open bool
+	// open means that the stream's first message has been sent or is being sent; answered
+	// means that an update has arrived since.
+	open, answered bool
 	// conn is the open connection once the first message has been sent; flowsReported
 	// means that all flows were reported over it.
 	conn          *framing.Conn
--- a/internal/passthrough/membership/client_stream.go
+++ b/internal/passthrough/membership/client_stream.go
@@ -115,6 +115,7 @@
 	defer c.mu.Unlock()
 	c.streams[s.ip] = s
 	s.open = true
+	s.answered = false
 	s.received = 0
 	return Hello{Node: c.cfg.Node, Heartbeat: c.nextHeartbeat(s), Acknowledges: true}
 }
--- a/internal/passthrough/membership/client_update.go
+++ b/internal/passthrough/membership/client_update.go
@@ -47,8 +47,11 @@
 	if source != nil && source.current() && !late {
 		return
 	}
-	if source != nil && source.open && c.version == 0 && now.Sub(c.tableSourceAt) < tableTimeout {
-		return // the first table may be in transit
+	if source != nil && source.open && c.version == 0 {
+		// The first table may be in transit.
+		if source.answered && now.Sub(c.tableSourceAt) < tableTimeout || !source.answered && !late {
+			return
+		}
 	}
 	best := uint64(0)
 	chosen := ""
@@ -95,6 +98,7 @@
 	defer c.mu.Unlock()
 	c.streams[s.ip] = s
 	s.heardAt = time.Now()
+	s.answered = true
 	s.received = max(s.received, u.Number)
 	s.contactAge = time.Duration(u.ContactAgeMS) * time.Millisecond
 	if len(u.Controls) > 0 {
--- a/internal/passthrough/membership/stream_test.go
+++ b/internal/passthrough/membership/stream_test.go
@@ -65,3 +65,19 @@
 	c.applyUpdate(other, Update{Version: 1, Confirmed: true})
 	is.True(c.heartbeat(other).WantTables)
 }
+
+// Guards against a second table because the VM that was asked for the first one answers
+// late: it has tableTimeout from when another VM announces a version, and no more.
+func TestSourceThatAnswersLateIsKept(t *testing.T) {
+	is := is.New(t)
+	c := NewClient(ClientConfig{Node: Node{Role: Balancer}, Log: discardLog()})
+	late, other := newClientStream("a"), newClientStream("b")
+	is.True(c.openStream(late).Heartbeat.WantTables)
+	time.Sleep(2 * tableTimeout)
+	c.openStream(other)
+	c.applyUpdate(other, Update{Version: 1, Confirmed: true})
+	is.True(!c.heartbeat(other).WantTables)
+	time.Sleep(2 * tableTimeout)
+	c.applyUpdate(other, Update{Version: 1, Confirmed: true})
+	is.True(c.heartbeat(other).WantTables)
+}
--- a/internal/passthrough/membership/transfer_test.go
+++ b/internal/passthrough/membership/transfer_test.go
@@ -134,6 +134,8 @@
 	}{
 		// Other VMs are asked while the first one's table arrives.
 		"longer than tableTimeout": {5, &link{bytesPerSecond: 20_000}},
+		// Other VMs announce the version before the table of the first one arrives.
+		"late answer": {5, &link{latency: longDelivery}},
 		// The stream ends while the table arrives, and the next one begins anew.
 		"longer than streamTimeout": {1, &link{bytesPerSecond: 7_000}},
 	} {
