membership: the decision on the source of tables in a function of its own

Cause: chooseTableSource nested the conditions under which the source is kept and the choice of another.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -71,14 +71,14 @@
 	if limit <= 0 {
 		limit = DefaultLimit
 	}
-	c := &Conn{raw: raw, arrivals: arrivals{from: raw, createdAt: time.Now()}, limit: limit, writeTimeout: writeTimeout}
+	c := &Conn{raw: raw, arrivals: arrivals{source: raw, createdAt: time.Now()}, limit: limit, writeTimeout: writeTimeout}
 	c.in = bufio.NewReaderSize(&c.arrivals, bufferSize)
 	return c
 }
 
-// arrivals is a reader that keeps the time of the last bytes read.
+// arrivals is a reader that records when the last bytes were read.
 type arrivals struct {
-	from      io.Reader
+	source    io.Reader
 	createdAt time.Time
 	// last is the time from createdAt to the last bytes, in nanoseconds. Clock steps don't
 	// change it.
@@ -86,22 +86,22 @@
 }
 
 func (a *arrivals) Read(p []byte) (int, error) {
-	n, err := a.from.Read(p)
+	n, err := a.source.Read(p)
 	if n > 0 {
 		a.last.Store(int64(time.Since(a.createdAt)))
 	}
 	return n, err
 }
 
-// quiet returns the time since the last bytes.
-func (a *arrivals) quiet() time.Duration {
+// sinceLast returns the time since the last bytes.
+func (a *arrivals) sinceLast() time.Duration {
 	return time.Since(a.createdAt) - time.Duration(a.last.Load())
 }
 
-// Receiving reports whether a frame is arriving, with less than maxPause since its last
-// bytes. A complete frame counts until the next call of Read, while it is being handled.
+// Receiving reports whether a frame is arriving whose last bytes came less than maxPause
+// ago. A complete frame counts until the next call of Read, while it is being handled.
 func (c *Conn) Receiving(maxPause time.Duration) bool {
-	return c.inFrame.Load() && c.arrivals.quiet() < maxPause
+	return c.inFrame.Load() && c.arrivals.sinceLast() < maxPause
 }
 
 // Raw returns the underlying connection.
--- a/internal/passthrough/membership/client.go
+++ b/internal/passthrough/membership/client.go
@@ -93,11 +93,11 @@
 	view view
 	// received is the highest Update.Number received on the stream.
 	received uint64
-	// open means that the stream's first message has been sent or is being sent; answered
-	// means that an update has arrived since.
+	// open means that the hello has been sent or is being sent; answered means that an
+	// update has arrived since.
 	open, answered bool
-	// conn is the open connection once the first message has been sent; flowsReported
-	// means that all flows were reported over it.
+	// conn is the open connection once the hello has been sent; flowsReported means that
+	// all flows were reported over it.
 	conn          *framing.Conn
 	flowsReported bool
 	// wake triggers an immediate heartbeat.
--- a/internal/passthrough/membership/client_stream.go
+++ b/internal/passthrough/membership/client_stream.go
@@ -108,8 +108,8 @@
 	return err
 }
 
-// openStream registers a stream and returns its first message. Both happen under one lock,
-// so that no other VM is asked for the table that the message requests.
+// openStream registers a stream and returns its hello. Both happen under one lock, so that
+// no other VM is asked for the table that the hello requests.
 func (c *Client) openStream(s *clientStream) Hello {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -120,7 +120,7 @@
 	return Hello{Node: c.cfg.Node, Heartbeat: c.nextHeartbeat(s), Acknowledges: true}
 }
 
-// setConn makes the connection available to other messages, which must follow the first.
+// setConn makes the connection available to other messages, which must follow the hello.
 func (c *Client) setConn(s *clientStream, conn *framing.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -128,6 +128,7 @@
 	s.flowsReported = false
 }
 
+// endStream marks a stream as closed.
 func (c *Client) endStream(s *clientStream) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/passthrough/membership/client_update.go
+++ b/internal/passthrough/membership/client_update.go
@@ -10,6 +10,7 @@
 	"bergamotstall/internal/passthrough/route"
 )
 
+// heartbeat is nextHeartbeat for callers that don't hold the lock.
 func (c *Client) heartbeat(s *clientStream) Heartbeat {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -35,24 +36,15 @@
 // chooseTableSource keeps requesting tables from one VM while the VM has contact with a
 // quorum, so that each table is transferred once: a full table over every stream
 // saturates a balancer's link when it starts. The node switches if another VM has had a
-// newer version for longer than tableTimeout, but not while an update of the source is
-// arriving, which may hold the table. handled is the stream whose update has just been
-// applied, nil for none. A seeded hash spreads the nodes over the VMs. The lock is held.
+// newer version for longer than tableTimeout and no update of the source is arriving. A
+// seeded hash spreads the nodes over the VMs. handled is the stream whose update has just
+// been applied, nil for none. The lock is held.
 func (c *Client) chooseTableSource(now time.Time, handled *clientStream) {
 	source := c.streams[c.tableSource]
-	if source != nil && source != handled && source.receiving() {
-		return
-	}
 	late := c.behind(now) && now.Sub(c.tableSourceAt) > tableTimeout
-	if source != nil && source.current() && !late {
+	if source != nil && c.keepsTableSource(source, handled, now, late) {
 		return
 	}
-	if source != nil && source.open && c.version == 0 {
-		// The first table may be in transit.
-		if source.answered && now.Sub(c.tableSourceAt) < tableTimeout || !source.answered && !late {
-			return
-		}
-	}
 	best := uint64(0)
 	chosen := ""
 	for ip, s := range c.streams {
@@ -70,6 +62,23 @@
 	}
 }
 
+// keepsTableSource reports whether tables are still requested from the source. late means
+// that another VM has had a newer version for longer than tableTimeout. The lock is held.
+func (c *Client) keepsTableSource(source, handled *clientStream, now time.Time, late bool) bool {
+	switch {
+	case source != handled && source.receiving():
+		return true // the table may be in the update that is arriving
+	case source.current():
+		return !late
+	case !source.open || c.version != 0:
+		return false
+	case !source.answered:
+		return !late
+	default: // without a quorum yet
+		return now.Sub(c.tableSourceAt) < tableTimeout
+	}
+}
+
 // behind reports whether any VM has had a newer version for more than tableTimeout; the
 // lock is held.
 func (c *Client) behind(now time.Time) bool {
@@ -87,7 +96,7 @@
 	return time.Since(s.heardAt) < streamTimeout && s.contactAge < maxContactAge
 }
 
-// receiving reports whether an update is arriving, without a pause of tableTimeout.
+// receiving reports whether an update is arriving and hasn't paused for tableTimeout.
 func (s *clientStream) receiving() bool {
 	return s.conn != nil && s.conn.Receiving(tableTimeout)
 }
--- a/internal/passthrough/membership/update_sender.go
+++ b/internal/passthrough/membership/update_sender.go
@@ -16,7 +16,8 @@
 	nodeRole   Role
 	heartbeats chan Heartbeat
 	held       heldState
-	confirmed  bool
+	// confirmed means that the VM has had contact with a quorum since the stream began.
+	confirmed bool
 }
 
 func newUpdateSender(s *Server, conn *framing.Conn, h Hello) *updateSender {
@@ -26,6 +27,7 @@
 	}
 }
 
+// run sends updates until a write fails or ctx is done, and closes the connection.
 func (p *updateSender) run(ctx context.Context, raw net.Conn) {
 	defer raw.Close()
 	confirmed := make(chan struct{})
