membership: another name for the client's heartbeat under the lock

Cause: Client.nextHeartbeat returns the node's state, Server.nextHeartbeat waits for a message; and tableTimeout also bounds the pause in a transfer. Change: heartbeatLocked, and the comment. No behavior changes.

--- a/internal/passthrough/membership/client.go
+++ b/internal/passthrough/membership/client.go
@@ -24,7 +24,8 @@
 	// second.
 	redialDelay = 100 * time.Millisecond
 	// tableTimeout is how long a version that another VM has announced may be missing
-	// before the table is requested from that VM, unless it is arriving.
+	// before the table is requested from that VM, and how long a transfer of the table that
+	// has begun may pause.
 	tableTimeout = 300 * time.Millisecond
 	// maxContactAge is the quorum contact age from which on no tables are requested from
 	// a VM.
--- a/internal/passthrough/membership/client_stream.go
+++ b/internal/passthrough/membership/client_stream.go
@@ -117,7 +117,7 @@
 	s.open = true
 	s.answered = false
 	s.received = 0
-	return Hello{Node: c.cfg.Node, Heartbeat: c.nextHeartbeat(s), Acknowledges: true}
+	return Hello{Node: c.cfg.Node, Heartbeat: c.heartbeatLocked(s), Acknowledges: true}
 }
 
 // setConn makes the connection available to other messages, which must follow the hello.
--- a/internal/passthrough/membership/client_update.go
+++ b/internal/passthrough/membership/client_update.go
@@ -10,16 +10,16 @@
 	"bergamotstall/internal/passthrough/route"
 )
 
-// heartbeat is nextHeartbeat for callers that don't hold the lock.
+// heartbeat is heartbeatLocked for callers that don't hold the lock.
 func (c *Client) heartbeat(s *clientStream) Heartbeat {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.nextHeartbeat(s)
+	return c.heartbeatLocked(s)
 }
 
-// nextHeartbeat returns the node's state for a control VM, and whether the VM is to send
+// heartbeatLocked returns the node's state for a control VM, and whether the VM is to send
 // tables. The lock is held.
-func (c *Client) nextHeartbeat(s *clientStream) Heartbeat {
+func (c *Client) heartbeatLocked(s *clientStream) Heartbeat {
 	c.chooseTableSource(time.Now(), nil)
 	if c.tableSource == "" {
 		// The first VM that is reached is asked for the first table; another replaces it
