flowtable: don't infer from start times that a target has no earlier flows

Callers saw: flows that had just opened were reset at their next packet, often 5 to 10 s later, though their target served on. Cause: an agent that starts next to a running target must know whether an earlier process of the agent has forwarded flows to it. It was sure that there were none if the start that the target states was at most 400 ms before the agent's own, or if it heard the target's first announcement, or if it had heard of another target before. The first compares two readings of a clock that may have been set back in between. The second fails because targets take flows before they announce themselves; the third because the announcement heard before may be a late one. Control's records leave out flows younger than 0.5 to 1 s, so the agent answered for such flows that its target lacks them, as all others do, and the balancer reset them. The log now says with target-arrived whether all flows are known. Change: an agent is sure only by what it has seen: a probe since its start found nobody at the target's address, so that the target is younger than the agent, or the agent has run for as long as a flow lasts. Otherwise it answers that it is unsure, and the balancer shows it the packet, which the target returns if it lacks the flow. So callers of dead flows still learn it from their next packet. TestAgentStartedWithItsTargetKnowsAllFlows demanded the wrong inference: that a target which states a start 200 ms before the agent's can't hold flows. Two tests replace it: the agent is sure at once if it found nobody at the address, and after one returned packet if it didn't. The test rig's agent now finds nobody before its target starts, as the rig's other tests assume.

--- a/internal/passthrough/agent/output.go
+++ b/internal/passthrough/agent/output.go
@@ -95,6 +95,9 @@
 	if d.Reason != 0 {
 		fields["reason"] = d.Reason.String()
 	}
+	if d.Verdict == flowtable.TargetArrived {
+		fields["all_flows_known"] = d.AllFlowsKnown
+	}
 	if d.Flows > 0 {
 		fields["flows"] = d.Flows
 	}
--- a/internal/passthrough/flowtable/ask.go
+++ b/internal/passthrough/flowtable/ask.go
@@ -43,5 +43,5 @@
 	if !e.target.known {
 		return !e.empty(now)
 	}
-	return e.target.predatesAgent && now-e.target.firstHeardAt < learningPeriod
+	return !e.knowsAllFlows(now)
 }
--- a/internal/passthrough/flowtable/cold.go
+++ b/internal/passthrough/flowtable/cold.go
@@ -44,7 +44,7 @@
 	if perSecond <= 0 || now >= e.target.coldUntil {
 		return false
 	}
-	if e.target.predatesAgent && now-e.startedAt < coldWindow {
+	if !e.knowsAllFlows(now) && now-e.startedAt < coldWindow {
 		return true
 	}
 	return e.coldFlows.count(now) >= int(perSecond*max(1, e.cfg.ColdOverage)+e.cfg.ColdSlack)
--- a/internal/passthrough/flowtable/decision.go
+++ b/internal/passthrough/flowtable/decision.go
@@ -84,6 +84,8 @@
 	// Target and Born identify the incarnation.
 	Target string
 	Born   int64
+	// AllFlowsKnown is set for a target that arrived if the agent has seen all its flows.
+	AllFlowsKnown bool
 	// Age is the time since the target last sent anything.
 	Age time.Duration
 	// Flows is the number of flows concerned.
--- a/internal/passthrough/flowtable/flows_test.go
+++ b/internal/passthrough/flowtable/flows_test.go
@@ -149,17 +149,58 @@
 	is.Equal(r.refused[1], refusal{9, peer.NoTarget})
 }
 
-// All VMs lost power. Target and agent start together, and the agent misses the target's
-// first announcements. No earlier agent can have sent the target flows, so the agent must
-// be sure, and callers of dead flows are told at once.
-func TestAgentStartedWithItsTargetKnowsAllFlows(t *testing.T) {
+// All VMs lost power, and the agent misses the first announcements of its target, which
+// started a moment later. The agent found nobody at the target's address, so it must be
+// sure, and callers of dead flows are told at once.
+func TestAgentStartedBeforeItsTargetKnowsAllFlows(t *testing.T) {
 	is := is.New(t)
-	r := newRig(t)
-	r.engine = New(Config{Service: serviceName, Address: address, StartedAt: r.now, StartedWall: startTime, Policy: policy, Codec: codec{}, Out: r})
+	r := restartedAgent(t)
+	r.engine.Probed(r.now, false)
+	r.announce("i-2", -200, 3)
+	is.Equal(r.verdictOn(9, 5), peer.Lacks)
+}
+
+// Guards against callers of dead flows who wait after a power loss, because the agent
+// started after its target: one packet that the target returns must settle the question.
+func TestAgentStartedAfterItsTargetLearnsFromOnePacket(t *testing.T) {
+	is := is.New(t)
+	r := restartedAgent(t)
 	r.announce("i-2", -200, 3)
+	is.Equal(r.verdictOn(9, 5), peer.Unsure)
+	r.fromClient(9, packet.ACK, 11, 5, 10)
+	r.bounce(9, packet.ACK, 1)
+	is.Equal(r.refused, []refusal{{9, peer.NotHeld}})
 	is.Equal(r.verdictOn(9, 5), peer.Lacks)
 }
 
+// Guards against resets of open flows by an agent whose clock was set back before its
+// start, so that its target seems to have started later.
+func TestTargetThatSeemsToHaveStartedLaterMayHoldFlows(t *testing.T) {
+	is := is.New(t)
+	r := restartedAgent(t)
+	r.announce("i-1", 3600, 4)
+	is.Equal(r.verdictOn(9, 5), peer.Unsure)
+}
+
+// Guards against resets of flows that an earlier process of the agent forwarded before
+// the target first announced itself.
+func TestTargetMayHoldFlowsBeforeItsFirstAnnouncement(t *testing.T) {
+	is := is.New(t)
+	r := restartedAgent(t)
+	r.announce("i-1", -100, 1)
+	is.Equal(r.verdictOn(9, 5), peer.Unsure)
+}
+
+// Guards against resets of open flows by a restarted agent that hears a late announcement
+// of a crashed target before the one of the target that replaced it.
+func TestLateAnnouncementDoesNotMakeTheNextTargetNew(t *testing.T) {
+	is := is.New(t)
+	r := restartedAgent(t)
+	r.announce("i-1", -60_000, 50)
+	r.announce("i-2", -5_000, 5)
+	is.Equal(r.verdictOn(9, 5), peer.Unsure)
+}
+
 // After an agent's restart a caller retransmits a request whose answer is on its way.
 // Counted as a request in progress, it would make the target look busy for seconds and
 // delay new callers.
--- a/internal/passthrough/flowtable/flowtable.go
+++ b/internal/passthrough/flowtable/flowtable.go
@@ -40,8 +40,8 @@
 	// openFlowTTL is how long an open flow without packets is remembered. The platform
 	// allows flows older than one minute to be forgotten.
 	openFlowTTL = 75 * time.Second
-	// learningPeriod is how long an agent that started after its target can't be sure
-	// which flows the target holds: the longest lifetime of a flow plus a margin of some
+	// learningPeriod is how long an agent next to an older target can't be sure which
+	// flows the target holds: the longest lifetime of a flow plus a margin of some
 	// seconds.
 	learningPeriod = 75 * time.Second
 	// notHeldTTL is how long the agent remembers that the target returned a packet of a
@@ -146,13 +146,17 @@
 	ended  []packet.Flow
 	// startedAt is when the agent began to listen for announcements.
 	startedAt time.Duration
+	// foundNoTarget is set once a probe has found nobody at the target's address;
+	// learningSince is since when the agent has seen all new flows. See knowsAllFlows.
+	foundNoTarget bool
+	learningSince time.Duration
 }
 
 // New returns an engine without a target.
 func New(cfg Config) *Engine {
 	return &Engine{
 		cfg: cfg, flows: map[packet.Flow]flow{}, unanswered: map[packet.Flow]unansweredFirst{},
-		tags: balancerTags{byAddress: map[netip.AddrPort]uint16{}}, startedAt: cfg.StartedAt, load: load{meanUpdatedAt: cfg.StartedAt},
+		tags: balancerTags{byAddress: map[netip.AddrPort]uint16{}}, startedAt: cfg.StartedAt, learningSince: cfg.StartedAt, load: load{meanUpdatedAt: cfg.StartedAt},
 	}
 }
 
--- a/internal/passthrough/flowtable/rig_test.go
+++ b/internal/passthrough/flowtable/rig_test.go
@@ -77,13 +77,15 @@
 	return packet.Flow{Client: packet.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: port}, Service: service}
 }
 
-// newRig returns an engine whose target has sent its first announcement.
+// newRig returns an engine whose target started after it and has sent its first
+// announcement.
 func newRig(t *testing.T) *rig {
 	r := &rig{t: t, now: time.Hour}
 	r.engine = New(Config{
 		Service: serviceName, Address: address, Process: 1, Heartbeat: time.Second,
 		StartedAt: r.now, StartedWall: startTime, Policy: policy, Codec: codec{}, Out: r,
 	})
+	r.engine.Probed(r.now, false)
 	r.announce("i-1", 0, 1)
 	return r
 }
--- a/internal/passthrough/flowtable/target.go
+++ b/internal/passthrough/flowtable/target.go
@@ -47,12 +47,9 @@
 	slots     uint32
 	draining  bool
 	coldUntil time.Duration
-	// predatesAgent is set if the target was there before the agent, which may not know
-	// all its flows.
-	predatesAgent bool
-	// firstHeardAt is when this incarnation was first heard of, lastSeenAt when it last
-	// sent anything, announcedAt when it last announced itself.
-	firstHeardAt, lastSeenAt, announcedAt time.Duration
+	// lastSeenAt is when this incarnation last sent anything, announcedAt when it last
+	// announced itself.
+	lastSeenAt, announcedAt time.Duration
 	// unansweredSince is when the oldest packet was sent that the target should have
 	// reacted to and hasn't; 0 if there is none.
 	unansweredSince time.Duration
@@ -64,28 +61,6 @@
 	notListening bool
 }
 
-const (
-	// firstAnnouncement is the number of the first announcement of an incarnation. An
-	// agent that receives it has seen all flows, because targets get none before they are
-	// known.
-	firstAnnouncement = 1
-	// commonStartWindow is how much older than the agent's process a target may be if no
-	// earlier process can have sent it flows. When a VM starts, target and agent start
-	// within 250 ms of each other, and an agent takes longer than this window to become
-	// known, send flows, end and start again. If the window is too long and the agent
-	// restarts soon after the target's start, open flows of the target are reset.
-	commonStartWindow = 400 * time.Millisecond
-)
-
-// mayHaveEarlierFlows reports whether the target may have flows from before the agent's
-// start.
-func (e *Engine) mayHaveEarlierFlows(a Announcement) bool {
-	if a.Number <= firstAnnouncement {
-		return false
-	}
-	return a.Born == 0 || e.cfg.StartedWall.Sub(time.UnixMilli(a.Born)) > commonStartWindow
-}
-
 // HandleAnnouncement handles an announcement of a target.
 func (e *Engine) HandleAnnouncement(now time.Duration, a Announcement) AnnouncementResult {
 	if e.cfg.Service != "" && a.Service != e.cfg.Service || e.cfg.Address != "" && a.Address != e.cfg.Address {
@@ -150,13 +125,11 @@
 		e.countLost(now)
 		e.resetFlowsBefore(now, a.Born)
 	}
-	another := e.target.id != "" && (e.target.id != a.ID || e.target.born != a.Born)
-	takenForDead := e.target.id != "" && !another
-	e.target = target{
-		known: true, id: a.ID, service: route.IDOf(a.Service), born: a.Born, firstHeardAt: now,
-		predatesAgent: takenForDead || !another && e.mayHaveEarlierFlows(a),
+	if e.target.id == a.ID && e.target.born == a.Born {
+		e.forgetFlows(now) // it was taken for dead, and its flows with it
 	}
-	e.noteDecision(now, Decision{Verdict: TargetArrived})
+	e.target = target{known: true, id: a.ID, service: route.IDOf(a.Service), born: a.Born}
+	e.noteDecision(now, Decision{Verdict: TargetArrived, AllFlowsKnown: e.knowsAllFlows(now)})
 	e.applyRecall(now)
 	e.cfg.Out.Report()
 }
@@ -229,6 +202,9 @@
 // with it. A probe that timed out says nothing and must not be passed to Probed.
 func (e *Engine) Probed(now time.Duration, listening bool) {
 	e.target.notListening = !listening
+	if !listening {
+		e.foundNoTarget = true
+	}
 	if listening || !e.target.known {
 		return
 	}
