flowtable: accept a restarted target whose stated start is earlier

Callers saw: new flows at a target that drains. Cause: the agent ordered incarnations by the start that they state. After the VM's clock had been set back between two starts, the later one seemed to be outdated, and its announcements were ignored for good. They were answered with 200 all the same, so the target couldn't know that its drain isn't in force. A target that restarts under its ID with an equal start was ignored until its numbers had caught up. Change: the stated start identifies an incarnation and only raises a doubt. An announcement that seems to be outdated is answered with 409 and counts once it is repeated half a heartbeat later or more, with nothing from the present incarnation in between: late announcements of a dead target don't go on, and those of a living one come between them. The agent remembers the incarnations that were replaced, so one whose successor was only a late announcement returns, without a reset of its flows. The log names the sender of a refused announcement. Tests: before the change TestTargetRestartsAfterTheClockWasSetBack, TestTargetRestartsWithTheSameStart and TestTargetReplacedByALateAnnouncementReturns fail. TestLateAnnouncementsDoNotReplaceALivingTarget passes before and after.

--- a/internal/passthrough/agent/output.go
+++ b/internal/passthrough/agent/output.go
@@ -95,8 +95,11 @@
 	if d.Reason != 0 {
 		fields["reason"] = d.Reason.String()
 	}
-	if d.Verdict == flowtable.TargetArrived {
+	switch d.Verdict {
+	case flowtable.TargetArrived:
 		fields["all_flows_known"] = d.AllFlowsKnown
+	case flowtable.StaleAnnouncement:
+		fields["sender"], fields["sender_born"] = d.Sender, d.SenderBorn
 	}
 	if d.Flows > 0 {
 		fields["flows"] = d.Flows
--- a/internal/passthrough/flowtable/decision.go
+++ b/internal/passthrough/flowtable/decision.go
@@ -50,7 +50,8 @@
 	TargetAnswers
 	// TargetDead: the target's process is gone, and its flows are reset.
 	TargetDead
-	// StaleAnnouncement: an earlier incarnation's announcement was ignored.
+	// StaleAnnouncement: an announcement that seems to be older than the last accepted one
+	// was refused.
 	StaleAnnouncement
 	// FlowsReset: the flows of a target that is gone were reset.
 	FlowsReset
@@ -84,6 +85,9 @@
 	// Target and Born identify the incarnation.
 	Target string
 	Born   int64
+	// Sender and SenderBorn identify the incarnation whose announcement was refused.
+	Sender     string
+	SenderBorn int64
 	// AllFlowsKnown is set for a target that arrived if the agent has seen all its flows.
 	AllFlowsKnown bool
 	// Age is the time since the target last sent anything.
--- a/internal/passthrough/flowtable/flowtable.go
+++ b/internal/passthrough/flowtable/flowtable.go
@@ -123,8 +123,12 @@
 
 // Engine is the state of one agent. It isn't safe for concurrent use.
 type Engine struct {
-	cfg          Config
-	target       target
+	cfg    Config
+	target target
+	// replaced are the incarnations that others have replaced, the newest last; doubted is
+	// an announcement that seemed to be outdated.
+	replaced     []incarnation
+	doubted      doubtedAnnouncement
 	flows        map[packet.Flow]flow
 	unanswered   map[packet.Flow]unansweredFirst
 	load         load
--- /dev/null
+++ b/internal/passthrough/flowtable/incarnation_test.go
@@ -0,0 +1,75 @@
+package flowtable
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bergamotstall/internal/passthrough/packet"
+	"bergamotstall/internal/passthrough/peer"
+)
+
+// heartbeat is the interval of announcements that the rig's engine knows.
+const heartbeat = time.Second
+
+// Guards against targets whose announcements are ignored for good, and whose drains aren't
+// obeyed, because the VM's clock was set back before they restarted.
+func TestTargetRestartsAfterTheClockWasSetBack(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	is.Equal(r.announce("i-2", -2000, 1), AnnouncementOutdated)
+	r.now += heartbeat
+	is.Equal(r.announce("i-2", -2000, 2), AnnouncementAccepted)
+	r.now += heartbeat
+	is.Equal(r.announceState("i-2", -2000, 3, true), AnnouncementAccepted)
+	r.syn(10)
+	is.Equal(r.refused, []refusal{{10, peer.Draining}})
+}
+
+// Guards against targets that are ignored because they restarted under the same ID and,
+// by a clock that was set back, with the same start; their numbers begin anew.
+func TestTargetRestartsWithTheSameStart(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.announce("i-1", 0, 50)
+	is.Equal(r.announce("i-1", 0, 1), AnnouncementOutdated)
+	r.now += heartbeat
+	is.Equal(r.announceState("i-1", 0, 2, true), AnnouncementAccepted)
+	is.Equal(r.report().AcceptsFlows, false)
+}
+
+// Guards against late announcements of dead targets that replace the living one: they
+// arrive together, or between the living one's announcements.
+func TestLateAnnouncementsDoNotReplaceALivingTarget(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.open(9, 1000)
+	is.Equal(r.announce("i-0", -3000, 7), AnnouncementOutdated)
+	is.Equal(r.announce("i-0", -3000, 8), AnnouncementOutdated)
+	for n := uint64(2); n < 5; n++ {
+		r.now += heartbeat
+		is.Equal(r.announce("i-1", 0, n), AnnouncementAccepted)
+		is.Equal(r.announce("i-0", -3000, 7+n), AnnouncementOutdated)
+	}
+	is.Equal(len(r.resets), 0)
+	is.Equal(r.verdictOn(9, 1001), peer.Holds)
+}
+
+// Guards against a living target that is ignored, or whose open flows are reset, after a
+// late announcement of a dead one was taken for that of its successor.
+func TestTargetReplacedByALateAnnouncementReturns(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	is.Equal(r.announce("i-0", 3000, 7), AnnouncementAccepted) // its clock was ahead
+	r.now += heartbeat
+	r.open(9, 1000)
+	is.Equal(r.announce("i-1", 0, 2), AnnouncementOutdated)
+	r.now += heartbeat
+	is.Equal(r.announce("i-1", 0, 3), AnnouncementAccepted)
+	is.Equal(len(r.resets), 0)
+	is.Equal(r.verdictOn(9, 1001), peer.Holds)
+	is.Equal(r.verdictOn(10, 5), peer.Unsure)
+	r.fromClient(10, packet.ACK, 11, 5, 10)
+	is.Equal(len(r.refused), 0)
+}
--- a/internal/passthrough/flowtable/target.go
+++ b/internal/passthrough/flowtable/target.go
@@ -28,9 +28,8 @@
 const (
 	// AnnouncementAccepted: the announcement is now the agent's view of the target.
 	AnnouncementAccepted AnnouncementResult = iota + 1
-	// AnnouncementOutdated: a newer announcement of the same incarnation, or one of a newer
-	// incarnation, was accepted before, or this incarnation has announced its end. The
-	// announcement changes nothing.
+	// AnnouncementOutdated: the announcement seems to be older than the last accepted one,
+	// and changes nothing. It must not be acknowledged, since its sender may be alive.
 	AnnouncementOutdated
 	// AnnouncementForOtherTarget: the announcement has another service or address than this
 	// VM's target.
@@ -39,10 +38,9 @@
 
 // target is what the agent knows about its target.
 type target struct {
+	incarnation
 	known     bool
-	id        string
 	service   route.ServiceID
-	born      int64
 	number    uint64
 	slots     uint32
 	draining  bool
@@ -66,18 +64,13 @@
 	if e.cfg.Service != "" && a.Service != e.cfg.Service || e.cfg.Address != "" && a.Address != e.cfg.Address {
 		return AnnouncementForOtherTarget
 	}
-	t := &e.target
-	switch {
-	case t.id == a.ID && t.born == a.Born && (t.known || t.leftAt > 0):
-		if a.Number <= t.number || !t.known {
-			return AnnouncementOutdated
-		}
-	case t.id == a.ID && t.born == a.Born && a.Number <= t.number:
-		return AnnouncementOutdated // sent before the target was taken for dead
-	case t.id != "" && a.Born < t.born:
-		e.noteDecision(now, Decision{Verdict: StaleAnnouncement})
+	if e.seemsOutdated(a) && !e.isRepeated(now, a) {
+		e.noteDecision(now, Decision{Verdict: StaleAnnouncement, Sender: a.ID, SenderBorn: a.Born})
 		return AnnouncementOutdated
-	default:
+	}
+	e.doubted = doubtedAnnouncement{}
+	t := &e.target
+	if !t.known || t.incarnation != a.incarnation() || a.Number <= t.number {
 		e.startIncarnation(now, a)
 	}
 	t.number = a.Number
@@ -118,22 +111,6 @@
 	return x.seenAt
 }
 
-// startIncarnation replaces the target by a new incarnation. The flows of the one before
-// are gone.
-func (e *Engine) startIncarnation(now time.Duration, a Announcement) {
-	if e.target.known {
-		e.countLost(now)
-		e.resetFlowsBefore(now, a.Born)
-	}
-	if e.target.id == a.ID && e.target.born == a.Born {
-		e.forgetFlows(now) // it was taken for dead, and its flows with it
-	}
-	e.target = target{known: true, id: a.ID, service: route.IDOf(a.Service), born: a.Born}
-	e.noteDecision(now, Decision{Verdict: TargetArrived, AllFlowsKnown: e.knowsAllFlows(now)})
-	e.applyRecall(now)
-	e.cfg.Out.Report()
-}
-
 // HandleTargetLeft handles a target's announcement that it ends.
 func (e *Engine) HandleTargetLeft(now time.Duration, id string) {
 	if !e.target.known || e.target.id != id {
