flowtable: tell a target's flows from its predecessor's by announcements

Callers would see: a flow that has just opened at a new target is reset, if the VM's clock was set ahead by more than 2.5 s before the target started; or, with the clock set back, callers of the target that is gone aren't told and wait for their deadline. Cause: the agent placed the start that the new target states on its own clock, and reset the flows that began before it. Change: the agent resets the flows that began before the last announcement of the incarnation that is gone, less 250 ms for one that was handled late. Later flows may be of either incarnation, as before within the tolerance of 2.5 s, and the new target returns the packets of those that it lacks. The agent's engine has no time of day any more. Tests: before the change TestClockStepsDoNotDecideWhoseFlowsAreReset fails both for a clock that was set back and for one that was set ahead.

--- a/internal/passthrough/agent/agent.go
+++ b/internal/passthrough/agent/agent.go
@@ -112,7 +112,7 @@
 	a.engine = flowtable.New(flowtable.Config{
 		Service: cfg.Service, Address: cfg.Target.String(), Zone: cfg.Zone, Region: cfg.Region, Process: process,
 		ColdOverage: cfg.ColdOverage, ColdSlack: cfg.ColdSlack,
-		Heartbeat: cfg.Heartbeat, StartedAt: a.now(), StartedWall: a.started, Policy: flowtable.DefaultPolicy(), Codec: cfg.Codec, Out: a,
+		Heartbeat: cfg.Heartbeat, StartedAt: a.now(), Policy: flowtable.DefaultPolicy(), Codec: cfg.Codec, Out: a,
 	})
 	a.client = membership.NewClient(membership.ClientConfig{
 		Node:  membership.Node{Role: membership.Agent, Address: cfg.Nodes.String(), Zone: cfg.Zone, Service: uint64(route.IDOf(cfg.Service)), Process: process},
--- a/internal/passthrough/flowtable/flowtable.go
+++ b/internal/passthrough/flowtable/flowtable.go
@@ -76,12 +76,9 @@
 	Heartbeat time.Duration
 	// StartedAt is when the agent started, on the clock that is passed to the engine.
 	StartedAt time.Duration
-	// StartedWall is the same moment as wall-clock time, in which targets announce their
-	// start.
-	StartedWall time.Time
-	Policy      Policy
-	Codec       packet.Codec
-	Out         Output
+	Policy    Policy
+	Codec     packet.Codec
+	Out       Output
 }
 
 // stage is the state of a flow.
--- a/internal/passthrough/flowtable/incarnation.go
+++ b/internal/passthrough/flowtable/incarnation.go
@@ -69,8 +69,8 @@
 	}
 	if before.known {
 		e.countLost(now)
-		if !resumed {
-			e.resetFlowsBefore(now, a.Born)
+		if !resumed && a.Born != 0 {
+			e.resetFlowsOf(now, before)
 		}
 	}
 	e.noteReplaced(before.incarnation, a.incarnation())
--- a/internal/passthrough/flowtable/incarnation_test.go
+++ b/internal/passthrough/flowtable/incarnation_test.go
@@ -73,3 +73,23 @@
 	r.fromClient(10, packet.ACK, 11, 5, 10)
 	is.Equal(len(r.refused), 0)
 }
+
+// Guards against resets of a new target's own flows, and against callers of its
+// predecessor's flows who aren't told, because the VM's clock was set ahead or back before
+// the new target started.
+func TestClockStepsDoNotDecideWhoseFlowsAreReset(t *testing.T) {
+	for clock, born := range map[string]int64{"set back": 2000, "set ahead": 60_000} {
+		t.Run(clock, func(t *testing.T) { // the target starts 10 s after the agent
+			is := is.New(t)
+			r := newRig(t)
+			r.open(9, 1000)
+			r.now += 9 * time.Second
+			r.announce("i-1", 0, 2)
+			r.now += heartbeat
+			r.open(10, 5000) // at the new target, before it announces itself
+			is.Equal(r.announce("i-2", born, 1), AnnouncementAccepted)
+			is.Equal(r.resets, []reset{{9, 1001}})
+			is.Equal(r.verdictOn(10, 5001), peer.Holds)
+		})
+	}
+}
--- a/internal/passthrough/flowtable/target.go
+++ b/internal/passthrough/flowtable/target.go
@@ -87,20 +87,15 @@
 	return AnnouncementAccepted
 }
 
-// clockTolerance is how far wall-clock times may be off between a target's start and the
-// agent's; setting a clock moves it by a second or two. A flow that began within the
-// tolerance may belong to either incarnation and isn't reset: if the target lacks it, the
-// target returns its next packet.
-const clockTolerance = 2500 * time.Millisecond
-
-// resetFlowsBefore resets the flows that began before the new incarnation was born. Later
-// ones are the new incarnation's own: it may take flows before it announces itself.
-func (e *Engine) resetFlowsBefore(now time.Duration, born int64) {
-	if born == 0 {
-		return
-	}
-	bornAt := e.startedAt + time.UnixMilli(born).Sub(e.cfg.StartedWall)
-	e.resetFlows(now, func(x flow) bool { return x.beganAt() < bornAt-clockTolerance })
+// announcementDelay is how long before the agent handles it an announcement may have been
+// sent, if the VM is busy.
+const announcementDelay = 250 * time.Millisecond
+
+// resetFlowsOf resets the flows that began while an incarnation that is gone was surely
+// alive. Later ones may be its successor's, which takes flows before it announces itself;
+// if the successor lacks them, it returns their next packets.
+func (e *Engine) resetFlowsOf(now time.Duration, gone target) {
+	e.resetFlows(now, func(x flow) bool { return x.beganAt() < gone.announcedAt-announcementDelay })
 }
 
 // beganAt returns when a flow began, as far as the agent saw it.
--- a/internal/passthrough/simulation/node.go
+++ b/internal/passthrough/simulation/node.go
@@ -138,7 +138,7 @@
 	a.knownBalancers = map[int]bool{}
 	a.engine = flowtable.New(flowtable.Config{
 		Service: a.service, Zone: zoneName(a.zone), Process: uint64(a.process), Heartbeat: announceInterval,
-		StartedAt: w.clock(), StartedWall: w.wallTime(), Policy: w.policies.Flowtable, Codec: codec{}, Out: a,
+		StartedAt: w.clock(), Policy: w.policies.Flowtable, Codec: codec{}, Out: a,
 	})
 	a.afterIfUp(tableDelay, func() { a.joinControl(flowRecords) })
 	a.tick()
