flowtable: don't order control's records of flows by stated starts

Callers would see: after target and agent restarted, and the VM's clock was set back before the target's start, nobody tells them that their flows are gone; or flows of the present target aren't restored after the agent's restart. Cause: of the records of several control VMs the one with the latest stated start counted, and a record with a later start than the present target's was dropped. Change: the records are of earlier processes of the agent, so any incarnation in them but the present one is gone. All records are kept until the target is known. A record of its incarnation restores the flows and makes the others void; without one, all recorded flows are reset. Where a record states a later start than the target, the reset waits until the target has announced itself half a heartbeat later or more, as a late announcement of a dead target doesn't. Tests: before the change TestRecordWithALaterStartIsAppliedOnceTheTargetIsConfirmed and TestRecordOfThePresentTargetCounts fail. TestOlderRecordIsNotApplied passes before and after.

--- a/internal/passthrough/flowlog/flowlog.go
+++ b/internal/passthrough/flowlog/flowlog.go
@@ -9,8 +9,8 @@
 //
 // The list is a hint. A missing flow costs its caller what it would cost without the
 // list; a flow that is listed but over gets a needless reset. Therefore the list needs no
-// agreement: agents send updates to every control VM that they reach, and take the newest
-// incarnation that any of them recalls.
+// agreement: agents send updates to every control VM that they reach, and take the record of
+// the incarnation that they find, or else all records for those of targets that are gone.
 package flowlog
 
 import (
--- a/internal/passthrough/flowtable/flowtable.go
+++ b/internal/passthrough/flowtable/flowtable.go
@@ -141,10 +141,10 @@
 	admission admission
 	latencies latencies
 	outcomes  outcomes
-	// recall is control's record of earlier flows until it is applied; ended are the
+	// recalls are control's records of earlier flows until they are applied; ended are the
 	// recorded flows that control has yet to be told are over.
-	recall *flowlog.Update
-	ended  []packet.Flow
+	recalls []flowlog.Update
+	ended   []packet.Flow
 	// startedAt is when the agent began to listen for announcements.
 	startedAt time.Duration
 	// foundNoTarget is set once a probe has found nobody at the target's address;
--- a/internal/passthrough/flowtable/incarnation.go
+++ b/internal/passthrough/flowtable/incarnation.go
@@ -49,14 +49,20 @@
 }
 
 // isRepeated reports whether an announcement that seems to be outdated follows another one
-// of the same incarnation, without one of the present incarnation in between, and late
-// enough that both weren't delayed together.
+// of the same incarnation, late enough, and without one of the present incarnation in
+// between.
 func (e *Engine) isRepeated(now time.Duration, a Announcement) bool {
 	if e.doubted.of != a.incarnation() || a.Number <= e.doubted.number {
 		e.doubted = doubtedAnnouncement{of: a.incarnation(), number: a.Number, at: now}
 		return false
 	}
-	return now-e.doubted.at >= e.cfg.Heartbeat/2
+	return e.lateEnough(now, e.doubted.at)
+}
+
+// lateEnough reports whether an announcement comes so long after another one of its
+// incarnation that both can't have been delayed by the same event.
+func (e *Engine) lateEnough(now, earlier time.Duration) bool {
+	return now > earlier && now-earlier >= e.cfg.Heartbeat/2
 }
 
 // startIncarnation replaces the target by a new incarnation. The flows of the one before
@@ -74,9 +80,9 @@
 		}
 	}
 	e.noteReplaced(before.incarnation, a.incarnation())
-	e.target = target{incarnation: a.incarnation(), known: true, service: route.IDOf(a.Service)}
+	e.target = target{incarnation: a.incarnation(), known: true, service: route.IDOf(a.Service), firstHeardAt: now}
 	e.noteDecision(now, Decision{Verdict: TargetArrived, AllFlowsKnown: e.knowsAllFlows(now)})
-	e.applyRecall(now)
+	e.applyRecalls(now)
 	e.cfg.Out.Report()
 }
 
--- a/internal/passthrough/flowtable/recall.go
+++ b/internal/passthrough/flowtable/recall.go
@@ -15,60 +15,83 @@
 	// recorded again. The platform accepts a reset within 76,800 of the newest
 	// acknowledgement.
 	recordAckStep = 30_000
-	// recallPeriod is how long after the agent's start control's record of earlier flows
-	// is accepted. An accepted record is kept until the target is known.
+	// recallPeriod is how long after the agent's start control's records of earlier flows
+	// are accepted. An accepted record is kept until the target is known.
 	recallPeriod = 20 * time.Second
+	// maxRecalls bounds the records that are kept, one from each control VM.
+	maxRecalls = 16
 )
 
-// HandleRecall handles control's record of the flows of this agent's target. Of the records
-// of several control VMs the one of the newest incarnation counts.
+// HandleRecall handles a control VM's record of the flows of this agent's target. Records of
+// several control VMs may be of different incarnations.
 func (e *Engine) HandleRecall(now time.Duration, u flowlog.Update) {
-	if now-e.startedAt > recallPeriod || e.recall != nil && u.Born < e.recall.Born {
+	if now-e.startedAt > recallPeriod || len(e.recalls) >= maxRecalls {
 		return
 	}
-	e.recall = &u
-	e.applyRecall(now)
+	e.recalls = append(e.recalls, u)
+	e.applyRecalls(now)
 }
 
-// applyRecall applies control's record once it is known which target is there. If the
-// target was born after the recorded one, or there is none, the recorded flows are gone,
-// and their callers are told by resets. If it is the recorded one, only the agent has
-// restarted, and the flows are restored.
-func (e *Engine) applyRecall(now time.Duration) {
+func recordedIncarnation(u flowlog.Update) incarnation { return incarnation{u.Target, u.Born} }
+
+// applyRecalls applies control's records once it is known which target is there. If one is
+// of that target, only the agent has restarted: the flows are restored, and records of other
+// incarnations, whose flows the agent's earlier process has reset, are void. Otherwise the
+// recorded flows are gone, and their callers are told by resets.
+func (e *Engine) applyRecalls(now time.Duration) {
 	t := &e.target
-	if e.recall == nil || !t.known && !e.empty(now) {
+	if len(e.recalls) == 0 || !t.known && !e.empty(now) {
 		return
 	}
-	u := e.recall
-	e.recall = nil
-	same := t.known && t.id == u.Target && t.born == u.Born
-	if t.known && !same && t.born <= u.Born {
-		return // the recorded incarnation is not older than this target: no safe conclusion
+	var doubtful []flowlog.Update
+	for _, u := range e.recalls {
+		t.recalled = t.recalled || t.known && t.incarnation == recordedIncarnation(u)
+	}
+	for _, u := range e.recalls {
+		switch {
+		case t.known && t.incarnation == recordedIncarnation(u):
+			e.restoreRecorded(now, u)
+		case t.recalled: // void
+		case t.known && t.born <= u.Born && !t.confirmed:
+			doubtful = append(doubtful, u)
+		default:
+			e.resetRecorded(now, u)
+		}
 	}
+	e.recalls = doubtful
+}
+
+// restoreRecorded restores the recorded flows of the present target.
+func (e *Engine) restoreRecorded(now time.Duration, u flowlog.Update) {
+	n := e.eachUnknown(u, func(f packet.Flow, ack uint32) {
+		e.storeFlow(f, flow{stage: open, seenAt: now, openedAt: now, clientAck: ack, answered: true, recorded: true, recordedAck: ack})
+	})
+	e.noteDecision(now, Decision{Verdict: FlowsRecalled, Flows: n})
+}
+
+// resetRecorded resets the recorded flows of a target that is gone.
+func (e *Engine) resetRecorded(now time.Duration, u flowlog.Update) {
+	n := e.eachUnknown(u, e.cfg.Out.Reset)
+	e.noteDecision(now, Decision{Verdict: FlowsReset, Flows: n})
+}
+
+// eachUnknown calls do for each recorded flow that the agent doesn't know, with the
+// client's acknowledgement, and returns their number.
+func (e *Engine) eachUnknown(u flowlog.Update, do func(f packet.Flow, ack uint32)) int {
 	n := 0
 	for _, r := range u.Opened {
-		f := r.Flow()
-		if _, ok := e.flows[f]; ok {
-			continue
+		if _, ok := e.flows[r.Flow()]; !ok {
+			n++
+			do(r.Flow(), r.Ack)
 		}
-		n++
-		if same {
-			e.storeFlow(f, flow{stage: open, seenAt: now, openedAt: now, clientAck: r.Ack, answered: true, recorded: true, recordedAck: r.Ack})
-			continue
-		}
-		e.cfg.Out.Reset(f, r.Ack)
-	}
-	verdict := FlowsReset
-	if same {
-		verdict = FlowsRecalled
 	}
-	e.noteDecision(now, Decision{Verdict: verdict, Flows: n})
+	return n
 }
 
 // Settled reports whether control's record of earlier flows may be replaced: there was
 // enough time for it to arrive, and none is left to apply.
 func (e *Engine) Settled(now time.Duration) bool {
-	return e.recall == nil && (e.target.known || e.empty(now)) && now-e.startedAt > recordReplaceDelay
+	return len(e.recalls) == 0 && (e.target.known || e.empty(now)) && now-e.startedAt > recordReplaceDelay
 }
 
 // recordReplaceDelay is how long after its start an agent doesn't replace control's record:
--- a/internal/passthrough/flowtable/recall_test.go
+++ b/internal/passthrough/flowtable/recall_test.go
@@ -74,6 +74,35 @@
 	is.Equal(len(r.resets), 0)
 }
 
+// Guards against callers of a target that is gone who aren't told, because the VM's clock
+// was set back before its successor started. The successor's next announcement shows that it
+// is the living one.
+func TestRecordWithALaterStartIsAppliedOnceTheTargetIsConfirmed(t *testing.T) {
+	is := is.New(t)
+	r := restartedAgent(t)
+	r.announce("i-2", -5_000, 1)
+	r.engine.HandleRecall(r.now, recordedFlows("i-1", -2_000, 9))
+	r.announce("i-2", -5_000, 2) // may have been delayed together with the first
+	is.Equal(len(r.resets), 0)
+	is.Equal(r.engine.Settled(r.now+2*recordReplaceDelay), false)
+	r.now += heartbeat
+	r.announce("i-2", -5_000, 3)
+	r.advance(20 * time.Millisecond)
+	is.Equal(r.resets, []reset{{9, 5000}})
+}
+
+// Guards against flows of the present target that aren't restored, because the VM's clock
+// was set back before it started and the record of its predecessor states a later start.
+func TestRecordOfThePresentTargetCounts(t *testing.T) {
+	is := is.New(t)
+	r := restartedAgent(t)
+	r.engine.HandleRecall(r.now, recordedFlows("i-1", -2_000, 9))
+	r.engine.HandleRecall(r.now, recordedFlows("i-2", -5_000, 10))
+	r.announce("i-2", -5_000, 3)
+	is.Equal(r.verdictOn(10, 1), peer.Holds)
+	is.Equal(len(r.resets), 0)
+}
+
 // No target replaces the dead one: its callers must be told all the same.
 func TestRecordedFlowsWithoutATargetAreReset(t *testing.T) {
 	is := is.New(t)
--- a/internal/passthrough/flowtable/target.go
+++ b/internal/passthrough/flowtable/target.go
@@ -45,9 +45,14 @@
 	slots     uint32
 	draining  bool
 	coldUntil time.Duration
-	// lastSeenAt is when this incarnation last sent anything, announcedAt when it last
-	// announced itself.
-	lastSeenAt, announcedAt time.Duration
+	// firstHeardAt is when this incarnation was first heard of, lastSeenAt when it last
+	// sent anything, announcedAt when it last announced itself.
+	firstHeardAt, lastSeenAt, announcedAt time.Duration
+	// confirmed is set once the incarnation has announced itself so long after it was first
+	// heard of that neither announcement can be a late one.
+	confirmed bool
+	// recalled is set if control has a record of this incarnation's flows.
+	recalled bool
 	// unansweredSince is when the oldest packet was sent that the target should have
 	// reacted to and hasn't; 0 if there is none.
 	unansweredSince time.Duration
@@ -76,6 +81,7 @@
 	t.number = a.Number
 	t.slots = a.Slots
 	t.announcedAt = now
+	t.confirmed = t.confirmed || e.lateEnough(now, t.firstHeardAt)
 	t.coldUntil = now + a.Cold
 	e.noteAlive(now)
 	if a.Draining && !t.draining {
