forward: don't reset a flow while an unsure agent wasn't tried

Callers would see: a reset of an open flow, when a balancer holds as many packets for searches as it may, or when a search ends by its time limit. Cause: giveUp counted agents that hadn't answered, but not those that had answered Unsure and were sent no packet to try. Their target may have the flow open. Change: such agents count as silent, so the packet is dropped instead. Test: TestUntriedUnsureAgentPreventsReset fails before the change with one reset.

--- a/internal/passthrough/forward/search.go
+++ b/internal/passthrough/forward/search.go
@@ -250,8 +250,8 @@
 
 // giveUp ends a search without a holder. If every agent answered that it lacks the flow,
 // its target is gone, and a reset spares the caller from waiting until its deadline. If
-// any agent didn't answer, or was added after all were asked, the flow may be open there,
-// so no reset is sent.
+// any agent didn't answer, is unsure and wasn't tried, or was added after all were asked,
+// the flow may be open there, so no reset is sent.
 func (e *Engine) giveUp(now time.Duration, f packet.Flow, s *search) {
 	if e.startingUp(now) && len(s.held) > 0 {
 		newest := s.held[len(s.held)-1]
@@ -260,7 +260,7 @@
 		e.dropSearch(f)
 		return
 	}
-	silent := len(s.unanswered)
+	silent := len(s.unanswered) + len(s.unsure)
 	verdict := DroppedNotFound
 	if silent == 0 && e.agents.addedAt <= s.allListedAt && !s.skippedAll && len(s.pending) == 0 && len(s.asked) > 0 && !s.clientReset {
 		verdict = ResetNoHolder
--- a/internal/passthrough/forward/search_test.go
+++ b/internal/passthrough/forward/search_test.go
@@ -105,6 +105,20 @@
 	is.Equal(r.lastDecision().Agent, b)
 }
 
+// Guards against resets of flows that may be open at an agent that answered Unsure, if no
+// packet is left to try there: too many packets are held for other searches.
+func TestUntriedUnsureAgentPreventsReset(t *testing.T) {
+	is := is.New(t)
+	r := newTestEngine(t)
+	a := r.agentAt(1, caseworkService)
+	r.engine.heldPackets = maxHeldPackets
+	r.send(data(9, 77))
+	r.answerAs(a, peer.Unsure)
+	r.advance(2 * queueTimeout)
+	is.Equal(len(r.resets), 0)
+	is.Equal(r.lastDecision().Verdict, DroppedNotFound)
+}
+
 // Guards against unbounded memory for searches: beyond the limit a packet is dropped, not
 // reset, and a retransmit starts a new search.
 func TestSearchesAreBounded(t *testing.T) {
