forward: try a packet at all unsure agents at once, within the budget

Callers saw: since no start time makes agents sure, all are unsure after a power cut of all VMs, and a caller's packet of a flow that is gone was shown to one target after the other. Cause: a search waits for each trial, and trials took nothing from the budget of questions. Change: a packet goes to all unsure agents of a round at the same time, as far as the part of the budget for wide searches allows; the rest of the budget is left to first questions. If a single trial isn't handed back in time, its target has the flow, as before. If several aren't, packets were lost, and the agents count as silent. Tests: TestUnsureAgentsAreTriedTogether replaces TestUnsureAgentsAreTriedOneAtATime, whose demand is what is changed; it still holds that each agent gets the packet once and that the one whose target keeps it has the flow.

--- a/internal/passthrough/forward/budget.go
+++ b/internal/passthrough/forward/budget.go
@@ -12,6 +12,8 @@
 	// wideReserveShare is the part of a full bucket that questions to all agents leave to
 	// first rounds, which find nearly all flows at little cost.
 	wideReserveShare = 0.5
+	// trialOverhead is the bytes of the headers of a packet that is sent as a trial.
+	trialOverhead = 36
 )
 
 // questionBudget is a token bucket that bounds the bytes of questions a second. After an
@@ -46,6 +48,9 @@
 	return b.available >= reserve
 }
 
+// spendBytes takes the cost of a packet that is sent as a trial.
+func (b *questionBudget) spendBytes(n int) { b.available -= float64(n) }
+
 // spend takes the cost of a question. Questions to one agent at the same time share a
 // datagram.
 func (b *questionBudget) spend(shared bool) {
--- a/internal/passthrough/forward/search.go
+++ b/internal/passthrough/forward/search.go
@@ -67,10 +67,10 @@
 	// asked are all agents that were asked or are known not to hold the flow. It can't be
 	// derived from the routing table, which may change during the search.
 	asked map[uint32]struct{}
-	// trialAgent is an agent that answered Unsure and was then sent one held packet, to see
-	// whether its target hands it back; noAgent if none.
-	trialAgent uint32
-	trialAt    time.Duration
+	// trials are the agents that answered Unsure and were then sent one held packet, at
+	// trialAt, and whose targets haven't handed it back.
+	trials  []uint32
+	trialAt time.Duration
 	// nonHolder is an agent known not to hold the flow; noAgent if none.
 	nonHolder uint32
 	// started says that agents have been asked; until then the search is in the queue.
@@ -88,7 +88,7 @@
 			e.logDecision(Decision{Flow: f, Verdict: DroppedBusy})
 			return
 		}
-		s = &search{arrivedAt: now, startedAt: now, trialAgent: noAgent, clientReset: p.Flags.Has(packet.RST), asked: map[uint32]struct{}{}}
+		s = &search{arrivedAt: now, startedAt: now, clientReset: p.Flags.Has(packet.RST), asked: map[uint32]struct{}{}}
 		e.searches[f] = s
 		s.ack, s.flags = p.Ack, p.Flags
 		s.nonHolder = nonHolder
@@ -205,9 +205,7 @@
 		return
 	}
 	removeAgent(&s.unanswered, agent)
-	if s.trialAgent == agent {
-		s.trialAgent = noAgent
-	}
+	removeAgent(&s.trials, agent)
 	e.continueSearch(now, f, s)
 }
 
@@ -228,13 +226,10 @@
 // or the round has timed out.
 func (e *Engine) continueSearch(now time.Duration, f packet.Flow, s *search) {
 	switch {
-	case s.trialAgent != noAgent, s.roundOpen(now):
+	case len(s.trials) > 0, s.roundOpen(now):
 		return
 	case len(s.unsure) > 0 && len(s.held) > 0:
-		s.trialAgent = s.unsure[0]
-		s.unsure = s.unsure[1:]
-		s.trialAt = now
-		e.deliver(s.trialAgent, s.held[0])
+		e.startTrials(now, s)
 		return
 	case len(s.pending) == 0 && !s.askingAll:
 		e.searchAll(now, f, s)
@@ -248,6 +243,34 @@
 	}
 }
 
+// startTrials sends a held packet to the agents that answered Unsure: a target that lacks
+// the flow hands it back. All get it at the same time, as far as the budget of wide searches
+// allows: after an outage all agents are unsure, and one after the other would take longer
+// than a search may.
+func (e *Engine) startTrials(now time.Duration, s *search) {
+	raw := s.held[0]
+	for len(s.unsure) > 0 && e.budget.allows(true) {
+		e.budget.spendBytes(len(raw) + trialOverhead)
+		e.deliver(s.unsure[0], raw)
+		s.trials = append(s.trials, s.unsure[0])
+		s.unsure = s.unsure[1:]
+		s.trialAt = now
+	}
+}
+
+// endTrials ends the trials whose packets weren't handed back in time. If there is one, its
+// target has the flow. If there are several, packets were lost or are late, and it isn't
+// known which target has the flow: the agents count as silent.
+func (e *Engine) endTrials(now time.Duration, f packet.Flow, s *search) {
+	if len(s.trials) == 1 {
+		e.finishSearch(now, f, s, s.trials[0])
+		return
+	}
+	s.unanswered = append(s.unanswered, s.trials...)
+	s.trials = nil
+	e.continueSearch(now, f, s)
+}
+
 // giveUp ends a search without a holder. If every agent answered that it lacks the flow,
 // its target is gone, and a reset spares the caller from waiting until its deadline. If
 // any agent didn't answer, is unsure and wasn't tried, or was added after all were asked,
@@ -289,9 +312,9 @@
 				e.logDecision(Decision{Flow: f, Verdict: DroppedBusy})
 				e.dropSearch(f)
 			}
-		case s.trialAgent != noAgent:
+		case len(s.trials) > 0:
 			if now-s.trialAt > trialTimeout {
-				e.finishSearch(now, f, s, s.trialAgent) // the packet wasn't handed back
+				e.endTrials(now, f, s)
 			}
 		case s.timedOut(now):
 			e.giveUp(now, f, s)
--- a/internal/passthrough/forward/search_test.go
+++ b/internal/passthrough/forward/search_test.go
@@ -87,22 +87,56 @@
 }
 
 // Guards against lost flows after a restart of all agents, none of which knows its flows.
-// The packet goes to one target after the other; the one that doesn't hand it back has
+// Each gets the packet once, at the same time; the one whose target doesn't hand it back has
 // the flow.
-func TestUnsureAgentsAreTriedOneAtATime(t *testing.T) {
+func TestUnsureAgentsAreTriedTogether(t *testing.T) {
 	is := is.New(t)
 	r := newTestEngine(t)
 	a, b := r.agentAt(1, caseworkService), r.agentAt(2, caseworkService)
 	r.send(data(9, 77))
 	r.answerAs(a, peer.Unsure)
 	r.answerAs(b, peer.Unsure)
-	is.Equal(len(r.delivered), 1) // one target at a time
-	is.Equal(r.delivered[0].to, a)
+	is.Equal(r.sentTo(a), 1)
+	is.Equal(r.sentTo(b), 1)
 	r.engine.HandleRefused(r.now, a, peer.Header{Reason: peer.NotHeld}, data(9, 77), rawOf(77))
-	is.Equal(r.delivered[1].to, b)
+	is.Equal(len(r.delivered), 2)
 	r.advance(trialTimeout + 20*time.Millisecond)
 	is.Equal(r.lastDecision().Verdict, Found)
 	is.Equal(r.lastDecision().Agent, b)
+	is.Equal(r.sentTo(a), 1)
+}
+
+// Guards against flows that go to a target which lacks them, or that are reset, because
+// packets that targets handed back were lost: then nobody knows which target has the flow.
+func TestLostTrialsDoNotDecide(t *testing.T) {
+	is := is.New(t)
+	r := newTestEngine(t)
+	a, b := r.agentAt(1, caseworkService), r.agentAt(2, caseworkService)
+	r.send(data(9, 77))
+	r.answerAs(a, peer.Unsure)
+	r.answerAs(b, peer.Unsure)
+	r.advance(2 * queueTimeout)
+	is.Equal(r.lastDecision().Verdict, DroppedNotFound)
+	is.Equal(r.lastDecision().Silent, 2)
+	is.Equal(len(r.resets), 0)
+}
+
+// Guards against balancers whose links are filled by trials at unsure agents: questions
+// of other searches must still be sent.
+func TestTrialsLeaveBudgetForQuestions(t *testing.T) {
+	is := is.New(t)
+	r := newTestEngine(t)
+	a := r.agentAt(1, caseworkService)
+	r.engine.budget = questionBudget{rate: 10_000}
+	for port := uint16(1); port <= 60; port++ {
+		r.send(data(port, 77))
+	}
+	asked := r.questionsTo(a)
+	is.True(asked >= 30)
+	r.answerAs(a, peer.Unsure)
+	is.True(r.sentTo(a) < asked)
+	r.send(data(99, 77))
+	is.Equal(r.questionsTo(a), asked+1)
 }
 
 // Guards against resets of flows that may be open at an agent that answered Unsure, if no
