reachability: measure silence on the monotonic clock

Callers would see: when a balancer's clock is set ahead by more than 600 ms, each agent with an unanswered packet counts as down, and new flows move away from it. When it is set back, packets to an agent that is gone aren't recorded as unanswered for as long as the step, and its callers wait. Read in the code and shown by a test; not seen with real processes. Cause: the detector keeps times as integers in Unix nanoseconds, which drop the monotonic reading that a time from time.Now carries. Change: package monotonic converts a time to its monotonic reading. Package clocktest sets the time of day in a time.Time, for tests. Test: before the change TestClockStepsDoNotMarkAgentsDown fails for a step back and a step ahead of an hour. The tests' start is now a time from time.Now, since their former one has no monotonic reading.

--- a/internal/reachability/reachability.go
+++ b/internal/reachability/reachability.go
@@ -17,6 +17,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"bergamotstall/internal/monotonic"
 )
 
 const (
@@ -49,13 +51,11 @@
 // Detector is the reachability state of one agent. Its methods are safe for concurrent use,
 // and cost the packet path one or two atomic loads.
 type Detector struct {
-	// heardAt is when the last packet from the agent arrived, in Unix nanoseconds.
+	// heardAt is when the last packet from the agent arrived, see monotonic.Nanos.
 	heardAt atomic.Int64
-	// trustedUntil is the time up to which sent packets count as answered, in Unix
-	// nanoseconds.
+	// trustedUntil is the time up to which sent packets count as answered.
 	trustedUntil atomic.Int64
-	// unansweredSince is when the first unanswered packet was sent, in Unix nanoseconds;
-	// 0 if there is none.
+	// unansweredSince is when the first unanswered packet was sent; 0 if there is none.
 	unansweredSince atomic.Int64
 	down            atomic.Bool
 }
@@ -65,7 +65,7 @@
 	if d.unansweredSince.Load() != 0 {
 		return
 	}
-	nanos := now.UnixNano()
+	nanos := monotonic.Nanos(now)
 	if nanos-d.heardAt.Load() < int64(heardResolution) || nanos < d.trustedUntil.Load() {
 		return
 	}
@@ -74,7 +74,7 @@
 
 // Heard records a packet from the agent.
 func (d *Detector) Heard(now time.Time) {
-	nanos := now.UnixNano()
+	nanos := monotonic.Nanos(now)
 	if nanos-d.heardAt.Load() >= int64(heardResolution)/2 {
 		d.heardAt.Store(nanos)
 	}
@@ -88,7 +88,7 @@
 
 // Answered records the answer to a probe.
 func (d *Detector) Answered(now time.Time) {
-	d.trustedUntil.Store(now.Add(answerTrustedFor).UnixNano())
+	d.trustedUntil.Store(monotonic.Nanos(now.Add(answerTrustedFor)))
 	d.Heard(now)
 }
 
@@ -98,7 +98,7 @@
 	if since == 0 {
 		return false
 	}
-	silent := time.Duration(now.UnixNano() - since)
+	silent := time.Duration(monotonic.Nanos(now) - since)
 	if silent < downAfter {
 		return silent >= probeAfter
 	}
--- a/internal/reachability/reachability_test.go
+++ b/internal/reachability/reachability_test.go
@@ -5,9 +5,11 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"bergamotstall/internal/monotonic/clocktest"
 )
 
-var start = time.Unix(1000, 0)
+var start = time.Now()
 
 // runTicks runs a record from start. Probes are answered where answered returns true. It
 // returns the number of probes sent and when the agent was marked down.
@@ -66,6 +68,26 @@
 	is.True(!r.Update(start.Add(time.Minute)))
 }
 
+// Guards against agents that are marked down at once, or not at all, because the balancer's
+// clock was set.
+func TestClockStepsDoNotMarkAgentsDown(t *testing.T) {
+	for _, by := range []time.Duration{-time.Hour, time.Hour} {
+		t.Run(by.String(), func(t *testing.T) {
+			is := is.New(t)
+			r := new(Detector)
+			r.Heard(start)
+			r.Sent(start.Add(50 * time.Millisecond))
+			at := func(d time.Duration) time.Time { return clocktest.SetTimeOfDay(start.Add(d), by) }
+			is.True(!r.Update(at(100 * time.Millisecond)))
+			is.True(!r.Down())
+			r.Heard(at(110 * time.Millisecond))
+			r.Sent(at(200 * time.Millisecond))
+			r.Update(at(200*time.Millisecond + downAfter))
+			is.True(r.Down())
+		})
+	}
+}
+
 // Guards against probes to an agent that is heard all the time.
 func TestActiveAgentIsNotProbed(t *testing.T) {
 	is := is.New(t)
