flow: the check for unused flows as a method

Cause: the check whether a flow of a server that sent GOAWAY is unused could be tested with a connection only. Change: servedFlow.markIdle and servedFlow.unused; no change of behaviour.

--- a/internal/flow/serving.go
+++ b/internal/flow/serving.go
@@ -65,6 +65,16 @@
 	idleSince atomic.Int64
 }
 
+// markIdle records the end of a request.
+func (f *servedFlow) markIdle(now time.Time) { f.idleSince.Store(now.UnixNano()) }
+
+// unused reports whether the flow has had no requests for goAwayGracePeriod, counted from
+// start at the earliest.
+func (f *servedFlow) unused(start, now time.Time) bool {
+	since := max(start.UnixNano(), f.idleSince.Load())
+	return f.active.Load() == 0 && now.UnixNano()-since > int64(goAwayGracePeriod)
+}
+
 type servedFlowKey struct{}
 
 func newServerSet(e *Endpoint) *serverSet {
@@ -90,7 +100,7 @@
 		h.done()
 	}
 	flow := &servedFlow{conn: conn}
-	flow.idleSince.Store(time.Now().UnixNano())
+	flow.markIdle(time.Now())
 	x.mu.Lock()
 	x.flows[flow] = struct{}{}
 	x.mu.Unlock()
@@ -107,7 +117,7 @@
 	if flow, ok := r.Context().Value(servedFlowKey{}).(*servedFlow); ok {
 		flow.active.Add(1)
 		defer func() {
-			flow.idleSince.Store(time.Now().UnixNano())
+			flow.markIdle(time.Now())
 			flow.active.Add(-1)
 		}()
 	}
@@ -175,23 +185,22 @@
 func (x *server) closeUnused(stop <-chan struct{}) {
 	tick := time.NewTicker(drainPollInterval)
 	defer tick.Stop()
-	start := time.Now().UnixNano()
+	start := time.Now()
 	for x.count() > 0 {
 		select {
 		case <-stop:
 			return
 		case now := <-tick.C:
-			x.closeIdle(start, now.UnixNano())
+			x.closeIdle(start, now)
 		}
 	}
 }
 
-func (x *server) closeIdle(start, now int64) {
+func (x *server) closeIdle(start, now time.Time) {
 	x.mu.Lock()
 	var idle []*servedFlow
 	for flow := range x.flows {
-		since := max(start, flow.idleSince.Load())
-		if flow.active.Load() == 0 && now-since > int64(goAwayGracePeriod) {
+		if flow.unused(start, now) {
 			idle = append(idle, flow)
 		}
 	}
