flow: measure the age of return paths on the monotonic clock

Callers would see: when an agent's clock is set ahead by twice the idle timeout, the paths of all open flows are removed, and answers don't arrive until the caller's next packet; by more than 100 ms, answers go through another balancer than the one that delivers the flow. When it is set back, answers go on to a balancer that is gone. Read in the code and shown by a test; not seen with real processes. Cause: times are kept as integers in Unix nanoseconds, without the monotonic reading. Change: monotonic.Nanos in their place. Test: before the change TestClockStepsDoNotMakePathsOld fails for a step back and a step ahead of an hour. The tests' start is now a time from time.Now, since their former one has no monotonic reading.

--- a/internal/flow/paths.go
+++ b/internal/flow/paths.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"bergamotstall/internal/monotonic"
 )
 
 const (
@@ -28,7 +30,7 @@
 // balancerPeer is a balancer and what its last packet told this agent.
 type balancerPeer struct {
 	address netip.AddrPort
-	// lastHeard is the time of its last packet, in Unix nanoseconds.
+	// lastHeard is the time of its last packet, see monotonic.Nanos.
 	lastHeard atomic.Int64
 	// generation is the key generation of its last envelope. Return packets are signed
 	// with it, as a balancer that lags in a key rotation has no newer key.
@@ -40,7 +42,7 @@
 	caller *net.UDPAddr
 	// balancer delivered the flow's last packet.
 	balancer atomic.Pointer[balancerPeer]
-	// lastHeard is the time of that packet, in Unix nanoseconds.
+	// lastHeard is the time of that packet, see monotonic.Nanos.
 	lastHeard atomic.Int64
 	// refuseNewFlow is set while a new flow from this caller must be refused.
 	refuseNewFlow atomic.Bool
@@ -54,7 +56,7 @@
 	// tableBalancers are the balancers listed in the routing table.
 	tableBalancers []*balancerPeer
 	nextBalancer   atomic.Uint32
-	// lastSweep is the time of the last sweep, in Unix nanoseconds.
+	// lastSweep is the time of the last sweep, see monotonic.Nanos.
 	lastSweep int64
 }
 
@@ -95,7 +97,7 @@
 	if path == nil {
 		return nil
 	}
-	nanos := now.UnixNano()
+	nanos := monotonic.Nanos(now)
 	peer.generation.Store(uint32(generation))
 	peer.lastHeard.Store(nanos)
 	path.lastHeard.Store(nanos)
@@ -115,7 +117,7 @@
 		return nil, peer
 	}
 	path = &returnPath{caller: net.UDPAddrFromAddrPort(caller)}
-	path.lastHeard.Store(now.UnixNano())
+	path.lastHeard.Store(monotonic.Nanos(now))
 	p.byCaller[caller] = path
 	return path, peer
 }
@@ -131,7 +133,7 @@
 // from the one that delivered the flow's last packet.
 func (p *pathTable) returnBalancer(now time.Time, path *returnPath) (peer *balancerPeer, replaced bool) {
 	peer = path.balancer.Load()
-	if now.UnixNano()-path.lastHeard.Load() < int64(balancerSilenceTimeout) {
+	if monotonic.Nanos(now)-path.lastHeard.Load() < int64(balancerSilenceTimeout) {
 		return peer, false
 	}
 	p.mu.RLock()
@@ -150,7 +152,7 @@
 		return nil
 	}
 	start := p.nextBalancer.Add(1)
-	oldest := now.Add(-balancerHeardRecently).UnixNano()
+	oldest := monotonic.Nanos(now.Add(-balancerHeardRecently))
 	for i := range count {
 		if peer := p.tableBalancers[(start+i)%count]; peer.lastHeard.Load() > oldest {
 			return peer
@@ -164,12 +166,12 @@
 func (p *pathTable) sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	nanos := now.UnixNano()
+	nanos := monotonic.Nanos(now)
 	if nanos-p.lastSweep < int64(pathIdleTimeout) {
 		return
 	}
 	p.lastSweep = nanos
-	oldest := now.Add(-pathIdleTimeout).UnixNano()
+	oldest := monotonic.Nanos(now.Add(-pathIdleTimeout))
 	for caller, path := range p.byCaller {
 		if path.lastHeard.Load() < oldest {
 			delete(p.byCaller, caller)
--- a/internal/flow/paths_test.go
+++ b/internal/flow/paths_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"bergamotstall/internal/monotonic/clocktest"
 )
 
 var (
@@ -72,3 +74,25 @@
 	is.Equal(len(p.peers), 1) // only the table's balancer
 	is.True(p.recordPacket(start, callerA, balancerA, 1) != nil)
 }
+
+// Guards against open flows that lose their way back, or go through a silent balancer,
+// because the agent's clock was set.
+func TestClockStepsDoNotMakePathsOld(t *testing.T) {
+	for _, by := range []time.Duration{-time.Hour, time.Hour} {
+		t.Run(by.String(), func(t *testing.T) {
+			is := is.New(t)
+			at := func(d time.Duration) time.Time { return clocktest.SetTimeOfDay(start.Add(d), by) }
+			p := newPathTable()
+			p.setTableBalancers([]netip.AddrPort{balancerB}, 1)
+			path := p.recordPacket(start, callerA, balancerA, 1)
+			peer, _ := p.returnBalancer(at(balancerSilenceTimeout/2), path)
+			is.Equal(peer.address, balancerA)
+			peer, _ = p.returnBalancer(at(2*balancerSilenceTimeout), path)
+			is.Equal(peer.address, balancerB)
+			p.sweep(at(time.Second))
+			is.Equal(p.count(), 1)
+			p.sweep(at(2 * pathIdleTimeout))
+			is.Equal(p.count(), 0)
+		})
+	}
+}
--- a/internal/flow/router_test.go
+++ b/internal/flow/router_test.go
@@ -21,7 +21,7 @@
 	}
 }
 
-var start = time.Unix(1000, 0)
+var start = time.Now()
 
 // fourAgents returns a table with agents 1 to 4 active, 5 draining and 6 retired.
 func fourAgents(revision table.Revision, weights ...uint32) *steering.CompiledTable {
