flow: measure the grace after GOAWAY on the monotonic clock

Callers would see: when an agent's clock is set ahead after it sent GOAWAY, flows that have just ended a request are closed without the grace in which callers may still send requests on them. When it is set back, they stay open for as long. Read in the code and shown by a test; not seen with real processes. Cause: the end of the last request is kept in Unix nanoseconds, without the monotonic reading. Change: monotonic.Nanos in its place. Test: before the change TestClockStepsDoNotEndTheGraceOfUnusedFlows fails for a step back and a step ahead of an hour.

--- a/internal/flow/paths_test.go
+++ b/internal/flow/paths_test.go
@@ -96,3 +96,18 @@
 		})
 	}
 }
+
+// Guards against flows that are closed after GOAWAY while their callers may still send
+// requests, or never, because the agent's clock was set.
+func TestClockStepsDoNotEndTheGraceOfUnusedFlows(t *testing.T) {
+	for _, by := range []time.Duration{-time.Hour, time.Hour} {
+		t.Run(by.String(), func(t *testing.T) {
+			is := is.New(t)
+			at := func(d time.Duration) time.Time { return clocktest.SetTimeOfDay(start.Add(d), by) }
+			f := &servedFlow{}
+			f.markIdle(start)
+			is.True(!f.unused(start, at(goAwayGracePeriod/2)))
+			is.True(f.unused(start, at(2*goAwayGracePeriod)))
+		})
+	}
+}
--- a/internal/flow/serving.go
+++ b/internal/flow/serving.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bergamotstall/internal/events"
+	"bergamotstall/internal/monotonic"
 )
 
 const (
@@ -61,18 +62,18 @@
 type servedFlow struct {
 	conn   *quic.Conn
 	active atomic.Int64
-	// idleSince is the time when the last request ended, in Unix nanoseconds.
+	// idleSince is the time when the last request ended, see monotonic.Nanos.
 	idleSince atomic.Int64
 }
 
 // markIdle records the end of a request.
-func (f *servedFlow) markIdle(now time.Time) { f.idleSince.Store(now.UnixNano()) }
+func (f *servedFlow) markIdle(now time.Time) { f.idleSince.Store(monotonic.Nanos(now)) }
 
 // unused reports whether the flow has had no requests for goAwayGracePeriod, counted from
 // start at the earliest.
 func (f *servedFlow) unused(start, now time.Time) bool {
-	since := max(start.UnixNano(), f.idleSince.Load())
-	return f.active.Load() == 0 && now.UnixNano()-since > int64(goAwayGracePeriod)
+	since := max(monotonic.Nanos(start), f.idleSince.Load())
+	return f.active.Load() == 0 && monotonic.Nanos(now)-since > int64(goAwayGracePeriod)
 }
 
 type servedFlowKey struct{}
