--- a/internal/passthrough/control/control.go
+++ b/internal/passthrough/control/control.go
@@ -81,8 +81,10 @@
 	Bootstrap bool
 	// ResendWindow is how long operators resend an evacuation order that got no answer.
 	ResendWindow time.Duration
-	Log          logrus.FieldLogger
-	Metrics      *metrics.Set
+	// Now returns the time at which orders arrive; nil means time.Now.
+	Now     func() time.Time
+	Log     logrus.FieldLogger
+	Metrics *metrics.Set
 }
 
 // Control is one control VM.
@@ -96,6 +98,9 @@
 
 // New returns a control VM; Run starts it.
 func New(cfg Config) *Control {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
 	return &Control{cfg: cfg, store: route.NewReplicatedStore()}
 }
 
--- a/internal/passthrough/control/evacuation.go
+++ b/internal/passthrough/control/evacuation.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
@@ -37,7 +36,7 @@
 		return err
 	}
 	held := c.store.Evacuations()
-	o := route.EvacuationOrder{Zone: zone, Evacuate: evacuate, SeenRevision: held.Revision, AtMS: time.Now().UnixMilli()}
+	o := route.EvacuationOrder{Zone: zone, Evacuate: evacuate, SeenRevision: held.Revision, AtMS: c.cfg.Now().UnixMilli()}
 	if held.MayBeDelayedCopy(o, c.cfg.ResendWindow) {
 		c.logOrder(zone, evacuate, "unavailable", errDelayedCopy)
 		return errors.Wrap(ErrUnavailable, errDelayedCopy.Error())
