flowtable: don't take overtaking announcements for a restart

Callers would see: resets of open flows of a living target, if two of its announcements are handled half a heartbeat apart after a third, later one. Cause: an announcement that seems to be outdated counts once it is repeated. For a target that restarts under its ID with the same stated start, that is told from the living target's own late announcements by nothing but the time between them. Change: for the present incarnation's identity it counts only once its announcements are overdue. The simulation's comment says that it has no probes of targets' addresses.

--- a/internal/passthrough/flowtable/incarnation.go
+++ b/internal/passthrough/flowtable/incarnation.go
@@ -50,8 +50,13 @@
 
 // isRepeated reports whether an announcement that seems to be outdated follows another one
 // of the same incarnation, late enough, and without one of the present incarnation in
-// between.
+// between. A restarted target with the identity of the present one counts once the latter's
+// announcements are overdue: until then it may be the living one's that overtook each other.
 func (e *Engine) isRepeated(now time.Duration, a Announcement) bool {
+	t := &e.target
+	if t.incarnation == a.incarnation() && now-t.announcedAt <= e.announcementTimeout() {
+		return false
+	}
 	if e.doubted.of != a.incarnation() || a.Number <= e.doubted.number {
 		e.doubted = doubtedAnnouncement{of: a.incarnation(), number: a.Number, at: now}
 		return false
--- a/internal/passthrough/simulation/simulation.go
+++ b/internal/passthrough/simulation/simulation.go
@@ -10,7 +10,8 @@
 //
 // It doesn't simulate packet sizes (a request and an answer are one packet each), packet
 // loss, processor time, readiness (every running balancer of a data centre is in
-// rotation) and control VMs (each node gets its table at a random time).
+// rotation), control VMs (each node gets its table at a random time) and agents' probes of
+// their targets' addresses.
 package simulation
 
 import (
