forward: don't let a search wait for the budget of trials

Cause: a search whose unsure agents couldn't be tried for lack of budget waited for it for up to a second, and kept its place among the 64 that run at a time. Searches that would have found their flow's holder at once waited behind it. Change: such a search goes on without these agents. They count as silent, so nothing is reset, and the caller's next copy begins a new search. Test: before the change TestSearchDoesNotWaitForTrials fails, the search is still there.

--- a/internal/passthrough/forward/search.go
+++ b/internal/passthrough/forward/search.go
@@ -64,6 +64,8 @@
 	// they can't tell whether they hold the flow.
 	unanswered []uint32
 	unsure     []uint32
+	// untried are agents that answered Unsure and couldn't be sent a packet.
+	untried []uint32
 	// asked are all agents that were asked or are known not to hold the flow. It can't be
 	// derived from the routing table, which may change during the search.
 	asked map[uint32]struct{}
@@ -228,8 +230,7 @@
 	switch {
 	case len(s.trials) > 0, s.roundOpen(now):
 		return
-	case len(s.unsure) > 0 && len(s.held) > 0:
-		e.startTrials(now, s)
+	case len(s.unsure) > 0 && e.startTrials(now, s):
 		return
 	case len(s.pending) == 0 && !s.askingAll:
 		e.searchAll(now, f, s)
@@ -246,16 +247,22 @@
 // startTrials sends a held packet to the agents that answered Unsure: a target that lacks
 // the flow hands it back. All get it at the same time, as far as the budget of wide searches
 // allows: after an outage all agents are unsure, and one after the other would take longer
-// than a search may.
-func (e *Engine) startTrials(now time.Duration, s *search) {
-	raw := s.held[0]
-	for len(s.unsure) > 0 && e.budget.allows(true) {
-		e.budget.spendBytes(len(raw) + trialOverhead)
-		e.deliver(s.unsure[0], raw)
+// than a search may. If none can be tried, it returns false and the search goes on without
+// these agents, since a search that waits keeps others from starting.
+func (e *Engine) startTrials(now time.Duration, s *search) bool {
+	for len(s.held) > 0 && len(s.unsure) > 0 && e.budget.allows(true) {
+		e.budget.spendBytes(len(s.held[0]) + trialOverhead)
+		e.deliver(s.unsure[0], s.held[0])
 		s.trials = append(s.trials, s.unsure[0])
 		s.unsure = s.unsure[1:]
 		s.trialAt = now
 	}
+	if len(s.trials) > 0 {
+		return true
+	}
+	s.untried = append(s.untried, s.unsure...)
+	s.unsure = nil
+	return false
 }
 
 // endTrials ends the trials whose packets weren't handed back in time. If there is one, its
@@ -283,7 +290,7 @@
 		e.dropSearch(f)
 		return
 	}
-	silent := len(s.unanswered) + len(s.unsure)
+	silent := len(s.unanswered) + len(s.unsure) + len(s.untried)
 	verdict := DroppedNotFound
 	if silent == 0 && e.agents.addedAt <= s.allListedAt && !s.skippedAll && len(s.pending) == 0 && len(s.asked) > 0 && !s.clientReset {
 		verdict = ResetNoHolder
--- a/internal/passthrough/forward/search_test.go
+++ b/internal/passthrough/forward/search_test.go
@@ -139,6 +139,22 @@
 	is.Equal(r.questionsTo(a), asked+1)
 }
 
+// Guards against searches that keep others from starting while they wait until their
+// packet may be tried: without budget for trials a search ends, and nothing is reset.
+func TestSearchDoesNotWaitForTrials(t *testing.T) {
+	is := is.New(t)
+	r := newTestEngine(t)
+	a := r.agentAt(1, caseworkService)
+	const rate = 10_000
+	r.engine.budget = questionBudget{rate: rate, available: rate * burstSeconds * wideReserveShare, filledAt: r.now}
+	r.send(data(9, 77))
+	r.answerAs(a, peer.Unsure)
+	is.Equal(r.engine.Searches(), 0)
+	is.Equal(r.lastDecision().Verdict, DroppedNotFound)
+	is.Equal(r.lastDecision().Silent, 1)
+	is.Equal(len(r.resets), 0)
+}
+
 // Guards against resets of flows that may be open at an agent that answered Unsure, if no
 // packet is left to try there: too many packets are held for other searches.
 func TestUntriedUnsureAgentPreventsReset(t *testing.T) {
