--- a/internal/passthrough/control/order_times_test.go
+++ b/internal/passthrough/control/order_times_test.go
@@ -44,9 +44,7 @@
 	return d.times.mayBeDelayedCopy(d.store.Evacuations(), d.order(evacuate), d.start.Add(at), window)
 }
 
-// Guards against a delayed copy of an order that is applied after the opposite order was
-// acknowledged. While the operator may still be resending, the order gets no definite
-// answer.
+// Guards against a delayed copy of an order that overrides the operator's latest order.
 func TestDelayedCopyGetsNoDefiniteAnswer(t *testing.T) {
 	is := is.New(t)
 	d := newDelayedCopies(t)
--- a/internal/passthrough/flowtable/flows_test.go
+++ b/internal/passthrough/flowtable/flows_test.go
@@ -149,9 +149,7 @@
 	is.Equal(r.refused[1], refusal{9, peer.NoTarget})
 }
 
-// All VMs lost power, and the agent misses the first announcements of its target, which
-// started a moment later. The agent found nobody at the target's address, so it must be
-// sure, and callers of dead flows are told at once.
+// Guards against callers of dead flows who wait although the agent saw its target's start.
 func TestAgentStartedBeforeItsTargetKnowsAllFlows(t *testing.T) {
 	is := is.New(t)
 	r := restartedAgent(t)
--- a/internal/passthrough/flowtable/incarnation_test.go
+++ b/internal/passthrough/flowtable/incarnation_test.go
@@ -92,9 +92,7 @@
 	is.Equal(len(r.refused), 0)
 }
 
-// Guards against resets of a new target's own flows, and against callers of its
-// predecessor's flows who aren't told, because the VM's clock was set ahead or back before
-// the new target started.
+// Guards against clock steps by which a new target's flows are reset, or lost ones aren't.
 func TestClockStepsDoNotDecideWhoseFlowsAreReset(t *testing.T) {
 	for clock, born := range map[string]int64{"set back": 2000, "set ahead": 60_000} {
 		t.Run(clock, func(t *testing.T) { // the target starts 10 s after the agent
--- a/internal/passthrough/flowtable/recall_test.go
+++ b/internal/passthrough/flowtable/recall_test.go
@@ -74,9 +74,7 @@
 	is.Equal(len(r.resets), 0)
 }
 
-// Guards against callers of a target that is gone who aren't told, because the VM's clock
-// was set back before its successor started. The successor's next announcement shows that it
-// is the living one.
+// Guards against lost flows whose callers aren't told after the VM's clock was set back.
 func TestRecordWithALaterStartIsAppliedOnceTheTargetIsConfirmed(t *testing.T) {
 	is := is.New(t)
 	r := restartedAgent(t)
