forward: send a first packet's copies for the service it was placed for

Cause: the flow table's entry held the agent's address only. A copy of the first packet went to that address and named the service that the address belonged to by then, so the agent's check passed. So did a first packet with the addresses and ports of a flow that a search had found, or of one that was placed before its route changed; and a copy to an agent that restarted named no service. Change: the entry holds the service that the flow was placed for, and all its packets name that one. A copy follows the first packet only while the table allows the service and the agent isn't known to belong to another; otherwise it is placed anew. The agent's check then holds whatever becomes of the address. Tests: the test engine dropped the service of what it delivered and now records it.

--- a/internal/passthrough/forward/choose.go
+++ b/internal/passthrough/forward/choose.go
@@ -57,8 +57,10 @@
 
 // choice is the result of choosing an agent for a new flow.
 type choice struct {
-	// agent is the chosen one, noAgent if none.
-	agent uint32
+	// agent is the chosen one, noAgent if none. service is the service that it was chosen
+	// for.
+	agent   uint32
+	service route.ServiceID
 	// probe lists the agents whose load must be known first.
 	probe []uint32
 }
@@ -97,13 +99,13 @@
 		}
 		other.keepOverflowTargets(policy, own.list())
 		if agent, ok := c.e.pick(&other); ok {
-			return choice{agent: agent}
+			return choice{agent: agent, service: c.e.agents.list[agent].group.service}
 		}
 	}
 	if agent, ok := c.e.pick(&own); ok {
-		return choice{agent: agent}
+		return choice{agent: agent, service: service}
 	}
-	return choice{agent: c.fallback(service)}
+	return choice{agent: c.fallback(service), service: service}
 }
 
 func (c *chooser) addOtherServices(own route.ServiceID, to *candidates) (probe []uint32) {
--- a/internal/passthrough/forward/forward.go
+++ b/internal/passthrough/forward/forward.go
@@ -80,9 +80,13 @@
 	return Policy{Place: placement.DefaultPolicy(), Youth: 150 * time.Millisecond}
 }
 
-// flowEntry is the flow table's entry: the agent that a flow's packets go to.
+// flowEntry is the flow table's entry: the agent that a flow's packets go to, and the
+// service that the flow was placed for. The agent's address may be reused by another
+// service, so the agent alone doesn't tell.
 type flowEntry struct {
 	lastPacketAt time.Duration
+	// service is 0 if the flow was found at an agent whose service isn't known.
+	service route.ServiceID
 	// refused is nil until an agent hands the first packet back.
 	refused  *refusals
 	agent    uint32
@@ -205,7 +209,7 @@
 	case known:
 		entry.lastPacketAt = now
 		e.flows[f] = entry
-		e.deliver(entry.agent, a.raw)
+		e.deliver(entry, 0, a.raw)
 	default:
 		e.startSearch(now, a.p, f, a.raw, noAgent)
 	}
@@ -229,14 +233,16 @@
 }
 
 // handleFirstPacket handles a first packet or a retransmit of it. Retransmits go to the
-// same agent while that is responsive: if two targets answered, each would keep state for
-// the flow.
+// same agent while that is responsive and the placement valid: if two targets answered,
+// each would keep state for the flow.
 func (e *Engine) handleFirstPacket(now time.Duration, a arrival, f packet.Flow, entry flowEntry, known bool) {
 	switch {
 	case e.placements.byFlow[f] != nil:
 		// The first packet still waits for placement.
 	case !known:
 		e.place(now, a, f, flowEntry{}, 0)
+	case !e.placementValid(f, entry):
+		e.place(now, a, f, entry, peer.WrongService)
 	case e.agents.list[entry.agent].unresponsive(now):
 		entry.exclude(entry.agent)
 		e.place(now, a, f, entry, peer.TargetSilent)
@@ -252,13 +258,12 @@
 	e.logDecision(Decision{Flow: f, Verdict: RefusedNoTarget, Reason: reason, Asked: int(entry.attempts)})
 }
 
-func (e *Engine) deliver(agent uint32, raw []byte) { e.deliverWithAge(agent, 0, raw) }
-
-// deliverWithAge sends a first packet with its waiting time: agents with busy targets
-// admit the newest packets first.
-func (e *Engine) deliverWithAge(agent uint32, age time.Duration, raw []byte) {
-	a := &e.agents.list[agent]
-	e.cfg.Out.Deliver(a.address, a.service(), age, raw)
+// deliver sends a flow's packet to its agent. The packet names the service that the flow
+// was placed for, not the one that the agent belongs to by now, so that the agent refuses
+// it once the address is another service's. age is how long a first packet was held:
+// agents with busy targets admit the newest packets first.
+func (e *Engine) deliver(entry flowEntry, age time.Duration, raw []byte) {
+	e.cfg.Out.Deliver(e.agents.list[entry.agent].address, entry.service, age, raw)
 }
 
 // HandleRefused handles a packet that an agent handed back. The header tells why, and how long
@@ -275,7 +280,7 @@
 		return
 	}
 	if known && entry.agent != agent {
-		e.deliver(entry.agent, raw) // found meanwhile
+		e.deliver(entry, 0, raw) // found meanwhile
 		return
 	}
 	if s := e.searches[f]; s != nil {
--- a/internal/passthrough/forward/placement.go
+++ b/internal/passthrough/forward/placement.go
@@ -80,7 +80,7 @@
 	delete(e.placements.byFlow, f)
 	switch {
 	case chosen.agent != noAgent:
-		e.placeAt(now, f, p, chosen.agent)
+		e.placeAt(now, f, p, chosen)
 	case p.entry.attempts == 0 && e.startingUp(now):
 		e.holdUntilReady(f, p.arrival, false)
 	default:
@@ -102,24 +102,25 @@
 }
 
 // placeAt sends a first packet to the chosen agent.
-func (e *Engine) placeAt(now time.Duration, f packet.Flow, p *pendingPlacement, agent uint32) {
+func (e *Engine) placeAt(now time.Duration, f packet.Flow, p *pendingPlacement, chosen choice) {
 	verdict := Placed
 	if p.entry.attempts > 0 {
 		verdict = Moved
 	}
 	p.entry.attempts++
-	p.entry.agent = agent
+	p.entry.agent = chosen.agent
+	p.entry.service = chosen.service
 	p.entry.lastPacketAt = now
 	if len(e.flows) < maxFlows {
 		e.flows[f] = p.entry
 	}
-	a := &e.agents.list[agent]
+	a := &e.agents.list[chosen.agent]
 	a.flowsSent++
-	e.deliverWithAge(agent, now-p.arrival.arrivedAt, p.raw)
+	e.deliver(p.entry, now-p.arrival.arrivedAt, p.raw)
 	picked, _ := e.table.Pick(f)
 	e.logDecision(Decision{
 		Flow: f, Verdict: verdict, Agent: a.address, Reason: p.reason, ReportAge: now - a.reportedAt, Waited: now - p.arrival.arrivedAt,
-		Overflow: a.service() != picked,
+		Overflow: chosen.service != picked,
 	})
 }
 
@@ -155,12 +156,20 @@
 	e.tickRetransmits(now)
 }
 
+// placementValid tells whether retransmits of a flow's first packet may go to its agent:
+// the table still allows the service that the flow was placed for, and the agent isn't
+// known to belong to another one.
+func (e *Engine) placementValid(f packet.Flow, entry flowEntry) bool {
+	at := e.agents.list[entry.agent].service()
+	return (at == 0 || at == entry.service) && e.table.Allows(f.Service, entry.service)
+}
+
 // forwardRetransmit sends a retransmitted first packet to the agent of the first one and
 // probes that agent; if it is unresponsive, the packet goes to another one.
 func (e *Engine) forwardRetransmit(now time.Duration, a arrival, f packet.Flow, entry flowEntry) {
 	entry.lastPacketAt = now
 	e.flows[f] = entry
-	e.deliverWithAge(entry.agent, now-a.arrivedAt, a.raw)
+	e.deliver(entry, now-a.arrivedAt, a.raw)
 	if e.agents.list[entry.agent].hasFreshReport(now) || len(e.placements.retransmits) >= maxPendingPlacements {
 		return
 	}
--- a/internal/passthrough/forward/rig_test.go
+++ b/internal/passthrough/forward/rig_test.go
@@ -28,9 +28,10 @@
 }
 
 type delivery struct {
-	to  netip.AddrPort
-	age time.Duration
-	raw []byte
+	to      netip.AddrPort
+	service route.ServiceID
+	age     time.Duration
+	raw     []byte
 }
 
 type question struct {
@@ -43,8 +44,8 @@
 	seq  uint32
 }
 
-func (r *testEngine) Deliver(to netip.AddrPort, _ route.ServiceID, age time.Duration, raw []byte) {
-	r.delivered = append(r.delivered, delivery{to, age, append([]byte(nil), raw...)})
+func (r *testEngine) Deliver(to netip.AddrPort, service route.ServiceID, age time.Duration, raw []byte) {
+	r.delivered = append(r.delivered, delivery{to, service, age, append([]byte(nil), raw...)})
 }
 func (r *testEngine) Ask(to netip.AddrPort, q peer.Question) {
 	r.asked = append(r.asked, question{to, q})
--- a/internal/passthrough/forward/search.go
+++ b/internal/passthrough/forward/search.go
@@ -213,13 +213,14 @@
 
 // finishSearch ends a search whose holder is known, and delivers the held packets.
 func (e *Engine) finishSearch(now time.Duration, f packet.Flow, s *search, agent uint32) {
+	a := &e.agents.list[agent]
+	entry := flowEntry{agent: agent, service: a.service(), lastPacketAt: now}
 	if len(e.flows) < maxFlows {
-		e.flows[f] = flowEntry{agent: agent, lastPacketAt: now}
+		e.flows[f] = entry
 	}
 	for _, raw := range s.held {
-		e.deliver(agent, raw)
+		e.deliver(entry, 0, raw)
 	}
-	a := &e.agents.list[agent]
 	e.logDecision(Decision{Flow: f, Verdict: Found, Agent: a.address, ReportAge: now - a.reportedAt, Waited: now - s.arrivedAt, Asked: len(s.asked), Silent: len(s.unanswered)})
 	e.dropSearch(f)
 }
@@ -252,8 +253,9 @@
 func (e *Engine) startTrials(now time.Duration, s *search) bool {
 	for len(s.held) > 0 && len(s.unsure) > 0 && e.budget.allows(true) {
 		e.budget.spendBytes(len(s.held[0]) + trialOverhead)
-		e.deliver(s.unsure[0], s.held[0])
-		s.trials = append(s.trials, s.unsure[0])
+		agent := s.unsure[0]
+		e.deliver(flowEntry{agent: agent, service: e.agents.list[agent].service()}, 0, s.held[0])
+		s.trials = append(s.trials, agent)
 		s.unsure = s.unsure[1:]
 		s.trialAt = now
 	}
--- a/internal/passthrough/route/route.go
+++ b/internal/passthrough/route/route.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -177,6 +178,11 @@
 	return t.routes[at].choices
 }
 
+// Allows tells whether a service may receive new flows to an address.
+func (t *Table) Allows(at packet.Endpoint, s ServiceID) bool {
+	return slices.ContainsFunc(t.Services(at), func(c Choice) bool { return c.Service == s })
+}
+
 // Priority returns the priority of an address's route, or 0, the most urgent, if the
 // address has no route.
 func (t *Table) Priority(at packet.Endpoint) uint32 {
