flowtable: refuse first packets that name no service

Callers would see: a request run by another service, where a first packet that names none arrives at a reused address. Cause: the agent took packets without a service for ones to any. That is right for packets of open flows: they open nothing, and a target that lacks the flow returns them. Change: a first packet must name the target's service. Tests: before the change TestFirstPacketWithoutServiceIsRefused fails.

--- a/internal/passthrough/flowtable/flows_test.go
+++ b/internal/passthrough/flowtable/flows_test.go
@@ -52,6 +52,17 @@
 	is.Equal(len(r.toTarget), 0)
 }
 
+// Guards against a first packet without a service that opens a flow at a target of any
+// service.
+func TestFirstPacketWithoutServiceIsRefused(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	p := packet.Packet{Src: flowOf(9).Client, Dst: service, Flags: packet.SYN}
+	r.engine.FromBalancer(r.now, balancer, peer.Header{Kind: peer.KindDeliver}, p, rawOf(9))
+	is.Equal(r.refused, []refusal{{9, peer.WrongService}})
+	is.Equal(len(r.toTarget), 0)
+}
+
 // A target that holds as many flows as it can returns a first packet. The agent must
 // return it to the balancer that sent it, which tries another target.
 func TestFullTargetReturnsFirstPacket(t *testing.T) {
--- a/internal/passthrough/flowtable/flowtable.go
+++ b/internal/passthrough/flowtable/flowtable.go
@@ -188,15 +188,26 @@
 // are reused by other services, and balancers learn of it with a delay.
 func (e *Engine) misdirected(now time.Duration, h peer.Header, p packet.Packet) peer.Reason {
 	switch {
-	case !e.target.known && !p.Opens() && !e.empty(now) && (h.Service == 0 || h.Service == route.IDOf(e.cfg.Service)):
+	case p.Opens():
+		return e.wrongTarget(h.Service)
+	case !e.target.known && !e.empty(now) && (h.Service == 0 || e.cfg.Service == "" || h.Service == route.IDOf(e.cfg.Service)):
 		// The agent may have restarted next to a live target. Balancers that have only a
 		// report of the new process don't know its service and send 0. If such a packet
 		// were refused, the balancer would take an open flow for one that no agent holds,
 		// and reset it.
 		return 0
+	case e.target.known && h.Service == 0:
+		return 0 // opens nothing: the target returns it if it lacks the flow
+	}
+	return e.wrongTarget(h.Service)
+}
+
+// wrongTarget returns why the target isn't one of the given service, 0 if it is.
+func (e *Engine) wrongTarget(s route.ServiceID) peer.Reason {
+	switch {
 	case !e.target.known:
 		return peer.NoTarget
-	case h.Service != 0 && h.Service != e.target.service:
+	case s != e.target.service:
 		return peer.WrongService
 	}
 	return 0
