flowtable: tie held first packets to the service they came for

Callers would see: a request run by another service, if a first packet waits for a slot while a target of another service takes over, on a VM whose settings name no service. Shown by a test only; the users' settings name the service, so that an agent's targets are all of one. Cause: an entry of the admission queue didn't say which service it came for. Change: it does, and is refused with WrongService, or NoTarget, in place of being admitted. Tests: before the change TestHeldFirstPacketIsNotAdmittedByAnotherService fails: the packet is sent to the new target.

--- a/internal/passthrough/flowtable/admission_test.go
+++ b/internal/passthrough/flowtable/admission_test.go
@@ -37,6 +37,22 @@
 	is.Equal(len(r.refused), 0)
 }
 
+// Guards against first packets that are held for a target and admitted to its successor of
+// another service.
+func TestHeldFirstPacketIsNotAdmittedByAnotherService(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.engine.cfg.Service = "" // a VM whose targets may be of any service
+	fillWithFlows(r)
+	r.now += time.Second
+	r.announce("i-1", 0, 2)
+	r.syn(9)
+	r.engine.HandleAnnouncement(r.now, Announcement{ID: "i-2", Service: "mapdocs", Address: address, Born: startTime.UnixMilli() + 1000, Number: 1, Slots: 4})
+	r.fromTarget(7, packet.ACK, 1, 1, 0) // the new target has room
+	is.Equal(len(r.toTarget), 0)
+	is.Equal(r.refused, []refusal{{9, peer.WrongService}})
+}
+
 // Guards against late answers after an outage, when many first packets are held. The
 // newest caller must go first: it can still be answered in time, the older ones are late
 // in any order.
--- a/internal/passthrough/flowtable/flowtable.go
+++ b/internal/passthrough/flowtable/flowtable.go
@@ -174,7 +174,7 @@
 	x, known := e.flows[f]
 	switch {
 	case p.Opens():
-		e.handleFirst(now, newFirst(p, now-h.Waited(), from, raw), x, known)
+		e.handleFirst(now, newFirst(p, h, now, from, raw), x, known)
 	case known && x.stage != notHeld:
 		e.handleLater(now, from, f, x, p, raw)
 	case e.unsure(now) && !known:
--- a/internal/passthrough/flowtable/queue.go
+++ b/internal/passthrough/flowtable/queue.go
@@ -7,6 +7,7 @@
 
 	"bergamotstall/internal/passthrough/packet"
 	"bergamotstall/internal/passthrough/peer"
+	"bergamotstall/internal/passthrough/route"
 )
 
 const (
@@ -24,6 +25,8 @@
 // retransmission of it, or the first packet seen of a request over an open flow.
 type arrival struct {
 	flow packet.Flow
+	// service is the one that a first packet was placed for.
+	service route.ServiceID
 	// from is the balancer that sent it.
 	from netip.AddrPort
 	raw  []byte
@@ -34,8 +37,9 @@
 	sentAt, firstSentAt time.Duration
 }
 
-func newFirst(p packet.Packet, sentAt time.Duration, from netip.AddrPort, raw []byte) arrival {
-	return arrival{flow: p.FromClient(), from: from, raw: raw, sentAt: sentAt, firstSentAt: sentAt - p.SinceFirst()}
+func newFirst(p packet.Packet, h peer.Header, now time.Duration, from netip.AddrPort, raw []byte) arrival {
+	sentAt := now - h.Waited()
+	return arrival{flow: p.FromClient(), service: h.Service, from: from, raw: raw, sentAt: sentAt, firstSentAt: sentAt - p.SinceFirst()}
 }
 
 // clone returns the packet with its own copy of the bytes.
@@ -134,6 +138,10 @@
 func (e *Engine) admitQueued(now time.Duration) {
 	for len(e.admission.queue) > 0 && !e.busy(now) && !e.target.silent && !e.target.draining {
 		q := e.dequeue(e.nextQueued())
+		if reason := e.wrongTarget(q.service); !q.request && reason != 0 {
+			e.refuseFirst(now, q.arrival, reason)
+			continue
+		}
 		if !q.request && e.coldFull(now) {
 			e.refuseFirst(now, q.arrival, peer.Cold)
 			continue
@@ -244,9 +252,10 @@
 		}
 		return 0
 	}
+	if reason := e.wrongTarget(q.service); reason != 0 {
+		return reason
+	}
 	switch {
-	case !e.target.known:
-		return peer.NoTarget
 	case e.target.draining || e.leaving:
 		return peer.Draining
 	case e.evacuated:
