forward: reset a waiting first packet at once when its route is removed

Callers would see: up to 100 ms of waiting before a refusal, and a verdict that blames the targets. Cause: a first packet that waits for probes is placed by the table in force, which has no service for it any more. The agents whose service isn't known counted as those of "no service" and were probed. Change: a waiting first packet without a route is reset as one that arrives without a route. Tests: before the change TestWaitingFirstPacketIsResetWhenItsRouteIsRemoved fails: no reset.

--- a/internal/passthrough/forward/placement.go
+++ b/internal/passthrough/forward/placement.go
@@ -70,6 +70,11 @@
 
 // tryPlacement places a first packet if enough loads are known.
 func (e *Engine) tryPlacement(now time.Duration, f packet.Flow, p *pendingPlacement) {
+	if len(e.table.Services(f.Service)) == 0 {
+		delete(e.placements.byFlow, f)
+		e.rejectNoRoute(p.p, f)
+		return
+	}
 	noWait := now-p.startedAt >= placementTimeout || len(e.placements.byFlow) >= maxPendingPlacements
 	c := chooser{e: e, now: now, flow: f, excluded: p.entry.excludedAgents(), noWait: noWait}
 	chosen := c.choose()
--- a/internal/passthrough/forward/service_test.go
+++ b/internal/passthrough/forward/service_test.go
@@ -93,6 +93,21 @@
 	is.Equal(r.lastDelivery().service, route.IDOf(caseworkService))
 }
 
+// Guards against callers that wait for probes after their route was removed.
+func TestWaitingFirstPacketIsResetWhenItsRouteIsRemoved(t *testing.T) {
+	is := is.New(t)
+	r := newTestEngine(t)
+	r.list(1, caseworkService)
+	r.replaceVM(2, "")
+	r.now += reportFreshFor
+	r.send(syn(9))
+	is.Equal(len(r.delivered), 0)
+	r.table(2)
+	r.advance(10 * time.Millisecond)
+	is.Equal(r.resets, []reset{{flowOf(9), 0}})
+	is.Equal(r.lastDecision().Verdict, RefusedNoRoute)
+}
+
 // addressReuse plays VMs whose addresses are reused, route changes, and clients, all in a
 // random order.
 type addressReuse struct {
