--- a/internal/passthrough/flowtable/flows_test.go
+++ b/internal/passthrough/flowtable/flows_test.go
@@ -271,3 +271,14 @@
 	is.Equal(len(r.refused), 0)
 	is.Equal(r.toTarget, []uint16{9})
 }
+
+// Guards against the reset of open flows at an agent that has restarted next to a live
+// target and may serve targets of any service: it can't know that the packet's is another.
+func TestPacketReachesALiveTargetOfAnyService(t *testing.T) {
+	is := is.New(t)
+	r := &rig{t: t, now: time.Hour}
+	r.engine = New(Config{Address: address, Process: 2, Heartbeat: time.Second, StartedAt: r.now, Policy: policy, Codec: codec{}, Out: r})
+	r.fromClient(9, packet.ACK, 11, 500, 100)
+	is.Equal(len(r.refused), 0)
+	is.Equal(r.toTarget, []uint16{9})
+}
