--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -5,7 +5,21 @@
 //
 // The files are identity, snapshot-INDEX, segment-NUMBER (numbers in hexadecimal) and lock.
 // A segment is a sequence of records; a new one begins when the current one is full, and
-// after each snapshot.
+// after each snapshot. Opening the folder and saving a snapshot begin a segment with a
+// record of the whole state.
+//
+// Each write is synced before the next one, so that only the last write can be torn: its
+// process was killed, its sync failed, or the power was cut. The order of operations keeps
+// a torn write at the end of the log, whatever is interrupted:
+//
+//   - The identity, a snapshot and a segment that begins with the whole state are written
+//     and synced under a temporary name, renamed, and then the folder is synced. A file with
+//     its final name is whole.
+//   - A segment that doesn't begin with the whole state is created only after all writes to
+//     the one before were synced.
+//   - Older segments and snapshots are removed once the new segment is durable. The removal
+//     isn't synced: a power cut may undo it, also for a segment whose last write was torn.
+//     The segment after it then begins with the whole state, and that write isn't needed.
 package journal
 
 import (
@@ -259,29 +273,49 @@
 }
 
 // startLog begins a new segment with a record of the whole state, so that no earlier
-// segment is needed.
+// segment is needed. The segment gets its name once that record is synced.
 func (j *Journal) startLog(state Batch) error {
-	if err := j.rotate(); err != nil {
+	name := j.path(segmentName(j.segmentNumber + 1))
+	_ = j.fs.Remove(name + temporarySuffix) // left over from an interrupted start
+	if err := j.createSegment(name + temporarySuffix); err != nil {
+		return err
+	}
+	if err := j.write(record{Reset: true, Hard: state.Hard, Commit: state.Commit, Entries: state.Entries}); err != nil {
 		return err
 	}
-	return j.write(record{Reset: true, Hard: state.Hard, Commit: state.Commit, Entries: state.Entries})
+	if err := j.fs.Rename(name+temporarySuffix, name); err != nil {
+		return j.fail(errors.Wrap(err, "journal: rename segment"))
+	}
+	return j.syncFolder()
 }
 
 // rotate begins a new, empty segment.
 func (j *Journal) rotate() error {
+	if err := j.createSegment(j.path(segmentName(j.segmentNumber + 1))); err != nil {
+		return err
+	}
+	return j.syncFolder()
+}
+
+// createSegment closes the current segment and creates the next one as the given file.
+func (j *Journal) createSegment(name string) error {
 	if j.file != nil {
 		if err := j.file.Close(); err != nil {
 			return j.fail(errors.Wrap(err, "journal: close segment"))
 		}
 		j.file = nil
 	}
-	j.segmentNumber++
-	f, err := j.fs.Create(j.path(segmentName(j.segmentNumber)))
+	f, err := j.fs.Create(name)
 	if err != nil {
 		return j.fail(errors.Wrap(err, "journal: create segment"))
 	}
 	j.file = f
+	j.segmentNumber++
 	j.segmentSize = 0
+	return nil
+}
+
+func (j *Journal) syncFolder() error {
 	if err := j.fs.SyncDir(j.dir); err != nil {
 		return j.fail(errors.Wrap(err, "journal: sync folder"))
 	}
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -150,6 +150,54 @@
 	return nil
 }
 
+// Guards against a folder that doesn't open any more, or opens without what was
+// acknowledged, after processes were killed, syncs failed and the power was cut several
+// times in a row, also while the folder was being opened.
+func TestKillsFailedSyncsAndPowerCuts(t *testing.T) {
+	const seeds, endsPerSeed = 1600, 8
+	for seed := range uint64(seeds) {
+		s := &workload{rng: rand.New(rand.NewPCG(seed, 3))}
+		m := newMemory(seed)
+		for end := range endsPerSeed {
+			if err := runUntilInterrupted(m, s); err != nil {
+				t.Fatalf("seed %d, end %d: %v", seed, end, err)
+			}
+			m.kill()
+			if s.rng.IntN(2) == 0 {
+				m = m.afterPowerCut()
+			}
+		}
+	}
+}
+
+// runUntilInterrupted opens the folder and writes until the process is killed, at a random
+// operation, or a sync fails. It returns an error if the folder doesn't open for another
+// reason, or lacks what was acknowledged.
+func runUntilInterrupted(m *memoryFS, s *workload) error {
+	m.operationsLeft = s.rng.IntN(60)
+	if s.rng.IntN(3) == 0 {
+		m.syncsUntilFailure = s.rng.IntN(8)
+	}
+	j, got, err := openInMemory(m, 7)
+	if err != nil {
+		if errors.Is(err, errPowerCut) || errors.Is(err, errSync) {
+			return nil
+		}
+		return err
+	}
+	if !hasAcknowledged(got, s.want) {
+		return errors.Errorf("got term %d, %d entries after %d; want term %d, %d entries after %d",
+			got.Hard.Term, len(got.Entries), got.Snapshot.Index, s.want.Hard.Term, len(s.want.Entries), s.want.Snapshot.Index)
+	}
+	s.want = got
+	for range 20 {
+		if s.step(j) != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
 // Guards against acknowledgements after a failed write, which leaves unknown content on
 // the disk. The disk fills up during a write; from then on every save must fail, even when
 // there is space again. Once reopened, the folder has what was acknowledged.
@@ -276,6 +324,24 @@
 	}
 }
 
+// Guards against a replica that starts without acknowledged records: a segment lacks its end,
+// and the one after it doesn't hold the whole state.
+func TestTornWriteThatLaterSegmentsNeedIsRefused(t *testing.T) {
+	is := is.New(t)
+	m := newMemory(1)
+	j, _, err := openInMemory(m, 7)
+	is.NoErr(err)
+	large := raft.Entry{Index: 1, Term: 1, Kind: raft.EntryCommand, Data: make([]byte, segmentLimitBytes)}
+	is.NoErr(j.Save(Batch{Hard: raft.HardState{Term: 1}, Entries: []raft.Entry{large}}))
+	is.NoErr(j.Save(Batch{Hard: raft.HardState{Term: 1}, Entries: []raft.Entry{{Index: 2, Term: 1}}}))
+	first := m.files[j.path(segmentName(j.segmentNumber-1))]
+	first.data = first.data[:len(first.data)-1]
+	m.kill()
+	_, _, err = openInMemory(m, 7)
+	var corrupt *CorruptError
+	is.True(errors.As(err, &corrupt))
+}
+
 // Guards against a replica that can't start after an ordinary power cut: a last write that
 // is incomplete, or reads as zeros, is truncated, and all before it stays.
 func TestTornLastWriteIsTruncated(t *testing.T) {
--- a/internal/journal/power_test.go
+++ b/internal/journal/power_test.go
@@ -12,6 +12,7 @@
 var (
 	errPowerCut = errors.New("power cut")
 	errDiskFull = errors.New("disk full")
+	errSync     = errors.New("sync failed")
 )
 
 // memoryFS is an FS in memory that simulates power cuts and full disks. Bytes survive a
@@ -26,20 +27,26 @@
 	operations int
 	// bytesLeft is how many more bytes fit on the disk; negative means any number.
 	bytesLeft int
-	locked    map[string]bool
-	rng       *rand.Rand
+	// syncsUntilFailure is how many more syncs of files succeed before one fails; negative
+	// means all.
+	syncsUntilFailure int
+	locked            map[string]bool
+	rng               *rand.Rand
 }
 
 type memoryFile struct {
 	fs     *memoryFS
 	data   []byte
 	synced int
+	// lostFrom is where the bytes begin that a failed sync dropped, -1 if none were. Later
+	// syncs succeed, and reads return the bytes until the power is cut.
+	lostFrom int
 }
 
 func newMemory(seed uint64) *memoryFS {
 	return &memoryFS{
 		files: map[string]*memoryFile{}, synced: map[string]*memoryFile{}, locked: map[string]bool{},
-		operationsLeft: -1, bytesLeft: -1, rng: rand.New(rand.NewPCG(seed, 1)),
+		operationsLeft: -1, bytesLeft: -1, syncsUntilFailure: -1, rng: rand.New(rand.NewPCG(seed, 1)),
 	}
 }
 
@@ -52,6 +59,12 @@
 	return nil
 }
 
+// kill ends the process that uses the disk. What it wrote stays in the page cache.
+func (m *memoryFS) kill() {
+	m.locked = map[string]bool{}
+	m.operationsLeft, m.syncsUntilFailure = -1, -1
+}
+
 // afterPowerCut returns what is on the disk after a power cut. Of the bytes of a file that
 // weren't synced, any number from the start may survive, and a sector of those may read as
 // zeros. Each change of a name that wasn't synced may survive or not.
@@ -76,13 +89,26 @@
 func (f *memoryFile) afterPowerCut(fs *memoryFS) *memoryFile {
 	rng := f.fs.rng
 	end := f.synced + rng.IntN(len(f.data)-f.synced+1)
+	if f.lostFrom >= 0 && f.lostFrom < end {
+		return f.withLostBytes(fs, end)
+	}
 	data := append([]byte(nil), f.data[:end]...)
 	if rng.IntN(3) == 0 {
 		from := f.synced + rng.IntN(end-f.synced+1)
 		from = min((from+sectorSize-1)/sectorSize*sectorSize, end)
 		clear(data[from:min(from+sectorSize, end)])
 	}
-	return &memoryFile{fs: fs, data: data, synced: len(data)}
+	return &memoryFile{fs: fs, data: data, synced: len(data), lostFrom: -1}
+}
+
+// withLostBytes returns the first bytes of the file without those that a failed sync
+// dropped: the file ends there, or has zeros.
+func (f *memoryFile) withLostBytes(fs *memoryFS, size int) *memoryFile {
+	data := append([]byte(nil), f.data[:f.lostFrom]...)
+	if f.fs.rng.IntN(2) == 0 {
+		data = append(data, make([]byte, size-f.lostFrom)...)
+	}
+	return &memoryFile{fs: fs, data: data, synced: len(data), lostFrom: -1}
 }
 
 func (m *memoryFS) MakeDir(string) error { return m.countOperation() }
@@ -112,7 +138,7 @@
 	if _, ok := m.files[name]; ok {
 		return nil, errors.Errorf("%s: exists", name)
 	}
-	f := &memoryFile{fs: m}
+	f := &memoryFile{fs: m, lostFrom: -1}
 	m.files[name] = f
 	return f, nil
 }
@@ -124,6 +150,9 @@
 	f := m.files[name]
 	f.data = f.data[:size]
 	f.synced = len(f.data)
+	if f.lostFrom >= f.synced {
+		f.lostFrom = -1
+	}
 	return nil
 }
 
@@ -192,6 +221,12 @@
 	if err := f.fs.countOperation(); err != nil {
 		return err
 	}
+	if f.fs.syncsUntilFailure == 0 {
+		f.fs.syncsUntilFailure = -1
+		f.lostFrom = f.synced
+		return errSync
+	}
+	f.fs.syncsUntilFailure--
 	f.synced = len(f.data)
 	return nil
 }
--- a/internal/journal/replay.go
+++ b/internal/journal/replay.go
@@ -23,7 +23,7 @@
 		if i > 0 && n != files.segments[i-1]+1 {
 			r.discardRecords()
 		}
-		if err := r.readSegment(n, i == len(files.segments)-1); err != nil {
+		if err := r.readSegment(n, files.segments[i+1:]); err != nil {
 			return raft.StoredState{}, err
 		}
 	}
@@ -70,7 +70,8 @@
 	r.stored = raft.StoredState{Snapshot: r.stored.Snapshot}
 }
 
-func (r *replayer) readSegment(n uint64, last bool) error {
+// readSegment applies the records of segment n. later are the segments after it.
+func (r *replayer) readSegment(n uint64, later []uint64) error {
 	name := r.journal.path(segmentName(n))
 	data, err := r.journal.fs.Read(name)
 	if err != nil {
@@ -80,7 +81,7 @@
 	for offset < len(data) {
 		body, rest, ok := decodeFrame(data[offset:])
 		if !ok {
-			return r.handleDamage(name, data, offset, last)
+			return r.handleDamage(name, data, offset, later)
 		}
 		if err := r.applyRecord(body); err != nil {
 			return &CorruptError{File: name, Offset: int64(offset), What: err.Error()}
@@ -90,21 +91,45 @@
 	return nil
 }
 
-// handleDamage truncates the segment at the offset if it ends in a torn write. All other
-// damage is a CorruptError.
-func (r *replayer) handleDamage(name string, data []byte, offset int, last bool) error {
-	if !last {
-		return &CorruptError{File: name, Offset: int64(offset), What: "damaged record, and later segments exist"}
-	}
+// handleDamage truncates the segment at the offset if it ends in a torn write and no later
+// segment needs that write. All other damage is a CorruptError.
+func (r *replayer) handleDamage(name string, data []byte, offset int, later []uint64) error {
 	if !isTornWrite(data, offset) {
 		return &CorruptError{File: name, Offset: int64(offset), What: "damaged record that was once whole"}
 	}
+	if len(later) > 0 {
+		complete, err := r.beginsWithReset(later[0])
+		if err != nil {
+			return err
+		}
+		if !complete {
+			return &CorruptError{File: name, Offset: int64(offset), What: "damaged record, and later segments need it"}
+		}
+		return nil
+	}
 	if err := r.journal.fs.Truncate(name, int64(offset)); err != nil {
 		return errors.Wrap(err, "journal: cut torn tail")
 	}
 	return nil
 }
 
+// beginsWithReset tells whether a segment begins with a record of the whole state.
+func (r *replayer) beginsWithReset(n uint64) (bool, error) {
+	data, err := r.journal.fs.Read(r.journal.path(segmentName(n)))
+	if err != nil {
+		return false, errors.Wrap(err, "journal: read segment")
+	}
+	body, _, ok := decodeFrame(data)
+	if !ok {
+		return false, nil
+	}
+	var rec record
+	if _, err := rec.UnmarshalMsg(body); err != nil {
+		return false, nil // readSegment returns the error
+	}
+	return rec.Reset, nil
+}
+
 func (r *replayer) applyRecord(body []byte) error {
 	var rec record
 	if _, err := rec.UnmarshalMsg(body); err != nil {
@@ -113,7 +138,7 @@
 	if rec.Replica != r.journal.identity.Replica {
 		return fmt.Errorf("record of replica %s in the folder of %s", rec.Replica, r.journal.identity.Replica)
 	}
-	if r.lastRecordNumber != 0 && rec.Number != r.lastRecordNumber+1 {
+	if r.lastRecordNumber != 0 && !r.mayFollow(rec) {
 		return fmt.Errorf("record %d follows record %d", rec.Number, r.lastRecordNumber)
 	}
 	r.lastRecordNumber = rec.Number
@@ -131,6 +156,12 @@
 	return nil
 }
 
+// mayFollow tells whether a record may follow the last one. Of the records before one with
+// Reset, a power cut may have undone the last: it holds the whole state.
+func (r *replayer) mayFollow(rec record) bool {
+	return rec.Number == r.lastRecordNumber+1 || rec.Reset && rec.Number > r.lastRecordNumber
+}
+
 // applyEntry appends e to the log, and drops the entry with its index and those after.
 func (r *replayer) applyEntry(e raft.Entry) error {
 	es := r.stored.Entries
