replica: don't take a reply to an earlier process for one's own

Callers would see: a definition acknowledged that isn't in force, or a read answered with an older state, if a control VM's process restarts while the leader still handles a request of the process before. Cause: forwarded requests and reads are numbered, and each process of a replica began at 1. Change: a process begins at a random number, so that numbers of two processes don't meet. Tests: before the change TestRepliesToAnEarlierProcessAnswerNothing fails.

--- a/internal/replica/read.go
+++ b/internal/replica/read.go
@@ -55,15 +55,15 @@
 	if len(r.newBarriers) == 0 {
 		return
 	}
-	r.lastNumber++
-	if r.core.Read(r.lastNumber) != nil {
+	number := r.nextNumber()
+	if r.core.Read(number) != nil {
 		return // no leader yet: retried after the next input
 	}
 	retryAt := r.now() + r.cfg.ElectionTimeout
 	for _, b := range r.newBarriers {
 		b.retryAt = retryAt
 	}
-	r.reads[r.lastNumber] = r.newBarriers
+	r.reads[number] = r.newBarriers
 	r.newBarriers = nil
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -166,9 +166,10 @@
 
 	// The fields below belong to the loop.
 
-	applied            raft.Index
-	waiters            map[raft.Index]waiter
-	forwards           map[uint64]forwarded
+	applied  raft.Index
+	waiters  map[raft.Index]waiter
+	forwards map[uint64]forwarded
+	// lastNumber is the number of the last forwarded request or read.
 	lastNumber         uint64
 	reads              map[uint64][]*barrier
 	newBarriers        []*barrier
@@ -226,6 +227,9 @@
 		forwards:     map[uint64]forwarded{},
 		reads:        map[uint64][]*barrier{},
 		replacements: map[string]replacement{},
+		// Numbers begin at random, so that a reply to an earlier process of the replica
+		// doesn't answer a request or a read of this one.
+		lastNumber: uint64(newID()),
 	}
 	r.cluster.Store(j.Identity().Cluster)
 	r.SetPeers(cfg.Peers)
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -160,8 +160,7 @@
 		q.answer(result{err: notRun(ErrNoLeader)})
 		return
 	}
-	r.lastNumber++
-	q.Number = r.lastNumber
+	q.Number = r.nextNumber()
 	if !r.links.send(leader, kindForward, &q.forward) {
 		r.count.refusedNoLeader.Add(1)
 		q.answer(result{err: notRun(ErrNoLeader)})
@@ -171,6 +170,12 @@
 	r.forwards[q.Number] = forwarded{leader: leader, request: q}
 }
 
+// nextNumber returns the number of a new forwarded request or read.
+func (r *Replica) nextNumber() uint64 {
+	r.lastNumber++
+	return r.lastNumber
+}
+
 // appendRequest appends a request to the leader's log.
 func (r *Replica) appendRequest(q *request) {
 	pos, err := r.appendOperation(q)
