framing: end a write when the link takes nothing, not when it is slow

Callers would see: a node that never gets its table over a slow link. Cause: the write timeout bounded a frame's write as a whole; the stream ended with it, and the next one sent the table from the start. It is there for peers that take nothing. Change: the timeout bounds the time without progress, on all connections that carry frames. TestWriteEndsWhenNothingIsTaken passes before and after.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,8 +61,9 @@
 
 	mu  sync.Mutex
 	out []byte
-	// writeTimeout bounds one write, so that a half-open connection doesn't block the
-	// writer until the kernel gives up its retransmissions.
+	// writeTimeout bounds the time in which a write makes no progress, so that a half-open
+	// connection doesn't block the writer until the kernel gives up its retransmissions. A
+	// large frame over a slow link takes longer as a whole.
 	writeTimeout time.Duration
 }
 
@@ -126,18 +128,31 @@
 	}
 	binary.BigEndian.PutUint32(buf, uint32(size))
 	c.out = buf
-	if c.writeTimeout > 0 {
-		if err := c.raw.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
-			return 0, errors.Wrap(err, "framing: set write deadline")
-		}
-	}
-	n, err := c.raw.Write(buf)
+	n, err := c.write(buf)
 	if err != nil {
 		return n, errors.Wrap(err, "framing: write frame")
 	}
 	return n, nil
 }
 
+// write writes a whole frame. It fails once the connection has taken nothing for the write
+// timeout.
+func (c *Conn) write(frame []byte) (int, error) {
+	written := 0
+	for {
+		if c.writeTimeout > 0 {
+			if err := c.raw.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+				return written, errors.Wrap(err, "set write deadline")
+			}
+		}
+		n, err := c.raw.Write(frame[written:])
+		written += n
+		if n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
+	}
+}
+
 // Read waits for the next frame, at most until the read deadline set on Raw. It returns
 // ErrTooLarge for a body over the limit.
 func (c *Conn) Read() (Frame, error) {
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -50,6 +51,36 @@
 	is.True(errors.Is(err, ErrTooLarge))
 }
 
+// Guards against a large frame that never arrives over a slow link: each write of it ends
+// after the write timeout although the link takes data.
+func TestWriteGoesOnWhileTheLinkTakesData(t *testing.T) {
+	is := is.New(t)
+	a, b := net.Pipe()
+	defer a.Close()
+	defer b.Close()
+	const timeout, pause, pieces = 200 * time.Millisecond, 50 * time.Millisecond, 10
+	go func() {
+		piece := make([]byte, 100)
+		for range pieces {
+			time.Sleep(pause)
+			_, _ = b.Read(piece)
+		}
+	}()
+	n, err := NewConn(a, 0, timeout).Write(7, msgp.Raw(make([]byte, 100*pieces-headerSize)))
+	is.NoErr(err)
+	is.Equal(n, 100*pieces)
+}
+
+// Guards against a writer that waits for a peer which takes nothing.
+func TestWriteEndsWhenNothingIsTaken(t *testing.T) {
+	is := is.New(t)
+	a, b := net.Pipe()
+	defer a.Close()
+	defer b.Close()
+	_, err := NewConn(a, 0, 10*time.Millisecond).Write(7, msgp.Raw(make([]byte, 100)))
+	is.True(errors.Is(err, os.ErrDeadlineExceeded))
+}
+
 // Guards against a connection that counts as busy after its peer has stopped in the middle
 // of a frame, or as idle while a frame arrives or is handled.
 func TestReceiving(t *testing.T) {
