Routes: kinds and goals for nodes; reports: learned capacity; switches of overload control

The kind of a route's requests and its response-time goal were dropped when a definition was decoded, so no node could decide by what callers need. Both are now part of a route, its stored form and the table updates; the update holds them beside the routes, since builds before this one refuse a route with further fields. Nothing uses any of this yet.

--- a/internal/passthrough/agent/agent.go
+++ b/internal/passthrough/agent/agent.go
@@ -22,6 +22,7 @@
 	"bergamotstall/internal/passthrough/flowlog"
 	"bergamotstall/internal/passthrough/flowtable"
 	"bergamotstall/internal/passthrough/membership"
+	"bergamotstall/internal/passthrough/overload"
 	"bergamotstall/internal/passthrough/packet"
 	"bergamotstall/internal/passthrough/peer"
 	"bergamotstall/internal/passthrough/route"
@@ -67,9 +68,14 @@
 	Heartbeat   time.Duration
 	Seeds       func() []string
 	ControlPort uint16
-	Codec       packet.Codec
-	Log         logrus.FieldLogger
-	Metrics     *metrics.Set
+	// LinkRate is the rate of the VM's link in each direction, in bytes a second; 0 if
+	// unknown.
+	LinkRate float64
+	// Overload switches the parts of overload control on.
+	Overload overload.Settings
+	Codec    packet.Codec
+	Log      logrus.FieldLogger
+	Metrics  *metrics.Set
 }
 
 // Agent handles the pass-through flows of one target.
@@ -112,7 +118,7 @@
 	a.engine = flowtable.New(flowtable.Config{
 		Service: cfg.Service, Address: cfg.Target.String(), Zone: cfg.Zone, Region: cfg.Region, Process: process,
 		ColdOverage: cfg.ColdOverage, ColdSlack: cfg.ColdSlack,
-		Heartbeat: cfg.Heartbeat, StartedAt: a.now(), Policy: flowtable.DefaultPolicy(), Codec: cfg.Codec, Out: a,
+		Heartbeat: cfg.Heartbeat, StartedAt: a.now(), Policy: flowtable.DefaultPolicy(), Overload: cfg.Overload, Codec: cfg.Codec, Out: a,
 	})
 	a.client = membership.NewClient(membership.ClientConfig{
 		Node:  membership.Node{Role: membership.Agent, Address: cfg.Nodes.String(), Zone: cfg.Zone, Service: uint64(route.IDOf(cfg.Service)), Process: process},
--- a/internal/passthrough/balancer/balancer.go
+++ b/internal/passthrough/balancer/balancer.go
@@ -18,6 +18,7 @@
 	"bergamotstall/internal/passthrough/datagram"
 	"bergamotstall/internal/passthrough/forward"
 	"bergamotstall/internal/passthrough/membership"
+	"bergamotstall/internal/passthrough/overload"
 	"bergamotstall/internal/passthrough/packet"
 	"bergamotstall/internal/passthrough/peer"
 	"bergamotstall/internal/passthrough/route"
@@ -59,6 +60,8 @@
 	// LinkRate is the rate of the VM's link in each direction, in bytes a second; 0 if
 	// unknown.
 	LinkRate float64
+	// Overload switches the parts of overload control on.
+	Overload overload.Settings
 	Codec    packet.Codec
 	Log      logrus.FieldLogger
 	Metrics  *metrics.Set
@@ -103,7 +106,7 @@
 	seed := rand.Uint64()
 	b.engine = forward.New(forward.Config{
 		Zone: cfg.Zone, Regions: cfg.Regions, Rand: rand.New(rand.NewPCG(seed, seed)), Policy: forward.DefaultPolicy(),
-		QuestionBudget: questionShare * cfg.LinkRate, Out: b,
+		QuestionBudget: questionShare * cfg.LinkRate, LinkRate: cfg.LinkRate, Overload: cfg.Overload, Out: b,
 	})
 	b.client = membership.NewClient(membership.ClientConfig{
 		Node:  membership.Node{Role: membership.Balancer, Address: cfg.Nodes.String(), Zone: cfg.Zone, Process: seed},
--- a/internal/passthrough/flowtable/flowtable.go
+++ b/internal/passthrough/flowtable/flowtable.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"bergamotstall/internal/passthrough/flowlog"
+	"bergamotstall/internal/passthrough/overload"
 	"bergamotstall/internal/passthrough/packet"
 	"bergamotstall/internal/passthrough/peer"
 	"bergamotstall/internal/passthrough/route"
@@ -77,8 +78,10 @@
 	// StartedAt is when the agent started, on the clock that is passed to the engine.
 	StartedAt time.Duration
 	Policy    Policy
-	Codec     packet.Codec
-	Out       Output
+	// Overload switches the parts of overload control on.
+	Overload overload.Settings
+	Codec    packet.Codec
+	Out      Output
 }
 
 // stage is the state of a flow.
--- a/internal/passthrough/forward/forward.go
+++ b/internal/passthrough/forward/forward.go
@@ -24,6 +24,7 @@
 	"net/netip"
 	"time"
 
+	"bergamotstall/internal/passthrough/overload"
 	"bergamotstall/internal/passthrough/packet"
 	"bergamotstall/internal/passthrough/peer"
 	"bergamotstall/internal/passthrough/placement"
@@ -60,7 +61,12 @@
 	// QuestionBudget is how many bytes of questions may be sent a second, so that
 	// searches leave the balancer's link to the packets of flows; 0 for no bound.
 	QuestionBudget float64
-	Out            Output
+	// LinkRate is the rate of the VM's link in each direction, in bytes a second; 0 if
+	// unknown.
+	LinkRate float64
+	// Overload switches the parts of overload control on.
+	Overload overload.Settings
+	Out      Output
 }
 
 // Policy holds the settings that affect what callers get the most.
--- a/internal/passthrough/peer/messages_gen.go
+++ b/internal/passthrough/peer/messages_gen.go
@@ -9,49 +9,85 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 14
-	// string "p"
-	o = append(o, 0x8e, 0xa1, 0x70)
-	o = msgp.AppendUint64(o, z.Process)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendUint64(o, z.Sequence)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendUint64(o, z.Service)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendInt64(o, z.Incarnation)
-	// string "z"
-	o = append(o, 0xa1, 0x7a)
-	o = msgp.AppendString(o, z.Zone)
-	// string "o"
-	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendBool(o, z.AcceptsFlows)
-	// string "e"
-	o = append(o, 0xa1, 0x65)
-	o = msgp.AppendBool(o, z.NoTarget)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendBool(o, z.Leaving)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendUint32(o, z.Slots)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendUint32(o, z.Running)
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendUint32(o, z.Load)
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendUint32(o, z.Flows)
-	// string "u"
-	o = append(o, 0xa1, 0x75)
-	o = msgp.AppendBool(o, z.Unsteady)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendUint32(o, z.ColdMS)
+	// check for omitted fields
+	zb0001Len := uint32(17)
+	var zb0001Mask uint32 /* 17 bits */
+	_ = zb0001Mask
+	if z.Capacity == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4000
+	}
+	if z.ServiceMicros == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8000
+	}
+	if z.WaitMS == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10000
+	}
+	// variable map header, size zb0001Len
+	o = msgp.AppendMapHeader(o, zb0001Len)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendUint64(o, z.Process)
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendUint64(o, z.Sequence)
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendUint64(o, z.Service)
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o = msgp.AppendInt64(o, z.Incarnation)
+		// string "z"
+		o = append(o, 0xa1, 0x7a)
+		o = msgp.AppendString(o, z.Zone)
+		// string "o"
+		o = append(o, 0xa1, 0x6f)
+		o = msgp.AppendBool(o, z.AcceptsFlows)
+		// string "e"
+		o = append(o, 0xa1, 0x65)
+		o = msgp.AppendBool(o, z.NoTarget)
+		// string "l"
+		o = append(o, 0xa1, 0x6c)
+		o = msgp.AppendBool(o, z.Leaving)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendUint32(o, z.Slots)
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendUint32(o, z.Running)
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o = msgp.AppendUint32(o, z.Load)
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendUint32(o, z.Flows)
+		// string "u"
+		o = append(o, 0xa1, 0x75)
+		o = msgp.AppendBool(o, z.Unsteady)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendUint32(o, z.ColdMS)
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+			// string "k"
+			o = append(o, 0xa1, 0x6b)
+			o = msgp.AppendUint32(o, z.Capacity)
+		}
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
+			// string "v"
+			o = append(o, 0xa1, 0x76)
+			o = msgp.AppendUint32(o, z.ServiceMicros)
+		}
+		if (zb0001Mask & 0x10000) == 0 { // if not omitted
+			// string "w"
+			o = append(o, 0xa1, 0x77)
+			o = msgp.AppendUint32(o, z.WaitMS)
+		}
+	}
 	return
 }
 
@@ -157,6 +193,24 @@
 				err = msgp.WrapError(err, "ColdMS")
 				return
 			}
+		case "k":
+			z.Capacity, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Capacity")
+				return
+			}
+		case "v":
+			z.ServiceMicros, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ServiceMicros")
+				return
+			}
+		case "w":
+			z.WaitMS, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMS")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -171,6 +225,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Report) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.Uint32Size
+	s = 3 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
 	return
 }
--- a/internal/passthrough/route/route.go
+++ b/internal/passthrough/route/route.go
@@ -16,7 +16,7 @@
 
 //go:generate env GOWORK=off go -C ../../../tools tool msgp -file ../internal/passthrough/route/route.go -o ../internal/passthrough/route/route_gen.go -tests=false -io=false
 
-//msgp:ignore Table tableEntry Choice ValidationError
+//msgp:ignore Table tableEntry Choice ValidationError Demand
 
 // Version orders definitions; the highest accepted one is in force.
 type Version uint64
@@ -53,6 +53,42 @@
 	Priority uint32 `msg:"u"`
 	// AllowedRegions are the regions whose targets may take the route's flows; nil means all.
 	AllowedRegions []string `msg:"h"`
+	// Kind is the kind of the route's requests; 0 in definitions stored by builds that
+	// didn't know it.
+	Kind RequestKind `msg:"k"`
+	// GoalMS is the response-time goal in milliseconds, counted from the client's first
+	// attempt; 0 if the route states none.
+	GoalMS uint32 `msg:"g"`
+}
+
+// RequestKind is the kind of a route's requests.
+type RequestKind uint8
+
+const (
+	// UnknownKind marks a route that states no kind, or one that this build doesn't know.
+	UnknownKind RequestKind = iota
+	// Idempotent requests may run more than once.
+	Idempotent
+	// NonIdempotent requests may run once at most.
+	NonIdempotent
+	// Download marks idempotent requests with large responses.
+	Download
+	// Upload marks non-idempotent requests with large bodies.
+	Upload
+)
+
+// Bulk reports whether the client's half of the flow carries a large body, which occupies a
+// balancer's link for much longer than other requests.
+func (k RequestKind) Bulk() bool { return k == Upload }
+
+// Demand is what the callers of a route need.
+type Demand struct {
+	Kind RequestKind
+	// Goal is the response-time goal, Timeout the time after which the caller gives up,
+	// both counted from the client's first attempt; 0 means not stated.
+	Goal, Timeout time.Duration
+	// Priority is 0 for the most urgent routes.
+	Priority uint32
 }
 
 // Backend is a service behind a route with its weight, its share of new flows.
@@ -152,6 +188,8 @@
 	priority       uint32
 	timeout        time.Duration
 	allowedRegions []string
+	kind           RequestKind
+	goal           time.Duration
 }
 
 // Table looks up the services that an address's new flows may go to. It is immutable.
@@ -200,6 +238,16 @@
 	return t.routes[at].timeout
 }
 
+// Demand returns what the callers of an address's route need; it is zero if the address has
+// no route.
+func (t *Table) Demand(at packet.Endpoint) Demand {
+	if t == nil {
+		return Demand{}
+	}
+	e := t.routes[at]
+	return Demand{Kind: e.kind, Goal: e.goal, Timeout: e.timeout, Priority: e.priority}
+}
+
 // AllowedRegions returns the regions whose targets may take an address's flows; nil means all.
 func (t *Table) AllowedRegions(at packet.Endpoint) []string {
 	if t == nil {
--- a/internal/passthrough/route/route_gen.go
+++ b/internal/passthrough/route/route_gen.go
@@ -229,12 +229,40 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z RequestKind) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendUint8(o, uint8(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RequestKind) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 uint8
+		zb0001, bts, err = msgp.ReadUint8Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = RequestKind(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z RequestKind) Msgsize() (s int) {
+	s = msgp.Uint8Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Route) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 9
 	// string "n"
-	o = append(o, 0x87, 0xa1, 0x6e)
+	o = append(o, 0x89, 0xa1, 0x6e)
 	o = msgp.AppendString(o, z.Name)
 	// string "a"
 	o = append(o, 0xa1, 0x61)
@@ -266,6 +294,12 @@
 	for za0003 := range z.AllowedRegions {
 		o = msgp.AppendString(o, z.AllowedRegions[za0003])
 	}
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendUint8(o, uint8(z.Kind))
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendUint32(o, z.GoalMS)
 	return
 }
 
@@ -384,6 +418,22 @@
 					return
 				}
 			}
+		case "k":
+			{
+				var zb0005 uint8
+				zb0005, bts, err = msgp.ReadUint8Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Kind")
+					return
+				}
+				z.Kind = RequestKind(zb0005)
+			}
+		case "g":
+			z.GoalMS, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "GoalMS")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -406,6 +456,7 @@
 	for za0003 := range z.AllowedRegions {
 		s += msgp.StringPrefixSize + len(z.AllowedRegions[za0003])
 	}
+	s += 2 + msgp.Uint8Size + 2 + msgp.Uint32Size
 	return
 }
 
--- a/internal/passthrough/route/table_update.go
+++ b/internal/passthrough/route/table_update.go
@@ -29,6 +29,12 @@
 	Regions []string `msg:"g"`
 	// Cold holds the limits of all services that have one, even in an update of changes.
 	Cold []UpdateColdLimit `msg:"c"`
+	// Kinds and GoalsMS hold the kind and the response-time goal in milliseconds of each
+	// entry of Routes, in the same order; both are empty in updates of builds that didn't
+	// know them. They aren't fields of UpdateRoute, since those builds refuse a route with
+	// further fields.
+	Kinds   []byte   `msg:"k,omitempty"`
+	GoalsMS []uint32 `msg:"m,omitempty"`
 }
 
 // UpdateRoute is a route without its name.
@@ -94,6 +100,8 @@
 		out.AllowedRegions = append(out.AllowedRegions, u.region(region))
 	}
 	u.update.Routes = append(u.update.Routes, out)
+	u.update.Kinds = append(u.update.Kinds, byte(r.Kind))
+	u.update.GoalsMS = append(u.update.GoalsMS, r.GoalMS)
 }
 
 func (u *updateBuilder) region(name string) uint16 {
@@ -155,7 +163,7 @@
 
 // sameForNodes reports whether two routes mean the same to nodes.
 func sameForNodes(a, b *Route) bool {
-	if a.TimeoutMS != b.TimeoutMS || a.Priority != b.Priority {
+	if a.TimeoutMS != b.TimeoutMS || a.Priority != b.Priority || a.Kind != b.Kind || a.GoalMS != b.GoalMS {
 		return false
 	}
 	return slices.Equal(a.Backends, b.Backends) && slices.Equal(a.AllowedRegions, b.AllowedRegions)
@@ -221,8 +229,14 @@
 }
 
 func (u *TableUpdate) applyTo(t *Table) {
-	for _, r := range u.Routes {
+	for i, r := range u.Routes {
 		entry := tableEntry{priority: r.Priority, timeout: time.Duration(r.TimeoutMS) * time.Millisecond}
+		if i < len(u.Kinds) {
+			entry.kind = RequestKind(u.Kinds[i])
+		}
+		if i < len(u.GoalsMS) {
+			entry.goal = time.Duration(u.GoalsMS[i]) * time.Millisecond
+		}
 		for _, b := range r.Backends {
 			entry.choices = append(entry.choices, Choice{Service: ServiceID(u.Services[b.Service]), Weight: b.Weight})
 			entry.totalWeight += uint64(b.Weight)
--- a/internal/passthrough/route/table_update_gen.go
+++ b/internal/passthrough/route/table_update_gen.go
@@ -11,61 +11,91 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *TableUpdate) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
-	// string "v"
-	o = append(o, 0x87, 0xa1, 0x76)
-	o, err = z.Version.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Version")
-		return
-	}
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o, err = z.From.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
-	for za0001 := range z.Services {
-		o = msgp.AppendUint64(o, z.Services[za0001])
-	}
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Routes)))
-	for za0002 := range z.Routes {
-		o, err = z.Routes[za0002].MarshalMsg(o)
+	// check for omitted fields
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
+	_ = zb0001Mask
+	if z.Kinds == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.GoalsMS == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o, err = z.Version.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Routes", za0002)
+			err = msgp.WrapError(err, "Version")
 			return
 		}
-	}
-	// string "x"
-	o = append(o, 0xa1, 0x78)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Removed)))
-	for za0003 := range z.Removed {
-		o, err = z.Removed[za0003].MarshalMsg(o)
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o, err = z.From.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Removed", za0003)
+			err = msgp.WrapError(err, "From")
 			return
 		}
-	}
-	// string "g"
-	o = append(o, 0xa1, 0x67)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Regions)))
-	for za0004 := range z.Regions {
-		o = msgp.AppendString(o, z.Regions[za0004])
-	}
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Cold)))
-	for za0005 := range z.Cold {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendUint64(o, z.Cold[za0005].Service)
-		o = msgp.AppendFloat32(o, z.Cold[za0005].PerSecond)
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
+		for za0001 := range z.Services {
+			o = msgp.AppendUint64(o, z.Services[za0001])
+		}
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Routes)))
+		for za0002 := range z.Routes {
+			o, err = z.Routes[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Routes", za0002)
+				return
+			}
+		}
+		// string "x"
+		o = append(o, 0xa1, 0x78)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Removed)))
+		for za0003 := range z.Removed {
+			o, err = z.Removed[za0003].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Removed", za0003)
+				return
+			}
+		}
+		// string "g"
+		o = append(o, 0xa1, 0x67)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Regions)))
+		for za0004 := range z.Regions {
+			o = msgp.AppendString(o, z.Regions[za0004])
+		}
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Cold)))
+		for za0005 := range z.Cold {
+			// array header, size 2
+			o = append(o, 0x92)
+			o = msgp.AppendUint64(o, z.Cold[za0005].Service)
+			o = msgp.AppendFloat32(o, z.Cold[za0005].PerSecond)
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "k"
+			o = append(o, 0xa1, 0x6b)
+			o = msgp.AppendBytes(o, z.Kinds)
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "m"
+			o = append(o, 0xa1, 0x6d)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.GoalsMS)))
+			for za0006 := range z.GoalsMS {
+				o = msgp.AppendUint32(o, z.GoalsMS[za0006])
+			}
+		}
 	}
 	return
 }
@@ -210,6 +240,31 @@
 					return
 				}
 			}
+		case "k":
+			z.Kinds, bts, err = msgp.ReadBytesBytes(bts, z.Kinds)
+			if err != nil {
+				err = msgp.WrapError(err, "Kinds")
+				return
+			}
+		case "m":
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "GoalsMS")
+				return
+			}
+			if cap(z.GoalsMS) >= int(zb0008) {
+				z.GoalsMS = (z.GoalsMS)[:zb0008]
+			} else {
+				z.GoalsMS = make([]uint32, zb0008)
+			}
+			for za0006 := range z.GoalsMS {
+				z.GoalsMS[za0006], bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "GoalsMS", za0006)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -236,7 +291,7 @@
 	for za0004 := range z.Regions {
 		s += msgp.StringPrefixSize + len(z.Regions[za0004])
 	}
-	s += 2 + msgp.ArrayHeaderSize + (len(z.Cold) * (19 + msgp.Uint64Size + msgp.Float32Size))
+	s += 2 + msgp.ArrayHeaderSize + (len(z.Cold) * (19 + msgp.Uint64Size + msgp.Float32Size)) + 2 + msgp.BytesPrefixSize + len(z.Kinds) + 2 + msgp.ArrayHeaderSize + (len(z.GoalsMS) * (msgp.Uint32Size))
 	return
 }
 
--- a/internal/passthrough/route/table_update_test.go
+++ b/internal/passthrough/route/table_update_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -21,6 +22,7 @@
 			Name: fmt.Sprint(n), IP: [4]byte{198, 18, 0, byte(n)}, Port: 443, TimeoutMS: uint32(1 + rng.IntN(3)), Priority: uint32(rng.IntN(2)),
 			Backends:       []Backend{{d.Services[rng.IntN(3)].Name, uint32(rng.IntN(2))}, {"desk", 1}},
 			AllowedRegions: [][]string{nil, {"lombardia"}, {"lombardia", "ashanti"}}[rng.IntN(3)],
+			Kind:           RequestKind(rng.IntN(int(Upload) + 1)), GoalMS: uint32(rng.IntN(3)),
 		})
 	}
 	return d
@@ -72,6 +74,21 @@
 	}
 }
 
+// Guards against updates of builds that don't know the routes' kinds and goals being refused.
+func TestUpdateWithoutKindsAndGoals(t *testing.T) {
+	is := is.New(t)
+	d := &Definition{Version: 1, Services: []Service{{Name: "desk"}}, Routes: []Route{
+		{Name: "r", Port: 443, TimeoutMS: 900, Backends: []Backend{{"desk", 1}}, Kind: Upload, GoalMS: 300},
+	}}
+	at := d.Routes[0].Address()
+	is.Equal(NewTable(d).Demand(at), Demand{Kind: Upload, Goal: 300 * time.Millisecond, Timeout: 900 * time.Millisecond})
+	update := FullUpdate(d)
+	update.Kinds, update.GoalsMS = nil, nil
+	table, err := update.Table(nil)
+	is.NoErr(err)
+	is.Equal(table.Demand(at), Demand{Timeout: 900 * time.Millisecond})
+}
+
 // Guards against full tables that are sent when a single route changes.
 func TestSizeOfOneRoutesChange(t *testing.T) {
 	is := is.New(t)
