Agent: a draining target that refuses probes keeps its flows

Cause: a target that leaves closes its port while it still serves its flows and announces itself. The agent probes the port when the target leaves a packet without reaction for 200 ms, which uploads over full links bring about, and took the refusal for the end of the process: all its flows were reset. A trial that logs announcements and probes shows a refused probe of a draining target between two of its announcements, and the resets a millisecond later.

Change: while the target drains, a refused probe counts only once two announcements are overdue.

Tests: TestDrainingTargetThatRefusesProbesKeepsItsFlows failed before.

--- a/internal/passthrough/flowtable/target.go
+++ b/internal/passthrough/flowtable/target.go
@@ -177,18 +177,24 @@
 
 // Probed handles the result of a probe: whether the target's address accepted a
 // connection. A refused connection means that the target's process is gone, and its flows
-// with it. A probe that timed out says nothing and must not be passed to Probed.
+// with it, unless the target is draining: then it may have closed its port and still serve
+// its flows, and is gone only once its announcements have stopped too. A probe that timed out
+// says nothing and must not be passed to Probed.
 func (e *Engine) Probed(now time.Duration, listening bool) {
-	e.target.notListening = !listening
+	t := &e.target
+	if !listening && t.known && t.draining && now-t.announcedAt <= e.announcementTimeout() {
+		return
+	}
+	t.notListening = !listening
 	if !listening {
 		e.foundNoTarget = true
 	}
-	if listening || !e.target.known {
+	if listening || !t.known {
 		return
 	}
 	e.noteDecision(now, Decision{Verdict: TargetDead, Flows: e.load.flows})
 	e.countLost(now)
 	e.resetAll(now)
-	e.target.known = false
+	t.known = false
 	e.cfg.Out.Report()
 }
--- a/internal/passthrough/flowtable/target_test.go
+++ b/internal/passthrough/flowtable/target_test.go
@@ -215,3 +215,33 @@
 	announceState("i-2")
 	is.Equal(len(r.resets), 0)
 }
+
+// Guards against open flows reset because a draining target has closed its port: it serves
+// them on and announces itself.
+func TestDrainingTargetThatRefusesProbesKeepsItsFlows(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.open(9, 1000)
+	r.announceState("i-1", 0, 2, true)
+	r.sendRequest(9, 0)
+	r.advance(responseTimeout + 10*time.Millisecond)
+	is.True(r.engine.WantsProbe(r.now))
+	r.engine.Probed(r.now, false)
+	is.Equal(len(r.resets), 0)
+	is.Equal(r.verdictOn(9, 1001), peer.Holds)
+	is.Equal(r.report().NoTarget, false)
+}
+
+// Guards against callers left waiting when a draining target crashes: its port is closed
+// already, and its announcements stop.
+func TestCrashOfADrainingTarget(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.open(9, 1000)
+	r.announceState("i-1", 0, 2, true)
+	r.sendRequest(9, 0)
+	r.advance(r.engine.announcementTimeout() + 20*time.Millisecond)
+	r.engine.Probed(r.now, false)
+	is.Equal(r.resets, []reset{{9, 1001}})
+	is.Equal(r.report().NoTarget, true)
+}
