Balancer: admission of bulk flows and an estimate of the link's queue

Uploads fill a balancer's link, small requests wait behind them, and the balancer takes its own queue for silent agents. Bulk flows now start as the link carries them, and timeouts allow for the link's delay.

--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -21,4 +21,5 @@
 	FolderAbandoned     = define(713, logrus.WarnLevel, "data folder of a removed replica moved aside")
 	EvacuationDecided   = define(715, logrus.InfoLevel, "evacuation order processed")
 	EvacuationsInForce  = define(716, logrus.InfoLevel, "evacuations in force")
+	LinkPressure        = define(717, logrus.InfoLevel, "link and bulk flows")
 )
--- a/internal/passthrough/balancer/balancer.go
+++ b/internal/passthrough/balancer/balancer.go
@@ -115,6 +115,7 @@
 	b.verdicts = counters(cfg.Metrics)
 	b.waitTimes = waitHistograms(cfg.Metrics)
 	cfg.Metrics.Gauge("pass_flows", func() int64 { return b.gauge((*forward.Engine).Flows) })
+	b.publishLinkPressure()
 	cfg.Metrics.Gauge("pass_searches", func() int64 { return b.gauge((*forward.Engine).Searches) })
 	return b, nil
 }
@@ -131,7 +132,7 @@
 func (b *Balancer) Run(ctx context.Context) error {
 	forwardCtx, stop := context.WithCancel(context.Background())
 	defer stop()
-	running := wait.Start(forwardCtx, b.readFabric, b.readNodes, b.tick, b.client.Run, b.logTraffic)
+	running := wait.Start(forwardCtx, b.readFabric, b.readNodes, b.tick, b.client.Run, b.logTraffic, b.logLinkPressure)
 	<-ctx.Done()
 	b.stopping.Store(true)
 	b.Ready()
--- /dev/null
+++ b/internal/passthrough/bulk/bulk.go
@@ -0,0 +1,308 @@
+// Package bulk decides when a bulk flow, one that uploads a large body, may start through a
+// balancer. It has no network and no clock: packets and the time come in as arguments.
+//
+// It answers this load: uploads that together need half of a balancer's link, each able to
+// fill it alone. Started as they come, they share the link, so that all of them are late,
+// and every small request waits behind their windows. Callers retransmit what waits for
+// more than 200 ms, which fills the link further, until nothing gets through.
+//
+// Therefore only as many flows are in progress as keep the link's queue within the time that
+// the most urgent callers can spare. The others wait with their first packet. Those that can
+// still be served within their goal start first, the oldest of them before the others. A
+// caller that can't be served before it gives the attempt up is told so at once: nothing
+// ran, and its next attempt may meet a balancer with room.
+//
+// What is in progress is learned from packets alone, so a balancer that takes flows over
+// counts them with their first packet that it sees.
+package bulk
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bergamotstall/internal/passthrough/packet"
+)
+
+const (
+	// WindowBytes is what the client of a bulk flow has in flight at most: 16 packets of
+	// 1,200 bytes with their headers.
+	WindowBytes = 16 * (1200 + 74)
+	// goalShare is the part of the most urgent callers' goal that the link's queue may
+	// take in one passage. A request passes it twice, to open the flow and to send, and
+	// half of the goal is left for the target.
+	goalShare = 0.25
+	// defaultGoal stands in for goals that no route states.
+	defaultGoal = 300 * time.Millisecond
+	// quietAfter is how long a flow without packets still takes room. A flow that waits
+	// for its target, or for a lost packet's retransmit after 200 ms, leaves the link to
+	// others meanwhile.
+	quietAfter = 100 * time.Millisecond
+	// forgetAfter is how long a flow without packets is remembered. A client's
+	// retransmits are 1.6 s apart at most.
+	forgetAfter = 2 * time.Second
+	// answerMargin is how long before the end of a caller's attempt a first packet must
+	// start at the latest, so that the target's answer is in time.
+	answerMargin = 150 * time.Millisecond
+	// maxInProgress and maxWaiting bound the flows remembered, 100 B each and a first
+	// packet.
+	maxInProgress = 4_096
+	maxWaiting    = 1_024
+	// learnInterval is the time between two changes of a learned limit; one reaction of
+	// the clients takes about as long.
+	learnInterval = 100 * time.Millisecond
+	// shrinkFactor and growStep change the learned limit.
+	shrinkFactor = 0.8
+	growStep     = 0.25
+	// unstatedLimit is the limit to start with where the link's rate isn't stated.
+	unstatedLimit = 4
+	// meanWeight is the weight of one flow in the mean duration.
+	meanWeight = 0.1
+)
+
+// Verdict is what happens to a first packet.
+type Verdict uint8
+
+const (
+	// Start: the flow may start now.
+	Start Verdict = iota + 1
+	// Wait: the first packet is to be held.
+	Wait
+	// Reject: the flow can't start before its caller gives the attempt up.
+	Reject
+)
+
+// First describes the first packet of a flow.
+type First struct {
+	Flow packet.Flow
+	// BegunAt is when the caller sent the first packet for the first time.
+	BegunAt time.Duration
+	// Goal is the response-time goal, counted from BegunAt; 0 if none is stated.
+	Goal time.Duration
+	// Copy says that it is a retransmit of a packet that went to another balancer, which
+	// may have delivered it.
+	Copy bool
+}
+
+// progress is the state of a flow that has started.
+type progress struct {
+	startedAt    time.Duration
+	lastPacketAt time.Duration
+}
+
+// Admission is the admission control of one balancer. It isn't safe for concurrent use.
+type Admission struct {
+	// rate is the link's in bytes a second, 0 if unknown; tolerable is the time that its
+	// queue may take.
+	rate      float64
+	tolerable time.Duration
+	// ceiling is the limit that the rate allows, 0 if unknown; limit is the one learned.
+	ceiling, limit float64
+	learnedAt      time.Duration
+	flows          map[packet.Flow]progress
+	waiting        []First
+	// delay is the link's present queueing delay, mean the mean time that a flow is in
+	// progress.
+	delay, mean time.Duration
+}
+
+// New returns an admission control for a link of the given rate in bytes a second; 0 if it
+// is unknown.
+func New(rate float64) *Admission {
+	a := &Admission{rate: rate, flows: map[packet.Flow]progress{}}
+	a.SetUrgentGoal(0)
+	return a
+}
+
+// SetUrgentGoal sets the shortest response-time goal of the callers that share the link with
+// bulk flows; 0 if none is stated.
+func (a *Admission) SetUrgentGoal(goal time.Duration) {
+	if goal == 0 {
+		goal = defaultGoal
+	}
+	a.tolerable = time.Duration(goalShare * float64(goal))
+	a.ceiling = max(1, a.rate*a.tolerable.Seconds()/WindowBytes)
+	if a.rate == 0 {
+		a.ceiling = 0
+	}
+	if a.limit == 0 {
+		a.limit = max(a.ceiling, unstatedLimit)
+	}
+	if a.ceiling > 0 {
+		a.limit = min(a.limit, a.ceiling)
+	}
+}
+
+// Status is the present state of an admission control.
+type Status struct {
+	// InProgress flows take up room on the link, of Limit; Quiet ones have started but send
+	// nothing at the moment; Waiting ones haven't started.
+	InProgress, Limit, Quiet, Waiting int
+	// Mean is the mean time that a flow is in progress.
+	Mean time.Duration
+}
+
+// Status returns the present state.
+func (a *Admission) Status(now time.Duration) Status {
+	n := a.InProgress(now)
+	return Status{InProgress: n, Limit: a.Limit(), Quiet: len(a.flows) - n, Waiting: len(a.waiting), Mean: a.mean}
+}
+
+// Limit returns how many flows may be in progress at once.
+func (a *Admission) Limit() int { return max(1, int(a.limit+0.5)) }
+
+// InProgress returns how many flows take up room on the link.
+func (a *Admission) InProgress(now time.Duration) int {
+	n := 0
+	for _, x := range a.flows {
+		if now-x.lastPacketAt < quietAfter+a.delay {
+			n++
+		}
+	}
+	return n
+}
+
+// Known tells whether a flow has started or waits.
+func (a *Admission) Known(f packet.Flow) (started, waits bool) {
+	_, started = a.flows[f]
+	return started, a.index(f) >= 0
+}
+
+// Arrive decides on the first packet of a flow that isn't known.
+func (a *Admission) Arrive(now time.Duration, x First) Verdict {
+	if len(a.waiting) == 0 && a.InProgress(now) < a.Limit() {
+		a.start(now, x.Flow)
+		return Start
+	}
+	if len(a.waiting) >= maxWaiting || now+a.expectedWait(now, &x) > a.latestStart(&x) {
+		return Reject
+	}
+	a.waiting = append(a.waiting, x)
+	return Wait
+}
+
+// expectedWait is how long a flow that arrives now is going to wait for its turn.
+func (a *Admission) expectedWait(now time.Duration, x *First) time.Duration {
+	ahead := 1
+	for i := range a.waiting {
+		if a.compare(now, a.waiting[i], *x) < 0 {
+			ahead++
+		}
+	}
+	return time.Duration(float64(ahead) * float64(a.mean) / float64(a.Limit()))
+}
+
+// latestStart is when a flow must start at the latest.
+func (a *Admission) latestStart(x *First) time.Duration {
+	return x.BegunAt + packet.HandshakeTimeout - answerMargin - a.delay
+}
+
+// Next starts the flow whose turn it is, if there is room.
+func (a *Admission) Next(now time.Duration) (First, bool) {
+	if len(a.waiting) == 0 || a.InProgress(now) >= a.Limit() {
+		return First{}, false
+	}
+	x := slices.MinFunc(a.waiting, func(x, y First) int { return a.compare(now, x, y) })
+	a.Leave(x.Flow)
+	a.start(now, x.Flow)
+	return x, true
+}
+
+// compare orders waiting flows: those that can still be served within their goal first, then
+// by age. In plain order of arrival a backlog would make all of them late.
+func (a *Admission) compare(now time.Duration, x, y First) int {
+	if xLate, yLate := a.late(now, &x), a.late(now, &y); xLate != yLate {
+		if xLate {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(x.BegunAt, y.BegunAt)
+}
+
+// late tells whether a flow would miss its goal if it started now.
+func (a *Admission) late(now time.Duration, x *First) bool {
+	return x.Goal > 0 && now+a.mean > x.BegunAt+x.Goal
+}
+
+// Expired removes and returns the flows that have waited for so long that their callers are
+// about to give the attempt up.
+func (a *Admission) Expired(now time.Duration) []First {
+	var out []First
+	a.waiting = slices.DeleteFunc(a.waiting, func(x First) bool {
+		expired := now > a.latestStart(&x)
+		if expired {
+			out = append(out, x)
+		}
+		return expired
+	})
+	return out
+}
+
+func (a *Admission) start(now time.Duration, f packet.Flow) {
+	if len(a.flows) < maxInProgress {
+		a.flows[f] = progress{startedAt: now, lastPacketAt: now}
+	}
+}
+
+// Packet records a packet of a flow that is open or opening. A flow that isn't known was
+// started by another balancer, or was quiet for long, and counts from now on.
+func (a *Admission) Packet(now time.Duration, f packet.Flow) {
+	x, known := a.flows[f]
+	if !known {
+		a.Leave(f)
+		a.start(now, f)
+		return
+	}
+	x.lastPacketAt = now
+	a.flows[f] = x
+}
+
+// End records that a flow is over.
+func (a *Admission) End(now time.Duration, f packet.Flow) {
+	x, known := a.flows[f]
+	if !known {
+		return
+	}
+	delete(a.flows, f)
+	took := float64(now - x.startedAt)
+	if a.mean == 0 {
+		a.mean = time.Duration(took)
+	}
+	a.mean += time.Duration(meanWeight * (took - float64(a.mean)))
+}
+
+// Leave removes a flow from those that wait.
+func (a *Admission) Leave(f packet.Flow) {
+	if i := a.index(f); i >= 0 {
+		a.waiting = slices.Delete(a.waiting, i, i+1)
+	}
+}
+
+func (a *Admission) index(f packet.Flow) int {
+	return slices.IndexFunc(a.waiting, func(x First) bool { return x.Flow == f })
+}
+
+// Tick removes flows that are silent, and learns from the link's queueing delay: it may
+// have less room than stated, as where other flows share it or its rate was cut.
+func (a *Admission) Tick(now, delay time.Duration) {
+	a.delay = delay
+	for f, x := range a.flows {
+		if now-x.lastPacketAt > forgetAfter+delay {
+			delete(a.flows, f)
+		}
+	}
+	if now-a.learnedAt < learnInterval {
+		return
+	}
+	a.learnedAt = now
+	switch {
+	case delay > 2*a.tolerable:
+		a.limit = max(1, a.limit*shrinkFactor)
+	case delay < a.tolerable && (len(a.waiting) > 0 || a.ceiling > 0):
+		a.limit += growStep
+	}
+	if a.ceiling > 0 {
+		a.limit = min(a.limit, a.ceiling)
+	}
+}
--- a/internal/passthrough/forward/agents.go
+++ b/internal/passthrough/forward/agents.go
@@ -195,7 +195,7 @@
 // HandleReport handles an agent's report. Reports of one process that arrive out of order are
 // ignored; the first report of a new process at the address replaces the old state.
 func (e *Engine) HandleReport(now time.Duration, from netip.AddrPort, r peer.Report) {
-	number := e.agents.markSeen(now, from)
+	number := e.markSeen(now, from)
 	a := &e.agents.list[number]
 	if a.report.Process == r.Process && a.report.Sequence >= r.Sequence {
 		return
@@ -251,9 +251,10 @@
 // probe asks an agent for a report, unless a probe is already outstanding.
 func (e *Engine) probe(now time.Duration, number uint32) {
 	a := &e.agents.list[number]
-	if a.probedAt > a.lastSeenAt && now-a.probedAt < probeTimeout {
+	if a.probedAt > a.lastSeenAt && now-a.probedAt < e.link.extend(probeTimeout) {
 		return
 	}
 	a.probedAt = now
+	e.link.asked(now)
 	e.cfg.Out.Probe(a.address)
 }
--- a/internal/passthrough/forward/budget.go
+++ b/internal/passthrough/forward/budget.go
@@ -26,13 +26,14 @@
 	filledAt  time.Duration
 }
 
-// refill adds the tokens for the time since the last call.
-func (b *questionBudget) refill(now time.Duration) {
+// refill adds the tokens for the time since the last call; spare is the part of the rate
+// that the link's queue leaves to questions.
+func (b *questionBudget) refill(now time.Duration, spare float64) {
 	full := b.rate * burstSeconds
 	if b.filledAt == 0 {
 		b.available = full
 	}
-	b.available = min(full, b.available+b.rate*(now-b.filledAt).Seconds())
+	b.available = min(full, b.available+spare*b.rate*(now-b.filledAt).Seconds())
 	b.filledAt = now
 }
 
--- /dev/null
+++ b/internal/passthrough/forward/bulk.go
@@ -0,0 +1,156 @@
+package forward
+
+import (
+	"time"
+
+	"bergamotstall/internal/passthrough/bulk"
+	"bergamotstall/internal/passthrough/packet"
+)
+
+// bulkGate holds the first packets of bulk flows until package bulk admits them.
+type bulkGate struct {
+	// admission is nil if bulk flows aren't bounded; inForce is set while the table has a
+	// bulk route.
+	admission *bulk.Admission
+	inForce   bool
+	held      map[packet.Flow]arrival
+}
+
+func newBulkGate(cfg Config) bulkGate {
+	if !cfg.Overload.BulkAdmission {
+		return bulkGate{}
+	}
+	return bulkGate{admission: bulk.New(cfg.LinkRate), held: map[packet.Flow]arrival{}}
+}
+
+// bulkRoutesChanged adapts the gate to a new table. If no route is of a bulk kind any more,
+// what it holds goes on.
+func (e *Engine) bulkRoutesChanged(now time.Duration) {
+	g := &e.bulk
+	if g.admission == nil {
+		return
+	}
+	exists, urgentGoal := e.table.Bulk()
+	g.inForce = exists
+	g.admission.SetUrgentGoal(urgentGoal)
+	for f, a := range g.held {
+		if !e.table.Demand(f.Service).Kind.Bulk() {
+			e.releaseBulk(now, f, a)
+		}
+	}
+}
+
+// releaseBulk has a held first packet handled like any other.
+func (e *Engine) releaseBulk(now time.Duration, f packet.Flow, a arrival) {
+	e.bulk.admission.Leave(f)
+	delete(e.bulk.held, f)
+	e.fromClient(now, a)
+}
+
+// holdsBulk counts a client's packet if it belongs to a bulk flow, and tells whether it was
+// held or dropped because the flow can't start yet. known says that the flow is in the flow
+// table.
+func (e *Engine) holdsBulk(now time.Duration, a arrival, f packet.Flow, known bool) bool {
+	g := &e.bulk
+	if !g.inForce {
+		return false
+	}
+	demand := e.table.Demand(f.Service)
+	if !demand.Kind.Bulk() {
+		return false
+	}
+	started, waits := g.admission.Known(f)
+	switch {
+	case a.p.Closes():
+		delete(g.held, f)
+		g.admission.Leave(f)
+		e.endBulk(now, f)
+	case !a.p.Opens() || known || started:
+		delete(g.held, f) // another balancer has delivered a copy of the first packet
+		g.admission.Packet(now, f)
+	case waits:
+		return true
+	default:
+		return e.arriveBulk(now, a, f, demand.Goal)
+	}
+	return false
+}
+
+// arriveBulk decides on the first packet of a new bulk flow.
+func (e *Engine) arriveBulk(now time.Duration, a arrival, f packet.Flow, goal time.Duration) (holds bool) {
+	x := bulk.First{Flow: f, BegunAt: now - a.age(now), Goal: goal, Copy: a.p.Ack > 0}
+	switch e.bulk.admission.Arrive(now, x) {
+	case bulk.Wait:
+		a.raw = append([]byte(nil), a.raw...)
+		e.bulk.held[f] = a
+	case bulk.Reject:
+		e.rejectBulk(now, x, now-a.arrivedAt)
+	default:
+		return false
+	}
+	return true
+}
+
+// rejectBulk tells the caller of a bulk flow that nothing ran. The original of a copy went to
+// another balancer, which may have delivered it, so that the flow may be open by now.
+func (e *Engine) rejectBulk(now time.Duration, x bulk.First, waited time.Duration) {
+	d := Decision{Flow: x.Flow, Verdict: RefusedBulk, Waited: waited}
+	if x.Copy {
+		d.Verdict = DroppedBulk
+	} else {
+		e.cfg.Out.Reset(x.Flow, 0)
+	}
+	e.logDecision(d)
+}
+
+// endBulk records that a flow is over, and starts those that waited for its room.
+func (e *Engine) endBulk(now time.Duration, f packet.Flow) {
+	if e.bulk.inForce {
+		e.bulk.admission.End(now, f)
+		e.startBulk(now)
+	}
+}
+
+// startBulk starts the waiting flows that there is room for.
+func (e *Engine) startBulk(now time.Duration) {
+	for {
+		x, ok := e.bulk.admission.Next(now)
+		if !ok {
+			return
+		}
+		a := e.bulk.held[x.Flow]
+		delete(e.bulk.held, x.Flow)
+		e.place(now, a, x.Flow, flowEntry{}, 0)
+	}
+}
+
+func (e *Engine) tickBulk(now time.Duration) {
+	g := &e.bulk
+	if g.admission == nil {
+		return
+	}
+	g.admission.Tick(now, e.link.delay)
+	for _, x := range g.admission.Expired(now) {
+		a := g.held[x.Flow]
+		delete(g.held, x.Flow)
+		e.rejectBulk(now, x, now-a.arrivedAt)
+	}
+	e.startBulk(now)
+}
+
+// LinkPressure is what shares a balancer's link and what waits for it.
+type LinkPressure struct {
+	// Delay is how much longer than usual an answer takes because of the link's queues.
+	Delay time.Duration
+	// Bulk is zero if bulk flows aren't bounded.
+	Bulk bulk.Status
+}
+
+// LinkPressure returns the present state of the link.
+func (e *Engine) LinkPressure(now time.Duration) LinkPressure {
+	p := LinkPressure{Delay: e.link.delay}
+	if e.bulk.admission != nil {
+		p.Bulk = e.bulk.admission.Status(now)
+	}
+	return p
+}
--- a/internal/passthrough/forward/choose.go
+++ b/internal/passthrough/forward/choose.go
@@ -164,7 +164,7 @@
 // reachability.
 func (c *chooser) mayReceive(number uint32, a *agent) bool {
 	switch {
-	case slices.Contains(c.excluded, number), c.now < a.avoidUntil, a.report.Leaving, !a.mayHoldFlows(c.now), a.unresponsive(c.now):
+	case slices.Contains(c.excluded, number), c.now < a.avoidUntil, a.report.Leaving, !a.mayHoldFlows(c.now), a.unresponsive(c.e.link.before(c.now)):
 		return false
 	case a.hasFreshReport(c.now):
 		return a.report.AcceptsFlows
--- a/internal/passthrough/forward/decision.go
+++ b/internal/passthrough/forward/decision.go
@@ -48,10 +48,16 @@
 	HeldEarly
 	// DroppedBusy: a packet was dropped because too many packets or searches are pending.
 	DroppedBusy
+	// RefusedBulk: the first packet of a bulk flow was reset because the link has no room
+	// for the flow in time.
+	RefusedBulk
+	// DroppedBulk: the same for a retransmit whose first packet another balancer may have
+	// delivered; its caller gets no reset.
+	DroppedBulk
 )
 
 var verdictNames = [...]string{"", "placed", "moved", "refused-no-route", "refused-no-target", "found",
-	"reset-route-gone", "reset-nowhere", "dropped-unfound", "held-early", "dropped-busy"}
+	"reset-route-gone", "reset-nowhere", "dropped-unfound", "held-early", "dropped-busy", "refused-bulk", "dropped-bulk"}
 
 func (v Verdict) String() string {
 	if int(v) < len(verdictNames) {
--- a/internal/passthrough/forward/forward.go
+++ b/internal/passthrough/forward/forward.go
@@ -143,6 +143,8 @@
 	// until the engine can handle them.
 	firstTableAt time.Duration
 	earlyPackets map[packet.Flow]earlyPacket
+	bulk         bulkGate
+	link         linkQueues
 }
 
 // New returns an engine without a table and without agents.
@@ -150,6 +152,7 @@
 	return &Engine{
 		cfg: cfg, budget: questionBudget{rate: cfg.QuestionBudget}, flows: map[packet.Flow]flowEntry{}, searches: map[packet.Flow]*search{}, earlyPackets: map[packet.Flow]earlyPacket{},
 		agents: newAgentTable(), placements: newPendingPlacements(), wideSearches: map[packet.Flow]wideSearch{},
+		bulk: newBulkGate(cfg), link: newLinkQueues(cfg),
 	}
 }
 
@@ -159,6 +162,7 @@
 		e.firstTableAt = now
 	}
 	e.table = t
+	e.bulkRoutesChanged(now)
 }
 
 // SetEvacuated sets the data centres whose targets take no new flows. Flows that are open
@@ -209,6 +213,9 @@
 		return
 	}
 	entry, known := e.flows[f]
+	if e.holdsBulk(now, a, f, known) {
+		return
+	}
 	switch {
 	case a.p.Opens():
 		e.handleFirstPacket(now, a, f, entry, known)
@@ -249,7 +256,7 @@
 		e.place(now, a, f, flowEntry{}, 0)
 	case !e.placementValid(f, entry):
 		e.place(now, a, f, entry, peer.WrongService)
-	case e.agents.list[entry.agent].unresponsive(now):
+	case e.agents.list[entry.agent].unresponsive(e.link.before(now)):
 		entry.exclude(entry.agent)
 		e.place(now, a, f, entry, peer.TargetSilent)
 	default:
@@ -258,8 +265,9 @@
 }
 
 // rejectFlow resets a flow that no target accepts; nothing ran.
-func (e *Engine) rejectFlow(f packet.Flow, entry flowEntry, reason peer.Reason) {
+func (e *Engine) rejectFlow(now time.Duration, f packet.Flow, entry flowEntry, reason peer.Reason) {
 	delete(e.flows, f)
+	e.endBulk(now, f)
 	e.cfg.Out.Reset(f, 0)
 	e.logDecision(Decision{Flow: f, Verdict: RefusedNoTarget, Reason: reason, Asked: int(entry.attempts)})
 }
@@ -269,6 +277,7 @@
 // it once the address is another service's. age is how long a first packet was held:
 // agents with busy targets admit the newest packets first.
 func (e *Engine) deliver(entry flowEntry, age time.Duration, raw []byte) {
+	e.link.sent(len(raw))
 	e.cfg.Out.Deliver(e.agents.list[entry.agent].address, entry.service, age, raw)
 }
 
@@ -276,7 +285,7 @@
 // the packet has been under way.
 func (e *Engine) HandleRefused(now time.Duration, from netip.AddrPort, h peer.Header, p packet.Packet, raw []byte) {
 	f := p.FromClient()
-	agent := e.agents.markSeen(now, from)
+	agent := e.markSeen(now, from)
 	if e.table == nil || len(e.table.Services(f.Service)) == 0 {
 		return // the client's next packet is handled by the new table
 	}
@@ -306,7 +315,7 @@
 		return // a retransmit has already gone to another agent
 	}
 	if reason == peer.Busy || a.age(now) >= packet.HandshakeTimeout {
-		e.rejectFlow(f, entry, reason)
+		e.rejectFlow(now, f, entry, reason)
 		return
 	}
 	switch reason {
@@ -325,7 +334,9 @@
 // Tick handles timeouts: it repeats or ends searches and placements, and removes idle
 // flows from the table.
 func (e *Engine) Tick(now time.Duration) {
+	e.link.tick(now)
 	e.probeNextAgent(now)
+	e.tickBulk(now)
 	e.tickPlacements(now)
 	e.tickSearches(now)
 	e.replayWhenReady(now)
--- /dev/null
+++ b/internal/passthrough/forward/linkqueue.go
@@ -0,0 +1,82 @@
+package forward
+
+import (
+	"net/netip"
+	"time"
+
+	"bergamotstall/internal/passthrough/link"
+)
+
+const (
+	// usualTickGap is the time between two ticks that a VM with enough processor time
+	// keeps; a longer gap is a stall, in which packets queued at the sockets.
+	usualTickGap = 60 * time.Millisecond
+	// questionsYieldAt is the delay of the link at which questions leave it to others but
+	// for minSpare of their budget.
+	questionsYieldAt = 200 * time.Millisecond
+	minSpare         = 0.25
+)
+
+// linkQueues is what the engine knows of its own link. The zero value knows nothing and
+// changes nothing.
+type linkQueues struct {
+	estimator *link.Estimator
+	now       time.Duration
+	// delay is how much longer than usual an answer takes because of the VM's own queues,
+	// as of the last tick.
+	delay time.Duration
+}
+
+func newLinkQueues(cfg Config) linkQueues {
+	if !cfg.Overload.LinkQueues {
+		return linkQueues{}
+	}
+	return linkQueues{estimator: link.New(cfg.LinkRate)}
+}
+
+// tick updates the delay.
+func (l *linkQueues) tick(now time.Duration) {
+	if l.estimator == nil {
+		return
+	}
+	if gap := now - l.now; l.now > 0 && gap > usualTickGap {
+		l.estimator.Stalled(now, gap)
+	}
+	l.now = now
+	l.delay = l.estimator.Delay(now)
+}
+
+// extend returns a timeout for an answer that passes the link's queues.
+func (l *linkQueues) extend(timeout time.Duration) time.Duration { return timeout + l.delay }
+
+// before returns the time as far as answers that pass the link's queues can tell of it.
+func (l *linkQueues) before(now time.Duration) time.Duration { return now - l.delay }
+
+// spare returns the part of the budget of questions that the link has room for.
+func (l *linkQueues) spare() float64 {
+	return max(minSpare, 1-float64(l.delay)/float64(questionsYieldAt))
+}
+
+func (l *linkQueues) sent(bytes int) {
+	if l.estimator != nil {
+		l.estimator.Sent(l.now, bytes)
+	}
+}
+
+func (l *linkQueues) asked(now time.Duration) {
+	if l.estimator != nil {
+		l.estimator.Asked(now)
+	}
+}
+
+// markSeen records that a datagram arrived from an agent, and returns its number. If it is
+// the first since a probe, it tells how long the probe's answer took.
+func (e *Engine) markSeen(now time.Duration, from netip.AddrPort) uint32 {
+	if e.link.estimator != nil {
+		e.link.estimator.Heard()
+		if a := &e.agents.list[e.agents.number(from)]; a.probedAt > a.lastSeenAt {
+			e.link.estimator.RoundTrip(now, now-a.probedAt)
+		}
+	}
+	return e.agents.markSeen(now, from)
+}
--- a/internal/passthrough/forward/placement.go
+++ b/internal/passthrough/forward/placement.go
@@ -62,7 +62,7 @@
 // place offers a first packet to a target that hasn't handed it back.
 func (e *Engine) place(now time.Duration, x arrival, f packet.Flow, entry flowEntry, reason peer.Reason) {
 	if entry.attempts >= maxPlacementAttempts {
-		e.rejectFlow(f, entry, reason)
+		e.rejectFlow(now, f, entry, reason)
 		return
 	}
 	e.tryPlacement(now, f, &pendingPlacement{arrival: x, entry: entry, reason: reason, startedAt: now})
@@ -75,7 +75,7 @@
 		e.rejectNoRoute(p.p, f)
 		return
 	}
-	noWait := now-p.startedAt >= placementTimeout || len(e.placements.byFlow) >= maxPendingPlacements
+	noWait := now-p.startedAt >= e.link.extend(placementTimeout) || len(e.placements.byFlow) >= maxPendingPlacements
 	c := chooser{e: e, now: now, flow: f, excluded: p.entry.excludedAgents(), noWait: noWait}
 	chosen := c.choose()
 	if len(chosen.probe) > 0 {
@@ -89,7 +89,7 @@
 	case p.entry.attempts == 0 && e.startingUp(now):
 		e.holdUntilReady(f, p.arrival, false)
 	default:
-		e.rejectFlow(f, p.entry, p.reason)
+		e.rejectFlow(now, f, p.entry, p.reason)
 	}
 }
 
@@ -192,7 +192,7 @@
 		entry, known := e.flows[f]
 		switch {
 		case !known || e.placements.byFlow[f] != nil:
-		case e.agents.list[entry.agent].probeTimedOut(now):
+		case e.agents.list[entry.agent].probeTimedOut(e.link.before(now)):
 			entry.exclude(entry.agent)
 			e.place(now, a, f, entry, peer.TargetSilent)
 		case e.agents.list[entry.agent].probedAt > e.agents.list[entry.agent].lastSeenAt:
--- a/internal/passthrough/forward/search.go
+++ b/internal/passthrough/forward/search.go
@@ -105,7 +105,7 @@
 
 // startQueuedSearches starts searches in the order of the queue while the budget lasts.
 func (e *Engine) startQueuedSearches(now time.Duration) {
-	e.budget.refill(now)
+	e.budget.refill(now, e.link.spare())
 	for e.activeSearches < maxActiveSearches && len(e.searchQueue) > 0 && e.budget.allows(false) {
 		f := e.searchQueue[0]
 		e.searchQueue = e.searchQueue[1:]
@@ -164,17 +164,18 @@
 }
 
 // roundOpen tells whether the present round is given more time before the next one.
-func (s *search) roundOpen(now time.Duration) bool {
+func (s *search) roundOpen(now time.Duration, l *linkQueues) bool {
 	if s.askingAll && len(s.pending) > 0 {
 		return now-s.roundSentAt < wideBatchInterval
 	}
-	return len(s.unanswered) > 0 && now-s.roundSentAt < roundTimeout
+	return len(s.unanswered) > 0 && now-s.roundSentAt < l.extend(roundTimeout)
 }
 
 func (e *Engine) sendQuestion(now time.Duration, f packet.Flow, s *search, agent uint32) {
 	a := &e.agents.list[agent]
 	e.budget.spend(a.askedAt == now)
 	a.askedAt = now
+	e.link.asked(now)
 	e.cfg.Out.Ask(a.address, peer.Question{Flow: f, Ack: s.ack})
 }
 
@@ -185,7 +186,7 @@
 	if s == nil || !s.started {
 		return
 	}
-	agent := e.agents.markSeen(now, from)
+	agent := e.markSeen(now, from)
 	switch r.Status {
 	case peer.Holds:
 		e.finishSearch(now, f, s, agent)
@@ -229,7 +230,7 @@
 // or the round has timed out.
 func (e *Engine) continueSearch(now time.Duration, f packet.Flow, s *search) {
 	switch {
-	case len(s.trials) > 0, s.roundOpen(now):
+	case len(s.trials) > 0, s.roundOpen(now, &e.link):
 		return
 	case len(s.unsure) > 0 && e.startTrials(now, s):
 		return
@@ -313,7 +314,7 @@
 }
 
 func (e *Engine) tickSearches(now time.Duration) {
-	e.budget.refill(now)
+	e.budget.refill(now, e.link.spare())
 	for f, s := range e.searches {
 		switch {
 		case !s.started:
@@ -322,12 +323,12 @@
 				e.dropSearch(f)
 			}
 		case len(s.trials) > 0:
-			if now-s.trialAt > trialTimeout {
+			if now-s.trialAt > e.link.extend(trialTimeout) {
 				e.endTrials(now, f, s)
 			}
-		case s.timedOut(now):
+		case s.timedOut(now, &e.link):
 			e.giveUp(now, f, s)
-		case len(s.pending) == 0 && len(s.unanswered) > 0 && !s.retried && now-s.roundSentAt > questionRetryAfter:
+		case len(s.pending) == 0 && len(s.unanswered) > 0 && !s.retried && now-s.roundSentAt > e.link.extend(questionRetryAfter):
 			e.retryQuestions(now, f, s)
 		default:
 			e.continueSearch(now, f, s)
@@ -337,11 +338,11 @@
 }
 
 // timedOut tells whether the search has waited for answers long enough.
-func (s *search) timedOut(now time.Duration) bool {
+func (s *search) timedOut(now time.Duration, l *linkQueues) bool {
 	if now-s.startedAt > queueTimeout {
 		return true
 	}
-	return s.askingAll && len(s.pending) == 0 && s.retried && now-s.roundSentAt > lastRoundTimeout-questionRetryAfter
+	return s.askingAll && len(s.pending) == 0 && s.retried && now-s.roundSentAt > l.extend(lastRoundTimeout-questionRetryAfter)
 }
 
 // retryQuestions sends the unanswered questions again, if the budget allows, and
--- /dev/null
+++ b/internal/passthrough/link/link.go
@@ -0,0 +1,162 @@
+// Package link estimates the queues of a VM's own link, in time. It has no network and no
+// clock: what is sent and received, and the time, come in as arguments.
+//
+// It answers this load: flows that fill a balancer's link. Answers of agents then come late
+// because they wait in the balancer's own queue, and a balancer that doesn't know this takes
+// its agents for silent, moves flows away from them, and asks again, which makes its queue
+// longer.
+//
+// Three signs are used. What was sent faster than the stated rate is queued before the link.
+// The age of an answer above the least age of recent ones is what it and its question waited
+// in both queues. Questions to several agents without a sign of life of any since tell of a
+// queue before the first answer has passed it; a stall of the process is like a queue.
+package link
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// MaxDelay bounds the estimate. Callers retransmit and agents restart; beyond this an
+	// answer is useless, whatever delays it.
+	MaxDelay = 400 * time.Millisecond
+	// sampleAge is how long a measured delay is in force.
+	sampleAge = 250 * time.Millisecond
+	// recentSamples is how many round trips the present delay is taken from.
+	recentSamples = 5
+	// baseAge is how long the least round-trip time is in force, at least; twice that at
+	// most. It must be longer than a queue stays without ever running empty.
+	baseAge = 10 * time.Second
+	// commonSilence is how many questions without any answer tell of a queue rather than
+	// of silent agents.
+	commonSilence = 3
+)
+
+// Estimator estimates the queueing delay of one link. It isn't safe for concurrent use.
+type Estimator struct {
+	// rate is in bytes a second, 0 if unknown.
+	rate float64
+	// queued is the bytes that wait before the link, as of queuedAt.
+	queued   float64
+	queuedAt time.Duration
+	base     base
+	recent   recent
+	// stall is the length of the last stall, which ended at stalledAt.
+	stall, stalledAt time.Duration
+	// asked counts the questions since anything was heard, the first of them at askedAt.
+	asked   int
+	askedAt time.Duration
+}
+
+// New returns an estimator for a link of the given rate in bytes a second; 0 if unknown.
+func New(rate float64) *Estimator { return &Estimator{rate: rate} }
+
+// Sent records bytes that were passed to the link.
+func (e *Estimator) Sent(now time.Duration, bytes int) {
+	if e.rate == 0 {
+		return
+	}
+	e.drain(now)
+	e.queued = min(e.queued+float64(bytes), e.rate*MaxDelay.Seconds())
+}
+
+func (e *Estimator) drain(now time.Duration) {
+	e.queued = max(0, e.queued-e.rate*(now-e.queuedAt).Seconds())
+	e.queuedAt = now
+}
+
+// Backlog returns how long a packet that is sent now waits before the link.
+func (e *Estimator) Backlog(now time.Duration) time.Duration {
+	if e.rate == 0 {
+		return 0
+	}
+	e.drain(now)
+	return time.Duration(e.queued / e.rate * float64(time.Second))
+}
+
+// Asked records a question to an agent.
+func (e *Estimator) Asked(now time.Duration) {
+	if e.asked == 0 {
+		e.askedAt = now
+	}
+	e.asked++
+}
+
+// Heard records that something arrived from an agent.
+func (e *Estimator) Heard() { e.asked = 0 }
+
+// RoundTrip records how long the answer to a question took.
+func (e *Estimator) RoundTrip(now, took time.Duration) {
+	e.base.add(now, took)
+	e.recent.add(now, took)
+}
+
+// Stalled records that the process didn't run for some time, during which packets queued.
+func (e *Estimator) Stalled(now, stall time.Duration) { e.stall, e.stalledAt = stall, now }
+
+// Delay returns by how much longer than usual an answer takes now because of queues of this
+// VM's own, both directions together.
+func (e *Estimator) Delay(now time.Duration) time.Duration {
+	least := e.base.value()
+	d := max(e.Backlog(now), e.recent.median(now)-least)
+	if now-e.stalledAt < sampleAge {
+		d = max(d, e.stall)
+	}
+	if e.asked >= commonSilence {
+		d = max(d, now-e.askedAt-least)
+	}
+	return min(d, MaxDelay)
+}
+
+// recent holds the last round-trip times.
+type recent struct {
+	took [recentSamples]time.Duration
+	at   [recentSamples]time.Duration
+	next int
+}
+
+func (r *recent) add(now, took time.Duration) {
+	r.took[r.next], r.at[r.next] = took, now
+	r.next = (r.next + 1) % recentSamples
+}
+
+// median returns the median of the samples in force, 0 if there is none. One slow agent
+// doesn't change it as a queue of the VM's own does. Of two samples it is the smaller.
+func (r *recent) median(now time.Duration) time.Duration {
+	var sorted [recentSamples]time.Duration
+	n := 0
+	for i, at := range r.at {
+		if at > 0 && now-at < sampleAge {
+			sorted[n] = r.took[i]
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	slices.Sort(sorted[:n])
+	return sorted[(n-1)/2]
+}
+
+// base is the least round-trip time of the last one to two spans of baseAge.
+type base struct {
+	start       time.Duration
+	now, before time.Duration
+}
+
+func (b *base) add(now, took time.Duration) {
+	if now-b.start >= baseAge {
+		b.before, b.now, b.start = b.now, 0, now
+	}
+	if b.now == 0 || took < b.now {
+		b.now = took
+	}
+}
+
+func (b *base) value() time.Duration {
+	if b.before == 0 || b.now > 0 && b.now < b.before {
+		return b.now
+	}
+	return b.before
+}
--- a/internal/passthrough/route/route.go
+++ b/internal/passthrough/route/route.go
@@ -248,6 +248,20 @@
 	return Demand{Kind: e.kind, Goal: e.goal, Timeout: e.timeout, Priority: e.priority}
 }
 
+// Bulk tells whether any route is of a bulk kind, and returns the shortest response-time goal
+// of the other routes, 0 if none is stated.
+func (t *Table) Bulk() (exists bool, urgentGoal time.Duration) {
+	for _, e := range t.routes {
+		switch {
+		case e.kind.Bulk():
+			exists = true
+		case e.goal > 0 && (urgentGoal == 0 || e.goal < urgentGoal):
+			urgentGoal = e.goal
+		}
+	}
+	return exists, urgentGoal
+}
+
 // AllowedRegions returns the regions whose targets may take an address's flows; nil means all.
 func (t *Table) AllowedRegions(at packet.Endpoint) []string {
 	if t == nil {
