--- a/internal/passthrough/bulk/bulk.go
+++ b/internal/passthrough/bulk/bulk.go
@@ -34,10 +34,11 @@
 	goalShare = 0.25
 	// defaultGoal stands in for goals that no route states.
 	defaultGoal = 300 * time.Millisecond
-	// quietAfter is how long a flow without packets still takes room. A flow that waits
-	// for its target, or for a lost packet's retransmit after 200 ms, leaves the link to
-	// others meanwhile.
-	quietAfter = 100 * time.Millisecond
+	// openWithin is how long a flow that has started takes room without data: its target
+	// may make it wait. quietAfter is the same after data; its client retransmits what was
+	// lost after 200 ms.
+	openWithin = 100 * time.Millisecond
+	quietAfter = 250 * time.Millisecond
 	// forgetAfter is how long a flow without packets is remembered. A client's
 	// retransmits are 1.6 s apart at most.
 	forgetAfter = 2 * time.Second
@@ -86,8 +87,24 @@
 
 // progress is the state of a flow that has started.
 type progress struct {
-	startedAt    time.Duration
-	lastPacketAt time.Duration
+	startedAt time.Duration
+	// usedAt is when the flow was started, or last sent data.
+	usedAt time.Duration
+	sends  bool
+	// ended says that the client has closed its half. The flow takes no room unless its
+	// client retransmits data, and is remembered for its last packets.
+	ended bool
+}
+
+// takesRoom tells whether the flow uses the link at present, or is about to.
+func (x progress) takesRoom(now, delay time.Duration) bool {
+	if x.ended {
+		return false
+	}
+	if x.sends {
+		return now-x.usedAt < quietAfter+delay
+	}
+	return now-x.usedAt < openWithin+delay
 }
 
 // Admission is the admission control of one balancer. It isn't safe for concurrent use.
@@ -144,8 +161,16 @@
 
 // Status returns the present state.
 func (a *Admission) Status(now time.Duration) Status {
-	n := a.InProgress(now)
-	return Status{InProgress: n, Limit: a.Limit(), Quiet: len(a.flows) - n, Waiting: len(a.waiting), Mean: a.mean}
+	n, quiet := 0, 0
+	for _, x := range a.flows {
+		switch {
+		case x.takesRoom(now, a.delay):
+			n++
+		case !x.ended:
+			quiet++
+		}
+	}
+	return Status{InProgress: n, Limit: a.Limit(), Quiet: quiet, Waiting: len(a.waiting), Mean: a.mean}
 }
 
 // Limit returns how many flows may be in progress at once.
@@ -155,7 +180,7 @@
 func (a *Admission) InProgress(now time.Duration) int {
 	n := 0
 	for _, x := range a.flows {
-		if now-x.lastPacketAt < quietAfter+a.delay {
+		if x.takesRoom(now, a.delay) {
 			n++
 		}
 	}
@@ -241,30 +266,37 @@
 
 func (a *Admission) start(now time.Duration, f packet.Flow) {
 	if len(a.flows) < maxInProgress {
-		a.flows[f] = progress{startedAt: now, lastPacketAt: now}
+		a.flows[f] = progress{startedAt: now, usedAt: now}
 	}
 }
 
-// Packet records a packet of a flow that is open or opening. A flow that isn't known was
-// started by another balancer, or was quiet for long, and counts from now on.
-func (a *Admission) Packet(now time.Duration, f packet.Flow) {
+// Packet records a packet, with data bytes of the body, of a flow that is open or opening. A
+// flow that isn't known was started by another balancer, or was quiet for long, and counts
+// from its first data on.
+func (a *Admission) Packet(now time.Duration, f packet.Flow, data int) {
 	x, known := a.flows[f]
-	if !known {
-		a.Leave(f)
-		a.start(now, f)
+	switch {
+	case data == 0:
 		return
+	case !known:
+		x = progress{startedAt: now}
+	case x.ended:
+		x.startedAt, x.ended = now, false
+	}
+	if known || len(a.flows) < maxInProgress {
+		x.usedAt, x.sends = now, true
+		a.flows[f] = x
 	}
-	x.lastPacketAt = now
-	a.flows[f] = x
 }
 
-// End records that a flow is over.
+// End records that a flow is over, or that its client sends nothing new.
 func (a *Admission) End(now time.Duration, f packet.Flow) {
 	x, known := a.flows[f]
-	if !known {
+	if !known || x.ended {
 		return
 	}
-	delete(a.flows, f)
+	x.ended, x.usedAt = true, now
+	a.flows[f] = x
 	took := float64(now - x.startedAt)
 	if a.mean == 0 {
 		a.mean = time.Duration(took)
@@ -288,7 +320,7 @@
 func (a *Admission) Tick(now, delay time.Duration) {
 	a.delay = delay
 	for f, x := range a.flows {
-		if now-x.lastPacketAt > forgetAfter+delay {
+		if now-x.usedAt > forgetAfter+delay {
 			delete(a.flows, f)
 		}
 	}
--- a/internal/passthrough/forward/bulk.go
+++ b/internal/passthrough/forward/bulk.go
@@ -61,13 +61,17 @@
 	}
 	started, waits := g.admission.Known(f)
 	switch {
-	case a.p.Closes():
-		delete(g.held, f)
-		g.admission.Leave(f)
-		e.endBulk(now, f)
-	case !a.p.Opens() || known || started:
-		delete(g.held, f) // another balancer has delivered a copy of the first packet
-		g.admission.Packet(now, f)
+	case !a.p.Opens():
+		if waits { // another balancer has delivered a copy of the first packet
+			delete(g.held, f)
+			g.admission.Leave(f)
+		}
+		g.admission.Packet(now, f, a.p.Data)
+		if a.p.Closes() {
+			e.endBulk(now, f)
+		}
+	case known || started:
+		return false
 	case waits:
 		return true
 	default:
