Balancer: bulk waits in a queue of its own; agents count uploads apart

Two windows of 16 packets passed on at once overflow a thin link's queue, small packets wait behind them, and the shuffled order makes targets ask for packets again. Bulk packets now go out as the link has room, in order of their data. Agents took an upload for a running request from its first packet on, so that their targets looked full while they only received.

--- a/internal/passthrough/balancer/balancer.go
+++ b/internal/passthrough/balancer/balancer.go
@@ -80,6 +80,9 @@
 	engine    *forward.Engine
 	questions datagram.Batches[peer.Question]
 	buf       []byte
+	// sendTimer fires when queued packets are to be sent; sendPending says that it is set.
+	sendTimer   *time.Timer
+	sendPending bool
 
 	// tableSince is when the first table arrived, on the clock of now; 0 if none has.
 	tableSince atomic.Int64
@@ -104,6 +107,8 @@
 	b.fabric.SetMeter(b.meter, peer.PacketKind)
 	b.nodes.SetMeter(b.meter, peer.NodeKind)
 	seed := rand.Uint64()
+	b.sendTimer = time.AfterFunc(time.Hour, b.sendTimerFired)
+	b.sendTimer.Stop()
 	b.engine = forward.New(forward.Config{
 		Zone: cfg.Zone, Regions: cfg.Regions, Rand: rand.New(rand.NewPCG(seed, seed)), Policy: forward.DefaultPolicy(),
 		QuestionBudget: questionShare * cfg.LinkRate, LinkRate: cfg.LinkRate, Overload: cfg.Overload, Out: b,
@@ -209,6 +214,7 @@
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		b.engine.HandleClientPacket(b.now(), p, raw)
+		b.sendQueued()
 		return nil
 	})
 }
--- a/internal/passthrough/balancer/output.go
+++ b/internal/passthrough/balancer/output.go
@@ -41,6 +41,23 @@
 	b.nodes.Send(b.buf, to)
 }
 
+// sendQueued sends queued packets that the link has room for, and sets the timer for the
+// others. The caller holds the lock.
+func (b *Balancer) sendQueued() {
+	next := b.engine.SendQueued(b.now())
+	if next > 0 && !b.sendPending {
+		b.sendPending = true
+		b.sendTimer.Reset(next)
+	}
+}
+
+func (b *Balancer) sendTimerFired() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sendPending = false
+	b.sendQueued()
+}
+
 const (
 	// askDelay is how long a question is held for other questions to the same agent: a
 	// small part of the round trip that it takes anyway.
--- a/internal/passthrough/bulk/bulk.go
+++ b/internal/passthrough/bulk/bulk.go
@@ -28,9 +28,14 @@
 	// WindowBytes is what the client of a bulk flow has in flight at most: 16 packets of
 	// 1,200 bytes with their headers.
 	WindowBytes = 16 * (1200 + 74)
-	// goalShare is the part of the most urgent callers' goal that the link's queue may
-	// take in one passage. A request passes it twice, to open the flow and to send, and
-	// half of the goal is left for the target.
+	// retransmitAfter is when a client sends again what wasn't acknowledged.
+	retransmitAfter = 200 * time.Millisecond
+	// windowShare is the part of retransmitAfter in which the link must carry the windows
+	// of all flows in progress; otherwise clients retransmit what only waits.
+	windowShare = 0.5
+	// goalShare is the part of the most urgent callers' goal that the queue of a link whose
+	// rate isn't stated may take in one passage. A request passes it twice, to open the flow
+	// and to send, and half of the goal is left for the target.
 	goalShare = 0.25
 	// defaultGoal stands in for goals that no route states.
 	defaultGoal = 300 * time.Millisecond
@@ -109,28 +114,35 @@
 
 // Admission is the admission control of one balancer. It isn't safe for concurrent use.
 type Admission struct {
-	// rate is the link's in bytes a second, 0 if unknown; tolerable is the time that its
-	// queue may take.
-	rate      float64
+	// limit is how many flows may be in progress. It follows from the link's rate, or, if
+	// that is unknown, learned is set, and it follows from the link's delay, which may
+	// reach tolerable.
+	limit     float64
+	learned   bool
 	tolerable time.Duration
-	// ceiling is the limit that the rate allows, 0 if unknown; limit is the one learned.
-	ceiling, limit float64
-	learnedAt      time.Duration
-	flows          map[packet.Flow]progress
-	waiting        []First
+	learnedAt time.Duration
+	flows     map[packet.Flow]progress
+	waiting   []First
 	// delay is the link's present queueing delay, mean the mean time that a flow is in
 	// progress.
 	delay, mean time.Duration
 }
 
-// New returns an admission control for a link of the given rate in bytes a second; 0 if it
-// is unknown.
-func New(rate float64) *Admission {
-	a := &Admission{rate: rate, flows: map[packet.Flow]progress{}}
+// New returns an admission control for a link whose rate isn't known.
+func New() *Admission {
+	a := &Admission{flows: map[packet.Flow]progress{}, learned: true, limit: unstatedLimit}
 	a.SetUrgentGoal(0)
 	return a
 }
 
+// SetRate sets what the link carries, in bytes a second; 0 if that is unknown.
+func (a *Admission) SetRate(rate float64) {
+	if rate > 0 {
+		a.learned = false
+		a.limit = rate * windowShare * retransmitAfter.Seconds() / WindowBytes
+	}
+}
+
 // SetUrgentGoal sets the shortest response-time goal of the callers that share the link with
 // bulk flows; 0 if none is stated.
 func (a *Admission) SetUrgentGoal(goal time.Duration) {
@@ -138,16 +150,6 @@
 		goal = defaultGoal
 	}
 	a.tolerable = time.Duration(goalShare * float64(goal))
-	a.ceiling = max(1, a.rate*a.tolerable.Seconds()/WindowBytes)
-	if a.rate == 0 {
-		a.ceiling = 0
-	}
-	if a.limit == 0 {
-		a.limit = max(a.ceiling, unstatedLimit)
-	}
-	if a.ceiling > 0 {
-		a.limit = min(a.limit, a.ceiling)
-	}
 }
 
 // Status is the present state of an admission control.
@@ -315,8 +317,8 @@
 	return slices.IndexFunc(a.waiting, func(x First) bool { return x.Flow == f })
 }
 
-// Tick removes flows that are silent, and learns from the link's queueing delay: it may
-// have less room than stated, as where other flows share it or its rate was cut.
+// Tick removes flows that are silent. If the link's rate isn't known, it learns the limit
+// from the link's queueing delay.
 func (a *Admission) Tick(now, delay time.Duration) {
 	a.delay = delay
 	for f, x := range a.flows {
@@ -324,17 +326,17 @@
 			delete(a.flows, f)
 		}
 	}
-	if now-a.learnedAt < learnInterval {
+	if !a.learned || now-a.learnedAt < learnInterval {
 		return
 	}
 	a.learnedAt = now
 	switch {
 	case delay > 2*a.tolerable:
 		a.limit = max(1, a.limit*shrinkFactor)
-	case delay < a.tolerable && (len(a.waiting) > 0 || a.ceiling > 0):
+	case delay < a.tolerable && len(a.waiting) > 0:
 		a.limit += growStep
 	}
-	if a.ceiling > 0 {
-		a.limit = min(a.limit, a.ceiling)
-	}
 }
+
+// StartedAt returns when a flow started, 0 if it isn't known.
+func (a *Admission) StartedAt(f packet.Flow) time.Duration { return a.flows[f].startedAt }
--- a/internal/passthrough/flowtable/admission.go
+++ b/internal/passthrough/flowtable/admission.go
@@ -101,7 +101,7 @@
 	e.load.hung = 0
 	after := e.latencies.hungAfter()
 	for _, x := range e.flows {
-		if x.running && now-x.runningAt > after {
+		if x.running && !x.bulk && now-x.runningAt > after {
 			e.load.hung++
 		}
 	}
--- a/internal/passthrough/flowtable/flowtable.go
+++ b/internal/passthrough/flowtable/flowtable.go
@@ -110,6 +110,9 @@
 	running   bool
 	held      bool
 	runningAt time.Duration
+	// bulk is set for flows of bulk routes. What runs there is counted apart: the target
+	// receives a body for much longer than it works on it.
+	bulk bool
 	// openedAt is when the agent saw the handshake complete; 0 if it didn't.
 	openedAt time.Duration
 	// recorded is set once control has a record of the flow, with recordedAck.
@@ -257,8 +260,11 @@
 // admit sends a first packet to the target.
 func (e *Engine) admit(now time.Duration, p arrival) {
 	e.coldFlows.add(now)
-	e.expect(now, p.flow)
-	e.storeFlow(p.flow, flow{stage: halfOpen, seenAt: now})
+	x := flow{stage: halfOpen, seenAt: now, bulk: e.isBulk(p.flow)}
+	if !x.bulk {
+		e.expect(now, p.flow)
+	}
+	e.storeFlow(p.flow, x)
 	if len(e.unanswered) < maxUnanswered {
 		e.unanswered[p.flow] = unansweredFirst{arrival: p.clone(), since: now}
 	}
@@ -286,7 +292,9 @@
 		e.storeFlow(f, x)
 		return
 	}
-	if begins {
+	if begins && x.bulk {
+		x.running, x.runningAt = true, now
+	} else if begins {
 		expectedSince, admitted := e.stopExpecting(f)
 		if !admitted && !p.Closes() && e.shouldHold(now) {
 			x.held = true
@@ -378,7 +386,7 @@
 	delete(e.unanswered, f)
 	x, known := e.flows[f]
 	if !known || x.stage == notHeld {
-		x = flow{stage: open, openedAt: now}
+		x = flow{stage: open, openedAt: now, bulk: e.isBulk(f)}
 	}
 	x.seenAt = now
 	x.answered = true
@@ -402,7 +410,9 @@
 		x.running = false
 		e.outcomes.add(now, 1, 0)
 		e.cfg.Out.Answered(now - x.runningAt)
-		observe(&e.latencies.service, now-x.runningAt)
+		if !x.bulk {
+			observe(&e.latencies.service, now-x.runningAt)
+		}
 	}
 	if p.Flags.Has(packet.FIN) {
 		x.finTarget = true
--- a/internal/passthrough/flowtable/load.go
+++ b/internal/passthrough/flowtable/load.go
@@ -47,6 +47,9 @@
 	e.countFlow(x)
 }
 
+// isBulk tells whether a flow belongs to a route of a bulk kind.
+func (e *Engine) isBulk(f packet.Flow) bool { return e.table.Demand(f.Service).Kind.Bulk() }
+
 func (e *Engine) removeFlow(f packet.Flow) {
 	if e.flows[f].held {
 		e.dequeue(e.queueIndex(f))
@@ -60,7 +63,7 @@
 	if x.stage == open || x.stage == halfOpen {
 		e.load.flows++
 	}
-	if x.running {
+	if x.running && !x.bulk {
 		e.load.running++
 	}
 }
@@ -69,7 +72,7 @@
 	if x.stage == open || x.stage == halfOpen {
 		e.load.flows--
 	}
-	if x.running {
+	if x.running && !x.bulk {
 		e.load.running--
 	}
 }
--- a/internal/passthrough/forward/bulk.go
+++ b/internal/passthrough/forward/bulk.go
@@ -7,6 +7,10 @@
 	"bergamotstall/internal/passthrough/packet"
 )
 
+// queueInterval is the time between two looks at the link while packets of bulk flows are
+// queued.
+const queueInterval = 2 * time.Millisecond
+
 // bulkGate holds the first packets of bulk flows until package bulk admits them.
 type bulkGate struct {
 	// admission is nil if bulk flows aren't bounded; inForce is set while the table has a
@@ -14,13 +18,15 @@
 	admission *bulk.Admission
 	inForce   bool
 	held      map[packet.Flow]arrival
+	// queue holds packets of bulk flows in progress until the link has room for them.
+	queue bulk.Queue
 }
 
 func newBulkGate(cfg Config) bulkGate {
 	if !cfg.Overload.BulkAdmission {
 		return bulkGate{}
 	}
-	return bulkGate{admission: bulk.New(cfg.LinkRate), held: map[packet.Flow]arrival{}}
+	return bulkGate{admission: bulk.New(), held: map[packet.Flow]arrival{}}
 }
 
 // bulkRoutesChanged adapts the gate to a new table. If no route is of a bulk kind any more,
@@ -107,6 +113,34 @@
 	e.logDecision(d)
 }
 
+// queuesBulk queues a packet of a bulk flow if the link has no room for it now: nothing of
+// other callers waits behind bulk that this balancer sends.
+func (e *Engine) queuesBulk(now time.Duration, a arrival, f packet.Flow) bool {
+	g := &e.bulk
+	if !g.inForce || a.p.Data == 0 && !a.p.Flags.Has(packet.FIN) || !e.table.Demand(f.Service).Kind.Bulk() {
+		return false
+	}
+	if g.queue.Len() == 0 && e.link.hasRoom(now) {
+		return false
+	}
+	return g.queue.Add(a.p, a.raw, g.admission.StartedAt(f))
+}
+
+// SendQueued sends queued packets of bulk flows as far as the link has room, and returns when
+// it is to be called again; 0 if nothing is queued.
+func (e *Engine) SendQueued(now time.Duration) time.Duration {
+	q := &e.bulk.queue
+	for q.Len() > 0 && e.link.hasRoom(now) {
+		x := q.First()
+		e.forwardPacket(now, x.Packet, x.Packet.FromClient(), x.Raw)
+		q.Remove()
+	}
+	if q.Len() == 0 {
+		return 0
+	}
+	return queueInterval
+}
+
 // endBulk records that a flow is over, and starts those that waited for its room.
 func (e *Engine) endBulk(now time.Duration, f packet.Flow) {
 	if e.bulk.inForce {
@@ -133,6 +167,7 @@
 	if g.admission == nil {
 		return
 	}
+	g.admission.SetRate(e.link.rate())
 	g.admission.Tick(now, e.link.delay)
 	for _, x := range g.admission.Expired(now) {
 		a := g.held[x.Flow]
--- a/internal/passthrough/forward/forward.go
+++ b/internal/passthrough/forward/forward.go
@@ -219,15 +219,25 @@
 	switch {
 	case a.p.Opens():
 		e.handleFirstPacket(now, a, f, entry, known)
-	case known:
-		entry.lastPacketAt = now
-		e.flows[f] = entry
-		e.deliver(entry, 0, a.raw)
+	case e.queuesBulk(now, a, f):
 	default:
-		e.startSearch(now, a.p, f, a.raw, noAgent)
+		e.forwardPacket(now, a.p, f, a.raw)
 	}
 }
 
+// forwardPacket sends a packet of an open flow to its agent, which is searched for if it isn't
+// known.
+func (e *Engine) forwardPacket(now time.Duration, p packet.Packet, f packet.Flow, raw []byte) {
+	entry, known := e.flows[f]
+	if !known {
+		e.startSearch(now, p, f, raw, noAgent)
+		return
+	}
+	entry.lastPacketAt = now
+	e.flows[f] = entry
+	e.deliver(entry, 0, raw)
+}
+
 // rejectNoRoute resets flows to an address that the table doesn't have, including open
 // ones whose route was removed.
 func (e *Engine) rejectNoRoute(p packet.Packet, f packet.Flow) {
--- a/internal/passthrough/forward/linkqueue.go
+++ b/internal/passthrough/forward/linkqueue.go
@@ -15,13 +15,17 @@
 	// for minSpare of their budget.
 	questionsYieldAt = 200 * time.Millisecond
 	minSpare         = 0.25
+	// roomBelow is the backlog below which bulk is passed to the link: enough that the link
+	// isn't idle until the next look at it.
+	roomBelow = 5 * time.Millisecond
 )
 
 // linkQueues is what the engine knows of its own link. The zero value knows nothing and
 // changes nothing.
 type linkQueues struct {
 	estimator *link.Estimator
-	now       time.Duration
+	// now is the time of the last tick, lookedAt that of the last event.
+	now, lookedAt time.Duration
 	// delay is how much longer than usual an answer takes because of the VM's own queues,
 	// as of the last tick.
 	delay time.Duration
@@ -42,7 +46,8 @@
 	if gap := now - l.now; l.now > 0 && gap > usualTickGap {
 		l.estimator.Stalled(now, gap)
 	}
-	l.now = now
+	l.now, l.lookedAt = now, max(l.lookedAt, now)
+	l.estimator.Tick(now)
 	l.delay = l.estimator.Delay(now)
 }
 
@@ -57,9 +62,23 @@
 	return max(minSpare, 1-float64(l.delay)/float64(questionsYieldAt))
 }
 
+// hasRoom tells whether bulk may be passed to the link; always if its rate is unknown.
+func (l *linkQueues) hasRoom(now time.Duration) bool {
+	l.lookedAt = max(l.lookedAt, now)
+	return l.estimator == nil || l.estimator.Backlog(l.lookedAt) < roomBelow
+}
+
+// rate returns what the link carries, in bytes a second; 0 if unknown.
+func (l *linkQueues) rate() float64 {
+	if l.estimator == nil {
+		return 0
+	}
+	return l.estimator.Rate()
+}
+
 func (l *linkQueues) sent(bytes int) {
 	if l.estimator != nil {
-		l.estimator.Sent(l.now, bytes)
+		l.estimator.Sent(l.lookedAt, bytes)
 	}
 }
 
--- a/internal/passthrough/link/link.go
+++ b/internal/passthrough/link/link.go
@@ -28,6 +28,21 @@
 	// baseAge is how long the least round-trip time is in force, at least; twice that at
 	// most. It must be longer than a queue stays without ever running empty.
 	baseAge = 10 * time.Second
+	// usableShare is the part of the stated rate that is used, so that what isn't seen
+	// here, such as control's streams, finds room.
+	usableShare = 0.95
+	// leastShare bounds how little of the stated rate the link is believed to carry: slow
+	// agents look like a slow link.
+	leastShare = 0.25
+	// learnInterval is the time between two changes of the learned rate, shrinkFactor and
+	// growFactor what they change it by, queueTolerance the unexplained delay above which
+	// it shrinks.
+	learnInterval  = 100 * time.Millisecond
+	shrinkFactor   = 0.85
+	growFactor     = 1.05
+	queueTolerance = 30 * time.Millisecond
+	// headerBytes is what UDP and IP add to a datagram.
+	headerBytes = 28
 	// commonSilence is how many questions without any answer tell of a queue rather than
 	// of silent agents.
 	commonSilence = 3
@@ -35,8 +50,10 @@
 
 // Estimator estimates the queueing delay of one link. It isn't safe for concurrent use.
 type Estimator struct {
-	// rate is in bytes a second, 0 if unknown.
-	rate float64
+	// stated is the link's rate in bytes a second, 0 if unknown; rate is what it carries,
+	// by the delays seen.
+	stated, rate float64
+	learnedAt    time.Duration
 	// queued is the bytes that wait before the link, as of queuedAt.
 	queued   float64
 	queuedAt time.Duration
@@ -50,7 +67,24 @@
 }
 
 // New returns an estimator for a link of the given rate in bytes a second; 0 if unknown.
-func New(rate float64) *Estimator { return &Estimator{rate: rate} }
+func New(rate float64) *Estimator { return &Estimator{stated: rate, rate: rate * usableShare} }
+
+// Rate returns how many bytes a second the link carries, 0 if unknown.
+func (e *Estimator) Rate() float64 { return e.rate }
+
+// Tick learns the rate: if answers are late although no more was sent than the link should
+// carry, it carries less.
+func (e *Estimator) Tick(now time.Duration) {
+	if now-e.learnedAt < learnInterval {
+		return
+	}
+	e.learnedAt = now
+	factor := growFactor
+	if e.measured(now)-e.Backlog(now) > queueTolerance {
+		factor = shrinkFactor
+	}
+	e.rate = min(max(e.rate*factor, e.stated*leastShare), e.stated*usableShare)
+}
 
 // Sent records bytes that were passed to the link.
 func (e *Estimator) Sent(now time.Duration, bytes int) {
@@ -58,7 +92,7 @@
 		return
 	}
 	e.drain(now)
-	e.queued = min(e.queued+float64(bytes), e.rate*MaxDelay.Seconds())
+	e.queued = min(e.queued+float64(bytes+headerBytes), e.rate*MaxDelay.Seconds())
 }
 
 func (e *Estimator) drain(now time.Duration) {
@@ -98,17 +132,21 @@
 // Delay returns by how much longer than usual an answer takes now because of queues of this
 // VM's own, both directions together.
 func (e *Estimator) Delay(now time.Duration) time.Duration {
-	least := e.base.value()
-	d := max(e.Backlog(now), e.recent.median(now)-least)
+	d := max(e.Backlog(now), e.measured(now))
 	if now-e.stalledAt < sampleAge {
 		d = max(d, e.stall)
 	}
 	if e.asked >= commonSilence {
-		d = max(d, now-e.askedAt-least)
+		d = max(d, now-e.askedAt-e.base.value())
 	}
 	return min(d, MaxDelay)
 }
 
+// measured returns by how much longer than the least the last round trips took.
+func (e *Estimator) measured(now time.Duration) time.Duration {
+	return max(0, e.recent.median(now)-e.base.value())
+}
+
 // recent holds the last round-trip times.
 type recent struct {
 	took [recentSamples]time.Duration
