--- a/internal/passthrough/bulk/bulk.go
+++ b/internal/passthrough/bulk/bulk.go
@@ -337,6 +337,3 @@
 		a.limit += growStep
 	}
 }
-
-// StartedAt returns when a flow started, 0 if it isn't known.
-func (a *Admission) StartedAt(f packet.Flow) time.Duration { return a.flows[f].startedAt }
--- a/internal/passthrough/bulk/queue.go
+++ b/internal/passthrough/bulk/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"bergamotstall/internal/passthrough/packet"
 )
@@ -15,15 +14,14 @@
 	Packet packet.Packet
 	// Raw is the packet as received.
 	Raw []byte
-	// order is when its flow started.
-	order time.Duration
 }
 
 // Queue holds the packets of bulk flows that the link has no room for yet. A client sends a
 // window at once, and if two were passed on at once, all small packets would wait behind
 // them, and a link with a short queue would drop some, for which the client waits 200 ms.
-// The flow that started first is sent first, each flow in the order of its data: a target
-// that gets packets out of order asks for the missing ones again.
+// Flows take turns in order of arrival, so that none waits long enough to retransmit, and
+// each turn sends the first of the flow's data: a target that gets packets out of order
+// asks for the missing ones again.
 //
 // It isn't safe for concurrent use. It allocates only while it grows.
 type Queue struct {
@@ -35,56 +33,52 @@
 // Len returns the number of queued packets.
 func (q *Queue) Len() int { return len(q.packets) }
 
-// Add queues a packet of a flow that started at the given time. A retransmit of a packet that
-// is still queued is dropped. It returns false if the queue is full.
-func (q *Queue) Add(p packet.Packet, raw []byte, startedAt time.Duration) bool {
-	x := Packet{Packet: p, order: startedAt}
-	at := len(q.packets)
-	for ; at > 0; at-- {
-		c := x.compare(&q.packets[at-1])
-		if c == 0 {
-			return true
-		}
-		if c > 0 {
-			break
-		}
+// Add queues a packet. A retransmit of a packet that is still queued is dropped. It returns
+// false if the queue is full.
+func (q *Queue) Add(p packet.Packet, raw []byte) bool {
+	if q.holds(p) {
+		return true
 	}
 	if len(q.packets) >= maxQueued {
 		return false
 	}
+	x := Packet{Packet: p}
 	if n := len(q.free); n > 0 {
 		x.Raw = q.free[n-1]
 		q.free = q.free[:n-1]
 	}
 	x.Raw = append(x.Raw[:0], raw...)
-	q.packets = slices.Insert(q.packets, at, x)
+	q.packets = append(q.packets, x)
+	q.sortLast()
 	return true
 }
 
-// compare orders packets: by the start of their flows, and within a flow by position. It
-// returns 0 for two copies of one packet.
-func (x *Packet) compare(y *Packet) int {
-	f, g := x.Packet.FromClient(), y.Packet.FromClient()
-	switch {
-	case x.order != y.order:
-		return sign(x.order > y.order)
-	case f != g:
-		return sign(f.Client.Compare(g.Client) > 0)
-	case x.Packet.Seq != y.Packet.Seq:
-		return sign(int32(x.Packet.Seq-y.Packet.Seq) > 0)
-	case x.Packet.Data != y.Packet.Data:
-		return sign(x.Packet.Data > y.Packet.Data)
-	case x.Packet.Flags != y.Packet.Flags:
-		return sign(x.Packet.Flags > y.Packet.Flags)
+// holds tells whether a copy of a packet is queued.
+func (q *Queue) holds(p packet.Packet) bool {
+	for i := range q.packets {
+		x := &q.packets[i].Packet
+		if x.Seq == p.Seq && x.Data == p.Data && x.Flags == p.Flags && x.FromClient() == p.FromClient() {
+			return true
+		}
 	}
-	return 0
+	return false
 }
 
-func sign(greater bool) int {
-	if greater {
-		return 1
+// sortLast puts the last packet into its place among those of its flow, which keep their
+// turns.
+func (q *Queue) sortLast() {
+	at := len(q.packets) - 1
+	f := q.packets[at].Packet.FromClient()
+	for i := at - 1; i >= 0; i-- {
+		if q.packets[i].Packet.FromClient() != f {
+			continue
+		}
+		if int32(q.packets[i].Packet.Seq-q.packets[at].Packet.Seq) <= 0 {
+			return
+		}
+		q.packets[i], q.packets[at] = q.packets[at], q.packets[i]
+		at = i
 	}
-	return -1
 }
 
 // First returns the packet whose turn it is. It is valid until Remove.
--- a/internal/passthrough/forward/bulk.go
+++ b/internal/passthrough/forward/bulk.go
@@ -123,7 +123,7 @@
 	if g.queue.Len() == 0 && e.link.hasRoom(now) {
 		return false
 	}
-	return g.queue.Add(a.p, a.raw, g.admission.StartedAt(f))
+	return g.queue.Add(a.p, a.raw)
 }
 
 // SendQueued sends queued packets of bulk flows as far as the link has room, and returns when
--- a/internal/passthrough/packet/endpoint.go
+++ b/internal/passthrough/packet/endpoint.go
@@ -1,10 +1,6 @@
 package packet
 
-import (
-	"bytes"
-	"cmp"
-	"net/netip"
-)
+import "net/netip"
 
 //go:generate env GOWORK=off go -C ../../../tools tool msgp -file ../internal/passthrough/packet/endpoint.go -o ../internal/passthrough/packet/endpoint_gen.go -tests=false -io=false
 
@@ -31,11 +27,3 @@
 func (e Endpoint) String() string {
 	return e.AddrPort().String()
 }
-
-// Compare orders endpoints by address and port.
-func (e Endpoint) Compare(other Endpoint) int {
-	if c := bytes.Compare(e.IP[:], other.IP[:]); c != 0 {
-		return c
-	}
-	return cmp.Compare(e.Port, other.Port)
-}
