Bulk admission: a reset only where no other balancer can have opened the flow; tests

A balancer that leaves the rotation holds first packets whose copies go to its neighbours. It now resets a caller only if all copies sent so far came to itself; otherwise the caller's attempt ends by itself. Ties count in the expected wait.

--- a/internal/passthrough/bulk/bulk.go
+++ b/internal/passthrough/bulk/bulk.go
@@ -50,6 +50,8 @@
 	// answerMargin is how long before the end of a caller's attempt a first packet must
 	// start at the latest, so that the target's answer is in time.
 	answerMargin = 150 * time.Millisecond
+	// transitTime is how long a packet from a client takes at most, if it arrives.
+	transitTime = 50 * time.Millisecond
 	// maxInProgress and maxWaiting bound the flows remembered, 100 B each and a first
 	// packet.
 	maxInProgress = 4_096
@@ -85,9 +87,26 @@
 	BegunAt time.Duration
 	// Goal is the response-time goal, counted from BegunAt; 0 if none is stated.
 	Goal time.Duration
-	// Copy says that it is a retransmit of a packet that went to another balancer, which
-	// may have delivered it.
-	Copy bool
+	// seen has a bit for each copy of the packet that came here, that of the first one is 1.
+	seen uint8
+}
+
+// NewFirst describes a first packet. copies is how many copies its caller had sent before it.
+func NewFirst(f packet.Flow, begunAt, goal time.Duration, copies uint32) First {
+	return First{Flow: f, BegunAt: begunAt, Goal: goal, seen: seenBit(copies)}
+}
+
+func seenBit(copies uint32) uint8 { return 1 << min(copies, 7) }
+
+// OnlyHere tells whether all copies of the first packet that its caller has sent came here.
+// Another balancer may have delivered one that didn't, and the flow may be open since.
+func (x First) OnlyHere(now time.Duration) bool {
+	for n := range packet.CopiesBy(now-transitTime-x.BegunAt) + 1 {
+		if x.seen&seenBit(uint32(n)) == 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // progress is the state of a flow that has started.
@@ -189,10 +208,21 @@
 	return n
 }
 
-// Known tells whether a flow has started or waits.
-func (a *Admission) Known(f packet.Flow) (started, waits bool) {
-	_, started = a.flows[f]
-	return started, a.index(f) >= 0
+// Started tells whether a flow is known to have started.
+func (a *Admission) Started(f packet.Flow) bool {
+	_, started := a.flows[f]
+	return started
+}
+
+// Copy records a copy of the first packet of a waiting flow, and returns false if the flow
+// doesn't wait.
+func (a *Admission) Copy(f packet.Flow, copies uint32) bool {
+	i := a.index(f)
+	if i < 0 {
+		return false
+	}
+	a.waiting[i].seen |= seenBit(copies)
+	return true
 }
 
 // Arrive decides on the first packet of a flow that isn't known.
@@ -212,7 +242,7 @@
 func (a *Admission) expectedWait(now time.Duration, x *First) time.Duration {
 	ahead := 1
 	for i := range a.waiting {
-		if a.compare(now, a.waiting[i], *x) < 0 {
+		if a.compare(now, a.waiting[i], *x) <= 0 {
 			ahead++
 		}
 	}
--- /dev/null
+++ b/internal/passthrough/bulk/bulk_test.go
@@ -0,0 +1,185 @@
+package bulk
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bergamotstall/internal/passthrough/packet"
+)
+
+const (
+	start = time.Hour
+	goal  = 800 * time.Millisecond
+	// rateOfTwo is the rate of a link with room for two flows.
+	rateOfTwo = 2 * WindowBytes * 10
+)
+
+func flowOf(port uint16) packet.Flow {
+	return packet.Flow{Client: packet.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: port}, Service: packet.Endpoint{Port: 443}}
+}
+
+func first(port uint16, begunAt time.Duration) First {
+	return NewFirst(flowOf(port), begunAt, goal, 0)
+}
+
+func newAdmission(rate float64) *Admission {
+	a := New()
+	a.SetRate(rate)
+	return a
+}
+
+// Guards against links filled by bulk: as many flows start as the link carries, the others
+// wait, and one starts when another ends.
+func TestFlowsWaitForRoom(t *testing.T) {
+	is := is.New(t)
+	a := newAdmission(rateOfTwo)
+	is.Equal(a.Arrive(start, first(1, start)), Start)
+	is.Equal(a.Arrive(start, first(2, start)), Start)
+	is.Equal(a.Arrive(start, first(3, start)), Wait)
+	_, ok := a.Next(start)
+	is.True(!ok)
+	a.End(start, flowOf(1))
+	x, ok := a.Next(start)
+	is.True(ok)
+	is.Equal(x.Flow, flowOf(3))
+}
+
+// Guards against links that carry no bulk at all because a window doesn't fit them in time.
+func TestThinLinkCarriesOneFlow(t *testing.T) {
+	a := newAdmission(WindowBytes)
+	is.New(t).Equal(a.Arrive(start, first(1, start)), Start)
+}
+
+// Guards against room kept for flows that ended without a word or wait for their target, and
+// against the last acknowledgements of a flow taking its room again.
+func TestQuietFlowLeavesRoom(t *testing.T) {
+	is := is.New(t)
+	a := newAdmission(WindowBytes)
+	a.Arrive(start, first(1, start))
+	is.Equal(a.InProgress(start+openWithin), 0)
+	a.Packet(start+openWithin, flowOf(1), 1200)
+	is.Equal(a.InProgress(start+openWithin+200*time.Millisecond), 1) // its retransmit is due
+	is.Equal(a.InProgress(start+openWithin+quietAfter), 0)
+	a.End(start+openWithin, flowOf(1))
+	a.Packet(start+openWithin, flowOf(1), 0)
+	is.Equal(a.InProgress(start+openWithin), 0)
+}
+
+// Guards against a link filled twice when the fabric spreads flows anew or a neighbour dies:
+// flows that others started count from their first data on.
+func TestTakenOverFlowsCount(t *testing.T) {
+	is := is.New(t)
+	a := newAdmission(rateOfTwo)
+	a.Packet(start, flowOf(1), 0)
+	is.Equal(a.InProgress(start), 0)
+	a.Packet(start, flowOf(1), 1200)
+	a.Packet(start, flowOf(2), 1200)
+	is.Equal(a.Arrive(start, first(3, start)), Wait)
+	a.Tick(start+forgetAfter+time.Millisecond, 0)
+	is.Equal(a.Status(start).Quiet+a.InProgress(start), 0)
+}
+
+// Guards against a backlog that makes everybody late: those that can make their goal start
+// before those that can't any more, and the oldest of each first.
+func TestOrderOfWaitingFlows(t *testing.T) {
+	is := is.New(t)
+	a := newAdmission(WindowBytes)
+	a.Arrive(start, first(1, start))
+	for port, age := range []time.Duration{300, 900, 100, 1000} {
+		is.Equal(a.Arrive(start, first(uint16(2+port), start-age*time.Millisecond)), Wait)
+	}
+	var order []uint16
+	for {
+		now := start + time.Duration(len(order)+1)*openWithin
+		x, ok := a.Next(now)
+		if !ok {
+			break
+		}
+		order = append(order, x.Flow.Client.Port)
+	}
+	is.Equal(order, []uint16{2, 4, 5, 3})
+}
+
+// Guards against callers that learn at the end of their attempt what was clear at its start:
+// a flow that can't be started in time is rejected at once, or as soon as that is known.
+func TestFlowThatCannotStartInTimeIsRejected(t *testing.T) {
+	is := is.New(t)
+	a := newAdmission(WindowBytes)
+	a.Arrive(start, first(1, start))
+	now := start + 900*time.Millisecond
+	a.Packet(now, flowOf(1), 1200)
+	a.End(now, flowOf(1)) // flows take 900 ms
+	a.Arrive(now, first(2, now))
+	is.Equal(a.Arrive(now, first(3, now)), Wait)
+	is.Equal(a.Arrive(now, first(4, now)), Reject)
+	is.Equal(len(a.Expired(now+time.Second)), 0)
+	expired := a.Expired(now + packet.HandshakeTimeout - answerMargin + time.Millisecond)
+	is.Equal(len(expired), 1)
+	is.Equal(expired[0].Flow, flowOf(3))
+}
+
+// Guards against the reset of a flow that another balancer opened by a copy of the first
+// packet: only a caller whose copies all came here is told that nothing ran.
+func TestOnlyHere(t *testing.T) {
+	is := is.New(t)
+	a := newAdmission(WindowBytes)
+	a.Arrive(start, first(1, start))
+	a.Arrive(start, first(2, start))
+	is.True(a.Copy(flowOf(2), 1))
+	is.True(!a.Copy(flowOf(3), 1)) // doesn't wait
+	is.True(first(4, start).OnlyHere(start))
+	is.True(!NewFirst(flowOf(4), start, goal, 1).OnlyHere(start))
+	late := a.Expired(start + packet.HandshakeTimeout)[0]
+	is.True(late.OnlyHere(start + 600*time.Millisecond))
+	is.True(!late.OnlyHere(start + 600*time.Millisecond + transitTime)) // the second copy is missing
+}
+
+// Guards against a link whose rate isn't stated filled by bulk: the limit falls while answers
+// are late and rises while flows wait for nothing.
+func TestUnstatedRateIsLearned(t *testing.T) {
+	is := is.New(t)
+	a := newAdmission(0)
+	a.SetUrgentGoal(200 * time.Millisecond)
+	is.Equal(a.Limit(), unstatedLimit)
+	now := start
+	for range 20 {
+		now += learnInterval
+		a.Tick(now, 150*time.Millisecond)
+	}
+	is.Equal(a.Limit(), 1)
+	for port := range uint16(3) {
+		a.Arrive(now, first(port, now))
+	}
+	for range 4 {
+		now += learnInterval
+		a.Tick(now, 0)
+	}
+	is.Equal(a.Limit(), 2)
+}
+
+// Guards against retransmits that only the balancer's queue causes: flows take turns, each
+// in the order of its data, and copies of queued packets are dropped.
+func TestQueue(t *testing.T) {
+	is := is.New(t)
+	var q Queue
+	add := func(port uint16, seq uint32) {
+		f := flowOf(port)
+		is.True(q.Add(packet.Packet{Src: f.Client, Dst: f.Service, Seq: seq, Data: 1}, []byte{byte(port), byte(seq)}))
+	}
+	for _, seq := range []uint32{2, 1, 0xffffffff} {
+		add(1, seq)
+	}
+	add(2, 8)
+	add(2, 7)
+	add(1, 3)
+	add(1, 2)
+	var order []uint32
+	for q.Len() > 0 {
+		is.Equal(q.First().Raw[1], byte(q.First().Packet.Seq))
+		order = append(order, q.First().Packet.Seq)
+		q.Remove()
+	}
+	is.Equal(order, []uint32{0xffffffff, 1, 2, 7, 8, 3})
+}
--- a/internal/passthrough/forward/bulk.go
+++ b/internal/passthrough/forward/bulk.go
@@ -53,42 +53,45 @@
 	e.fromClient(now, a)
 }
 
-// holdsBulk counts a client's packet if it belongs to a bulk flow, and tells whether it was
-// held or dropped because the flow can't start yet. known says that the flow is in the flow
-// table.
+// isBulk tells whether a flow's route is of a bulk kind, and bulk flows are bounded.
+func (e *Engine) isBulk(f packet.Flow) bool {
+	return e.bulk.inForce && e.table.Demand(f.Service).Kind.Bulk()
+}
+
+// holdsBulk counts a client's packet of a bulk flow, and tells whether it was held or dropped
+// because the flow can't start yet. known says that the flow is in the flow table.
 func (e *Engine) holdsBulk(now time.Duration, a arrival, f packet.Flow, known bool) bool {
 	g := &e.bulk
-	if !g.inForce {
-		return false
-	}
-	demand := e.table.Demand(f.Service)
-	if !demand.Kind.Bulk() {
-		return false
-	}
-	started, waits := g.admission.Known(f)
 	switch {
 	case !a.p.Opens():
-		if waits { // another balancer has delivered a copy of the first packet
-			delete(g.held, f)
-			g.admission.Leave(f)
-		}
-		g.admission.Packet(now, f, a.p.Data)
-		if a.p.Closes() {
-			e.endBulk(now, f)
-		}
-	case known || started:
+		e.noteBulk(now, a.p, f)
+		return false
+	case known || g.admission.Started(f):
 		return false
-	case waits:
+	case g.admission.Copy(f, a.p.Ack):
 		return true
-	default:
-		return e.arriveBulk(now, a, f, demand.Goal)
 	}
-	return false
+	return e.arriveBulk(now, a, f)
+}
+
+// noteBulk counts a packet of a bulk flow that is open. If its first packet still waits,
+// another balancer has delivered a copy.
+func (e *Engine) noteBulk(now time.Duration, p packet.Packet, f packet.Flow) {
+	g := &e.bulk
+	if _, waits := g.held[f]; waits {
+		delete(g.held, f)
+		g.admission.Leave(f)
+	}
+	g.admission.Packet(now, f, p.Data)
+	if p.Closes() {
+		g.admission.End(now, f)
+		e.startBulk(now)
+	}
 }
 
 // arriveBulk decides on the first packet of a new bulk flow.
-func (e *Engine) arriveBulk(now time.Duration, a arrival, f packet.Flow, goal time.Duration) (holds bool) {
-	x := bulk.First{Flow: f, BegunAt: now - a.age(now), Goal: goal, Copy: a.p.Ack > 0}
+func (e *Engine) arriveBulk(now time.Duration, a arrival, f packet.Flow) (holds bool) {
+	x := bulk.NewFirst(f, now-a.age(now), e.table.Demand(f.Service).Goal, a.p.Ack)
 	switch e.bulk.admission.Arrive(now, x) {
 	case bulk.Wait:
 		a.raw = append([]byte(nil), a.raw...)
@@ -101,13 +104,12 @@
 	return true
 }
 
-// rejectBulk tells the caller of a bulk flow that nothing ran. The original of a copy went to
-// another balancer, which may have delivered it, so that the flow may be open by now.
+// rejectBulk tells the caller of a bulk flow that nothing ran, unless the flow may have been
+// opened through another balancer: then its caller hears nothing.
 func (e *Engine) rejectBulk(now time.Duration, x bulk.First, waited time.Duration) {
-	d := Decision{Flow: x.Flow, Verdict: RefusedBulk, Waited: waited}
-	if x.Copy {
-		d.Verdict = DroppedBulk
-	} else {
+	d := Decision{Flow: x.Flow, Verdict: DroppedBulk, Waited: waited}
+	if x.OnlyHere(now) {
+		d.Verdict = RefusedBulk
 		e.cfg.Out.Reset(x.Flow, 0)
 	}
 	e.logDecision(d)
@@ -115,15 +117,12 @@
 
 // queuesBulk queues a packet of a bulk flow if the link has no room for it now: nothing of
 // other callers waits behind bulk that this balancer sends.
-func (e *Engine) queuesBulk(now time.Duration, a arrival, f packet.Flow) bool {
-	g := &e.bulk
-	if !g.inForce || a.p.Data == 0 && !a.p.Flags.Has(packet.FIN) || !e.table.Demand(f.Service).Kind.Bulk() {
-		return false
-	}
-	if g.queue.Len() == 0 && e.link.hasRoom(now) {
+func (e *Engine) queuesBulk(now time.Duration, a arrival) bool {
+	q := &e.bulk.queue
+	if a.p.Data == 0 && !a.p.Flags.Has(packet.FIN) || q.Len() == 0 && e.link.hasRoom(now) {
 		return false
 	}
-	return g.queue.Add(a.p, a.raw)
+	return q.Add(a.p, a.raw)
 }
 
 // SendQueued sends queued packets of bulk flows as far as the link has room, and returns when
@@ -141,11 +140,11 @@
 	return queueInterval
 }
 
-// endBulk records that a flow is over, and starts those that waited for its room.
+// endBulk records that a bulk flow, if it is one, is over. Those that wait start at the next
+// tick.
 func (e *Engine) endBulk(now time.Duration, f packet.Flow) {
 	if e.bulk.inForce {
 		e.bulk.admission.End(now, f)
-		e.startBulk(now)
 	}
 }
 
--- /dev/null
+++ b/internal/passthrough/forward/bulk_test.go
@@ -0,0 +1,250 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bergamotstall/internal/passthrough/bulk"
+	"bergamotstall/internal/passthrough/overload"
+	"bergamotstall/internal/passthrough/packet"
+	"bergamotstall/internal/passthrough/peer"
+	"bergamotstall/internal/passthrough/route"
+)
+
+// uploads is the address of a bulk route; newLinkEngine's other route is that of service.
+var uploads = packet.Endpoint{IP: [4]byte{198, 18, 0, 2}, Port: 443}
+
+// oneFlowRate is the rate of a link with room for one bulk flow; a window takes 0.2 s of it.
+const oneFlowRate = 5 * bulk.WindowBytes
+
+// newLinkEngine returns an engine behind a thin link, with a bulk route and another one, and
+// two agents.
+func newLinkEngine(t *testing.T) *testEngine {
+	r := &testEngine{t: t, now: time.Hour}
+	r.engine = New(Config{
+		Zone: zone, Rand: rand.New(rand.NewPCG(1, 2)), Policy: DefaultPolicy(), LinkRate: oneFlowRate,
+		Overload: overload.Settings{LinkQueues: true, BulkAdmission: true}, Out: r,
+	})
+	r.bulkTable(1, route.Upload)
+	r.advance(DefaultPolicy().Youth)
+	r.reportBoth()
+	return r
+}
+
+// bulkTable sets a table whose route of uploads has the given kind; 0 leaves the route out.
+func (r *testEngine) bulkTable(version route.Version, kind route.RequestKind) {
+	at := func(e packet.Endpoint, k route.RequestKind) route.Route {
+		return route.Route{Name: e.String(), IP: e.IP, Port: e.Port, TimeoutMS: 6000, GoalMS: 800, Kind: k, Backends: []route.Backend{{Service: caseworkService, Weight: 1}}}
+	}
+	d := &route.Definition{Version: version, Services: []route.Service{{Name: caseworkService}}, Routes: []route.Route{at(service, route.Idempotent)}}
+	if kind != 0 {
+		d.Routes = append(d.Routes, at(uploads, kind))
+	}
+	r.engine.SetTable(r.now, route.NewTable(d))
+}
+
+func (r *testEngine) reportBoth() {
+	r.agentAt(1, caseworkService)
+	r.agentAt(2, caseworkService)
+}
+
+// upload sends the n-th copy of an upload's first packet.
+func (r *testEngine) upload(port uint16, n uint32) {
+	r.send(packet.Packet{Src: client(port), Dst: uploads, Flags: packet.SYN, Ack: n})
+}
+
+// body sends a packet of an upload's body.
+func (r *testEngine) body(port uint16, seq uint32, flags packet.Flags) {
+	p := packet.Packet{Src: client(port), Dst: uploads, Flags: packet.ACK | flags, Seq: seq, Ack: seq, Data: 1200}
+	r.engine.HandleClientPacket(r.now, p, append(rawOf(seq), make([]byte, 1200)...))
+}
+
+// waitAs advances the clock while both agents report.
+func (r *testEngine) waitAs(d time.Duration) {
+	for end := r.now + d; r.now < end; {
+		r.reportBoth()
+		r.advance(20 * time.Millisecond)
+		r.engine.SendQueued(r.now)
+	}
+}
+
+// Guards against uploads that share a link which carries one in time: the second waits, with
+// its copies, until the first has ended, and other callers don't wait.
+func TestUploadWaitsForLink(t *testing.T) {
+	is := is.New(t)
+	r := newLinkEngine(t)
+	r.upload(1, 0)
+	r.body(1, 1, 0)
+	is.Equal(len(r.delivered), 2)
+	r.upload(2, 0)
+	r.waitAs(200 * time.Millisecond)
+	r.upload(2, 1)
+	r.send(syn(9))
+	is.Equal(len(r.delivered), 3)
+	r.body(1, 2, packet.FIN)
+	r.waitAs(20 * time.Millisecond)
+	is.Equal(len(r.delivered), 5)
+	is.True(r.delivered[4].age >= 200*time.Millisecond || r.delivered[3].age >= 200*time.Millisecond)
+	is.Equal(len(r.resets), 0)
+}
+
+// Guards against a first packet that waits for good: if it can't start before its caller gives
+// up, the caller is told that nothing ran, and no target has seen the flow.
+func TestUploadWithoutRoomIsReset(t *testing.T) {
+	is := is.New(t)
+	r := newLinkEngine(t)
+	r.upload(1, 0)
+	r.upload(2, 0)
+	for i := range 65 {
+		switch i {
+		case 10:
+			r.upload(2, 1)
+		case 30:
+			r.upload(2, 2)
+		}
+		r.body(1, uint32(i), 0)
+		r.waitAs(20 * time.Millisecond)
+	}
+	is.Equal(len(r.resets), 1)
+	is.Equal(r.resets[0].flow.Client, client(2))
+	is.Equal(r.lastDecision().Verdict, RefusedBulk)
+	for _, d := range r.delivered {
+		is.True(len(d.raw) > 4 || d.age == 0)
+	}
+}
+
+// Guards against the reset of an open flow when the fabric spreads flows anew: a copy of the
+// waiting first packet went to another balancer, which opened the flow.
+func TestNoResetOfUploadOpenedElsewhere(t *testing.T) {
+	is := is.New(t)
+	r := newLinkEngine(t)
+	r.upload(1, 0)
+	r.upload(2, 0)
+	for i := range 70 {
+		r.body(1, uint32(i), 0)
+		r.waitAs(20 * time.Millisecond)
+	}
+	is.Equal(len(r.resets), 0)
+	is.Equal(r.lastDecision().Verdict, DroppedBulk)
+}
+
+// Guards against a flow opened twice: its later packets arrive here although its first packet
+// still waits, since the balancer that opened it was killed.
+func TestOpenUploadStopsWaiting(t *testing.T) {
+	is := is.New(t)
+	r := newLinkEngine(t)
+	r.upload(1, 0)
+	r.upload(2, 0)
+	r.body(2, 7, 0)
+	is.Equal(r.engine.LinkPressure(r.now).Bulk.Waiting, 0)
+	is.Equal(r.engine.LinkPressure(r.now).Bulk.InProgress, 2)
+	is.Equal(len(r.asked), 2) // it is searched for
+	r.waitAs(2 * time.Second)
+	is.Equal(len(r.delivered), 1)
+}
+
+// Guards against room that a caller without a target keeps: the upload that every agent
+// refuses leaves it to the next. The target drains, or its data centre is evacuated, while
+// the first packet waits.
+func TestRefusedUploadLeavesRoom(t *testing.T) {
+	for _, reason := range []peer.Reason{peer.Draining, peer.Evacuated, peer.WrongService} {
+		is := is.New(t)
+		r := newLinkEngine(t)
+		r.upload(1, 0)
+		r.upload(2, 0)
+		for len(r.resets) == 0 {
+			last := r.delivered[len(r.delivered)-1]
+			r.engine.HandleRefused(r.now, last.to, peer.Header{Reason: reason}, packet.Packet{Src: client(1), Dst: uploads, Flags: packet.SYN}, rawOf(0))
+		}
+		is.Equal(len(r.delivered), 2)
+		r.waitAs(20 * time.Millisecond)
+		is.Equal(len(r.delivered), 3) // the next upload
+	}
+}
+
+// Guards against first packets held by a rule that is gone: the route's kind changes, or the
+// route is removed, while they wait.
+func TestWaitingUploadFollowsTable(t *testing.T) {
+	is := is.New(t)
+	r := newLinkEngine(t)
+	r.upload(1, 0)
+	r.upload(2, 0)
+	r.bulkTable(2, route.NonIdempotent)
+	is.Equal(len(r.delivered), 2)
+
+	r = newLinkEngine(t)
+	r.upload(1, 0)
+	r.upload(2, 0)
+	r.bulkTable(2, 0)
+	is.Equal(r.lastDecision().Verdict, RefusedNoRoute)
+}
+
+// Guards against small requests behind a window of bulk: it is queued here and sent as the
+// link carries it, while the packets of others go on at once.
+func TestBulkYieldsToSmallPackets(t *testing.T) {
+	is := is.New(t)
+	r := newLinkEngine(t)
+	r.upload(1, 0)
+	r.send(syn(9))
+	sent := len(r.delivered)
+	for seq := range uint32(16) {
+		r.body(1, seq, 0)
+	}
+	is.True(len(r.delivered) < sent+4)
+	r.send(data(9, 1))
+	is.Equal(len(r.delivered[len(r.delivered)-1].raw), 4)
+	is.True(r.engine.SendQueued(r.now) > 0)
+	r.waitAs(300 * time.Millisecond)
+	is.Equal(len(r.delivered), sent+17)
+	is.Equal(r.engine.SendQueued(r.now), time.Duration(0))
+}
+
+// Guards against agents taken for silent while the balancer's own queue holds their answers.
+func TestOwnBacklogIsNotSilence(t *testing.T) {
+	is := is.New(t)
+	r := newLinkEngine(t)
+	r.now += reportFreshFor
+	r.engine.deliver(flowEntry{}, 0, make([]byte, oneFlowRate/10)) // 100 ms of the link
+	r.engine.Tick(r.now)
+	r.send(syn(9))
+	is.Equal(len(r.probed) > 0, true)
+	r.advance(probeTimeout + 20*time.Millisecond)
+	for i := range r.engine.agents.list {
+		is.True(!r.engine.agents.list[i].unresponsive(r.engine.link.before(r.now)))
+	}
+	r.advance(120 * time.Millisecond)
+	silent := 0
+	for i := range r.engine.agents.list {
+		if r.engine.agents.list[i].probeTimedOut(r.now) {
+			silent++
+		}
+	}
+	is.True(silent > 0)
+}
+
+// Guards against allocations for each packet of bulk, queued or not.
+func TestBulkDoesNotAllocate(t *testing.T) {
+	r := newLinkEngine(t)
+	r.upload(1, 0)
+	e := r.engine
+	e.cfg.Out = discardEngineOutput{}
+	now := r.now
+	raw := make([]byte, 1200)
+	seq := uint32(0)
+	send := func() {
+		for range 16 {
+			seq++
+			e.HandleClientPacket(now, packet.Packet{Src: client(1), Dst: uploads, Flags: packet.ACK, Seq: seq, Data: 1200}, raw)
+		}
+		for e.SendQueued(now) > 0 {
+			now += queueInterval
+		}
+	}
+	send()
+	if n := testing.AllocsPerRun(100, send); n != 0 {
+		t.Errorf("%v allocations a window", n)
+	}
+}
--- a/internal/passthrough/forward/decision.go
+++ b/internal/passthrough/forward/decision.go
@@ -51,8 +51,8 @@
 	// RefusedBulk: the first packet of a bulk flow was reset because the link has no room
 	// for the flow in time.
 	RefusedBulk
-	// DroppedBulk: the same for a retransmit whose first packet another balancer may have
-	// delivered; its caller gets no reset.
+	// DroppedBulk: the same, but another balancer may have delivered a copy of the packet,
+	// so that its caller gets no reset.
 	DroppedBulk
 )
 
--- a/internal/passthrough/forward/forward.go
+++ b/internal/passthrough/forward/forward.go
@@ -213,13 +213,14 @@
 		return
 	}
 	entry, known := e.flows[f]
-	if e.holdsBulk(now, a, f, known) {
+	isBulk := e.isBulk(f)
+	if isBulk && e.holdsBulk(now, a, f, known) {
 		return
 	}
 	switch {
 	case a.p.Opens():
 		e.handleFirstPacket(now, a, f, entry, known)
-	case e.queuesBulk(now, a, f):
+	case isBulk && e.queuesBulk(now, a):
 	default:
 		e.forwardPacket(now, a.p, f, a.raw)
 	}
--- a/internal/passthrough/forward/placement.go
+++ b/internal/passthrough/forward/placement.go
@@ -24,6 +24,8 @@
 	// placementTimeout is how long a first packet waits for all its probes. Its caller
 	// retransmits after 200 ms.
 	placementTimeout = 100 * time.Millisecond
+	// maxPlacementTimeout is the same while the balancer's own link delays the answers.
+	maxPlacementTimeout = 180 * time.Millisecond
 	// fallbackReportAge is the age up to which a report may be used for placement while
 	// no probe is answered.
 	fallbackReportAge = 5 * time.Second
@@ -75,7 +77,7 @@
 		e.rejectNoRoute(p.p, f)
 		return
 	}
-	noWait := now-p.startedAt >= e.link.extend(placementTimeout) || len(e.placements.byFlow) >= maxPendingPlacements
+	noWait := now-p.startedAt >= min(e.link.extend(placementTimeout), maxPlacementTimeout) || len(e.placements.byFlow) >= maxPendingPlacements
 	c := chooser{e: e, now: now, flow: f, excluded: p.entry.excludedAgents(), noWait: noWait}
 	chosen := c.choose()
 	if len(chosen.probe) > 0 {
--- a/internal/passthrough/packet/packet.go
+++ b/internal/passthrough/packet/packet.go
@@ -68,6 +68,16 @@
 	return retransmitDelays[min(p.Ack, uint32(len(retransmitDelays)-1))]
 }
 
+// CopiesBy returns how many retransmits of a first packet its client has sent by the time the
+// flow has the given age.
+func CopiesBy(age time.Duration) int {
+	n := 0
+	for n+1 < len(retransmitDelays) && age >= retransmitDelays[n+1] {
+		n++
+	}
+	return n
+}
+
 // FromClient returns the flow of a packet sent by a client.
 func (p Packet) FromClient() Flow { return Flow{Client: p.Src, Service: p.Dst} }
 
