--- a/internal/passthrough/flowtable/load.go
+++ b/internal/passthrough/flowtable/load.go
@@ -11,8 +11,8 @@
 // load counts the flows and requests of the target.
 type load struct {
 	// flows is the number of open flows, running the number of requests waiting for an
-	// answer.
-	flows, running int
+	// answer, and uploads the same of bulk routes, which running doesn't include.
+	flows, running, uploads int
 	// hung is how many running requests hang, as of the last scan.
 	hung          int
 	nextHungScan  time.Duration
@@ -47,8 +47,10 @@
 	e.countFlow(x)
 }
 
-// isBulk tells whether a flow belongs to a route of a bulk kind.
-func (e *Engine) isBulk(f packet.Flow) bool { return e.table.Demand(f.Service).Kind.Bulk() }
+// isBulk tells whether a flow belongs to a route of a bulk kind, which is counted apart.
+func (e *Engine) isBulk(f packet.Flow) bool {
+	return e.cfg.Overload.BulkAdmission && e.table.Demand(f.Service).Kind.Bulk()
+}
 
 func (e *Engine) removeFlow(f packet.Flow) {
 	if e.flows[f].held {
@@ -63,7 +65,10 @@
 	if x.stage == open || x.stage == halfOpen {
 		e.load.flows++
 	}
-	if x.running && !x.bulk {
+	switch {
+	case x.running && x.bulk:
+		e.load.uploads++
+	case x.running:
 		e.load.running++
 	}
 }
@@ -72,7 +77,10 @@
 	if x.stage == open || x.stage == halfOpen {
 		e.load.flows--
 	}
-	if x.running && !x.bulk {
+	switch {
+	case x.running && x.bulk:
+		e.load.uploads--
+	case x.running:
 		e.load.running--
 	}
 }
--- a/internal/passthrough/flowtable/outcomes.go
+++ b/internal/passthrough/flowtable/outcomes.go
@@ -53,7 +53,7 @@
 // unless it had announced that it leaves.
 func (e *Engine) countLost(now time.Duration) {
 	if !e.target.draining {
-		e.countBroken(now, e.load.running)
+		e.countBroken(now, e.load.running+e.load.uploads)
 	}
 }
 
