--- a/internal/passthrough/overload/overload.go
+++ b/internal/passthrough/overload/overload.go
@@ -5,11 +5,11 @@
 // Settings says which parts are in force. Each part takes effect only where a route or a
 // VM's settings call for it in addition; the zero value turns all of them off.
 type Settings struct {
-	// LinkQueues makes a balancer account for the queue of its own link. It needs a stated
-	// link rate.
+	// LinkQueues makes a balancer account for the queue of its own link, by what it sends if
+	// the link's rate is stated, and by the age of answers.
 	LinkQueues bool
-	// BulkAdmission bounds the bulk flows in progress through a balancer. It needs a stated
-	// link rate and concerns routes of a bulk kind only.
+	// BulkAdmission bounds the bulk flows in progress through a balancer, and makes agents
+	// count them apart. It concerns routes of a bulk kind only.
 	BulkAdmission bool
 	// CallerGoals makes the routes' response-time goals and timeouts decide how long a
 	// caller may wait and in which order.
