--- a/internal/passthrough/balancer/balancer.go
+++ b/internal/passthrough/balancer/balancer.go
@@ -259,6 +259,7 @@
 		case <-ticker.C:
 			b.mu.Lock()
 			b.engine.Tick(b.now())
+			b.sendQueued()
 			b.mu.Unlock()
 		}
 	}
--- a/internal/passthrough/bulk/bulk.go
+++ b/internal/passthrough/bulk/bulk.go
@@ -3,17 +3,17 @@
 //
 // It answers this load: uploads that together need half of a balancer's link, each able to
 // fill it alone. Started as they come, they share the link, so that all of them are late,
-// and every small request waits behind their windows. Callers retransmit what waits for
+// and every small request waits behind their windows. Clients retransmit what waits for
 // more than 200 ms, which fills the link further, until nothing gets through.
 //
-// Therefore only as many flows are in progress as keep the link's queue within the time that
-// the most urgent callers can spare. The others wait with their first packet. Those that can
-// still be served within their goal start first, the oldest of them before the others. A
-// caller that can't be served before it gives the attempt up is told so at once: nothing
-// ran, and its next attempt may meet a balancer with room.
+// Therefore only as many flows are in progress as the link carries before their clients
+// retransmit, and their packets wait in a queue of their own (Queue). The other flows wait
+// with their first packet. Those that can still be served within their goal start first, the
+// oldest of them before the others. A caller that can't be served before it gives the attempt
+// up is told so at once: nothing ran, and its next attempt may meet a balancer with room.
 //
 // What is in progress is learned from packets alone, so a balancer that takes flows over
-// counts them with their first packet that it sees.
+// counts them from the first data that it sees.
 package bulk
 
 import (
@@ -329,6 +329,9 @@
 	}
 	x.ended, x.usedAt = true, now
 	a.flows[f] = x
+	if !x.sends {
+		return // refused: tells nothing of the link
+	}
 	took := float64(now - x.startedAt)
 	if a.mean == 0 {
 		a.mean = time.Duration(took)
--- a/internal/passthrough/forward/bulk.go
+++ b/internal/passthrough/forward/bulk.go
@@ -26,7 +26,9 @@
 	if !cfg.Overload.BulkAdmission {
 		return bulkGate{}
 	}
-	return bulkGate{admission: bulk.New(), held: map[packet.Flow]arrival{}}
+	g := bulkGate{admission: bulk.New(), held: map[packet.Flow]arrival{}}
+	g.admission.SetRate(cfg.LinkRate)
+	return g
 }
 
 // bulkRoutesChanged adapts the gate to a new table. If no route is of a bulk kind any more,
--- a/internal/passthrough/forward/linkqueue.go
+++ b/internal/passthrough/forward/linkqueue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bergamotstall/internal/passthrough/link"
+	"bergamotstall/internal/passthrough/peer"
 )
 
 const (
@@ -82,9 +83,11 @@
 	}
 }
 
+// asked records a question or a probe to an agent.
 func (l *linkQueues) asked(now time.Duration) {
 	if l.estimator != nil {
 		l.estimator.Asked(now)
+		l.sent(peer.SharedQuestionCost)
 	}
 }
 
