--- a/internal/passthrough/bulk/bulk.go
+++ b/internal/passthrough/bulk/bulk.go
@@ -32,7 +32,7 @@
 	retransmitAfter = 200 * time.Millisecond
 	// windowShare is the part of retransmitAfter in which the link must carry the windows
 	// of all flows in progress; otherwise clients retransmit what only waits.
-	windowShare = 0.5
+	windowShare = 0.35
 	// goalShare is the part of the most urgent callers' goal that the queue of a link whose
 	// rate isn't stated may take in one passage. A request passes it twice, to open the flow
 	// and to send, and half of the goal is left for the target.
--- a/internal/passthrough/forward/bulk.go
+++ b/internal/passthrough/forward/bulk.go
@@ -7,9 +7,9 @@
 	"bergamotstall/internal/passthrough/packet"
 )
 
-// queueInterval is the time between two looks at the link while packets of bulk flows are
-// queued.
-const queueInterval = 2 * time.Millisecond
+// minQueueInterval is the least time between two looks at the link while packets of bulk flows
+// are queued.
+const minQueueInterval = time.Millisecond
 
 // bulkGate holds the first packets of bulk flows until package bulk admits them.
 type bulkGate struct {
@@ -139,7 +139,7 @@
 	if q.Len() == 0 {
 		return 0
 	}
-	return queueInterval
+	return max(minQueueInterval, e.link.roomIn(now))
 }
 
 // endBulk records that a bulk flow, if it is one, is over. Those that wait start at the next
--- a/internal/passthrough/forward/bulk_test.go
+++ b/internal/passthrough/forward/bulk_test.go
@@ -226,7 +226,7 @@
 			e.HandleClientPacket(now, packet.Packet{Src: client(1), Dst: uploads, Flags: packet.ACK, Seq: seq, Data: 1200}, raw)
 		}
 		for e.SendQueued(now) > 0 {
-			now += queueInterval
+			now += minQueueInterval
 		}
 	}
 	send()
--- a/internal/passthrough/forward/linkqueue.go
+++ b/internal/passthrough/forward/linkqueue.go
@@ -18,7 +18,7 @@
 	minSpare         = 0.25
 	// roomBelow is the backlog below which bulk is passed to the link: enough that the link
 	// isn't idle until the next look at it.
-	roomBelow = 5 * time.Millisecond
+	roomBelow = 3 * time.Millisecond
 )
 
 // linkQueues is what the engine knows of its own link. The zero value knows nothing and
@@ -63,12 +63,19 @@
 	return max(minSpare, 1-float64(l.delay)/float64(questionsYieldAt))
 }
 
-// hasRoom tells whether bulk may be passed to the link; always if its rate is unknown.
-func (l *linkQueues) hasRoom(now time.Duration) bool {
+// roomIn returns in what time bulk may be passed to the link; 0 if now, and always if the
+// link's rate is unknown.
+func (l *linkQueues) roomIn(now time.Duration) time.Duration {
+	if l.estimator == nil {
+		return 0
+	}
 	l.lookedAt = max(l.lookedAt, now)
-	return l.estimator == nil || l.estimator.Backlog(l.lookedAt) < roomBelow
+	return max(0, l.estimator.Backlog(l.lookedAt)-roomBelow)
 }
 
+// hasRoom tells whether bulk may be passed to the link.
+func (l *linkQueues) hasRoom(now time.Duration) bool { return l.roomIn(now) == 0 }
+
 // rate returns what the link carries, in bytes a second; 0 if unknown.
 func (l *linkQueues) rate() float64 {
 	if l.estimator == nil {
