Link queues: a rate that isn't stated is learned while a queue lasts

The rate is now learned from what the link carried while answers were late, and used like a stated one.

--- a/internal/passthrough/bulk/bulk.go
+++ b/internal/passthrough/bulk/bulk.go
@@ -33,12 +33,6 @@
 	// windowShare is the part of retransmitAfter in which the link must carry the windows
 	// of all flows in progress; otherwise clients retransmit what only waits.
 	windowShare = 0.35
-	// goalShare is the part of the most urgent callers' goal that the queue of a link whose
-	// rate isn't stated may take in one passage. A request passes it twice, to open the flow
-	// and to send, and half of the goal is left for the target.
-	goalShare = 0.25
-	// defaultGoal stands in for goals that no route states.
-	defaultGoal = 300 * time.Millisecond
 	// openWithin is how long a flow that has started takes room without data: its target
 	// may make it wait. quietAfter is the same after data; its client retransmits what was
 	// lost after 200 ms.
@@ -56,14 +50,8 @@
 	// packet.
 	maxInProgress = 4_096
 	maxWaiting    = 1_024
-	// learnInterval is the time between two changes of a learned limit; one reaction of
-	// the clients takes about as long.
-	learnInterval = 100 * time.Millisecond
-	// shrinkFactor and growStep change the learned limit.
-	shrinkFactor = 0.8
-	growStep     = 0.25
-	// unstatedLimit is the limit to start with where the link's rate isn't stated.
-	unstatedLimit = 4
+	// unknownLimit is the limit while the link's rate isn't known.
+	unknownLimit = 4
 	// meanWeight is the weight of one flow in the mean duration.
 	meanWeight = 0.1
 )
@@ -133,15 +121,10 @@
 
 // Admission is the admission control of one balancer. It isn't safe for concurrent use.
 type Admission struct {
-	// limit is how many flows may be in progress. It follows from the link's rate, or, if
-	// that is unknown, learned is set, and it follows from the link's delay, which may
-	// reach tolerable.
-	limit     float64
-	learned   bool
-	tolerable time.Duration
-	learnedAt time.Duration
-	flows     map[packet.Flow]progress
-	waiting   []First
+	// limit is how many flows may be in progress.
+	limit   float64
+	flows   map[packet.Flow]progress
+	waiting []First
 	// delay is the link's present queueing delay, mean the mean time that a flow is in
 	// progress.
 	delay, mean time.Duration
@@ -149,28 +132,17 @@
 
 // New returns an admission control for a link whose rate isn't known.
 func New() *Admission {
-	a := &Admission{flows: map[packet.Flow]progress{}, learned: true, limit: unstatedLimit}
-	a.SetUrgentGoal(0)
-	return a
+	return &Admission{flows: map[packet.Flow]progress{}, limit: unknownLimit}
 }
 
-// SetRate sets what the link carries, in bytes a second; 0 if that is unknown.
+// SetRate sets what the link carries, in bytes a second; 0 if that isn't known.
 func (a *Admission) SetRate(rate float64) {
+	a.limit = unknownLimit
 	if rate > 0 {
-		a.learned = false
 		a.limit = rate * windowShare * retransmitAfter.Seconds() / WindowBytes
 	}
 }
 
-// SetUrgentGoal sets the shortest response-time goal of the callers that share the link with
-// bulk flows; 0 if none is stated.
-func (a *Admission) SetUrgentGoal(goal time.Duration) {
-	if goal == 0 {
-		goal = defaultGoal
-	}
-	a.tolerable = time.Duration(goalShare * float64(goal))
-}
-
 // Status is the present state of an admission control.
 type Status struct {
 	// InProgress flows take up room on the link, of Limit; Quiet ones have started but send
@@ -350,8 +322,7 @@
 	return slices.IndexFunc(a.waiting, func(x First) bool { return x.Flow == f })
 }
 
-// Tick removes flows that are silent. If the link's rate isn't known, it learns the limit
-// from the link's queueing delay.
+// Tick takes the link's queueing delay, and removes flows that are silent.
 func (a *Admission) Tick(now, delay time.Duration) {
 	a.delay = delay
 	for f, x := range a.flows {
@@ -359,14 +330,4 @@
 			delete(a.flows, f)
 		}
 	}
-	if !a.learned || now-a.learnedAt < learnInterval {
-		return
-	}
-	a.learnedAt = now
-	switch {
-	case delay > 2*a.tolerable:
-		a.limit = max(1, a.limit*shrinkFactor)
-	case delay < a.tolerable && len(a.waiting) > 0:
-		a.limit += growStep
-	}
 }
--- a/internal/passthrough/forward/bulk.go
+++ b/internal/passthrough/forward/bulk.go
@@ -26,9 +26,7 @@
 	if !cfg.Overload.BulkAdmission {
 		return bulkGate{}
 	}
-	g := bulkGate{admission: bulk.New(), held: map[packet.Flow]arrival{}}
-	g.admission.SetRate(cfg.LinkRate)
-	return g
+	return bulkGate{admission: bulk.New(), held: map[packet.Flow]arrival{}}
 }
 
 // bulkRoutesChanged adapts the gate to a new table. If no route is of a bulk kind any more,
@@ -38,9 +36,7 @@
 	if g.admission == nil {
 		return
 	}
-	exists, urgentGoal := e.table.Bulk()
-	g.inForce = exists
-	g.admission.SetUrgentGoal(urgentGoal)
+	g.inForce = e.table.HasBulk()
 	for f, a := range g.held {
 		if !e.table.Demand(f.Service).Kind.Bulk() {
 			e.releaseBulk(now, f, a)
@@ -168,7 +164,7 @@
 	if g.admission == nil {
 		return
 	}
-	g.admission.SetRate(e.link.rate())
+	g.admission.SetRate(e.linkRate())
 	g.admission.Tick(now, e.link.delay)
 	for _, x := range g.admission.Expired(now) {
 		a := g.held[x.Flow]
--- a/internal/passthrough/forward/linkqueue.go
+++ b/internal/passthrough/forward/linkqueue.go
@@ -76,12 +76,12 @@
 // hasRoom tells whether bulk may be passed to the link.
 func (l *linkQueues) hasRoom(now time.Duration) bool { return l.roomIn(now) == 0 }
 
-// rate returns what the link carries, in bytes a second; 0 if unknown.
-func (l *linkQueues) rate() float64 {
-	if l.estimator == nil {
-		return 0
+// linkRate returns what the link carries, in bytes a second; 0 if that isn't known.
+func (e *Engine) linkRate() float64 {
+	if e.link.estimator == nil {
+		return e.cfg.LinkRate
 	}
-	return l.estimator.Rate()
+	return e.link.estimator.Rate()
 }
 
 func (l *linkQueues) sent(bytes int) {
--- a/internal/passthrough/link/link.go
+++ b/internal/passthrough/link/link.go
@@ -37,10 +37,12 @@
 	// learnInterval is the time between two changes of the learned rate, shrinkFactor and
 	// growFactor what they change it by, queueTolerance the unexplained delay above which
 	// it shrinks.
-	learnInterval  = 100 * time.Millisecond
-	shrinkFactor   = 0.85
-	growFactor     = 1.05
-	queueTolerance = 30 * time.Millisecond
+	learnInterval = 100 * time.Millisecond
+	shrinkFactor  = 0.85
+	growFactor    = 1.05
+	// unstatedGrowFactor is growFactor where no stated rate bounds the growth.
+	unstatedGrowFactor = 1.01
+	queueTolerance     = 30 * time.Millisecond
 	// headerBytes is what UDP and IP add to a datagram.
 	headerBytes = 28
 	// commonSilence is how many questions without any answer tell of a queue rather than
@@ -53,7 +55,10 @@
 	// stated is the link's rate in bytes a second, 0 if unknown; rate is what it carries,
 	// by the delays seen.
 	stated, rate float64
-	learnedAt    time.Duration
+	// learnedAt is when the rate was last learned, unexplained the delay that the bytes sent
+	// didn't explain then, and sent the bytes sent since.
+	learnedAt, unexplained time.Duration
+	sent                   int
 	// queued is the bytes that wait before the link, as of queuedAt.
 	queued   float64
 	queuedAt time.Duration
@@ -69,30 +74,50 @@
 // New returns an estimator for a link of the given rate in bytes a second; 0 if unknown.
 func New(rate float64) *Estimator { return &Estimator{stated: rate, rate: rate * usableShare} }
 
-// Rate returns how many bytes a second the link carries, 0 if unknown.
+// Rate returns how many bytes a second the link carries, 0 if that isn't known.
 func (e *Estimator) Rate() float64 { return e.rate }
 
-// Tick learns the rate: if answers are late although no more was sent than the link should
+// Tick learns the rate. If answers are late although no more was sent than the link should
 // carry, it carries less.
 func (e *Estimator) Tick(now time.Duration) {
-	if now-e.learnedAt < learnInterval {
+	took := now - e.learnedAt
+	if took < learnInterval {
 		return
 	}
-	e.learnedAt = now
-	factor := growFactor
-	if e.measured(now)-e.Backlog(now) > queueTolerance {
-		factor = shrinkFactor
+	unexplained := e.measured(now) - e.Backlog(now)
+	switch {
+	case e.stated == 0:
+		e.learnUnstated(took, unexplained)
+	case unexplained > queueTolerance:
+		e.rate = max(e.rate*shrinkFactor, e.stated*leastShare)
+	default:
+		e.rate = min(e.rate*growFactor, e.stated*usableShare)
+	}
+	e.learnedAt, e.unexplained, e.sent = now, unexplained, 0
+}
+
+// learnUnstated learns a rate that isn't stated. While a queue lasts, the link carries all the
+// time: what was sent took as long as the time that passed and by how much the queue grew.
+func (e *Estimator) learnUnstated(took, unexplained time.Duration) {
+	if min(unexplained, e.unexplained) <= queueTolerance {
+		e.rate *= unstatedGrowFactor
+		return
+	}
+	busy := max(took+unexplained-e.unexplained, took/2)
+	if carried := usableShare * float64(e.sent) / busy.Seconds(); e.rate == 0 || carried < e.rate {
+		e.rate = carried
 	}
-	e.rate = min(max(e.rate*factor, e.stated*leastShare), e.stated*usableShare)
 }
 
 // Sent records bytes that were passed to the link.
 func (e *Estimator) Sent(now time.Duration, bytes int) {
+	bytes += headerBytes
+	e.sent += bytes
 	if e.rate == 0 {
 		return
 	}
 	e.drain(now)
-	e.queued = min(e.queued+float64(bytes+headerBytes), e.rate*MaxDelay.Seconds())
+	e.queued = min(e.queued+float64(bytes), e.rate*MaxDelay.Seconds())
 }
 
 func (e *Estimator) drain(now time.Duration) {
--- a/internal/passthrough/link/link_test.go
+++ b/internal/passthrough/link/link_test.go
@@ -87,3 +87,24 @@
 	run(2*ms, 60)
 	is.Equal(e.Rate(), full)
 }
+
+// Guards against a link whose rate isn't stated filled by bulk: the rate is learned while a
+// queue lasts, whether it grows or not.
+func TestUnstatedRateIsLearned(t *testing.T) {
+	is := is.New(t)
+	e := New(0)
+	now := start
+	step := func(took time.Duration, bytes int) {
+		now += learnInterval
+		e.Sent(now, bytes)
+		for range recentSamples {
+			e.RoundTrip(now, took)
+		}
+		e.Tick(now)
+	}
+	step(2*ms, 5_000)
+	is.Equal(e.Rate(), 0.0)
+	step(52*ms, 75_000)
+	step(102*ms, 75_000) // the queue grows by 50 ms in 100
+	is.True(e.Rate() > 0.9*rate && e.Rate() < rate)
+}
--- a/internal/passthrough/route/route.go
+++ b/internal/passthrough/route/route.go
@@ -248,18 +248,14 @@
 	return Demand{Kind: e.kind, Goal: e.goal, Timeout: e.timeout, Priority: e.priority}
 }
 
-// Bulk tells whether any route is of a bulk kind, and returns the shortest response-time goal
-// of the other routes, 0 if none is stated.
-func (t *Table) Bulk() (exists bool, urgentGoal time.Duration) {
+// HasBulk tells whether any route is of a bulk kind.
+func (t *Table) HasBulk() bool {
 	for _, e := range t.routes {
-		switch {
-		case e.kind.Bulk():
-			exists = true
-		case e.goal > 0 && (urgentGoal == 0 || e.goal < urgentGoal):
-			urgentGoal = e.goal
+		if e.kind.Bulk() {
+			return true
 		}
 	}
-	return exists, urgentGoal
+	return false
 }
 
 // AllowedRegions returns the regions whose targets may take an address's flows; nil means all.
