--- a/internal/passthrough/link/link.go
+++ b/internal/passthrough/link/link.go
@@ -41,7 +41,7 @@
 	shrinkFactor  = 0.85
 	growFactor    = 1.05
 	// unstatedGrowFactor is growFactor where no stated rate bounds the growth.
-	unstatedGrowFactor = 1.01
+	unstatedGrowFactor = 1.02
 	queueTolerance     = 30 * time.Millisecond
 	// headerBytes is what UDP and IP add to a datagram.
 	headerBytes = 28
@@ -104,9 +104,11 @@
 		return
 	}
 	busy := max(took+unexplained-e.unexplained, took/2)
-	if carried := usableShare * float64(e.sent) / busy.Seconds(); e.rate == 0 || carried < e.rate {
+	carried := usableShare * float64(e.sent) / busy.Seconds()
+	if e.rate == 0 {
 		e.rate = carried
 	}
+	e.rate = min(e.rate, max(carried, e.rate*shrinkFactor))
 }
 
 // Sent records bytes that were passed to the link.
