--- a/internal/passthrough/link/link.go
+++ b/internal/passthrough/link/link.go
@@ -40,9 +40,11 @@
 	learnInterval = 100 * time.Millisecond
 	shrinkFactor  = 0.85
 	growFactor    = 1.05
-	// unstatedGrowFactor is growFactor where no stated rate bounds the growth.
-	unstatedGrowFactor = 1.02
-	queueTolerance     = 30 * time.Millisecond
+	// mostGrowFactor and mostShrinkFactor change what a link of unstated rate is believed
+	// to carry at most.
+	mostGrowFactor   = 1.0005
+	mostShrinkFactor = 0.95
+	queueTolerance   = 30 * time.Millisecond
 	// headerBytes is what UDP and IP add to a datagram.
 	headerBytes = 28
 	// commonSilence is how many questions without any answer tell of a queue rather than
@@ -52,9 +54,9 @@
 
 // Estimator estimates the queueing delay of one link. It isn't safe for concurrent use.
 type Estimator struct {
-	// stated is the link's rate in bytes a second, 0 if unknown; rate is what it carries,
-	// by the delays seen.
-	stated, rate float64
+	// stated is the link's rate in bytes a second, 0 if unknown; most is what it carries at
+	// most, and rate what it carries now, by the delays seen; 0 while unknown.
+	stated, most, rate float64
 	// learnedAt is when the rate was last learned, unexplained the delay that the bytes sent
 	// didn't explain then, and sent the bytes sent since.
 	learnedAt, unexplained time.Duration
@@ -72,7 +74,9 @@
 }
 
 // New returns an estimator for a link of the given rate in bytes a second; 0 if unknown.
-func New(rate float64) *Estimator { return &Estimator{stated: rate, rate: rate * usableShare} }
+func New(rate float64) *Estimator {
+	return &Estimator{stated: rate, most: rate * usableShare, rate: rate * usableShare}
+}
 
 // Rate returns how many bytes a second the link carries, 0 if that isn't known.
 func (e *Estimator) Rate() float64 { return e.rate }
@@ -85,30 +89,32 @@
 		return
 	}
 	unexplained := e.measured(now) - e.Backlog(now)
-	switch {
-	case e.stated == 0:
-		e.learnUnstated(took, unexplained)
-	case unexplained > queueTolerance:
-		e.rate = max(e.rate*shrinkFactor, e.stated*leastShare)
-	default:
-		e.rate = min(e.rate*growFactor, e.stated*usableShare)
+	if e.stated == 0 {
+		e.learnMost(took, unexplained)
+	}
+	if unexplained > queueTolerance {
+		e.rate = max(e.rate*shrinkFactor, e.most*leastShare)
+	} else {
+		e.rate = min(e.rate*growFactor, e.most)
 	}
 	e.learnedAt, e.unexplained, e.sent = now, unexplained, 0
 }
 
-// learnUnstated learns a rate that isn't stated. While a queue lasts, the link carries all the
-// time: what was sent took as long as the time that passed and by how much the queue grew.
-func (e *Estimator) learnUnstated(took, unexplained time.Duration) {
+// learnMost learns what a link carries at most whose rate isn't stated. While a queue lasts,
+// the link carries all the time: what was sent took as long as the time that passed and by how
+// much the queue grew. Otherwise it is raised slowly, as each attempt to find more room makes
+// callers wait.
+func (e *Estimator) learnMost(took, unexplained time.Duration) {
 	if min(unexplained, e.unexplained) <= queueTolerance {
-		e.rate *= unstatedGrowFactor
+		e.most *= mostGrowFactor
 		return
 	}
 	busy := max(took+unexplained-e.unexplained, took/2)
 	carried := usableShare * float64(e.sent) / busy.Seconds()
-	if e.rate == 0 {
-		e.rate = carried
+	if e.most == 0 {
+		e.most, e.rate = carried, carried
 	}
-	e.rate = min(e.rate, max(carried, e.rate*shrinkFactor))
+	e.most = max(carried, e.most*mostShrinkFactor)
 }
 
 // Sent records bytes that were passed to the link.
