--- a/internal/passthrough/link/link.go
+++ b/internal/passthrough/link/link.go
@@ -105,6 +105,12 @@
 // much the queue grew. Otherwise it is raised slowly, as each attempt to find more room makes
 // callers wait.
 func (e *Estimator) learnMost(took, unexplained time.Duration) {
+	if unexplained < -queueTolerance && e.recent.median(e.queuedAt) > 0 {
+		// Answers don't wait behind what should be queued: the link carries more.
+		e.most /= shrinkFactor
+		e.rate = e.most
+		return
+	}
 	if min(unexplained, e.unexplained) <= queueTolerance {
 		e.most *= mostGrowFactor
 		return
