Bulk admission: nothing is said on a flow that may be open

Cause: a held first packet that started late was placed without regard to copies that had gone to another balancer, and reset if no target accepted it; the same after a refusal, a wait for reports or a change of the route's kind. OnlyHere took copies for due later than they may be. Change: what is known of the copies stays with the flow until it is decided, and rejectFlow resets only if all that may have been sent came here and no later packet showed the flow open. A flow whose newest copy is overdue when its turn comes isn't started.

--- a/internal/passthrough/bulk/bulk.go
+++ b/internal/passthrough/bulk/bulk.go
@@ -77,6 +77,8 @@
 	Goal time.Duration
 	// seen has a bit for each copy of the packet that came here, that of the first one is 1.
 	seen uint8
+	// open is set once the flow is known to be open.
+	open bool
 }
 
 // NewFirst describes a first packet. copies is how many copies its caller had sent before it.
@@ -86,15 +88,29 @@
 
 func seenBit(copies uint32) uint8 { return 1 << min(copies, 7) }
 
-// OnlyHere tells whether all copies of the first packet that its caller has sent came here.
-// Another balancer may have delivered one that didn't, and the flow may be open since.
-func (x First) OnlyHere(now time.Duration) bool {
-	for n := range packet.CopiesBy(now-transitTime-x.BegunAt) + 1 {
+// Copy records that a copy of the packet came here, after so many others.
+func (x *First) Copy(copies uint32) { x.seen |= seenBit(copies) }
+
+// Opened records that the flow is open.
+func (x *First) Opened() { x.open = true }
+
+// OnlyHere tells whether all copies of the first packet that its caller may have sent came
+// here, and none opened the flow. Another balancer may have delivered one that didn't, and the
+// flow may be open since. BegunAt is known from an arrival, so copies may be due earlier.
+func (x *First) OnlyHere(now time.Duration) bool {
+	for n := range packet.CopiesBy(now+transitTime-x.BegunAt) + 1 {
 		if x.seen&seenBit(uint32(n)) == 0 {
 			return false
 		}
 	}
-	return true
+	return !x.open
+}
+
+// Elsewhere tells whether the newest copy that has had the time to arrive didn't come here. A
+// copy that came shows that the flow wasn't open when it was sent, whatever became of those
+// before it.
+func (x *First) Elsewhere(now time.Duration) bool {
+	return x.seen < seenBit(uint32(packet.CopiesBy(now-transitTime-x.BegunAt)))
 }
 
 // progress is the state of a flow that has started.
@@ -193,7 +209,7 @@
 	if i < 0 {
 		return false
 	}
-	a.waiting[i].seen |= seenBit(copies)
+	a.waiting[i].Copy(copies)
 	return true
 }
 
@@ -311,11 +327,19 @@
 	a.mean += time.Duration(meanWeight * (took - float64(a.mean)))
 }
 
-// Leave removes a flow from those that wait.
-func (a *Admission) Leave(f packet.Flow) {
-	if i := a.index(f); i >= 0 {
-		a.waiting = slices.Delete(a.waiting, i, i+1)
+// Forget removes a flow whose first packet wasn't passed on after all.
+func (a *Admission) Forget(f packet.Flow) { delete(a.flows, f) }
+
+// Leave removes a flow from those that wait and returns its first packet; false if it doesn't
+// wait.
+func (a *Admission) Leave(f packet.Flow) (First, bool) {
+	i := a.index(f)
+	if i < 0 {
+		return First{}, false
 	}
+	x := a.waiting[i]
+	a.waiting = slices.Delete(a.waiting, i, i+1)
+	return x, true
 }
 
 func (a *Admission) index(f packet.Flow) int {
--- a/internal/passthrough/bulk/bulk_test.go
+++ b/internal/passthrough/bulk/bulk_test.go
@@ -45,6 +45,28 @@
 	is.Equal(a.InProgress(start+openWithin), 0)
 }
 
+// Guards against the reset of a flow that another balancer has opened: a copy that may have
+// been sent, but didn't come here, is taken for delivered there.
+func TestOnlyHere(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		age             time.Duration
+		copies          []uint32
+		only, elsewhere bool
+	}{
+		{100, []uint32{0}, true, false}, {160, []uint32{0}, false, false}, {260, []uint32{0}, false, true}, {260, []uint32{0, 1}, true, false},
+		{560, []uint32{0, 1}, false, false}, {700, []uint32{0, 2}, false, false}, {700, []uint32{0, 1, 2}, true, false}, {700, []uint32{0, 1}, false, true},
+	} {
+		x := NewFirst(flowOf(1), start, goal, c.copies[0])
+		for _, n := range c.copies {
+			x.Copy(n)
+		}
+		now := start + c.age*time.Millisecond
+		is.Equal(x.OnlyHere(now), c.only)
+		is.Equal(x.Elsewhere(now), c.elsewhere)
+	}
+}
+
 // Guards against a link filled twice when the fabric spreads flows anew or a neighbour dies:
 // flows that others started count from their first data on.
 func TestTakenOverFlowsCount(t *testing.T) {
--- a/internal/passthrough/forward/bulk.go
+++ b/internal/passthrough/forward/bulk.go
@@ -44,11 +44,18 @@
 	}
 }
 
-// releaseBulk has a held first packet handled like any other.
+// releaseBulk has a held first packet handled by the new table.
 func (e *Engine) releaseBulk(now time.Duration, f packet.Flow, a arrival) {
-	e.bulk.admission.Leave(f)
+	x, waits := e.bulk.admission.Leave(f)
 	delete(e.bulk.held, f)
-	e.fromClient(now, a)
+	switch {
+	case len(e.table.Services(f.Service)) == 0 || !waits:
+		e.fromClient(now, a)
+	case x.Elsewhere(now):
+		e.rejectBulk(now, x, now-a.arrivedAt)
+	default:
+		e.place(now, a, f, flowEntry{opening: &x}, 0)
+	}
 }
 
 // isBulk tells whether a flow's route is of a bulk kind, and bulk flows are bounded.
@@ -72,6 +79,32 @@
 	return e.arriveBulk(now, a, f)
 }
 
+// noteOpen records that a flow with the given entry, if it is known, is open.
+func (e *Engine) noteOpen(f packet.Flow, entry flowEntry, known bool) {
+	if p := e.placements.byFlow[f]; !known && p != nil {
+		entry = p.entry
+	}
+	if entry.opening != nil {
+		entry.opening.Opened()
+	}
+}
+
+// mayBeOpen tells whether a flow that no target here accepts may have been opened through
+// another balancer, as its first packet, or a copy of it, was held for long.
+func (e *Engine) mayBeOpen(now time.Duration, a arrival, f packet.Flow, entry flowEntry) bool {
+	x := entry.opening
+	if x == nil && e.isBulk(f) {
+		x = e.newFirst(now, a, f)
+	}
+	return x != nil && !x.OnlyHere(now)
+}
+
+// newFirst describes a first packet of a flow of which no other copy is known.
+func (e *Engine) newFirst(now time.Duration, a arrival, f packet.Flow) *bulk.First {
+	x := bulk.NewFirst(f, now-a.age(now), e.table.Demand(f.Service).Goal, a.p.Ack)
+	return &x
+}
+
 // noteBulk counts a packet of a bulk flow that is open. If its first packet still waits,
 // another balancer has delivered a copy.
 func (e *Engine) noteBulk(now time.Duration, p packet.Packet, f packet.Flow) {
@@ -89,7 +122,7 @@
 
 // arriveBulk decides on the first packet of a new bulk flow.
 func (e *Engine) arriveBulk(now time.Duration, a arrival, f packet.Flow) (holds bool) {
-	x := bulk.NewFirst(f, now-a.age(now), e.table.Demand(f.Service).Goal, a.p.Ack)
+	x := *e.newFirst(now, a, f)
 	switch e.bulk.admission.Arrive(now, x) {
 	case bulk.Wait:
 		a.raw = append([]byte(nil), a.raw...)
@@ -155,7 +188,12 @@
 		}
 		a := e.bulk.held[x.Flow]
 		delete(e.bulk.held, x.Flow)
-		e.place(now, a, x.Flow, flowEntry{}, 0)
+		if x.Elsewhere(now) {
+			e.bulk.admission.Forget(x.Flow)
+			e.rejectBulk(now, x, now-a.arrivedAt)
+			continue
+		}
+		e.place(now, a, x.Flow, flowEntry{opening: &x}, 0)
 	}
 }
 
--- a/internal/passthrough/forward/bulk_test.go
+++ b/internal/passthrough/forward/bulk_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -123,6 +124,55 @@
 	}
 }
 
+// Guards against the reset of an open flow: the first packet of an upload is held, a copy of it
+// goes to another balancer, which opens the flow, and then no target here accepts the flow.
+func TestHeldUploadMayBeOpen(t *testing.T) {
+	refuse := func(r *testEngine) {
+		for n := 0; n != len(r.delivered); {
+			n = len(r.delivered)
+			r.engine.HandleRefused(r.now, r.delivered[n-1].to, peer.Header{Reason: peer.Draining}, packet.Packet{Src: client(2), Dst: uploads, Flags: packet.SYN}, rawOf(0))
+		}
+	}
+	end := func(r *testEngine) { r.body(1, 2, packet.FIN) }
+	for name, c := range map[string]struct {
+		startAfter time.Duration
+		start      func(*testEngine)
+		refuse     func(*testEngine)
+	}{
+		"started without targets": {300 * time.Millisecond, end, func(r *testEngine) {}},
+		"route of another kind":   {300 * time.Millisecond, func(r *testEngine) { r.bulkTable(2, route.NonIdempotent) }, func(r *testEngine) {}},
+		"refused later":           {100 * time.Millisecond, end, refuse},
+	} {
+		for _, copyElsewhere := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, copy elsewhere %v", name, copyElsewhere), func(t *testing.T) {
+				is := is.New(t)
+				r := newLinkEngine(t)
+				r.upload(1, 0)
+				r.upload(2, 0)
+				for r.now < time.Hour+DefaultPolicy().Youth+400*time.Millisecond {
+					at := r.now - time.Hour - DefaultPolicy().Youth
+					if at == 200*time.Millisecond && !copyElsewhere {
+						r.upload(2, 1)
+					}
+					if at == c.startAfter {
+						if c.startAfter > 200*time.Millisecond {
+							r.engine.SetEvacuated([]string{zone})
+						}
+						c.start(r)
+					}
+					if at < c.startAfter {
+						r.body(1, 1, 0)
+					}
+					r.waitAs(20 * time.Millisecond)
+				}
+				c.refuse(r)
+				is.Equal(len(r.resets) == 0, copyElsewhere)
+				is.Equal(r.lastDecision().Verdict == DroppedBulk, copyElsewhere)
+			})
+		}
+	}
+}
+
 // Guards against a flow opened twice: its later packets arrive here although its first packet
 // still waits, since the balancer that opened it was killed.
 func TestOpenUploadStopsWaiting(t *testing.T) {
--- a/internal/passthrough/forward/decision.go
+++ b/internal/passthrough/forward/decision.go
@@ -51,8 +51,9 @@
 	// RefusedBulk: the first packet of a bulk flow was reset because the link has no room
 	// for the flow in time.
 	RefusedBulk
-	// DroppedBulk: the same, but another balancer may have delivered a copy of the packet,
-	// so that its caller gets no reset.
+	// DroppedBulk: the first packet of a bulk flow wasn't passed on, or was refused by the
+	// targets, but another balancer may have delivered a copy of it, so that its caller gets
+	// no reset.
 	DroppedBulk
 )
 
--- a/internal/passthrough/forward/forward.go
+++ b/internal/passthrough/forward/forward.go
@@ -24,6 +24,7 @@
 	"net/netip"
 	"time"
 
+	"bergamotstall/internal/passthrough/bulk"
 	"bergamotstall/internal/passthrough/overload"
 	"bergamotstall/internal/passthrough/packet"
 	"bergamotstall/internal/passthrough/peer"
@@ -94,7 +95,9 @@
 	// service is 0 if the flow was found at an agent whose service isn't known.
 	service route.ServiceID
 	// refused is nil until an agent hands the first packet back.
-	refused  *refusals
+	refused *refusals
+	// opening is what is known of the first packet of a bulk flow, nil for other flows.
+	opening  *bulk.First
 	agent    uint32
 	attempts uint8
 }
@@ -110,6 +113,13 @@
 	h.refused.agents = append(h.refused.agents, agent)
 }
 
+// noteCopy records a copy of the flow's first packet.
+func (h *flowEntry) noteCopy(p packet.Packet) {
+	if h.opening != nil {
+		h.opening.Copy(p.Ack)
+	}
+}
+
 // excludedAgents returns the agents that the first packet isn't offered to.
 func (h *flowEntry) excludedAgents() []uint32 {
 	if h.refused == nil {
@@ -213,6 +223,9 @@
 		return
 	}
 	entry, known := e.flows[f]
+	if !a.p.Opens() {
+		e.noteOpen(f, entry, known)
+	}
 	isBulk := e.isBulk(f)
 	if isBulk && e.holdsBulk(now, a, f, known) {
 		return
@@ -260,11 +273,17 @@
 // same agent while that is responsive and the placement valid: if two targets answered,
 // each would keep state for the flow.
 func (e *Engine) handleFirstPacket(now time.Duration, a arrival, f packet.Flow, entry flowEntry, known bool) {
+	if p := e.placements.byFlow[f]; p != nil {
+		p.entry.noteCopy(a.p)
+		return // the first packet still waits for placement
+	}
+	entry.noteCopy(a.p)
 	switch {
-	case e.placements.byFlow[f] != nil:
-		// The first packet still waits for placement.
 	case !known:
-		e.place(now, a, f, flowEntry{}, 0)
+		if e.isBulk(f) {
+			entry.opening = e.newFirst(now, a, f)
+		}
+		e.place(now, a, f, entry, 0)
 	case !e.placementValid(f, entry):
 		e.place(now, a, f, entry, peer.WrongService)
 	case e.agents.list[entry.agent].unresponsive(e.link.before(now)):
@@ -275,12 +294,16 @@
 	}
 }
 
-// rejectFlow resets a flow that no target accepts; nothing ran.
-func (e *Engine) rejectFlow(now time.Duration, f packet.Flow, entry flowEntry, reason peer.Reason) {
+// rejectFlow resets a flow that no target accepts, unless it may be open; nothing ran.
+func (e *Engine) rejectFlow(now time.Duration, a arrival, f packet.Flow, entry flowEntry, reason peer.Reason) {
 	delete(e.flows, f)
 	e.endBulk(now, f)
-	e.cfg.Out.Reset(f, 0)
-	e.logDecision(Decision{Flow: f, Verdict: RefusedNoTarget, Reason: reason, Asked: int(entry.attempts)})
+	d := Decision{Flow: f, Verdict: DroppedBulk, Reason: reason, Asked: int(entry.attempts)}
+	if !e.mayBeOpen(now, a, f, entry) {
+		d.Verdict = RefusedNoTarget
+		e.cfg.Out.Reset(f, 0)
+	}
+	e.logDecision(d)
 }
 
 // deliver sends a flow's packet to its agent. The packet names the service that the flow
@@ -326,7 +349,7 @@
 		return // a retransmit has already gone to another agent
 	}
 	if reason == peer.Busy || a.age(now) >= packet.HandshakeTimeout {
-		e.rejectFlow(now, f, entry, reason)
+		e.rejectFlow(now, a, f, entry, reason)
 		return
 	}
 	switch reason {
