Bulk admission: queued data follows what happened to its flow

Cause: queued packets of a flow were sent although its route had been removed or its caller had reset it, and out of order after its route's kind had changed. Change: a table without the route and a reset by the caller drop them, a change of kind sends them at once. Result: TestQueuedDataFollowsItsFlow fails in its three cases without the change and passes with it.

--- a/internal/passthrough/bulk/queue.go
+++ b/internal/passthrough/bulk/queue.go
@@ -1,6 +1,7 @@
 package bulk
 
 import (
+	"iter"
 	"slices"
 
 	"bergamotstall/internal/passthrough/packet"
@@ -81,6 +82,20 @@
 	}
 }
 
+// All returns the queued packets in their order.
+func (q *Queue) All() iter.Seq[Packet] { return slices.Values(q.packets) }
+
+// RemoveFunc removes the packets of the flows that gone tells.
+func (q *Queue) RemoveFunc(gone func(packet.Flow) bool) {
+	q.packets = slices.DeleteFunc(q.packets, func(x Packet) bool {
+		if !gone(x.Packet.FromClient()) {
+			return false
+		}
+		q.free = append(q.free, x.Raw)
+		return true
+	})
+}
+
 // First returns the packet whose turn it is. It is valid until Remove.
 func (q *Queue) First() Packet { return q.packets[0] }
 
--- a/internal/passthrough/forward/bulk.go
+++ b/internal/passthrough/forward/bulk.go
@@ -29,8 +29,8 @@
 	return bulkGate{admission: bulk.New(), held: map[packet.Flow]arrival{}}
 }
 
-// bulkRoutesChanged adapts the gate to a new table. If no route is of a bulk kind any more,
-// what it holds goes on.
+// bulkRoutesChanged adapts the gate to a new table: what it holds for a route that isn't of a
+// bulk kind any more goes on, and queued packets without a route are dropped.
 func (e *Engine) bulkRoutesChanged(now time.Duration) {
 	g := &e.bulk
 	if g.admission == nil {
@@ -42,6 +42,20 @@
 			e.releaseBulk(now, f, a)
 		}
 	}
+	g.queue.RemoveFunc(func(f packet.Flow) bool { return len(e.table.Services(f.Service)) == 0 })
+	e.flushQueue(now)
+}
+
+// flushQueue sends the queued packets of flows whose route isn't of a bulk kind any more, in
+// their order: later packets of theirs aren't queued.
+func (e *Engine) flushQueue(now time.Duration) {
+	changed := func(f packet.Flow) bool { return !e.table.Demand(f.Service).Kind.Bulk() }
+	for x := range e.bulk.queue.All() {
+		if f := x.Packet.FromClient(); changed(f) {
+			e.forwardPacket(now, x.Packet, f, x.Raw)
+		}
+	}
+	e.bulk.queue.RemoveFunc(changed)
 }
 
 // releaseBulk has a held first packet handled by the new table.
@@ -114,6 +128,9 @@
 		g.admission.Leave(f)
 	}
 	g.admission.Packet(now, f, p.Data)
+	if p.Flags.Has(packet.RST) {
+		g.queue.RemoveFunc(func(x packet.Flow) bool { return x == f })
+	}
 	if p.Closes() {
 		g.admission.End(now, f)
 		e.startBulk(now)
--- a/internal/passthrough/forward/bulk_test.go
+++ b/internal/passthrough/forward/bulk_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -224,6 +225,40 @@
 	is.Equal(r.lastDecision().Verdict, RefusedNoRoute)
 }
 
+// Guards against queued data sent by a rule that is gone: the flow's route is removed, or its
+// caller resets it, and the data is dropped; the route's kind changes, and the data is sent
+// before what follows it.
+func TestQueuedDataFollowsItsFlow(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*testEngine)
+		sent   func(queued int) int
+	}{
+		"route removed": {func(r *testEngine) { r.bulkTable(2, 0) }, func(int) int { return 0 }},
+		"caller resets": {func(r *testEngine) { r.send(packet.Packet{Src: client(1), Dst: uploads, Flags: packet.RST}) }, func(int) int { return 1 }},
+		"kind changed": {func(r *testEngine) {
+			r.bulkTable(2, route.NonIdempotent)
+			r.body(1, 9, 0)
+		}, func(queued int) int { return queued + 1 }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newLinkEngine(t)
+			r.upload(1, 0)
+			for seq := range uint32(9) {
+				r.body(1, seq, 0)
+			}
+			before, queued := len(r.delivered), r.engine.bulk.queue.Len()
+			is.True(queued > 0)
+			c.change(r)
+			r.waitAs(500 * time.Millisecond)
+			is.Equal(len(r.delivered)-before, c.sent(queued))
+			for i, d := range r.delivered[before:] {
+				is.True(c.sent(queued) == 1 || binary.BigEndian.Uint32(d.raw) == uint32(9-queued+i))
+			}
+		})
+	}
+}
+
 // Guards against small requests behind a window of bulk: it is queued here and sent as the
 // link carries it, while the packets of others go on at once.
 func TestBulkYieldsToSmallPackets(t *testing.T) {
