Bulk admission: the table of flows and the queue are bounded

Cause: with a full table of flows, what started wasn't counted, so that all that waited started at once. The queue had no bound in time, its overflow was sent ahead of it, and small packets could shut bulk out. Change: flows that take no room are forgotten first, and nothing starts that can't be counted. Bulk has a tenth of the link at least. TestQueue names the time in Add; nothing it checks has changed.

--- a/internal/passthrough/bulk/bulk.go
+++ b/internal/passthrough/bulk/bulk.go
@@ -18,6 +18,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -183,7 +184,7 @@
 }
 
 // Limit returns how many flows may be in progress at once.
-func (a *Admission) Limit() int { return max(1, int(a.limit+0.5)) }
+func (a *Admission) Limit() int { return int(min(max(1, a.limit+0.5), maxInProgress)) }
 
 // InProgress returns how many flows take up room on the link.
 func (a *Admission) InProgress(now time.Duration) int {
@@ -215,7 +216,7 @@
 
 // Arrive decides on the first packet of a flow that isn't known.
 func (a *Admission) Arrive(now time.Duration, x First) Verdict {
-	if len(a.waiting) == 0 && a.InProgress(now) < a.Limit() {
+	if len(a.waiting) == 0 && a.hasRoom(now) {
 		a.start(now, x.Flow)
 		return Start
 	}
@@ -244,7 +245,7 @@
 
 // Next starts the flow whose turn it is, if there is room.
 func (a *Admission) Next(now time.Duration) (First, bool) {
-	if len(a.waiting) == 0 || a.InProgress(now) >= a.Limit() {
+	if len(a.waiting) == 0 || !a.hasRoom(now) {
 		return First{}, false
 	}
 	x := slices.MinFunc(a.waiting, func(x, y First) int { return a.compare(now, x, y) })
@@ -284,10 +285,22 @@
 	return out
 }
 
-func (a *Admission) start(now time.Duration, f packet.Flow) {
-	if len(a.flows) < maxInProgress {
-		a.flows[f] = progress{startedAt: now, usedAt: now}
+// hasRoom tells whether a flow may start and can be counted.
+func (a *Admission) hasRoom(now time.Duration) bool {
+	return a.InProgress(now) < a.Limit() && a.makeSpace(now)
+}
+
+// makeSpace forgets the flows that take no room if there is no space for another flow, and
+// tells whether there is then.
+func (a *Admission) makeSpace(now time.Duration) bool {
+	if len(a.flows) >= maxInProgress {
+		maps.DeleteFunc(a.flows, func(_ packet.Flow, x progress) bool { return !x.takesRoom(now, a.delay) })
 	}
+	return len(a.flows) < maxInProgress
+}
+
+func (a *Admission) start(now time.Duration, f packet.Flow) {
+	a.flows[f] = progress{startedAt: now, usedAt: now}
 }
 
 // Packet records a packet, with data bytes of the body, of a flow that is open or opening. A
@@ -303,7 +316,7 @@
 	case x.ended:
 		x.startedAt, x.ended = now, false
 	}
-	if known || len(a.flows) < maxInProgress {
+	if known || a.makeSpace(now) {
 		x.usedAt, x.sends = now, true
 		a.flows[f] = x
 	}
--- a/internal/passthrough/bulk/bulk_test.go
+++ b/internal/passthrough/bulk/bulk_test.go
@@ -120,6 +120,43 @@
 	is.Equal(expired[0].Flow, flowOf(3))
 }
 
+// Guards against a table of flows that is full of ended ones: what starts then is counted all
+// the same, and the others wait.
+func TestFullTableKeepsLimit(t *testing.T) {
+	is := is.New(t)
+	a := newAdmission(rateOfTwo)
+	for port := range uint16(maxInProgress) {
+		a.start(start, flowOf(port))
+		a.End(start, flowOf(port))
+	}
+	started := 0
+	for port := range uint16(10) {
+		if a.Arrive(start, first(10_000+port, start)) == Start {
+			started++
+		}
+	}
+	is.Equal(started, a.Limit())
+	is.Equal(a.InProgress(start), a.Limit())
+}
+
+// Guards against data that nobody waits for any more, and against a queue longer than the link
+// carries before its clients repeat what is queued.
+func TestQueueIsBoundedInTime(t *testing.T) {
+	is := is.New(t)
+	var q Queue
+	q.SetRate(rateOfTwo)
+	raw := make([]byte, 1234)
+	queued := uint32(0)
+	for q.Add(start, packet.Packet{Seq: queued, Data: 1200}, raw) {
+		queued++
+	}
+	is.Equal(int(queued), int(rateOfTwo*staleAfter.Seconds())/len(raw))
+	is.True(q.Add(start+retransmitAfter, packet.Packet{Seq: 1, Data: 1200}, raw)) // repeated
+	q.RemoveStale(start + staleAfter + time.Millisecond)
+	is.Equal(q.Len(), 1)
+	is.Equal(q.bytes, len(raw))
+}
+
 // Guards against retransmits that only the balancer's queue causes: flows take turns, each
 // in the order of its data, and copies of queued packets are dropped.
 func TestQueue(t *testing.T) {
@@ -127,7 +164,7 @@
 	var q Queue
 	add := func(port uint16, seq uint32) {
 		f := flowOf(port)
-		is.True(q.Add(packet.Packet{Src: f.Client, Dst: f.Service, Seq: seq, Data: 1}, []byte{byte(port), byte(seq)}))
+		is.True(q.Add(start, packet.Packet{Src: f.Client, Dst: f.Service, Seq: seq, Data: 1}, []byte{byte(port), byte(seq)}))
 	}
 	for _, seq := range []uint32{2, 1, 0xffffffff} {
 		add(1, seq)
--- a/internal/passthrough/forward/bulk.go
+++ b/internal/passthrough/forward/bulk.go
@@ -7,9 +7,16 @@
 	"bergamotstall/internal/passthrough/packet"
 )
 
-// minQueueInterval is the least time between two looks at the link while packets of bulk flows
-// are queued.
-const minQueueInterval = time.Millisecond
+const (
+	// minQueueInterval is the least time between two looks at the link while packets of bulk
+	// flows are queued.
+	minQueueInterval = time.Millisecond
+	// leastBulkShare is the part of the link that bulk has however much else is sent, so that
+	// it can't be shut out.
+	leastBulkShare = 0.1
+	// bulkPacketBytes is the size of a packet of bulk.
+	bulkPacketBytes = bulk.WindowBytes / 16
+)
 
 // bulkGate holds the first packets of bulk flows until package bulk admits them.
 type bulkGate struct {
@@ -20,6 +27,8 @@
 	held      map[packet.Flow]arrival
 	// queue holds packets of bulk flows in progress until the link has room for them.
 	queue bulk.Queue
+	// sentAt is when bulk was last sent.
+	sentAt time.Duration
 }
 
 func newBulkGate(cfg Config) bulkGate {
@@ -164,28 +173,47 @@
 }
 
 // queuesBulk queues a packet of a bulk flow if the link has no room for it now: nothing of
-// other callers waits behind bulk that this balancer sends.
+// other callers waits behind bulk that this balancer sends. A packet that the queue has no
+// room for is dropped, as it mustn't overtake those queued.
 func (e *Engine) queuesBulk(now time.Duration, a arrival) bool {
 	q := &e.bulk.queue
-	if a.p.Data == 0 && !a.p.Flags.Has(packet.FIN) || q.Len() == 0 && e.link.hasRoom(now) {
+	if a.p.Data == 0 && !a.p.Flags.Has(packet.FIN) {
+		return false
+	}
+	if q.Len() == 0 && e.bulkRoomIn(now) == 0 {
+		e.bulk.sentAt = now
 		return false
 	}
-	return q.Add(a.p, a.raw)
+	if !q.Add(now, a.p, a.raw) {
+		e.logDecision(Decision{Flow: a.p.FromClient(), Verdict: DroppedBusy})
+	}
+	return true
+}
+
+// bulkRoomIn returns in what time bulk may be passed to the link; 0 if now.
+func (e *Engine) bulkRoomIn(now time.Duration) time.Duration {
+	room := e.link.roomIn(now)
+	if room == 0 {
+		return 0
+	}
+	turn := time.Duration(bulkPacketBytes / (leastBulkShare * e.linkRate()) * float64(time.Second))
+	return min(room, max(0, e.bulk.sentAt+turn-now))
 }
 
 // SendQueued sends queued packets of bulk flows as far as the link has room, and returns when
 // it is to be called again; 0 if nothing is queued.
 func (e *Engine) SendQueued(now time.Duration) time.Duration {
 	q := &e.bulk.queue
-	for q.Len() > 0 && e.link.hasRoom(now) {
+	for q.Len() > 0 && e.bulkRoomIn(now) == 0 {
 		x := q.First()
+		e.bulk.sentAt = now
 		e.forwardPacket(now, x.Packet, x.Packet.FromClient(), x.Raw)
 		q.Remove()
 	}
 	if q.Len() == 0 {
 		return 0
 	}
-	return max(minQueueInterval, e.link.roomIn(now))
+	return max(minQueueInterval, e.bulkRoomIn(now))
 }
 
 // endBulk records that a bulk flow, if it is one, is over. Those that wait start at the next
@@ -219,7 +247,10 @@
 	if g.admission == nil {
 		return
 	}
-	g.admission.SetRate(e.linkRate())
+	rate := e.linkRate()
+	g.admission.SetRate(rate)
+	g.queue.SetRate(rate)
+	g.queue.RemoveStale(now)
 	g.admission.Tick(now, e.link.delay)
 	for _, x := range g.admission.Expired(now) {
 		a := g.held[x.Flow]
--- a/internal/passthrough/forward/bulk_test.go
+++ b/internal/passthrough/forward/bulk_test.go
@@ -279,6 +279,27 @@
 	is.Equal(r.engine.SendQueued(r.now), time.Duration(0))
 }
 
+// Guards against bulk that overtakes what is queued once the queue is full, and against bulk
+// that small packets shut out.
+func TestQueueWithoutRoom(t *testing.T) {
+	is := is.New(t)
+	r := newLinkEngine(t)
+	r.upload(1, 0)
+	for seq := range uint32(1100) {
+		r.body(1, seq, 0)
+	}
+	is.True(len(r.delivered) < 5)
+	is.Equal(r.lastDecision().Verdict, DroppedBusy)
+	r.send(syn(9))
+	before := r.engine.bulk.queue.Len()
+	for range 10 { // small packets take the link's whole rate
+		r.engine.HandleClientPacket(r.now, data(9, 1), make([]byte, oneFlowRate/50))
+		r.waitAs(20 * time.Millisecond)
+	}
+	is.True(r.engine.bulk.queue.Len() < before)
+	is.True(r.engine.bulk.queue.Len() > before-4)
+}
+
 // Guards against agents taken for silent while the balancer's own queue holds their answers.
 func TestOwnBacklogIsNotSilence(t *testing.T) {
 	is := is.New(t)
--- a/internal/passthrough/forward/linkqueue.go
+++ b/internal/passthrough/forward/linkqueue.go
@@ -73,9 +73,6 @@
 	return max(0, l.estimator.Backlog(l.lookedAt)-roomBelow)
 }
 
-// hasRoom tells whether bulk may be passed to the link.
-func (l *linkQueues) hasRoom(now time.Duration) bool { return l.roomIn(now) == 0 }
-
 // linkRate returns what the link carries, in bytes a second; 0 if that isn't known.
 func (e *Engine) linkRate() float64 {
 	if e.link.estimator == nil {
