Bulk admission: the mean is the time in which a flow sends

Cause: it took the time from a flow's start to its end, with its target's work and its pauses, so that callers were rejected, or taken for late, for what isn't the link's. Change: it is the time from when the flow last began to take room to its last data. Result: TestMeanIsTimeOnLink fails without the change and passes with it. TestFlowThatCannotStartInTimeIsRejected made a flow of 900 ms by one packet at its end; it sends all the time now, what it checks is the same.

--- a/internal/passthrough/bulk/bulk.go
+++ b/internal/passthrough/bulk/bulk.go
@@ -53,7 +53,7 @@
 	maxWaiting    = 1_024
 	// unknownLimit is the limit while the link's rate isn't known.
 	unknownLimit = 4
-	// meanWeight is the weight of one flow in the mean duration.
+	// meanWeight is the weight of one flow in the mean time.
 	meanWeight = 0.1
 )
 
@@ -116,6 +116,7 @@
 
 // progress is the state of a flow that has started.
 type progress struct {
+	// startedAt is when the flow last began to take room.
 	startedAt time.Duration
 	// usedAt is when the flow was started, or last sent data.
 	usedAt time.Duration
@@ -142,8 +143,8 @@
 	limit   float64
 	flows   map[packet.Flow]progress
 	waiting []First
-	// delay is the link's present queueing delay, mean the mean time that a flow is in
-	// progress.
+	// delay is the link's present queueing delay, mean the mean time in which a flow sends its
+	// data.
 	delay, mean time.Duration
 }
 
@@ -165,7 +166,7 @@
 	// InProgress flows take up room on the link, of Limit; Quiet ones have started but send
 	// nothing at the moment; Waiting ones haven't started.
 	InProgress, Limit, Quiet, Waiting int
-	// Mean is the mean time that a flow is in progress.
+	// Mean is the mean time in which a flow sends its data.
 	Mean time.Duration
 }
 
@@ -313,7 +314,7 @@
 		return
 	case !known:
 		x = progress{startedAt: now}
-	case x.ended:
+	case !x.takesRoom(now, a.delay):
 		x.startedAt, x.ended = now, false
 	}
 	if known || a.makeSpace(now) {
@@ -322,22 +323,23 @@
 	}
 }
 
-// End records that a flow is over, or that its client sends nothing new.
+// End records that a flow is over, or that its client sends nothing new. How long the target
+// worked after the last data tells nothing of the link.
 func (a *Admission) End(now time.Duration, f packet.Flow) {
 	x, known := a.flows[f]
 	if !known || x.ended {
 		return
 	}
+	took := x.usedAt - x.startedAt
 	x.ended, x.usedAt = true, now
 	a.flows[f] = x
-	if !x.sends {
-		return // refused: tells nothing of the link
-	}
-	took := float64(now - x.startedAt)
-	if a.mean == 0 {
-		a.mean = time.Duration(took)
+	switch {
+	case !x.sends: // refused
+	case a.mean == 0:
+		a.mean = took
+	default:
+		a.mean += time.Duration(meanWeight * float64(took-a.mean))
 	}
-	a.mean += time.Duration(meanWeight * (took - float64(a.mean)))
 }
 
 // Forget removes a flow whose first packet wasn't passed on after all.
--- a/internal/passthrough/bulk/bulk_test.go
+++ b/internal/passthrough/bulk/bulk_test.go
@@ -108,7 +108,10 @@
 	is := is.New(t)
 	a := newAdmission(WindowBytes)
 	a.Arrive(start, first(1, start))
-	now := start + 900*time.Millisecond
+	now := start
+	for ; now < start+900*time.Millisecond; now += 50 * time.Millisecond {
+		a.Packet(now, flowOf(1), 1200)
+	}
 	a.Packet(now, flowOf(1), 1200)
 	a.End(now, flowOf(1)) // flows take 900 ms
 	a.Arrive(now, first(2, now))
@@ -157,6 +160,26 @@
 	is.Equal(q.bytes, len(raw))
 }
 
+// Guards against callers rejected for what isn't the link's: the time in which a target works,
+// or a flow is silent, isn't time on the link.
+func TestMeanIsTimeOnLink(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		data []time.Duration
+		end  time.Duration
+		mean time.Duration
+	}{{[]time.Duration{10 * ms, 90 * ms}, 90 * ms, 90 * ms}, {[]time.Duration{10 * ms, 90 * ms}, 900 * ms, 90 * ms}, {[]time.Duration{10 * ms, 800 * ms, 840 * ms}, 850 * ms, 40 * ms}, {nil, 900 * ms, 0}} {
+		is := is.New(t)
+		a := newAdmission(rateOfTwo)
+		a.Arrive(start, first(1, start))
+		for _, at := range c.data {
+			a.Packet(start+at, flowOf(1), 1200)
+		}
+		a.End(start+c.end, flowOf(1))
+		is.Equal(a.Status(start).Mean, c.mean)
+	}
+}
+
 // Guards against retransmits that only the balancer's queue causes: flows take turns, each
 // in the order of its data, and copies of queued packets are dropped.
 func TestQueue(t *testing.T) {
