Link queues: bytes count from when they are sent

Cause: bytes sent because of a packet, answer or report were booked at the last tick, up to 20 ms before, and drained for that time at once. Change: each of these sets the time that bytes are booked at. Result: TestBytesCountFromWhenTheyAreSent fails in its three cases without the change and passes with it.

--- a/internal/passthrough/forward/bulk_test.go
+++ b/internal/passthrough/forward/bulk_test.go
@@ -300,6 +300,32 @@
 	is.True(r.engine.bulk.queue.Len() > before-4)
 }
 
+// Guards against bytes that drain before they were sent: those sent between two ticks count from
+// then on, whatever made the engine send them.
+func TestBytesCountFromWhenTheyAreSent(t *testing.T) {
+	for name, send := range map[string]func(*testEngine){
+		"packet": func(r *testEngine) { r.engine.HandleClientPacket(r.now, data(9, 1), make([]byte, oneFlowRate/50)) },
+		"refused": func(r *testEngine) {
+			r.engine.HandleRefused(r.now, r.agentAt(3, caseworkService), peer.Header{}, data(9, 1), make([]byte, oneFlowRate/50))
+		},
+		"answer": func(r *testEngine) {
+			r.engine.HandleClientPacket(r.now, data(8, 1), make([]byte, oneFlowRate/50))
+			r.now += 10 * time.Millisecond
+			r.answerAs(r.asked[0].to, peer.Holds)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newLinkEngine(t)
+			r.send(syn(9))
+			r.advance(500 * time.Millisecond)
+			r.now += 19 * time.Millisecond
+			send(r)
+			is.True(r.engine.link.estimator.Backlog(r.now) >= 20*time.Millisecond)
+		})
+	}
+}
+
 // Guards against agents taken for silent while the balancer's own queue holds their answers.
 func TestOwnBacklogIsNotSilence(t *testing.T) {
 	is := is.New(t)
--- a/internal/passthrough/forward/forward.go
+++ b/internal/passthrough/forward/forward.go
@@ -208,6 +208,7 @@
 
 // HandleClientPacket handles a client's packet from the fabric.
 func (e *Engine) HandleClientPacket(now time.Duration, p packet.Packet, raw []byte) {
+	e.link.look(now)
 	e.fromClient(now, arrival{arrivedAt: now, p: p, raw: raw})
 }
 
--- a/internal/passthrough/forward/linkqueue.go
+++ b/internal/passthrough/forward/linkqueue.go
@@ -47,11 +47,15 @@
 	if gap := now - l.now; l.now > 0 && gap > usualTickGap {
 		l.estimator.Stalled(now, gap)
 	}
-	l.now, l.lookedAt = now, max(l.lookedAt, now)
+	l.now = now
+	l.look(now)
 	l.estimator.Tick(now)
 	l.delay = l.estimator.Delay(now)
 }
 
+// look takes the time of an event, which is that of the bytes sent because of it.
+func (l *linkQueues) look(now time.Duration) { l.lookedAt = max(l.lookedAt, now) }
+
 // extend returns a timeout for an answer that passes the link's queues.
 func (l *linkQueues) extend(timeout time.Duration) time.Duration { return timeout + l.delay }
 
@@ -69,7 +73,7 @@
 	if l.estimator == nil {
 		return 0
 	}
-	l.lookedAt = max(l.lookedAt, now)
+	l.look(now)
 	return max(0, l.estimator.Backlog(l.lookedAt)-roomBelow)
 }
 
@@ -98,6 +102,7 @@
 // markSeen records that a datagram arrived from an agent, and returns its number. If it is
 // the first since a probe, it tells how long the probe's answer took.
 func (e *Engine) markSeen(now time.Duration, from netip.AddrPort) uint32 {
+	e.link.look(now)
 	if e.link.estimator != nil {
 		e.link.estimator.Heard()
 		if a := &e.agents.list[e.agents.number(from)]; a.probedAt > a.lastSeenAt {
