--- a/internal/passthrough/balancer/balancer.go
+++ b/internal/passthrough/balancer/balancer.go
@@ -80,6 +80,9 @@
 	engine    *forward.Engine
 	questions datagram.Batches[peer.Question]
 	buf       []byte
+	// sendTimer fires when queued packets are to be sent; sendPending says that it is set.
+	sendTimer   *time.Timer
+	sendPending bool
 
 	// tableSince is when the first table arrived, on the clock of now; 0 if none has.
 	tableSince atomic.Int64
@@ -104,6 +107,8 @@
 	b.fabric.SetMeter(b.meter, peer.PacketKind)
 	b.nodes.SetMeter(b.meter, peer.NodeKind)
 	seed := rand.Uint64()
+	b.sendTimer = time.AfterFunc(time.Hour, b.sendTimerFired)
+	b.sendTimer.Stop()
 	b.engine = forward.New(forward.Config{
 		Zone: cfg.Zone, Regions: cfg.Regions, Rand: rand.New(rand.NewPCG(seed, seed)), Policy: forward.DefaultPolicy(),
 		QuestionBudget: questionShare * cfg.LinkRate, LinkRate: cfg.LinkRate, Overload: cfg.Overload, Out: b,
@@ -115,6 +120,7 @@
 	b.verdicts = counters(cfg.Metrics)
 	b.waitTimes = waitHistograms(cfg.Metrics)
 	cfg.Metrics.Gauge("pass_flows", func() int64 { return b.gauge((*forward.Engine).Flows) })
+	b.publishLinkPressure()
 	cfg.Metrics.Gauge("pass_searches", func() int64 { return b.gauge((*forward.Engine).Searches) })
 	return b, nil
 }
@@ -131,7 +137,7 @@
 func (b *Balancer) Run(ctx context.Context) error {
 	forwardCtx, stop := context.WithCancel(context.Background())
 	defer stop()
-	running := wait.Start(forwardCtx, b.readFabric, b.readNodes, b.tick, b.client.Run, b.logTraffic)
+	running := wait.Start(forwardCtx, b.readFabric, b.readNodes, b.tick, b.client.Run, b.logTraffic, b.logLinkPressure)
 	<-ctx.Done()
 	b.stopping.Store(true)
 	b.Ready()
@@ -208,6 +214,7 @@
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		b.engine.HandleClientPacket(b.now(), p, raw)
+		b.sendQueued()
 		return nil
 	})
 }
@@ -252,6 +259,7 @@
 		case <-ticker.C:
 			b.mu.Lock()
 			b.engine.Tick(b.now())
+			b.sendQueued()
 			b.mu.Unlock()
 		}
 	}
--- a/internal/passthrough/forward/decision.go
+++ b/internal/passthrough/forward/decision.go
@@ -48,10 +48,17 @@
 	HeldEarly
 	// DroppedBusy: a packet was dropped because too many packets or searches are pending.
 	DroppedBusy
+	// RefusedBulk: the first packet of a bulk flow was reset because the link has no room
+	// for the flow in time.
+	RefusedBulk
+	// DroppedBulk: the first packet of a bulk flow wasn't passed on, or was refused by the
+	// targets, but another balancer may have delivered a copy of it, so that its caller gets
+	// no reset.
+	DroppedBulk
 )
 
 var verdictNames = [...]string{"", "placed", "moved", "refused-no-route", "refused-no-target", "found",
-	"reset-route-gone", "reset-nowhere", "dropped-unfound", "held-early", "dropped-busy"}
+	"reset-route-gone", "reset-nowhere", "dropped-unfound", "held-early", "dropped-busy", "refused-bulk", "dropped-bulk"}
 
 func (v Verdict) String() string {
 	if int(v) < len(verdictNames) {
--- a/internal/passthrough/forward/forward.go
+++ b/internal/passthrough/forward/forward.go
@@ -24,6 +24,7 @@
 	"net/netip"
 	"time"
 
+	"bergamotstall/internal/passthrough/bulk"
 	"bergamotstall/internal/passthrough/overload"
 	"bergamotstall/internal/passthrough/packet"
 	"bergamotstall/internal/passthrough/peer"
@@ -94,7 +95,9 @@
 	// service is 0 if the flow was found at an agent whose service isn't known.
 	service route.ServiceID
 	// refused is nil until an agent hands the first packet back.
-	refused  *refusals
+	refused *refusals
+	// opening is what is known of the first packet of a bulk flow, nil for other flows.
+	opening  *bulk.First
 	agent    uint32
 	attempts uint8
 }
@@ -110,6 +113,13 @@
 	h.refused.agents = append(h.refused.agents, agent)
 }
 
+// noteCopy records a copy of the flow's first packet.
+func (h *flowEntry) noteCopy(p packet.Packet) {
+	if h.opening != nil {
+		h.opening.Copy(p.Ack)
+	}
+}
+
 // excludedAgents returns the agents that the first packet isn't offered to.
 func (h *flowEntry) excludedAgents() []uint32 {
 	if h.refused == nil {
@@ -143,6 +153,8 @@
 	// until the engine can handle them.
 	firstTableAt time.Duration
 	earlyPackets map[packet.Flow]earlyPacket
+	bulk         bulkGate
+	link         linkQueues
 }
 
 // New returns an engine without a table and without agents.
@@ -150,6 +162,7 @@
 	return &Engine{
 		cfg: cfg, budget: questionBudget{rate: cfg.QuestionBudget}, flows: map[packet.Flow]flowEntry{}, searches: map[packet.Flow]*search{}, earlyPackets: map[packet.Flow]earlyPacket{},
 		agents: newAgentTable(), placements: newPendingPlacements(), wideSearches: map[packet.Flow]wideSearch{},
+		bulk: newBulkGate(cfg), link: newLinkQueues(cfg),
 	}
 }
 
@@ -159,6 +172,7 @@
 		e.firstTableAt = now
 	}
 	e.table = t
+	e.bulkRoutesChanged(now)
 }
 
 // SetEvacuated sets the data centres whose targets take no new flows. Flows that are open
@@ -194,6 +208,7 @@
 
 // HandleClientPacket handles a client's packet from the fabric.
 func (e *Engine) HandleClientPacket(now time.Duration, p packet.Packet, raw []byte) {
+	e.link.look(now)
 	e.fromClient(now, arrival{arrivedAt: now, p: p, raw: raw})
 }
 
@@ -209,18 +224,35 @@
 		return
 	}
 	entry, known := e.flows[f]
+	if !a.p.Opens() {
+		e.noteOpen(f, entry, known)
+	}
+	isBulk := e.isBulk(f)
+	if isBulk && e.holdsBulk(now, a, f, known) {
+		return
+	}
 	switch {
 	case a.p.Opens():
 		e.handleFirstPacket(now, a, f, entry, known)
-	case known:
-		entry.lastPacketAt = now
-		e.flows[f] = entry
-		e.deliver(entry, 0, a.raw)
+	case isBulk && e.queuesBulk(now, a):
 	default:
-		e.startSearch(now, a.p, f, a.raw, noAgent)
+		e.forwardPacket(now, a.p, f, a.raw)
 	}
 }
 
+// forwardPacket sends a packet of an open flow to its agent, which is searched for if it isn't
+// known.
+func (e *Engine) forwardPacket(now time.Duration, p packet.Packet, f packet.Flow, raw []byte) {
+	entry, known := e.flows[f]
+	if !known {
+		e.startSearch(now, p, f, raw, noAgent)
+		return
+	}
+	entry.lastPacketAt = now
+	e.flows[f] = entry
+	e.deliver(entry, 0, raw)
+}
+
 // rejectNoRoute resets flows to an address that the table doesn't have, including open
 // ones whose route was removed.
 func (e *Engine) rejectNoRoute(p packet.Packet, f packet.Flow) {
@@ -242,14 +274,20 @@
 // same agent while that is responsive and the placement valid: if two targets answered,
 // each would keep state for the flow.
 func (e *Engine) handleFirstPacket(now time.Duration, a arrival, f packet.Flow, entry flowEntry, known bool) {
+	if p := e.placements.byFlow[f]; p != nil {
+		p.entry.noteCopy(a.p)
+		return // the first packet still waits for placement
+	}
+	entry.noteCopy(a.p)
 	switch {
-	case e.placements.byFlow[f] != nil:
-		// The first packet still waits for placement.
 	case !known:
-		e.place(now, a, f, flowEntry{}, 0)
+		if e.isBulk(f) {
+			entry.opening = e.newFirst(now, a, f)
+		}
+		e.place(now, a, f, entry, 0)
 	case !e.placementValid(f, entry):
 		e.place(now, a, f, entry, peer.WrongService)
-	case e.agents.list[entry.agent].unresponsive(now):
+	case e.agents.list[entry.agent].unresponsive(e.link.before(now)):
 		entry.exclude(entry.agent)
 		e.place(now, a, f, entry, peer.TargetSilent)
 	default:
@@ -257,11 +295,16 @@
 	}
 }
 
-// rejectFlow resets a flow that no target accepts; nothing ran.
-func (e *Engine) rejectFlow(f packet.Flow, entry flowEntry, reason peer.Reason) {
+// rejectFlow resets a flow that no target accepts, unless it may be open; nothing ran.
+func (e *Engine) rejectFlow(now time.Duration, a arrival, f packet.Flow, entry flowEntry, reason peer.Reason) {
 	delete(e.flows, f)
-	e.cfg.Out.Reset(f, 0)
-	e.logDecision(Decision{Flow: f, Verdict: RefusedNoTarget, Reason: reason, Asked: int(entry.attempts)})
+	e.endBulk(now, f)
+	d := Decision{Flow: f, Verdict: DroppedBulk, Reason: reason, Asked: int(entry.attempts)}
+	if !e.mayBeOpen(now, a, f, entry) {
+		d.Verdict = RefusedNoTarget
+		e.cfg.Out.Reset(f, 0)
+	}
+	e.logDecision(d)
 }
 
 // deliver sends a flow's packet to its agent. The packet names the service that the flow
@@ -269,6 +312,7 @@
 // it once the address is another service's. age is how long a first packet was held:
 // agents with busy targets admit the newest packets first.
 func (e *Engine) deliver(entry flowEntry, age time.Duration, raw []byte) {
+	e.link.sent(len(raw))
 	e.cfg.Out.Deliver(e.agents.list[entry.agent].address, entry.service, age, raw)
 }
 
@@ -276,7 +320,7 @@
 // the packet has been under way.
 func (e *Engine) HandleRefused(now time.Duration, from netip.AddrPort, h peer.Header, p packet.Packet, raw []byte) {
 	f := p.FromClient()
-	agent := e.agents.markSeen(now, from)
+	agent := e.markSeen(now, from)
 	if e.table == nil || len(e.table.Services(f.Service)) == 0 {
 		return // the client's next packet is handled by the new table
 	}
@@ -306,7 +350,7 @@
 		return // a retransmit has already gone to another agent
 	}
 	if reason == peer.Busy || a.age(now) >= packet.HandshakeTimeout {
-		e.rejectFlow(f, entry, reason)
+		e.rejectFlow(now, a, f, entry, reason)
 		return
 	}
 	switch reason {
@@ -325,7 +369,9 @@
 // Tick handles timeouts: it repeats or ends searches and placements, and removes idle
 // flows from the table.
 func (e *Engine) Tick(now time.Duration) {
+	e.link.tick(now)
 	e.probeNextAgent(now)
+	e.tickBulk(now)
 	e.tickPlacements(now)
 	e.tickSearches(now)
 	e.replayWhenReady(now)
--- a/internal/passthrough/forward/placement.go
+++ b/internal/passthrough/forward/placement.go
@@ -24,6 +24,8 @@
 	// placementTimeout is how long a first packet waits for all its probes. Its caller
 	// retransmits after 200 ms.
 	placementTimeout = 100 * time.Millisecond
+	// maxPlacementTimeout is the same while the balancer's own link delays the answers.
+	maxPlacementTimeout = 180 * time.Millisecond
 	// fallbackReportAge is the age up to which a report may be used for placement while
 	// no probe is answered.
 	fallbackReportAge = 5 * time.Second
@@ -62,7 +64,7 @@
 // place offers a first packet to a target that hasn't handed it back.
 func (e *Engine) place(now time.Duration, x arrival, f packet.Flow, entry flowEntry, reason peer.Reason) {
 	if entry.attempts >= maxPlacementAttempts {
-		e.rejectFlow(f, entry, reason)
+		e.rejectFlow(now, x, f, entry, reason)
 		return
 	}
 	e.tryPlacement(now, f, &pendingPlacement{arrival: x, entry: entry, reason: reason, startedAt: now})
@@ -75,7 +77,7 @@
 		e.rejectNoRoute(p.p, f)
 		return
 	}
-	noWait := now-p.startedAt >= placementTimeout || len(e.placements.byFlow) >= maxPendingPlacements
+	noWait := now-p.startedAt >= min(e.link.extend(placementTimeout), maxPlacementTimeout) || len(e.placements.byFlow) >= maxPendingPlacements
 	c := chooser{e: e, now: now, flow: f, excluded: p.entry.excludedAgents(), noWait: noWait}
 	chosen := c.choose()
 	if len(chosen.probe) > 0 {
@@ -89,7 +91,7 @@
 	case p.entry.attempts == 0 && e.startingUp(now):
 		e.holdUntilReady(f, p.arrival, false)
 	default:
-		e.rejectFlow(f, p.entry, p.reason)
+		e.rejectFlow(now, p.arrival, f, p.entry, p.reason)
 	}
 }
 
@@ -192,7 +194,7 @@
 		entry, known := e.flows[f]
 		switch {
 		case !known || e.placements.byFlow[f] != nil:
-		case e.agents.list[entry.agent].probeTimedOut(now):
+		case e.agents.list[entry.agent].probeTimedOut(e.link.before(now)):
 			entry.exclude(entry.agent)
 			e.place(now, a, f, entry, peer.TargetSilent)
 		case e.agents.list[entry.agent].probedAt > e.agents.list[entry.agent].lastSeenAt:
--- a/internal/passthrough/route/route.go
+++ b/internal/passthrough/route/route.go
@@ -248,6 +248,16 @@
 	return Demand{Kind: e.kind, Goal: e.goal, Timeout: e.timeout, Priority: e.priority}
 }
 
+// HasBulk tells whether any route is of a bulk kind.
+func (t *Table) HasBulk() bool {
+	for _, e := range t.routes {
+		if e.kind.Bulk() {
+			return true
+		}
+	}
+	return false
+}
+
 // AllowedRegions returns the regions whose targets may take an address's flows; nil means all.
 func (t *Table) AllowedRegions(at packet.Endpoint) []string {
 	if t == nil {
