Bulk admission: what waited goes on as its newest copy

Agents with callers' goals drop a first packet without a word if the copies that its client must have sent since are missing: the client is gone, or its copies go elsewhere.

--- a/internal/passthrough/forward/bulk.go
+++ b/internal/passthrough/forward/bulk.go
@@ -97,6 +97,7 @@
 	case known || g.admission.Started(f):
 		return false
 	case g.admission.Copy(f, a.p.Ack):
+		g.keepNewest(a, f)
 		return true
 	}
 	return e.arriveBulk(now, a, f)
@@ -128,6 +129,15 @@
 	return &x
 }
 
+// keepNewest replaces a held first packet by its newest copy: agents tell from it that the
+// caller still waits, and take one whose copies are missing for a caller that is gone.
+func (g *bulkGate) keepNewest(a arrival, f packet.Flow) {
+	if _, waits := g.held[f]; waits {
+		a.raw = append([]byte(nil), a.raw...)
+		g.held[f] = a
+	}
+}
+
 // noteBulk counts a packet of a bulk flow that is open. If its first packet still waits,
 // another balancer has delivered a copy.
 func (e *Engine) noteBulk(now time.Duration, p packet.Packet, f packet.Flow) {
