Agents report how long a new first packet waits

Balancers saw how many requests run and wait at a target, but not what that means in time: ten waiting callers are 40 ms at one target and a second at another. An agent that goes by callers' goals now states the expected wait, from what waits, the places that it gives the target, and the observed time of handshakes and requests; a target that has stopped to answer counts as slower than observed. 0 while there is room, and without callers' goals.

Tests of patience and flowtable pass.

--- a/internal/passthrough/flowtable/flowtable.go
+++ b/internal/passthrough/flowtable/flowtable.go
@@ -245,7 +245,7 @@
 	case len(e.flows) >= maxFlows:
 		e.refuseFirst(now, p, peer.Full)
 	case e.busy(now) || len(e.admission.queue) > 0:
-		if !e.enqueueFirst(p) {
+		if !e.enqueueFirst(now, p) {
 			e.refuseFirst(now, p, peer.Full)
 		}
 		e.admitQueued(now)
@@ -400,6 +400,7 @@
 	}
 	if p.Data > 0 && x.running {
 		x.running = false
+		e.load.answeredAt = now
 		e.outcomes.add(now, 1, 0)
 		e.cfg.Out.Answered(now - x.runningAt)
 		observe(&e.latencies.service, now-x.runningAt)
--- a/internal/passthrough/flowtable/load.go
+++ b/internal/passthrough/flowtable/load.go
@@ -18,6 +18,9 @@
 	nextHungScan  time.Duration
 	meanRunning   float64
 	meanUpdatedAt time.Duration
+	// answeredAt is when the target last answered a request, busySince since when
+	// something has waited for room.
+	answeredAt, busySince time.Duration
 }
 
 // meanTimeConstant is the time constant of the mean load. It is about the time that a
--- a/internal/passthrough/flowtable/queue.go
+++ b/internal/passthrough/flowtable/queue.go
@@ -93,14 +93,14 @@
 }
 
 // enqueueFirst holds a first packet; it returns false if the queue is full.
-func (e *Engine) enqueueFirst(p arrival) bool {
+func (e *Engine) enqueueFirst(now time.Duration, p arrival) bool {
 	if e.queueIndex(p.flow) >= 0 {
 		return true // a retransmission
 	}
 	if len(e.admission.queue) >= maxQueue {
 		return false
 	}
-	e.admission.queue = append(e.admission.queue, queueEntry{arrival: p.clone(), priority: e.table.Priority(p.flow.Service)})
+	e.enqueue(now, queueEntry{arrival: p.clone(), priority: e.table.Priority(p.flow.Service)})
 	return true
 }
 
@@ -114,7 +114,15 @@
 func (e *Engine) enqueueRequest(now time.Duration, f packet.Flow, from netip.AddrPort, seq uint32, raw []byte) {
 	p := arrival{flow: f, from: from, raw: raw, sentAt: now, firstSentAt: now}
 	e.admission.heldRequestPackets++
-	e.admission.queue = append(e.admission.queue, queueEntry{arrival: p.clone(), priority: e.table.Priority(f.Service), request: true, seq: seq, expiresAt: now + e.maxRequestTime(f)})
+	e.enqueue(now, queueEntry{arrival: p.clone(), priority: e.table.Priority(f.Service), request: true, seq: seq, expiresAt: now + e.maxRequestTime(f)})
+}
+
+// enqueue appends an entry to the queue.
+func (e *Engine) enqueue(now time.Duration, q queueEntry) {
+	if len(e.admission.queue) == 0 {
+		e.load.busySince = now
+	}
+	e.admission.queue = append(e.admission.queue, q)
 }
 
 // enqueueMore adds a packet to a held request unless it is a retransmission. A request's
--- a/internal/passthrough/flowtable/report.go
+++ b/internal/passthrough/flowtable/report.go
@@ -45,6 +45,9 @@
 	}
 	r.NoTarget = e.empty(now)
 	r.Unsteady = e.outcomes.unsteady(now)
+	if e.cfg.Overload.CallerGoals {
+		r.WaitMS = uint32(e.expectedWait(now).Milliseconds())
+	}
 	if t.coldUntil > now {
 		r.ColdMS = uint32((t.coldUntil - now).Milliseconds())
 	}
