Callers' goals decide who waits for a busy target and how long

Agents held first packets for up to 0.8 s, the newest first, whatever their callers needed: with goals of 200 ms and deadlines of 1 s, slots went to answers that had missed their goal while others could still make it, and whoever got no turn heard of it when it was too late for another attempt.

Package patience ranks those who wait: urgent routes, then those who can still be answered in time, then those with the least time left. It judges at arrival and at each tick whether a turn can come in time, from the observed pace of the target, what is ahead, and the rates of callers that will overtake; whoever has no turn is turned away at once. Balancers offer such a first packet to a target with a free slot, if a report shows one, before they reset its flow. Requests over open flows take part in the order and are never turned away. Routes without a goal, and deployments without the switch, keep the fixed wait.

--- a/internal/passthrough/flowtable/admission.go
+++ b/internal/passthrough/flowtable/admission.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bergamotstall/internal/passthrough/packet"
+	"bergamotstall/internal/passthrough/patience"
 	"bergamotstall/internal/passthrough/route"
 )
 
@@ -23,6 +24,9 @@
 // caller whose first packet was held for MaxWait is told at once that nothing ran, which
 // is true. A request over an open flow is never refused: a reset wouldn't tell its caller
 // whether the request ran, and a submission would be lost for good.
+//
+// Where callers' goals are in force (goals.go), they replace MaxWait and the order within a
+// route.
 
 // Policy holds the thresholds of admission, and switches that turn single mechanisms off
 // to compare the results without them.
@@ -56,6 +60,8 @@
 	expected []expectedRequest
 	// heldRequestPackets is the number of held packets of open flows.
 	heldRequestPackets int
+	// arrivals are the rates of callers whose answers could still be in time.
+	arrivals patience.Arrivals
 }
 
 // minExpectTime is the least time for which a first request is expected: on shared
--- a/internal/passthrough/flowtable/decision.go
+++ b/internal/passthrough/flowtable/decision.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bergamotstall/internal/passthrough/packet"
+	"bergamotstall/internal/passthrough/patience"
 	"bergamotstall/internal/passthrough/peer"
 )
 
@@ -82,6 +83,10 @@
 	// Flow is set for decisions on one flow.
 	Flow   packet.Flow
 	Reason peer.Reason
+	// Patience says why a caller wasn't allowed to wait on, Waited how long it had waited;
+	// set for first packets that are refused by callers' goals.
+	Patience patience.Verdict
+	Waited   time.Duration
 	// Target and Born identify the incarnation.
 	Target string
 	Born   int64
--- a/internal/passthrough/flowtable/flowtable.go
+++ b/internal/passthrough/flowtable/flowtable.go
@@ -17,6 +17,7 @@
 	"bergamotstall/internal/passthrough/flowlog"
 	"bergamotstall/internal/passthrough/overload"
 	"bergamotstall/internal/passthrough/packet"
+	"bergamotstall/internal/passthrough/patience"
 	"bergamotstall/internal/passthrough/peer"
 	"bergamotstall/internal/passthrough/route"
 )
@@ -244,12 +245,13 @@
 		e.refuseFirst(now, p, peer.TargetSilent)
 	case len(e.flows) >= maxFlows:
 		e.refuseFirst(now, p, peer.Full)
+	case e.hasGivenUp(now, p):
+		e.turnAway(now, p, patience.OutOfTime)
 	case e.busy(now) || len(e.admission.queue) > 0:
-		if !e.enqueueFirst(now, p) {
-			e.refuseFirst(now, p, peer.Full)
-		}
+		e.enqueueFirst(now, p)
 		e.admitQueued(now)
 	default:
+		e.countArrival(now, e.openingCaller(p))
 		e.admit(now, p)
 	}
 }
@@ -288,6 +290,9 @@
 	}
 	if begins {
 		expectedSince, admitted := e.stopExpecting(f)
+		if !admitted {
+			e.countArrival(now, e.requestCaller(arrival{flow: f, sentAt: now, firstSentAt: now}))
+		}
 		if !admitted && !p.Closes() && e.shouldHold(now) {
 			x.held = true
 			e.storeFlow(f, x)
--- /dev/null
+++ b/internal/passthrough/flowtable/goals.go
@@ -0,0 +1,124 @@
+package flowtable
+
+import (
+	"slices"
+	"time"
+
+	"bergamotstall/internal/passthrough/packet"
+	"bergamotstall/internal/passthrough/patience"
+	"bergamotstall/internal/passthrough/peer"
+)
+
+// Callers' goals: package patience decides who goes first and who may not wait on; the
+// functions here give it what the agent knows. Callers of routes without a goal are held
+// for Policy.MaxWait, as they are where goals aren't in force.
+
+// openingCaller returns the caller that sent a first packet.
+func (e *Engine) openingCaller(p arrival) patience.Caller {
+	c := e.requestCaller(p)
+	c.Opening = true
+	return c
+}
+
+// requestCaller returns the caller that sent a request over an open flow.
+func (e *Engine) requestCaller(p arrival) patience.Caller {
+	d := e.table.Demand(p.flow.Service)
+	return patience.Caller{Priority: d.Priority, FirstSentAt: p.firstSentAt, HeldSince: p.sentAt, Goal: d.Goal, Timeout: d.Timeout}
+}
+
+// goesByGoal reports whether a held first packet may wait as long as its caller's goal and
+// timeout allow. Requests over open flows have a place in the order only.
+func (e *Engine) goesByGoal(q *queueEntry) bool {
+	return e.cfg.Overload.CallerGoals && !q.request && q.caller.Goal > 0
+}
+
+// hasGivenUp reports whether the caller of a first packet no longer waits for an answer.
+func (e *Engine) hasGivenUp(now time.Duration, p arrival) bool {
+	if !e.cfg.Overload.CallerGoals {
+		return false
+	}
+	return now-p.firstSentAt >= patience.Limit(e.table.Timeout(p.flow.Service), true)
+}
+
+// countArrival counts a caller whose answer could be in time: those overtake the others.
+func (e *Engine) countArrival(now time.Duration, c patience.Caller) {
+	if !e.cfg.Overload.CallerGoals {
+		return
+	}
+	if o := e.outlook(now); c.ClassAt(now, &o) == patience.InTime {
+		e.admission.arrivals.Add(now, c.Priority)
+	}
+}
+
+// judgeNew says whether a first packet that has just arrived may wait.
+func (e *Engine) judgeNew(now time.Duration, q *queueEntry) patience.Verdict {
+	if !e.goesByGoal(q) {
+		return patience.Waits
+	}
+	e.classify(now)
+	o := e.outlook(now)
+	q.caller.Class = q.caller.ClassAt(now, &o)
+	ahead := 0
+	for i := range e.admission.queue {
+		if e.admission.queue[i].caller.Compare(&q.caller) <= 0 {
+			ahead++
+		}
+	}
+	return e.judge(now, q, ahead)
+}
+
+// judge says whether a held entry may wait on, with a number of others ahead of it.
+func (e *Engine) judge(now time.Duration, q *queueEntry, ahead int) patience.Verdict {
+	if !e.goesByGoal(q) {
+		return patience.Waits
+	}
+	o := e.outlook(now)
+	moreUrgent, asUrgent := e.admission.arrivals.Load(now, q.caller.Priority, o.Pace())
+	return q.caller.Judge(now, &o, ahead, moreUrgent, asUrgent)
+}
+
+// classify updates what the answers to all held entries are good for.
+func (e *Engine) classify(now time.Duration) {
+	o := e.outlook(now)
+	for i := range e.admission.queue {
+		c := &e.admission.queue[i].caller
+		c.Class = c.ClassAt(now, &o)
+	}
+}
+
+// orderByGoals sorts the held entries by their turns.
+func (e *Engine) orderByGoals(now time.Duration) {
+	if !e.cfg.Overload.CallerGoals || len(e.admission.queue) == 0 {
+		return
+	}
+	e.classify(now)
+	slices.SortStableFunc(e.admission.queue, func(a, b queueEntry) int { return a.caller.Compare(&b.caller) })
+}
+
+// nextByGoals returns the index of the entry whose turn it is.
+func (e *Engine) nextByGoals(now time.Duration) int {
+	e.classify(now)
+	best := 0
+	for i := range e.admission.queue {
+		if e.admission.queue[i].caller.Compare(&e.admission.queue[best].caller) < 0 {
+			best = i
+		}
+	}
+	return best
+}
+
+// maxHoldTime is how long a request over an open flow is held: until its caller has given
+// up.
+func (e *Engine) maxHoldTime(f packet.Flow) time.Duration {
+	if timeout := e.table.Timeout(f.Service); e.cfg.Overload.CallerGoals && timeout > 0 {
+		return timeout
+	}
+	return e.maxRequestTime(f)
+}
+
+// turnAway returns a first packet to its balancer because its caller can't be served here
+// in time.
+func (e *Engine) turnAway(now time.Duration, p arrival, why patience.Verdict) {
+	e.cfg.Out.Refuse(p.from, peer.Busy, now-p.sentAt, p.raw)
+	e.noteDecision(now, Decision{Verdict: RefusedFirst, Flow: p.flow, Reason: peer.Busy, Patience: why, Waited: now - p.sentAt})
+}
--- a/internal/passthrough/flowtable/queue.go
+++ b/internal/passthrough/flowtable/queue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bergamotstall/internal/passthrough/packet"
+	"bergamotstall/internal/passthrough/patience"
 	"bergamotstall/internal/passthrough/peer"
 	"bergamotstall/internal/passthrough/route"
 )
@@ -59,6 +60,8 @@
 type queueEntry struct {
 	arrival
 	priority uint32
+	// caller is the one who waits, as package patience judges it.
+	caller patience.Caller
 	// request is set for a request over an open flow. Then seq is the sequence number of
 	// the packet's data, more are the request's other packets, and expiresAt is when its
 	// caller gives up.
@@ -92,16 +95,24 @@
 	return q.firstSentAt >= other.firstSentAt
 }
 
-// enqueueFirst holds a first packet; it returns false if the queue is full.
-func (e *Engine) enqueueFirst(now time.Duration, p arrival) bool {
+// enqueueFirst holds a first packet, or refuses it if the queue is full or its turn would
+// come too late.
+func (e *Engine) enqueueFirst(now time.Duration, p arrival) {
 	if e.queueIndex(p.flow) >= 0 {
-		return true // a retransmission
+		return // a retransmission
 	}
+	q := queueEntry{arrival: p, priority: e.table.Priority(p.flow.Service), caller: e.openingCaller(p)}
+	e.countArrival(now, q.caller)
 	if len(e.admission.queue) >= maxQueue {
-		return false
+		e.refuseFirst(now, p, peer.Full)
+		return
+	}
+	if v := e.judgeNew(now, &q); v != patience.Waits {
+		e.turnAway(now, p, v)
+		return
 	}
-	e.enqueue(now, queueEntry{arrival: p.clone(), priority: e.table.Priority(p.flow.Service)})
-	return true
+	q.arrival = p.clone()
+	e.enqueue(now, q)
 }
 
 // shouldHold reports whether a request over an open flow should be held.
@@ -114,7 +125,7 @@
 func (e *Engine) enqueueRequest(now time.Duration, f packet.Flow, from netip.AddrPort, seq uint32, raw []byte) {
 	p := arrival{flow: f, from: from, raw: raw, sentAt: now, firstSentAt: now}
 	e.admission.heldRequestPackets++
-	e.enqueue(now, queueEntry{arrival: p.clone(), priority: e.table.Priority(f.Service), request: true, seq: seq, expiresAt: now + e.maxRequestTime(f)})
+	e.enqueue(now, queueEntry{arrival: p.clone(), priority: e.table.Priority(f.Service), caller: e.requestCaller(p), request: true, seq: seq, expiresAt: now + e.maxHoldTime(f)})
 }
 
 // enqueue appends an entry to the queue.
@@ -145,7 +156,7 @@
 // admitQueued admits held entries as long as there is room.
 func (e *Engine) admitQueued(now time.Duration) {
 	for len(e.admission.queue) > 0 && !e.busy(now) && !e.target.silent && !e.target.draining {
-		q := e.dequeue(e.nextQueued())
+		q := e.dequeue(e.nextQueued(now))
 		if reason := e.wrongTarget(q.service); !q.request && reason != 0 {
 			e.refuseFirst(now, q.arrival, reason)
 			continue
@@ -154,6 +165,10 @@
 			e.refuseFirst(now, q.arrival, peer.Cold)
 			continue
 		}
+		if !q.request && e.hasGivenUp(now, q.arrival) {
+			e.turnAway(now, q.arrival, patience.OutOfTime)
+			continue
+		}
 		e.cfg.Out.Admitted(now - q.firstSentAt)
 		e.release(now, q)
 	}
@@ -190,7 +205,10 @@
 }
 
 // nextQueued returns the index of the entry to admit first.
-func (e *Engine) nextQueued() int {
+func (e *Engine) nextQueued(now time.Duration) int {
+	if e.cfg.Overload.CallerGoals {
+		return e.nextByGoals(now)
+	}
 	best := 0
 	for i := range e.admission.queue {
 		if e.cfg.Policy.precedes(&e.admission.queue[i], &e.admission.queue[best]) {
@@ -227,14 +245,23 @@
 // removeExpired removes entries that must not be held any longer: first packets are
 // returned, requests whose callers have given up are dropped.
 func (e *Engine) removeExpired(now time.Duration) {
+	e.orderByGoals(now)
 	kept := e.admission.queue[:0]
 	for _, q := range e.admission.queue {
 		reason := e.removalReason(now, &q)
+		verdict := patience.Waits
 		if reason == 0 {
+			verdict = e.judge(now, &q, len(kept))
+		}
+		if reason == 0 && verdict == patience.Waits {
 			kept = append(kept, q)
 			continue
 		}
 		e.uncountHeld(q)
+		if verdict != patience.Waits {
+			e.turnAway(now, q.arrival, verdict)
+			continue
+		}
 		if !q.request {
 			e.refuseFirst(now, q.arrival, reason)
 			continue
@@ -270,7 +297,7 @@
 		return peer.Evacuated
 	case e.target.silent:
 		return peer.TargetSilent
-	case now-q.firstSentAt > e.cfg.Policy.MaxWait:
+	case !e.goesByGoal(q) && now-q.firstSentAt > e.cfg.Policy.MaxWait:
 		return peer.Busy
 	}
 	return 0
--- a/internal/passthrough/forward/early.go
+++ b/internal/passthrough/forward/early.go
@@ -60,7 +60,7 @@
 	}
 	var ready []earlyPacket
 	for f, x := range e.earlyPackets {
-		if x.age(now) > earlyPacketTTL {
+		if x.age(now) > earlyPacketTTL || e.callerLeft(now, f, x.arrival) {
 			delete(e.earlyPackets, f)
 			continue
 		}
@@ -69,12 +69,23 @@
 			ready = append(ready, x)
 		}
 	}
+	e.sortEarly(now, ready)
+	for _, x := range ready {
+		e.fromClient(now, x.arrival)
+	}
+}
+
+// sortEarly sorts held packets into the order in which they are handled.
+func (e *Engine) sortEarly(now time.Duration, ready []earlyPacket) {
 	slices.SortFunc(ready, func(a, b earlyPacket) int { return cmp.Compare(a.age(now), b.age(now)) })
 	if e.cfg.Policy.OldestFirst {
 		slices.Reverse(ready)
 	}
-	for _, x := range ready {
-		e.fromClient(now, x.arrival)
+	if e.cfg.Overload.CallerGoals {
+		slices.SortStableFunc(ready, func(a, b earlyPacket) int {
+			x, y := e.callerOf(now, a.arrival), e.callerOf(now, b.arrival)
+			return x.Compare(&y)
+		})
 	}
 }
 
--- a/internal/passthrough/forward/forward.go
+++ b/internal/passthrough/forward/forward.go
@@ -305,11 +305,14 @@
 	if known && entry.agent != agent {
 		return // a retransmit has already gone to another agent
 	}
-	if reason == peer.Busy || a.age(now) >= packet.HandshakeTimeout {
+	if reason == peer.Busy && !e.cfg.Overload.CallerGoals || a.age(now) >= e.callerLimit(f) {
 		e.rejectFlow(f, entry, reason)
 		return
 	}
 	switch reason {
+	case peer.Busy:
+		e.retryBusy(now, a, f, entry, agent)
+		return
 	case peer.Full:
 		e.agents.list[agent].avoidUntil = now + fullTargetBackoff
 	case peer.TargetSilent, peer.Draining, peer.NoTarget, peer.WrongService, peer.Evacuated, peer.Cold, peer.NotHome:
--- /dev/null
+++ b/internal/passthrough/forward/room.go
@@ -0,0 +1,111 @@
+package forward
+
+import (
+	"time"
+
+	"bergamotstall/internal/passthrough/packet"
+	"bergamotstall/internal/passthrough/patience"
+	"bergamotstall/internal/passthrough/peer"
+	"bergamotstall/internal/passthrough/route"
+)
+
+// A first packet that an agent's queue has no turn for isn't reset while another target has
+// a free slot. Any target of the route's services will do, not only the flow's preferred
+// ones: a search that has to ask all agents for the flow later costs less than a caller
+// refused beside free slots.
+
+// retryBusy offers a first packet, which an agent has no turn for, to a target with room, or
+// resets its flow if there is none.
+func (e *Engine) retryBusy(now time.Duration, a arrival, f packet.Flow, entry flowEntry, agent uint32) {
+	e.noteBusy(agent)
+	entry.exclude(agent)
+	entry.attempts = max(entry.attempts, 1)
+	to := choice{agent: noAgent}
+	if entry.attempts < maxPlacementAttempts {
+		c := chooser{e: e, now: now, flow: f, excluded: entry.excludedAgents()}
+		to = c.withRoom()
+	}
+	if to.agent == noAgent {
+		e.rejectFlow(f, entry, peer.Busy)
+		return
+	}
+	e.placeAt(now, f, &pendingPlacement{arrival: a, entry: entry, reason: peer.Busy, startedAt: now}, to)
+}
+
+// noteBusy records that an agent's target has no room, until its next report.
+func (e *Engine) noteBusy(agent uint32) {
+	r := &e.agents.list[agent].report
+	r.Running = max(r.Running, r.Slots)
+}
+
+// callerLimit is how long after its client's first attempt a first packet is of use.
+func (e *Engine) callerLimit(f packet.Flow) time.Duration {
+	if !e.cfg.Overload.CallerGoals {
+		return packet.HandshakeTimeout
+	}
+	return patience.Limit(e.table.Timeout(f.Service), true)
+}
+
+// callerLeft tells whether the caller of a first packet no longer waits for an answer.
+func (e *Engine) callerLeft(now time.Duration, f packet.Flow, a arrival) bool {
+	return a.p.Opens() && a.age(now) >= e.callerLimit(f)
+}
+
+// callerOf returns the caller of a held packet. Nothing is known of the targets yet, so that
+// only the time that has passed tells what an answer is still good for.
+func (e *Engine) callerOf(now time.Duration, a arrival) patience.Caller {
+	d := e.table.Demand(a.p.Dst)
+	c := patience.Caller{Priority: d.Priority, FirstSentAt: now - a.age(now), HeldSince: a.arrivedAt, Goal: d.Goal, Timeout: d.Timeout, Opening: a.p.Opens()}
+	c.Class = c.ClassAt(now, &patience.Outlook{})
+	return c
+}
+
+// withRoom picks a target with room at random: first among those of the service that the
+// weights select, and there among those in the local data centre.
+func (c *chooser) withRoom() choice {
+	own, _ := c.e.table.Pick(c.flow)
+	if to := c.withRoomOf(own); to.agent != noAgent {
+		return to
+	}
+	for _, x := range c.e.table.Services(c.flow.Service) {
+		if x.Service == own {
+			continue
+		}
+		if to := c.withRoomOf(x.Service); to.agent != noAgent {
+			return to
+		}
+	}
+	return choice{agent: noAgent}
+}
+
+// withRoomOf picks a target of one service that has room.
+func (c *chooser) withRoomOf(service route.ServiceID) choice {
+	for _, near := range []bool{true, false} {
+		picked, seen := noAgent, 0
+		for _, g := range c.e.agents.index.byService[service] {
+			if (g.zone == c.e.cfg.Zone) != near || !c.zoneAllowed(g.zone) {
+				continue
+			}
+			for _, number := range g.members {
+				a := &c.e.agents.list[number]
+				if !a.hasRoom(c.now) || !c.mayReceive(number, a) {
+					continue
+				}
+				seen++
+				if c.e.cfg.Rand.IntN(seen) == 0 {
+					picked = number
+				}
+			}
+		}
+		if picked != noAgent {
+			return choice{agent: picked, service: service}
+		}
+	}
+	return choice{agent: noAgent}
+}
+
+// hasRoom tells whether the agent's target has a free slot by its last report, with the
+// flows sent since then taken off.
+func (a *agent) hasRoom(now time.Duration) bool {
+	return a.hasFreshReport(now) && a.report.WaitMS == 0 && a.report.Running+a.flowsSent < a.report.Slots
+}
--- /dev/null
+++ b/internal/passthrough/patience/caller.go
@@ -0,0 +1,104 @@
+package patience
+
+import (
+	"cmp"
+	"time"
+
+	"bergamotstall/internal/passthrough/packet"
+)
+
+// Class says what the answer to a waiting caller is still good for.
+type Class uint8
+
+const (
+	// InTime: the answer can meet the response-time goal.
+	InTime Class = iota
+	// Answerable: the answer misses the goal, but the caller still waits for it.
+	Answerable
+	// Hopeless: the caller will have given up before the answer.
+	Hopeless
+)
+
+// Caller is one who waits for a turn at a target. Times are on one clock.
+type Caller struct {
+	// Priority is that of the route, 0 for the most urgent.
+	Priority uint32
+	// Class is what the caller's answer is good for if its turn comes now; see ClassAt.
+	Class Class
+	// Share ranks the clients of equally urgent callers of one class while slots are
+	// divided among clients; 0 goes first.
+	Share uint32
+	// FirstSentAt is when the client sent its first attempt, HeldSince since when the
+	// caller has been held.
+	FirstSentAt, HeldSince time.Duration
+	// Goal is the response-time goal, Timeout the time after which the caller gives up,
+	// both from FirstSentAt; 0 means not stated.
+	Goal, Timeout time.Duration
+	// Opening says that the caller waits with the first packet of a flow, whose handshake
+	// comes before the request.
+	Opening bool
+}
+
+// Compare is negative if c gets its turn before other: the more urgent route, then those
+// who can be answered in time, then the share of the client, and then the one with the
+// least time left. Together with Judge, which turns callers away while there is more than
+// can be served, this answers the most of them in time.
+func (c *Caller) Compare(other *Caller) int {
+	return cmp.Or(
+		cmp.Compare(c.Priority, other.Priority),
+		cmp.Compare(c.Class, other.Class),
+		cmp.Compare(c.Share, other.Share),
+		cmp.Compare(c.dueAt(), other.dueAt()),
+	)
+}
+
+// dueAt is the end of what the caller's class promises.
+func (c *Caller) dueAt() time.Duration {
+	if c.Class == InTime && c.Goal > 0 {
+		return c.FirstSentAt + c.Goal
+	}
+	return c.FirstSentAt + c.limit()
+}
+
+// unstatedTimeout stands for the timeout of a route that states none.
+const unstatedTimeout = 10 * time.Second
+
+// limit is how long after its first attempt the caller gives up if nobody answers.
+func (c *Caller) limit() time.Duration { return Limit(c.Timeout, c.Opening) }
+
+// Limit is how long after its first attempt a caller gives up that nobody has answered. For
+// one that is opening a flow, the client's patience with the handshake is a limit too.
+func Limit(timeout time.Duration, opening bool) time.Duration {
+	if timeout == 0 {
+		timeout = unstatedTimeout
+	}
+	if opening {
+		return min(timeout, packet.HandshakeTimeout)
+	}
+	return timeout
+}
+
+// ClassAt is what the caller's answer is good for if its turn comes at the given time.
+func (c *Caller) ClassAt(turn time.Duration, o *Outlook) Class {
+	age := turn - c.FirstSentAt
+	network := time.Duration(0)
+	if c.Opening {
+		// A handshake takes a round trip to the client. The first packet's way here and the
+		// answer's way back take another one.
+		network = 2 * o.Handshake
+	}
+	answered := age + network + o.Service
+	switch {
+	case c.Timeout > 0 && answered > c.Timeout, c.Opening && age+o.Handshake/2 > packet.HandshakeTimeout:
+		return Hopeless
+	case c.Goal == 0 || answered+c.reserve(network+o.Service) <= c.Goal:
+		return InTime
+	}
+	return Answerable
+}
+
+// reserve is the time that is kept for an answer that takes longer than the mean: as long
+// as the mean again, which most requests don't exceed, or half of what the goal leaves.
+func (c *Caller) reserve(needed time.Duration) time.Duration {
+	return max(0, min(needed, (c.Goal-needed)/2))
+}
--- /dev/null
+++ b/internal/passthrough/patience/judge.go
@@ -0,0 +1,49 @@
+package patience
+
+import "time"
+
+// Verdict says whether a caller may go on waiting, and why not.
+type Verdict uint8
+
+const (
+	// Waits: the caller may wait.
+	Waits Verdict = iota
+	// NoTurn: more callers go before it than are served in its time.
+	NoTurn
+	// OutOfTime: it would have given up before an answer that began now.
+	OutOfTime
+	// HeldTooLong: it was held for half of its time. The other half is its own, for another
+	// attempt.
+	HeldTooLong
+)
+
+var verdictNames = [...]string{"waits", "no-turn", "out-of-time", "held-too-long"}
+
+func (v Verdict) String() string {
+	if int(v) < len(verdictNames) {
+		return verdictNames[v]
+	}
+	return "unknown"
+}
+
+// heldShare is the part of its time for which a caller may be held without a turn: half,
+// less what passes until the caller hears of it.
+const heldShare = 0.45
+
+// Judge says whether a caller may go on waiting at a busy target. ahead is how many go
+// before it. moreUrgent is the part of the target's time that later arrivals of more urgent
+// routes take, asUrgent that of those and of equally urgent ones who come in time.
+func (c *Caller) Judge(now time.Duration, o *Outlook, ahead int, moreUrgent, asUrgent float64) Verdict {
+	switch {
+	case c.ClassAt(now, o) == Hopeless:
+		return OutOfTime
+	case now-c.HeldSince >= time.Duration(heldShare*float64(c.limit())):
+		return HeldTooLong
+	case c.ClassAt(now+o.Wait(ahead, moreUrgent), o) == InTime:
+		return Waits
+	case c.ClassAt(now+o.Wait(ahead, asUrgent), o) == Hopeless:
+		// Without a turn in time it is overtaken by those who can still be in time.
+		return NoTurn
+	}
+	return Waits
+}
--- a/internal/passthrough/peer/peer.go
+++ b/internal/passthrough/peer/peer.go
@@ -72,7 +72,8 @@
 	// NoTarget means that the agent has no target yet, or no longer has one.
 	NoTarget
 	// Busy means that the first packet waited for a free slot for as long as is useful to
-	// its caller. It must not be offered to another target.
+	// its caller, or that its turn would come too late. It must not be offered to another
+	// target, unless callers' goals are in force and that one has a free slot.
 	Busy
 	// Evacuated means that the target's data centre accepts no new flows.
 	Evacuated
