Agents count and log why callers were turned away

Beside the reason busy, an operator sees whether a first packet had no turn in its caller's time, was out of time, or was held for half of it, and after how long.

--- a/internal/passthrough/agent/agent.go
+++ b/internal/passthrough/agent/agent.go
@@ -24,6 +24,7 @@
 	"bergamotstall/internal/passthrough/membership"
 	"bergamotstall/internal/passthrough/overload"
 	"bergamotstall/internal/passthrough/packet"
+	"bergamotstall/internal/passthrough/patience"
 	"bergamotstall/internal/passthrough/peer"
 	"bergamotstall/internal/passthrough/route"
 	"bergamotstall/internal/passthrough/traffic"
@@ -94,8 +95,10 @@
 	// lastHeard is when each balancer last sent a datagram.
 	lastHeard map[netip.AddrPort]time.Duration
 	verdicts  []*expvar.Int
+	// turnedAway counts the first packets that were refused by callers' goals, by reason.
+	turnedAway []*expvar.Int
 
-	answeredAfter, admittedAfter *metrics.Histogram
+	answeredAfter, admittedAfter, turnedAwayAfter *metrics.Histogram
 }
 
 // New opens the agent's sockets.
@@ -111,6 +114,7 @@
 	}
 	a.answeredAfter = cfg.Metrics.Histogram("pass_answered_after")
 	a.admittedAfter = cfg.Metrics.Histogram("pass_admitted_after")
+	a.turnedAwayAfter = cfg.Metrics.Histogram("pass_turned_away_after")
 	a.meter = peer.NewMeter(cfg.Metrics)
 	a.outbound.SetMeter(a.meter, peer.PacketKind)
 	a.nodes.SetMeter(a.meter, peer.NodeKind)
@@ -127,6 +131,9 @@
 	for v := flowtable.Verdict(0); v.String() != "unknown"; v++ {
 		a.verdicts = append(a.verdicts, cfg.Metrics.Counter("pass_"+v.String()))
 	}
+	for v := patience.Waits; v.String() != "unknown"; v++ {
+		a.turnedAway = append(a.turnedAway, cfg.Metrics.Counter("pass_turned_away_"+v.String()))
+	}
 	cfg.Metrics.Gauge("pass_flows", func() int64 {
 		a.mu.Lock()
 		defer a.mu.Unlock()
--- a/internal/passthrough/agent/output.go
+++ b/internal/passthrough/agent/output.go
@@ -9,6 +9,7 @@
 	"bergamotstall/internal/events"
 	"bergamotstall/internal/passthrough/flowtable"
 	"bergamotstall/internal/passthrough/packet"
+	"bergamotstall/internal/passthrough/patience"
 	"bergamotstall/internal/passthrough/peer"
 )
 
@@ -95,6 +96,12 @@
 	if d.Reason != 0 {
 		fields["reason"] = d.Reason.String()
 	}
+	if d.Patience != patience.Waits {
+		a.turnedAway[d.Patience].Add(1)
+		a.turnedAwayAfter.Record(d.Waited)
+		fields["patience"] = d.Patience.String()
+		fields["waited_ms"] = d.Waited.Milliseconds()
+	}
 	switch d.Verdict {
 	case flowtable.TargetArrived:
 		fields["all_flows_known"] = d.AllFlowsKnown
