Silent callers are dropped, and short queues take callers of long ones

A client sends copies of a first packet after 200 and 600 ms while it waits.

The expected wait in reports counts those that go before a new caller, not those that it overtakes. A first packet without a turn is offered to a target with a free slot, or else to one whose queue takes at most a quarter of the time left until its goal.

--- a/internal/passthrough/flowtable/goals.go
+++ b/internal/passthrough/flowtable/goals.go
@@ -17,9 +17,15 @@
 func (e *Engine) openingCaller(p arrival) patience.Caller {
 	c := e.requestCaller(p)
 	c.Opening = true
+	c.LastCopy = p.sentAt - p.firstSentAt
 	return c
 }
 
+// noteCopy records that a copy of a held first packet has arrived: its caller still waits.
+func (e *Engine) noteCopy(q *queueEntry, p arrival) {
+	q.caller.LastCopy = max(q.caller.LastCopy, p.sentAt-p.firstSentAt)
+}
+
 // requestCaller returns the caller that sent a request over an open flow.
 func (e *Engine) requestCaller(p arrival) patience.Caller {
 	d := e.table.Demand(p.flow.Service)
@@ -117,8 +123,11 @@
 }
 
 // turnAway returns a first packet to its balancer because its caller can't be served here
-// in time.
+// in time. That of a silent caller is dropped: a reset could meet a flow that was opened
+// elsewhere meanwhile.
 func (e *Engine) turnAway(now time.Duration, p arrival, why patience.Verdict) {
-	e.cfg.Out.Refuse(p.from, peer.Busy, now-p.sentAt, p.raw)
+	if why != patience.Silent {
+		e.cfg.Out.Refuse(p.from, peer.Busy, now-p.sentAt, p.raw)
+	}
 	e.noteDecision(now, Decision{Verdict: RefusedFirst, Flow: p.flow, Reason: peer.Busy, Patience: why, Waited: now - p.sentAt})
 }
--- a/internal/passthrough/flowtable/outlook.go
+++ b/internal/passthrough/flowtable/outlook.go
@@ -15,14 +15,21 @@
 	return o
 }
 
-// expectedWait is how long a first packet that arrives now waits for its turn if all that
-// waits already goes first; 0 while there is room.
+// expectedWait is how long a first packet that arrives now waits for its turn: those who
+// can still be answered in time go first; 0 while there is room.
 func (e *Engine) expectedWait(now time.Duration) time.Duration {
-	if len(e.admission.queue) == 0 && !e.busy(now) {
+	if !e.busy(now) {
 		return 0
 	}
+	e.classify(now)
+	ahead := 0
+	for i := range e.admission.queue {
+		if e.admission.queue[i].caller.Class == patience.InTime {
+			ahead++
+		}
+	}
 	o := e.outlook(now)
-	return min(o.Wait(len(e.admission.queue), 0), maxReportedWait)
+	return min(o.Wait(ahead, 0), maxReportedWait)
 }
 
 // maxReportedWait bounds the wait that a report states: no caller waits that long.
--- a/internal/passthrough/flowtable/queue.go
+++ b/internal/passthrough/flowtable/queue.go
@@ -98,8 +98,9 @@
 // enqueueFirst holds a first packet, or refuses it if the queue is full or its turn would
 // come too late.
 func (e *Engine) enqueueFirst(now time.Duration, p arrival) {
-	if e.queueIndex(p.flow) >= 0 {
-		return // a retransmission
+	if at := e.queueIndex(p.flow); at >= 0 {
+		e.noteCopy(&e.admission.queue[at], p)
+		return
 	}
 	q := queueEntry{arrival: p, priority: e.table.Priority(p.flow.Service), caller: e.openingCaller(p)}
 	e.countArrival(now, q.caller)
--- a/internal/passthrough/forward/room.go
+++ b/internal/passthrough/forward/room.go
@@ -23,7 +23,7 @@
 	to := choice{agent: noAgent}
 	if entry.attempts < maxPlacementAttempts {
 		c := chooser{e: e, now: now, flow: f, excluded: entry.excludedAgents()}
-		to = c.withRoom()
+		to = c.withRoom(e.longestWait(now, a, f))
 	}
 	if to.agent == noAgent {
 		e.rejectFlow(f, entry, peer.Busy)
@@ -32,12 +32,22 @@
 	e.placeAt(now, f, &pendingPlacement{arrival: a, entry: entry, reason: peer.Busy, startedAt: now}, to)
 }
 
-// noteBusy records that an agent's target has no room, until its next report.
+// noteBusy records that an agent has no turn for a caller, until its next report.
 func (e *Engine) noteBusy(agent uint32) {
 	r := &e.agents.list[agent].report
 	r.Running = max(r.Running, r.Slots)
 }
 
+// turnShare is the part of what is left until its goal that a caller may wait for a turn at
+// another target; the handshake and the answer take the rest.
+const turnShare = 0.25
+
+// longestWait is how long a first packet may wait at another target and still make its goal.
+func (e *Engine) longestWait(now time.Duration, a arrival, f packet.Flow) time.Duration {
+	left := e.table.Demand(f.Service).Goal - a.age(now)
+	return time.Duration(turnShare * float64(max(0, left)))
+}
+
 // callerLimit is how long after its client's first attempt a first packet is of use.
 func (e *Engine) callerLimit(f packet.Flow) time.Duration {
 	if !e.cfg.Overload.CallerGoals {
@@ -60,26 +70,29 @@
 	return c
 }
 
-// withRoom picks a target with room at random: first among those of the service that the
-// weights select, and there among those in the local data centre.
-func (c *chooser) withRoom() choice {
+// withRoom picks a target that has a free slot, or else one whose queue gives the caller a
+// turn well in time: first among those of the service that the weights select, and there
+// among those in the local data centre.
+func (c *chooser) withRoom(longestWait time.Duration) choice {
 	own, _ := c.e.table.Pick(c.flow)
-	if to := c.withRoomOf(own); to.agent != noAgent {
-		return to
-	}
-	for _, x := range c.e.table.Services(c.flow.Service) {
-		if x.Service == own {
-			continue
-		}
-		if to := c.withRoomOf(x.Service); to.agent != noAgent {
+	for _, wait := range []time.Duration{0, longestWait} {
+		if to := c.withRoomOf(own, wait); to.agent != noAgent {
 			return to
 		}
+		for _, x := range c.e.table.Services(c.flow.Service) {
+			if x.Service == own {
+				continue
+			}
+			if to := c.withRoomOf(x.Service, wait); to.agent != noAgent {
+				return to
+			}
+		}
 	}
 	return choice{agent: noAgent}
 }
 
-// withRoomOf picks a target of one service that has room.
-func (c *chooser) withRoomOf(service route.ServiceID) choice {
+// withRoomOf picks a target of one service, at random among those with room.
+func (c *chooser) withRoomOf(service route.ServiceID, longestWait time.Duration) choice {
 	for _, near := range []bool{true, false} {
 		picked, seen := noAgent, 0
 		for _, g := range c.e.agents.index.byService[service] {
@@ -88,7 +101,7 @@
 			}
 			for _, number := range g.members {
 				a := &c.e.agents.list[number]
-				if !a.hasRoom(c.now) || !c.mayReceive(number, a) {
+				if !a.hasRoom(c.now, longestWait) || !c.mayReceive(number, a) {
 					continue
 				}
 				seen++
@@ -104,8 +117,16 @@
 	return choice{agent: noAgent}
 }
 
-// hasRoom tells whether the agent's target has a free slot by its last report, with the
-// flows sent since then taken off.
-func (a *agent) hasRoom(now time.Duration) bool {
-	return a.hasFreshReport(now) && a.report.WaitMS == 0 && a.report.Running+a.flowsSent < a.report.Slots
+// hasRoom tells whether a flow sent to the agent now gets a turn within the given time, by
+// the agent's last report: at once if the target has a free slot, with the flows sent since
+// then taken off.
+func (a *agent) hasRoom(now, longestWait time.Duration) bool {
+	if !a.hasFreshReport(now) {
+		return false
+	}
+	if longestWait > 0 {
+		wait := time.Duration(a.report.WaitMS) * time.Millisecond
+		return wait > 0 && a.flowsSent == 0 && wait <= longestWait
+	}
+	return a.report.WaitMS == 0 && a.report.Running+a.flowsSent < a.report.Slots
 }
--- a/internal/passthrough/packet/packet.go
+++ b/internal/passthrough/packet/packet.go
@@ -68,6 +68,17 @@
 	return retransmitDelays[min(p.Ack, uint32(len(retransmitDelays)-1))]
 }
 
+// NextCopy is when a client that has sent a first packet, or a copy of it, at the given time
+// after it began to open the flow sends the next copy; false if it sends no more.
+func NextCopy(sent time.Duration) (time.Duration, bool) {
+	for _, after := range retransmitDelays {
+		if after > sent {
+			return after, true
+		}
+	}
+	return 0, false
+}
+
 // FromClient returns the flow of a packet sent by a client.
 func (p Packet) FromClient() Flow { return Flow{Client: p.Src, Service: p.Dst} }
 
--- a/internal/passthrough/patience/caller.go
+++ b/internal/passthrough/patience/caller.go
@@ -35,8 +35,10 @@
 	// both from FirstSentAt; 0 means not stated.
 	Goal, Timeout time.Duration
 	// Opening says that the caller waits with the first packet of a flow, whose handshake
-	// comes before the request.
-	Opening bool
+	// comes before the request. LastCopy is how long after FirstSentAt the newest copy of
+	// that packet was sent.
+	Opening  bool
+	LastCopy time.Duration
 }
 
 // Compare is negative if c gets its turn before other: the more urgent route, then those
@@ -102,3 +104,17 @@
 func (c *Caller) reserve(needed time.Duration) time.Duration {
 	return max(0, min(needed, (c.Goal-needed)/2))
 }
+
+// copyGrace is how much later than expected a copy of a first packet may arrive: balancers
+// send copies on without delay, but from shared processors.
+const copyGrace = 50 * time.Millisecond
+
+// silent reports whether the copy of the first packet is overdue that the client sends while
+// it waits: it has ended the attempt, or its copies go elsewhere.
+func (c *Caller) silent(now time.Duration) bool {
+	if !c.Opening {
+		return false
+	}
+	next, ok := packet.NextCopy(c.LastCopy)
+	return ok && now-c.FirstSentAt > next+copyGrace
+}
--- a/internal/passthrough/patience/judge.go
+++ b/internal/passthrough/patience/judge.go
@@ -15,9 +15,12 @@
 	// HeldTooLong: it was held for half of its time. The other half is its own, for another
 	// attempt.
 	HeldTooLong
+	// Silent: a copy of its first packet is overdue. The caller has ended the attempt, or
+	// its copies go elsewhere, so it must not be told anything.
+	Silent
 )
 
-var verdictNames = [...]string{"waits", "no-turn", "out-of-time", "held-too-long"}
+var verdictNames = [...]string{"waits", "no-turn", "out-of-time", "held-too-long", "silent"}
 
 func (v Verdict) String() string {
 	if int(v) < len(verdictNames) {
@@ -35,6 +38,8 @@
 // routes take, asUrgent that of those and of equally urgent ones who come in time.
 func (c *Caller) Judge(now time.Duration, o *Outlook, ahead int, moreUrgent, asUrgent float64) Verdict {
 	switch {
+	case c.silent(now):
+		return Silent
 	case c.ClassAt(now, o) == Hopeless:
 		return OutOfTime
 	case now-c.HeldSince >= time.Duration(heldShare*float64(c.limit())):
