--- a/internal/passthrough/flowtable/patience_test.go
+++ b/internal/passthrough/flowtable/patience_test.go
@@ -7,6 +7,10 @@
 	"github.com/matryer/is"
 
 	"bergamotstall/internal/passthrough/overload"
+	"bergamotstall/internal/passthrough/packet"
+	"bergamotstall/internal/passthrough/patience"
+	"bergamotstall/internal/passthrough/peer"
+	"bergamotstall/internal/passthrough/route"
 )
 
 // newGoalsRig returns a rig whose engine goes by callers' goals.
@@ -31,3 +35,106 @@
 	r.engine.cfg.Overload.CallerGoals = false
 	is.Equal(r.report().WaitMS, uint32(0))
 }
+
+// setGoals gives the rig's route a goal, a timeout and a priority, and the target an
+// observed pace of one answer in 10 ms.
+func setGoals(r *rig, goal, timeout uint32) {
+	d := &route.Definition{Version: 1, Services: []route.Service{{Name: serviceName}}, Routes: []route.Route{{
+		Name: "r", IP: service.IP, Port: service.Port, TimeoutMS: timeout, GoalMS: goal, Kind: route.Idempotent,
+		Backends: []route.Backend{{Service: serviceName, Weight: 1}},
+	}}}
+	r.engine.SetTable(route.NewTable(d))
+	r.engine.latencies = latencies{handshake: 5 * time.Millisecond, service: 45 * time.Millisecond}
+}
+
+// synAged delivers a first packet whose client sent it some time ago.
+func synAged(r *rig, port uint16, age time.Duration) {
+	p := packet.Packet{Src: flowOf(port).Client, Dst: service, Flags: packet.SYN}
+	h := peer.Header{Kind: peer.KindDeliver, Service: route.IDOf(serviceName), Age: peer.AgeMillis(age)}
+	r.engine.FromBalancer(r.now, balancer, h, p, rawOf(port))
+}
+
+// Guards against the newest caller taking the turn of one who can only just be in time, and
+// against late callers before those in time.
+func TestTurnsGoByGoals(t *testing.T) {
+	is := is.New(t)
+	r := newGoalsRig(t)
+	setGoals(r, 200, 1000)
+	fillTarget(r)
+	synAged(r, 1, 230*time.Millisecond)
+	synAged(r, 2, 20*time.Millisecond)
+	synAged(r, 3, 0)
+	r.toTarget = nil
+	for port := uint16(100); port < 103; port++ {
+		r.sendAnswer(port, 0)
+	}
+	is.Equal(r.toTarget, []uint16{2, 3, 1})
+	is.Equal(len(r.refused), 0)
+}
+
+// Guards against callers who are held although their turn can't come: they must hear of it
+// at once, and those ahead of them must stay.
+func TestCallerWithoutATurnIsTurnedAwayAtOnce(t *testing.T) {
+	is := is.New(t)
+	r := newGoalsRig(t)
+	setGoals(r, 200, 1000)
+	fillTarget(r)
+	for port := uint16(1); port <= 40; port++ {
+		synAged(r, port, 0)
+	}
+	is.Equal(len(r.refused)+len(r.engine.admission.queue), 40)
+	is.True(len(r.refused) >= 10)
+	is.True(len(r.engine.admission.queue) >= 10)
+	is.Equal(r.refused[0].reason, peer.Busy)
+	is.Equal(r.decisions[len(r.decisions)-1].Patience, patience.NoTurn)
+	is.Equal(r.decisions[len(r.decisions)-1].Waited, time.Duration(0))
+}
+
+// Guards against places kept for clients that have ended their attempt, and against a reset
+// for a flow that a copy of the first packet opened elsewhere.
+func TestSilentCallerIsDropped(t *testing.T) {
+	is := is.New(t)
+	r := newGoalsRig(t)
+	setGoals(r, 1200, 5000)
+	fillTarget(r)
+	r.syn(1)
+	r.syn(2)
+	r.advance(200 * time.Millisecond)
+	r.fromClient(2, packet.SYN, 10, 1, 0) // the copy
+	r.advance(60 * time.Millisecond)
+	is.Equal(len(r.engine.admission.queue), 1)
+	is.Equal(r.engine.admission.queue[0].flow, flowOf(2))
+	is.Equal(len(r.refused), 0)
+}
+
+// Guards against a request over an open flow that is turned away: its caller couldn't tell
+// whether it ran.
+func TestHeldRequestIsNeverTurnedAway(t *testing.T) {
+	is := is.New(t)
+	r := newGoalsRig(t)
+	setGoals(r, 100, 300)
+	idleFlow(r, 9)
+	fillTarget(r)
+	r.sendRequest(9, 1)
+	r.advance(280 * time.Millisecond)
+	is.Equal(len(r.engine.admission.queue), 1)
+	r.advance(40 * time.Millisecond) // its caller has given up
+	is.Equal(len(r.engine.admission.queue), 0)
+	is.Equal(len(r.refused)+len(r.resets), 0)
+}
+
+// Guards against callers of a route without a goal that wait without end, or not at all.
+func TestRouteWithoutGoalKeepsTheFixedWait(t *testing.T) {
+	is := is.New(t)
+	r := newGoalsRig(t)
+	setGoals(r, 0, 5000)
+	r.engine.latencies.service = 200 * time.Millisecond
+	fillTarget(r)
+	for port := uint16(1); port <= 40; port++ {
+		r.syn(port)
+	}
+	r.advance(policy.MaxWait)
+	is.Equal(len(r.refused), 0)
+	r.advance(20 * time.Millisecond)
+	is.Equal(len(r.refused), 40)
+}
