--- a/internal/passthrough/flowtable/goals.go
+++ b/internal/passthrough/flowtable/goals.go
@@ -70,17 +70,16 @@
 			ahead++
 		}
 	}
-	return e.judge(now, q, ahead)
+	return e.judge(now, q, ahead, &o)
 }
 
 // judge says whether a held entry may wait on, with a number of others ahead of it.
-func (e *Engine) judge(now time.Duration, q *queueEntry, ahead int) patience.Verdict {
+func (e *Engine) judge(now time.Duration, q *queueEntry, ahead int, o *patience.Outlook) patience.Verdict {
 	if !e.goesByGoal(q) {
 		return patience.Waits
 	}
-	o := e.outlook(now)
 	moreUrgent, asUrgent := e.admission.arrivals.Load(now, q.caller.Priority, o.Pace())
-	return q.caller.Judge(now, &o, ahead, moreUrgent, asUrgent)
+	return q.caller.Judge(now, o, ahead, moreUrgent, asUrgent)
 }
 
 // classify updates what the answers to all held entries are good for.
--- a/internal/passthrough/flowtable/queue.go
+++ b/internal/passthrough/flowtable/queue.go
@@ -247,34 +247,38 @@
 // returned, requests whose callers have given up are dropped.
 func (e *Engine) removeExpired(now time.Duration) {
 	e.orderByGoals(now)
+	o := e.outlook(now)
 	kept := e.admission.queue[:0]
 	for _, q := range e.admission.queue {
-		reason := e.removalReason(now, &q)
-		verdict := patience.Waits
+		reason, verdict := e.removalReason(now, &q), patience.Waits
 		if reason == 0 {
-			verdict = e.judge(now, &q, len(kept))
+			verdict = e.judge(now, &q, len(kept), &o)
 		}
 		if reason == 0 && verdict == patience.Waits {
 			kept = append(kept, q)
 			continue
 		}
 		e.uncountHeld(q)
-		if verdict != patience.Waits {
+		switch {
+		case q.request:
+			e.dropRequest(now, q)
+		case verdict != patience.Waits:
 			e.turnAway(now, q.arrival, verdict)
-			continue
-		}
-		if !q.request {
+		default:
 			e.refuseFirst(now, q.arrival, reason)
-			continue
 		}
-		x := e.flows[q.flow]
-		x.held = false
-		e.storeFlow(q.flow, x)
-		e.noteDecision(now, Decision{Verdict: RequestDropped, Flow: q.flow})
 	}
 	e.admission.queue = kept
 }
 
+// dropRequest drops a held request whose caller has given up.
+func (e *Engine) dropRequest(now time.Duration, q queueEntry) {
+	x := e.flows[q.flow]
+	x.held = false
+	e.storeFlow(q.flow, x)
+	e.noteDecision(now, Decision{Verdict: RequestDropped, Flow: q.flow})
+}
+
 // refuseFirst returns a first packet to its balancer.
 func (e *Engine) refuseFirst(now time.Duration, p arrival, reason peer.Reason) {
 	e.refuse(now, p.from, p.flow, packet.Packet{Flags: packet.SYN}, reason, p.sentAt, p.raw)
