After a start, first packets go by goals too

A balancer that holds packets until its first table replayed the newest first. It now goes by the routes' priorities and by what an answer is still good for, and drops those whose callers have ended the attempt. While nothing was observed of a target, half of a goal is kept for the answer, so that those who can only just be in time don't take the first free slots.

--- a/internal/passthrough/forward/early_test.go
+++ b/internal/passthrough/forward/early_test.go
@@ -6,7 +6,10 @@
 
 	"github.com/matryer/is"
 
+	"bergamotstall/internal/passthrough/overload"
+	"bergamotstall/internal/passthrough/packet"
 	"bergamotstall/internal/passthrough/peer"
+	"bergamotstall/internal/passthrough/route"
 )
 
 // Guards against dropped first packets after a power outage of all VMs, when the fabric
@@ -96,3 +99,32 @@
 	}
 	is.Equal(r.delivered[40].raw, rawOf(2))
 }
+
+// Guards against a free slot that goes to a late caller, or to one that has given up, after
+// a start, while others can still be answered in time.
+func TestEarlyPacketsGoByGoals(t *testing.T) {
+	is := is.New(t)
+	r := newStartingTestEngine(t)
+	r.engine.cfg.Overload = overload.Settings{CallerGoals: true}
+	copyOf := func(port uint16, copies uint32) packet.Packet {
+		p := syn(port)
+		p.Ack = copies
+		return p
+	}
+	r.send(copyOf(1, 2)) // its goal has passed
+	r.send(copyOf(2, 1)) // its second copy will be overdue
+	r.advance(460 * time.Millisecond)
+	r.send(syn(3))
+	r.agentAt(1, caseworkService)
+	r.engine.SetTable(r.now, route.NewTable(&route.Definition{Version: 1, Routes: []route.Route{{
+		Name: "r", IP: service.IP, Port: service.Port, TimeoutMS: 2000, GoalMS: 200, Backends: []route.Backend{{Service: caseworkService, Weight: 1}},
+	}}}))
+	r.advance(20 * time.Millisecond)
+	var order []uint16
+	for _, d := range r.decisions {
+		if d.Verdict == Placed {
+			order = append(order, portOf(d.Flow))
+		}
+	}
+	is.Equal(order, []uint16{3, 1})
+}
--- a/internal/passthrough/forward/room.go
+++ b/internal/passthrough/forward/room.go
@@ -56,16 +56,20 @@
 	return patience.Limit(e.table.Timeout(f.Service), true)
 }
 
-// callerLeft tells whether the caller of a first packet no longer waits for an answer.
+// callerLeft tells whether the caller of a held first packet no longer waits for an answer.
 func (e *Engine) callerLeft(now time.Duration, f packet.Flow, a arrival) bool {
-	return a.p.Opens() && a.age(now) >= e.callerLimit(f)
+	if !e.cfg.Overload.CallerGoals || !a.p.Opens() {
+		return false
+	}
+	c := e.callerOf(now, a)
+	return a.age(now) >= e.callerLimit(f) || c.Silent(now)
 }
 
 // callerOf returns the caller of a held packet. Nothing is known of the targets yet, so that
 // only the time that has passed tells what an answer is still good for.
 func (e *Engine) callerOf(now time.Duration, a arrival) patience.Caller {
 	d := e.table.Demand(a.p.Dst)
-	c := patience.Caller{Priority: d.Priority, FirstSentAt: now - a.age(now), HeldSince: a.arrivedAt, Goal: d.Goal, Timeout: d.Timeout, Opening: a.p.Opens()}
+	c := patience.Caller{Priority: d.Priority, FirstSentAt: now - a.age(now), HeldSince: a.arrivedAt, Goal: d.Goal, Timeout: d.Timeout, Opening: a.p.Opens(), LastCopy: a.p.SinceFirst()}
 	c.Class = c.ClassAt(now, &patience.Outlook{})
 	return c
 }
--- a/internal/passthrough/patience/caller.go
+++ b/internal/passthrough/patience/caller.go
@@ -93,15 +93,19 @@
 	switch {
 	case c.Timeout > 0 && answered > c.Timeout, c.Opening && age+o.Handshake/2 > packet.HandshakeTimeout:
 		return Hopeless
-	case c.Goal == 0 || answered+c.reserve(network+o.Service) <= c.Goal:
+	case c.Goal == 0 || answered+c.reserve(network+o.Service, o) <= c.Goal:
 		return InTime
 	}
 	return Answerable
 }
 
 // reserve is the time that is kept for an answer that takes longer than the mean: as long
-// as the mean again, which most requests don't exceed, or half of what the goal leaves.
-func (c *Caller) reserve(needed time.Duration) time.Duration {
+// as the mean again, which most requests don't exceed, or half of what the goal leaves. While
+// nothing was observed, half of the goal is kept.
+func (c *Caller) reserve(needed time.Duration, o *Outlook) time.Duration {
+	if o.Service == 0 {
+		return c.Goal / 2
+	}
 	return max(0, min(needed, (c.Goal-needed)/2))
 }
 
@@ -109,9 +113,9 @@
 // send copies on without delay, but from shared processors.
 const copyGrace = 50 * time.Millisecond
 
-// silent reports whether the copy of the first packet is overdue that the client sends while
+// Silent reports whether the copy of the first packet is overdue that the client sends while
 // it waits: it has ended the attempt, or its copies go elsewhere.
-func (c *Caller) silent(now time.Duration) bool {
+func (c *Caller) Silent(now time.Duration) bool {
 	if !c.Opening {
 		return false
 	}
--- a/internal/passthrough/patience/judge.go
+++ b/internal/passthrough/patience/judge.go
@@ -38,7 +38,7 @@
 // routes take, asUrgent that of those and of equally urgent ones who come in time.
 func (c *Caller) Judge(now time.Duration, o *Outlook, ahead int, moreUrgent, asUrgent float64) Verdict {
 	switch {
-	case c.silent(now):
+	case c.Silent(now):
 		return Silent
 	case c.ClassAt(now, o) == Hopeless:
 		return OutOfTime
--- a/internal/passthrough/patience/patience_test.go
+++ b/internal/passthrough/patience/patience_test.go
@@ -51,6 +51,8 @@
 	}
 	c.Timeout = 6 * time.Second // the handshake ends sooner
 	is.Equal(c.ClassAt(1398*ms, &target), Hopeless)
+	is.Equal(request.ClassAt(100*ms, &Outlook{}), InTime) // nothing was observed
+	is.Equal(request.ClassAt(101*ms, &Outlook{}), Answerable)
 	is.Equal((&Caller{Opening: true}).ClassAt(time.Second, &target), InTime) // nothing is stated
 }
 
