Agents: first packets handed on may wait at the next agent

The agent took the copy number of the packet at hand for all that the client had sent. A first packet handed on after 200 ms counted as silent on arrival and was dropped. Now only copies sent after the arrival are expected.

TestHandedOnCallerMayWait failed before and passes; flowtable and patience pass.

--- a/internal/passthrough/flowtable/flowtable.go
+++ b/internal/passthrough/flowtable/flowtable.go
@@ -251,7 +251,7 @@
 		e.enqueueFirst(now, p)
 		e.admitQueued(now)
 	default:
-		e.countArrival(now, e.openingCaller(p))
+		e.countArrival(now, e.openingCaller(now, p))
 		e.admit(now, p)
 	}
 }
--- a/internal/passthrough/flowtable/goals.go
+++ b/internal/passthrough/flowtable/goals.go
@@ -13,11 +13,13 @@
 // functions here give it what the agent knows. Callers of routes without a goal are held
 // for Policy.MaxWait, as they are where goals aren't in force.
 
-// openingCaller returns the caller that sent a first packet.
-func (e *Engine) openingCaller(p arrival) patience.Caller {
+// openingCaller returns the caller that sent a first packet. Of the packet's copies only
+// those are expected here that are sent from now on: the packet may have been held at
+// another agent, which got the earlier ones.
+func (e *Engine) openingCaller(now time.Duration, p arrival) patience.Caller {
 	c := e.requestCaller(p)
 	c.Opening = true
-	c.LastCopy = p.sentAt - p.firstSentAt
+	c.LastCopy = now - p.firstSentAt
 	return c
 }
 
--- a/internal/passthrough/flowtable/patience_test.go
+++ b/internal/passthrough/flowtable/patience_test.go
@@ -90,6 +90,19 @@
 	is.Equal(r.decisions[len(r.decisions)-1].Waited, time.Duration(0))
 }
 
+// Guards against a first packet that is dropped because its copies went to the agent that
+// held it before.
+func TestHandedOnCallerMayWait(t *testing.T) {
+	is := is.New(t)
+	r := newGoalsRig(t)
+	setGoals(r, 1200, 5000)
+	fillTarget(r)
+	synAged(r, 1, 300*time.Millisecond)
+	r.advance(20 * time.Millisecond)
+	is.Equal(len(r.engine.admission.queue), 1)
+	is.Equal(len(r.refused), 0)
+}
+
 // Guards against places kept for clients that have ended their attempt, and against a reset
 // for a flow that a copy of the first packet opened elsewhere.
 func TestSilentCallerIsDropped(t *testing.T) {
--- a/internal/passthrough/flowtable/queue.go
+++ b/internal/passthrough/flowtable/queue.go
@@ -102,7 +102,7 @@
 		e.noteCopy(&e.admission.queue[at], p)
 		return
 	}
-	q := queueEntry{arrival: p, priority: e.table.Priority(p.flow.Service), caller: e.openingCaller(p)}
+	q := queueEntry{arrival: p, priority: e.table.Priority(p.flow.Service), caller: e.openingCaller(now, p)}
 	e.countArrival(now, q.caller)
 	if len(e.admission.queue) >= maxQueue {
 		e.refuseFirst(now, p, peer.Full)
