Silent callers go last instead of being dropped

A caller counted as gone 50 ms after a copy of its first packet was due. A pause of the agent or balancer, a link's queue or one lost copy dropped callers who still waited. Now a silent caller goes after all others until a copy comes, and is dropped without a reset once its time has passed. Balancers no longer drop held first packets for it.

TestSilentCallerGoesLast and TestSilentCallerIsDroppedInTheEnd failed before and pass. TestSilentCallerIsDropped asserted the drop and is replaced by them; TestEarlyPacketsGoByGoals and TestWhoMayWait asserted it too and now assert the last place, and the drop at the end. flowtable, patience and forward pass.

--- a/internal/passthrough/flowtable/goals.go
+++ b/internal/passthrough/flowtable/goals.go
@@ -65,7 +65,7 @@
 	}
 	e.classify(now)
 	o := e.outlook(now)
-	q.caller.Class = q.caller.ClassAt(now, &o)
+	q.caller.Classify(now, &o)
 	ahead := 0
 	for i := range e.admission.queue {
 		if e.admission.queue[i].caller.Compare(&q.caller) <= 0 {
@@ -88,8 +88,7 @@
 func (e *Engine) classify(now time.Duration) {
 	o := e.outlook(now)
 	for i := range e.admission.queue {
-		c := &e.admission.queue[i].caller
-		c.Class = c.ClassAt(now, &o)
+		e.admission.queue[i].caller.Classify(now, &o)
 	}
 }
 
--- a/internal/passthrough/forward/room.go
+++ b/internal/passthrough/forward/room.go
@@ -57,12 +57,12 @@
 }
 
 // callerLeft tells whether the caller of a held first packet no longer waits for an answer.
+// A copy that is overdue doesn't tell: it may wait in a socket, or for a link.
 func (e *Engine) callerLeft(now time.Duration, f packet.Flow, a arrival) bool {
 	if !e.cfg.Overload.CallerGoals || !a.p.Opens() {
 		return false
 	}
-	c := e.callerOf(now, a)
-	return a.age(now) >= e.callerLimit(f) || c.Silent(now)
+	return a.age(now) >= e.callerLimit(f)
 }
 
 // callerOf returns the caller of a held packet. Nothing is known of the targets yet, so that
@@ -70,7 +70,7 @@
 func (e *Engine) callerOf(now time.Duration, a arrival) patience.Caller {
 	d := e.table.Demand(a.p.Dst)
 	c := patience.Caller{Priority: d.Priority, FirstSentAt: now - a.age(now), HeldSince: a.arrivedAt, Goal: d.Goal, Timeout: d.Timeout, Opening: a.p.Opens(), LastCopy: a.p.SinceFirst()}
-	c.Class = c.ClassAt(now, &patience.Outlook{})
+	c.Classify(now, &patience.Outlook{})
 	return c
 }
 
--- a/internal/passthrough/patience/caller.go
+++ b/internal/passthrough/patience/caller.go
@@ -17,13 +17,15 @@
 	Answerable
 	// Hopeless: the caller will have given up before the answer.
 	Hopeless
+	// Unheard: a copy of the caller's first packet is overdue; see Silent.
+	Unheard
 )
 
 // Caller is one who waits for a turn at a target. Times are on one clock.
 type Caller struct {
 	// Priority is that of the route, 0 for the most urgent.
 	Priority uint32
-	// Class is what the caller's answer is good for if its turn comes now; see ClassAt.
+	// Class is what the caller's answer is good for if its turn comes now; see Classify.
 	Class Class
 	// Share ranks the clients of equally urgent callers of one class while slots are
 	// divided among clients; 0 goes first.
@@ -41,12 +43,13 @@
 	LastCopy time.Duration
 }
 
-// Compare is negative if c gets its turn before other: the more urgent route, then those
-// who can be answered in time, then the share of the client, and then the one with the
-// least time left. Together with Judge, which turns callers away while there is more than
+// Compare is negative if c gets its turn before other: those who are heard of, then the more
+// urgent route, then those who can be answered in time, then the share of the client, and
+// then the one with the least time left. Together with Judge, which turns callers away while there is more than
 // can be served, this answers the most of them in time.
 func (c *Caller) Compare(other *Caller) int {
 	return cmp.Or(
+		cmp.Compare(c.unheard(), other.unheard()),
 		cmp.Compare(c.Priority, other.Priority),
 		cmp.Compare(c.Class, other.Class),
 		cmp.Compare(c.Share, other.Share),
@@ -54,6 +57,14 @@
 	)
 }
 
+// unheard is 1 for a caller of the class Unheard, 0 for others.
+func (c *Caller) unheard() int {
+	if c.Class == Unheard {
+		return 1
+	}
+	return 0
+}
+
 // dueAt is the end of what the caller's class promises.
 func (c *Caller) dueAt() time.Duration {
 	if c.Class == InTime && c.Goal > 0 {
@@ -80,6 +91,14 @@
 	return timeout
 }
 
+// Classify sets the class for a turn that comes now.
+func (c *Caller) Classify(now time.Duration, o *Outlook) {
+	c.Class = c.ClassAt(now, o)
+	if c.Silent(now) {
+		c.Class = Unheard
+	}
+}
+
 // ClassAt is what the caller's answer is good for if its turn comes at the given time.
 func (c *Caller) ClassAt(turn time.Duration, o *Outlook) Class {
 	age := turn - c.FirstSentAt
@@ -114,7 +133,7 @@
 const copyGrace = 50 * time.Millisecond
 
 // Silent reports whether the copy of the first packet is overdue that the client sends while
-// it waits: it has ended the attempt, or its copies go elsewhere.
+// it waits: it has ended the attempt, its copies go elsewhere, or one was lost or is late.
 func (c *Caller) Silent(now time.Duration) bool {
 	if !c.Opening {
 		return false
--- a/internal/passthrough/patience/judge.go
+++ b/internal/passthrough/patience/judge.go
@@ -15,8 +15,8 @@
 	// HeldTooLong: it was held for half of its time. The other half is its own, for another
 	// attempt.
 	HeldTooLong
-	// Silent: a copy of its first packet is overdue. The caller has ended the attempt, or
-	// its copies go elsewhere, so it must not be told anything.
+	// Silent: it would have given up by now, and a copy of its first packet is overdue. Its
+	// copies may have opened the flow elsewhere, so it must not be told anything.
 	Silent
 )
 
@@ -37,9 +37,10 @@
 // before it. moreUrgent is the part of the target's time that later arrivals of more urgent
 // routes take, asUrgent that of those and of equally urgent ones who come in time.
 func (c *Caller) Judge(now time.Duration, o *Outlook, ahead int, moreUrgent, asUrgent float64) Verdict {
+	if c.Silent(now) {
+		return c.judgeSilent(now, o)
+	}
 	switch {
-	case c.Silent(now):
-		return Silent
 	case c.ClassAt(now, o) == Hopeless:
 		return OutOfTime
 	case now-c.HeldSince >= time.Duration(heldShare*float64(c.limit())):
@@ -52,3 +53,12 @@
 	}
 	return Waits
 }
+
+// judgeSilent keeps a silent caller for as long as its copy may only be late: pauses of
+// processors delay copies, and lost ones are followed by others.
+func (c *Caller) judgeSilent(now time.Duration, o *Outlook) Verdict {
+	if c.ClassAt(now, o) == Hopeless {
+		return Silent
+	}
+	return Waits
+}
