Balancers: a refusal as busy leaves a pending placement alone

While a copy of a first packet waited for the loads of its candidates, an agent's refusal of the original placed the flow at once, and the copy was placed again later: two targets got it. The refusal is now ignored then.

TestRefusalDuringPlacementChangesNothing failed before (2 deliveries for 1) and passes; forward passes.

--- a/internal/passthrough/forward/forward.go
+++ b/internal/passthrough/forward/forward.go
@@ -305,12 +305,17 @@
 	if known && entry.agent != agent {
 		return // a retransmit has already gone to another agent
 	}
+	if reason == peer.Busy && e.overtaken(f) {
+		e.noteBusy(agent)
+		return
+	}
 	if reason == peer.Busy && !e.cfg.Overload.CallerGoals || a.age(now) >= e.callerLimit(f) {
 		e.rejectFlow(f, entry, reason)
 		return
 	}
 	switch reason {
 	case peer.Busy:
+		e.noteBusy(agent)
 		e.retryBusy(now, a, f, entry, agent)
 		return
 	case peer.Full:
--- a/internal/passthrough/forward/room.go
+++ b/internal/passthrough/forward/room.go
@@ -14,10 +14,15 @@
 // ones: a search that has to ask all agents for the flow later costs less than a caller
 // refused beside free slots.
 
+// overtaken tells whether an agent's refusal as busy no longer matters, because a copy of the
+// first packet waits for its own placement.
+func (e *Engine) overtaken(f packet.Flow) bool {
+	return e.cfg.Overload.CallerGoals && e.placements.byFlow[f] != nil
+}
+
 // retryBusy offers a first packet, which an agent has no turn for, to a target with room, or
 // resets its flow if there is none.
 func (e *Engine) retryBusy(now time.Duration, a arrival, f packet.Flow, entry flowEntry, agent uint32) {
-	e.noteBusy(agent)
 	entry.exclude(agent)
 	entry.attempts = max(entry.attempts, 1)
 	to := choice{agent: noAgent}
--- a/internal/passthrough/forward/room_test.go
+++ b/internal/passthrough/forward/room_test.go
@@ -79,3 +79,25 @@
 	r.refuseAsBusy(9, 1100*time.Millisecond)
 	is.Equal(len(r.resets), 2)
 }
+
+// Guards against a flow that is delivered to two targets: by a refusal, and by the placement
+// of its copy, which waits for loads.
+func TestRefusalDuringPlacementChangesNothing(t *testing.T) {
+	is := is.New(t)
+	r := newGoalsEngine(t)
+	for n := byte(1); n <= 3; n++ {
+		r.busyAgent(n, 9, 90)
+	}
+	r.send(syn(7))
+	f, first := flowOf(7), r.delivered[0]
+	entry := r.engine.flows[f]
+	entry.exclude(entry.agent)
+	r.now += reportFreshFor
+	r.engine.place(r.now, arrival{arrivedAt: r.now, p: syn(7), raw: first.raw}, f, entry, peer.TargetSilent)
+	is.True(r.engine.placements.byFlow[f] != nil)
+	r.agentAt(40, caseworkService)
+	r.refuseAsBusy(7, 150*time.Millisecond)
+	is.Equal(len(r.delivered), 1)
+	r.advance(200 * time.Millisecond)
+	is.Equal(len(r.delivered)+len(r.resets), 2)
+}
