Agents: the newest copy of a held first packet replaces it

A turn-away handed back the original packet to the balancer that had sent it, also when that one had failed and the copy came by another. Packet, balancer and time of sending are now those of the newest copy; the caller's time goes on.

TestNewestCopyIsTheOneHandedBack failed before and passes; flowtable passes.

--- a/internal/passthrough/flowtable/goals.go
+++ b/internal/passthrough/flowtable/goals.go
@@ -23,9 +23,20 @@
 	return c
 }
 
-// noteCopy records that a copy of a held first packet has arrived: its caller still waits.
-func (e *Engine) noteCopy(q *queueEntry, p arrival) {
-	q.caller.LastCopy = max(q.caller.LastCopy, p.sentAt-p.firstSentAt)
+// noteCopy records that a copy of a held first packet has arrived: its caller still waits. The
+// newest copy is the one that goes on, or back to the balancer that sent it: the one before may
+// be gone.
+func (e *Engine) noteCopy(now time.Duration, q *queueEntry, p arrival) {
+	if !e.goesByGoal(q) {
+		return
+	}
+	q.caller.LastCopy = max(q.caller.LastCopy, now-p.firstSentAt)
+	if p.sentAt <= q.sentAt {
+		return
+	}
+	firstSentAt := q.firstSentAt
+	q.arrival = p.clone()
+	q.firstSentAt = firstSentAt
 }
 
 // requestCaller returns the caller that sent a request over an open flow.
--- a/internal/passthrough/flowtable/patience_test.go
+++ b/internal/passthrough/flowtable/patience_test.go
@@ -1,6 +1,7 @@
 package flowtable
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -124,6 +125,28 @@
 	is.Equal(r.toTarget, []uint16{3, 2})
 }
 
+// Guards against a refusal that goes to a balancer which is gone, or that names a packet older
+// than the balancer's last one; and against a copy that starts the caller's time anew.
+func TestNewestCopyIsTheOneHandedBack(t *testing.T) {
+	is := is.New(t)
+	r := newGoalsRig(t)
+	setGoals(r, 1200, 5000)
+	fillTarget(r)
+	r.syn(1)
+	r.advance(200 * time.Millisecond)
+	before := r.engine.admission.queue[0]
+	other := netip.MustParseAddrPort("10.0.0.2:7000")
+	p := packet.Packet{Src: flowOf(1).Client, Dst: service, Flags: packet.SYN, Ack: 1}
+	raw := append(rawOf(1), 1)
+	r.engine.FromBalancer(r.now, other, peer.Header{Kind: peer.KindDeliver, Service: route.IDOf(serviceName)}, p, raw)
+	q := r.engine.admission.queue[0]
+	is.Equal(q.from, other)
+	is.Equal(q.raw, raw)
+	is.Equal(q.sentAt, r.now)
+	is.Equal(q.firstSentAt, before.firstSentAt)
+	is.Equal(q.caller.HeldSince, before.caller.HeldSince)
+}
+
 // Guards against a silent caller that is reset or kept once its time has passed.
 func TestSilentCallerIsDroppedInTheEnd(t *testing.T) {
 	is := is.New(t)
--- a/internal/passthrough/flowtable/queue.go
+++ b/internal/passthrough/flowtable/queue.go
@@ -99,7 +99,7 @@
 // come too late.
 func (e *Engine) enqueueFirst(now time.Duration, p arrival) {
 	if at := e.queueIndex(p.flow); at >= 0 {
-		e.noteCopy(&e.admission.queue[at], p)
+		e.noteCopy(now, &e.admission.queue[at], p)
 		return
 	}
 	q := queueEntry{arrival: p, priority: e.table.Priority(p.flow.Service), caller: e.openingCaller(now, p)}
