Balancers: a refusal that crosses a copy of the packet is ignored

An agent refused the original while its copy was on the way there, and may have admitted the copy. The balancer offered the flow to a second target or reset it. The table now notes which copy an agent got last; older packets that come back as busy change nothing, and the copy has its own verdict.

TestRefusalThatCrossesACopyChangesNothing failed before (3 deliveries for 2) and passes; forward passes.

--- a/internal/passthrough/forward/forward.go
+++ b/internal/passthrough/forward/forward.go
@@ -97,6 +97,8 @@
 	refused  *refusals
 	agent    uint32
 	attempts uint8
+	// copies is the copy number of the first packet that the agent got last.
+	copies uint8
 }
 
 // refusals are the agents that handed a flow's first packet back.
@@ -305,7 +307,7 @@
 	if known && entry.agent != agent {
 		return // a retransmit has already gone to another agent
 	}
-	if reason == peer.Busy && e.overtaken(f) {
+	if reason == peer.Busy && e.overtaken(f, entry, a.p) {
 		e.noteBusy(agent)
 		return
 	}
--- a/internal/passthrough/forward/placement.go
+++ b/internal/passthrough/forward/placement.go
@@ -116,6 +116,7 @@
 	p.entry.agent = chosen.agent
 	p.entry.service = chosen.service
 	p.entry.lastPacketAt = now
+	p.entry.copies = copyNumber(p.p)
 	if len(e.flows) < maxFlows {
 		e.flows[f] = p.entry
 	}
@@ -173,6 +174,7 @@
 // probes that agent; if it is unresponsive, the packet goes to another one.
 func (e *Engine) forwardRetransmit(now time.Duration, a arrival, f packet.Flow, entry flowEntry) {
 	entry.lastPacketAt = now
+	entry.copies = max(entry.copies, copyNumber(a.p))
 	e.flows[f] = entry
 	e.deliver(entry, now-a.arrivedAt, a.raw)
 	if e.agents.list[entry.agent].hasFreshReport(now) || len(e.placements.retransmits) >= maxPendingPlacements {
--- a/internal/passthrough/forward/room.go
+++ b/internal/passthrough/forward/room.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"time"
 
 	"bergamotstall/internal/passthrough/packet"
@@ -14,12 +15,16 @@
 // ones: a search that has to ask all agents for the flow later costs less than a caller
 // refused beside free slots.
 
-// overtaken tells whether an agent's refusal as busy no longer matters, because a copy of the
-// first packet waits for its own placement.
-func (e *Engine) overtaken(f packet.Flow) bool {
-	return e.cfg.Overload.CallerGoals && e.placements.byFlow[f] != nil
+// overtaken tells whether an agent's refusal of a first packet as busy no longer matters: a
+// copy of it waits for its own placement, or has gone to the agent since and may have been
+// admitted there. If not, it is refused too.
+func (e *Engine) overtaken(f packet.Flow, entry flowEntry, p packet.Packet) bool {
+	return e.cfg.Overload.CallerGoals && (e.placements.byFlow[f] != nil || copyNumber(p) < entry.copies)
 }
 
+// copyNumber is how many copies of a first packet its client sent before it.
+func copyNumber(p packet.Packet) uint8 { return uint8(min(p.Ack, math.MaxUint8)) }
+
 // retryBusy offers a first packet, which an agent has no turn for, to a target with room, or
 // resets its flow if there is none.
 func (e *Engine) retryBusy(now time.Duration, a arrival, f packet.Flow, entry flowEntry, agent uint32) {
--- a/internal/passthrough/forward/room_test.go
+++ b/internal/passthrough/forward/room_test.go
@@ -101,3 +101,28 @@
 	r.advance(200 * time.Millisecond)
 	is.Equal(len(r.delivered)+len(r.resets), 2)
 }
+
+// Guards against a flow that is reset or goes to a second target because an agent refused a
+// packet whose copy it may have admitted; the copy's own refusal counts.
+func TestRefusalThatCrossesACopyChangesNothing(t *testing.T) {
+	is := is.New(t)
+	for _, free := range []bool{true, false} {
+		r := newGoalsEngine(t)
+		for n := byte(1); n <= 3; n++ {
+			r.busyAgent(n, 9, 90)
+		}
+		r.send(syn(7))
+		r.now += reportFreshFor / 2
+		again := syn(7)
+		again.Ack = 1
+		r.send(again)
+		if free {
+			r.agentAt(40, caseworkService)
+		}
+		r.refuseAsBusy(7, reportFreshFor/2)
+		is.Equal(len(r.delivered), 2)
+		is.Equal(len(r.resets), 0)
+		r.engine.HandleRefused(r.now, r.delivered[1].to, peer.Header{Kind: peer.KindRefused, Reason: peer.Busy}, again, r.delivered[1].raw)
+		is.Equal(len(r.delivered)+len(r.resets), 3)
+	}
+}
