Routes without a goal play as they do where goals are off

With the switch on, goal-less callers were admitted the oldest first, offered on after their fixed wait, and dropped by the route's timeout; the policies OldestFirst and IgnorePriority were ignored. One predicate, switch on and a goal stated, now decides in agents and balancers. A queue without goals keeps the fixed order; in a mixed one, callers with a goal go first and others the newest first.

--- a/internal/passthrough/flowtable/goals.go
+++ b/internal/passthrough/flowtable/goals.go
@@ -42,9 +42,30 @@
 // requestCaller returns the caller that sent a request over an open flow.
 func (e *Engine) requestCaller(p arrival) patience.Caller {
 	d := e.table.Demand(p.flow.Service)
+	if e.cfg.Policy.IgnorePriority {
+		d.Priority = 0
+	}
 	return patience.Caller{Priority: d.Priority, FirstSentAt: p.firstSentAt, HeldSince: p.sentAt, Goal: d.Goal, Timeout: d.Timeout}
 }
 
+// hasGoal reports whether the goal of a flow's route is in force.
+func (e *Engine) hasGoal(f packet.Flow) bool {
+	return e.cfg.Overload.CallerGoals && e.table.Demand(f.Service).Goal > 0
+}
+
+// queueGoesByGoals reports whether goals decide on the order of held entries.
+func (e *Engine) queueGoesByGoals() bool {
+	if !e.cfg.Overload.CallerGoals || e.cfg.Policy.OldestFirst {
+		return false
+	}
+	for i := range e.admission.queue {
+		if e.admission.queue[i].caller.Goal > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // goesByGoal reports whether a held first packet may wait as long as its caller's goal and
 // timeout allow. Requests over open flows have a place in the order only.
 func (e *Engine) goesByGoal(q *queueEntry) bool {
@@ -53,10 +74,7 @@
 
 // hasGivenUp reports whether the caller of a first packet no longer waits for an answer.
 func (e *Engine) hasGivenUp(now time.Duration, p arrival) bool {
-	if !e.cfg.Overload.CallerGoals {
-		return false
-	}
-	return now-p.firstSentAt >= patience.Limit(e.table.Timeout(p.flow.Service), true)
+	return e.hasGoal(p.flow) && now-p.firstSentAt >= patience.Limit(e.table.Timeout(p.flow.Service), true)
 }
 
 // countArrival counts a caller whose answer could be in time: those overtake the others.
@@ -105,7 +123,7 @@
 
 // orderByGoals sorts the held entries by their turns.
 func (e *Engine) orderByGoals(now time.Duration) {
-	if !e.cfg.Overload.CallerGoals || len(e.admission.queue) == 0 {
+	if !e.queueGoesByGoals() {
 		return
 	}
 	e.classify(now)
@@ -127,7 +145,7 @@
 // maxHoldTime is how long a request over an open flow is held: until its caller has given
 // up.
 func (e *Engine) maxHoldTime(f packet.Flow) time.Duration {
-	if timeout := e.table.Timeout(f.Service); e.cfg.Overload.CallerGoals && timeout > 0 {
+	if timeout := e.table.Timeout(f.Service); e.hasGoal(f) && timeout > 0 {
 		return timeout
 	}
 	return e.maxRequestTime(f)
--- a/internal/passthrough/flowtable/patience_test.go
+++ b/internal/passthrough/flowtable/patience_test.go
@@ -179,6 +179,45 @@
 	is.Equal(len(r.refused)+len(r.resets), 0)
 }
 
+// Guards against another order of callers where no goal is stated, and against settings of
+// the order that goals override.
+func TestOrderWithoutGoals(t *testing.T) {
+	is := is.New(t)
+	for _, x := range []struct {
+		on, oldestFirst bool
+		goal            uint32
+		want            []uint16
+	}{
+		{false, false, 0, []uint16{3, 2, 1}}, {true, false, 0, []uint16{3, 2, 1}}, {true, false, 400, []uint16{1, 2, 3}},
+		{false, true, 0, []uint16{1, 2, 3}}, {true, true, 0, []uint16{1, 2, 3}}, {true, true, 200, []uint16{1, 2, 3}},
+	} {
+		r := newGoalsRig(t)
+		r.engine.cfg.Overload.CallerGoals = x.on
+		r.engine.cfg.Policy.OldestFirst = x.oldestFirst
+		setGoals(r, x.goal, 5000)
+		fillTarget(r)
+		synAged(r, 1, 230*time.Millisecond)
+		synAged(r, 2, 20*time.Millisecond)
+		synAged(r, 3, 0)
+		r.toTarget = nil
+		for port := uint16(100); port < 103; port++ {
+			r.sendAnswer(port, 0)
+		}
+		is.Equal(r.toTarget, x.want)
+	}
+}
+
+// Guards against a route without a goal whose callers or requests are dropped by its timeout.
+func TestTimeoutWithoutGoalDropsNobody(t *testing.T) {
+	is := is.New(t)
+	r := newGoalsRig(t)
+	setGoals(r, 0, 300)
+	fillTarget(r)
+	synAged(r, 1, 400*time.Millisecond)
+	is.Equal(len(r.engine.admission.queue), 1)
+	is.Equal(r.engine.maxHoldTime(flowOf(1)), r.engine.maxRequestTime(flowOf(1)))
+}
+
 // Guards against callers of a route without a goal that wait without end, or not at all.
 func TestRouteWithoutGoalKeepsTheFixedWait(t *testing.T) {
 	is := is.New(t)
--- a/internal/passthrough/flowtable/queue.go
+++ b/internal/passthrough/flowtable/queue.go
@@ -207,7 +207,7 @@
 
 // nextQueued returns the index of the entry to admit first.
 func (e *Engine) nextQueued(now time.Duration) int {
-	if e.cfg.Overload.CallerGoals {
+	if e.queueGoesByGoals() {
 		return e.nextByGoals(now)
 	}
 	best := 0
--- a/internal/passthrough/forward/early.go
+++ b/internal/passthrough/forward/early.go
@@ -80,8 +80,9 @@
 	slices.SortFunc(ready, func(a, b earlyPacket) int { return cmp.Compare(a.age(now), b.age(now)) })
 	if e.cfg.Policy.OldestFirst {
 		slices.Reverse(ready)
+		return
 	}
-	if e.cfg.Overload.CallerGoals {
+	if slices.ContainsFunc(ready, func(x earlyPacket) bool { return e.hasGoal(x.p.Dst) }) {
 		slices.SortStableFunc(ready, func(a, b earlyPacket) int {
 			x, y := e.callerOf(now, a.arrival), e.callerOf(now, b.arrival)
 			return x.Compare(&y)
--- a/internal/passthrough/forward/forward.go
+++ b/internal/passthrough/forward/forward.go
@@ -311,7 +311,7 @@
 		e.noteBusy(agent)
 		return
 	}
-	if reason == peer.Busy && !e.cfg.Overload.CallerGoals || a.age(now) >= e.callerLimit(f) {
+	if reason == peer.Busy && !e.hasGoal(f.Service) || a.age(now) >= e.callerLimit(f) {
 		e.rejectFlow(f, entry, reason)
 		return
 	}
--- a/internal/passthrough/forward/room.go
+++ b/internal/passthrough/forward/room.go
@@ -15,11 +15,16 @@
 // ones: a search that has to ask all agents for the flow later costs less than a caller
 // refused beside free slots.
 
+// hasGoal tells whether the goal of a service address's route is in force.
+func (e *Engine) hasGoal(service packet.Endpoint) bool {
+	return e.cfg.Overload.CallerGoals && e.table.Demand(service).Goal > 0
+}
+
 // overtaken tells whether an agent's refusal of a first packet as busy no longer matters: a
 // copy of it waits for its own placement, or has gone to the agent since and may have been
 // admitted there. If not, it is refused too.
 func (e *Engine) overtaken(f packet.Flow, entry flowEntry, p packet.Packet) bool {
-	return e.cfg.Overload.CallerGoals && (e.placements.byFlow[f] != nil || copyNumber(p) < entry.copies)
+	return e.hasGoal(f.Service) && (e.placements.byFlow[f] != nil || copyNumber(p) < entry.copies)
 }
 
 // copyNumber is how many copies of a first packet its client sent before it.
@@ -60,7 +65,7 @@
 
 // callerLimit is how long after its client's first attempt a first packet is of use.
 func (e *Engine) callerLimit(f packet.Flow) time.Duration {
-	if !e.cfg.Overload.CallerGoals {
+	if !e.hasGoal(f.Service) {
 		return packet.HandshakeTimeout
 	}
 	return patience.Limit(e.table.Timeout(f.Service), true)
@@ -69,10 +74,7 @@
 // callerLeft tells whether the caller of a held first packet no longer waits for an answer.
 // A copy that is overdue doesn't tell: it may wait in a socket, or for a link.
 func (e *Engine) callerLeft(now time.Duration, f packet.Flow, a arrival) bool {
-	if !e.cfg.Overload.CallerGoals || !a.p.Opens() {
-		return false
-	}
-	return a.age(now) >= e.callerLimit(f)
+	return e.hasGoal(f.Service) && a.p.Opens() && a.age(now) >= e.callerLimit(f)
 }
 
 // callerOf returns the caller of a held packet. Nothing is known of the targets yet, so that
--- a/internal/passthrough/forward/room_test.go
+++ b/internal/passthrough/forward/room_test.go
@@ -126,3 +126,27 @@
 		is.Equal(len(r.delivered)+len(r.resets), 3)
 	}
 }
+
+// Guards against callers of a route without a goal that are offered on, given up or ordered by
+// goals.
+func TestBusyCallerWithoutGoalIsReset(t *testing.T) {
+	is := is.New(t)
+	for _, on := range []bool{false, true} {
+		r := newTestEngine(t) // its route states no goal
+		r.engine.cfg.Overload.CallerGoals = on
+		r.busyAgent(1, 9, 90)
+		r.busyAgent(2, 9, 90)
+		r.send(syn(7))
+		r.agentAt(40, caseworkService)
+		r.refuseAsBusy(7, 810*time.Millisecond)
+		is.Equal(len(r.delivered), 1)
+		is.Equal(len(r.resets), 1)
+		is.True(!r.engine.callerLeft(r.now, flowOf(8), arrival{arrivedAt: r.now - 1100*time.Millisecond, p: syn(8)}))
+		early := func(age time.Duration) earlyPacket {
+			return earlyPacket{arrival: arrival{arrivedAt: r.now - age, p: syn(8)}}
+		}
+		ready := []earlyPacket{early(300 * time.Millisecond), early(0), early(100 * time.Millisecond)}
+		r.engine.sortEarly(r.now, ready)
+		is.Equal(ready[0].age(r.now)+ready[1].age(r.now), 100*time.Millisecond) // the newest first
+	}
+}
--- a/internal/passthrough/patience/caller.go
+++ b/internal/passthrough/patience/caller.go
@@ -44,14 +44,16 @@
 }
 
 // Compare is negative if c gets its turn before other: those who are heard of, then the more
-// urgent route, then those who can be answered in time, then the share of the client, and
-// then the one with the least time left. Together with Judge, which turns callers away while there is more than
-// can be served, this answers the most of them in time.
+// urgent route, then those who can be answered in time, then those who state a goal, then the
+// share of the client, and then the one with the least time left; without a goal, the newest.
+// Together with Judge, which turns callers away while there is more than can be served, this
+// answers the most of them in time.
 func (c *Caller) Compare(other *Caller) int {
 	return cmp.Or(
 		cmp.Compare(c.unheard(), other.unheard()),
 		cmp.Compare(c.Priority, other.Priority),
 		cmp.Compare(c.Class, other.Class),
+		cmp.Compare(c.goalless(), other.goalless()),
 		cmp.Compare(c.Share, other.Share),
 		cmp.Compare(c.dueAt(), other.dueAt()),
 	)
@@ -65,9 +67,21 @@
 	return 0
 }
 
-// dueAt is the end of what the caller's class promises.
+// goalless is 1 for a caller without a goal, 0 for others.
+func (c *Caller) goalless() int {
+	if c.Goal == 0 {
+		return 1
+	}
+	return 0
+}
+
+// dueAt is the end of what the caller's class promises. Without a goal it only ranks the
+// newest first.
 func (c *Caller) dueAt() time.Duration {
-	if c.Class == InTime && c.Goal > 0 {
+	switch {
+	case c.Goal == 0:
+		return -c.FirstSentAt
+	case c.Class == InTime:
 		return c.FirstSentAt + c.Goal
 	}
 	return c.FirstSentAt + c.limit()
@@ -94,13 +108,17 @@
 // Classify sets the class for a turn that comes now.
 func (c *Caller) Classify(now time.Duration, o *Outlook) {
 	c.Class = c.ClassAt(now, o)
-	if c.Silent(now) {
+	if c.Goal > 0 && c.Silent(now) {
 		c.Class = Unheard
 	}
 }
 
-// ClassAt is what the caller's answer is good for if its turn comes at the given time.
+// ClassAt is what the caller's answer is good for if its turn comes at the given time. Without
+// a goal, any answer counts as in time.
 func (c *Caller) ClassAt(turn time.Duration, o *Outlook) Class {
+	if c.Goal == 0 {
+		return InTime
+	}
 	age := turn - c.FirstSentAt
 	network := time.Duration(0)
 	if c.Opening {
@@ -112,7 +130,7 @@
 	switch {
 	case c.Timeout > 0 && answered > c.Timeout, c.Opening && age+o.Handshake/2 > packet.HandshakeTimeout:
 		return Hopeless
-	case c.Goal == 0 || answered+c.reserve(network+o.Service, o) <= c.Goal:
+	case answered+c.reserve(network+o.Service, o) <= c.Goal:
 		return InTime
 	}
 	return Answerable
--- a/internal/passthrough/patience/patience_test.go
+++ b/internal/passthrough/patience/patience_test.go
@@ -36,6 +36,20 @@
 	is.Equal(queue, []*Caller{&urgentLate, &tight, &fresh, &shared, &late, &silent})
 }
 
+// Guards against an order of callers without a goal that depends on goals.
+func TestOrderWithoutGoals(t *testing.T) {
+	is := is.New(t)
+	now := 10 * time.Second
+	older, newer, withGoal := opening(now-900*ms), opening(now-300*ms), opening(now-80*ms)
+	older.Goal, newer.Goal, withGoal.LastCopy = 0, 0, 80*ms
+	queue := []*Caller{&older, &withGoal, &newer}
+	for _, c := range queue {
+		c.Classify(now, &target)
+	}
+	slices.SortFunc(queue, func(a, b *Caller) int { return a.Compare(b) })
+	is.Equal(queue, []*Caller{&withGoal, &newer, &older})
+}
+
 // Guards against a class that leaves out the handshake, the way to the client, or that some
 // answers take longer than the mean.
 func TestClassOfAnswers(t *testing.T) {
