The load of arrivals fits slow targets

Each arrival counted with a time constant of 0.3 s, so that one caller of a target that answers every 0.3 s was a load of 1 and every other was refused, as was the caller itself, which counted before it was judged. The time constant is now ten paces at least, and a caller counts after its own judgement.

TestCallerOfSlowTargetWaits failed before and passes, TestLoadOfSlowTarget is new; TestLoadOfArrivals gives the pace to Add and is unchanged otherwise. patience and flowtable pass.

--- a/internal/passthrough/flowtable/patience_test.go
+++ b/internal/passthrough/flowtable/patience_test.go
@@ -233,3 +233,14 @@
 	r.advance(20 * time.Millisecond)
 	is.Equal(len(r.refused), 40)
 }
+
+// Guards against a caller of a slow target that is refused although the next turn is its own.
+func TestCallerOfSlowTargetWaits(t *testing.T) {
+	is := is.New(t)
+	r := newGoalsRig(t)
+	setGoals(r, 2000, 8000)
+	r.engine.latencies.service = 1500 * time.Millisecond // an answer in 300 ms
+	fillTarget(r)
+	r.syn(1)
+	is.Equal(len(r.engine.admission.queue), 1)
+}
--- a/internal/passthrough/flowtable/queue.go
+++ b/internal/passthrough/flowtable/queue.go
@@ -103,7 +103,7 @@
 		return
 	}
 	q := queueEntry{arrival: p, priority: e.table.Priority(p.flow.Service), caller: e.openingCaller(now, p)}
-	e.countArrival(now, q.caller)
+	defer e.countArrival(now, q.caller) // its own arrival doesn't come before it
 	if len(e.admission.queue) >= maxQueue {
 		e.refuseFirst(now, p, peer.Full)
 		return
--- a/internal/passthrough/patience/arrivals.go
+++ b/internal/passthrough/patience/arrivals.go
@@ -14,21 +14,28 @@
 	priority uint32
 	rate     float64
 	at       time.Duration
+	// timeConstant is the one by which the mean decays.
+	timeConstant time.Duration
 }
 
 const (
-	// arrivalsTimeConstant is the time constant of the mean rates: long enough for some
-	// twenty callers of a small target, and a fraction of any burst that matters.
-	arrivalsTimeConstant = 300 * time.Millisecond
+	// minArrivalsTimeConstant is the least time constant of the mean rates: a fraction of
+	// any burst that matters.
+	minArrivalsTimeConstant = 300 * time.Millisecond
+	// arrivalsPaces is the least time constant in answers of a busy target: a single caller
+	// must not look like a load that leaves no time for others.
+	arrivalsPaces = 10
 	// maxArrivalRates bounds the priorities that are told apart; further ones count as the
 	// last.
 	maxArrivalRates = 16
 )
 
-// Add counts a caller.
-func (a *Arrivals) Add(now time.Duration, priority uint32) {
+// Add counts a caller of a target with the given pace.
+func (a *Arrivals) Add(now time.Duration, priority uint32, pace time.Duration) {
 	r := a.rateOf(priority)
-	r.rate = r.decayed(now) + 1/arrivalsTimeConstant.Seconds()
+	rate := r.decayed(now)
+	r.timeConstant = max(minArrivalsTimeConstant, arrivalsPaces*pace)
+	r.rate = rate + 1/r.timeConstant.Seconds()
 	r.at = now
 }
 
@@ -45,7 +52,10 @@
 }
 
 func (r *arrivalRate) decayed(now time.Duration) float64 {
-	return r.rate * math.Exp(-float64(now-r.at)/float64(arrivalsTimeConstant))
+	if r.rate == 0 {
+		return 0
+	}
+	return r.rate * math.Exp(-float64(now-r.at)/float64(r.timeConstant))
 }
 
 // Load returns the part of a target's time that callers of routes more urgent than the
--- a/internal/passthrough/patience/patience_test.go
+++ b/internal/passthrough/patience/patience_test.go
@@ -100,8 +100,8 @@
 	is := is.New(t)
 	var a Arrivals
 	for at := time.Duration(0); at < 2*time.Second; at += 20 * ms {
-		a.Add(at, 1)
-		a.Add(at, 3)
+		a.Add(at, 1, 10*ms)
+		a.Add(at, 3, 10*ms)
 	}
 	more, as := a.Load(2*time.Second, 1, 10*ms)
 	is.Equal(more, 0.0)
@@ -111,7 +111,20 @@
 	_, as = a.Load(4*time.Second, 3, 10*ms)
 	is.True(as < 0.01)
 	for p := uint32(10); p < 100; p++ {
-		a.Add(0, p)
+		a.Add(0, p, 0)
 	}
 	is.Equal(len(a.rates), maxArrivalRates)
 }
+
+// Guards against a few callers that look like an overload of a slow target.
+func TestLoadOfSlowTarget(t *testing.T) {
+	is := is.New(t)
+	slow := Outlook{Handshake: 10 * ms, Service: 690 * ms, Capacity: 2}
+	c := Caller{Priority: 1, Goal: 2 * time.Second, Timeout: 8 * time.Second, Opening: true}
+	for _, arrived := range []uint32{0, 1} {
+		var a Arrivals
+		a.Add(0, arrived, slow.Pace())
+		more, as := a.Load(0, 1, slow.Pace())
+		is.Equal(c.Judge(0, &slow, 1, more, as), Waits)
+	}
+}
