Agents: held callers that gave up go all at once, and silently if silent

When room appeared, each held caller whose time had passed was found by its own pass over the queue and handed back, also a silent one, whose flow may be open elsewhere and was then reset. Such entries are now removed in one pass that tells them apart. A busy target whose pace isn't known reports a wait of 1 ms instead of 0, which stands for room.

TestRoomForSilentCallersThatGaveUp and the new line of TestReportStatesTheExpectedWait failed before and pass; flowtable passes.

--- a/internal/passthrough/flowtable/flowtable.go
+++ b/internal/passthrough/flowtable/flowtable.go
@@ -245,7 +245,7 @@
 		e.refuseFirst(now, p, peer.TargetSilent)
 	case len(e.flows) >= maxFlows:
 		e.refuseFirst(now, p, peer.Full)
-	case e.hasGivenUp(now, p):
+	case e.isTooLate(now, p):
 		e.turnAway(now, p, patience.OutOfTime)
 	case e.busy(now) || len(e.admission.queue) > 0:
 		e.enqueueFirst(now, p)
--- a/internal/passthrough/flowtable/goals.go
+++ b/internal/passthrough/flowtable/goals.go
@@ -72,11 +72,17 @@
 	return e.cfg.Overload.CallerGoals && !q.request && q.caller.Goal > 0
 }
 
-// hasGivenUp reports whether the caller of a first packet no longer waits for an answer.
-func (e *Engine) hasGivenUp(now time.Duration, p arrival) bool {
+// isTooLate reports whether the caller of a first packet no longer waits for an answer.
+func (e *Engine) isTooLate(now time.Duration, p arrival) bool {
 	return e.hasGoal(p.flow) && now-p.firstSentAt >= patience.Limit(e.table.Timeout(p.flow.Service), true)
 }
 
+// hasGivenUp reports whether the caller of a held first packet no longer waits for an answer.
+// Whoever has is removed by removeExpired.
+func (e *Engine) hasGivenUp(now time.Duration, q *queueEntry) bool {
+	return e.goesByGoal(q) && now-q.firstSentAt > patience.Limit(q.caller.Timeout, true)
+}
+
 // countArrival counts a caller whose answer could be in time: those overtake the others.
 func (e *Engine) countArrival(now time.Duration, c patience.Caller) {
 	if !e.cfg.Overload.CallerGoals {
--- a/internal/passthrough/flowtable/outlook.go
+++ b/internal/passthrough/flowtable/outlook.go
@@ -29,8 +29,12 @@
 		}
 	}
 	o := e.outlook(now)
-	return min(o.Wait(ahead, 0), maxReportedWait)
+	return min(max(o.Wait(ahead, 0), minReportedWait), maxReportedWait)
 }
 
+// minReportedWait is reported by a target without room that is faster, or whose pace isn't
+// known: 0 stands for room.
+const minReportedWait = time.Millisecond
+
 // maxReportedWait bounds the wait that a report states: no caller waits that long.
 const maxReportedWait = time.Minute
--- a/internal/passthrough/flowtable/patience_test.go
+++ b/internal/passthrough/flowtable/patience_test.go
@@ -28,6 +28,9 @@
 	r.engine.latencies.service = 40 * time.Millisecond
 	is.Equal(r.report().WaitMS, uint32(0))
 	fillTarget(r)
+	r.engine.latencies.service = 0
+	is.Equal(r.report().WaitMS, uint32(1)) // busy, and nothing was observed
+	r.engine.latencies.service = 40 * time.Millisecond
 	one := r.report().WaitMS
 	is.True(one > 0)
 	r.syn(1)
@@ -244,3 +247,17 @@
 	r.syn(1)
 	is.Equal(len(r.engine.admission.queue), 1)
 }
+
+// Guards against the reset of a silent caller whose time has passed when room appears.
+func TestRoomForSilentCallersThatGaveUp(t *testing.T) {
+	is := is.New(t)
+	r := newGoalsRig(t)
+	setGoals(r, 200, 600)
+	fillTarget(r)
+	r.syn(1)
+	r.syn(2)
+	r.now += 700 * time.Millisecond
+	r.toTarget = nil
+	r.sendAnswer(100, 0)
+	is.Equal(len(r.engine.admission.queue)+len(r.refused)+len(r.toTarget), 0)
+}
--- a/internal/passthrough/flowtable/queue.go
+++ b/internal/passthrough/flowtable/queue.go
@@ -157,7 +157,12 @@
 // admitQueued admits held entries as long as there is room.
 func (e *Engine) admitQueued(now time.Duration) {
 	for len(e.admission.queue) > 0 && !e.busy(now) && !e.target.silent && !e.target.draining {
-		q := e.dequeue(e.nextQueued(now))
+		at := e.nextQueued(now)
+		if e.hasGivenUp(now, &e.admission.queue[at]) {
+			e.removeExpired(now) // all of them at once
+			continue
+		}
+		q := e.dequeue(at)
 		if reason := e.wrongTarget(q.service); !q.request && reason != 0 {
 			e.refuseFirst(now, q.arrival, reason)
 			continue
@@ -166,10 +171,6 @@
 			e.refuseFirst(now, q.arrival, peer.Cold)
 			continue
 		}
-		if !q.request && e.hasGivenUp(now, q.arrival) {
-			e.turnAway(now, q.arrival, patience.OutOfTime)
-			continue
-		}
 		e.cfg.Out.Admitted(now - q.firstSentAt)
 		e.release(now, q)
 	}
