--- a/internal/passthrough/flowtable/queue.go
+++ b/internal/passthrough/flowtable/queue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bergamotstall/internal/passthrough/packet"
+	"bergamotstall/internal/passthrough/patience"
 	"bergamotstall/internal/passthrough/peer"
 	"bergamotstall/internal/passthrough/route"
 )
@@ -59,6 +60,8 @@
 type queueEntry struct {
 	arrival
 	priority uint32
+	// caller is the one who waits, as package patience judges it.
+	caller patience.Caller
 	// request is set for a request over an open flow. Then seq is the sequence number of
 	// the packet's data, more are the request's other packets, and expiresAt is when its
 	// caller gives up.
@@ -92,16 +95,25 @@
 	return q.firstSentAt >= other.firstSentAt
 }
 
-// enqueueFirst holds a first packet; it returns false if the queue is full.
-func (e *Engine) enqueueFirst(p arrival) bool {
-	if e.queueIndex(p.flow) >= 0 {
-		return true // a retransmission
+// enqueueFirst holds a first packet, or refuses it if the queue is full or its turn would
+// come too late.
+func (e *Engine) enqueueFirst(now time.Duration, p arrival) {
+	if at := e.queueIndex(p.flow); at >= 0 {
+		e.noteCopy(now, &e.admission.queue[at], p)
+		return
 	}
+	q := queueEntry{arrival: p, priority: e.table.Priority(p.flow.Service), caller: e.openingCaller(now, p)}
+	defer e.countArrival(now, q.caller) // its own arrival doesn't come before it
 	if len(e.admission.queue) >= maxQueue {
-		return false
+		e.refuseFirst(now, p, peer.Full)
+		return
 	}
-	e.admission.queue = append(e.admission.queue, queueEntry{arrival: p.clone(), priority: e.table.Priority(p.flow.Service)})
-	return true
+	if v := e.judgeNew(now, &q); v != patience.Waits {
+		e.turnAway(now, p, v)
+		return
+	}
+	q.arrival = p.clone()
+	e.enqueue(now, q)
 }
 
 // shouldHold reports whether a request over an open flow should be held.
@@ -114,7 +126,15 @@
 func (e *Engine) enqueueRequest(now time.Duration, f packet.Flow, from netip.AddrPort, seq uint32, raw []byte) {
 	p := arrival{flow: f, from: from, raw: raw, sentAt: now, firstSentAt: now}
 	e.admission.heldRequestPackets++
-	e.admission.queue = append(e.admission.queue, queueEntry{arrival: p.clone(), priority: e.table.Priority(f.Service), request: true, seq: seq, expiresAt: now + e.maxRequestTime(f)})
+	e.enqueue(now, queueEntry{arrival: p.clone(), priority: e.table.Priority(f.Service), caller: e.requestCaller(p), request: true, seq: seq, expiresAt: now + e.maxHoldTime(f)})
+}
+
+// enqueue appends an entry to the queue.
+func (e *Engine) enqueue(now time.Duration, q queueEntry) {
+	if len(e.admission.queue) == 0 {
+		e.load.busySince = now
+	}
+	e.admission.queue = append(e.admission.queue, q)
 }
 
 // enqueueMore adds a packet to a held request unless it is a retransmission. A request's
@@ -137,7 +157,12 @@
 // admitQueued admits held entries as long as there is room.
 func (e *Engine) admitQueued(now time.Duration) {
 	for len(e.admission.queue) > 0 && !e.busy(now) && !e.target.silent && !e.target.draining {
-		q := e.dequeue(e.nextQueued())
+		at := e.nextQueued(now)
+		if e.hasGivenUp(now, &e.admission.queue[at]) {
+			e.removeExpired(now) // all of them at once
+			continue
+		}
+		q := e.dequeue(at)
 		if reason := e.wrongTarget(q.service); !q.request && reason != 0 {
 			e.refuseFirst(now, q.arrival, reason)
 			continue
@@ -182,7 +207,10 @@
 }
 
 // nextQueued returns the index of the entry to admit first.
-func (e *Engine) nextQueued() int {
+func (e *Engine) nextQueued(now time.Duration) int {
+	if e.queueGoesByGoals() {
+		return e.nextByGoals(now)
+	}
 	best := 0
 	for i := range e.admission.queue {
 		if e.cfg.Policy.precedes(&e.admission.queue[i], &e.admission.queue[best]) {
@@ -219,26 +247,39 @@
 // removeExpired removes entries that must not be held any longer: first packets are
 // returned, requests whose callers have given up are dropped.
 func (e *Engine) removeExpired(now time.Duration) {
+	e.orderByGoals(now)
+	o := e.outlook(now)
 	kept := e.admission.queue[:0]
 	for _, q := range e.admission.queue {
-		reason := e.removalReason(now, &q)
+		reason, verdict := e.removalReason(now, &q), patience.Waits
 		if reason == 0 {
+			verdict = e.judge(now, &q, len(kept), &o)
+		}
+		if reason == 0 && verdict == patience.Waits {
 			kept = append(kept, q)
 			continue
 		}
 		e.uncountHeld(q)
-		if !q.request {
+		switch {
+		case q.request:
+			e.dropRequest(now, q)
+		case verdict != patience.Waits:
+			e.turnAway(now, q.arrival, verdict)
+		default:
 			e.refuseFirst(now, q.arrival, reason)
-			continue
 		}
-		x := e.flows[q.flow]
-		x.held = false
-		e.storeFlow(q.flow, x)
-		e.noteDecision(now, Decision{Verdict: RequestDropped, Flow: q.flow})
 	}
 	e.admission.queue = kept
 }
 
+// dropRequest drops a held request whose caller has given up.
+func (e *Engine) dropRequest(now time.Duration, q queueEntry) {
+	x := e.flows[q.flow]
+	x.held = false
+	e.storeFlow(q.flow, x)
+	e.noteDecision(now, Decision{Verdict: RequestDropped, Flow: q.flow})
+}
+
 // refuseFirst returns a first packet to its balancer.
 func (e *Engine) refuseFirst(now time.Duration, p arrival, reason peer.Reason) {
 	e.refuse(now, p.from, p.flow, packet.Packet{Flags: packet.SYN}, reason, p.sentAt, p.raw)
@@ -262,7 +303,7 @@
 		return peer.Evacuated
 	case e.target.silent:
 		return peer.TargetSilent
-	case now-q.firstSentAt > e.cfg.Policy.MaxWait:
+	case !e.goesByGoal(q) && now-q.firstSentAt > e.cfg.Policy.MaxWait:
 		return peer.Busy
 	}
 	return 0
--- a/internal/passthrough/forward/forward.go
+++ b/internal/passthrough/forward/forward.go
@@ -100,6 +100,8 @@
 	opening  *bulk.First
 	agent    uint32
 	attempts uint8
+	// copies is the copy number of the first packet that the agent got last.
+	copies uint8
 }
 
 // refusals are the agents that handed a flow's first packet back.
@@ -349,11 +351,19 @@
 	if known && entry.agent != agent {
 		return // a retransmit has already gone to another agent
 	}
-	if reason == peer.Busy || a.age(now) >= packet.HandshakeTimeout {
+	if reason == peer.Busy && e.overtaken(f, entry, a.p) {
+		e.noteBusy(agent)
+		return
+	}
+	if reason == peer.Busy && !e.hasGoal(f.Service) || a.age(now) >= e.callerLimit(f) {
 		e.rejectFlow(now, a, f, entry, reason)
 		return
 	}
 	switch reason {
+	case peer.Busy:
+		e.noteBusy(agent)
+		e.retryBusy(now, a, f, entry, agent)
+		return
 	case peer.Full:
 		e.agents.list[agent].avoidUntil = now + fullTargetBackoff
 	case peer.TargetSilent, peer.Draining, peer.NoTarget, peer.WrongService, peer.Evacuated, peer.Cold, peer.NotHome:
