--- a/internal/passthrough/link/link.go
+++ b/internal/passthrough/link/link.go
@@ -93,7 +93,7 @@
 		e.learnMost(took, unexplained)
 	}
 	if unexplained > queueTolerance {
-		e.rate = max(e.rate*shrinkFactor, e.most*leastShare)
+		e.rate = max(e.rate*shrinkFactor, max(e.stated, e.most)*leastShare)
 	} else {
 		e.rate = min(e.rate*growFactor, e.most)
 	}
