--- a/internal/passthrough/link/link_test.go
+++ b/internal/passthrough/link/link_test.go
@@ -105,9 +105,9 @@
 	step(2*ms, 5_000)
 	is.Equal(e.Rate(), 0.0)
 	step(52*ms, 75_000)
-	step(102*ms, 75_000) // the queue grows by 50 ms in 100
+	step(102*ms, 75_000)                                         // the queue grows by 50 ms in 100
 	is.True(e.Rate() > 0.9*shrinkFactor*rate && e.Rate() < rate) // less, while the queue drains
-	for range 10 { // small packets alone exceed what was learned, and no answer is late
+	for range 10 {                                               // small packets alone exceed what was learned, and no answer is late
 		step(2*ms, 100_000)
 	}
 	is.True(e.Rate() > 1.8*rate)
