Link queues: without a known rate, a queue takes evidence

Change: until a queue has told the rate, at least three round trips in force count, none above the bound on the estimate, silence doesn't, and bulk flows aren't bounded. A stated rate works as before. Result: TestUnknownRateNeedsSamples and TestUnknownRateBoundsNothing fail without the change and pass with it.

--- a/internal/passthrough/bulk/bulk.go
+++ b/internal/passthrough/bulk/bulk.go
@@ -51,8 +51,8 @@
 	// packet.
 	maxInProgress = 4_096
 	maxWaiting    = 1_024
-	// unknownLimit is the limit while the link's rate isn't known.
-	unknownLimit = 4
+	// unknownLimit is the limit while the link's rate isn't known: no queue has told it.
+	unknownLimit = maxInProgress
 	// meanWeight is the weight of one flow in the mean time.
 	meanWeight = 0.1
 )
--- a/internal/passthrough/bulk/bulk_test.go
+++ b/internal/passthrough/bulk/bulk_test.go
@@ -180,6 +180,15 @@
 	}
 }
 
+// Guards against flows that wait for a link on which no queue was ever seen.
+func TestUnknownRateBoundsNothing(t *testing.T) {
+	is := is.New(t)
+	a := newAdmission(0)
+	for port := range uint16(500) {
+		is.Equal(a.Arrive(start, first(port, start)), Start)
+	}
+}
+
 // Guards against retransmits that only the balancer's queue causes: flows take turns, each
 // in the order of its data, and copies of queued packets are dropped.
 func TestQueue(t *testing.T) {
--- a/internal/passthrough/link/link.go
+++ b/internal/passthrough/link/link.go
@@ -25,6 +25,8 @@
 	sampleAge = 250 * time.Millisecond
 	// recentSamples is how many round trips the present delay is taken from.
 	recentSamples = 5
+	// fewSamples is how many of them it takes to tell of a queue where no rate is known.
+	fewSamples = 3
 	// baseAge is how long the least round-trip time is in force, at least; twice that at
 	// most. It must be longer than a queue stays without ever running empty.
 	baseAge = 10 * time.Second
@@ -161,6 +163,9 @@
 
 // RoundTrip records how long the answer to a question took.
 func (e *Estimator) RoundTrip(now, took time.Duration) {
+	if e.rate == 0 && took > MaxDelay {
+		return // lost, or the agent's
+	}
 	e.base.add(now, took)
 	e.recent.add(now, took)
 }
@@ -175,7 +180,7 @@
 	if now-e.stalledAt < sampleAge {
 		d = max(d, e.stall)
 	}
-	if e.asked >= commonSilence {
+	if e.rate > 0 && e.asked >= commonSilence {
 		d = max(d, now-e.askedAt-e.base.value())
 	}
 	return min(d, MaxDelay)
@@ -183,6 +188,9 @@
 
 // measured returns by how much longer than the least the last round trips took.
 func (e *Estimator) measured(now time.Duration) time.Duration {
+	if e.rate == 0 && e.recent.inForce(now) < fewSamples {
+		return 0
+	}
 	return max(0, e.recent.median(now)-e.base.value())
 }
 
@@ -198,6 +206,17 @@
 	r.next = (r.next + 1) % recentSamples
 }
 
+// inForce returns how many samples are in force.
+func (r *recent) inForce(now time.Duration) int {
+	n := 0
+	for _, at := range r.at {
+		if at > 0 && now-at < sampleAge {
+			n++
+		}
+	}
+	return n
+}
+
 // median returns the median of the samples in force, 0 if there is none. One slow agent
 // doesn't change it as a queue of the VM's own does. Of two samples it is the smaller.
 func (r *recent) median(now time.Duration) time.Duration {
--- a/internal/passthrough/link/link_test.go
+++ b/internal/passthrough/link/link_test.go
@@ -56,6 +56,24 @@
 	is.Equal(e.Delay(start+50*ms), time.Duration(0))
 }
 
+// Guards against agents that are given more time for nothing where no rate is known: their
+// silence, or one or two late answers, isn't a queue.
+func TestUnknownRateNeedsSamples(t *testing.T) {
+	for late, want := range []time.Duration{0, 0, 0, 80 * ms} {
+		is := is.New(t)
+		e := New(0)
+		e.RoundTrip(start-sampleAge, 2*ms)
+		for range commonSilence {
+			e.Asked(start)
+		}
+		for range late {
+			e.RoundTrip(start+ms, 82*ms)
+		}
+		e.RoundTrip(start+ms, 2*MaxDelay)
+		is.Equal(e.Delay(start+100*ms), want)
+	}
+}
+
 // Guards against agents taken for silent because this VM didn't run.
 func TestStallDelays(t *testing.T) {
 	is := is.New(t)
