Bulk admission: a flow has its room until its last data is sent

Cause: a FIN made room for the next flow on arrival, while data of its flow was still queued. Change: it does when it is sent. Result: TestQueuedUploadKeepsRoom fails without the change and passes with it.

--- a/internal/passthrough/forward/bulk.go
+++ b/internal/passthrough/forward/bulk.go
@@ -139,9 +139,16 @@
 	g.admission.Packet(now, f, p.Data)
 	if p.Flags.Has(packet.RST) {
 		g.queue.RemoveFunc(func(x packet.Flow) bool { return x == f })
+		e.bulkSent(now, p)
 	}
+}
+
+// bulkSent records that a packet of bulk was sent. The last one of its flow makes room for
+// another flow.
+func (e *Engine) bulkSent(now time.Duration, p packet.Packet) {
+	e.bulk.sentAt = now
 	if p.Closes() {
-		g.admission.End(now, f)
+		e.bulk.admission.End(now, p.FromClient())
 		e.startBulk(now)
 	}
 }
@@ -181,7 +188,7 @@
 		return false
 	}
 	if q.Len() == 0 && e.bulkRoomIn(now) == 0 {
-		e.bulk.sentAt = now
+		e.bulkSent(now, a.p)
 		return false
 	}
 	if !q.Add(now, a.p, a.raw) {
@@ -206,9 +213,9 @@
 	q := &e.bulk.queue
 	for q.Len() > 0 && e.bulkRoomIn(now) == 0 {
 		x := q.First()
-		e.bulk.sentAt = now
 		e.forwardPacket(now, x.Packet, x.Packet.FromClient(), x.Raw)
 		q.Remove()
+		e.bulkSent(now, x.Packet)
 	}
 	if q.Len() == 0 {
 		return 0
--- a/internal/passthrough/forward/bulk_test.go
+++ b/internal/passthrough/forward/bulk_test.go
@@ -259,6 +259,24 @@
 	}
 }
 
+// Guards against a flow that starts behind data of the one before it that is still queued.
+func TestQueuedUploadKeepsRoom(t *testing.T) {
+	is := is.New(t)
+	r := newLinkEngine(t)
+	r.upload(1, 0)
+	r.upload(2, 0)
+	for seq := range uint32(8) {
+		r.body(1, seq, 0)
+	}
+	r.body(1, 8, packet.FIN)
+	is.Equal(r.engine.LinkPressure(r.now).Bulk.Waiting, 1)
+	for r.engine.bulk.queue.Len() > 0 {
+		is.Equal(r.engine.LinkPressure(r.now).Bulk.Waiting, 1)
+		r.waitAs(20 * time.Millisecond)
+	}
+	is.Equal(r.engine.LinkPressure(r.now).Bulk.Waiting, 0)
+}
+
 // Guards against small requests behind a window of bulk: it is queued here and sent as the
 // link carries it, while the packets of others go on at once.
 func TestBulkYieldsToSmallPackets(t *testing.T) {
