Flow table: restored uploads count apart

Cause: flows restored from control's record lacked the mark of a bulk route, and filled their target. Change: they get it if the table has come before the record.

--- a/internal/passthrough/flowtable/recall.go
+++ b/internal/passthrough/flowtable/recall.go
@@ -64,7 +64,7 @@
 // restoreRecorded restores the recorded flows of the present target.
 func (e *Engine) restoreRecorded(now time.Duration, u flowlog.Update) {
 	n := e.eachUnknown(u, func(f packet.Flow, ack uint32) {
-		e.storeFlow(f, flow{stage: open, seenAt: now, openedAt: now, clientAck: ack, answered: true, recorded: true, recordedAck: ack})
+		e.storeFlow(f, flow{stage: open, seenAt: now, openedAt: now, bulk: e.isBulk(f), clientAck: ack, answered: true, recorded: true, recordedAck: ack})
 	})
 	e.noteDecision(now, Decision{Verdict: FlowsRecalled, Flows: n})
 }
