Balancer: queued bulk isn't sent once it has stopped; link pressure is logged from 20 ms

Cause: the timer of queued packets could fire after the sockets were closed, and 1 ms of delay was logged. Change: Run stops the timer when it ends; a delay counts from 20 ms on. Result: vet, staticcheck and the tests of the folder's packages pass; no test of its own.

--- a/internal/passthrough/balancer/balancer.go
+++ b/internal/passthrough/balancer/balancer.go
@@ -80,9 +80,10 @@
 	engine    *forward.Engine
 	questions datagram.Batches[peer.Question]
 	buf       []byte
-	// sendTimer fires when queued packets are to be sent; sendPending says that it is set.
-	sendTimer   *time.Timer
-	sendPending bool
+	// sendTimer fires when queued packets are to be sent; sendPending says that it is set,
+	// sendStopped that it isn't set any more.
+	sendTimer                *time.Timer
+	sendPending, sendStopped bool
 
 	// tableSince is when the first table arrived, on the clock of now; 0 if none has.
 	tableSince atomic.Int64
@@ -146,6 +147,7 @@
 	_ = b.fabric.Close()
 	_ = b.nodes.Close()
 	running.Wait()
+	b.stopSending()
 	return nil
 }
 
--- a/internal/passthrough/balancer/linkpressure.go
+++ b/internal/passthrough/balancer/linkpressure.go
@@ -11,8 +11,12 @@
 	"bergamotstall/internal/wait"
 )
 
-// linkPressureInterval is the time between two log lines on the link and its bulk flows.
-const linkPressureInterval = 2 * time.Second
+const (
+	// linkPressureInterval is the time between two log lines on the link and its bulk flows.
+	linkPressureInterval = 2 * time.Second
+	// loggedDelay is the delay of the link from which it is logged.
+	loggedDelay = 20 * time.Millisecond
+)
 
 // publishLinkPressure publishes gauges of the link and its bulk flows.
 func (b *Balancer) publishLinkPressure() {
@@ -35,7 +39,7 @@
 func (b *Balancer) logLinkPressure(ctx context.Context) {
 	for wait.For(ctx, linkPressureInterval) {
 		p := b.linkPressure()
-		if p.Bulk.InProgress+p.Bulk.Waiting == 0 && p.Delay < time.Millisecond {
+		if p.Bulk.InProgress+p.Bulk.Waiting == 0 && p.Delay < loggedDelay {
 			continue
 		}
 		events.Log(b.cfg.Log, events.LinkPressure, logrus.Fields{
--- a/internal/passthrough/balancer/output.go
+++ b/internal/passthrough/balancer/output.go
@@ -45,7 +45,7 @@
 // others. The caller holds the lock.
 func (b *Balancer) sendQueued() {
 	next := b.engine.SendQueued(b.now())
-	if next > 0 && !b.sendPending {
+	if next > 0 && !b.sendPending && !b.sendStopped {
 		b.sendPending = true
 		b.sendTimer.Reset(next)
 	}
@@ -55,7 +55,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sendPending = false
-	b.sendQueued()
+	if !b.sendStopped {
+		b.sendQueued()
+	}
+}
+
+func (b *Balancer) stopSending() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sendStopped = true
+	b.sendTimer.Stop()
 }
 
 const (
