Bulk admission: on wide links starts don't look at all flows

Cause: each first packet looked at every flow known. Change: none is looked at while fewer are known than may be in progress. Result: the package's tests pass; the cost wasn't measured.

--- a/internal/passthrough/bulk/bulk.go
+++ b/internal/passthrough/bulk/bulk.go
@@ -286,9 +286,11 @@
 	return out
 }
 
-// hasRoom tells whether a flow may start and can be counted.
+// hasRoom tells whether a flow may start and can be counted. While fewer flows are known than
+// may be in progress, none needs to be looked at.
 func (a *Admission) hasRoom(now time.Duration) bool {
-	return a.InProgress(now) < a.Limit() && a.makeSpace(now)
+	limit := a.Limit()
+	return (len(a.flows) < limit || a.InProgress(now) < limit) && a.makeSpace(now)
 }
 
 // makeSpace forgets the flows that take no room if there is no space for another flow, and
