Search: packets of bulk found a holder for wait for room on the link

Cause: what a search had held was sent at once when it ended, up to a window, past the queue of bulk. Change: packets of bulk flows go by that queue. Result: TestFoundUploadIsQueued fails without the change and passes with it.

--- a/internal/passthrough/forward/bulk_test.go
+++ b/internal/passthrough/forward/bulk_test.go
@@ -277,6 +277,20 @@
 	is.Equal(r.engine.LinkPressure(r.now).Bulk.Waiting, 0)
 }
 
+// Guards against a window of bulk sent at once because its flow was searched for.
+func TestFoundUploadIsQueued(t *testing.T) {
+	is := is.New(t)
+	r := newLinkEngine(t)
+	for seq := range uint32(10) {
+		r.body(3, seq, 0)
+	}
+	r.answerAs(r.asked[0].to, peer.Holds)
+	is.True(len(r.delivered) < 5)
+	r.waitAs(300 * time.Millisecond)
+	is.Equal(len(r.delivered), 10)
+	is.Equal(r.engine.heldPackets, 0)
+}
+
 // Guards against small requests behind a window of bulk: it is queued here and sent as the
 // link carries it, while the packets of others go on at once.
 func TestBulkYieldsToSmallPackets(t *testing.T) {
--- a/internal/passthrough/forward/search.go
+++ b/internal/passthrough/forward/search.go
@@ -51,7 +51,7 @@
 	// ack and flags are of the newest packet; a reset's sequence number must be near ack.
 	ack   uint32
 	flags packet.Flags
-	held  [][]byte
+	held  []heldPacket
 	// pending are the agents that the present stage still has to ask.
 	pending []uint32
 	// askingAll is set once the last stage has started, in which all agents are asked;
@@ -81,6 +81,12 @@
 	clientReset bool
 }
 
+// heldPacket is a packet that waits for the end of a search.
+type heldPacket struct {
+	p   packet.Packet
+	raw []byte
+}
+
 // startSearch queues a search for a flow's holder, or adds the packet to one that exists.
 // nonHolder is an agent known not to hold the flow, noAgent if none.
 func (e *Engine) startSearch(now time.Duration, p packet.Packet, f packet.Flow, raw []byte, nonHolder uint32) {
@@ -94,13 +100,13 @@
 		e.searches[f] = s
 		s.ack, s.flags = p.Ack, p.Flags
 		s.nonHolder = nonHolder
-		e.holdPacket(f, s, raw)
+		e.holdPacket(f, s, p, raw)
 		e.searchQueue = append(e.searchQueue, f)
 		e.startQueuedSearches(now)
 		return
 	}
 	s.ack, s.flags = p.Ack, p.Flags
-	e.holdPacket(f, s, raw)
+	e.holdPacket(f, s, p, raw)
 }
 
 // startQueuedSearches starts searches in the order of the queue while the budget lasts.
@@ -124,12 +130,12 @@
 	}
 }
 
-func (e *Engine) holdPacket(f packet.Flow, s *search, raw []byte) {
+func (e *Engine) holdPacket(f packet.Flow, s *search, p packet.Packet, raw []byte) {
 	if len(s.held) >= maxHeldPerFlow || e.heldPackets >= maxHeldPackets {
 		e.logDecision(Decision{Flow: f, Verdict: DroppedBusy})
 		return
 	}
-	s.held = append(s.held, append([]byte(nil), raw...))
+	s.held = append(s.held, heldPacket{p, append([]byte(nil), raw...)})
 	e.heldPackets++
 }
 
@@ -212,15 +218,20 @@
 	e.continueSearch(now, f, s)
 }
 
-// finishSearch ends a search whose holder is known, and delivers the held packets.
+// finishSearch ends a search whose holder is known, and delivers the held packets; bulk only as
+// the link has room for it.
 func (e *Engine) finishSearch(now time.Duration, f packet.Flow, s *search, agent uint32) {
 	a := &e.agents.list[agent]
 	entry := flowEntry{agent: agent, service: a.service(), lastPacketAt: now}
-	if len(e.flows) < maxFlows {
+	known := len(e.flows) < maxFlows
+	if known {
 		e.flows[f] = entry
 	}
-	for _, raw := range s.held {
-		e.deliver(entry, 0, raw)
+	queues := known && e.isBulk(f)
+	for _, x := range s.held {
+		if !queues || !e.queuesBulk(now, arrival{arrivedAt: now, p: x.p, raw: x.raw}) {
+			e.deliver(entry, 0, x.raw)
+		}
 	}
 	e.logDecision(Decision{Flow: f, Verdict: Found, Agent: a.address, ReportAge: now - a.reportedAt, Waited: now - s.arrivedAt, Asked: len(s.asked), Silent: len(s.unanswered)})
 	e.dropSearch(f)
@@ -253,9 +264,9 @@
 // these agents, since a search that waits keeps others from starting.
 func (e *Engine) startTrials(now time.Duration, s *search) bool {
 	for len(s.held) > 0 && len(s.unsure) > 0 && e.budget.allows(true) {
-		e.budget.spendBytes(len(s.held[0]) + trialOverhead)
+		e.budget.spendBytes(len(s.held[0].raw) + trialOverhead)
 		agent := s.unsure[0]
-		e.deliver(flowEntry{agent: agent, service: e.agents.list[agent].service()}, 0, s.held[0])
+		e.deliver(flowEntry{agent: agent, service: e.agents.list[agent].service()}, 0, s.held[0].raw)
 		s.trials = append(s.trials, agent)
 		s.unsure = s.unsure[1:]
 		s.trialAt = now
@@ -287,7 +298,7 @@
 // the flow may be open there, so no reset is sent.
 func (e *Engine) giveUp(now time.Duration, f packet.Flow, s *search) {
 	if e.startingUp(now) && len(s.held) > 0 {
-		newest := s.held[len(s.held)-1]
+		newest := s.held[len(s.held)-1].raw
 		p := packet.Packet{Src: f.Client, Dst: f.Service, Flags: s.flags, Ack: s.ack}
 		e.holdUntilReady(f, arrival{arrivedAt: now, p: p, raw: newest}, true)
 		e.dropSearch(f)
