Balancers: long-held callers are offered free slots only

A caller that was held for as long as is allowed went from one short queue to another, each of which handed it back at once. Two tests of room that shared a parameter are told apart by name. A new incarnation of a target starts without its predecessor's arrivals and time of the last answer (no test of its own).

TestLongHeldCallerIsOfferedFreeSlotsOnly failed before (3 deliveries for 2) and passes; forward, flowtable and patience pass.

--- a/internal/passthrough/flowtable/admission.go
+++ b/internal/passthrough/flowtable/admission.go
@@ -25,8 +25,8 @@
 // is true. A request over an open flow is never refused: a reset wouldn't tell its caller
 // whether the request ran, and a submission would be lost for good.
 //
-// Where callers' goals are in force (goals.go), they replace MaxWait and the order within a
-// route.
+// Where a route states a goal and goals are in force (goals.go), they replace MaxWait and the
+// order within a route, and a caller without a turn in its time is refused on arrival.
 
 // Policy holds the thresholds of admission, and switches that turn single mechanisms off
 // to compare the results without them.
--- a/internal/passthrough/flowtable/incarnation.go
+++ b/internal/passthrough/flowtable/incarnation.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"bergamotstall/internal/passthrough/patience"
 	"bergamotstall/internal/passthrough/route"
 )
 
@@ -84,6 +85,8 @@
 			e.resetFlowsOf(now, before)
 		}
 	}
+	e.load.answeredAt, e.load.busySince = 0, now
+	e.admission.arrivals = patience.Arrivals{}
 	e.noteReplaced(before.incarnation, a.incarnation())
 	e.target = target{incarnation: a.incarnation(), known: true, service: route.IDOf(a.Service), firstHeardAt: now}
 	e.noteDecision(now, Decision{Verdict: TargetArrived, AllFlowsKnown: e.knowsAllFlows(now)})
--- a/internal/passthrough/forward/room.go
+++ b/internal/passthrough/forward/room.go
@@ -57,9 +57,14 @@
 // another target; the handshake and the answer take the rest.
 const turnShare = 0.25
 
-// longestWait is how long a first packet may wait at another target and still make its goal.
+// longestWait is how long a first packet may wait at another target and still make its goal;
+// 0 if it was held for so long already that another agent would hand it back.
 func (e *Engine) longestWait(now time.Duration, a arrival, f packet.Flow) time.Duration {
-	left := e.table.Demand(f.Service).Goal - a.age(now)
+	d := e.table.Demand(f.Service)
+	if now-a.arrivedAt >= patience.LongestHold(d.Timeout, true) {
+		return 0
+	}
+	left := d.Goal - a.age(now)
 	return time.Duration(turnShare * float64(max(0, left)))
 }
 
@@ -107,7 +112,8 @@
 	return choice{agent: noAgent}
 }
 
-// withRoomOf picks a target of one service, at random among those with room.
+// withRoomOf picks a target of one service, at random among those with a free slot, or with a
+// queue of at most the given time if that is above 0.
 func (c *chooser) withRoomOf(service route.ServiceID, longestWait time.Duration) choice {
 	for _, near := range []bool{true, false} {
 		picked, seen := noAgent, 0
@@ -134,15 +140,25 @@
 }
 
 // hasRoom tells whether a flow sent to the agent now gets a turn within the given time, by
-// the agent's last report: at once if the target has a free slot, with the flows sent since
-// then taken off.
+// the agent's last report; with 0, whether it gets one at once.
 func (a *agent) hasRoom(now, longestWait time.Duration) bool {
 	if !a.hasFreshReport(now) {
 		return false
 	}
 	if longestWait > 0 {
-		wait := time.Duration(a.report.WaitMS) * time.Millisecond
-		return wait > 0 && a.flowsSent == 0 && wait <= longestWait
+		return a.hasShortQueue(longestWait)
 	}
+	return a.hasFreeSlot()
+}
+
+// hasFreeSlot tells whether the target has a slot beyond the flows sent since the report.
+func (a *agent) hasFreeSlot() bool {
 	return a.report.WaitMS == 0 && a.report.Running+a.flowsSent < a.report.Slots
 }
+
+// hasShortQueue tells whether a flow waits at most the given time, as far as known: the flows
+// sent since the report have made the queue longer by an unknown time.
+func (a *agent) hasShortQueue(longestWait time.Duration) bool {
+	wait := time.Duration(a.report.WaitMS) * time.Millisecond
+	return wait > 0 && a.flowsSent == 0 && wait <= longestWait
+}
--- a/internal/passthrough/forward/room_test.go
+++ b/internal/passthrough/forward/room_test.go
@@ -80,6 +80,24 @@
 	is.Equal(len(r.resets), 2)
 }
 
+// Guards against a caller, held for as long as is allowed, that goes from queue to queue.
+func TestLongHeldCallerIsOfferedFreeSlotsOnly(t *testing.T) {
+	is := is.New(t)
+	r := newGoalsEngine(t)
+	r.engine.SetTable(r.now, route.NewTable(&route.Definition{Version: 3, Routes: []route.Route{{
+		Name: "r", IP: service.IP, Port: service.Port, TimeoutMS: 5000, GoalMS: 3000, Backends: []route.Backend{{Service: caseworkService, Weight: 1}},
+	}}}))
+	for n := byte(1); n <= 3; n++ {
+		r.busyAgent(n, 9, 90)
+	}
+	r.send(syn(7))
+	r.refuseAsBusy(7, 600*time.Millisecond)
+	is.Equal(len(r.delivered), 2)
+	r.refuseAsBusy(7, 640*time.Millisecond)
+	is.Equal(len(r.delivered), 2)
+	is.Equal(len(r.resets), 1)
+}
+
 // Guards against a flow that is delivered to two targets: by a refusal, and by the placement
 // of its copy, which waits for loads.
 func TestRefusalDuringPlacementChangesNothing(t *testing.T) {
--- a/internal/passthrough/patience/judge.go
+++ b/internal/passthrough/patience/judge.go
@@ -33,6 +33,11 @@
 // less what passes until the caller hears of it.
 const heldShare = 0.45
 
+// LongestHold is how long a caller may be held without a turn.
+func LongestHold(timeout time.Duration, opening bool) time.Duration {
+	return time.Duration(heldShare * float64(Limit(timeout, opening)))
+}
+
 // Judge says whether a caller may go on waiting at a busy target. ahead is how many go
 // before it. moreUrgent is the part of the target's time that later arrivals of more urgent
 // routes take, asUrgent that of those and of equally urgent ones who come in time.
@@ -43,7 +48,7 @@
 	switch {
 	case c.ClassAt(now, o) == Hopeless:
 		return OutOfTime
-	case now-c.HeldSince >= time.Duration(heldShare*float64(c.limit())):
+	case now-c.HeldSince >= LongestHold(c.Timeout, c.Opening):
 		return HeldTooLong
 	case c.ClassAt(now+o.Wait(ahead, moreUrgent), o) == InTime:
 		return Waits
--- a/internal/passthrough/peer/peer.go
+++ b/internal/passthrough/peer/peer.go
@@ -73,7 +73,8 @@
 	NoTarget
 	// Busy means that the first packet waited for a free slot for as long as is useful to
 	// its caller, or that its turn would come too late. It must not be offered to another
-	// target, unless callers' goals are in force and that one has a free slot.
+	// target, unless its route's goal is in force and that one has a free slot or a short
+	// queue.
 	Busy
 	// Evacuated means that the target's data centre accepts no new flows.
 	Evacuated
