Agents: a held entry's priority is stated once

The queue's fixed order used a copy beside the caller's. Now it uses the caller's, which is 0 while priorities are ignored. flowtable passes.

--- a/internal/passthrough/flowtable/queue.go
+++ b/internal/passthrough/flowtable/queue.go
@@ -59,7 +59,6 @@
 // queueEntry is a held first packet or a held request over an open flow.
 type queueEntry struct {
 	arrival
-	priority uint32
 	// caller is the one who waits, as package patience judges it.
 	caller patience.Caller
 	// request is set for a request over an open flow. Then seq is the sequence number of
@@ -86,8 +85,8 @@
 // within a route the newest first, because its caller can still be answered in time. In
 // order of arrival a backlog would make all of them late.
 func (p *Policy) precedes(q, other *queueEntry) bool {
-	if q.priority != other.priority && !p.IgnorePriority {
-		return q.priority < other.priority
+	if q.caller.Priority != other.caller.Priority {
+		return q.caller.Priority < other.caller.Priority
 	}
 	if p.OldestFirst {
 		return q.firstSentAt < other.firstSentAt
@@ -102,7 +101,7 @@
 		e.noteCopy(now, &e.admission.queue[at], p)
 		return
 	}
-	q := queueEntry{arrival: p, priority: e.table.Priority(p.flow.Service), caller: e.openingCaller(now, p)}
+	q := queueEntry{arrival: p, caller: e.openingCaller(now, p)}
 	defer e.countArrival(now, q.caller) // its own arrival doesn't come before it
 	if len(e.admission.queue) >= maxQueue {
 		e.refuseFirst(now, p, peer.Full)
@@ -126,7 +125,7 @@
 func (e *Engine) enqueueRequest(now time.Duration, f packet.Flow, from netip.AddrPort, seq uint32, raw []byte) {
 	p := arrival{flow: f, from: from, raw: raw, sentAt: now, firstSentAt: now}
 	e.admission.heldRequestPackets++
-	e.enqueue(now, queueEntry{arrival: p.clone(), priority: e.table.Priority(f.Service), caller: e.requestCaller(p), request: true, seq: seq, expiresAt: now + e.maxHoldTime(f)})
+	e.enqueue(now, queueEntry{arrival: p.clone(), caller: e.requestCaller(p), request: true, seq: seq, expiresAt: now + e.maxHoldTime(f)})
 }
 
 // enqueue appends an entry to the queue.
