Agents: dropped first packets have a verdict of their own

A silent caller's packet was logged and counted as refused, although it isn't handed back; the counter pass_turned_away_waits was always 0 and is gone. flowtable and explain pass; no test of its own.

--- a/internal/passthrough/agent/agent.go
+++ b/internal/passthrough/agent/agent.go
@@ -95,7 +95,8 @@
 	// lastHeard is when each balancer last sent a datagram.
 	lastHeard map[netip.AddrPort]time.Duration
 	verdicts  []*expvar.Int
-	// turnedAway counts the first packets that were refused by callers' goals, by reason.
+	// turnedAway counts the first packets that were refused or dropped by callers' goals, by
+	// verdict, without patience.Waits.
 	turnedAway []*expvar.Int
 
 	answeredAfter, admittedAfter, turnedAwayAfter *metrics.Histogram
@@ -131,7 +132,7 @@
 	for v := flowtable.Verdict(0); v.String() != "unknown"; v++ {
 		a.verdicts = append(a.verdicts, cfg.Metrics.Counter("pass_"+v.String()))
 	}
-	for v := patience.Waits; v.String() != "unknown"; v++ {
+	for v := patience.Waits + 1; v.String() != "unknown"; v++ {
 		a.turnedAway = append(a.turnedAway, cfg.Metrics.Counter("pass_turned_away_"+v.String()))
 	}
 	cfg.Metrics.Gauge("pass_flows", func() int64 {
--- a/internal/passthrough/agent/output.go
+++ b/internal/passthrough/agent/output.go
@@ -97,7 +97,7 @@
 		fields["reason"] = d.Reason.String()
 	}
 	if d.Patience != patience.Waits {
-		a.turnedAway[d.Patience].Add(1)
+		a.turnedAway[d.Patience-1].Add(1)
 		a.turnedAwayAfter.Record(d.Waited)
 		fields["patience"] = d.Patience.String()
 		fields["waited_ms"] = d.Waited.Milliseconds()
--- a/internal/passthrough/flowtable/decision.go
+++ b/internal/passthrough/flowtable/decision.go
@@ -64,11 +64,13 @@
 	// RequestDropped: a request over an open flow was held for longer than its caller
 	// waits.
 	RequestDropped
+	// FirstDropped: a silent caller's first packet was dropped once its time had passed.
+	FirstDropped
 )
 
 var verdictNames = [...]string{"", "refused-first", "refused-later", "target-arrived", "target-drains", "target-left",
 	"target-silent", "target-answers", "target-dead", "stale-announcement", "flows-reset", "flows-recalled",
-	"target-unsteady", "request-dropped"}
+	"target-unsteady", "request-dropped", "first-dropped"}
 
 func (v Verdict) String() string {
 	if int(v) < len(verdictNames) {
@@ -84,7 +86,7 @@
 	Flow   packet.Flow
 	Reason peer.Reason
 	// Patience says why a caller wasn't allowed to wait on, Waited how long it had waited;
-	// set for first packets that are refused by callers' goals.
+	// set for first packets that are refused or dropped by callers' goals.
 	Patience patience.Verdict
 	Waited   time.Duration
 	// Target and Born identify the incarnation.
--- a/internal/passthrough/flowtable/goals.go
+++ b/internal/passthrough/flowtable/goals.go
@@ -161,8 +161,10 @@
 // in time. That of a silent caller is dropped: a reset could meet a flow that was opened
 // elsewhere meanwhile.
 func (e *Engine) turnAway(now time.Duration, p arrival, why patience.Verdict) {
-	if why != patience.Silent {
-		e.cfg.Out.Refuse(p.from, peer.Busy, now-p.sentAt, p.raw)
+	if why == patience.Silent {
+		e.noteDecision(now, Decision{Verdict: FirstDropped, Flow: p.flow, Patience: why, Waited: now - p.sentAt})
+		return
 	}
+	e.cfg.Out.Refuse(p.from, peer.Busy, now-p.sentAt, p.raw)
 	e.noteDecision(now, Decision{Verdict: RefusedFirst, Flow: p.flow, Reason: peer.Busy, Patience: why, Waited: now - p.sentAt})
 }
