bergamotctl explain -where: where a new flow would go, asked of live balancers

Logs tell what happened to a flow; nothing told where the next one would go and what keeps targets out. A balancer answers this at its metrics port by the code that places flows, on a copy with random numbers of its own: nothing is sent, and the next flow gets what it would have got.

--- a/cmd/bergamotctl/explain.go
+++ b/cmd/bergamotctl/explain.go
@@ -12,24 +12,31 @@
 // examplesPerCause is the maximum number of flows that -worst lists for each cause.
 const examplesPerCause = 3
 
-// runExplain analyses logs of balancers and agents and prints what happened to flows.
-func runExplain(_ context.Context, c *invocation) int {
+// runExplain analyses logs of balancers and agents and prints what happened to flows, or asks
+// balancers where a new flow would go.
+func runExplain(ctx context.Context, c *invocation) int {
 	flags := flag.NewFlagSet("bergamotctl explain", flag.ContinueOnError)
 	flags.SetOutput(c.errOut)
 	flow := flags.String("flow", "", "the `flow` to tell of, CALLER:PORT>SERVICE:PORT")
 	worst := flags.Bool("worst", false, "group the flows that failed or were late by cause")
 	traffic := flags.Bool("traffic", false, "tell how much the processes sent and received, by kind of message")
 	late := flags.Duration("late", explain.DefaultLateThreshold, "with -worst: the wait from which on a flow is late")
+	where := flags.String("where", "", "ask balancers where a new flow to this service `address` would go, without sending it")
+	client := flags.String("client", anyClient, "with -where: the caller's `address`")
+	asJSON := flags.Bool("json", false, "with -where: print the answers as JSON")
 	switch err := flags.Parse(c.args); {
 	case err == flag.ErrHelp:
 		return exitOK
 	case err != nil:
 		return exitUsage
 	}
-	if !exactlyOne(*flow != "", *worst, *traffic) {
-		fmt.Fprintln(c.errOut, "usage: bergamotctl explain -flow CALLER:PORT>SERVICE:PORT | -worst [-late TIME] | -traffic [FILE ...]\nwithout a file the logs are read from standard input")
+	if !exactlyOne(*flow != "", *worst, *traffic, *where != "") || *where != "" && flags.NArg() == 0 {
+		fmt.Fprintln(c.errOut, "usage: bergamotctl explain -flow CALLER:PORT>SERVICE:PORT | -worst [-late TIME] | -traffic [FILE ...]\nwithout a file the logs are read from standard input\n       bergamotctl explain -where SERVICE:PORT [-client CALLER:PORT] [-json] BALANCER:METRICS_PORT ...")
 		return exitUsage
 	}
+	if *where != "" {
+		return c.explainWhere(ctx, question{service: *where, client: *client, asJSON: *asJSON}, flags.Args())
+	}
 	log := explain.NewLog()
 	if err := addLogs(log, flags.Args()); err != nil {
 		fmt.Fprintln(c.errOut, err)
--- a/cmd/bergamotctl/main.go
+++ b/cmd/bergamotctl/main.go
@@ -75,7 +75,7 @@
 	{"history", "", "show the audit record", runHistory},
 	{"call", "URL", "send one HTTP/3 request as a caller", runCall},
 	{"load", "IP:PORT", "play callers against a service and report what they got", runLoad},
-	{"explain", "-flow FLOW|-worst FILE ...", "tell from logs what happened to pass-through flows", runExplain},
+	{"explain", "-flow FLOW|-worst FILE ...", "tell from logs what happened to pass-through flows; -where: where a new one would go", runExplain},
 	{"evacuate", "[DATA_CENTRE]", "keep new pass-through flows out of a data centre, or list those", runEvacuate},
 	{"experiment", "placement|sweeps|slots|retries|pass", "play the decisions under load in simulated time", runExperiment},
 	{"status", "", "show control VMs, balancers and what is in force", runStatus},
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -16,10 +16,21 @@
 type Set struct {
 	mu   sync.Mutex
 	vars *expvar.Map
+	mux  *http.ServeMux
 }
 
 // New returns an empty set. Listen publishes it.
-func New() *Set { return &Set{vars: new(expvar.Map).Init()} }
+func New() *Set {
+	s := &Set{vars: new(expvar.Map).Init(), mux: http.NewServeMux()}
+	s.Handle("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		_, _ = w.Write([]byte(s.String()))
+	})
+	return s
+}
+
+// Handle serves a read-only question about the role beside the set.
+func (s *Set) Handle(pattern string, answer http.HandlerFunc) { s.mux.HandleFunc(pattern, answer) }
 
 // Counter returns the counter with the given name, which it creates on first use. It
 // takes a lock: callers on a hot path keep the result.
@@ -83,11 +94,6 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "metrics: listen")
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json; charset=utf-8")
-		_, _ = w.Write([]byte(s.String()))
-	})
-	go func() { _ = http.Serve(ln, mux) }()
+	go func() { _ = http.Serve(ln, s.mux) }()
 	return ln, nil
 }
--- a/internal/passthrough/balancer/balancer.go
+++ b/internal/passthrough/balancer/balancer.go
@@ -114,6 +114,7 @@
 	})
 	b.verdicts = counters(cfg.Metrics)
 	b.waitTimes = waitHistograms(cfg.Metrics)
+	cfg.Metrics.Handle("GET "+ExplainPath, b.explain)
 	cfg.Metrics.Gauge("pass_flows", func() int64 { return b.gauge((*forward.Engine).Flows) })
 	cfg.Metrics.Gauge("pass_searches", func() int64 { return b.gauge((*forward.Engine).Searches) })
 	return b, nil
