--- a/internal/passthrough/forward/explain.go
+++ b/internal/passthrough/forward/explain.go
@@ -75,8 +75,9 @@
 	TakesNoFlows Unfit = "takes-no-flows"
 )
 
-// Explain returns what the engine would do with the first packet of a flow. It changes
-// nothing, and sends nothing.
+// Explain returns where the engine would place the first packet of a flow. It changes nothing,
+// and sends nothing. Bounds on bulk flows and on callers during a shortage come before the
+// placement and aren't part of it.
 func (e *Engine) Explain(now time.Duration, f packet.Flow) Explanation {
 	if e.table == nil {
 		return Explanation{Verdict: HeldEarly}
