Bulk admission: a refused first packet of an unknown flow isn't answered

Cause: a first packet that came back after its flow had been forgotten counted as the only copy, and the flow could be reset. Change: a bulk flow of whose copies nothing is known isn't reset. Result: TestRefusedUploadOfUnknownFlow fails without the change and passes with it.

--- a/internal/passthrough/forward/bulk.go
+++ b/internal/passthrough/forward/bulk.go
@@ -114,12 +114,11 @@
 
 // mayBeOpen tells whether a flow that no target here accepts may have been opened through
 // another balancer, as its first packet, or a copy of it, was held for long.
-func (e *Engine) mayBeOpen(now time.Duration, a arrival, f packet.Flow, entry flowEntry) bool {
-	x := entry.opening
-	if x == nil && e.isBulk(f) {
-		x = e.newFirst(now, a, f)
+func (e *Engine) mayBeOpen(now time.Duration, f packet.Flow, entry flowEntry) bool {
+	if entry.opening == nil {
+		return e.isBulk(f) // of its copies nothing is known
 	}
-	return x != nil && !x.OnlyHere(now)
+	return !entry.opening.OnlyHere(now)
 }
 
 // newFirst describes a first packet of a flow of which no other copy is known.
--- a/internal/passthrough/forward/bulk_test.go
+++ b/internal/passthrough/forward/bulk_test.go
@@ -189,6 +189,16 @@
 	is.Equal(len(r.delivered), 1)
 }
 
+// Guards against the reset of an open flow by a copy of its first packet that comes back when
+// nothing is known of the flow any more.
+func TestRefusedUploadOfUnknownFlow(t *testing.T) {
+	is := is.New(t)
+	r := newLinkEngine(t)
+	r.engine.HandleRefused(r.now, r.agentAt(1, caseworkService), peer.Header{Reason: peer.Busy}, packet.Packet{Src: client(1), Dst: uploads, Flags: packet.SYN}, rawOf(0))
+	is.Equal(len(r.resets), 0)
+	is.Equal(r.lastDecision().Verdict, DroppedBulk)
+}
+
 // Guards against room that a caller without a target keeps: the upload that every agent
 // refuses leaves it to the next. The target drains, or its data centre is evacuated, while
 // the first packet waits.
--- a/internal/passthrough/forward/forward.go
+++ b/internal/passthrough/forward/forward.go
@@ -296,11 +296,11 @@
 }
 
 // rejectFlow resets a flow that no target accepts, unless it may be open; nothing ran.
-func (e *Engine) rejectFlow(now time.Duration, a arrival, f packet.Flow, entry flowEntry, reason peer.Reason) {
+func (e *Engine) rejectFlow(now time.Duration, f packet.Flow, entry flowEntry, reason peer.Reason) {
 	delete(e.flows, f)
 	e.endBulk(now, f)
 	d := Decision{Flow: f, Verdict: DroppedBulk, Reason: reason, Asked: int(entry.attempts)}
-	if !e.mayBeOpen(now, a, f, entry) {
+	if !e.mayBeOpen(now, f, entry) {
 		d.Verdict = RefusedNoTarget
 		e.cfg.Out.Reset(f, 0)
 	}
@@ -350,7 +350,7 @@
 		return // a retransmit has already gone to another agent
 	}
 	if reason == peer.Busy || a.age(now) >= packet.HandshakeTimeout {
-		e.rejectFlow(now, a, f, entry, reason)
+		e.rejectFlow(now, f, entry, reason)
 		return
 	}
 	switch reason {
--- a/internal/passthrough/forward/placement.go
+++ b/internal/passthrough/forward/placement.go
@@ -64,7 +64,7 @@
 // place offers a first packet to a target that hasn't handed it back.
 func (e *Engine) place(now time.Duration, x arrival, f packet.Flow, entry flowEntry, reason peer.Reason) {
 	if entry.attempts >= maxPlacementAttempts {
-		e.rejectFlow(now, x, f, entry, reason)
+		e.rejectFlow(now, f, entry, reason)
 		return
 	}
 	e.tryPlacement(now, f, &pendingPlacement{arrival: x, entry: entry, reason: reason, startedAt: now})
@@ -91,7 +91,7 @@
 	case p.entry.attempts == 0 && e.startingUp(now):
 		e.holdUntilReady(f, p.arrival, false)
 	default:
-		e.rejectFlow(now, p.arrival, f, p.entry, p.reason)
+		e.rejectFlow(now, f, p.entry, p.reason)
 	}
 }
 
