--- a/internal/passthrough/bulk/bulk.go
+++ b/internal/passthrough/bulk/bulk.go
@@ -51,8 +51,10 @@
 	// packet.
 	maxInProgress = 4_096
 	maxWaiting    = 1_024
-	// unknownLimit is the limit while the link's rate isn't known: no queue has told it.
-	unknownLimit = maxInProgress
+	// unknownLimit is the limit while the link's rate isn't known, and answers are late by
+	// lateDelay or more; without such a delay nothing is short.
+	unknownLimit = 4
+	lateDelay    = 10 * time.Millisecond
 	// meanWeight is the weight of one flow in the mean time.
 	meanWeight = 0.1
 )
@@ -150,14 +152,18 @@
 
 // New returns an admission control for a link whose rate isn't known.
 func New() *Admission {
-	return &Admission{flows: map[packet.Flow]progress{}, limit: unknownLimit}
+	return &Admission{flows: map[packet.Flow]progress{}, limit: maxInProgress}
 }
 
 // SetRate sets what the link carries, in bytes a second; 0 if that isn't known.
 func (a *Admission) SetRate(rate float64) {
-	a.limit = unknownLimit
-	if rate > 0 {
+	switch {
+	case rate > 0:
 		a.limit = rate * windowShare * retransmitAfter.Seconds() / WindowBytes
+	case a.delay >= lateDelay:
+		a.limit = unknownLimit
+	default:
+		a.limit = maxInProgress
 	}
 }
 
--- a/internal/passthrough/bulk/bulk_test.go
+++ b/internal/passthrough/bulk/bulk_test.go
@@ -180,13 +180,17 @@
 	}
 }
 
-// Guards against flows that wait for a link on which no queue was ever seen.
-func TestUnknownRateBoundsNothing(t *testing.T) {
+// Guards against flows that wait for a link on which no queue was ever seen, and against a full
+// link while its rate is still being learned.
+func TestUnknownRateBoundsOnlyUnderDelay(t *testing.T) {
 	is := is.New(t)
 	a := newAdmission(0)
 	for port := range uint16(500) {
 		is.Equal(a.Arrive(start, first(port, start)), Start)
 	}
+	a.Tick(start, lateDelay)
+	a.SetRate(0)
+	is.Equal(a.Arrive(start, first(501, start)), Wait)
 }
 
 // Guards against retransmits that only the balancer's queue causes: flows take turns, each
