--- a/internal/passthrough/forward/room.go
+++ b/internal/passthrough/forward/room.go
@@ -41,7 +41,7 @@
 		to = c.withRoom(e.longestWait(now, a, f))
 	}
 	if to.agent == noAgent {
-		e.rejectFlow(now, a, f, entry, peer.Busy)
+		e.rejectFlow(now, f, entry, peer.Busy)
 		return
 	}
 	e.placeAt(now, f, &pendingPlacement{arrival: a, entry: entry, reason: peer.Busy, startedAt: now}, to)
