The time constant of arrivals goes by the steady pace

A stall made the time constant longer for callers that came during it, so that their load counted for less afterwards.

--- a/internal/passthrough/flowtable/goals.go
+++ b/internal/passthrough/flowtable/goals.go
@@ -89,7 +89,7 @@
 		return
 	}
 	if o := e.outlook(now); c.ClassAt(now, &o) == patience.InTime {
-		e.admission.arrivals.Add(now, c.Priority, o.Pace())
+		e.admission.arrivals.Add(now, c.Priority, o.SteadyPace())
 	}
 }
 
--- a/internal/passthrough/patience/outlook.go
+++ b/internal/passthrough/patience/outlook.go
@@ -32,7 +32,15 @@
 	if o.Service == 0 {
 		return 0
 	}
-	return max((o.Handshake+o.Service)/time.Duration(max(1, o.Capacity)), o.SinceAnswer/stalledAfter)
+	return max(o.SteadyPace(), o.SinceAnswer/stalledAfter)
+}
+
+// SteadyPace is the pace as observed, whatever the time since the last answer.
+func (o *Outlook) SteadyPace() time.Duration {
+	if o.Service == 0 {
+		return 0
+	}
+	return (o.Handshake + o.Service) / time.Duration(max(1, o.Capacity))
 }
 
 // Wait is how long a caller is expected to wait at a busy target. ahead is how many go
