Capacity: an agent can learn how fast its target works and how much it bears

Cause: nothing tells how fast a target is or how many requests it runs well; the slots that it announces don't. Change: package capacity learns both from a target's own requests, by service times under differing concurrency. Not used yet.

--- /dev/null
+++ b/internal/passthrough/capacity/requests.go
@@ -0,0 +1,83 @@
+package capacity
+
+import (
+	"slices"
+	"time"
+
+	"bergamotstall/internal/passthrough/packet"
+)
+
+// requests tells which of the requests sent to the target run and which wait in the target's
+// queue: as many as it has slots run, and the others start in order of arrival.
+type requests struct {
+	slots   int
+	list    []request
+	running int
+	// at is the time of the last change, busy the sum of running over time until then.
+	at, busy time.Duration
+	// recent are the means of the last few requests that ended.
+	recent traits
+}
+
+// request is one request at the target.
+type request struct {
+	flow packet.Flow
+	// runs is set once it runs, since startedAt; busyBefore is requests.busy at that time.
+	runs                  bool
+	startedAt, busyBefore time.Duration
+	// beside is how many requests ran when it started, itself included; before are the means
+	// of those that had ended.
+	beside int
+	before traits
+}
+
+// concurrency returns the mean number of requests that ran while one did that ends now.
+func (q *requests) concurrency(now time.Duration, r *request) float64 {
+	if now <= r.startedAt {
+		return 1
+	}
+	return float64(q.busy-r.busyBefore) / float64(now-r.startedAt)
+}
+
+// advance accounts for the time since the last change.
+func (q *requests) advance(now time.Duration) {
+	if now > q.at {
+		q.busy += time.Duration(q.running) * (now - q.at)
+		q.at = now
+	}
+}
+
+func (q *requests) add(now time.Duration, f packet.Flow) {
+	q.advance(now)
+	q.list = append(q.list, request{flow: f})
+	q.startWaiting(now)
+}
+
+// remove takes a request out and returns it, and starts one that waited for it.
+func (q *requests) remove(now time.Duration, f packet.Flow) (request, bool) {
+	i := slices.IndexFunc(q.list, func(r request) bool { return r.flow == f })
+	if i < 0 {
+		return request{}, false
+	}
+	q.advance(now)
+	r := q.list[i]
+	q.list = slices.Delete(q.list, i, i+1)
+	if r.runs {
+		q.running--
+	}
+	q.startWaiting(now)
+	return r, true
+}
+
+func (q *requests) startWaiting(now time.Duration) {
+	for i := range q.list {
+		if q.running >= max(q.slots, 1) {
+			return
+		}
+		if r := &q.list[i]; !r.runs {
+			q.running++
+			r.runs, r.startedAt, r.busyBefore = true, now, q.busy
+			r.beside, r.before = q.running, q.recent
+		}
+	}
+}
