Placement by expected response times, with service times learned at the agents

Cause: targets of one service differ in speed, and the load in slots doesn't show it. Change: agents learn and report capacity and service time; balancers compare a flow's candidates by pace x (1 + load) where their paces differ, and by load as before where they don't.

--- a/internal/passthrough/agent/agent.go
+++ b/internal/passthrough/agent/agent.go
@@ -132,9 +132,24 @@
 		defer a.mu.Unlock()
 		return int64(a.engine.Flows())
 	})
+	cfg.Metrics.Gauge("pass_target_capacity_hundredths", func() int64 {
+		requests, _ := a.learned()
+		return int64(100 * requests)
+	})
+	cfg.Metrics.Gauge("pass_target_service_us", func() int64 {
+		_, service := a.learned()
+		return service.Microseconds()
+	})
 	return a, nil
 }
 
+// learned returns what was learned of the target.
+func (a *Agent) learned() (requests float64, service time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.engine.LearnedCapacity(a.now())
+}
+
 func (a *Agent) now() time.Duration { return time.Since(a.started) + time.Hour }
 
 // Run forwards packets until ctx is done. It stops without delay, because the flows of a
--- a/internal/passthrough/agent/output.go
+++ b/internal/passthrough/agent/output.go
@@ -108,6 +108,9 @@
 		fields["answered"] = d.AnsweredRequests
 		fields["broken"] = d.BrokenRequests
 	}
+	if d.Limit > 0 {
+		fields["limit"], fields["service_us"] = d.Limit, d.Service.Microseconds()
+	}
 	events.Log(a.cfg.Log, events.PassAgentDecided, fields)
 }
 
--- a/internal/passthrough/flowtable/admission.go
+++ b/internal/passthrough/flowtable/admission.go
@@ -71,11 +71,11 @@
 // SetTable sets the route table, which has the routes' priorities, timeouts and regions.
 func (e *Engine) SetTable(t *route.Table) { e.table = t }
 
-// capacity is how many requests a target is given at once: as many as it has slots, plus
+// capacity is how many requests a target is given at once: as many as it has usable slots, plus
 // as many as finish during the handshake of a new flow, so that no slot is idle
 // meanwhile. More would wait in the target's own queue, in order of arrival.
 func (e *Engine) capacity() int {
-	slots := int(max(e.target.slots, 1))
+	slots := e.usableSlots()
 	if e.cfg.Policy.ExtraRequests > 0 {
 		return slots + max(1, int(e.cfg.Policy.ExtraRequests*float64(slots)))
 	}
@@ -100,9 +100,10 @@
 	e.load.nextHungScan = now + hungScanInterval
 	e.load.hung = 0
 	after := e.latencies.hungAfter()
-	for _, x := range e.flows {
+	for f, x := range e.flows {
 		if x.running && now-x.runningAt > after {
 			e.load.hung++
+			e.learner.Failed(now, f)
 		}
 	}
 }
--- a/internal/passthrough/flowtable/decision.go
+++ b/internal/passthrough/flowtable/decision.go
@@ -63,11 +63,14 @@
 	// RequestDropped: a request over an open flow was held for longer than its caller
 	// waits.
 	RequestDropped
+	// CapacityLearned: the target is given fewer requests at once than it has slots, or as
+	// many again, because of its service times.
+	CapacityLearned
 )
 
 var verdictNames = [...]string{"", "refused-first", "refused-later", "target-arrived", "target-drains", "target-left",
 	"target-silent", "target-answers", "target-dead", "stale-announcement", "flows-reset", "flows-recalled",
-	"target-unsteady", "request-dropped"}
+	"target-unsteady", "request-dropped", "capacity-learned"}
 
 func (v Verdict) String() string {
 	if int(v) < len(verdictNames) {
@@ -97,4 +100,8 @@
 	// AnsweredRequests and BrokenRequests are the numbers of answered and of broken-off
 	// requests by which the target was found unsteady.
 	AnsweredRequests, BrokenRequests int
+	// Limit is how many requests the target is given at once besides those of new flows'
+	// handshakes, Service how long it takes for one, as learned.
+	Limit   int
+	Service time.Duration
 }
--- a/internal/passthrough/flowtable/flowtable.go
+++ b/internal/passthrough/flowtable/flowtable.go
@@ -14,6 +14,7 @@
 	"net/netip"
 	"time"
 
+	"bergamotstall/internal/passthrough/capacity"
 	"bergamotstall/internal/passthrough/flowlog"
 	"bergamotstall/internal/passthrough/overload"
 	"bergamotstall/internal/passthrough/packet"
@@ -144,6 +145,9 @@
 	admission admission
 	latencies latencies
 	outcomes  outcomes
+	// learner learns how fast the target is; loggedLimit is what was last logged of it.
+	learner     capacity.Learner
+	loggedLimit int
 	// recalls are control's records of earlier flows until they are applied; ended are the
 	// recorded flows that control has yet to be told are over.
 	recalls []flowlog.Update
@@ -396,6 +400,7 @@
 		x.stage = ended
 		if x.running && !x.finTarget {
 			e.countBroken(now, 1)
+			e.learner.Failed(now, f)
 		}
 	}
 	if p.Data > 0 && x.running {
@@ -403,6 +408,7 @@
 		e.outcomes.add(now, 1, 0)
 		e.cfg.Out.Answered(now - x.runningAt)
 		observe(&e.latencies.service, now-x.runningAt)
+		e.noteAnswer(now, f)
 	}
 	if p.Flags.Has(packet.FIN) {
 		x.finTarget = true
--- a/internal/passthrough/flowtable/incarnation.go
+++ b/internal/passthrough/flowtable/incarnation.go
@@ -86,6 +86,7 @@
 	}
 	e.noteReplaced(before.incarnation, a.incarnation())
 	e.target = target{incarnation: a.incarnation(), known: true, service: route.IDOf(a.Service), firstHeardAt: now}
+	e.forgetLearned()
 	e.noteDecision(now, Decision{Verdict: TargetArrived, AllFlowsKnown: e.knowsAllFlows(now)})
 	e.applyRecalls(now)
 	e.cfg.Out.Report()
--- /dev/null
+++ b/internal/passthrough/flowtable/learned.go
@@ -0,0 +1,86 @@
+package flowtable
+
+import (
+	"math"
+	"time"
+
+	"bergamotstall/internal/passthrough/capacity"
+	"bergamotstall/internal/passthrough/packet"
+	"bergamotstall/internal/passthrough/peer"
+)
+
+// What the agent learns of its target (package capacity) does two things: it is reported, so
+// that balancers place flows by expected waits, and fewer requests are given to a target that
+// slows down before its slots are taken. It never raises what admission allows.
+
+// noteRequest tells the learner that a flow's request has begun or ended at the target. It is
+// called for each change of a flow. Requests with large bodies are left out: they take as
+// long as their clients' links need.
+func (e *Engine) noteRequest(f packet.Flow, before, after flow) {
+	switch {
+	case !e.cfg.Overload.LearnedCapacity || before.running == after.running:
+	case before.running:
+		e.learner.Drop(f)
+	case !e.table.Demand(f.Service).Kind.Bulk():
+		e.learner.Begin(after.runningAt, f)
+	}
+}
+
+// noteAnswer tells the learner that the target has answered a request. Answers of a target
+// that breaks many requests off say nothing about how fast it is.
+func (e *Engine) noteAnswer(now time.Duration, f packet.Flow) {
+	if e.outcomes.unsteady(now) {
+		e.learner.Drop(f)
+		return
+	}
+	e.learner.Answered(now, f)
+	e.noteCapacity(now)
+}
+
+// noteCapacity logs when the number of requests that the target is given has changed because
+// of what was learned.
+func (e *Engine) noteCapacity(now time.Duration) {
+	limit := e.learner.Limit()
+	if limit == e.loggedLimit {
+		return
+	}
+	e.loggedLimit = limit
+	e.noteDecision(now, Decision{Verdict: CapacityLearned, Limit: e.usableSlots(), Service: e.learner.Service(now)})
+}
+
+// usableSlots is how many of the target's slots are worth using.
+func (e *Engine) usableSlots() int {
+	slots := int(max(e.target.slots, 1))
+	if limit := e.learner.Limit(); limit > 0 {
+		return min(slots, limit)
+	}
+	return slots
+}
+
+// LearnedCapacity returns what was learned of the target: how many requests it runs at full
+// speed, its slots unless fewer, and the service time of a request, 0 if that isn't known.
+func (e *Engine) LearnedCapacity(now time.Duration) (requests float64, service time.Duration) {
+	requests = e.learner.Capacity()
+	if requests == 0 {
+		requests = float64(e.target.slots)
+	}
+	return requests, e.learner.Service(now)
+}
+
+// reportLearned adds what was learned to a report. While the target breaks many requests off,
+// its speed isn't reported: what it does answer, it may answer fast.
+func (e *Engine) reportLearned(now time.Duration, r *peer.Report) {
+	if !e.target.known {
+		return
+	}
+	r.Capacity = uint32(math.Round(100 * e.learner.Capacity()))
+	if !r.Unsteady {
+		r.ServiceMicros = uint32(min(e.learner.Service(now).Microseconds(), math.MaxUint32))
+	}
+}
+
+// forgetLearned forgets the target's predecessor.
+func (e *Engine) forgetLearned() {
+	e.learner = capacity.Learner{}
+	e.loggedLimit = 0
+}
--- a/internal/passthrough/flowtable/load.go
+++ b/internal/passthrough/flowtable/load.go
@@ -42,6 +42,7 @@
 		e.noteEnded(f, x)
 		x.recorded = false
 	}
+	e.noteRequest(f, e.flows[f], x)
 	e.uncountFlow(e.flows[f])
 	e.flows[f] = x
 	e.countFlow(x)
@@ -52,6 +53,7 @@
 		e.dequeue(e.queueIndex(f))
 	}
 	e.noteEnded(f, e.flows[f])
+	e.noteRequest(f, e.flows[f], flow{})
 	e.uncountFlow(e.flows[f])
 	delete(e.flows, f)
 }
--- a/internal/passthrough/flowtable/report.go
+++ b/internal/passthrough/flowtable/report.go
@@ -45,6 +45,7 @@
 	}
 	r.NoTarget = e.empty(now)
 	r.Unsteady = e.outcomes.unsteady(now)
+	e.reportLearned(now, &r)
 	if t.coldUntil > now {
 		r.ColdMS = uint32((t.coldUntil - now).Milliseconds())
 	}
--- a/internal/passthrough/flowtable/target.go
+++ b/internal/passthrough/flowtable/target.go
@@ -80,6 +80,7 @@
 	}
 	t.number = a.Number
 	t.slots = a.Slots
+	e.learner.SetSlots(a.Slots)
 	t.announcedAt = now
 	t.confirmed = t.confirmed || e.lateEnough(now, t.firstHeardAt)
 	t.coldUntil = now + a.Cold
--- a/internal/passthrough/forward/choose.go
+++ b/internal/passthrough/forward/choose.go
@@ -102,6 +102,7 @@
 			return choice{agent: agent, service: c.e.agents.list[agent].group.service}
 		}
 	}
+	placement.Relate(own.list())
 	if agent, ok := c.e.pick(&own); ok {
 		return choice{agent: agent, service: service}
 	}
@@ -204,8 +205,13 @@
 
 func (e *Engine) targetOf(number uint32, near bool) placement.Target {
 	a := &e.agents.list[number]
-	return placement.Target{
+	t := placement.Target{
 		Near: near, Slots: a.report.Slots, Running: float64(a.report.Running), Mean: float64(a.report.Load) / 100,
 		Flows: a.report.Flows, Sent: a.flowsSent, Cold: a.report.ColdMS > 0, Unsteady: a.report.Unsteady,
 	}
+	if e.cfg.Overload.LearnedCapacity {
+		t.Capacity = float64(a.report.Capacity) / 100
+		t.Service = time.Duration(a.report.ServiceMicros) * time.Microsecond
+	}
+	return t
 }
--- a/internal/passthrough/placement/placement.go
+++ b/internal/passthrough/placement/placement.go
@@ -21,12 +21,18 @@
 //   - A target that goes down and up, or breaks requests off: as nothing is in progress
 //     there, its load looks best, and the flows that it gets are lost. Such targets only
 //     get the overflow of the others for a while.
+//   - Targets that differ in speed, or turn slow: flows go where the answer is expected first,
+//     by service times that agents learn (expected_wait.go). A target that slows down before
+//     its slots are taken counts for fewer slots.
 //   - Distance: targets of the same data centre come first. Another data centre's target
 //     is taken only if the near ones are busy and it clearly isn't. Traffic between data
 //     centres costs money, and adds the distance to each packet and to its answer.
 package placement
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // Policy holds the thresholds of placement.
 type Policy struct {
@@ -63,6 +69,9 @@
 	// treats unsteady targets like others; NoOverflow turns off the overflow to other
 	// services.
 	IgnoreDistance, IgnoreUnsteady, NoOverflow bool
+	// IgnorePace compares targets by their slots alone, whatever their service times;
+	// TwoOfUnequal compares two targets drawn at random also where they differ in pace.
+	IgnorePace, TwoOfUnequal bool
 }
 
 // DefaultPolicy returns the policy used in production.
@@ -87,6 +96,13 @@
 	Flows, Sent uint32
 	// Cold is set while the target is warming up after its start.
 	Cold bool
+	// Capacity is how many requests the target runs at full speed, if that is known to be
+	// fewer than its slots; 0 if not. Service is its service time, 0 if unknown.
+	Capacity float64
+	Service  time.Duration
+	// Pace is how many times longer than usual the target takes for a request, 0 if about as
+	// long or if unknown. Relate sets it.
+	Pace float64
 	// Unsteady is set while the target is likely to break requests off.
 	Unsteady bool
 }
@@ -97,9 +113,12 @@
 	return (load + p.SentShare*float64(t.Sent)) / p.effectiveSlots(t)
 }
 
-// effectiveSlots returns a target's slots, reduced while it is cold.
+// effectiveSlots returns a target's slots, reduced to its capacity and while it is cold.
 func (p *Policy) effectiveSlots(t *Target) float64 {
 	slots := float64(max(t.Slots, 1))
+	if t.Capacity > 0 && !p.IgnorePace {
+		slots = min(slots, t.Capacity)
+	}
 	if t.Cold {
 		slots /= p.ColdSlowdown
 	}
@@ -108,7 +127,7 @@
 
 // preference ranks two drawn targets; the one with the lower value is taken.
 func (p *Policy) preference(t *Target) float64 {
-	return p.Score(t) + p.FlowShare*float64(t.Flows)/p.effectiveSlots(t)
+	return p.expected(t, p.Score(t)+p.FlowShare*float64(t.Flows)/p.effectiveSlots(t))
 }
 
 // Overflow reports whether a flow should go to another service of its route: all targets
@@ -179,7 +198,7 @@
 	case far < 0:
 		return near
 	}
-	n, f := p.Score(&targets[near]), p.Score(&targets[far])
+	n, f := p.expected(&targets[near], p.Score(&targets[near])), p.expected(&targets[far], p.Score(&targets[far]))
 	if n > p.SpillFrom && f < n-p.SpillGain {
 		return far
 	}
@@ -187,14 +206,20 @@
 }
 
 // draw returns the less loaded of two targets drawn at random, among those that are
-// steady or unsteady, and near or far, as given. It returns -1 if there are none.
+// steady or unsteady, and near or far, as given. Where targets differ in pace, it returns the
+// best of all: two drawn at random would often both be slow. It returns -1 if there are none.
 func (p *Policy) draw(rng *rand.Rand, targets []Target, unsteady, near bool) int {
+	all := !p.TwoOfUnequal && p.differ(targets)
 	first, second, seen := -1, -1, 0
 	for i := range targets {
 		if (targets[i].Near || p.IgnoreDistance) != near || (targets[i].Unsteady && !p.IgnoreUnsteady) != unsteady {
 			continue
 		}
 		seen++
+		if all && first >= 0 {
+			first = p.preferred(rng, targets, first, i)
+			continue
+		}
 		// Reservoir sampling of two targets.
 		switch {
 		case first < 0:
@@ -215,6 +240,11 @@
 	if p.Draws < 2 {
 		return second
 	}
+	return p.preferred(rng, targets, first, second)
+}
+
+// preferred returns the index of the preferred one of two targets.
+func (p *Policy) preferred(rng *rand.Rand, targets []Target, first, second int) int {
 	a, b := p.preference(&targets[first]), p.preference(&targets[second])
 	// A random choice between equal targets, because the two places of the reservoir
 	// aren't equally likely for each target.
