Placement: two candidates drawn by expected response time; bulk leaves its data centre last

Change: two are drawn as before; flows of bulk routes go to another data centre only once they would wait in their own. The usual service time is the longer one of two, so that a target that only seems fast isn't the measure.

--- a/internal/passthrough/capacity/capacity.go
+++ b/internal/passthrough/capacity/capacity.go
@@ -54,7 +54,10 @@
 // Answered records that a request's answer has begun.
 func (l *Learner) Answered(now time.Duration, f packet.Flow) {
 	r, ok := l.requests.remove(now, f)
-	if !ok || !r.runs {
+	if ok && !r.runs {
+		l.requests.freeOverdue(now)
+	}
+	if !ok || !r.runs || r.overdue {
 		return
 	}
 	l.answeredAt = now
@@ -80,8 +83,16 @@
 	l.requests.recent.approach(&t, over)
 }
 
-// Failed records that a request hangs or was broken off by the target. It counts like an
-// answer that takes long, so that a target doesn't look faster than it is to its callers.
+// Overdue records that a request takes many times longer than usual. It counts like an answer
+// that takes long, now and only once.
+func (l *Learner) Overdue(now time.Duration, f packet.Flow) {
+	if l.requests.markOverdue(f) && l.service.samples > 0 {
+		l.service.move(true)
+	}
+}
+
+// Failed records that the target broke a request off. It counts like an answer that takes
+// long, so that a target doesn't look faster than it is to its callers.
 func (l *Learner) Failed(now time.Duration, f packet.Flow) {
 	if _, ok := l.requests.remove(now, f); ok && l.service.samples > 0 {
 		l.service.move(true)
--- a/internal/passthrough/capacity/quantile.go
+++ b/internal/passthrough/capacity/quantile.go
@@ -17,8 +17,8 @@
 	serviceStep = 0.08
 	// surpriseAbove and surpriseBelow are how many samples in a row lie above or below only
 	// if the target has changed; the steps grow by surpriseFactor then. By chance it happens
-	// once in 256 and once in 32 samples.
-	surpriseAbove, surpriseBelow = 4, 12
+	// once in 4,000 and once in 100 samples.
+	surpriseAbove, surpriseBelow = 6, 16
 	surpriseFactor               = 4
 )
 
--- a/internal/passthrough/capacity/requests.go
+++ b/internal/passthrough/capacity/requests.go
@@ -29,6 +29,8 @@
 	// of those that had ended.
 	beside int
 	before traits
+	// overdue is set once it has taken many times longer than usual.
+	overdue bool
 }
 
 // concurrency returns the mean number of requests that ran while one did that ends now.
@@ -69,6 +71,26 @@
 	return r, true
 }
 
+// markOverdue marks a request as overdue, false if it already is or doesn't run. It keeps its
+// slot, as a long request does at the target.
+func (q *requests) markOverdue(f packet.Flow) bool {
+	for i := range q.list {
+		if r := &q.list[i]; r.flow == f && r.runs && !r.overdue {
+			r.overdue = true
+			return true
+		}
+	}
+	return false
+}
+
+// freeOverdue takes out a request that is overdue, because the target has answered one that
+// couldn't run without its slot: the target hangs on the former and has given its slot up.
+func (q *requests) freeOverdue(now time.Duration) {
+	if i := slices.IndexFunc(q.list, func(r request) bool { return r.overdue }); i >= 0 {
+		q.remove(now, q.list[i].flow)
+	}
+}
+
 func (q *requests) startWaiting(now time.Duration) {
 	for i := range q.list {
 		if q.running >= max(q.slots, 1) {
--- a/internal/passthrough/flowtable/admission.go
+++ b/internal/passthrough/flowtable/admission.go
@@ -41,8 +41,9 @@
 	ExtraRequests float64
 	// Unlimited passes everything to the target; PassOpenFlows passes the requests of open
 	// flows; OldestFirst admits in order of arrival; IgnorePriority ignores the routes'
-	// priorities.
-	Unlimited, PassOpenFlows, OldestFirst, IgnorePriority bool
+	// priorities; IgnoreCapacity gives the target as many requests as it has slots, however
+	// few it was learned to run well.
+	Unlimited, PassOpenFlows, OldestFirst, IgnorePriority, IgnoreCapacity bool
 }
 
 // DefaultPolicy returns the policy used in production.
@@ -103,7 +104,7 @@
 	for f, x := range e.flows {
 		if x.running && now-x.runningAt > after {
 			e.load.hung++
-			e.learner.Failed(now, f)
+			e.learner.Overdue(now, f)
 		}
 	}
 }
--- a/internal/passthrough/flowtable/learned.go
+++ b/internal/passthrough/flowtable/learned.go
@@ -51,7 +51,7 @@
 // usableSlots is how many of the target's slots are worth using.
 func (e *Engine) usableSlots() int {
 	slots := int(max(e.target.slots, 1))
-	if limit := e.learner.Limit(); limit > 0 {
+	if limit := e.learner.Limit(); limit > 0 && !e.cfg.Policy.IgnoreCapacity {
 		return min(slots, limit)
 	}
 	return slots
--- a/internal/passthrough/forward/choose.go
+++ b/internal/passthrough/forward/choose.go
@@ -43,8 +43,8 @@
 	}
 }
 
-func (e *Engine) pick(c *candidates) (uint32, bool) {
-	at, ok := e.cfg.Policy.Place.Pick(e.cfg.Rand, c.list())
+func (e *Engine) pick(p *placement.Policy, c *candidates) (uint32, bool) {
+	at, ok := p.Pick(e.cfg.Rand, c.list())
 	if !ok {
 		return noAgent, false
 	}
@@ -87,7 +87,7 @@
 	if probe := c.addCandidates(service, true, &own); len(probe) > 0 {
 		return choice{agent: noAgent, probe: probe}
 	}
-	policy := &c.e.cfg.Policy.Place
+	policy := c.e.placementPolicy(c.flow)
 	if own.n == 0 || !policy.HasSlot(own.list()) {
 		if probe := c.addCandidates(service, false, &own); len(probe) > 0 {
 			return choice{agent: noAgent, probe: probe}
@@ -98,17 +98,29 @@
 			return choice{agent: noAgent, probe: probe}
 		}
 		other.keepOverflowTargets(policy, own.list())
-		if agent, ok := c.e.pick(&other); ok {
+		if agent, ok := c.e.pick(policy, &other); ok {
 			return choice{agent: agent, service: c.e.agents.list[agent].group.service}
 		}
 	}
 	placement.Relate(own.list())
-	if agent, ok := c.e.pick(&own); ok {
+	if agent, ok := c.e.pick(policy, &own); ok {
 		return choice{agent: agent, service: service}
 	}
 	return choice{agent: c.fallback(service), service: service}
 }
 
+// placementPolicy returns the policy for a flow, by the kind of its route.
+func (e *Engine) placementPolicy(f packet.Flow) *placement.Policy {
+	if !e.cfg.Overload.LearnedCapacity {
+		return &e.cfg.Policy.Place
+	}
+	switch e.table.Demand(f.Service).Kind {
+	case route.Upload, route.Download:
+		return &e.bulkPolicy
+	}
+	return &e.cfg.Policy.Place
+}
+
 func (c *chooser) addOtherServices(own route.ServiceID, to *candidates) (probe []uint32) {
 	for _, near := range []bool{true, false} {
 		for _, x := range c.e.table.Services(c.flow.Service) {
--- a/internal/passthrough/forward/forward.go
+++ b/internal/passthrough/forward/forward.go
@@ -123,6 +123,8 @@
 type Engine struct {
 	cfg   Config
 	table *route.Table
+	// bulkPolicy is the placement policy for flows with large bodies or responses.
+	bulkPolicy placement.Policy
 	// evacuated are the data centres whose targets take no new flows.
 	evacuated   map[string]bool
 	agents      agentTable
@@ -148,7 +150,7 @@
 // New returns an engine without a table and without agents.
 func New(cfg Config) *Engine {
 	return &Engine{
-		cfg: cfg, budget: questionBudget{rate: cfg.QuestionBudget}, flows: map[packet.Flow]flowEntry{}, searches: map[packet.Flow]*search{}, earlyPackets: map[packet.Flow]earlyPacket{},
+		cfg: cfg, bulkPolicy: cfg.Policy.Place.ForBulk(), budget: questionBudget{rate: cfg.QuestionBudget}, flows: map[packet.Flow]flowEntry{}, searches: map[packet.Flow]*search{}, earlyPackets: map[packet.Flow]earlyPacket{},
 		agents: newAgentTable(), placements: newPendingPlacements(), wideSearches: map[packet.Flow]wideSearch{},
 	}
 }
--- a/internal/passthrough/placement/expected_wait.go
+++ b/internal/passthrough/placement/expected_wait.go
@@ -27,7 +27,8 @@
 )
 
 // Relate sets the paces of a flow's candidates, which must belong to one service. The usual
-// service time is their median; a target whose service time isn't known has the usual pace.
+// service time is their median, the longer one of two, so that a target that only seems fast
+// isn't the measure of another; a target whose service time isn't known has the usual pace.
 func Relate(targets []Target) {
 	var known [maxRelated]time.Duration
 	n := 0
@@ -41,7 +42,7 @@
 	for i := range targets {
 		targets[i].Pace = 0
 		if targets[i].Service > 0 {
-			targets[i].Pace = pace(targets[i].Service, known[(n-1)/2])
+			targets[i].Pace = pace(targets[i].Service, known[n/2])
 		}
 	}
 }
@@ -70,8 +71,3 @@
 	}
 	return pace*(1+load) - 1
 }
-
-// differ reports whether targets have different paces.
-func (p *Policy) differ(targets []Target) bool {
-	return !p.IgnorePace && slices.ContainsFunc(targets, func(t Target) bool { return t.Pace != targets[0].Pace })
-}
--- a/internal/passthrough/placement/placement.go
+++ b/internal/passthrough/placement/placement.go
@@ -69,9 +69,8 @@
 	// treats unsteady targets like others; NoOverflow turns off the overflow to other
 	// services.
 	IgnoreDistance, IgnoreUnsteady, NoOverflow bool
-	// IgnorePace compares targets by their slots alone, whatever their service times;
-	// TwoOfUnequal compares two targets drawn at random also where they differ in pace.
-	IgnorePace, TwoOfUnequal bool
+	// IgnorePace compares targets by their slots alone, whatever was learned of them.
+	IgnorePace bool
 }
 
 // DefaultPolicy returns the policy used in production.
@@ -198,28 +197,22 @@
 	case far < 0:
 		return near
 	}
-	n, f := p.expected(&targets[near], p.Score(&targets[near])), p.expected(&targets[far], p.Score(&targets[far]))
-	if n > p.SpillFrom && f < n-p.SpillGain {
+	n, f := p.Score(&targets[near]), p.Score(&targets[far])
+	if n > p.SpillFrom && p.expected(&targets[far], f) < p.expected(&targets[near], n)-p.SpillGain {
 		return far
 	}
 	return near
 }
 
 // draw returns the less loaded of two targets drawn at random, among those that are
-// steady or unsteady, and near or far, as given. Where targets differ in pace, it returns the
-// best of all: two drawn at random would often both be slow. It returns -1 if there are none.
+// steady or unsteady, and near or far, as given. It returns -1 if there are none.
 func (p *Policy) draw(rng *rand.Rand, targets []Target, unsteady, near bool) int {
-	all := !p.TwoOfUnequal && p.differ(targets)
 	first, second, seen := -1, -1, 0
 	for i := range targets {
 		if (targets[i].Near || p.IgnoreDistance) != near || (targets[i].Unsteady && !p.IgnoreUnsteady) != unsteady {
 			continue
 		}
 		seen++
-		if all && first >= 0 {
-			first = p.preferred(rng, targets, first, i)
-			continue
-		}
 		// Reservoir sampling of two targets.
 		switch {
 		case first < 0:
@@ -240,11 +233,6 @@
 	if p.Draws < 2 {
 		return second
 	}
-	return p.preferred(rng, targets, first, second)
-}
-
-// preferred returns the index of the preferred one of two targets.
-func (p *Policy) preferred(rng *rand.Rand, targets []Target, first, second int) int {
 	a, b := p.preference(&targets[first]), p.preference(&targets[second])
 	// A random choice between equal targets, because the two places of the reservoir
 	// aren't equally likely for each target.
--- a/internal/passthrough/simulation/scenario.go
+++ b/internal/passthrough/simulation/scenario.go
@@ -30,6 +30,9 @@
 		{"release", 7 * time.Second, (*world).replaceTargets},
 		{"long among short", 5 * time.Second, (*world).mixLongRequests},
 		{"few heavy callers", 5 * time.Second, (*world).heavyCallers},
+		{"unequal targets", 8 * time.Second, (*world).unequalTargets},
+		{"slow before full", 8 * time.Second, (*world).slowBeforeFull},
+		{"crowded data centre", 5 * time.Second, (*world).crowdDataCentre},
 	}
 }
 
@@ -191,6 +194,31 @@
 // heavyCallers makes three caller VMs send over 60% of the requests.
 func (w *world) heavyCallers() { w.heavyFraction = 0.6 }
 
+// unequalTargets makes every third target two and a half times slower than the others.
+func (w *world) unequalTargets() {
+	for _, a := range w.agents {
+		if a.n%3 == 0 {
+			a.target.slowdown = 2.5
+		}
+	}
+}
+
+// slowBeforeFull makes every third target run only half of its slots at full speed.
+func (w *world) slowBeforeFull() {
+	for _, a := range w.agents {
+		if a.n%3 == 0 {
+			a.target.knee = float64(w.d.Slots) / 2
+		}
+	}
+}
+
+// crowdDataCentre makes half of the callers of the other data centres move to the first one
+// for 3 s.
+func (w *world) crowdDataCentre() {
+	w.crowdedFraction = 0.5
+	w.after(3*time.Second, func() { w.crowdedFraction = 0 })
+}
+
 func (w *world) drawWork(mean time.Duration) time.Duration {
 	duration := time.Duration(float64(mean) * (0.5 + w.rng.Float64()))
 	if w.longFraction > 0 && w.rng.Float64() < w.longFraction {
@@ -200,6 +228,9 @@
 }
 
 func (w *world) pickCaller() *callerVM {
+	if w.crowdedFraction > 0 && w.rng.Float64() < w.crowdedFraction {
+		return w.callers[w.d.Zones*w.rng.IntN(len(w.callers)/w.d.Zones)]
+	}
 	n := len(w.callers)
 	if w.heavyFraction > 0 && w.rng.Float64() < w.heavyFraction {
 		n = min(n, 3)
--- a/internal/passthrough/simulation/simulation.go
+++ b/internal/passthrough/simulation/simulation.go
@@ -24,6 +24,7 @@
 
 	"bergamotstall/internal/passthrough/flowtable"
 	"bergamotstall/internal/passthrough/forward"
+	"bergamotstall/internal/passthrough/overload"
 	"bergamotstall/internal/passthrough/packet"
 	"bergamotstall/internal/passthrough/route"
 )
@@ -32,11 +33,12 @@
 type Policies struct {
 	Forward   forward.Policy
 	Flowtable flowtable.Policy
+	Overload  overload.Settings
 }
 
 // CurrentPolicies returns the policies that balancers and agents use by default.
 func CurrentPolicies() Policies {
-	return Policies{Forward: forward.DefaultPolicy(), Flowtable: flowtable.DefaultPolicy()}
+	return Policies{Forward: forward.DefaultPolicy(), Flowtable: flowtable.DefaultPolicy(), Overload: overload.Settings{LearnedCapacity: true}}
 }
 
 const (
@@ -74,7 +76,10 @@
 	// three VMs, longFraction of them take longFactor times as long. arrivalsStopped
 	// ends the arrival of requests.
 	loadFactor, heavyFraction, longFraction float64
-	arrivalsStopped                         bool
+	// crowdedFraction of the requests are sent by VMs of the first data centre, in addition
+	// to its share of the others.
+	crowdedFraction float64
+	arrivalsStopped bool
 }
 
 // pendingSend is a packet that an engine sent during the current event. Engines iterate
--- a/internal/passthrough/simulation/target.go
+++ b/internal/passthrough/simulation/target.go
@@ -17,6 +17,8 @@
 	startedAt time.Duration
 	// slowdown multiplies the time of its requests, in addition to ColdSlowdown.
 	slowdown float64
+	// knee, if above 0, is how many requests it runs at full speed.
+	knee     float64
 	up       bool
 	draining bool
 	sequence uint64
@@ -176,6 +178,9 @@
 	if t.coldLeft() > 0 {
 		duration *= t.w.d.ColdSlowdown
 	}
+	if t.knee > 0 {
+		duration *= max(1, float64(t.running)/t.knee)
+	}
 	return time.Duration(duration)
 }
 
