--- a/internal/passthrough/capacity/quantile.go
+++ b/internal/passthrough/capacity/quantile.go
@@ -14,11 +14,11 @@
 	// upper is the quantile that is followed.
 	upper = 0.75
 	// serviceStep is the size of a step.
-	serviceStep = 0.08
+	serviceStep = 0.05
 	// surpriseAbove and surpriseBelow are how many samples in a row lie above or below only
 	// if the target has changed; the steps grow by surpriseFactor then. By chance it happens
-	// once in 4,000 and once in 100 samples.
-	surpriseAbove, surpriseBelow = 6, 16
+	// once in 4,000 and once in 30 samples.
+	surpriseAbove, surpriseBelow = 6, 12
 	surpriseFactor               = 4
 )
 
--- a/internal/passthrough/placement/expected_wait.go
+++ b/internal/passthrough/placement/expected_wait.go
@@ -20,7 +20,7 @@
 	// samePace is the factor up to which two service times count as the same: estimates of
 	// equal targets differ by as much. A caller hardly notices the difference, but flows that
 	// followed it would move with the noise.
-	samePace = 1.4
+	samePace = 1.6
 	// implausiblePace is the factor from which a target that seems faster than the usual one
 	// counts as usual: more likely it answers without doing the work.
 	implausiblePace = 10
