Placement: compare service times by route, and only where they certainly differ

Cause: the upper quartile of mixed requests jumps between short and long ones, and targets with another mix looked slower or faster. Fast failures moved it too.

Change: an agent follows the mean of the logarithms for each route, and states that of one route, once its standard error is small and it has been followed for a second. Balancers compare targets that state the same route. Targets count as slow from 1.8 times the usual, as fast from half, and never as faster than that. A knee needs 64 compared requests and four standard deviations, by times relative to their route's.

--- a/internal/passthrough/capacity/capacity.go
+++ b/internal/passthrough/capacity/capacity.go
@@ -9,9 +9,10 @@
 // these it works out which requests the target runs and which wait in the target's own
 // queue, which is in order of arrival. It learns two things from the requests that run:
 //
-//   - the service time, the time in which the target answers three requests of four that
-//     run alone. An upper quartile, because a target that answers half of its requests with
-//     fast failures must not look fast, and because the mean depends on few long requests.
+//   - the service time of each kind of requests, the mean of the logarithms for requests that
+//     run alone, once its standard error is small. Kinds are told apart by their route, and
+//     a target is compared with others by the same kind only, so that it doesn't look slow
+//     because it gets the longer requests.
 //   - the capacity, how many requests it runs at full speed, if that is fewer than its slots
 //     (see knee.go). A target of two slots that takes twice as long for each of two requests
 //     has a capacity of one: the second one only delays the first.
@@ -19,27 +20,36 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"bergamotstall/internal/passthrough/packet"
 )
 
 const (
-	// minSamples is how many answers must have been seen before anything counts as known: a
-	// quartile of fewer is hardly better than a guess.
+	// minSamples is how many answers must have been seen before anything counts as known.
 	minSamples = 16
-	// forgetAfter is how long after the last answer the service time counts as known. A
-	// target that gets next to no requests because it was slow is tried again after that.
+	// forgetAfter is how long after the last request came to its end what was learned of
+	// the service time is forgotten.
 	forgetAfter = 5 * time.Second
+	// maxKinds bounds the kinds of requests that are followed.
+	maxKinds = 16
 )
 
 // Learner learns one incarnation of a target. The zero value knows nothing. It isn't safe for
 // concurrent use.
 type Learner struct {
-	requests   requests
-	service    quantile
-	knees      knees
-	answeredAt time.Duration
+	requests requests
+	kinds    []kind
+	knees    knees
+	// slowsDown is set while the service times are those of a target with a knee.
+	slowsDown bool
+}
+
+// kind is what was learned of one kind of requests.
+type kind struct {
+	route packet.Endpoint
+	level level
 }
 
 // SetSlots sets how many requests the target runs at once.
@@ -60,24 +70,48 @@
 	if !ok || !r.runs || r.overdue {
 		return
 	}
-	l.answeredAt = now
 	took := math.Log(max(float64((now - r.startedAt).Microseconds()), 1))
 	concurrency := l.requests.concurrency(now, &r)
-	l.learnKnee(&r, traitsOf(took, r.beside, concurrency))
-	if knee, ok := l.knees.highest(l.requests.slots); ok {
+	v := l.level(f)
+	l.learnKnee(v, &r, traitsOf(took-v.mean, r.beside, concurrency))
+	if knee := l.currentKnee(); knee > 0 {
 		took -= slowdown(knee, concurrency)
 	}
-	if l.service.samples == 0 {
-		l.service.log = took
+	v.add(now, took)
+}
+
+// currentKnee returns the knee, 0 if there is none. With a knee the same requests stand for
+// other service times than without, which are learned anew.
+func (l *Learner) currentKnee() float64 {
+	knee, _ := l.knees.highest(l.requests.slots)
+	if knee > 0 != l.slowsDown {
+		l.slowsDown = knee > 0
+		for i := range l.kinds {
+			l.kinds[i].level = level{}
+		}
 	}
-	l.service.move(took > l.service.log)
+	return knee
+}
+
+// level returns the level of a flow's kind of requests.
+func (l *Learner) level(f packet.Flow) *level {
+	for i := range l.kinds {
+		if l.kinds[i].route == f.Service {
+			return &l.kinds[i].level
+		}
+	}
+	if len(l.kinds) == maxKinds {
+		l.kinds = slices.Delete(l.kinds, 0, 1)
+	}
+	l.kinds = append(l.kinds, kind{route: f.Service})
+	return &l.kinds[len(l.kinds)-1].level
 }
 
 // learnKnee compares a request with those before it, unless the target seems to change as a
 // whole just now.
-func (l *Learner) learnKnee(r *request, t traits) {
+func (l *Learner) learnKnee(v *level, r *request, t traits) {
 	over := recentOver(l.requests.slots)
-	if !l.service.surprised() && r.before.samples >= 2*over {
+	if !v.changing() && r.before.samples >= 2*over {
 		l.knees.compare(&t, &r.before)
 	}
 	l.requests.recent.approach(&t, over)
@@ -86,28 +120,41 @@
 // Overdue records that a request takes many times longer than usual. It counts like an answer
 // that takes long, now and only once.
 func (l *Learner) Overdue(now time.Duration, f packet.Flow) {
-	if l.requests.markOverdue(f) && l.service.samples > 0 {
-		l.service.move(true)
+	if l.requests.markOverdue(f) {
+		l.level(f).addLong(now)
 	}
 }
 
 // Failed records that the target broke a request off. It counts like an answer that takes
 // long, so that a target doesn't look faster than it is to its callers.
 func (l *Learner) Failed(now time.Duration, f packet.Flow) {
-	if _, ok := l.requests.remove(now, f); ok && l.service.samples > 0 {
-		l.service.move(true)
+	if _, ok := l.requests.remove(now, f); ok {
+		l.level(f).addLong(now)
 	}
 }
 
 // Drop forgets a request whose outcome says nothing about the target.
 func (l *Learner) Drop(f packet.Flow) { l.requests.remove(l.requests.at, f) }
 
-// Service returns the service time of a request that runs alone, 0 if it isn't known.
-func (l *Learner) Service(now time.Duration) time.Duration {
-	if l.service.samples < minSamples || now-l.answeredAt > forgetAfter {
-		return 0
+// Service returns the service time of a request that runs alone, of the kind that it returns
+// the route of, or 0 if no kind's is known. Of the kinds of which most requests come, it is
+// the one that comes first by its route, so that agents mostly state the same.
+func (l *Learner) Service(now time.Duration) (time.Duration, packet.Endpoint) {
+	most := 0.0
+	for i := range l.kinds {
+		most = max(most, l.kinds[i].level.recent(now))
+	}
+	var best *kind
+	for i := range l.kinds {
+		k := &l.kinds[i]
+		if k.level.recent(now) >= most/2 && (best == nil || k.route.AddrPort().Compare(best.route.AddrPort()) < 0) {
+			best = k
+		}
+	}
+	if best == nil {
+		return 0, packet.Endpoint{}
 	}
-	return time.Duration(math.Exp(l.service.log) * float64(time.Microsecond))
+	return best.level.service(now), best.route
 }
 
 // Capacity returns how many requests the target certainly can't run more of at full speed, 0
--- a/internal/passthrough/capacity/knee.go
+++ b/internal/passthrough/capacity/knee.go
@@ -23,17 +23,18 @@
 	// number for each slot: requests that run at once are compared with the same ones, and
 	// the error of a shorter mean would be theirs together.
 	minRecent, recentPerSlot = 8, 2
-	// varianceOver is the number of requests over which the variances extend.
-	varianceOver = 256
 	// comparedOver is over which sum of squares, knees.starts, comparisons extend: some 300
 	// requests at a target of two slots that is half busy. Requests that start beside the
 	// usual number of others, as on a target that is always full, add nothing and replace
 	// nothing.
 	comparedOver = 40
+	// minCompared is how many requests must have been compared: the variance of fewer is a
+	// guess.
+	minCompared = 64
 	// refuted is the square of the number of standard deviations from which no knee counts
 	// as wrong, doubtful that below which it may be right after all, plausible that up to
 	// which a candidate may be right.
-	refuted, doubtful, plausible = 12, 4, 1
+	refuted, doubtful, plausible = 16, 6, 1
 	// maxDifference bounds a difference between two times, in logarithms, so that few very
 	// long or very short requests don't decide.
 	maxDifference = 1.5
@@ -93,7 +94,7 @@
 		k.moments[i] = k.moments[i]*keep + unexplained*start
 		k.variances[i] += (unexplained*unexplained - k.variances[i]) * weight
 	}
-	if k.compared >= minSamples {
+	if k.compared >= minCompared {
 		doubt := k.doubt(maxCandidates)
 		k.found = doubt >= refuted || k.found && doubt >= doubtful
 	}
--- a/internal/passthrough/flowtable/learned.go
+++ b/internal/passthrough/flowtable/learned.go
@@ -1,6 +1,7 @@
 package flowtable
 
 import (
+	"encoding/binary"
 	"math"
 	"time"
 
@@ -45,7 +46,8 @@
 		return
 	}
 	e.loggedLimit = limit
-	e.noteDecision(now, Decision{Verdict: CapacityLearned, Limit: e.usableSlots(), Service: e.learner.Service(now)})
+	service, _ := e.learner.Service(now)
+	e.noteDecision(now, Decision{Verdict: CapacityLearned, Limit: e.usableSlots(), Service: service})
 }
 
 // usableSlots is how many of the target's slots are worth using.
@@ -64,7 +66,8 @@
 	if requests == 0 {
 		requests = float64(e.target.slots)
 	}
-	return requests, e.learner.Service(now)
+	service, _ = e.learner.Service(now)
+	return requests, service
 }
 
 // reportLearned adds what was learned to a report. While the target breaks many requests off,
@@ -75,10 +78,16 @@
 	}
 	r.Capacity = uint32(math.Round(100 * e.learner.Capacity()))
 	if !r.Unsteady {
-		r.ServiceMicros = uint32(min(e.learner.Service(now).Microseconds(), math.MaxUint32))
+		service, at := e.learner.Service(now)
+		r.ServiceMicros, r.ServiceRoute = uint32(min(service.Microseconds(), math.MaxUint32)), routeNumber(at)
 	}
 }
 
+// routeNumber returns the number that stands for a route in reports.
+func routeNumber(at packet.Endpoint) uint64 {
+	return uint64(binary.BigEndian.Uint32(at.IP[:]))<<16 | uint64(at.Port)
+}
+
 // forgetLearned forgets the target's predecessor.
 func (e *Engine) forgetLearned() {
 	e.learner = capacity.Learner{}
--- a/internal/passthrough/forward/choose.go
+++ b/internal/passthrough/forward/choose.go
@@ -223,7 +223,7 @@
 	}
 	if e.cfg.Overload.LearnedCapacity {
 		t.Capacity = float64(a.report.Capacity) / 100
-		t.Service = time.Duration(a.report.ServiceMicros) * time.Microsecond
+		t.Service, t.Route = time.Duration(a.report.ServiceMicros)*time.Microsecond, a.report.ServiceRoute
 	}
 	return t
 }
--- a/internal/passthrough/peer/messages.go
+++ b/internal/passthrough/peer/messages.go
@@ -34,9 +34,10 @@
 	// Capacity is how many requests the target runs well at once, in hundredths, as learned
 	// by its agent; 0 while that isn't known, or is no other than Slots.
 	Capacity uint32 `msg:"k,omitempty"`
-	// ServiceMicros is the mean time from a request to its answer in microseconds, 0 while
-	// none was observed.
+	// ServiceMicros is how long the target takes for a request of one of its routes in
+	// microseconds, 0 while that isn't known for certain; ServiceRoute stands for the route.
 	ServiceMicros uint32 `msg:"v,omitempty"`
+	ServiceRoute  uint64 `msg:"q,omitempty"`
 	// WaitMS is how long a first packet that arrives now waits for its turn, in
 	// milliseconds.
 	WaitMS uint32 `msg:"w,omitempty"`
--- a/internal/passthrough/placement/expected_wait.go
+++ b/internal/passthrough/placement/expected_wait.go
@@ -18,33 +18,40 @@
 
 const (
 	// samePace is the factor up to which two service times count as the same: estimates of
-	// equal targets differ by as much. A caller hardly notices the difference, but flows that
+	// equal targets differ by less. A caller hardly notices the difference, but flows that
 	// followed it would move with the noise.
-	samePace = 1.6
-	// implausiblePace is the factor from which a target that seems faster than the usual one
-	// counts as usual: more likely it answers without doing the work.
-	implausiblePace = 10
+	samePace = 1.8
+	// fastPace is the pace of all targets that seem at least that fast: one that seems
+	// faster still may answer without doing the work.
+	fastPace = 0.5
 )
 
-// Relate sets the paces of a flow's candidates, which must belong to one service. The usual
-// service time is their median, the longer one of two, so that a target that only seems fast
-// isn't the measure of another; a target whose service time isn't known has the usual pace.
+// Relate sets the paces of a flow's candidates, which must belong to one service. A target is
+// compared with those that state the service time of the same route. The usual service time
+// is their median, the longer one of two, so that a target that only seems fast isn't the
+// measure of another; a target whose service time isn't known has the usual pace.
 func Relate(targets []Target) {
+	for i := range targets {
+		t := &targets[i]
+		t.Pace = 0
+		if t.Service > 0 {
+			t.Pace = pace(t.Service, usual(targets, t.Route))
+		}
+	}
+}
+
+// usual returns the median of the service times of a route.
+func usual(targets []Target, route uint64) time.Duration {
 	var known [maxRelated]time.Duration
 	n := 0
 	for i := range targets {
-		if targets[i].Service > 0 && n < maxRelated {
+		if targets[i].Service > 0 && targets[i].Route == route && n < maxRelated {
 			known[n] = targets[i].Service
 			n++
 		}
 	}
 	slices.Sort(known[:n])
-	for i := range targets {
-		targets[i].Pace = 0
-		if targets[i].Service > 0 {
-			targets[i].Pace = pace(targets[i].Service, known[n/2])
-		}
-	}
+	return known[n/2]
 }
 
 // maxRelated bounds the candidates whose median is taken.
@@ -53,10 +60,10 @@
 // pace returns how many times longer than usual a target takes, 0 if it takes about as long.
 func pace(service, usual time.Duration) float64 {
 	p := float64(service) / float64(usual)
-	if p < samePace && p > 1/samePace || p < 1.0/implausiblePace {
+	if p < samePace && p > fastPace {
 		return 0
 	}
-	return p
+	return max(p, fastPace)
 }
 
 // expected returns the expected response time at a target with a load in slots, in the usual
--- a/internal/passthrough/placement/placement.go
+++ b/internal/passthrough/placement/placement.go
@@ -96,9 +96,11 @@
 	// Cold is set while the target is warming up after its start.
 	Cold bool
 	// Capacity is how many requests the target runs at full speed, if that is known to be
-	// fewer than its slots; 0 if not. Service is its service time, 0 if unknown.
+	// fewer than its slots; 0 if not. Service is its service time for requests of Route, 0
+	// if unknown.
 	Capacity float64
 	Service  time.Duration
+	Route    uint64
 	// Pace is how many times longer than usual the target takes for a request, 0 if about as
 	// long or if unknown. Relate sets it.
 	Pace float64
