Placement: a pace sends no flows to unsteady targets, nor to full ones far away

Cause: the target that was picked by its pace was tested for room by its load. A fast busy one sent flows to an unsteady target beside a steady one with a free slot, and to a full target in another data centre.

Change: where paces differ, unsteady targets are considered only if no steady one has room, and a far target takes flows only if its load is lower, as without paces, or if it has a free slot.

Result: both cases of TestPaceSendsNoFlowsToUnsteadyOrFullFarTargets fail before and pass now.

--- a/internal/passthrough/placement/expected_wait_test.go
+++ b/internal/passthrough/placement/expected_wait_test.go
@@ -213,3 +213,21 @@
 		is.Equal(i == 1, c.bk)
 	}
 }
+
+// Guards against flows that go to an unsteady target, or to a full one in another data centre,
+// because a fast target that is busy was picked before a steady one with a free slot.
+func TestPaceSendsNoFlowsToUnsteadyOrFullFarTargets(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		targets []Target
+		never   int
+	}{
+		{"unsteady", []Target{
+			{Near: true, Slots: 2, Mean: 3, Running: 3, Service: ms(18)}, {Near: true, Slots: 2, Mean: 1, Service: ms(80)},
+			{Near: true, Slots: 2, Unsteady: true},
+		}, 2},
+		{"full and far", []Target{{Near: true, Slots: 2, Mean: 1.5, Service: ms(44)}, {Slots: 2, Mean: 2.4, Running: 2.4, Service: ms(18)}}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) { is.New(t).Equal(related(t, c.targets, 300)[c.never], 0) })
+	}
+}
--- a/internal/passthrough/placement/placement.go
+++ b/internal/passthrough/placement/placement.go
@@ -179,7 +179,7 @@
 // Pick returns the index of the selected target, and false if there is none.
 func (p *Policy) Pick(rng *rand.Rand, targets []Target) (int, bool) {
 	steady := p.pickAmong(rng, targets, false)
-	if steady >= 0 && p.Score(&targets[steady]) < p.Saturated {
+	if steady >= 0 && (p.Score(&targets[steady]) < p.Saturated || p.paceDecides(targets)) {
 		return steady, true
 	}
 	unsteady := p.pickAmong(rng, targets, true)
@@ -189,6 +189,21 @@
 	return steady, true
 }
 
+// paceDecides reports whether a steady target has room, although the one that was picked by
+// its pace has none.
+func (p *Policy) paceDecides(targets []Target) bool {
+	paced, room := false, false
+	for i := range targets {
+		t := &targets[i]
+		if t.Unsteady && !p.IgnoreUnsteady {
+			continue
+		}
+		paced = paced || t.Pace != 0
+		room = room || p.Score(t) < p.Saturated
+	}
+	return paced && room && !p.IgnorePace
+}
+
 // pickAmong picks among the steady or the unsteady targets and prefers near ones. It
 // returns -1 if there are none.
 func (p *Policy) pickAmong(rng *rand.Rand, targets []Target, unsteady bool) int {
@@ -200,12 +215,16 @@
 		return near
 	}
 	n, f := p.Score(&targets[near]), p.Score(&targets[far])
-	if n > p.SpillFrom && p.expected(&targets[far], f) < p.expected(&targets[near], n)-p.SpillGain {
+	if n > p.SpillFrom && p.expected(&targets[far], f) < p.expected(&targets[near], n)-p.SpillGain && p.mayCross(n, f) {
 		return far
 	}
 	return near
 }
 
+// mayCross reports whether a far target may take a flow from a near one, by their loads. A
+// pace alone sends nothing to a far target that is full.
+func (p *Policy) mayCross(n, f float64) bool { return f < n-p.SpillGain || f < p.Saturated }
+
 // draw returns the less loaded of two targets drawn at random, among those that are
 // steady or unsteady, and near or far, as given. It returns -1 if there are none.
 func (p *Policy) draw(rng *rand.Rand, targets []Target, unsteady, near bool) int {
