Capacity: learn nothing beside uploads, nor from a cold target

Cause: uploads were left out of the learner. Where they take a slot, the requests beside them wait for each other, and the target seemed to run fewer than its slots.

Change: the learner knows of uploads and learns nothing from requests that were at the target beside one. Requests of a cold target count like uploads: their slowness passes, and what the target was at first mustn't be taken from them.

--- a/internal/passthrough/capacity/capacity.go
+++ b/internal/passthrough/capacity/capacity.go
@@ -61,13 +61,21 @@
 	l.requests.add(now, f)
 }
 
+// Occupy records that a request was sent to the target whose time says nothing about it, such
+// as an upload, which takes as long as its client's link needs. Whether it takes a slot
+// meanwhile depends on the target; those beside it aren't learned from.
+func (l *Learner) Occupy(now time.Duration, f packet.Flow) {
+	l.requests.remove(now, f)
+	l.requests.occupying = append(l.requests.occupying, f)
+}
+
 // Answered records that a request's answer has begun.
 func (l *Learner) Answered(now time.Duration, f packet.Flow) {
 	r, ok := l.requests.remove(now, f)
 	if ok && !r.runs {
 		l.requests.freeOverdue(now)
 	}
-	if !ok || !r.runs || r.overdue {
+	if !ok || !r.runs || r.overdue || l.requests.disturbed(&r) {
 		return
 	}
 	took := math.Log(max(float64((now - r.startedAt).Microseconds()), 1))
@@ -120,7 +128,7 @@
 // Overdue records that a request takes many times longer than usual. It counts like an answer
 // that takes long, now and only once.
 func (l *Learner) Overdue(now time.Duration, f packet.Flow) {
-	if l.requests.markOverdue(f) {
+	if l.requests.markOverdue(f) && len(l.requests.occupying) == 0 {
 		l.level(f).addLong(now)
 	}
 }
@@ -134,7 +142,7 @@
 }
 
 // Drop forgets a request whose outcome says nothing about the target.
-func (l *Learner) Drop(f packet.Flow) { l.requests.remove(l.requests.at, f) }
+func (l *Learner) Drop(now time.Duration, f packet.Flow) { l.requests.remove(now, f) }
 
 // Service returns the service time of a request that runs alone, of the kind that it returns
 // the route of, or 0 if no kind's is known. Of the kinds of which most requests come, it is
--- a/internal/passthrough/capacity/requests.go
+++ b/internal/passthrough/capacity/requests.go
@@ -17,11 +17,16 @@
 	at, busy time.Duration
 	// recent are the means of the last few requests that ended.
 	recent traits
+	// occupying are requests that aren't learned from, which may or may not take a slot;
+	// occupiedAt is when one last ended.
+	occupying  []packet.Flow
+	occupiedAt time.Duration
 }
 
 // request is one request at the target.
 type request struct {
-	flow packet.Flow
+	flow   packet.Flow
+	sentAt time.Duration
 	// runs is set once it runs, since startedAt; busyBefore is requests.busy at that time.
 	runs                  bool
 	startedAt, busyBefore time.Duration
@@ -51,16 +56,21 @@
 
 func (q *requests) add(now time.Duration, f packet.Flow) {
 	q.advance(now)
-	q.list = append(q.list, request{flow: f})
+	q.list = append(q.list, request{flow: f, sentAt: now})
 	q.startWaiting(now)
 }
 
 // remove takes a request out and returns it, and starts one that waited for it.
 func (q *requests) remove(now time.Duration, f packet.Flow) (request, bool) {
+	if i := slices.Index(q.occupying, f); i >= 0 {
+		q.occupying, q.occupiedAt = slices.Delete(q.occupying, i, i+1), max(now, q.at)
+		return request{}, false
+	}
 	i := slices.IndexFunc(q.list, func(r request) bool { return r.flow == f })
 	if i < 0 {
 		return request{}, false
 	}
+	now = max(now, q.at)
 	q.advance(now)
 	r := q.list[i]
 	q.list = slices.Delete(q.list, i, i+1)
@@ -71,6 +81,11 @@
 	return r, true
 }
 
+// disturbed reports whether a request that ends was at the target beside an occupying one.
+func (q *requests) disturbed(r *request) bool {
+	return len(q.occupying) > 0 || q.occupiedAt > r.sentAt
+}
+
 // markOverdue marks a request as overdue, false if it already is or doesn't run. It keeps its
 // slot, as a long request does at the target.
 func (q *requests) markOverdue(f packet.Flow) bool {
--- a/internal/passthrough/flowtable/learned.go
+++ b/internal/passthrough/flowtable/learned.go
@@ -15,14 +15,17 @@
 // slows down before its slots are taken. It never raises what admission allows.
 
 // noteRequest tells the learner that a flow's request has begun or ended at the target. It is
-// called for each change of a flow. Requests with large bodies are left out: they take as
-// long as their clients' links need.
+// called for each change of a flow. Requests with large bodies aren't learned from, because
+// they take as long as their clients' links need, and neither are those of a cold target,
+// whose slowness passes and is accounted for.
 func (e *Engine) noteRequest(f packet.Flow, before, after flow) {
 	switch {
 	case !e.cfg.Overload.LearnedCapacity || before.running == after.running:
 	case before.running:
-		e.learner.Drop(f)
-	case !e.table.Demand(f.Service).Kind.Bulk():
+		e.learner.Drop(max(before.seenAt, after.seenAt), f)
+	case e.table.Demand(f.Service).Kind.Bulk(), after.runningAt < e.target.coldUntil:
+		e.learner.Occupy(after.runningAt, f)
+	default:
 		e.learner.Begin(after.runningAt, f)
 	}
 }
@@ -31,7 +34,7 @@
 // that breaks many requests off say nothing about how fast it is.
 func (e *Engine) noteAnswer(now time.Duration, f packet.Flow) {
 	if e.outcomes.unsteady(now) {
-		e.learner.Drop(f)
+		e.learner.Drop(now, f)
 		return
 	}
 	e.learner.Answered(now, f)
--- a/internal/passthrough/flowtable/learned_test.go
+++ b/internal/passthrough/flowtable/learned_test.go
@@ -8,6 +8,7 @@
 
 	"bergamotstall/internal/passthrough/overload"
 	"bergamotstall/internal/passthrough/packet"
+	"bergamotstall/internal/passthrough/peer"
 	"bergamotstall/internal/passthrough/route"
 )
 
@@ -114,6 +115,54 @@
 	is.Equal(r.report().ServiceMicros, uint32(0))
 }
 
+// Guards against a target that seems to slow down because an upload has one of its slots: of
+// two requests beside it, one waits for the other.
+func TestUploadsDontLookLikeFewerSlots(t *testing.T) {
+	is := is.New(t)
+	r := newLearningRig(t)
+	up := packet.Endpoint{IP: service.IP, Port: service.Port + 1}
+	backends := []route.Backend{{Service: serviceName, Weight: 1}}
+	r.engine.SetTable(route.NewTable(&route.Definition{Version: 1, Routes: []route.Route{
+		{Name: "u", IP: up.IP, Port: up.Port, TimeoutMS: 8000, Kind: route.Upload, Backends: backends},
+		{Name: "s", IP: service.IP, Port: service.Port, TimeoutMS: 1000, Backends: backends},
+	}}))
+	r.engine.HandleAnnouncement(r.now, Announcement{ID: "i-1", Service: serviceName, Address: address, Born: startTime.UnixMilli(), Number: 2, Slots: 2})
+	port := uint16(1000)
+	request := func() uint16 {
+		port++
+		r.open(port, 1000)
+		r.sendRequest(port, 0)
+		return port
+	}
+	for i := range uint16(150) {
+		p := request()
+		r.advance(40 * time.Millisecond)
+		r.sendAnswer(p, 0)
+		r.upload(up, i)
+		p, q := request(), request()
+		r.advance(40 * time.Millisecond)
+		r.sendAnswer(p, 0)
+		r.advance(40 * time.Millisecond)
+		r.sendAnswer(q, 0)
+		r.fromUploader(up, i, packet.RST, 111, 1001, 0)
+	}
+	is.Equal(r.report().Capacity, uint32(0))
+	is.True(r.report().ServiceMicros > 35_000)
+}
+
+// upload has a client open a flow at another address and send part of a request.
+func (r *rig) upload(to packet.Endpoint, port uint16) {
+	r.fromUploader(to, port, packet.SYN, 10, 0, 0)
+	r.engine.FromTarget(r.now, packet.Packet{Src: to, Dst: flowOf(port).Client, Flags: packet.SYN | packet.ACK, Seq: 1000, Ack: 11}, rawOf(port))
+	r.fromUploader(to, port, packet.ACK, 11, 1001, 0)
+	r.fromUploader(to, port, packet.ACK, 11, 1001, 100)
+}
+
+func (r *rig) fromUploader(to packet.Endpoint, port uint16, flags packet.Flags, seq, ack uint32, data int) {
+	p := packet.Packet{Src: flowOf(port).Client, Dst: to, Flags: flags, Seq: seq, Ack: ack, Data: data}
+	r.engine.FromBalancer(r.now, balancer, peer.Header{Kind: peer.KindDeliver, Service: route.IDOf(serviceName)}, p, rawOf(port))
+}
+
 // Guards against requests that count as running at the target after their flow has ended.
 func TestEndedFlowsLeaveTheLearner(t *testing.T) {
 	is := is.New(t)
