Capacity: tests of slow targets that get few requests, and of hanging ones

Cause: a service time of long ago came back with the next answer; a target that was slow and got one request a second counted as slow for minutes; one that hung on everything counted as usual after 5 s.

Change: these tests.

--- a/internal/passthrough/capacity/capacity_test.go
+++ b/internal/passthrough/capacity/capacity_test.go
@@ -223,3 +223,44 @@
 	f.run(forgetAfter+time.Second, 0)
 	is.Equal(f.service(), time.Duration(0))
 }
+
+// Guards against a target that was slow and has recovered, and gets so few requests that it
+// would count as slow for long.
+func TestSlowTargetThatGetsFewRequestsIsTriedAgain(t *testing.T) {
+	for _, every := range []time.Duration{time.Second, forgetAfter + time.Second} {
+		f := newFakeTarget(2)
+		f.work *= 8
+		f.run(20*time.Second, f.half())
+		slow := f.service()
+		for n := range uint16(12) {
+			f.now += every
+			f.one(n, 20*time.Millisecond)
+			if got := f.service(); slow == 0 || got != 0 && got > slow/2 && every*time.Duration(n) > 10*time.Second {
+				t.Errorf("a request each %v: %v, %v before", every, got, slow)
+			}
+		}
+	}
+}
+
+// one has the target answer a request after some time.
+func (t *fakeTarget) one(n uint16, after time.Duration) {
+	f := packet.Flow{Client: packet.Endpoint{Port: n}}
+	t.l.Begin(t.now, f)
+	t.l.Answered(t.now+after, f)
+}
+
+// Guards against a target that counts as usual once it hangs on all requests.
+func TestHangingTargetStaysSlow(t *testing.T) {
+	is := is.New(t)
+	f := newFakeTarget(2)
+	f.run(5*time.Second, f.half())
+	before := f.service()
+	for n := range uint16(60) {
+		at := packet.Flow{Client: packet.Endpoint{Port: n}}
+		f.l.Begin(f.now, at)
+		f.now += 300 * time.Millisecond
+		f.l.Overdue(f.now, at)
+		f.l.Drop(f.now, at)
+		is.True(n < 20 || f.service() > 2*before)
+	}
+}
