Placement: bulk stays near only where links can be short of it

Cause: the rule applied to any download or upload route of a deployment with learned capacity, also with equal targets and nothing short.

Change: a switch of its own, BulkStaysNear, on where the deployment asks for conduct under pressure; without it the rule is in force where a route of a bulk kind exists.

--- a/internal/passthrough/forward/choose.go
+++ b/internal/passthrough/forward/choose.go
@@ -109,9 +109,10 @@
 	return choice{agent: c.fallback(service), service: service}
 }
 
-// placementPolicy returns the policy for a flow, by the kind of its route.
+// placementPolicy returns the policy for a flow, by the kind of its route where bulk stays
+// near: where links between data centres are short, or a route of a bulk kind can make them so.
 func (e *Engine) placementPolicy(f packet.Flow) *placement.Policy {
-	if !e.cfg.Overload.LearnedCapacity {
+	if !e.cfg.Overload.BulkStaysNear && !e.table.CarriesBulk() {
 		return &e.cfg.Policy.Place
 	}
 	switch e.table.Demand(f.Service).Kind {
--- a/internal/passthrough/overload/overload.go
+++ b/internal/passthrough/overload/overload.go
@@ -18,4 +18,7 @@
 	FairShares bool
 	// LearnedCapacity makes agents learn how many requests their targets run well.
 	LearnedCapacity bool
+	// BulkStaysNear keeps flows with large bodies or responses in their data centre for
+	// longer, also where no route is of a bulk kind.
+	BulkStaysNear bool
 }
--- a/internal/passthrough/route/route.go
+++ b/internal/passthrough/route/route.go
@@ -196,6 +196,8 @@
 type Table struct {
 	Version Version
 	routes  map[packet.Endpoint]tableEntry
+	// carriesBulk is set if one of the routes is of a bulk kind.
+	carriesBulk bool
 	// coldLimits holds the services whose cold targets have a limit, in requests per
 	// second.
 	coldLimits map[ServiceID]float64
@@ -207,6 +209,9 @@
 // Len returns the number of routes.
 func (t *Table) Len() int { return len(t.routes) }
 
+// CarriesBulk tells whether one of the routes is of a bulk kind.
+func (t *Table) CarriesBulk() bool { return t != nil && t.carriesBulk }
+
 // Services returns the services that may receive new flows to an address, or nil if the
 // address has no route.
 func (t *Table) Services(at packet.Endpoint) []Choice {
--- a/internal/passthrough/route/table_update.go
+++ b/internal/passthrough/route/table_update.go
@@ -255,4 +255,8 @@
 	for _, at := range u.Removed {
 		delete(t.routes, at)
 	}
+	t.carriesBulk = false
+	for _, x := range t.routes {
+		t.carriesBulk = t.carriesBulk || x.kind.Bulk()
+	}
 }
