Capacity: a limit doesn't hold for good under lasting overload

Cause: a target that is held to few requests and always has as many shows nothing new: each request starts beside the usual number of others, and nothing that was learned was replaced. A recovered target kept its limit for as long as callers waited.

Change: for one in eight rounds of answers the target is given all its slots, never more than without a limit; and while a limit is known, each answer replaces a little of what it rests on. Targets of few slots, where one more than the limit is nearly all, may give a right limit up under lasting overload.

Result: TestLimitIsGivenUpUnderLastingOverload feeds the limit back into admission.

--- a/internal/passthrough/capacity/capacity.go
+++ b/internal/passthrough/capacity/capacity.go
@@ -34,6 +34,10 @@
 	forgetAfter = 5 * time.Second
 	// maxKinds bounds the kinds of requests that are followed.
 	maxKinds = 16
+	// trialEvery is the number of answers for each slot, in the course of which the limit is
+	// lifted for as many answers as there are slots: held to few requests for good, a target
+	// couldn't show that it runs more by now.
+	trialEvery = 8
 )
 
 // Learner learns one incarnation of a target. The zero value knows nothing. It isn't safe for
@@ -44,6 +48,8 @@
 	knees    knees
 	// slowsDown is set while the service times are those of a target with a knee.
 	slowsDown bool
+	// answers counts the answers.
+	answers int
 }
 
 // kind is what was learned of one kind of requests.
@@ -71,6 +77,7 @@
 
 // Answered records that a request's answer has begun.
 func (l *Learner) Answered(now time.Duration, f packet.Flow) {
+	l.answers++
 	r, ok := l.requests.remove(now, f)
 	if ok && !r.runs {
 		l.requests.freeOverdue(now)
@@ -183,3 +190,9 @@
 	}
 	return limit
 }
+
+// Trial reports whether the target should be given all its slots for a moment, whatever its
+// limit, to learn whether that still holds.
+func (l *Learner) Trial() bool {
+	return l.answers/max(l.requests.slots, 1)%trialEvery == 0
+}
--- a/internal/passthrough/capacity/capacity_test.go
+++ b/internal/passthrough/capacity/capacity_test.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -264,3 +265,52 @@
 		is.True(n < 20 || f.service() > 2*before)
 	}
 }
+
+// Guards against a limit that a target keeps for good, because callers wait for it all the
+// time and it is never given more; and against trials that lift a right one.
+func TestLimitIsGivenUpUnderLastingOverload(t *testing.T) {
+	for _, c := range []struct{ slots, cores int }{{2, 1}, {4, 2}, {16, 5}} {
+		for _, recovers := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d cores of %d, recovers %v", c.cores, c.slots, recovers), func(t *testing.T) {
+				is := is.New(t)
+				f := newFakeTarget(c.slots)
+				f.slowdown = func(n int) float64 { return max(1, float64(n)/float64(c.cores)) }
+				for i := 0; i < 60 && f.l.Limit() == 0; i++ {
+					f.run(time.Second, 0.65*float64(c.cores)/f.work.Seconds())
+				}
+				is.True(f.l.Limit() > 0)
+				if recovers {
+					f.slowdown = func(int) float64 { return 1 }
+				}
+				limited := 0
+				for range 60 {
+					f.overload(time.Second)
+					if f.l.Limit() > 0 {
+						limited++
+					}
+				}
+				is.True(!recovers || f.l.Limit() == 0)
+				// Where trials hardly differ from the limit, that one more than it is
+				// given, it may be given up too.
+				is.True(recovers || limited >= 54 || c.slots < 8)
+			})
+		}
+	}
+}
+
+// overload runs the target for some time with as many requests as it is given at most.
+func (t *fakeTarget) overload(d time.Duration) {
+	for end := t.now + d; t.now < end; {
+		limit := t.slots
+		if n := t.l.Limit(); n > 0 && !t.l.Trial() {
+			limit = n
+		}
+		for len(t.running)+len(t.queue) <= limit {
+			t.port++
+			f := packet.Flow{Client: packet.Endpoint{IP: [4]byte{100, 64, byte(t.port >> 8), byte(t.port)}, Port: uint16(t.port >> 16)}}
+			t.l.Begin(t.now, f)
+			t.queue = append(t.queue, f)
+		}
+		t.run(200*time.Microsecond, 0)
+	}
+}
--- a/internal/passthrough/capacity/knee.go
+++ b/internal/passthrough/capacity/knee.go
@@ -25,9 +25,10 @@
 	minRecent, recentPerSlot = 8, 2
 	// comparedOver is over which sum of squares, knees.starts, comparisons extend: some 300
 	// requests at a target of two slots that is half busy. Requests that start beside the
-	// usual number of others, as on a target that is always full, add nothing and replace
-	// nothing.
-	comparedOver = 40
+	// usual number of others, as on a target that is always full, add nothing; while
+	// a knee is known, each replaces some of it all the same, agedBy, so that it doesn't
+	// hold for good.
+	comparedOver, agedBy = 40, 0.04
 	// minCompared is how many requests must have been compared: the variance of fewer is a
 	// guess.
 	minCompared = 64
@@ -83,6 +84,9 @@
 	difference := max(-maxDifference, min(maxDifference, now.time-before.time))
 	start := now.start - before.start
 	keep := math.Exp(-start * start / comparedOver)
+	if k.found {
+		keep *= math.Exp(-agedBy / comparedOver)
+	}
 	k.starts = k.starts*keep + start*start
 	k.compared++
 	weight := 1 / float64(min(k.compared, varianceOver))
--- a/internal/passthrough/flowtable/admission.go
+++ b/internal/passthrough/flowtable/admission.go
@@ -72,11 +72,11 @@
 // SetTable sets the route table, which has the routes' priorities, timeouts and regions.
 func (e *Engine) SetTable(t *route.Table) { e.table = t }
 
-// capacity is how many requests a target is given at once: as many as it has usable slots, plus
+// capacity is how many requests a target is given at once: as many as it has slots to use, plus
 // as many as finish during the handshake of a new flow, so that no slot is idle
 // meanwhile. More would wait in the target's own queue, in order of arrival.
 func (e *Engine) capacity() int {
-	slots := e.usableSlots()
+	slots := e.slotsToUse()
 	if e.cfg.Policy.ExtraRequests > 0 {
 		return slots + max(1, int(e.cfg.Policy.ExtraRequests*float64(slots)))
 	}
--- a/internal/passthrough/flowtable/learned.go
+++ b/internal/passthrough/flowtable/learned.go
@@ -62,6 +62,14 @@
 	return slots
 }
 
+// slotsToUse is how many slots the target is given requests for now.
+func (e *Engine) slotsToUse() int {
+	if e.learner.Trial() {
+		return int(max(e.target.slots, 1))
+	}
+	return e.usableSlots()
+}
+
 // LearnedCapacity returns what was learned of the target: how many requests it runs at full
 // speed, its slots unless fewer, and the service time of a request, 0 if that isn't known.
 func (e *Engine) LearnedCapacity(now time.Duration) (requests float64, service time.Duration) {
