Docs and tests: learned capacity and uneven demand

Tests in the model: unequal targets and targets that slow down before they are full are served better than by slots; a crowded data centre hands over.

--- a/internal/passthrough/peer/messages.go
+++ b/internal/passthrough/peer/messages.go
@@ -31,11 +31,11 @@
 	Unsteady bool `msg:"u"`
 	// ColdMS is for how many more milliseconds the target is warming up after its start.
 	ColdMS uint32 `msg:"c"`
-	// Capacity is how many requests the target runs well at once, in hundredths, as learned
+	// Capacity is how many requests the target runs at full speed, in hundredths, as learned
 	// by its agent; 0 while that isn't known, or is no other than Slots.
 	Capacity uint32 `msg:"k,omitempty"`
-	// ServiceMicros is the mean time from a request to its answer in microseconds, 0 while
-	// none was observed.
+	// ServiceMicros is the time in microseconds in which the target answers three requests of
+	// four that run alone; 0 while that isn't known.
 	ServiceMicros uint32 `msg:"v,omitempty"`
 	// WaitMS is how long a first packet that arrives now waits for its turn, in
 	// milliseconds.
--- a/internal/passthrough/simulation/simulation_test.go
+++ b/internal/passthrough/simulation/simulation_test.go
@@ -118,3 +118,26 @@
 		is.True(d.Classes[0].LatencyGoal >= 50*time.Millisecond)
 	}
 }
+
+// Guards against placement by slots where targets differ in speed, or slow down before their
+// slots are taken: callers of the slow ones are late beside fast ones with room.
+func TestLearnedCapacityServesCallersOfUnequalTargets(t *testing.T) {
+	for _, name := range []string{"unequal targets", "slow before full"} {
+		bySlots := CurrentPolicies()
+		bySlots.Overload.LearnedCapacity = false
+		with, _ := meanOutcome(t, name, CurrentPolicies())
+		without, _ := meanOutcome(t, name, bySlots)
+		t.Logf("%s: worth %.4f, %.4f if nothing is learned", name, with, without)
+		if with <= without {
+			t.Errorf("%s: worth %.4f, %.4f if nothing is learned", name, with, without)
+		}
+	}
+}
+
+// Guards against callers who wait in a crowded data centre beside others with room.
+func TestCrowdedDataCentreHandsOver(t *testing.T) {
+	worth, unserved := meanOutcome(t, "crowded data centre", CurrentPolicies())
+	if worth < 0.995 || unserved > 0 {
+		t.Errorf("worth %.4f, unserved %.4f", worth, unserved)
+	}
+}
