--- a/internal/passthrough/peer/messages.go
+++ b/internal/passthrough/peer/messages.go
@@ -31,7 +31,7 @@
 	Unsteady bool `msg:"u"`
 	// ColdMS is for how many more milliseconds the target is warming up after its start.
 	ColdMS uint32 `msg:"c"`
-	// Capacity is how many requests the target runs well at once, in hundredths, as learned
+	// Capacity is how many requests the target runs at full speed, in hundredths, as learned
 	// by its agent; 0 while that isn't known, or is no other than Slots.
 	Capacity uint32 `msg:"k,omitempty"`
 	// ServiceMicros is how long the target takes for a request of one of its routes in
