Placement, flow table: small things about learned capacity

A saturated target has no free slot for bulk either: HasSlot and Overflow were both true at a load of exactly 1 (TestBulkLeavesItsDataCentreLast checks it). Changes of the limit are logged every 10 s at most. New: TestNothingIsReportedWhereLearningIsOff.

--- a/internal/passthrough/flowtable/flowtable.go
+++ b/internal/passthrough/flowtable/flowtable.go
@@ -146,8 +146,9 @@
 	latencies latencies
 	outcomes  outcomes
 	// learner learns how fast the target is; loggedLimit is what was last logged of it.
-	learner     capacity.Learner
-	loggedLimit int
+	learner       capacity.Learner
+	loggedLimit   int
+	limitLoggedAt time.Duration
 	// recalls are control's records of earlier flows until they are applied; ended are the
 	// recorded flows that control has yet to be told are over.
 	recalls []flowlog.Update
--- a/internal/passthrough/flowtable/learned.go
+++ b/internal/passthrough/flowtable/learned.go
@@ -41,14 +41,17 @@
 	e.noteCapacity(now)
 }
 
+// limitLogInterval is the least time between two log lines of the limit.
+const limitLogInterval = 10 * time.Second
+
 // noteCapacity logs when the number of requests that the target is given has changed because
 // of what was learned.
 func (e *Engine) noteCapacity(now time.Duration) {
 	limit := e.learner.Limit()
-	if limit == e.loggedLimit {
+	if limit == e.loggedLimit || e.limitLoggedAt > 0 && now-e.limitLoggedAt < limitLogInterval {
 		return
 	}
-	e.loggedLimit = limit
+	e.loggedLimit, e.limitLoggedAt = limit, now
 	service, _ := e.learner.Service(now)
 	e.noteDecision(now, Decision{Verdict: CapacityLearned, Limit: e.usableSlots(), Service: service})
 }
@@ -99,7 +102,8 @@
 	return uint64(binary.BigEndian.Uint32(at.IP[:]))<<16 | uint64(at.Port)
 }
 
-// forgetLearned forgets the target's predecessor.
+// forgetLearned forgets what was learned of the target's predecessor: another process may be
+// faster or slower.
 func (e *Engine) forgetLearned() {
 	e.learner = capacity.Learner{}
 	e.loggedLimit = 0
--- a/internal/passthrough/flowtable/learned_test.go
+++ b/internal/passthrough/flowtable/learned_test.go
@@ -175,3 +175,15 @@
 	runRequests(r, 10*time.Millisecond, 50*time.Millisecond)
 	is.True(r.report().ServiceMicros > 45_000)
 }
+
+// Guards against anything learned, or reported, by an agent whose switch is off.
+func TestNothingIsReportedWhereLearningIsOff(t *testing.T) {
+	is := is.New(t)
+	r := newLearningRig(t)
+	r.engine.cfg.Overload = overload.Settings{}
+	r.engine.HandleAnnouncement(r.now, Announcement{ID: "i-1", Service: serviceName, Address: address, Born: startTime.UnixMilli(), Number: 2, Slots: 2})
+	runPairs(r, 150, 40*time.Millisecond, 80*time.Millisecond)
+	is.Equal(r.report().Capacity, uint32(0))
+	is.Equal(r.report().ServiceMicros, uint32(0))
+	is.Equal(r.engine.slotsToUse(), 2)
+}
--- a/internal/passthrough/placement/expected_wait_test.go
+++ b/internal/passthrough/placement/expected_wait_test.go
@@ -202,6 +202,8 @@
 func TestBulkLeavesItsDataCentreLast(t *testing.T) {
 	is := is.New(t)
 	bulk := policy.ForBulk()
+	full := []Target{{Near: true, Slots: 2, Mean: 2, Running: 2}}
+	is.True(bulk.Overflow(full) != bulk.HasSlot(full))
 	for _, c := range []struct {
 		near      float64
 		other, bk bool
--- a/internal/passthrough/placement/placement.go
+++ b/internal/passthrough/placement/placement.go
@@ -132,7 +132,7 @@
 }
 
 // Overflow reports whether a flow should go to another service of its route: all targets
-// of its own service are saturated.
+// of its own service are saturated. Paces don't matter: it asks for slots.
 func (p *Policy) Overflow(own []Target) bool {
 	if p.NoOverflow {
 		return len(own) == 0
@@ -146,19 +146,23 @@
 }
 
 // HasSlot reports whether one of the near targets is steady and almost certainly has a
-// free slot, so that other data centres needn't be considered.
+// free slot, whatever its pace, so that other data centres needn't be considered.
 func (p *Policy) HasSlot(near []Target) bool {
 	if p.IgnoreDistance {
 		return false
 	}
 	for i := range near {
-		if (p.IgnoreUnsteady || !near[i].Unsteady) && p.Score(&near[i]) <= p.SpillFrom {
+		if (p.IgnoreUnsteady || !near[i].Unsteady) && p.hasSlot(p.Score(&near[i])) {
 			return true
 		}
 	}
 	return false
 }
 
+// hasSlot reports whether a load leaves a free slot. A saturated target has none, also where
+// flows stay near until then.
+func (p *Policy) hasSlot(load float64) bool { return load <= p.SpillFrom && load < p.Saturated }
+
 // HasRoom reports whether a target has room for the overflow of another service.
 func (p *Policy) HasRoom(t *Target) bool { return p.Score(t) < p.Idle }
 
