Merge: shares of clients under shortage, and the door at balancers

Conflicts: both parts' verdicts and engine fields are kept; a queued first packet gets its client's share and counts as an arrival after it was judged; flows that open are counted where packets of known flows are forwarded. Tests of bulk, link, forward, flowtable, peer, patience, fairshare, simulation and explain pass.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -17,7 +17,7 @@
 // failureVerdicts are the verdicts after which the caller gets no answer on its flow.
 var failureVerdicts = map[string]bool{
 	"refused-no-route": true, "refused-no-target": true, "reset-route-gone": true, "reset-nowhere": true,
-	"dropped-unfound": true, "dropped-busy": true, "refused-bulk": true, "dropped-bulk": true, "request-dropped": true,
+	"dropped-unfound": true, "dropped-busy": true, "refused-bulk": true, "dropped-bulk": true, "request-dropped": true, "refused-short": true,
 }
 
 // CauseOf returns why a flow failed or was late, given its lines in order of time: the
--- a/internal/passthrough/agent/output.go
+++ b/internal/passthrough/agent/output.go
@@ -115,6 +115,9 @@
 		fields["answered"] = d.AnsweredRequests
 		fields["broken"] = d.BrokenRequests
 	}
+	if d.Waiting > 0 {
+		fields["waiting"] = d.Waiting
+	}
 	events.Log(a.cfg.Log, events.PassAgentDecided, fields)
 }
 
--- a/internal/passthrough/balancer/output.go
+++ b/internal/passthrough/balancer/output.go
@@ -9,6 +9,7 @@
 
 	"bergamotstall/internal/events"
 	"bergamotstall/internal/metrics"
+	"bergamotstall/internal/passthrough/fairshare"
 	"bergamotstall/internal/passthrough/forward"
 	"bergamotstall/internal/passthrough/packet"
 	"bergamotstall/internal/passthrough/peer"
@@ -36,8 +37,8 @@
 var _ forward.Output = (*Balancer)(nil)
 
 // Deliver implements forward.Output.
-func (b *Balancer) Deliver(to netip.AddrPort, service route.ServiceID, age time.Duration, raw []byte) {
-	b.buf = peer.Header{Kind: peer.KindDeliver, Service: service, Age: peer.AgeMillis(age)}.Append(b.buf[:0], raw)
+func (b *Balancer) Deliver(to netip.AddrPort, service route.ServiceID, age time.Duration, usage fairshare.Stamp, raw []byte) {
+	b.buf = peer.Header{Kind: peer.KindDeliver, Usage: usage, Service: service, Age: peer.AgeMillis(age)}.Append(b.buf[:0], raw)
 	b.nodes.Send(b.buf, to)
 }
 
@@ -113,6 +114,9 @@
 	if d.Waited > 0 {
 		fields["waited_ms"] = d.Waited.Milliseconds()
 	}
+	if d.ExpectedWait > 0 {
+		fields["expected_wait_ms"] = d.ExpectedWait.Milliseconds()
+	}
 	if d.Verdict == forward.Found || d.Verdict == forward.Placed {
 		b.waitTimes[d.Verdict].Record(d.Waited)
 	}
--- a/internal/passthrough/flowtable/decision.go
+++ b/internal/passthrough/flowtable/decision.go
@@ -64,11 +64,14 @@
 	// RequestDropped: a request over an open flow was held for longer than its caller
 	// waits.
 	RequestDropped
+	// ShortageBegan: callers wait for a slot. ShortageEnded: nobody has waited for a while.
+	ShortageBegan
+	ShortageEnded
 )
 
 var verdictNames = [...]string{"", "refused-first", "refused-later", "target-arrived", "target-drains", "target-left",
 	"target-silent", "target-answers", "target-dead", "stale-announcement", "flows-reset", "flows-recalled",
-	"target-unsteady", "request-dropped"}
+	"target-unsteady", "request-dropped", "shortage-began", "shortage-ended"}
 
 func (v Verdict) String() string {
 	if int(v) < len(verdictNames) {
@@ -102,4 +105,6 @@
 	// AnsweredRequests and BrokenRequests are the numbers of answered and of broken-off
 	// requests by which the target was found unsteady.
 	AnsweredRequests, BrokenRequests int
+	// Waiting is the number of callers that wait for a slot.
+	Waiting int
 }
--- a/internal/passthrough/flowtable/flowtable.go
+++ b/internal/passthrough/flowtable/flowtable.go
@@ -14,6 +14,7 @@
 	"net/netip"
 	"time"
 
+	"bergamotstall/internal/passthrough/fairshare"
 	"bergamotstall/internal/passthrough/flowlog"
 	"bergamotstall/internal/passthrough/overload"
 	"bergamotstall/internal/passthrough/packet"
@@ -105,7 +106,10 @@
 	// clientEnd is the end of the client's data so far; valid if hasClientData is set.
 	clientEnd     uint32
 	hasClientData bool
-	stage         stage
+	// targetEnd is the end of the target's data so far; 0 until it has answered the first
+	// packet.
+	targetEnd uint32
+	stage     stage
 	// running is set while a request waits for its answer, since runningAt; held is set
 	// while a request is held at the agent until the target has room.
 	running   bool
@@ -148,6 +152,7 @@
 	admission admission
 	latencies latencies
 	outcomes  outcomes
+	shares    shares
 	// recalls are control's records of earlier flows until they are applied; ended are the
 	// recorded flows that control has yet to be told are over.
 	recalls []flowlog.Update
@@ -165,6 +170,7 @@
 	return &Engine{
 		cfg: cfg, flows: map[packet.Flow]flow{}, unanswered: map[packet.Flow]unansweredFirst{},
 		tags: balancerTags{byAddress: map[netip.AddrPort]uint16{}}, startedAt: cfg.StartedAt, learningSince: cfg.StartedAt, load: load{meanUpdatedAt: cfg.StartedAt},
+		shares: shares{usage: fairshare.NewUsage()},
 	}
 }
 
@@ -181,6 +187,7 @@
 	x, known := e.flows[f]
 	switch {
 	case p.Opens():
+		e.noteClient(now, f, h.Usage)
 		e.handleFirst(now, newFirst(p, h, now, from, raw), x, known)
 	case known && x.stage != notHeld:
 		e.handleLater(now, from, f, x, p, raw)
@@ -262,6 +269,7 @@
 // admit sends a first packet to the target.
 func (e *Engine) admit(now time.Duration, p arrival) {
 	e.coldFlows.add(now)
+	e.countUse(now, p.flow)
 	x := flow{stage: halfOpen, seenAt: now, bulk: e.isBulk(p.flow)}
 	if !x.bulk {
 		e.expect(now, p.flow)
@@ -309,6 +317,8 @@
 		}
 		if admitted {
 			observe(&e.latencies.handshake, now-expectedSince)
+		} else {
+			e.countUse(now, f)
 		}
 		x.running = true
 		x.runningAt = now
@@ -402,6 +412,9 @@
 	switch {
 	case p.Flags.Has(packet.SYN | packet.ACK):
 		x.targetInitialSeq = p.Seq
+		if x.targetEnd == 0 {
+			x.targetEnd = p.Seq + 1
+		}
 		if !known {
 			x.stage = halfOpen
 		}
@@ -411,7 +424,7 @@
 			e.countBroken(now, 1)
 		}
 	}
-	if p.Data > 0 && x.running {
+	if x.running && x.answers(p) {
 		x.running = false
 		e.load.answeredAt = now
 		e.outcomes.add(now, 1, 0)
@@ -420,6 +433,7 @@
 			observe(&e.latencies.service, now-x.runningAt)
 		}
 	}
+	x.noteTargetData(p)
 	if p.Flags.Has(packet.FIN) {
 		x.finTarget = true
 		x.running = false
@@ -432,6 +446,18 @@
 	e.admitQueued(now)
 }
 
+// answers reports whether a target's packet shows that it has answered the request in
+// progress: it carries data, or closes the flow behind data that it has overtaken on its way.
+func (x *flow) answers(p packet.Packet) bool {
+	return p.Data > 0 || p.Flags.Has(packet.FIN) && x.targetEnd != 0 && int32(p.Seq-x.targetEnd) > 0
+}
+
+func (x *flow) noteTargetData(p packet.Packet) {
+	if end := p.Seq + uint32(p.Data); p.Data > 0 && (x.targetEnd == 0 || int32(end-x.targetEnd) > 0) {
+		x.targetEnd = end
+	}
+}
+
 // handleBounced handles a packet that the target returned.
 func (e *Engine) handleBounced(now time.Duration, p packet.Packet, raw []byte) {
 	f := p.FromClient()
--- a/internal/passthrough/flowtable/latency_test.go
+++ b/internal/passthrough/flowtable/latency_test.go
@@ -43,3 +43,22 @@
 		})
 	}
 }
+
+// Guards against an unknown service time where the target's FIN overtakes the answer before
+// it: the agent couldn't tell how long callers wait. A FIN without an answer tells nothing.
+func TestClosingBehindTheAnswerCountsAsAnswer(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	request := func(port uint16, finSeq uint32) {
+		r.open(port, 1000)
+		r.sendRequest(port, 0)
+		r.advance(30 * time.Millisecond)
+		r.fromTarget(port, packet.FIN|packet.ACK, finSeq, 111, 0)
+		r.fromTarget(port, packet.ACK, 1001, 111, 500)
+	}
+	request(1, 1001)
+	is.Equal(r.engine.latencies.service, time.Duration(0))
+	request(2, 1501)
+	is.Equal(r.engine.latencies.service, 30*time.Millisecond)
+	is.Equal(r.engine.load.running, 0)
+}
--- a/internal/passthrough/flowtable/queue.go
+++ b/internal/passthrough/flowtable/queue.go
@@ -82,13 +82,16 @@
 	return q.seq == seq || slices.ContainsFunc(q.more, func(h heldPacket) bool { return h.seq == seq })
 }
 
-// precedes reports whether q is admitted before other: the more urgent route first, and
-// within a route the newest first, because its caller can still be answered in time. In
-// order of arrival a backlog would make all of them late.
+// precedes reports whether q is admitted before other: the more urgent route first, then the
+// client that has had less of its share, and then the newest first, because its caller can
+// still be answered in time. In order of arrival a backlog would make all of them late.
 func (p *Policy) precedes(q, other *queueEntry) bool {
 	if q.priority != other.priority && !p.IgnorePriority {
 		return q.priority < other.priority
 	}
+	if q.caller.Share != other.caller.Share {
+		return q.caller.Share < other.caller.Share
+	}
 	if p.OldestFirst {
 		return q.firstSentAt < other.firstSentAt
 	}
@@ -103,6 +106,7 @@
 		return
 	}
 	q := queueEntry{arrival: p, priority: e.table.Priority(p.flow.Service), caller: e.openingCaller(now, p)}
+	q.caller.Share = e.shareRank(now, p.flow)
 	defer e.countArrival(now, q.caller) // its own arrival doesn't come before it
 	if len(e.admission.queue) >= maxQueue {
 		e.refuseFirst(now, p, peer.Full)
@@ -157,6 +161,7 @@
 // admitQueued admits held entries as long as there is room.
 func (e *Engine) admitQueued(now time.Duration) {
 	for len(e.admission.queue) > 0 && !e.busy(now) && !e.target.silent && !e.target.draining {
+		e.rankQueued(now)
 		at := e.nextQueued(now)
 		if e.hasGivenUp(now, &e.admission.queue[at]) {
 			e.removeExpired(now) // all of them at once
@@ -182,6 +187,7 @@
 		e.admit(now, q.arrival)
 		return
 	}
+	e.countUse(now, q.flow)
 	x := e.flows[q.flow]
 	x.held = false
 	x.running = true
@@ -247,6 +253,7 @@
 // removeExpired removes entries that must not be held any longer: first packets are
 // returned, requests whose callers have given up are dropped.
 func (e *Engine) removeExpired(now time.Duration) {
+	e.rankQueued(now)
 	e.orderByGoals(now)
 	o := e.outlook(now)
 	kept := e.admission.queue[:0]
--- a/internal/passthrough/flowtable/report.go
+++ b/internal/passthrough/flowtable/report.go
@@ -45,8 +45,9 @@
 	}
 	r.NoTarget = e.empty(now)
 	r.Unsteady = e.outcomes.unsteady(now)
-	if e.cfg.Overload.CallerGoals {
+	if e.cfg.Overload.CallerGoals || e.cfg.Overload.FairShares {
 		r.WaitMS = uint32(e.expectedWait(now).Milliseconds())
+		r.Waiting = e.appendWaiting(nil)
 	}
 	if t.coldUntil > now {
 		r.ColdMS = uint32((t.coldUntil - now).Milliseconds())
--- a/internal/passthrough/flowtable/tick.go
+++ b/internal/passthrough/flowtable/tick.go
@@ -12,6 +12,7 @@
 	e.load.updateMean(now)
 	e.expireUnanswered(now)
 	e.tickAdmission(now)
+	e.tickShares(now)
 	e.applyRecalls(now)
 	t := &e.target
 	if t.known && t.leftAt > 0 && now-t.leftAt > exitGrace {
--- a/internal/passthrough/forward/agents.go
+++ b/internal/passthrough/forward/agents.go
@@ -204,6 +204,9 @@
 	a.reportedAt = now
 	a.flowsSent = 0
 	e.agents.updateGroup(now, number)
+	if r.WaitMS == 0 {
+		clear(e.shortage.views) // nothing may be refused beside a target with room
+	}
 	e.resumePlacements(now, number)
 }
 
--- a/internal/passthrough/forward/decision.go
+++ b/internal/passthrough/forward/decision.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"bergamotstall/internal/passthrough/fairshare"
 	"bergamotstall/internal/passthrough/packet"
 	"bergamotstall/internal/passthrough/peer"
 	"bergamotstall/internal/passthrough/route"
@@ -12,7 +13,7 @@
 // Output carries out the engine's decisions. Slices are valid only during the call.
 type Output interface {
 	// Deliver sends a client's packet to an agent; age is how long it was held here.
-	Deliver(to netip.AddrPort, service route.ServiceID, age time.Duration, raw []byte)
+	Deliver(to netip.AddrPort, service route.ServiceID, age time.Duration, usage fairshare.Stamp, raw []byte)
 	// Ask sends a question to an agent. Questions may be batched.
 	Ask(to netip.AddrPort, q peer.Question)
 	// Probe asks an agent for a report.
@@ -55,10 +56,13 @@
 	// targets, but another balancer may have delivered a copy of it, so that its caller gets
 	// no reset.
 	DroppedBulk
+	// RefusedShort: a first packet was reset at once, because callers wait at all targets that
+	// it could reach.
+	RefusedShort
 )
 
 var verdictNames = [...]string{"", "placed", "moved", "refused-no-route", "refused-no-target", "found",
-	"reset-route-gone", "reset-nowhere", "dropped-unfound", "held-early", "dropped-busy", "refused-bulk", "dropped-bulk"}
+	"reset-route-gone", "reset-nowhere", "dropped-unfound", "held-early", "dropped-busy", "refused-bulk", "dropped-bulk", "refused-short"}
 
 func (v Verdict) String() string {
 	if int(v) < len(verdictNames) {
@@ -82,8 +86,9 @@
 	Reason peer.Reason
 	// ReportAge is the age of the agent's last report.
 	ReportAge time.Duration
-	// Waited is how long the packet was held.
-	Waited time.Duration
+	// Waited is how long the packet was held; ExpectedWait is how long it would have waited at
+	// a target, with RefusedShort.
+	Waited, ExpectedWait time.Duration
 	// Asked is the number of agents asked (of attempts, with RefusedNoTarget), Silent the
 	// number that didn't answer.
 	Asked, Silent int
--- /dev/null
+++ b/internal/passthrough/forward/door.go
@@ -0,0 +1,177 @@
+package forward
+
+import (
+	"time"
+
+	"bergamotstall/internal/passthrough/fairshare"
+	"bergamotstall/internal/passthrough/packet"
+)
+
+// The door: what a balancer does with a first packet while callers wait at the target that
+// was chosen for it. It looks at all targets that the flow could reach, not only the preferred
+// ones: if one has room, the flow goes there; if callers wait at all of them, the packet may be
+// refused at once (package fairshare). Where a target's state isn't known, nothing is refused.
+
+const (
+	// shortageKnownFor is how long a report counts that says that callers wait. Agents tell
+	// when that is over; the bound is for reports that are lost.
+	shortageKnownFor = 200 * time.Millisecond
+	// surroundingsFor is how long the view of a route's targets is used: there are more first
+	// packets than reports while callers wait.
+	surroundingsFor = 5 * time.Millisecond
+	// maxSurroundings bounds the routes whose view is kept.
+	maxSurroundings = 1_024
+	// maxDoorProbes bounds the probes sent for one view.
+	maxDoorProbes = 3
+)
+
+// surroundings is what a balancer knows of the targets that a route's flows could reach.
+type surroundings struct {
+	at time.Duration
+	// unknown is set if at one of them it isn't known whether callers wait.
+	unknown bool
+	// room is set if one of them has a free slot.
+	room bool
+	// wait is the mean time that a first packet would wait at the others.
+	wait time.Duration
+}
+
+// viewKey says whose view it is: that of a route's callers of one urgency.
+type viewKey struct {
+	route   packet.Endpoint
+	urgency fairshare.Urgency
+}
+
+// doorState is the state of the door.
+type doorState struct {
+	usage *fairshare.Usage
+	views map[viewKey]*surroundings
+}
+
+func newDoorState() doorState {
+	return doorState{usage: fairshare.NewUsage(), views: map[viewKey]*surroundings{}}
+}
+
+func (e *Engine) clientOf(f packet.Flow) fairshare.Client {
+	return fairshare.Client{IP: f.Client.IP, Priority: e.table.Priority(f.Service)}
+}
+
+// countOpened counts a flow that was placed here and has opened.
+func (e *Engine) countOpened(now time.Duration, f packet.Flow, entry *flowEntry, p packet.Packet) {
+	if !e.cfg.Overload.FairShares || entry.opened || entry.attempts == 0 || p.Flags.Has(packet.RST) {
+		return
+	}
+	entry.opened = true
+	e.shortage.usage.Add(now, e.clientOf(f))
+}
+
+// stampOf returns the stamp of a first packet.
+func (e *Engine) stampOf(now time.Duration, f packet.Flow) fairshare.Stamp {
+	if !e.cfg.Overload.FairShares {
+		return 0
+	}
+	return fairshare.StampOf(e.shortage.usage.Of(now, e.clientOf(f)))
+}
+
+// atDoor decides on a first packet for which a target was chosen. It returns where the flow
+// goes, and false if the packet was refused.
+func (e *Engine) atDoor(now time.Duration, f packet.Flow, p *pendingPlacement, chosen choice) (choice, bool) {
+	if !e.cfg.Overload.FairShares || p.entry.attempts > 0 {
+		return chosen, true
+	}
+	client := e.clientOf(f)
+	e.shortage.usage.See(now, client)
+	if a := &e.agents.list[chosen.agent]; !a.hasFreshReport(now) || a.report.WaitMS == 0 {
+		return chosen, true
+	}
+	excess := e.shortage.usage.Excess(now, client)
+	s := e.lookAround(now, f, fairshare.UrgencyOf(client.Priority, excess > 1))
+	if s.room {
+		c := chooser{e: e, now: now, flow: f}
+		if to := c.withRoom(0); to.agent != noAgent {
+			return to, true
+		}
+	}
+	if s.unknown {
+		return chosen, true
+	}
+	v := fairshare.Visit{Wait: s.wait, Patience: fairshare.Patience(e.table.Demand(f.Service).Goal), Excess: excess}
+	if e.cfg.Rand.Float64() < v.PassChance() {
+		return chosen, true
+	}
+	delete(e.flows, f)
+	e.cfg.Out.Reset(f, 0)
+	e.logDecision(Decision{Flow: f, Verdict: RefusedShort, Waited: now - p.arrivedAt, ExpectedWait: s.wait})
+	return choice{}, false
+}
+
+// lookAround returns the view of the targets that a flow could reach.
+func (e *Engine) lookAround(now time.Duration, f packet.Flow, urgency fairshare.Urgency) *surroundings {
+	key := viewKey{f.Service, urgency}
+	if s := e.shortage.views[key]; s != nil && now-s.at < surroundingsFor {
+		return s
+	}
+	if len(e.shortage.views) >= maxSurroundings {
+		clear(e.shortage.views)
+	}
+	s := e.survey(now, f, urgency)
+	e.shortage.views[key] = s
+	return s
+}
+
+// survey goes through the targets of a flow's route and probes some whose state isn't known.
+func (e *Engine) survey(now time.Duration, f packet.Flow, urgency fairshare.Urgency) *surroundings {
+	s := &surroundings{at: now}
+	c := chooser{e: e, now: now, flow: f}
+	sum, n, probes := time.Duration(0), 0, 0
+	c.eachReachable(func(number uint32, a *agent) {
+		switch wait, known := a.expectedWait(now, urgency); {
+		case a.hasRoom(now, 0):
+			s.room = true
+		case known:
+			sum += min(wait, packet.HandshakeTimeout)
+			n++
+		default:
+			s.unknown = true
+			if probes < maxDoorProbes {
+				probes++
+				e.probe(now, number)
+			}
+		}
+	})
+	if n > 0 {
+		s.wait = sum / time.Duration(n)
+	}
+	return s
+}
+
+// eachReachable calls do for the agents whose targets the flow could reach.
+func (c *chooser) eachReachable(do func(number uint32, a *agent)) {
+	for _, choice := range c.e.table.Services(c.flow.Service) {
+		for _, g := range c.e.agents.index.byService[choice.Service] {
+			if !c.zoneAllowed(g.zone) {
+				continue
+			}
+			for _, number := range g.members {
+				if a := &c.e.agents.list[number]; c.mayReceive(number, a) {
+					do(number, a)
+				}
+			}
+		}
+	}
+}
+
+// expectedWait returns how long a first packet of an urgency would wait at the target, by
+// who waits there that isn't less urgent, and false if that isn't known.
+func (a *agent) expectedWait(now time.Duration, urgency fairshare.Urgency) (time.Duration, bool) {
+	r := &a.report
+	before, all := r.WaitingBefore(urgency)
+	switch {
+	case a.reportedAt == 0 || now-a.reportedAt >= shortageKnownFor || !a.hasFreshReport(now) && all == 0:
+		return 0, false
+	case r.WaitMS == 0 && (all > 0 || r.Running > 2*r.Slots):
+		return 0, false // from a build that doesn't state the wait
+	}
+	turn := time.Duration(r.WaitMS) * time.Millisecond / time.Duration(all+1)
+	return turn * time.Duration(before+int(a.flowsSent)), true
+}
--- /dev/null
+++ b/internal/passthrough/forward/door_test.go
@@ -0,0 +1,105 @@
+package forward
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bergamotstall/internal/passthrough/overload"
+	"bergamotstall/internal/passthrough/packet"
+	"bergamotstall/internal/passthrough/peer"
+	"bergamotstall/internal/passthrough/route"
+)
+
+func newDoorEngine(t *testing.T) *testEngine {
+	r := newTestEngine(t)
+	r.engine.cfg.Overload = overload.Settings{FairShares: true}
+	return r
+}
+
+// shortAgent has an agent report that callers of an urgency wait for two seconds.
+func (r *testEngine) shortAgent(n, urgency byte) netip.AddrPort {
+	at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 7000)
+	r.report(at, peer.Report{
+		Process: uint64(n), Service: uint64(route.IDOf(caseworkService)), Zone: zone, AcceptsFlows: true,
+		Slots: 4, Running: 60, Load: 400, WaitMS: 2000, Waiting: []byte{urgency, 50},
+	})
+	return at
+}
+
+// refusedOf sends first packets and returns how many were refused at once.
+func (r *testEngine) refusedOf(n int) (refused int) {
+	for port := range uint16(n) {
+		before := len(r.resets)
+		r.send(syn(1000 + port))
+		refused += len(r.resets) - before
+	}
+	return refused
+}
+
+// Guards against callers held, or passed from agent to agent, while all targets are short, and
+// against refusals beside a free slot, an unknown target or less urgent callers.
+func TestDoorRefusesWhereCallersWaitEverywhere(t *testing.T) {
+	is := is.New(t)
+	r := newDoorEngine(t)
+	for n := byte(1); n <= 8; n++ {
+		r.shortAgent(n, 0)
+	}
+	is.True(r.refusedOf(100) > 90)
+	is.Equal(r.lastDecision().Verdict, RefusedShort)
+
+	idle := r.agentAt(9, caseworkService)
+	n := len(r.delivered)
+	r.send(syn(1))
+	is.Equal(r.delivered[n].to, idle)
+
+	r.shortAgent(9, 0)
+	r.list(10, caseworkService) // no report yet
+	r.now += surroundingsFor
+	is.Equal(r.refusedOf(100), 0)
+
+	r = newDoorEngine(t)
+	for n := byte(1); n <= 8; n++ {
+		r.shortAgent(n, 2) // less urgent
+	}
+	is.Equal(r.refusedOf(1), 0)
+}
+
+// Guards against a shortage that outlives its reports, and against refusals where shares aren't
+// in force.
+func TestDoorOpensWithoutReports(t *testing.T) {
+	is := is.New(t)
+	r := newDoorEngine(t)
+	r.shortAgent(1, 0)
+	r.shortAgent(2, 0)
+	is.True(r.refusedOf(20) > 10)
+	r.now += shortageKnownFor
+	is.Equal(r.refusedOf(20), 0)
+	r.engine.cfg.Overload.FairShares = false
+	r.shortAgent(1, 0)
+	r.shortAgent(2, 0)
+	is.Equal(r.refusedOf(20), 0)
+}
+
+// Guards against a client's flows that count for nothing elsewhere, and against flows counted
+// before they have opened, or twice.
+func TestFirstPacketsCarryTheClientsUsage(t *testing.T) {
+	is := is.New(t)
+	r := newDoorEngine(t)
+	r.agentAt(1, caseworkService)
+	for port := range uint16(40) {
+		r.send(syn(port))
+		is.True(r.delivered[len(r.delivered)-1].usage.Flows() < 1.1*float64(port)+1)
+		r.send(data(port, 7))
+		r.send(data(port, 7))
+		r.now += time.Millisecond
+	}
+	r.send(syn(100))
+	last := r.delivered[len(r.delivered)-1].usage.Flows()
+	is.True(last > 36 && last < 44)
+	r.send(packet.Packet{Src: client(100), Dst: service, Flags: packet.RST})
+	r.send(syn(101))
+	is.Equal(r.delivered[len(r.delivered)-1].usage.Flows(), last)
+}
--- a/internal/passthrough/forward/fleet_test.go
+++ b/internal/passthrough/forward/fleet_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"bergamotstall/internal/passthrough/fairshare"
 	"bergamotstall/internal/passthrough/packet"
 	"bergamotstall/internal/passthrough/peer"
 	"bergamotstall/internal/passthrough/route"
@@ -203,7 +204,7 @@
 	})
 }
 
-func (b *fleetBalancer) Deliver(to netip.AddrPort, service route.ServiceID, _ time.Duration, raw []byte) {
+func (b *fleetBalancer) Deliver(to netip.AddrPort, service route.ServiceID, _ time.Duration, _ fairshare.Stamp, raw []byte) {
 	if service != route.IDOf(caseworkService) {
 		return // agents hand back what is for another service
 	}
--- a/internal/passthrough/forward/forward.go
+++ b/internal/passthrough/forward/forward.go
@@ -102,6 +102,8 @@
 	attempts uint8
 	// copies is the copy number of the first packet that the agent got last.
 	copies uint8
+	// opened is set once a flow that was placed here has opened.
+	opened bool
 }
 
 // refusals are the agents that handed a flow's first packet back.
@@ -157,13 +159,15 @@
 	earlyPackets map[packet.Flow]earlyPacket
 	bulk         bulkGate
 	link         linkQueues
+	// shortage is what is done while callers wait at all targets.
+	shortage doorState
 }
 
 // New returns an engine without a table and without agents.
 func New(cfg Config) *Engine {
 	return &Engine{
 		cfg: cfg, budget: questionBudget{rate: cfg.QuestionBudget}, flows: map[packet.Flow]flowEntry{}, searches: map[packet.Flow]*search{}, earlyPackets: map[packet.Flow]earlyPacket{},
-		agents: newAgentTable(), placements: newPendingPlacements(), wideSearches: map[packet.Flow]wideSearch{},
+		agents: newAgentTable(), placements: newPendingPlacements(), wideSearches: map[packet.Flow]wideSearch{}, shortage: newDoorState(),
 		bulk: newBulkGate(cfg), link: newLinkQueues(cfg),
 	}
 }
@@ -251,6 +255,7 @@
 		return
 	}
 	entry.lastPacketAt = now
+	e.countOpened(now, f, &entry, p)
 	e.flows[f] = entry
 	e.deliver(entry, 0, raw)
 }
@@ -315,7 +320,13 @@
 // agents with busy targets admit the newest packets first.
 func (e *Engine) deliver(entry flowEntry, age time.Duration, raw []byte) {
 	e.link.sent(len(raw))
-	e.cfg.Out.Deliver(e.agents.list[entry.agent].address, entry.service, age, raw)
+	e.cfg.Out.Deliver(e.agents.list[entry.agent].address, entry.service, age, 0, raw)
+}
+
+// deliverFirst sends a first packet to its agent, with its client's usage.
+func (e *Engine) deliverFirst(now time.Duration, f packet.Flow, entry flowEntry, a arrival) {
+	e.link.sent(len(a.raw))
+	e.cfg.Out.Deliver(e.agents.list[entry.agent].address, entry.service, now-a.arrivedAt, e.stampOf(now, f), a.raw)
 }
 
 // HandleRefused handles a packet that an agent handed back. The header tells why, and how long
--- a/internal/passthrough/forward/placement.go
+++ b/internal/passthrough/forward/placement.go
@@ -87,7 +87,9 @@
 	delete(e.placements.byFlow, f)
 	switch {
 	case chosen.agent != noAgent:
-		e.placeAt(now, f, p, chosen)
+		if chosen, ok := e.atDoor(now, f, p, chosen); ok {
+			e.placeAt(now, f, p, chosen)
+		}
 	case p.entry.attempts == 0 && e.startingUp(now):
 		e.holdUntilReady(f, p.arrival, false)
 	default:
@@ -124,7 +126,7 @@
 	}
 	a := &e.agents.list[chosen.agent]
 	a.flowsSent++
-	e.deliver(p.entry, now-p.arrival.arrivedAt, p.raw)
+	e.deliverFirst(now, f, p.entry, p.arrival)
 	picked, _ := e.table.Pick(f)
 	e.logDecision(Decision{
 		Flow: f, Verdict: verdict, Agent: a.address, Reason: p.reason, ReportAge: now - a.reportedAt, Waited: now - p.arrival.arrivedAt,
@@ -178,7 +180,7 @@
 	entry.lastPacketAt = now
 	entry.copies = max(entry.copies, copyNumber(a.p))
 	e.flows[f] = entry
-	e.deliver(entry, now-a.arrivedAt, a.raw)
+	e.deliverFirst(now, f, entry, a)
 	if e.agents.list[entry.agent].hasFreshReport(now) || len(e.placements.retransmits) >= maxPendingPlacements {
 		return
 	}
--- a/internal/passthrough/forward/placing_test.go
+++ b/internal/passthrough/forward/placing_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"bergamotstall/internal/passthrough/fairshare"
 	"bergamotstall/internal/passthrough/packet"
 	"bergamotstall/internal/passthrough/peer"
 	"bergamotstall/internal/passthrough/route"
@@ -277,11 +278,12 @@
 // discardEngineOutput is an Output of an Engine that discards everything.
 type discardEngineOutput struct{ Output }
 
-func (discardEngineOutput) Deliver(netip.AddrPort, route.ServiceID, time.Duration, []byte) {}
-func (discardEngineOutput) Ask(netip.AddrPort, peer.Question)                              {}
-func (discardEngineOutput) Probe(netip.AddrPort)                                           {}
-func (discardEngineOutput) Reset(packet.Flow, uint32)                                      {}
-func (discardEngineOutput) LogDecision(Decision)                                           {}
+func (discardEngineOutput) Deliver(netip.AddrPort, route.ServiceID, time.Duration, fairshare.Stamp, []byte) {
+}
+func (discardEngineOutput) Ask(netip.AddrPort, peer.Question) {}
+func (discardEngineOutput) Probe(netip.AddrPort)              {}
+func (discardEngineOutput) Reset(packet.Flow, uint32)         {}
+func (discardEngineOutput) LogDecision(Decision)              {}
 
 // BenchmarkFlowMemory measures the memory of a flow table entry.
 func BenchmarkFlowMemory(b *testing.B) {
--- a/internal/passthrough/forward/rig_test.go
+++ b/internal/passthrough/forward/rig_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"bergamotstall/internal/passthrough/fairshare"
 	"bergamotstall/internal/passthrough/packet"
 	"bergamotstall/internal/passthrough/peer"
 	"bergamotstall/internal/passthrough/route"
@@ -31,6 +32,7 @@
 	to      netip.AddrPort
 	service route.ServiceID
 	age     time.Duration
+	usage   fairshare.Stamp
 	raw     []byte
 }
 
@@ -44,8 +46,8 @@
 	seq  uint32
 }
 
-func (r *testEngine) Deliver(to netip.AddrPort, service route.ServiceID, age time.Duration, raw []byte) {
-	r.delivered = append(r.delivered, delivery{to, service, age, append([]byte(nil), raw...)})
+func (r *testEngine) Deliver(to netip.AddrPort, service route.ServiceID, age time.Duration, usage fairshare.Stamp, raw []byte) {
+	r.delivered = append(r.delivered, delivery{to, service, age, usage, append([]byte(nil), raw...)})
 }
 func (r *testEngine) Ask(to netip.AddrPort, q peer.Question) {
 	r.asked = append(r.asked, question{to, q})
--- a/internal/passthrough/peer/messages.go
+++ b/internal/passthrough/peer/messages.go
@@ -40,4 +40,7 @@
 	// WaitMS is how long a first packet that arrives now waits for its turn, in
 	// milliseconds.
 	WaitMS uint32 `msg:"w,omitempty"`
+	// Waiting counts the callers that wait for a slot by urgency; see AppendWaiting. It is
+	// empty while nobody waits.
+	Waiting []byte `msg:"h,omitempty"`
 }
--- a/internal/passthrough/peer/messages_gen.go
+++ b/internal/passthrough/peer/messages_gen.go
@@ -10,8 +10,8 @@
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(17)
-	var zb0001Mask uint32 /* 17 bits */
+	zb0001Len := uint32(18)
+	var zb0001Mask uint32 /* 18 bits */
 	_ = zb0001Mask
 	if z.Capacity == 0 {
 		zb0001Len--
@@ -25,6 +25,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x10000
 	}
+	if z.Waiting == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -87,6 +91,11 @@
 			o = append(o, 0xa1, 0x77)
 			o = msgp.AppendUint32(o, z.WaitMS)
 		}
+		if (zb0001Mask & 0x20000) == 0 { // if not omitted
+			// string "h"
+			o = append(o, 0xa1, 0x68)
+			o = msgp.AppendBytes(o, z.Waiting)
+		}
 	}
 	return
 }
@@ -211,6 +220,12 @@
 				err = msgp.WrapError(err, "WaitMS")
 				return
 			}
+		case "h":
+			z.Waiting, bts, err = msgp.ReadBytesBytes(bts, z.Waiting)
+			if err != nil {
+				err = msgp.WrapError(err, "Waiting")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -225,6 +240,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Report) Msgsize() (s int) {
-	s = 3 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
+	s = 3 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BytesPrefixSize + len(z.Waiting)
 	return
 }
--- a/internal/passthrough/peer/peer.go
+++ b/internal/passthrough/peer/peer.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"bergamotstall/internal/metrics"
+	"bergamotstall/internal/passthrough/fairshare"
 	"bergamotstall/internal/passthrough/packet"
 	"bergamotstall/internal/passthrough/route"
 	"bergamotstall/internal/passthrough/traffic"
@@ -98,6 +99,9 @@
 	Kind Kind
 	// Reason is set in KindRefused.
 	Reason Reason
+	// Usage is set in KindDeliver with a first packet: its client's usage as the balancer
+	// knows it. It takes the place of Reason, which builds before ignore there.
+	Usage fairshare.Stamp
 	// Service is the one that the packet is for. An agent whose target belongs to another
 	// service, as after an address was reused, refuses the packet.
 	Service route.ServiceID
@@ -121,7 +125,11 @@
 
 // Append encodes the header and the packet after it.
 func (h Header) Append(to, raw []byte) []byte {
-	to = append(to, byte(h.Kind), byte(h.Reason))
+	second := byte(h.Reason)
+	if h.Kind == KindDeliver {
+		second = byte(h.Usage)
+	}
+	to = append(to, byte(h.Kind), second)
 	to = binary.BigEndian.AppendUint64(to, uint64(h.Service))
 	to = binary.BigEndian.AppendUint16(to, h.Age)
 	return append(to, raw...)
@@ -132,7 +140,12 @@
 	if len(b) < HeaderSize {
 		return Header{}, nil, errors.Wrapf(ErrBadLength, "%d bytes", len(b))
 	}
-	h := Header{Kind: Kind(b[0]), Reason: Reason(b[1]), Service: route.ServiceID(binary.BigEndian.Uint64(b[2:])), Age: binary.BigEndian.Uint16(b[10:])}
+	h := Header{Kind: Kind(b[0]), Service: route.ServiceID(binary.BigEndian.Uint64(b[2:])), Age: binary.BigEndian.Uint16(b[10:])}
+	if h.Kind == KindDeliver {
+		h.Usage = fairshare.Stamp(b[1])
+	} else {
+		h.Reason = Reason(b[1])
+	}
 	return h, b[HeaderSize:], nil
 }
 
--- a/internal/passthrough/simulation/node.go
+++ b/internal/passthrough/simulation/node.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"bergamotstall/internal/passthrough/fairshare"
 	"bergamotstall/internal/passthrough/flowlog"
 	"bergamotstall/internal/passthrough/flowtable"
 	"bergamotstall/internal/passthrough/forward"
@@ -71,9 +72,9 @@
 }
 
 // Deliver implements forward.Output.
-func (b *balancer) Deliver(to netip.AddrPort, service route.ServiceID, age time.Duration, raw []byte) {
+func (b *balancer) Deliver(to netip.AddrPort, service route.ServiceID, age time.Duration, usage fairshare.Stamp, raw []byte) {
 	a := b.w.agentAt(to)
-	h := peer.Header{Kind: peer.KindDeliver, Service: service, Age: peer.AgeMillis(age)}
+	h := peer.Header{Kind: peer.KindDeliver, Usage: usage, Service: service, Age: peer.AgeMillis(age)}
 	raw = append([]byte(nil), raw...)
 	b.w.after(b.w.networkDelay(b.zone, a.zone), func() {
 		if a.up {
