Door: no reset of a flow that may be open

Cause: the door, and refusals after an agent handed a first packet back, took each first packet for one whose flow nobody else can have opened. Copies whose first ones went through another balancer, flows found by a search, and packets that had waited in a socket during a stall were reset.

Change: with fair shares, the copies of each first packet are remembered as for bulk flows, and no reset goes out unless all copies came here and the flow wasn't found at an agent. After a stall of more than 100 ms that isn't known for a second; bulk admission goes by that as well. Bulk flows skip the door, as their own gate has admitted them.

Result: TestDoorLeavesFlowsThatMayBeOpen; its cases first copy, second copy, after a stall, bulk, found and a copy handed back failed before. go test of forward, fairshare, flowtable and simulation passes.

--- a/internal/passthrough/forward/bulk.go
+++ b/internal/passthrough/forward/bulk.go
@@ -113,14 +113,26 @@
 	}
 }
 
-// mayBeOpen tells whether a flow that no target here accepts may have been opened through
-// another balancer, as its first packet, or a copy of it, was held for long.
+// tracksCopies tells whether the copies of a flow's first packet are remembered. Balancers hold
+// or refuse first packets of such a flow where others may pass a copy of them on.
+func (e *Engine) tracksCopies(f packet.Flow) bool {
+	return e.cfg.Overload.FairShares || e.isBulk(f)
+}
+
+// mayBeOpen tells whether a flow that no target here accepts may be open: it was found at an
+// agent, or another balancer may have passed a copy of its first packet on.
 func (e *Engine) mayBeOpen(now time.Duration, a arrival, f packet.Flow, entry flowEntry) bool {
 	x := entry.opening
-	if x == nil && e.isBulk(f) {
+	if x == nil && e.tracksCopies(f) {
 		x = e.newFirst(now, a, f)
 	}
-	return x != nil && !x.OnlyHere(now)
+	return x != nil && (entry.found || !e.onlyHere(now, x))
+}
+
+// onlyHere tells whether all copies of a first packet came here. After a stall that isn't
+// known, as packets have waited in the socket, and are older than they seem.
+func (e *Engine) onlyHere(now time.Duration, x *bulk.First) bool {
+	return now >= e.link.oldPacketsUntil && x.OnlyHere(now)
 }
 
 // newFirst describes a first packet of a flow of which no other copy is known.
@@ -175,7 +187,7 @@
 // opened through another balancer: then its caller hears nothing.
 func (e *Engine) rejectBulk(now time.Duration, x bulk.First, waited time.Duration) {
 	d := Decision{Flow: x.Flow, Verdict: DroppedBulk, Waited: waited}
-	if x.OnlyHere(now) {
+	if e.onlyHere(now, &x) {
 		d.Verdict = RefusedBulk
 		e.cfg.Out.Reset(x.Flow, 0)
 	}
--- a/internal/passthrough/forward/decision.go
+++ b/internal/passthrough/forward/decision.go
@@ -59,10 +59,13 @@
 	// RefusedShort: a first packet was reset at once, because callers wait at all targets that
 	// it could reach.
 	RefusedShort
+	// DroppedMayBeOpen: no target accepts a first packet, but the flow may be open, so that its
+	// caller gets no reset.
+	DroppedMayBeOpen
 )
 
 var verdictNames = [...]string{"", "placed", "moved", "refused-no-route", "refused-no-target", "found",
-	"reset-route-gone", "reset-nowhere", "dropped-unfound", "held-early", "dropped-busy", "refused-bulk", "dropped-bulk", "refused-short"}
+	"reset-route-gone", "reset-nowhere", "dropped-unfound", "held-early", "dropped-busy", "refused-bulk", "dropped-bulk", "refused-short", "dropped-may-be-open"}
 
 func (v Verdict) String() string {
 	if int(v) < len(verdictNames) {
--- a/internal/passthrough/forward/door.go
+++ b/internal/passthrough/forward/door.go
@@ -76,7 +76,7 @@
 // atDoor decides on a first packet for which a target was chosen. It returns where the flow
 // goes, and false if the packet was refused.
 func (e *Engine) atDoor(now time.Duration, f packet.Flow, p *pendingPlacement, chosen choice) (choice, bool) {
-	if !e.cfg.Overload.FairShares || p.entry.attempts > 0 {
+	if !e.mayRefuse(now, f, p) {
 		return chosen, true
 	}
 	client := e.clientOf(f)
@@ -99,12 +99,20 @@
 	if e.cfg.Rand.Float64() < v.PassChance() {
 		return chosen, true
 	}
-	delete(e.flows, f)
 	e.cfg.Out.Reset(f, 0)
 	e.logDecision(Decision{Flow: f, Verdict: RefusedShort, Waited: now - p.arrivedAt, ExpectedWait: s.wait})
 	return choice{}, false
 }
 
+// mayRefuse tells whether a first packet may be refused at the door: nothing of its flow can be
+// open at a target. Bulk flows have passed a gate of their own.
+func (e *Engine) mayRefuse(now time.Duration, f packet.Flow, p *pendingPlacement) bool {
+	if _, known := e.flows[f]; known || !e.cfg.Overload.FairShares || e.isBulk(f) {
+		return false
+	}
+	return p.entry.attempts == 0 && p.reason == 0 && !e.mayBeOpen(now, p.arrival, f, p.entry)
+}
+
 // lookAround returns the view of the targets that a flow could reach.
 func (e *Engine) lookAround(now time.Duration, f packet.Flow, urgency fairshare.Urgency) *surroundings {
 	key := viewKey{f.Service, urgency}
--- a/internal/passthrough/forward/door_test.go
+++ b/internal/passthrough/forward/door_test.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"math"
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -103,3 +105,71 @@
 	r.send(syn(101))
 	is.Equal(r.delivered[len(r.delivered)-1].usage.Flows(), last)
 }
+
+// Guards against resets of flows that may be open: through another balancer that passed on a
+// copy of the first packet, or at the target where a search found them.
+func TestDoorLeavesFlowsThatMayBeOpen(t *testing.T) {
+	copyOf := func(n uint32) func(r *testEngine) {
+		return func(r *testEngine) {
+			x := syn(1)
+			x.Ack = n
+			r.send(x)
+		}
+	}
+	busy := func(r *testEngine, p packet.Packet) {
+		if len(r.delivered) == 0 {
+			return
+		}
+		r.engine.HandleRefused(r.now, r.delivered[len(r.delivered)-1].to, peer.Header{Reason: peer.Busy}, p, rawOf(p.Ack))
+	}
+	for name, c := range map[string]struct {
+		do     func(r *testEngine)
+		resets int
+	}{
+		"new":           {copyOf(0), 1},
+		"first copy":    {copyOf(1), 0},
+		"second copy":   {copyOf(2), 0},
+		"after a stall": {func(r *testEngine) { r.now += 2 * time.Second; r.shortAgents(8); copyOf(0)(r) }, 0},
+		"bulk":          {func(r *testEngine) { r.bulkTable(2, route.Upload); r.upload(1, 0) }, 0},
+		"found, its agent silent": {func(r *testEngine) {
+			r.send(data(1, 9))
+			r.answerAs(r.asked[0].to, peer.Holds)
+			a := &r.engine.agents.list[r.engine.flows[flowOf(1)].agent]
+			a.probedAt, a.lastSeenAt = r.now-probeTimeout, r.now-time.Second
+			copyOf(0)(r)
+		}, 0},
+		"a copy handed back": {func(r *testEngine) {
+			copyOf(1)(r)
+			busy(r, packet.Packet{Src: client(1), Dst: service, Flags: packet.SYN, Ack: 1})
+		}, 0},
+		"all copies handed back": {func(r *testEngine) {
+			r.agentAt(9, caseworkService)
+			copyOf(0)(r)
+			r.advance(200 * time.Millisecond)
+			copyOf(1)(r)
+			busy(r, packet.Packet{Src: client(1), Dst: service, Flags: packet.SYN, Ack: 1})
+		}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newDoorEngine(t)
+			r.engine.cfg.Overload.BulkAdmission = true
+			r.engine.bulk = newBulkGate(r.engine.cfg)
+			r.engine.cfg.Rand = rand.New(alwaysHigh{})
+			r.shortAgents(8)
+			c.do(r)
+			is.New(t).Equal(len(r.resets), c.resets)
+		})
+	}
+}
+
+// alwaysHigh is a source of random numbers with which no chance comes true.
+type alwaysHigh struct{}
+
+func (alwaysHigh) Uint64() uint64 { return math.MaxUint64 }
+
+// shortAgents has n agents report that callers wait.
+func (r *testEngine) shortAgents(n byte) {
+	for i := byte(1); i <= n; i++ {
+		r.shortAgent(i, 0)
+	}
+}
--- a/internal/passthrough/forward/forward.go
+++ b/internal/passthrough/forward/forward.go
@@ -96,7 +96,7 @@
 	service route.ServiceID
 	// refused is nil until an agent hands the first packet back.
 	refused *refusals
-	// opening is what is known of the first packet of a bulk flow, nil for other flows.
+	// opening is what is known of the first packet where tracksCopies is set, else nil.
 	opening  *bulk.First
 	agent    uint32
 	attempts uint8
@@ -104,6 +104,8 @@
 	copies uint8
 	// opened is set once a flow that was placed here has opened.
 	opened bool
+	// found is set if a search found the flow, which is open then.
+	found bool
 }
 
 // refusals are the agents that handed a flow's first packet back.
@@ -288,7 +290,7 @@
 	entry.noteCopy(a.p)
 	switch {
 	case !known:
-		if e.isBulk(f) {
+		if e.tracksCopies(f) {
 			entry.opening = e.newFirst(now, a, f)
 		}
 		e.place(now, a, f, entry, 0)
@@ -306,10 +308,13 @@
 func (e *Engine) rejectFlow(now time.Duration, a arrival, f packet.Flow, entry flowEntry, reason peer.Reason) {
 	delete(e.flows, f)
 	e.endBulk(now, f)
-	d := Decision{Flow: f, Verdict: DroppedBulk, Reason: reason, Asked: int(entry.attempts)}
-	if !e.mayBeOpen(now, a, f, entry) {
+	d := Decision{Flow: f, Verdict: DroppedMayBeOpen, Reason: reason, Asked: int(entry.attempts)}
+	switch {
+	case !e.mayBeOpen(now, a, f, entry):
 		d.Verdict = RefusedNoTarget
 		e.cfg.Out.Reset(f, 0)
+	case e.isBulk(f):
+		d.Verdict = DroppedBulk
 	}
 	e.logDecision(d)
 }
--- a/internal/passthrough/forward/linkqueue.go
+++ b/internal/passthrough/forward/linkqueue.go
@@ -16,6 +16,10 @@
 	// for minSpare of their budget.
 	questionsYieldAt = 200 * time.Millisecond
 	minSpare         = 0.25
+	// longStall is the time without an event after which packets in the sockets may be so old
+	// that their clients have sent copies; oldPacketsFor is how long it takes to read them.
+	longStall     = 100 * time.Millisecond
+	oldPacketsFor = time.Second
 	// roomBelow is the backlog below which bulk is passed to the link: enough that the link
 	// isn't idle until the next look at it.
 	roomBelow = 3 * time.Millisecond
@@ -27,6 +31,8 @@
 	estimator *link.Estimator
 	// now is the time of the last tick, lookedAt that of the last event.
 	now, lookedAt time.Duration
+	// oldPacketsUntil is when the packets are read that arrived during the last long stall.
+	oldPacketsUntil time.Duration
 	// delay is how much longer than usual an answer takes because of the VM's own queues,
 	// as of the last tick.
 	delay time.Duration
@@ -41,6 +47,7 @@
 
 // tick updates the delay.
 func (l *linkQueues) tick(now time.Duration) {
+	l.look(now)
 	if l.estimator == nil {
 		return
 	}
@@ -48,13 +55,17 @@
 		l.estimator.Stalled(now, gap)
 	}
 	l.now = now
-	l.look(now)
 	l.estimator.Tick(now)
 	l.delay = l.estimator.Delay(now)
 }
 
 // look takes the time of an event, which is that of the bytes sent because of it.
-func (l *linkQueues) look(now time.Duration) { l.lookedAt = max(l.lookedAt, now) }
+func (l *linkQueues) look(now time.Duration) {
+	if l.lookedAt > 0 && now-l.lookedAt > longStall {
+		l.oldPacketsUntil = now + oldPacketsFor
+	}
+	l.lookedAt = max(l.lookedAt, now)
+}
 
 // extend returns a timeout for an answer that passes the link's queues.
 func (l *linkQueues) extend(timeout time.Duration) time.Duration { return timeout + l.delay }
--- a/internal/passthrough/forward/search.go
+++ b/internal/passthrough/forward/search.go
@@ -215,7 +215,7 @@
 // finishSearch ends a search whose holder is known, and delivers the held packets.
 func (e *Engine) finishSearch(now time.Duration, f packet.Flow, s *search, agent uint32) {
 	a := &e.agents.list[agent]
-	entry := flowEntry{agent: agent, service: a.service(), lastPacketAt: now}
+	entry := flowEntry{agent: agent, service: a.service(), lastPacketAt: now, found: true}
 	if len(e.flows) < maxFlows {
 		e.flows[f] = entry
 	}
