Door: no refusal beside a short wait

Cause: the chance went by the mean wait over all targets, so that a first packet whose chosen target had a short queue was refused for the long queues of others.

Change: the door goes by the wait at the chosen target where that is less than the mean. Clients above their share keep their smaller chance there, as without it they would fill the short queues.

--- a/internal/passthrough/forward/door.go
+++ b/internal/passthrough/forward/door.go
@@ -85,22 +85,24 @@
 		return chosen, true
 	}
 	excess := e.shortage.usage.Excess(now, client)
-	s := e.lookAround(now, f, fairshare.UrgencyOf(client.Priority, excess > 1))
+	urgency := fairshare.UrgencyOf(client.Priority, excess > 1)
+	s := e.lookAround(now, f, urgency)
 	if s.room {
 		c := chooser{e: e, now: now, flow: f}
 		if to := c.withRoom(0); to.agent != noAgent {
 			return to, true
 		}
 	}
-	if s.unknown {
+	wait, known := e.agents.list[chosen.agent].expectedWait(now, urgency)
+	if s.unknown || !known {
 		return chosen, true
 	}
-	v := fairshare.Visit{Wait: s.wait, Patience: fairshare.Patience(e.table.Demand(f.Service).Goal), Excess: excess}
+	v := fairshare.Visit{Wait: min(wait, s.wait), Patience: fairshare.Patience(e.table.Demand(f.Service).Goal), Excess: excess}
 	if e.cfg.Rand.Float64() < v.PassChance() {
 		return chosen, true
 	}
 	e.cfg.Out.Reset(f, 0)
-	e.logDecision(Decision{Flow: f, Verdict: RefusedShort, Waited: now - p.arrivedAt, ExpectedWait: s.wait})
+	e.logDecision(Decision{Flow: f, Verdict: RefusedShort, Waited: now - p.arrivedAt, ExpectedWait: v.Wait})
 	return choice{}, false
 }
 
--- a/internal/passthrough/forward/door_test.go
+++ b/internal/passthrough/forward/door_test.go
@@ -23,10 +23,15 @@
 
 // shortAgent has an agent report that callers of an urgency wait for two seconds.
 func (r *testEngine) shortAgent(n, urgency byte) netip.AddrPort {
+	return r.waitingAgent(n, 2000, urgency, 50)
+}
+
+// waitingAgent has an agent report that callers of an urgency wait for some milliseconds.
+func (r *testEngine) waitingAgent(n byte, waitMS uint32, urgency, callers byte) netip.AddrPort {
 	at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 7000)
 	r.report(at, peer.Report{
 		Process: uint64(n), Service: uint64(route.IDOf(caseworkService)), Zone: zone, AcceptsFlows: true,
-		Slots: 4, Running: 60, Load: 400, WaitMS: 2000, Waiting: []byte{urgency, 50},
+		Slots: 4, Running: 60, Load: 400, WaitMS: waitMS, Waiting: []byte{urgency, callers},
 	})
 	return at
 }
@@ -69,6 +74,18 @@
 	is.Equal(r.refusedOf(1), 0)
 }
 
+// Guards against refusals beside a short wait at the chosen target, while others are full.
+func TestDoorGoesByTheChosenTarget(t *testing.T) {
+	r := newDoorEngine(t)
+	r.engine.cfg.Rand = rand.New(alwaysHigh{})
+	r.shortAgents(4)
+	short := r.waitingAgent(9, 10, 0, 1)
+	f := flowOf(1)
+	p := &pendingPlacement{arrival: arrival{arrivedAt: r.now, p: syn(1)}}
+	_, passes := r.engine.atDoor(r.now, f, p, choice{agent: r.engine.agents.number(short)})
+	is.New(t).True(passes)
+}
+
 // Guards against a shortage that outlives its reports, and against refusals where shares aren't
 // in force.
 func TestDoorOpensWithoutReports(t *testing.T) {
