Door: clients below their share pass those within it

Cause: agents order callers by rank, where clients with less than half of their share go first, but reports and the door knew only within and above a share. Quiet clients were refused for callers that they would overtake.

Change: three urgencies at each priority, by rank; reports tell nine urgencies apart in place of six. TestShortageIsToldWhenItBeginsAndEnds named the wire value 0 of a client within its share, which is 1 now; it asks for exactly that urgency as before.

--- a/internal/passthrough/fairshare/usage.go
+++ b/internal/passthrough/fairshare/usage.go
@@ -157,17 +157,20 @@
 	return min(maxRank, WithinShare+uint32(math.Ceil(ranksPerDoubling*math.Log2(atLeast(flows)/s))))
 }
 
-// Urgency orders callers by the priority of their routes and, at one priority, those above
-// their share last; the lowest is the most urgent.
+// Urgency orders callers by the priority of their routes and, at one priority, those below
+// their share first and those above it last; the lowest is the most urgent.
 type Urgency uint32
 
-// UrgencyOf returns the urgency of a caller.
-func UrgencyOf(priority uint32, above bool) Urgency {
-	u := 2 * Urgency(min(priority, math.MaxInt32))
-	if above {
-		u++
-	}
-	return u
+const (
+	// urgenciesPerPriority is how many urgencies there are at one priority: one for rank 0, one
+	// for WithinShare and one for all ranks above.
+	urgenciesPerPriority = 3
+	maxPriority          = math.MaxUint32/urgenciesPerPriority - 1
+)
+
+// UrgencyOf returns the urgency of a caller whose client has the given rank.
+func UrgencyOf(priority, rank uint32) Urgency {
+	return urgenciesPerPriority*Urgency(min(priority, maxPriority)) + Urgency(min(rank, WithinShare+1))
 }
 
 // atLeast and atMost bound the mean of which a count of flows is a sample.
--- a/internal/passthrough/flowtable/shares.go
+++ b/internal/passthrough/flowtable/shares.go
@@ -85,7 +85,7 @@
 		if q.caller.Class != patience.InTime {
 			continue
 		}
-		n[fairshare.UrgencyOf(q.priority, q.caller.Share > fairshare.WithinShare)]++
+		n[fairshare.UrgencyOf(q.priority, q.caller.Share)]++
 	}
 	return peer.AppendWaiting(to, n)
 }
--- a/internal/passthrough/flowtable/shares_test.go
+++ b/internal/passthrough/flowtable/shares_test.go
@@ -54,7 +54,7 @@
 	r.engine.cfg.Policy.MaxWait = 300 * time.Millisecond
 	before := r.reports
 	r.syn(9)
-	is.Equal(r.report().Waiting, []byte{0, 1})
+	is.Equal(r.report().Waiting, []byte{byte(fairshare.UrgencyOf(0, fairshare.WithinShare)), 1})
 	r.advance(shortAfter * 40 * time.Millisecond)
 	is.Equal(r.reports, before)
 	r.advance(20 * time.Millisecond)
--- a/internal/passthrough/forward/door.go
+++ b/internal/passthrough/forward/door.go
@@ -85,7 +85,7 @@
 		return chosen, true
 	}
 	excess := e.shortage.usage.Excess(now, client)
-	urgency := fairshare.UrgencyOf(client.Priority, excess > 1)
+	urgency := fairshare.UrgencyOf(client.Priority, e.shortage.usage.Rank(now, client))
 	s := e.lookAround(now, f, urgency)
 	if s.room {
 		c := chooser{e: e, now: now, flow: f}
--- a/internal/passthrough/forward/door_test.go
+++ b/internal/passthrough/forward/door_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"bergamotstall/internal/passthrough/fairshare"
 	"bergamotstall/internal/passthrough/overload"
 	"bergamotstall/internal/passthrough/packet"
 	"bergamotstall/internal/passthrough/peer"
@@ -86,6 +87,21 @@
 	is.New(t).True(passes)
 }
 
+// Guards against quiet clients refused for callers that they would overtake at the agents.
+func TestDoorPassesClientsBelowTheirShare(t *testing.T) {
+	r := newDoorEngine(t)
+	r.engine.cfg.Rand = rand.New(alwaysHigh{})
+	for n := byte(1); n <= 8; n++ {
+		r.shortAgent(n, byte(fairshare.UrgencyOf(0, fairshare.WithinShare)))
+	}
+	for n := range byte(40) {
+		c := fairshare.Client{IP: [4]byte{100, 64, 9, n}}
+		r.engine.shortage.usage.See(r.now, c)
+		r.engine.shortage.usage.Raise(r.now, c, 100)
+	}
+	is.New(t).Equal(r.refusedOf(1), 0)
+}
+
 // Guards against a shortage that outlives its reports, and against refusals where shares aren't
 // in force.
 func TestDoorOpensWithoutReports(t *testing.T) {
--- a/internal/passthrough/peer/waiting.go
+++ b/internal/passthrough/peer/waiting.go
@@ -9,7 +9,7 @@
 
 // maxUrgencies bounds the urgencies that a report tells apart; the least urgent ones are
 // counted together.
-const maxUrgencies = 6
+const maxUrgencies = 9
 
 // AppendWaiting encodes how many callers wait at each urgency: two bytes each, urgency and
 // number, the most urgent first.
