Door: views of a route outlive reports that don't concern it

Cause: each report without a wait, of any service, dropped all views, so that with one idle target in the fleet each first packet of a short service surveyed all its targets.

Change: a report drops views only if its target has room that it hadn't before, and only those of routes that use its service.

Result: TestDoorKeepsItsViewUntilRoomAppears failed before. go test of forward and fairshare passes.

--- a/internal/passthrough/forward/agents.go
+++ b/internal/passthrough/forward/agents.go
@@ -200,12 +200,13 @@
 	if a.report.Process == r.Process && a.report.Sequence >= r.Sequence {
 		return
 	}
+	hadRoom := a.hasRoom(now, 0)
 	a.report = r
 	a.reportedAt = now
 	a.flowsSent = 0
 	e.agents.updateGroup(now, number)
-	if r.WaitMS == 0 {
-		clear(e.shortage.views) // nothing may be refused beside a target with room
+	if !hadRoom && a.hasRoom(now, 0) {
+		e.forgetViews(a.service()) // nothing may be refused beside a target with room
 	}
 	e.resumePlacements(now, number)
 }
--- a/internal/passthrough/forward/door.go
+++ b/internal/passthrough/forward/door.go
@@ -1,10 +1,12 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"bergamotstall/internal/passthrough/fairshare"
 	"bergamotstall/internal/passthrough/packet"
+	"bergamotstall/internal/passthrough/route"
 )
 
 // The door: what a balancer does with a first packet while callers wait at the target that
@@ -129,6 +131,16 @@
 	return s
 }
 
+// forgetViews drops the views of the routes that use a service.
+func (e *Engine) forgetViews(service route.ServiceID) {
+	uses := func(x route.Choice) bool { return x.Service == service }
+	for key := range e.shortage.views {
+		if slices.ContainsFunc(e.table.Services(key.route), uses) {
+			delete(e.shortage.views, key)
+		}
+	}
+}
+
 // survey goes through the targets of a flow's route and probes some whose state isn't known.
 func (e *Engine) survey(now time.Duration, f packet.Flow, urgency fairshare.Urgency) *surroundings {
 	s := &surroundings{at: now}
--- a/internal/passthrough/forward/door_test.go
+++ b/internal/passthrough/forward/door_test.go
@@ -102,6 +102,25 @@
 	is.New(t).Equal(r.refusedOf(1), 0)
 }
 
+// Guards against targets surveyed for each first packet where any other target is idle.
+func TestDoorKeepsItsViewUntilRoomAppears(t *testing.T) {
+	is := is.New(t)
+	r := newDoorEngine(t)
+	r.agentAt(9, mapdocsService)
+	r.shortAgents(8)
+	r.refusedOf(1)
+	is.Equal(len(r.engine.shortage.views), 1)
+	r.agentAt(9, mapdocsService)
+	r.agentAt(10, mapdocsService)
+	is.Equal(len(r.engine.shortage.views), 1)
+	r.agentAt(8, caseworkService)
+	is.Equal(len(r.engine.shortage.views), 0)
+	r.refusedOf(1)
+	n := len(r.engine.shortage.views)
+	r.agentAt(8, caseworkService)
+	is.Equal(len(r.engine.shortage.views), n)
+}
+
 // Guards against a shortage that outlives its reports, and against refusals where shares aren't
 // in force.
 func TestDoorOpensWithoutReports(t *testing.T) {
