Door: closes in large fleets

Cause: the door stayed open while the state of a single target wasn't known. With many targets reports expire faster than the door's three probes a survey can bring them, and those went to the same targets first.

Change: 16 known targets stand for the others; with up to 16 all must be known as before. Probes go in turn, count only if sent, and one budget holds for the whole balancer.

--- a/internal/passthrough/forward/agents.go
+++ b/internal/passthrough/forward/agents.go
@@ -252,13 +252,14 @@
 	}
 }
 
-// probe asks an agent for a report, unless a probe is already outstanding.
-func (e *Engine) probe(now time.Duration, number uint32) {
+// probe asks an agent for a report, and returns false if a probe is already outstanding.
+func (e *Engine) probe(now time.Duration, number uint32) bool {
 	a := &e.agents.list[number]
 	if a.probedAt > a.lastSeenAt && now-a.probedAt < e.link.extend(probeTimeout) {
-		return
+		return false
 	}
 	a.probedAt = now
 	e.link.asked(now)
 	e.cfg.Out.Probe(a.address)
+	return true
 }
--- a/internal/passthrough/forward/door.go
+++ b/internal/passthrough/forward/door.go
@@ -23,14 +23,18 @@
 	surroundingsFor = 5 * time.Millisecond
 	// maxSurroundings bounds the routes whose view is kept.
 	maxSurroundings = 1_024
-	// maxDoorProbes bounds the probes sent for one view.
-	maxDoorProbes = 3
+	// enoughKnown is how many targets whose state is known stand for those whose state isn't:
+	// a large fleet can't be asked as often as reports expire.
+	enoughKnown = 16
+	// maxDoorProbes bounds the probes that the door sends in each doorProbeInterval.
+	maxDoorProbes     = 3
+	doorProbeInterval = 5 * time.Millisecond
 )
 
 // surroundings is what a balancer knows of the targets that a route's flows could reach.
 type surroundings struct {
 	at time.Duration
-	// unknown is set if at one of them it isn't known whether callers wait.
+	// unknown is set if of too many of them it isn't known whether callers wait.
 	unknown bool
 	// room is set if one of them has a free slot.
 	room bool
@@ -48,6 +52,11 @@
 type doorState struct {
 	usage *fairshare.Usage
 	views map[viewKey]*surroundings
+	// unknown are the targets that the last survey knew nothing of. probeFrom is where among
+	// them the next probes begin, probesAt when these may be sent.
+	unknown   []uint32
+	probeFrom int
+	probesAt  time.Duration
 }
 
 func newDoorState() doorState {
@@ -141,11 +150,13 @@
 	}
 }
 
-// survey goes through the targets of a flow's route and probes some whose state isn't known.
+// survey goes through the targets of a flow's route, and probes some whose state isn't known
+// if too few are known.
 func (e *Engine) survey(now time.Duration, f packet.Flow, urgency fairshare.Urgency) *surroundings {
 	s := &surroundings{at: now}
 	c := chooser{e: e, now: now, flow: f}
-	sum, n, probes := time.Duration(0), 0, 0
+	sum, n := time.Duration(0), 0
+	e.shortage.unknown = e.shortage.unknown[:0]
 	c.eachReachable(func(number uint32, a *agent) {
 		switch wait, known := a.expectedWait(now, urgency); {
 		case a.hasRoom(now, 0):
@@ -154,19 +165,38 @@
 			sum += min(wait, packet.HandshakeTimeout)
 			n++
 		default:
-			s.unknown = true
-			if probes < maxDoorProbes {
-				probes++
-				e.probe(now, number)
-			}
+			e.shortage.unknown = append(e.shortage.unknown, number)
 		}
 	})
 	if n > 0 {
 		s.wait = sum / time.Duration(n)
 	}
+	if len(e.shortage.unknown) > 0 && n < enoughKnown {
+		s.unknown = true
+		e.probeUnknown(now)
+	}
 	return s
 }
 
+// probeUnknown probes some of the targets that the last survey knew nothing of, in turn.
+func (e *Engine) probeUnknown(now time.Duration) {
+	d := &e.shortage
+	if now < d.probesAt {
+		return
+	}
+	d.probesAt = now + doorProbeInterval
+	sent := 0
+	for range d.unknown {
+		if sent == maxDoorProbes {
+			return
+		}
+		d.probeFrom++
+		if e.probe(now, d.unknown[d.probeFrom%len(d.unknown)]) {
+			sent++
+		}
+	}
+}
+
 // eachReachable calls do for the agents whose targets the flow could reach.
 func (c *chooser) eachReachable(do func(number uint32, a *agent)) {
 	for _, choice := range c.e.table.Services(c.flow.Service) {
--- a/internal/passthrough/forward/door_test.go
+++ b/internal/passthrough/forward/door_test.go
@@ -121,6 +121,37 @@
 	is.Equal(len(r.engine.shortage.views), n)
 }
 
+// Guards against a door that stays open in a large fleet, as reports expire before all targets
+// have been asked.
+func TestDoorClosesInLargeFleet(t *testing.T) {
+	const agents, roundTrip, steps = 120, 10, 1000
+	is := is.New(t)
+	r := newDoorEngine(t)
+	r.shortAgents(agents)
+	var due [roundTrip][]netip.AddrPort
+	first, probes := 0, 0
+	for step := range steps {
+		r.now += time.Millisecond
+		for _, at := range due[step%roundTrip] {
+			r.shortAgent(at.Addr().As4()[3], 0)
+		}
+		if step == steps/2 {
+			first, probes, r.resets = 0, 0, nil
+		}
+		r.probed = nil
+		if step%2 == 0 {
+			first++
+			r.send(syn(uint16(step)))
+		}
+		r.engine.Tick(r.now)
+		due[step%roundTrip] = r.probed
+		probes += len(r.probed)
+	}
+	t.Logf("%d of %d refused, %d probes", len(r.resets), first, probes)
+	is.True(len(r.resets) > first*9/10)
+	is.True(probes < 300)
+}
+
 // Guards against a shortage that outlives its reports, and against refusals where shares aren't
 // in force.
 func TestDoorOpensWithoutReports(t *testing.T) {
