Reports: who waits is counted in full, and none as more urgent

Cause: what a report counts together stood under the most urgent of it, so callers were told that less urgent ones were ahead; and numbers stopped at 255 while the wait covers all, so the part ahead of a caller seemed longer or shorter than it is.

--- a/internal/passthrough/peer/waiting_test.go
+++ b/internal/passthrough/peer/waiting_test.go
@@ -26,8 +26,30 @@
 	before, all := got.WaitingBefore(1)
 	is.Equal(before, 4)
 	is.Equal(all, 2*(maxUrgencies+3))
-	before, all = (&Report{Waiting: []byte{1}}).WaitingBefore(9) // damaged
-	is.Equal(before+all, 0)
+	for _, damaged := range [][]byte{{1}, {1, 128}} {
+		before, all = (&Report{Waiting: damaged}).WaitingBefore(9)
+		is.Equal(before+all, 0)
+	}
+}
+
+// Guards against callers told that less urgent ones are ahead of them, and against a part of
+// the wait that seems longer because the number of the others isn't stated in full.
+func TestWaitingKeepsOrderAndProportions(t *testing.T) {
+	is := is.New(t)
+	n := map[fairshare.Urgency]int{0: 100, 1: 900}
+	before, all := (&Report{Waiting: AppendWaiting(nil, n)}).WaitingBefore(0)
+	is.Equal(before, 100)
+	is.Equal(all, 1000)
+
+	clear(n)
+	for u := range fairshare.Urgency(maxUrgencies + 3) {
+		n[u] = 2
+	}
+	r := Report{Waiting: AppendWaiting(nil, n)}
+	before, _ = r.WaitingBefore(maxUrgencies)
+	is.Equal(before, 2*(maxUrgencies-1))
+	before, all = r.WaitingBefore(maxUrgencies + 2)
+	is.Equal(before, all)
 }
 
 // Guards against a client's usage that is read as the reason of a refusal, and against a
