Shares: bounds on what others state, and on clients that aren't counted

Cause: a wrong stamp could state 2^31 flows, so that a client went last for over three minutes; clients beyond the 8,192 that are counted had rank 0 and went before all others.

Change: at most 2^16 flows are taken from another node; while there is no room to count a client, it ranks as one within its share.

--- a/internal/passthrough/fairshare/stamp.go
+++ b/internal/passthrough/fairshare/stamp.go
@@ -6,8 +6,13 @@
 // logarithmic scale; 0 if the balancer doesn't state it, as builds before did.
 type Stamp uint8
 
-// stampsPerDoubling is the resolution of a stamp: steps of 9 %, up to 2^31 flows.
-const stampsPerDoubling = 8
+const (
+	// stampsPerDoubling is the resolution of a stamp: steps of 9 %.
+	stampsPerDoubling = 8
+	// maxStated is the highest usage, in flows, that one node takes from another. A client
+	// that is wrongly stated to have used more would go last for minutes.
+	maxStated = 1 << 16
+)
 
 // StampOf returns the stamp of a usage in flows.
 func StampOf(flows float64) Stamp {
@@ -19,5 +24,5 @@
 	if s == 0 {
 		return 0
 	}
-	return math.Exp2(float64(s-1)/stampsPerDoubling) - 1
+	return min(maxStated, math.Exp2(float64(s-1)/stampsPerDoubling)-1)
 }
--- a/internal/passthrough/fairshare/usage.go
+++ b/internal/passthrough/fairshare/usage.go
@@ -91,7 +91,7 @@
 // Raise records that another node counts at least as many flows of a client.
 func (u *Usage) Raise(now time.Duration, c Client, flows float64) {
 	if x := u.entry(now, c); x != nil {
-		x.flows = max(x.flows, flows)
+		x.flows = max(x.flows, min(flows, maxStated))
 	}
 }
 
@@ -146,6 +146,9 @@
 // the others by how far they are above it. Callers of one rank are left to another order, such
 // as that of their goals, which is why there aren't more ranks.
 func (u *Usage) Rank(now time.Duration, c Client) uint32 {
+	if u.clients[c] == nil && len(u.clients) >= maxClients {
+		return WithinShare // it may have used any amount
+	}
 	s := max(1, u.Share(now, c.Priority))
 	flows := u.Of(now, c)
 	switch {
--- a/internal/passthrough/fairshare/usage_test.go
+++ b/internal/passthrough/fairshare/usage_test.go
@@ -1,6 +1,7 @@
 package fairshare
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -29,7 +30,8 @@
 	is.Equal(u.Excess(now, other), 1.0)
 }
 
-// Guards against usage that is never forgotten, and against unbounded memory.
+// Guards against usage that is never forgotten, against unbounded memory, and against
+// clients that go first because there is no room to count them.
 func TestUsageIsForgotten(t *testing.T) {
 	is := is.New(t)
 	u := NewUsage()
@@ -39,11 +41,15 @@
 		u.Add(time.Second, Client{IP: [4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)}})
 	}
 	is.Equal(u.Clients(), maxClients)
+	for n := range maxClients {
+		u.Raise(time.Second, Client{IP: [4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)}}, 20)
+	}
+	is.Equal(u.Rank(time.Second, Client{IP: [4]byte{11}}), uint32(WithinShare)) // no room to count it
 	u.Add(time.Minute, clientNo(2))
 	is.Equal(u.Clients(), 2) // the one with 100 flows a minute ago, and the new one
 }
 
-// Guards against stamps that mislead agents about a client's usage.
+// Guards against stamps that mislead agents about a client's usage, or do so for minutes.
 func TestStampRoundTrip(t *testing.T) {
 	is := is.New(t)
 	is.Equal(Stamp(0).Flows(), 0.0)
@@ -52,6 +58,10 @@
 		is.True(s > 0)
 		is.True(s.Flows() > 0.9*flows-0.1 && s.Flows() < 1.1*flows+0.1)
 	}
+	is.Equal(Stamp(math.MaxUint8).Flows(), float64(maxStated))
+	u := NewUsage()
+	u.Raise(0, clientNo(1), math.MaxUint32)
+	is.Equal(u.Of(0, clientNo(1)), float64(maxStated))
 }
 
 // Guards against a door that is shut or open all at once, or that treats all clients alike.
