Agents: a flow opened anew has its own target's data

Cause: the end of the target's data was set by the first handshake of a flow's ports only. On ports used again a bare FIN could count as an answer, or an answer's FIN as none.

Change: a handshake with another initial sequence number sets it anew.

--- a/internal/passthrough/flowtable/flowtable.go
+++ b/internal/passthrough/flowtable/flowtable.go
@@ -411,10 +411,10 @@
 	}
 	switch {
 	case p.Flags.Has(packet.SYN | packet.ACK):
-		x.targetInitialSeq = p.Seq
-		if x.targetEnd == 0 {
+		if x.targetEnd == 0 || x.targetInitialSeq != 0 && x.targetInitialSeq != p.Seq {
 			x.targetEnd = p.Seq + 1
 		}
+		x.targetInitialSeq = p.Seq
 		if !known {
 			x.stage = halfOpen
 		}
--- a/internal/passthrough/flowtable/latency_test.go
+++ b/internal/passthrough/flowtable/latency_test.go
@@ -62,3 +62,22 @@
 	is.Equal(r.engine.latencies.service, 30*time.Millisecond)
 	is.Equal(r.engine.load.running, 0)
 }
+
+// Guards against a flow whose ports were used before, where a FIN without an answer counts as
+// one by what the target sent on the earlier flow.
+func TestFlowOpenedAnewHasNoAnswerYet(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	for n, seq := range []uint32{1000, 5000} {
+		r.open(1, seq)
+		r.sendRequest(1, uint32(n))
+		r.advance(30 * time.Millisecond)
+		if n == 0 {
+			r.sendAnswer(1, 0)
+		}
+	}
+	before := r.engine.latencies.service
+	r.advance(30 * time.Millisecond)
+	r.fromTarget(1, packet.FIN|packet.ACK, 5001, 211, 0)
+	is.Equal(r.engine.latencies.service, before)
+}
