Agents: a held request has its client's rank at once

Cause: a request over an open flow was held with rank 0 until the next ranking, so that reports counted it as one of a client below its share.

Result: TestHeldRequestHasItsClientsRank failed before. go test of flowtable passes.

--- a/internal/passthrough/flowtable/queue.go
+++ b/internal/passthrough/flowtable/queue.go
@@ -130,7 +130,9 @@
 func (e *Engine) enqueueRequest(now time.Duration, f packet.Flow, from netip.AddrPort, seq uint32, raw []byte) {
 	p := arrival{flow: f, from: from, raw: raw, sentAt: now, firstSentAt: now}
 	e.admission.heldRequestPackets++
-	e.enqueue(now, queueEntry{arrival: p.clone(), priority: e.table.Priority(f.Service), caller: e.requestCaller(p), request: true, seq: seq, expiresAt: now + e.maxHoldTime(f)})
+	caller := e.requestCaller(p)
+	caller.Share = e.shareRank(now, f)
+	e.enqueue(now, queueEntry{arrival: p.clone(), priority: e.table.Priority(f.Service), caller: caller, request: true, seq: seq, expiresAt: now + e.maxHoldTime(f)})
 }
 
 // enqueue appends an entry to the queue.
--- a/internal/passthrough/flowtable/shares_test.go
+++ b/internal/passthrough/flowtable/shares_test.go
@@ -66,3 +66,14 @@
 	is.Equal(r.decisions[len(r.decisions)-1].Verdict, ShortageEnded)
 	is.Equal(len(r.report().Waiting), 0)
 }
+
+// Guards against a held request that counts as one of the clients furthest below their share.
+func TestHeldRequestHasItsClientsRank(t *testing.T) {
+	r := newSharesRig(t)
+	idleFlow(r, 9)
+	fillTarget(r)
+	c := r.engine.clientOf(flowOf(9))
+	r.engine.shares.usage.See(r.now, c)
+	r.sendRequest(9, 1)
+	is.New(t).Equal(r.engine.admission.queue[0].caller.Share, r.engine.shareRank(r.now, flowOf(9)))
+}
