Door: looks again once room is taken

Cause: where a view showed room that other first packets had taken since, each further packet searched for it, and was judged by the others' wait alone until the view expired.

Change: the view is replaced then. The door's steps are functions of their own, and comments say what usage, the expected wait and a shortage's bounds are.

Result: TestDoorLooksAgainOnceRoomIsTaken failed before. go test of forward, fairshare and flowtable passes.

--- a/internal/passthrough/flowtable/shares.go
+++ b/internal/passthrough/flowtable/shares.go
@@ -23,9 +23,9 @@
 }
 
 const (
-	// shortAfter is for how many mean requests callers must have waited without a pause for a
-	// shortage to begin, calmAfter how long nobody must have waited for it to be over. With
-	// less, each crowded or idle moment would be told to all balancers.
+	// shortAfter is how long callers must have waited without a pause for a shortage to begin,
+	// in mean times of a request; calmAfter is how long nobody must have waited for it to be
+	// over. With less, each crowded or idle moment would be told to all balancers.
 	shortAfter = 3
 	calmAfter  = 200 * time.Millisecond
 )
--- a/internal/passthrough/forward/decision.go
+++ b/internal/passthrough/forward/decision.go
@@ -12,7 +12,8 @@
 
 // Output carries out the engine's decisions. Slices are valid only during the call.
 type Output interface {
-	// Deliver sends a client's packet to an agent; age is how long it was held here.
+	// Deliver sends a client's packet to an agent; age is how long it was held here. usage is
+	// that of the client, with a first packet, 0 if it isn't stated.
 	Deliver(to netip.AddrPort, service route.ServiceID, age time.Duration, usage fairshare.Stamp, raw []byte)
 	// Ask sends a question to an agent. Questions may be batched.
 	Ask(to netip.AddrPort, q peer.Question)
--- a/internal/passthrough/forward/door.go
+++ b/internal/passthrough/forward/door.go
@@ -95,7 +95,6 @@
 	if a := &e.agents.list[chosen.agent]; !a.hasFreshReport(now) || a.report.WaitMS == 0 {
 		return chosen, true
 	}
-	excess := e.shortage.usage.Excess(now, client)
 	urgency := fairshare.UrgencyOf(client.Priority, e.shortage.usage.Rank(now, client))
 	s := e.lookAround(now, f, urgency)
 	if s.room {
@@ -103,20 +102,26 @@
 		if to := c.withRoom(0); to.agent != noAgent {
 			return to, true
 		}
+		s = e.lookAgain(now, f, urgency) // other flows took it
 	}
 	wait, known := e.agents.list[chosen.agent].expectedWait(now, urgency)
-	if s.unknown || !known {
-		return chosen, true
-	}
-	v := fairshare.Visit{Wait: min(wait, s.wait), Patience: fairshare.Patience(e.table.Demand(f.Service).Goal), Excess: excess}
-	if e.cfg.Rand.Float64() < v.PassChance() {
+	if s.unknown || !known || e.passes(now, f, min(wait, s.wait)) {
 		return chosen, true
 	}
 	e.cfg.Out.Reset(f, 0)
-	e.logDecision(Decision{Flow: f, Verdict: RefusedShort, Waited: now - p.arrivedAt, ExpectedWait: v.Wait})
+	e.logDecision(Decision{Flow: f, Verdict: RefusedShort, Waited: now - p.arrivedAt, ExpectedWait: min(wait, s.wait)})
 	return choice{}, false
 }
 
+// passes draws whether a first packet passes the door that would wait for the given time.
+func (e *Engine) passes(now time.Duration, f packet.Flow, wait time.Duration) bool {
+	v := fairshare.Visit{
+		Wait: wait, Patience: fairshare.Patience(e.table.Demand(f.Service).Goal),
+		Excess: e.shortage.usage.Excess(now, e.clientOf(f)),
+	}
+	return e.cfg.Rand.Float64() < v.PassChance()
+}
+
 // mayRefuse tells whether a first packet may be refused at the door: nothing of its flow can be
 // open at a target. Bulk flows have passed a gate of their own.
 func (e *Engine) mayRefuse(now time.Duration, f packet.Flow, p *pendingPlacement) bool {
@@ -132,11 +137,16 @@
 	if s := e.shortage.views[key]; s != nil && now-s.at < surroundingsFor {
 		return s
 	}
+	return e.lookAgain(now, f, urgency)
+}
+
+// lookAgain replaces the view of the targets that a flow could reach.
+func (e *Engine) lookAgain(now time.Duration, f packet.Flow, urgency fairshare.Urgency) *surroundings {
 	if len(e.shortage.views) >= maxSurroundings {
 		clear(e.shortage.views)
 	}
 	s := e.survey(now, f, urgency)
-	e.shortage.views[key] = s
+	e.shortage.views[viewKey{f.Service, urgency}] = s
 	return s
 }
 
@@ -213,8 +223,9 @@
 	}
 }
 
-// expectedWait returns how long a first packet of an urgency would wait at the target, by
-// who waits there that isn't less urgent, and false if that isn't known.
+// expectedWait returns how long a first packet of an urgency would wait at the target, behind
+// those who wait there that aren't less urgent and the flows sent since the report; false if
+// that isn't known.
 func (a *agent) expectedWait(now time.Duration, urgency fairshare.Urgency) (time.Duration, bool) {
 	r := &a.report
 	before, all := r.WaitingBefore(urgency)
--- a/internal/passthrough/forward/door_test.go
+++ b/internal/passthrough/forward/door_test.go
@@ -152,6 +152,17 @@
 	is.True(probes < 300)
 }
 
+// Guards against a view that shows room after first packets have taken it.
+func TestDoorLooksAgainOnceRoomIsTaken(t *testing.T) {
+	r := newDoorEngine(t)
+	r.shortAgents(16)
+	r.agentAt(17, caseworkService) // four slots
+	r.refusedOf(20)
+	for _, s := range r.engine.shortage.views {
+		is.New(t).True(!s.room)
+	}
+}
+
 // Guards against a shortage that outlives its reports, and against refusals where shares aren't
 // in force.
 func TestDoorOpensWithoutReports(t *testing.T) {
