Door: bounds the wait that is taken from a report

Change: at most a minute is taken, which is the most that agents state. A test says besides that packets of known flows allocate nothing.

Result: TestDoorBoundsReportedWaits failed before; TestKnownFlowsDoNotAllocate passed before and passes. go test of forward and fairshare passes.

--- a/internal/passthrough/forward/agents.go
+++ b/internal/passthrough/forward/agents.go
@@ -8,6 +8,10 @@
 	"bergamotstall/internal/passthrough/route"
 )
 
+// maxWaitMS bounds the wait, in milliseconds, that is taken from a report: no caller waits
+// longer.
+const maxWaitMS = 60_000
+
 // noAgent marks the absence of an agent number.
 const noAgent = ^uint32(0)
 
@@ -201,6 +205,7 @@
 		return
 	}
 	hadRoom := a.hasRoom(now, 0)
+	r.WaitMS = min(r.WaitMS, maxWaitMS)
 	a.report = r
 	a.reportedAt = now
 	a.flowsSent = 0
--- a/internal/passthrough/forward/door_test.go
+++ b/internal/passthrough/forward/door_test.go
@@ -163,6 +163,28 @@
 	}
 }
 
+// Guards against a wait that is taken for a short one because it is too long to count with.
+func TestDoorBoundsReportedWaits(t *testing.T) {
+	r := newDoorEngine(t)
+	at := r.waitingAgent(1, math.MaxUint32, 0, 1)
+	a := &r.engine.agents.list[r.engine.agents.number(at)]
+	a.flowsSent = 5_000
+	wait, known := a.expectedWait(r.now, 0)
+	is.New(t).True(known && wait > 0)
+}
+
+// Guards against garbage for each packet of a known flow where copies are remembered.
+func TestKnownFlowsDoNotAllocate(t *testing.T) {
+	r := newDoorEngine(t)
+	r.agentAt(1, caseworkService)
+	r.send(syn(1))
+	r.engine.cfg.Out = discardEngineOutput{}
+	p, raw := data(1, 7), make([]byte, 1200)
+	if n := testing.AllocsPerRun(100, func() { r.engine.HandleClientPacket(r.now, p, raw) }); n != 0 {
+		t.Errorf("%v allocations a packet", n)
+	}
+}
+
 // Guards against a shortage that outlives its reports, and against refusals where shares aren't
 // in force.
 func TestDoorOpensWithoutReports(t *testing.T) {
