Merge: shares of clients under shortage, and the door at balancers

Tests of bulk, link, forward, flowtable, fairshare, capacity, placement, patience, peer, simulation, explain and bergamotctl pass.

--- a/internal/passthrough/agent/output.go
+++ b/internal/passthrough/agent/output.go
@@ -118,6 +118,9 @@
 	if d.Limit > 0 {
 		fields["limit"], fields["service_us"] = d.Limit, d.Service.Microseconds()
 	}
+	if d.Waiting > 0 {
+		fields["waiting"] = d.Waiting
+	}
 	events.Log(a.cfg.Log, events.PassAgentDecided, fields)
 }
 
--- a/internal/passthrough/flowtable/decision.go
+++ b/internal/passthrough/flowtable/decision.go
@@ -69,11 +69,14 @@
 	// CapacityLearned: the target is given fewer requests at once than it has slots, or as
 	// many again, because of its service times.
 	CapacityLearned
+	// ShortageBegan: callers wait for a slot. ShortageEnded: nobody has waited for a while.
+	ShortageBegan
+	ShortageEnded
 )
 
 var verdictNames = [...]string{"", "refused-first", "refused-later", "target-arrived", "target-drains", "target-left",
 	"target-silent", "target-answers", "target-dead", "stale-announcement", "flows-reset", "flows-recalled",
-	"target-unsteady", "request-dropped", "first-dropped", "capacity-learned"}
+	"target-unsteady", "request-dropped", "first-dropped", "capacity-learned", "shortage-began", "shortage-ended"}
 
 func (v Verdict) String() string {
 	if int(v) < len(verdictNames) {
@@ -111,4 +114,6 @@
 	// handshakes, Service how long it takes for one, as learned.
 	Limit   int
 	Service time.Duration
+	// Waiting is the number of callers that wait for a slot.
+	Waiting int
 }
--- a/internal/passthrough/flowtable/latency_test.go
+++ b/internal/passthrough/flowtable/latency_test.go
@@ -43,3 +43,41 @@
 		})
 	}
 }
+
+// Guards against an unknown service time where the target's FIN overtakes the answer before
+// it: the agent couldn't tell how long callers wait. A FIN without an answer tells nothing.
+func TestClosingBehindTheAnswerCountsAsAnswer(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	request := func(port uint16, finSeq uint32) {
+		r.open(port, 1000)
+		r.sendRequest(port, 0)
+		r.advance(30 * time.Millisecond)
+		r.fromTarget(port, packet.FIN|packet.ACK, finSeq, 111, 0)
+		r.fromTarget(port, packet.ACK, 1001, 111, 500)
+	}
+	request(1, 1001)
+	is.Equal(r.engine.latencies.service, time.Duration(0))
+	request(2, 1501)
+	is.Equal(r.engine.latencies.service, 30*time.Millisecond)
+	is.Equal(r.engine.load.running, 0)
+}
+
+// Guards against a flow whose ports were used before, where a FIN without an answer counts as
+// one by what the target sent on the earlier flow.
+func TestFlowOpenedAnewHasNoAnswerYet(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	for n, seq := range []uint32{1000, 5000} {
+		r.open(1, seq)
+		r.sendRequest(1, uint32(n))
+		r.advance(30 * time.Millisecond)
+		if n == 0 {
+			r.sendAnswer(1, 0)
+		}
+	}
+	before := r.engine.latencies.service
+	r.advance(30 * time.Millisecond)
+	r.fromTarget(1, packet.FIN|packet.ACK, 5001, 211, 0)
+	is.Equal(r.engine.latencies.service, before)
+}
--- a/internal/passthrough/flowtable/queue.go
+++ b/internal/passthrough/flowtable/queue.go
@@ -81,13 +81,16 @@
 	return q.seq == seq || slices.ContainsFunc(q.more, func(h heldPacket) bool { return h.seq == seq })
 }
 
-// precedes reports whether q is admitted before other: the more urgent route first, and
-// within a route the newest first, because its caller can still be answered in time. In
-// order of arrival a backlog would make all of them late.
+// precedes reports whether q is admitted before other: the more urgent route first, then the
+// client that has had less of its share, and then the newest first, because its caller can
+// still be answered in time. In order of arrival a backlog would make all of them late.
 func (p *Policy) precedes(q, other *queueEntry) bool {
 	if q.caller.Priority != other.caller.Priority {
 		return q.caller.Priority < other.caller.Priority
 	}
+	if q.caller.Share != other.caller.Share {
+		return q.caller.Share < other.caller.Share
+	}
 	if p.OldestFirst {
 		return q.firstSentAt < other.firstSentAt
 	}
@@ -102,6 +105,7 @@
 		return
 	}
 	q := queueEntry{arrival: p, caller: e.openingCaller(now, p)}
+	q.caller.Share = e.shareRank(now, p.flow)
 	defer e.countArrival(now, q.caller) // its own arrival doesn't come before it
 	if len(e.admission.queue) >= maxQueue {
 		e.refuseFirst(now, p, peer.Full)
@@ -125,7 +129,9 @@
 func (e *Engine) enqueueRequest(now time.Duration, f packet.Flow, from netip.AddrPort, seq uint32, raw []byte) {
 	p := arrival{flow: f, from: from, raw: raw, sentAt: now, firstSentAt: now}
 	e.admission.heldRequestPackets++
-	e.enqueue(now, queueEntry{arrival: p.clone(), caller: e.requestCaller(p), request: true, seq: seq, expiresAt: now + e.maxHoldTime(f)})
+	caller := e.requestCaller(p)
+	caller.Share = e.shareRank(now, f)
+	e.enqueue(now, queueEntry{arrival: p.clone(), caller: caller, request: true, seq: seq, expiresAt: now + e.maxHoldTime(f)})
 }
 
 // enqueue appends an entry to the queue.
@@ -156,6 +162,7 @@
 // admitQueued admits held entries as long as there is room.
 func (e *Engine) admitQueued(now time.Duration) {
 	for len(e.admission.queue) > 0 && !e.busy(now) && !e.target.silent && !e.target.draining {
+		e.rankQueued(now)
 		at := e.nextQueued(now)
 		if e.hasGivenUp(now, &e.admission.queue[at]) {
 			e.removeExpired(now) // all of them at once
@@ -181,6 +188,7 @@
 		e.admit(now, q.arrival)
 		return
 	}
+	e.countUse(now, q.flow)
 	x := e.flows[q.flow]
 	x.held = false
 	x.running = true
@@ -246,6 +254,7 @@
 // removeExpired removes entries that must not be held any longer: first packets are
 // returned, requests whose callers have given up are dropped.
 func (e *Engine) removeExpired(now time.Duration) {
+	e.rankQueued(now)
 	e.orderByGoals(now)
 	o := e.outlook(now)
 	kept := e.admission.queue[:0]
--- a/internal/passthrough/forward/agents.go
+++ b/internal/passthrough/forward/agents.go
@@ -8,6 +8,10 @@
 	"bergamotstall/internal/passthrough/route"
 )
 
+// maxWaitMS bounds the wait, in milliseconds, that is taken from a report: no caller waits
+// longer.
+const maxWaitMS = 60_000
+
 // noAgent marks the absence of an agent number.
 const noAgent = ^uint32(0)
 
@@ -200,10 +204,15 @@
 	if a.report.Process == r.Process && a.report.Sequence >= r.Sequence {
 		return
 	}
+	hadRoom := a.hasRoom(now, 0)
+	r.WaitMS = min(r.WaitMS, maxWaitMS)
 	a.report = r
 	a.reportedAt = now
 	a.flowsSent = 0
 	e.agents.updateGroup(now, number)
+	if !hadRoom && a.hasRoom(now, 0) {
+		e.forgetViews(a.service()) // nothing may be refused beside a target with room
+	}
 	e.resumePlacements(now, number)
 }
 
@@ -248,13 +257,14 @@
 	}
 }
 
-// probe asks an agent for a report, unless a probe is already outstanding.
-func (e *Engine) probe(now time.Duration, number uint32) {
+// probe asks an agent for a report, and returns false if a probe is already outstanding.
+func (e *Engine) probe(now time.Duration, number uint32) bool {
 	a := &e.agents.list[number]
 	if a.probedAt > a.lastSeenAt && now-a.probedAt < e.link.extend(probeTimeout) {
-		return
+		return false
 	}
 	a.probedAt = now
 	e.link.asked(now)
 	e.cfg.Out.Probe(a.address)
+	return true
 }
--- a/internal/passthrough/forward/forward.go
+++ b/internal/passthrough/forward/forward.go
@@ -96,12 +96,16 @@
 	service route.ServiceID
 	// refused is nil until an agent hands the first packet back.
 	refused *refusals
-	// opening is what is known of the first packet of a bulk flow, nil for other flows.
+	// opening is what is known of the first packet where tracksCopies is set, else nil.
 	opening  *bulk.First
 	agent    uint32
 	attempts uint8
 	// copies is the copy number of the first packet that the agent got last.
 	copies uint8
+	// opened is set once a flow that was placed here has opened.
+	opened bool
+	// found is set if a search found the flow, which is open then.
+	found bool
 }
 
 // refusals are the agents that handed a flow's first packet back.
@@ -159,13 +163,15 @@
 	earlyPackets map[packet.Flow]earlyPacket
 	bulk         bulkGate
 	link         linkQueues
+	// shortage is what is done while callers wait at all targets.
+	shortage doorState
 }
 
 // New returns an engine without a table and without agents.
 func New(cfg Config) *Engine {
 	return &Engine{
 		cfg: cfg, bulkPolicy: cfg.Policy.Place.ForBulk(), budget: questionBudget{rate: cfg.QuestionBudget}, flows: map[packet.Flow]flowEntry{}, searches: map[packet.Flow]*search{}, earlyPackets: map[packet.Flow]earlyPacket{},
-		agents: newAgentTable(), placements: newPendingPlacements(), wideSearches: map[packet.Flow]wideSearch{},
+		agents: newAgentTable(), placements: newPendingPlacements(), wideSearches: map[packet.Flow]wideSearch{}, shortage: newDoorState(),
 		bulk: newBulkGate(cfg), link: newLinkQueues(cfg),
 	}
 }
@@ -253,6 +259,7 @@
 		return
 	}
 	entry.lastPacketAt = now
+	e.countOpened(now, f, &entry, p)
 	e.flows[f] = entry
 	e.deliver(entry, 0, raw)
 }
@@ -285,7 +292,7 @@
 	entry.noteCopy(a.p)
 	switch {
 	case !known:
-		if e.isBulk(f) {
+		if e.tracksCopies(f) {
 			entry.opening = e.newFirst(now, a, f)
 		}
 		e.place(now, a, f, entry, 0)
@@ -303,10 +310,13 @@
 func (e *Engine) rejectFlow(now time.Duration, f packet.Flow, entry flowEntry, reason peer.Reason) {
 	delete(e.flows, f)
 	e.endBulk(now, f)
-	d := Decision{Flow: f, Verdict: DroppedBulk, Reason: reason, Asked: int(entry.attempts)}
-	if !e.mayBeOpen(now, f, entry) {
+	d := Decision{Flow: f, Verdict: DroppedMayBeOpen, Reason: reason, Asked: int(entry.attempts)}
+	switch {
+	case !e.mayBeOpen(now, f, entry):
 		d.Verdict = RefusedNoTarget
 		e.cfg.Out.Reset(f, 0)
+	case e.isBulk(f):
+		d.Verdict = DroppedBulk
 	}
 	e.logDecision(d)
 }
@@ -317,7 +327,13 @@
 // agents with busy targets admit the newest packets first.
 func (e *Engine) deliver(entry flowEntry, age time.Duration, raw []byte) {
 	e.link.sent(len(raw))
-	e.cfg.Out.Deliver(e.agents.list[entry.agent].address, entry.service, age, raw)
+	e.cfg.Out.Deliver(e.agents.list[entry.agent].address, entry.service, age, 0, raw)
+}
+
+// deliverFirst sends a first packet to its agent, with its client's usage.
+func (e *Engine) deliverFirst(now time.Duration, f packet.Flow, entry flowEntry, a arrival) {
+	e.link.sent(len(a.raw))
+	e.cfg.Out.Deliver(e.agents.list[entry.agent].address, entry.service, now-a.arrivedAt, e.stampOf(now, f), a.raw)
 }
 
 // HandleRefused handles a packet that an agent handed back. The header tells why, and how long
--- a/internal/passthrough/forward/search.go
+++ b/internal/passthrough/forward/search.go
@@ -222,7 +222,7 @@
 // the link has room for it.
 func (e *Engine) finishSearch(now time.Duration, f packet.Flow, s *search, agent uint32) {
 	a := &e.agents.list[agent]
-	entry := flowEntry{agent: agent, service: a.service(), lastPacketAt: now}
+	entry := flowEntry{agent: agent, service: a.service(), lastPacketAt: now, found: true}
 	known := len(e.flows) < maxFlows
 	if known {
 		e.flows[f] = entry
