--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -18,6 +18,7 @@
 var failureVerdicts = map[string]bool{
 	"refused-no-route": true, "refused-no-target": true, "reset-route-gone": true, "reset-nowhere": true,
 	"dropped-unfound": true, "dropped-busy": true, "refused-bulk": true, "dropped-bulk": true, "request-dropped": true, "refused-short": true,
+	"dropped-may-be-open": true,
 }
 
 // CauseOf returns why a flow failed or was late, given its lines in order of time: the
--- a/internal/passthrough/forward/door_test.go
+++ b/internal/passthrough/forward/door_test.go
@@ -258,6 +258,11 @@
 			copyOf(1)(r)
 			busy(r, packet.Packet{Src: client(1), Dst: service, Flags: packet.SYN, Ack: 1})
 		}, 0},
+		"a copy handed back, without shares": {func(r *testEngine) {
+			r.engine.cfg.Overload = overload.Settings{}
+			copyOf(1)(r)
+			busy(r, packet.Packet{Src: client(1), Dst: service, Flags: packet.SYN, Ack: 1})
+		}, 1},
 		"all copies handed back": {func(r *testEngine) {
 			r.agentAt(9, caseworkService)
 			copyOf(0)(r)
