Balancer: callers refused shortly before their next copy are told with it

Cause: a first packet that comes back as busy 150 to 200 ms after its client sent it isn't reset, since the next copy counts as due and may have opened the flow through another balancer. What was known of the copies was forgotten then, so the next ones counted as copies of an unknown flow and were dropped too: the caller heard nothing for 1.4 s.

Change: what is known of a dropped first packet is kept until its client gives up, and the next copy is judged with it.

TestCallerIsToldWithItsNextCopy failed without it. TestSoakHardLoad/4 with the race detector, one run: passes. Tests of forward, fairshare and simulation pass.

--- a/internal/passthrough/forward/bulk.go
+++ b/internal/passthrough/forward/bulk.go
@@ -111,6 +111,41 @@
 	if entry.opening != nil {
 		entry.opening.Opened()
 	}
+	if x := e.droppedOpenings[f]; x != nil {
+		x.Opened()
+	}
+}
+
+// maxDroppedOpenings bounds the flows that are remembered by rememberOpening, 50 B each.
+const maxDroppedOpenings = 4_096
+
+// rememberOpening keeps what is known of a flow's first packet after it was dropped: with the
+// next copy it may be clear that the flow isn't open, and its caller is told.
+func (e *Engine) rememberOpening(f packet.Flow, entry flowEntry) {
+	if entry.opening != nil && !entry.found && len(e.droppedOpenings) < maxDroppedOpenings {
+		e.droppedOpenings[f] = entry.opening
+	}
+}
+
+// openingOf returns what is known of the first packet of a flow that isn't in the flow table,
+// with the copy that has just arrived.
+func (e *Engine) openingOf(now time.Duration, a arrival, f packet.Flow) *bulk.First {
+	x := e.droppedOpenings[f]
+	if x == nil {
+		return e.newFirst(now, a, f)
+	}
+	x.Copy(a.p.Ack)
+	delete(e.droppedOpenings, f)
+	return x
+}
+
+// sweepOpenings forgets the dropped first packets whose clients have given up.
+func (e *Engine) sweepOpenings(now time.Duration) {
+	for f, x := range e.droppedOpenings {
+		if now-x.BegunAt > packet.HandshakeTimeout {
+			delete(e.droppedOpenings, f)
+		}
+	}
 }
 
 // tracksCopies tells whether the copies of a flow's first packet are remembered. Balancers hold
--- a/internal/passthrough/forward/door_test.go
+++ b/internal/passthrough/forward/door_test.go
@@ -222,6 +222,37 @@
 	is.Equal(r.delivered[len(r.delivered)-1].usage.Flows(), last)
 }
 
+// Guards against callers that wait in silence: refused shortly before their next copy is
+// due, they are told once that copy has come here too, unless the flow has opened meanwhile.
+func TestCallerIsToldWithItsNextCopy(t *testing.T) {
+	for name, opens := range map[string]bool{"refused again": false, "opened elsewhere": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newDoorEngine(t)
+			at := r.agentAt(1, caseworkService)
+			refuse := func(p packet.Packet) {
+				r.engine.HandleRefused(r.now, at, peer.Header{Reason: peer.Busy}, p, rawOf(p.Ack))
+			}
+			first := syn(1)
+			r.send(first)
+			r.advance(170 * time.Millisecond)
+			refuse(first)
+			is.Equal(len(r.resets), 0)
+			is.Equal(r.lastDecision().Verdict, DroppedMayBeOpen)
+			if opens {
+				r.send(data(1, 5001))
+			}
+			r.advance(40 * time.Millisecond)
+			r.agentAt(1, caseworkService)
+			next := syn(1)
+			next.Ack = 1
+			r.send(next)
+			refuse(next)
+			is.Equal(len(r.resets) > 0, !opens)
+		})
+	}
+}
+
 // Guards against resets of flows that may be open: through another balancer that passed on a
 // copy of the first packet, or at the target where a search found them.
 func TestDoorLeavesFlowsThatMayBeOpen(t *testing.T) {
--- a/internal/passthrough/forward/forward.go
+++ b/internal/passthrough/forward/forward.go
@@ -161,8 +161,11 @@
 	// until the engine can handle them.
 	firstTableAt time.Duration
 	earlyPackets map[packet.Flow]earlyPacket
-	bulk         bulkGate
-	link         linkQueues
+	// droppedOpenings is what is known of the first packets of flows that weren't reset, as
+	// they may be open.
+	droppedOpenings map[packet.Flow]*bulk.First
+	bulk            bulkGate
+	link            linkQueues
 	// shortage is what is done while callers wait at all targets.
 	shortage doorState
 }
@@ -171,7 +174,7 @@
 func New(cfg Config) *Engine {
 	return &Engine{
 		cfg: cfg, bulkPolicy: cfg.Policy.Place.ForBulk(), budget: questionBudget{rate: cfg.QuestionBudget}, flows: map[packet.Flow]flowEntry{}, searches: map[packet.Flow]*search{}, earlyPackets: map[packet.Flow]earlyPacket{},
-		agents: newAgentTable(), placements: newPendingPlacements(), wideSearches: map[packet.Flow]wideSearch{}, shortage: newDoorState(),
+		agents: newAgentTable(), placements: newPendingPlacements(), wideSearches: map[packet.Flow]wideSearch{}, shortage: newDoorState(), droppedOpenings: map[packet.Flow]*bulk.First{},
 		bulk: newBulkGate(cfg), link: newLinkQueues(cfg),
 	}
 }
@@ -293,7 +296,7 @@
 	switch {
 	case !known:
 		if e.tracksCopies(f) {
-			entry.opening = e.newFirst(now, a, f)
+			entry.opening = e.openingOf(now, a, f)
 		}
 		e.place(now, a, f, entry, 0)
 	case !e.placementValid(f, entry):
@@ -318,6 +321,9 @@
 	case e.isBulk(f):
 		d.Verdict = DroppedBulk
 	}
+	if d.Verdict != RefusedNoTarget {
+		e.rememberOpening(f, entry)
+	}
 	e.logDecision(d)
 }
 
@@ -414,6 +420,7 @@
 	}
 	e.sweepSearches(now)
 	e.sweepAgents(now)
+	e.sweepOpenings(now)
 }
 
 func (e *Engine) logDecision(d Decision) {
