--- a/internal/passthrough/flowtable/learned_test.go
+++ b/internal/passthrough/flowtable/learned_test.go
@@ -77,9 +77,7 @@
 	}
 }
 
-// Guards against a second request given to a target of two slots that takes twice as long for
-// each of two, against one held back at a target that doesn't, and against more than the
-// slots allow.
+// Guards against more requests given to a target than it runs well, or fewer than it can.
 func TestLearnedCapacityBoundsAdmission(t *testing.T) {
 	for _, c := range []struct {
 		name string
--- a/internal/passthrough/forward/bulk_test.go
+++ b/internal/passthrough/forward/bulk_test.go
@@ -262,9 +262,7 @@
 	is.Equal(r.lastDecision().Verdict, RefusedNoRoute)
 }
 
-// Guards against queued data sent by a rule that is gone: the flow's route is removed, or its
-// caller resets it, and the data is dropped; the route's kind changes, and the data is sent
-// before what follows it.
+// Guards against queued data sent after its flow was reset or its route removed or changed.
 func TestQueuedDataFollowsItsFlow(t *testing.T) {
 	for name, c := range map[string]struct {
 		change func(*testEngine)
--- a/internal/passthrough/forward/learned_test.go
+++ b/internal/passthrough/forward/learned_test.go
@@ -38,9 +38,7 @@
 	return n
 }
 
-// Guards against callers of a slow target beside an equally loaded fast one; and against
-// decisions by service times where an agent of an older build states none, or where learning
-// is switched off.
+// Guards against new flows at a slow target beside an equally loaded fast one.
 func TestFlowsGoWhereTheAnswerIsExpectedFirst(t *testing.T) {
 	is := is.New(t)
 	is.Equal(placeAmong(t, true, [2]uint32{18_000, 44_000}), 0)
--- a/internal/passthrough/placement/expected_wait_test.go
+++ b/internal/passthrough/placement/expected_wait_test.go
@@ -112,9 +112,7 @@
 	return with, without
 }
 
-// Guards against decisions that change where targets are equally fast, up to the noise of what
-// is learned of them from heavy-tailed requests of mixed kinds: the same random source must
-// give the same picks.
+// Guards against noise in learned service times that changes picks among equal targets.
 func TestEqualTargetsChangeNothing(t *testing.T) {
 	for _, mix := range requestMixes {
 		for _, perSecond := range []float64{15, 50} {
