review: make room for a graver case

Cause: a case that needs planned work only is graver than those found before, and the cases are in order of gravity. Change: cases 4 to 7 become 5 to 8; their scripts differ in the path of their record only.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # disruption out. KEEP=1 keeps the processes' logs.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/bergamotstall ] && [ -x target/review-2 ] || exit 2
-exec target/review-2 two-dark-two-disks-lost review/5/record.txt
+exec target/review-2 replaced-then-disk-lost review/5/record.txt
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -21,6 +21,7 @@
 }
 
 var cases = map[string]script{
+	"all-replaced":            {smallBounds, allReplaced},
 	"replaced-then-disk-lost": {smallBounds, replacedThenDiskLost},
 	"two-dark-two-disks-lost": {grownBounds, twoDarkTwoDisksLost},
 }
@@ -159,3 +160,38 @@
 	}
 	return readBack(d, o, 12, machines)
 }
+
+// allReplaced replaces all core machines as planned: three new ones start and have more than
+// the time that they need to catch up, a change is acknowledged, and then the old ones get
+// SIGTERM in turn, a second apart, and are gone for good. No disk is lost.
+func allReplaced(d *deployment, r *record, trouble bool) (int, string) {
+	o := newOperator(d, r)
+	machines, err := start(d, o, 3)
+	if err != nil {
+		return notRun, err.Error()
+	}
+	if trouble {
+		machines = []int{4, 5, 6}
+		for _, n := range machines {
+			if err := d.startControl(n, false); err != nil {
+				return notRun, err.Error()
+			}
+		}
+		time.Sleep(2 * d.bounds.catchUp)
+		for _, n := range machines {
+			if got := o.read(7, 2*time.Second, n); got != 7 {
+				return notRun, fmt.Sprintf("%s read back version %d after its time to catch up", name(n), got)
+			}
+		}
+	}
+	if !o.put(12, 10*time.Second, machines...) {
+		return notRun, "version 12 was not acknowledged"
+	}
+	if trouble {
+		for n := 1; n <= 3; n++ {
+			d.stop(n)
+			time.Sleep(time.Second)
+		}
+	}
+	return readBack(d, o, 12, machines)
+}
