review: only loopback addresses in the scripts

Cause: the operator's desired state in the scripts named 198.18.0.1 as the host of its route, as the users' pages do. Nothing was sent there, but every address in a case has to be a loopback address. Change: 127.198.0.1.

--- a/review/_standin2/operator.go
+++ b/review/_standin2/operator.go
@@ -43,7 +43,7 @@
 	body, _ := json.Marshal(object{
 		"version": version,
 		"routes": []object{{
-			"name": "r-a3hwrr6", "host": "198.18.0.1", "pathPrefix": "/8443/", "routeType": "idempotent",
+			"name": "r-a3hwrr6", "host": "127.198.0.1", "pathPrefix": "/8443/", "routeType": "idempotent",
 			"timeoutMs": 2500, "targetLatencyMs": 150, "priority": 2, "service": "huvo11a", "maxAttempts": 2,
 		}},
 		"services": []object{{"name": "huvo11a", "healthPath": "/health", "maxConns": 2000, "protocol": "h1", "tls": false}},
