Replica: eviction keeps the voters that the deployment needs

What callers saw: five control VMs of a deployment that must bear the loss of two. Two are without power for 7 s; a definition is acknowledged meanwhile, and two of the other three lose their disks.

Cause: the leader evicted silent voters down to three, whatever the deployment must bear. A voter without power has a whole disk and counts again when it returns; after its eviction it doesn't. Three voters bear one lost disk, not two.

Deployments that state nothing keep three voters, as before.

--- a/internal/passthrough/control/control.go
+++ b/internal/passthrough/control/control.go
@@ -51,8 +51,8 @@
 	// served in any case: a VM that is cut off still lists the agents that reach it.
 	maxContactWait      = time.Second
 	contactPollInterval = 5 * time.Millisecond
-	// evictAfter is the silence after which a VM is removed from the members if more than
-	// three others vote. It covers a VM that fails for good after its successor has
+	// evictAfter is the silence after which a VM is removed from the members if more vote
+	// than Config.FaultTolerance needs. It covers a VM that fails for good after its successor has
 	// joined. On the platform, the next VM may fail four seconds later.
 	evictAfter = 3500 * time.Millisecond
 )
@@ -79,6 +79,8 @@
 	Seeds func() []string
 	// Bootstrap is set if the whole system starts for the first time.
 	Bootstrap bool
+	// FaultTolerance is how many control VMs may be lost at once, with their disks.
+	FaultTolerance int
 	// ResendWindow is how long operators resend an evacuation order that got no answer.
 	ResendWindow time.Duration
 	// Now returns the time at which orders arrive; nil means time.Now.
@@ -200,8 +202,10 @@
 	c.openCount++
 	return replica.Open(replica.Config{
 		Folder: c.folder(), Name: c.cfg.Name, Listen: address, Advertise: address, Peers: c.peers(),
-		Bootstrap:        c.bootstraps() && c.openCount == 1,
-		MembershipPolicy: replica.MembershipPolicy{ReplaceAfter: replaceAfter, EvictAfter: evictAfter},
+		Bootstrap: c.bootstraps() && c.openCount == 1,
+		MembershipPolicy: replica.MembershipPolicy{
+			ReplaceAfter: replaceAfter, EvictAfter: evictAfter, FaultTolerance: c.cfg.FaultTolerance,
+		},
 		// The log is kept short because its entries are whole definitions.
 		SnapshotEvery: snapshotEvery, KeepEntries: keepEntries, CommandLimit: maxCommandBytes,
 		Log: c.cfg.Log, Metrics: c.cfg.Metrics,
--- a/internal/replica/membership_policy.go
+++ b/internal/replica/membership_policy.go
@@ -21,6 +21,9 @@
 	// forever, so the cluster tolerates fewer further losses. It must outlast the usual
 	// partitions, since a removed replica can only come back as a new one.
 	EvictAfter time.Duration
+	// FaultTolerance is how many members may be lost at once, with their disks. Eviction
+	// keeps 2*FaultTolerance+1 voters; if 0, three.
+	FaultTolerance int
 }
 
 const (
@@ -32,6 +35,13 @@
 	membershipPolicyIntervalHeartbeats = 10
 )
 
+// votersKept returns the number of voters below which eviction doesn't go. A silent voter
+// may come back with its disk, and counts until then: with fewer than 2f+1 voters, the loss
+// of f of the remaining disks loses the quorum for good.
+func (p MembershipPolicy) votersKept() int {
+	return max(minVotersKept, 2*p.FaultTolerance+1)
+}
+
 // longestSilent returns the voter that has been silent longest, if for at least atLeast.
 func longestSilent(members []raft.MemberStatus, atLeast time.Duration) (raft.MemberStatus, bool) {
 	var worst raft.MemberStatus
@@ -61,7 +71,7 @@
 			heard++
 		}
 	}
-	if voters <= minVotersKept || heard <= voters/2 {
+	if voters <= p.votersKept() || heard <= voters/2 {
 		return raft.MemberStatus{}, false
 	}
 	return longestSilent(members, p.EvictAfter)
--- a/internal/replica/membership_policy_test.go
+++ b/internal/replica/membership_policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -138,6 +139,55 @@
 	}
 }
 
+// waitSilentOrRemoved waits until the leader hasn't heard from the member for the given time
+// or has removed it.
+func waitSilentOrRemoved(t *testing.T, members []*member, silent *member, atLeast time.Duration) {
+	t.Helper()
+	waitFor(t, "the leader to notice that "+silent.name+" is silent", func() bool {
+		s := leaderOf(t, members).Status()
+		return silenceOf(s.Members, silent.ID()) >= atLeast || slices.Contains(s.Removed, silent.ID())
+	})
+}
+
+// Guards against losing accepted commands for good: two of five VMs are down for longer than
+// EvictAfter, and two others lose their disks meanwhile.
+func TestTwoDisksLostWhileTwoVMsAreDown(t *testing.T) {
+	is := is.New(t)
+	tolerateTwo := func(c *Config) {
+		testMembershipPolicy(c)
+		c.MembershipPolicy.FaultTolerance = 2
+	}
+	members := startThree(t, tolerateTwo)
+	for _, name := range []string{"d", "e"} {
+		m := newMember(t, members[0].net, name, members[0].address, members[1].address, members[2].address)
+		tolerateTwo(&m.cfg)
+		m.start()
+		members = append(members, m)
+	}
+	waitVoters(t, members, 5)
+	down, up := members[3:], members[:3]
+	for _, m := range down {
+		is.NoErr(m.Close())
+	}
+	for _, m := range down {
+		waitSilentOrRemoved(t, up, m, 3*m.cfg.MembershipPolicy.EvictAfter)
+	}
+	mustPropose(t, up[0], "accepted")
+	lost := up[:2]
+	for _, m := range lost {
+		is.NoErr(m.Close())
+		is.NoErr(os.RemoveAll(m.folder))
+		m.cfg.Bootstrap = false
+	}
+	for _, m := range append(down, lost...) {
+		m.start()
+	}
+	requireCommands(t, members, []string{"accepted"})
+	for _, m := range lost {
+		waitFor(t, "the vote of a VM that lost its disk", func() bool { return allSeeVoter(members, m.ID()) })
+	}
+}
+
 // Guards against evicting below three voters: with two, one more loss stops all commands.
 func TestEvictionKeepsThreeVoters(t *testing.T) {
 	is := is.New(t)
