Raft: replies of members that don't vote don't end a replica's recovery

What callers saw: nothing yet; found by reading, while members that stay without a vote were planned. A restarted replica asks its peers what it acknowledged, and takes part once enough have replied to form a quorum with it. If its disk is an old copy, it could elect a leader that lacks accepted commands.

Cause: maybeEndRecovery counted all replies. A learner's reply counted like a voter's, though a quorum may have been formed without it, so that it knows nothing of what the replica acknowledged.

Evidence: TestNonVotersDontEndRecovery fails without the fix ("not true: c.recovering"): one learner's reply ends the recovery of one of three voters.

Why this works: only replies of voters, by the newest membership heard of, count. Any quorum that the replica was part of shares a voter with those that replied.

--- a/internal/raft/recovery.go
+++ b/internal/raft/recovery.go
@@ -31,7 +31,7 @@
 // startRecovery begins the recovery of a restarted replica. A disk restored from an old
 // copy lacks votes and acknowledged entries: the replica could vote twice in a term, or
 // help to elect a leader without a committed entry. It therefore takes no part until
-// enough peers to form a quorum with it, by the newest membership that it hears of, have
+// enough voters to form a quorum with it, by the newest membership that it hears of, have
 // reported what they know of it. If they hear from a leader, the leader must be among
 // them. Nothing could be decided without that many replicas, so the wait costs no
 // availability. A replica that finds its disk behind what it acknowledged stops for good.
@@ -147,7 +147,7 @@
 	if needed == 0 && len(voters) > 0 && !c.newestMembers.isVoter(c.cfg.ID) {
 		needed = 1
 	}
-	if len(c.helloReplies) >= needed && c.leaderAnswered() {
+	if c.votersReplied() >= needed && c.leaderAnswered() {
 		c.recovering = false
 		c.leaderlessRestart = c.noLeaderHeard()
 		c.resetElection()
@@ -160,6 +160,18 @@
 	}
 }
 
+// votersReplied counts the other voters that have replied. Members that don't vote may know
+// nothing of what this replica acknowledged to a quorum.
+func (c *Core) votersReplied() int {
+	n := 0
+	for id := range c.helloReplies {
+		if id != c.cfg.ID && c.newestMembers.isVoter(id) {
+			n++
+		}
+	}
+	return n
+}
+
 // restartStaggerDivisor staggers the first elections after a restart in which no peer
 // hears from a leader, as after a power failure of all VMs. A replica waits the election
 // timeout divided by this, times the number of voters with a lower ID that have replied
--- a/internal/raft/restart_test.go
+++ b/internal/raft/restart_test.go
@@ -97,3 +97,24 @@
 	c.Step(c.now, Message{Kind: MsgHello, From: 3, To: 1, Context: 9})
 	is.Equal(len(processReady(c)), 1) // recovery is over, so it only replies
 }
+
+// Guards against a replica with an old copy of its disk that takes part after a reply from a
+// member that doesn't vote, which knows nothing of what the replica acknowledged.
+func TestNonVotersDontEndRecovery(t *testing.T) {
+	is := is.New(t)
+	stored := storedMembers(t, 3, HardState{Term: 2}, 2)
+	members, err := decodeMembers(stored.Entries[0])
+	is.NoErr(err)
+	members.Members = append(members.Members, Member{ID: 4, Role: Learner})
+	stored.Entries[0].Data, err = members.MarshalMsg(nil)
+	is.NoErr(err)
+	c := newCore(Config{ID: 1}, stored, time.Hour, faults{})
+	processReady(c)
+	reply := func(from ID) {
+		c.Step(time.Hour, Message{Kind: MsgHelloReply, From: from, To: 1, Context: c.hello.Context, Record: &PeerRecord{}})
+	}
+	reply(4)
+	is.True(c.recovering)
+	reply(2)
+	is.Equal(c.recovering, false)
+}
