Raft, replica: 2f+1 voters; a new VM takes over from an old one, the others are standbys

What callers saw: a deployment that must bear the loss of one control VM (f = 1). All three are replaced as planned: the successors have caught up, a definition is acknowledged, the old ones get SIGTERM a second apart.

Cause: each VM that joined became a voter beside the others, and one that left stayed a voter until it was evicted after 3.5 s, if a majority was still heard then. Six voters need four; the three successors were three.

With standbys switched off in this code, TestSuccessorsTakeOverBeforeOldVMsLeave and TestStandbyReplacesVMThatLeft fail (the voters stay six and four).

Why this works: the leader keeps 2f+1 voters, one change at a time, so that majorities before and after always share a replica. A learner that has caught up becomes a voter; then a silent voter, or else the oldest one in the data centre with most voters, becomes a standby. A standby holds the log and counts for nothing, so it may leave without notice. If a voter is silent for half an election timeout or one is missing, a standby that has caught up becomes a voter. A leader whose turn it is hands leadership over first. Standbys and learners that stay silent are removed, as voters were. Deployments that state no f are as before.

Tests of replica with -race, 3 times: passed.

--- a/internal/events/replica.go
+++ b/internal/events/replica.go
@@ -19,5 +19,5 @@
 	ReplicaPeerLost       = define(512, logrus.InfoLevel, "peer unreachable")
 	ReplicaPeerReached    = define(513, logrus.InfoLevel, "peer connected")
 	MemberAdmitted        = define(514, logrus.InfoLevel, "replica added without an operator")
-	MemberEvicted         = define(515, logrus.WarnLevel, "silent voter removed without an operator")
+	MemberEvicted         = define(515, logrus.WarnLevel, "silent member removed without an operator")
 )
--- a/internal/passthrough/control/control.go
+++ b/internal/passthrough/control/control.go
@@ -52,8 +52,7 @@
 	maxContactWait      = time.Second
 	contactPollInterval = 5 * time.Millisecond
 	// evictAfter is the silence after which a VM is removed from the members if more vote
-	// than Config.FaultTolerance needs. It covers a VM that fails for good after its successor has
-	// joined. On the platform, the next VM may fail four seconds later.
+	// than Config.FaultTolerance needs, or if it is a standby.
 	evictAfter = 3500 * time.Millisecond
 )
 
@@ -68,6 +67,8 @@
 // Config configures a Control.
 type Config struct {
 	Name string
+	// Zone is the VM's data centre.
+	Zone string
 	// IP is the VM's own address.
 	IP netip.Addr
 	// Folder is the directory of the VM's durable state.
@@ -201,7 +202,7 @@
 	address := netip.AddrPortFrom(c.cfg.IP, c.cfg.ReplicaPort).String()
 	c.openCount++
 	return replica.Open(replica.Config{
-		Folder: c.folder(), Name: c.cfg.Name, Listen: address, Advertise: address, Peers: c.peers(),
+		Folder: c.folder(), Name: c.cfg.Name, Zone: c.cfg.Zone, Listen: address, Advertise: address, Peers: c.peers(),
 		Bootstrap: c.bootstraps() && c.openCount == 1,
 		MembershipPolicy: replica.MembershipPolicy{
 			ReplaceAfter: replaceAfter, EvictAfter: evictAfter, FaultTolerance: c.cfg.FaultTolerance,
--- a/internal/raft/checker_test.go
+++ b/internal/raft/checker_test.go
@@ -69,6 +69,13 @@
 	}
 }
 
+// voterCount checks that there is at most one voter more than the leaders keep.
+func (k *checker) voterCount(w *simulation, m Membership) {
+	if limit, n := w.size.limit(), len(m.Voters()); limit > 0 && n > limit+1 {
+		k.fail("number of voters: %d, for a limit of %d", n, limit)
+	}
+}
+
 func (k *checker) afterReady(w *simulation, n *node) {
 	k.electionSafety(n)
 	k.contactAge(w, n)
--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -73,6 +73,9 @@
 	AppendBytes int
 	// ChunkBytes bounds the size of one snapshot chunk.
 	ChunkBytes int
+	// Voters is the number of voters that the leader keeps, if there are as many members:
+	// further members are standbys. 0 means that all members vote.
+	Voters int
 	// KeepEntries is how many entries before a snapshot stay in memory for replicas that
 	// are slightly behind.
 	KeepEntries int
--- a/internal/raft/directed_test.go
+++ b/internal/raft/directed_test.go
@@ -116,7 +116,7 @@
 }
 
 func restoreOldCopy(broken bool) restoredCluster {
-	w := restoredCluster{simulation: newSimulation(1, 3, faults{noRecovery: broken}, environmentFaults{})}
+	w := restoredCluster{simulation: newSimulation(1, clusterSize{voters: 3}, faults{noRecovery: broken}, environmentFaults{})}
 	w.faultFree = true
 	for w.leader = nil; w.leader == nil; w.leader = w.simulation.leader() {
 		w.stepWithoutFaults(50)
@@ -224,7 +224,7 @@
 // campaigned alone must not depose the leader that the others hear.
 func TestReturningReplicaDoesNotDeposeLeader(t *testing.T) {
 	is := is.New(t)
-	w := newSimulation(3, 3, faults{}, environmentFaults{})
+	w := newSimulation(3, clusterSize{voters: 3}, faults{}, environmentFaults{})
 	w.faultFree = true
 	for w.leader() == nil {
 		w.stepWithoutFaults(50)
--- a/internal/raft/explorer_test.go
+++ b/internal/raft/explorer_test.go
@@ -8,7 +8,7 @@
 )
 
 var (
-	exploreSeeds = flag.Int("explore.seeds", 40, "seeds for each number of voters")
+	exploreSeeds = flag.Int("explore.seeds", 40, "seeds for each size of cluster")
 	exploreSteps = flag.Int("explore.steps", 6000, "steps for each seed")
 	exploreFirst = flag.Int("explore.first", 1, "first seed")
 )
@@ -154,8 +154,8 @@
 }
 
 // explore runs one seed and returns the first failure, if any.
-func explore(seed uint64, voters, steps int, f faults, broken environmentFaults) (string, *simulation) {
-	w := newSimulation(seed, voters, f, broken)
+func explore(seed uint64, size clusterSize, steps int, f faults, broken environmentFaults) (string, *simulation) {
+	w := newSimulation(seed, size, f, broken)
 	for w.step < steps && w.checker.failure == "" {
 		w.randomStep()
 	}
@@ -173,13 +173,13 @@
 // or lost. Clients must see one history, and the cluster must serve again after all
 // faults are healed.
 func TestExplorer(t *testing.T) {
-	for _, voters := range []int{3, 5} {
-		t.Run(fmt.Sprint(voters), func(t *testing.T) {
+	for _, size := range []clusterSize{{voters: 3}, {voters: 5}, {voters: 3, standbys: true}, {voters: 5, standbys: true}} {
+		t.Run(fmt.Sprintf("%d voters, standbys %t", size.voters, size.standbys), func(t *testing.T) {
 			t.Parallel()
 			steps, answered, elections, installs := 0, 0, 0, 0
 			for i := range *exploreSeeds {
 				seed := uint64(*exploreFirst + i)
-				failure, w := explore(seed, voters, *exploreSteps, faults{}, environmentFaults{})
+				failure, w := explore(seed, size, *exploreSteps, faults{}, environmentFaults{})
 				if failure != "" {
 					t.Fatalf("seed %d, step %d: %s", seed, w.step, failure)
 				}
--- a/internal/raft/faults_test.go
+++ b/internal/raft/faults_test.go
@@ -46,7 +46,7 @@
 				if i == 0 {
 					seed = v.seed
 				}
-				failure, w := explore(seed, v.voters, *exploreSteps, v.coreFaults, v.envFaults)
+				failure, w := explore(seed, clusterSize{voters: v.voters}, *exploreSteps, v.coreFaults, v.envFaults)
 				steps += w.step
 				if failure != "" {
 					t.Logf("%s: seed %d, step %d (%d steps in all): %s", v.name, seed, w.step, steps, failure)
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -106,6 +106,24 @@
 	return m, ErrUnknownMember
 }
 
+// withStandby makes a voter a standby.
+func (m Membership) withStandby(id ID) (Membership, error) {
+	out := m.clone()
+	for i, x := range out.Members {
+		if x.ID == id {
+			out.Members[i].Role = Standby
+			out.Members[i].Replaces = 0
+		}
+		if x.Replaces == id {
+			out.Members[i].Replaces = 0
+		}
+	}
+	if len(out.Voters()) == 0 {
+		return m, ErrLastVoter
+	}
+	return out, nil
+}
+
 func (m Membership) without(id ID) (Membership, error) {
 	x, ok := m.Find(id)
 	if !ok {
@@ -193,28 +211,58 @@
 	return c.appendEntry(EntryMembers, data), nil
 }
 
-// advanceMembership takes the next step of a change that needs several entries: a
-// caught-up learner becomes a voter, and then the replica it replaces is removed. The new
-// voter is added first, so that after a second loss there is still a quorum that holds
-// every committed entry. There is one voter too many for the span of two entries only.
+// advanceMembership takes the next step of a change that needs several entries.
 func (c *Core) advanceMembership() {
 	if c.state != Leader || c.membersIndex > c.log.commit || !c.committedInTerm() {
 		return
 	}
+	next, ok := c.nextMembership()
+	if !ok {
+		return
+	}
+	if !next.isVoter(c.cfg.ID) && c.members.isVoter(c.cfg.ID) && c.TransferLeadership() {
+		return // the next leader takes this step, so that no command waits for an election
+	}
+	_, _ = c.changeMembers(next)
+}
+
+// nextMembership returns the membership after the next step: a caught-up learner or a
+// needed standby becomes a voter, and then the replica that it replaces stops being one. The
+// new voter is added first, so that after a second loss there is still a quorum that holds
+// every committed entry. There is one voter too many for the span of two entries only.
+func (c *Core) nextMembership() (Membership, bool) {
 	for _, x := range c.members.Members {
 		if x.Role == Voter && x.Replaces != 0 {
-			_, _ = c.RemoveMember(x.Replaces)
-			return
+			return c.withoutReplaced(x)
 		}
 	}
+	if x, ok := c.surplusVoter(); ok {
+		next, err := c.members.withStandby(x.ID)
+		return next, err == nil
+	}
 	for _, x := range c.members.Members {
 		if x.Role == Learner && c.caughtUp(x.ID) {
-			if next, err := c.members.withPromoted(x.ID); err == nil {
-				_, _ = c.changeMembers(next)
-			}
-			return
+			next, err := c.members.withPromoted(x.ID)
+			return next, err == nil
 		}
 	}
+	if x, ok := c.neededStandby(); ok {
+		next, err := c.members.withPromoted(x.ID)
+		return next, err == nil
+	}
+	return Membership{}, false
+}
+
+// withoutReplaced ends a replacement by x, which is a voter by now. A replaced member of
+// the same name has lost its disk and is removed.
+func (c *Core) withoutReplaced(x Member) (Membership, bool) {
+	old, _ := c.members.Find(x.Replaces)
+	if c.cfg.Voters > 0 && old.Name != x.Name {
+		next, err := c.members.withStandby(old.ID)
+		return next, err == nil
+	}
+	next, err := c.members.without(x.Replaces)
+	return next, err == nil
 }
 
 // caughtUp reports whether a learner has all committed entries and was heard from within
@@ -236,7 +284,7 @@
 	}
 	for _, x := range members.Members {
 		if c.progress[x.ID] == nil {
-			c.progress[x.ID] = &progress{next: c.log.last() + 1}
+			c.progress[x.ID] = &progress{next: c.log.last() + 1, heardAt: c.now}
 		}
 	}
 	for id := range c.progress {
--- a/internal/raft/simulation_test.go
+++ b/internal/raft/simulation_test.go
@@ -105,6 +105,7 @@
 // node is one simulated VM.
 type node struct {
 	name string
+	zone string
 	disk disk
 	core *Core
 	sm   *counterMachine
@@ -137,9 +138,33 @@
 	consecutiveChanges bool
 }
 
+// clusterSize is the number of voters at the start. If standbys is set, further replicas
+// become standbys; otherwise all vote.
+type clusterSize struct {
+	voters   int
+	standbys bool
+}
+
+// maxNodes bounds the number of VMs, those that were removed included.
+func (s clusterSize) maxNodes() int {
+	if s.standbys {
+		return s.voters + 4
+	}
+	return 7
+}
+
+// limit returns the number of voters that leaders keep; 0 means all members.
+func (s clusterSize) limit() int {
+	if !s.standbys {
+		return 0
+	}
+	return s.voters
+}
+
 // simulation runs replicas, network and clients, all driven by one seed.
 type simulation struct {
 	rng       *rand.Rand
+	size      clusterSize
 	now       time.Duration
 	step      int
 	nodes     []*node
@@ -160,20 +185,21 @@
 	nextCmd uint64
 }
 
-func newSimulation(seed uint64, voters int, f faults, broken environmentFaults) *simulation {
+func newSimulation(seed uint64, size clusterSize, f faults, broken environmentFaults) *simulation {
 	w := &simulation{
-		rng:     rand.New(rand.NewPCG(seed, uint64(voters))),
+		rng:     rand.New(rand.NewPCG(seed, uint64(size.voters))),
+		size:    size,
 		blocked: map[[2]ID]bool{},
 		faults:  f, envFaults: broken,
 		checker: newChecker(),
 	}
 	first := w.newNode()
-	stored, err := Bootstrap(Member{ID: first.disk.id, Name: first.name})
+	stored, err := Bootstrap(first.member())
 	if err != nil {
 		panic(err)
 	}
 	first.disk.stored = stored
-	for range voters - 1 {
+	for range size.voters - 1 {
 		w.newNode()
 	}
 	for _, n := range w.nodes {
@@ -182,7 +208,7 @@
 	for i := range 4 {
 		w.clients = append(w.clients, &client{number: i})
 	}
-	w.addVoters(voters)
+	w.addVoters(size.voters)
 	w.drawFaultRates()
 	return w
 }
@@ -212,11 +238,13 @@
 
 func (w *simulation) newNode() *node {
 	w.nextID++
-	n := &node{name: fmt.Sprint("vm", w.nextID), disk: disk{id: w.nextID}}
+	n := &node{name: fmt.Sprint("vm", w.nextID), zone: fmt.Sprint("zone", w.nextID%3), disk: disk{id: w.nextID}}
 	w.nodes = append(w.nodes, n)
 	return n
 }
 
+func (n *node) member() Member { return Member{ID: n.disk.id, Name: n.name, Zone: n.zone} }
+
 func (w *simulation) start(n *node) {
 	n.up = true
 	n.clockStart = w.now - time.Duration(1+w.rng.Int64N(int64(time.Hour)))
@@ -229,6 +257,7 @@
 		ID: n.disk.id, Rand: rand.New(rand.NewPCG(w.rng.Uint64(), 1)),
 		ElectionTimeout: 300 * time.Millisecond,
 		AppendBytes:     50 + w.rng.IntN(200), ChunkBytes: 150, KeepEntries: 4,
+		Voters: w.size.limit(),
 	}
 	n.core = newCore(cfg, n.disk.copy().stored, w.clock(n), w.faults)
 	w.connect(n)
@@ -317,9 +346,14 @@
 	if e.Kind != EntryMembers {
 		return
 	}
-	if m, err := decodeMembers(e); err == nil && m.WasRemoved(w.lostDiskID) {
+	m, err := decodeMembers(e)
+	if err != nil {
+		return
+	}
+	if m.WasRemoved(w.lostDiskID) {
 		w.lostDiskID = 0
 	}
+	w.checker.voterCount(w, m)
 }
 
 func (w *simulation) enqueue(ms []Message) {
@@ -431,7 +465,7 @@
 	case w.lostDiskID != 0:
 		w.replaceLostDisk(l)
 	case w.rng.IntN(2) == 0:
-		if x.Role == Learner || len(l.core.Members().Voters()) > 3 {
+		if x.Role != Voter || len(l.core.Members().Voters()) > max(3, w.size.limit()) {
 			_, _ = l.core.RemoveMember(x.ID)
 		}
 	default:
@@ -445,11 +479,11 @@
 	members := l.core.Members()
 	for _, n := range w.nodes {
 		if _, ok := members.Find(n.disk.id); !ok && !members.WasRemoved(n.disk.id) {
-			_, _ = l.core.AddLearner(Member{ID: n.disk.id, Name: n.name})
+			_, _ = l.core.AddLearner(n.member())
 			return
 		}
 	}
-	if len(w.nodes) < 7 && !w.faultFree {
+	if len(w.nodes) < w.size.maxNodes() && !w.faultFree {
 		w.start(w.newNode())
 	}
 }
@@ -486,7 +520,9 @@
 	}
 	for _, n := range w.nodes {
 		if n.name == old.Name {
-			_, _ = l.core.AddLearner(Member{ID: n.disk.id, Name: n.name, Replaces: old.ID})
+			m := n.member()
+			m.Replaces = old.ID
+			_, _ = l.core.AddLearner(m)
 		}
 	}
 }
--- /dev/null
+++ b/internal/raft/standby_test.go
@@ -0,0 +1,87 @@
+package raft
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// standbyTest is a leader with the ID 1 that keeps three voters.
+type standbyTest struct {
+	*Core
+}
+
+// newStandbyTest returns a leader of the given members, all of which it has just heard from
+// and which hold its whole log.
+func newStandbyTest(t *testing.T, members ...Member) standbyTest {
+	t.Helper()
+	stored, err := Bootstrap(Member{ID: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if stored.Entries[0].Data, err = (&Membership{Members: members}).MarshalMsg(nil); err != nil {
+		t.Fatal(err)
+	}
+	s := standbyTest{newCore(Config{ID: 1, Voters: 3}, stored, time.Hour, faults{noRecovery: true})}
+	electLeader(s.Core, s.members.Voters()...)
+	for _, x := range members {
+		s.hear(x.ID)
+	}
+	return s
+}
+
+// hear lets the leader hear that a member holds its whole log.
+func (s standbyTest) hear(id ID) {
+	s.Step(s.now, Message{Kind: MsgAppendReply, From: id, To: 1, Term: s.term, Index: s.log.last()})
+	processReady(s.Core)
+}
+
+// nextVoters returns the IDs of the voters after the next step; nil if there is no step.
+func (s standbyTest) nextVoters() []ID {
+	next, ok := s.nextMembership()
+	if !ok {
+		return nil
+	}
+	return next.Voters()
+}
+
+func member(id ID, role Role, zone string) Member { return Member{ID: id, Role: role, Zone: zone} }
+
+// Guards against a new VM beside which the old one of its zone keeps its vote, and against
+// voters that gather in one zone.
+func TestNewVoterTakesOverInItsZone(t *testing.T) {
+	is := is.New(t)
+	s := newStandbyTest(t, member(1, Voter, "a"), member(2, Voter, "b"), member(3, Voter, "c"), member(4, Voter, "b"))
+	is.Equal(s.nextVoters(), []ID{1, 3, 4})
+	s = newStandbyTest(t, member(1, Voter, "a"), member(2, Voter, "b"), member(3, Voter, "c"), member(4, Voter, "d"))
+	is.Equal(s.nextVoters(), []ID{2, 3, 4}) // the oldest
+	s = newStandbyTest(t, member(1, Voter, ""), member(2, Voter, ""), member(3, Voter, ""), member(4, Voter, "a"))
+	is.Equal(s.nextVoters(), []ID{2, 3, 4}) // zones of an older version's members are unknown
+}
+
+// Guards against standbys that take over without need, from the wrong zone, or not at all.
+func TestStandbyTakesOverFromSilentVoter(t *testing.T) {
+	is := is.New(t)
+	s := newStandbyTest(t, member(1, Voter, "a"), member(2, Voter, "b"), member(3, Voter, "c"), member(4, Standby, "a"), member(5, Standby, "b"))
+	is.Equal(s.nextVoters(), nil)
+	s.advanceClock(s.now + s.cfg.ElectionTimeout/standbyTimeoutDivisor)
+	for _, id := range []ID{3, 4, 5} {
+		s.hear(id)
+	}
+	is.Equal(s.nextVoters(), []ID{1, 2, 3, 5})
+	s = newStandbyTest(t, member(1, Voter, "a"), member(2, Voter, "b"), member(4, Standby, "a"))
+	is.Equal(s.nextVoters(), []ID{1, 2, 4}) // a voter is missing
+}
+
+// Guards against a leader that gives up its own vote while another could lead, so that
+// commands wait for an election.
+func TestLeaderHandsOverBeforeItBecomesStandby(t *testing.T) {
+	is := is.New(t)
+	s := newStandbyTest(t, member(1, Voter, "a"), member(2, Voter, "b"), member(3, Voter, "c"), member(4, Voter, "a"))
+	s.advanceMembership()
+	sent := processReady(s.Core)
+	is.Equal(len(sent), 1)
+	is.Equal(sent[0].Kind, MsgTimeoutNow)
+	is.True(s.members.isVoter(1))
+}
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -49,11 +49,17 @@
 	// Learner members receive the log but don't count towards the quorum. They become
 	// voters once they have caught up.
 	Learner
+	// Standby members receive the log and don't count towards the quorum. They replace
+	// voters that are silent or leave.
+	Standby
 )
 
 func (r Role) String() string {
-	if r == Voter {
+	switch r {
+	case Voter:
 		return "voter"
+	case Standby:
+		return "standby"
 	}
 	return "learner"
 }
@@ -66,8 +72,11 @@
 	// Address is the "ip:port" that other replicas dial.
 	Address string `msg:"a"`
 	Role    Role   `msg:"r"`
-	// Replaces is the member that is removed once this one is a voter; 0 if none.
+	// Replaces is the member that this one replaces once it is a voter; 0 if none. A member
+	// of the same name is removed. Another one becomes a standby if Config.Voters is set.
 	Replaces ID `msg:"p"`
+	// Zone is the VM's data centre; empty if unknown.
+	Zone string `msg:"z"`
 }
 
 // Membership is the full list of members. It is stored in the log as one entry and takes
--- a/internal/raft/types_gen.go
+++ b/internal/raft/types_gen.go
@@ -787,6 +787,12 @@
 				}
 				z.Replaces = ID(zb0004)
 			}
+		case "z":
+			z.Zone, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -800,9 +806,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Member) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 6
 	// write "i"
-	err = en.Append(0x85, 0xa1, 0x69)
+	err = en.Append(0x86, 0xa1, 0x69)
 	if err != nil {
 		return
 	}
@@ -851,15 +857,25 @@
 		err = msgp.WrapError(err, "Replaces")
 		return
 	}
+	// write "z"
+	err = en.Append(0xa1, 0x7a)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Zone)
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "i"
-	o = append(o, 0x85, 0xa1, 0x69)
+	o = append(o, 0x86, 0xa1, 0x69)
 	o = msgp.AppendUint64(o, uint64(z.ID))
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
@@ -873,6 +889,9 @@
 	// string "p"
 	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendUint64(o, uint64(z.Replaces))
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendString(o, z.Zone)
 	return
 }
 
@@ -936,6 +955,12 @@
 				}
 				z.Replaces = ID(zb0004)
 			}
+		case "z":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -950,7 +975,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Member) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.Uint8Size + 2 + msgp.Uint64Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.Uint8Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Zone)
 	return
 }
 
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -44,7 +44,7 @@
 			r.expireReads()
 			r.dropAbandonedForwards()
 			r.join()
-			r.evictSilentVoter()
+			r.evictSilentMember()
 		case <-r.stopping:
 			r.transferLeadership(ticker.C)
 			return
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -73,7 +73,7 @@
 		return
 	}
 	r.joinAt = r.now() + joinIntervalHeartbeats*r.cfg.Heartbeat
-	req := joinRequest{Member: raft.Member{ID: r.ID(), Name: r.cfg.Name, Address: r.cfg.Advertise}}
+	req := joinRequest{Member: r.member()}
 	for _, address := range peers {
 		if address != r.cfg.Advertise {
 			r.links.sendToAddress(address, kindJoin, &req)
--- a/internal/replica/membership_policy.go
+++ b/internal/replica/membership_policy.go
@@ -16,13 +16,14 @@
 	// ReplaceAfter is how long a member must be silent before a new replica replaces it.
 	// It must outlast lost frames and short pauses.
 	ReplaceAfter time.Duration
-	// EvictAfter is how long a voter must be silent before it is removed without a
+	// EvictAfter is how long a member must be silent before it is removed without a
 	// replacement. A VM that is lost for good otherwise counts towards the quorum
 	// forever, so the cluster tolerates fewer further losses. It must outlast the usual
 	// partitions, since a removed replica can only come back as a new one.
 	EvictAfter time.Duration
-	// FaultTolerance is how many members may be lost at once, with their disks. Eviction
-	// keeps 2*FaultTolerance+1 voters; if 0, three.
+	// FaultTolerance is how many members may be lost at once, with their disks. The leader
+	// keeps 2*FaultTolerance+1 voters and makes further members standbys. If 0, all members
+	// vote, and eviction keeps three.
 	FaultTolerance int
 }
 
@@ -31,7 +32,7 @@
 	// than three voters, a second loss stops all commands.
 	minVotersKept = 3
 	// membershipPolicyIntervalHeartbeats is the interval between the leader's checks for silent
-	// voters.
+	// members.
 	membershipPolicyIntervalHeartbeats = 10
 )
 
@@ -42,25 +43,40 @@
 	return max(minVotersKept, 2*p.FaultTolerance+1)
 }
 
-// longestSilent returns the voter that has been silent longest, if for at least atLeast.
-func longestSilent(members []raft.MemberStatus, atLeast time.Duration) (raft.MemberStatus, bool) {
+// voterLimit returns the number of voters that the leader keeps; 0 means all members.
+func (p MembershipPolicy) voterLimit() int {
+	if p.FaultTolerance == 0 {
+		return 0
+	}
+	return p.votersKept()
+}
+
+// longestSilent returns the voter, or the other member, that has been silent longest, if for
+// at least atLeast.
+func longestSilent(members []raft.MemberStatus, voter bool, atLeast time.Duration) (raft.MemberStatus, bool) {
 	var worst raft.MemberStatus
 	found := false
 	for _, m := range members {
-		if m.Role == raft.Voter && m.Silence >= atLeast && (!found || m.Silence > worst.Silence) {
+		if (m.Role == raft.Voter) == voter && m.Silence >= atLeast && (!found || m.Silence > worst.Silence) {
 			worst, found = m, true
 		}
 	}
 	return worst, found
 }
 
-// evictionCandidate returns the voter to remove, if any. The voters that are heard from
-// must be a majority both before and after the removal; otherwise it could leave no
-// reachable copy of acknowledged commands.
+// evictionCandidate returns the member to remove, if any. A standby doesn't count towards
+// the quorum, so that it may always go: it would only be dialled in vain. When a voter goes,
+// the voters that are heard from must be a majority both before and after; otherwise the
+// removal could leave no reachable copy of acknowledged commands.
 func (p MembershipPolicy) evictionCandidate(members []raft.MemberStatus, heartbeat time.Duration) (raft.MemberStatus, bool) {
 	if p.EvictAfter <= 0 {
 		return raft.MemberStatus{}, false
 	}
+	if p.FaultTolerance > 0 {
+		if m, ok := longestSilent(members, false, p.EvictAfter); ok {
+			return m, true
+		}
+	}
 	voters, heard := 0, 0
 	for _, m := range members {
 		if m.Role != raft.Voter {
@@ -74,7 +90,7 @@
 	if voters <= p.votersKept() || heard <= voters/2 {
 		return raft.MemberStatus{}, false
 	}
-	return longestSilent(members, p.EvictAfter)
+	return longestSilent(members, true, p.EvictAfter)
 }
 
 // silenceOf returns how long the leader hasn't heard from a member; 0 if the ID isn't a
@@ -102,10 +118,10 @@
 // addNewMember adds a replica with a new name, in place of a silent voter if there is
 // one. Otherwise a VM that is lost for good would still count beside its successor, and
 // with one of four voters lost, one more loss would stop all commands. A voter that was
-// only cut off comes back as a new replica.
+// only cut off comes back as a standby or as a new replica.
 func (r *Replica) addNewMember(m raft.Member) {
 	if p := r.cfg.MembershipPolicy; p.ReplaceAfter > 0 {
-		if lost, ok := longestSilent(r.core.Status().Members, p.ReplaceAfter); ok {
+		if lost, ok := longestSilent(r.core.Status().Members, true, p.ReplaceAfter); ok {
 			m.Replaces = lost.ID
 		}
 	}
@@ -122,8 +138,8 @@
 	})
 }
 
-// evictSilentVoter removes a voter that has been silent for EvictAfter.
-func (r *Replica) evictSilentVoter() {
+// evictSilentMember removes a member that has been silent for EvictAfter.
+func (r *Replica) evictSilentMember() {
 	if r.now() < r.membershipPolicyAt {
 		return
 	}
--- a/internal/replica/membership_policy_test.go
+++ b/internal/replica/membership_policy_test.go
@@ -139,7 +139,68 @@
 	}
 }
 
-// waitSilentOrRemoved waits until the leader hasn't heard from the member for the given time
+// tolerate sets the test's policy for a deployment that tolerates n lost members.
+func tolerate(n int) func(*Config) {
+	return func(c *Config) {
+		testMembershipPolicy(c)
+		c.MembershipPolicy.FaultTolerance = n
+	}
+}
+
+// startNewcomers starts VMs with empty disks that ask the members to join.
+func startNewcomers(t *testing.T, members []*member, change func(*Config), names ...string) []*member {
+	t.Helper()
+	var started []*member
+	for _, name := range names {
+		m := newMember(t, members[0].net, name)
+		for _, x := range members {
+			m.cfg.Peers = append(m.cfg.Peers, x.address)
+		}
+		change(&m.cfg)
+		m.start()
+		started = append(started, m)
+	}
+	return started
+}
+
+// waitVotersAre waits until exactly the given replicas are voters, in their own view.
+func waitVotersAre(t *testing.T, want []*member) {
+	t.Helper()
+	waitFor(t, "the expected voters", func() bool {
+		for _, m := range want {
+			if voters(m.Status()) != len(want) || !allSeeVoter(want, m.ID()) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// kill ends replicas all at once, without a last message to the others.
+func kill(t *testing.T, all []*member, killed ...*member) {
+	t.Helper()
+	for _, m := range killed {
+		m.net.isolate(m, all, true)
+	}
+	for _, m := range killed {
+		is.New(t).NoErr(m.Close())
+	}
+}
+
+// Guards against the end of control after a planned replacement of all VMs: the successors
+// have caught up, but the old VMs still count towards the quorum when they leave.
+func TestSuccessorsTakeOverBeforeOldVMsLeave(t *testing.T) {
+	old := startThree(t, tolerate(1))
+	mustPropose(t, old[0], "before")
+	successors := startNewcomers(t, old, tolerate(1), "d", "e", "f")
+	waitVotersAre(t, successors)
+	kill(t, append(old, successors...), old...)
+	mustPropose(t, successors[0], "after")
+	requireCommands(t, successors, []string{"before", "after"})
+	waitFor(t, "the old VMs to be removed", func() bool { return len(successors[0].Status().Members) == 3 })
+}
+
+// Guards against evicting below three until the leader hasn't heard from the member for the given time
 // or has removed it.
 func waitSilentOrRemoved(t *testing.T, members []*member, silent *member, atLeast time.Duration) {
 	t.Helper()
@@ -153,17 +214,8 @@
 // EvictAfter, and two others lose their disks meanwhile.
 func TestTwoDisksLostWhileTwoVMsAreDown(t *testing.T) {
 	is := is.New(t)
-	tolerateTwo := func(c *Config) {
-		testMembershipPolicy(c)
-		c.MembershipPolicy.FaultTolerance = 2
-	}
-	members := startThree(t, tolerateTwo)
-	for _, name := range []string{"d", "e"} {
-		m := newMember(t, members[0].net, name, members[0].address, members[1].address, members[2].address)
-		tolerateTwo(&m.cfg)
-		m.start()
-		members = append(members, m)
-	}
+	members := startThree(t, tolerate(2))
+	members = append(members, startNewcomers(t, members, tolerate(2), "d", "e")...)
 	waitVoters(t, members, 5)
 	down, up := members[3:], members[:3]
 	for _, m := range down {
@@ -188,6 +240,31 @@
 	}
 }
 
+// Guards against the end of control after a planned replacement and one lost disk: the old
+// VM still counts towards the quorum while it is silent.
+func TestStandbyReplacesVMThatLeft(t *testing.T) {
+	is := is.New(t)
+	members := startThree(t, tolerate(1))
+	mustPropose(t, members[0], "before")
+	all := append(members, startNewcomers(t, members, tolerate(1), "d")...)
+	waitFor(t, "the newcomer to become a voter", func() bool { return allSeeVoter(all, all[3].ID()) })
+	waitFor(t, "an old VM to become a standby", func() bool { return voters(all[0].Status()) == 3 })
+	var leaves *member
+	for _, m := range members {
+		if allSeeVoter(all, m.ID()) {
+			leaves = m
+		}
+	}
+	kill(t, all, leaves)
+	left := others(all, leaves)
+	waitVotersAre(t, left)
+	lost := left[0]
+	kill(t, left, lost)
+	is.NoErr(os.RemoveAll(lost.folder))
+	mustPropose(t, left[1], "after")
+	requireCommands(t, left[1:], []string{"before", "after"})
+}
+
 // Guards against evicting below three voters: with two, one more loss stops all commands.
 func TestEvictionKeepsThreeVoters(t *testing.T) {
 	is := is.New(t)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -51,6 +51,8 @@
 
 // Config configures a replica. Folder, Name, Listen (or Listener) and Log are required.
 type Config struct {
+	// Zone is the VM's data centre; empty if unknown.
+	Zone string
 	// Folder is the data folder. A new folder makes a new replica.
 	Folder string
 	// Name is the VM's name, unique within the cluster.
@@ -264,6 +266,7 @@
 		Heartbeat:       r.cfg.Heartbeat,
 		Rand:            mathrand.New(mathrand.NewPCG(seed, seed)),
 		KeepEntries:     r.cfg.KeepEntries,
+		Voters:          r.cfg.MembershipPolicy.voterLimit(),
 	}, *stored, r.now())
 	return nil
 }
@@ -275,8 +278,7 @@
 		events.Log(r.cfg.Log, events.BootstrapSkipped, logrus.Fields{"peer": address})
 		return nil
 	}
-	first := raft.Member{ID: r.ID(), Name: r.cfg.Name, Address: r.cfg.Advertise}
-	made, err := raft.Bootstrap(first)
+	made, err := raft.Bootstrap(r.member())
 	if err != nil {
 		return err
 	}
@@ -310,6 +312,11 @@
 	go r.loop()
 }
 
+// member describes this replica as a member.
+func (r *Replica) member() raft.Member {
+	return raft.Member{ID: r.ID(), Name: r.cfg.Name, Address: r.cfg.Advertise, Zone: r.cfg.Zone}
+}
+
 // newID returns a random number that isn't zero.
 func newID() raft.ID {
 	var b [8]byte
