Control: a VM that stops hands its vote to a standby

What callers saw: in tests, of three voters and a standby one is stopped as planned. If another one is lost within the next half second, nothing can be read back or accepted any more, though the standby runs. A planned removal isn't a loss.

Cause: a VM that got SIGTERM handed its leadership on and stayed a voter; a standby takes a vote only after a silence.

Why this works: before it closes its replica, a stopping VM asks the leader for a standby in its place. The standby becomes a voter first, then the VM that stops becomes a standby, one change at a time. The VM waits for both, for a second at most, and doesn't wait where no member is a standby. It can't get its vote back for two election timeouts; by then its silence tells. An older leader refuses the new request, and the VM stops as before.

--- a/internal/passthrough/control/control.go
+++ b/internal/passthrough/control/control.go
@@ -54,6 +54,9 @@
 	// evictAfter is the silence after which a VM is removed from the members if more vote
 	// than Config.FaultTolerance needs, or if it is a standby.
 	evictAfter = 3500 * time.Millisecond
+	// handOverTimeout bounds how long a stopping VM waits for a standby to take over its vote.
+	// It takes a few round trips and heartbeats.
+	handOverTimeout = time.Second
 )
 
 // Errors returned to operators.
@@ -170,6 +173,9 @@
 		}
 		c.replica.Store(r)
 		c.watch(ctx, r)
+		if ctx.Err() != nil {
+			c.handOver(r)
+		}
 		c.replica.Store(nil)
 		if err := r.Close(); err != nil {
 			c.cfg.Log.WithError(err).Error("control: closing the replica failed")
@@ -182,6 +188,15 @@
 	return nil
 }
 
+// handOver has a standby take over this VM's vote, since the VM may be gone for good.
+func (c *Control) handOver(r *replica.Replica) {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	if err := r.HandOver(ctx); err != nil && !errors.Is(err, raft.ErrNoStandby) {
+		c.cfg.Log.WithError(err).Warn("control: handing over the vote failed; a standby takes it once this VM is silent")
+	}
+}
+
 // watch updates the replica's peers from the seeds until the replica ends or ctx is done.
 func (c *Control) watch(ctx context.Context, r *replica.Replica) {
 	ticker := time.NewTicker(time.Second)
--- a/internal/passthrough/control/control_test.go
+++ b/internal/passthrough/control/control_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -31,6 +32,17 @@
 // startIn starts control VMs with their disks under a folder; stop ends them all. now is
 // their time of day, nil for the machine's.
 func startIn(t *testing.T, folder string, net byte, n int, now func() time.Time) (vms []*Control, stop func()) {
+	t.Helper()
+	vms, stops := startEach(t, folder, net, n, now)
+	return vms, func() {
+		for _, end := range stops {
+			end()
+		}
+	}
+}
+
+// startEach is startIn with a function for each VM that ends it.
+func startEach(t *testing.T, folder string, net byte, n int, now func() time.Time) (vms []*Control, stops []func()) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -38,32 +50,25 @@
 	for i := range n {
 		seeds = append(seeds, fmt.Sprintf("127.%d.1.%d", net, i+1))
 	}
-	var out []*Control
-	var stops []func()
 	for i := range n {
 		c := New(Config{
 			Name: fmt.Sprint("control-", i+1), IP: netip.MustParseAddr(seeds[i]), Folder: filepath.Join(folder, fmt.Sprint(i)),
-			ReplicaPort: 7941, StreamPort: 7942, Seeds: func() []string { return seeds }, Bootstrap: true,
+			ReplicaPort: 7941, StreamPort: 7942, Seeds: func() []string { return seeds }, Bootstrap: true, FaultTolerance: 1,
 			ResendWindow: time.Second, Now: now, Log: log, Metrics: metrics.New(),
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
 		go func() { ended <- c.Run(ctx) }()
-		stops = append(stops, sync.OnceFunc(func() {
+		stop := sync.OnceFunc(func() {
 			cancel()
 			if err := <-ended; err != nil {
 				t.Error(err)
 			}
-		}))
-		out = append(out, c)
-	}
-	stop = func() {
-		for _, end := range stops {
-			end()
-		}
+		})
+		t.Cleanup(stop)
+		vms, stops = append(vms, c), append(stops, stop)
 	}
-	t.Cleanup(stop)
-	return out, stop
+	return vms, stops
 }
 
 func definition(v route.Version) *route.Definition {
@@ -155,6 +160,52 @@
 	})
 }
 
+// countRole counts the members with a role, as a VM sees them.
+func (c *Control) countRole(role raft.Role) int {
+	n := 0
+	if r := c.replica.Load(); r != nil {
+		for _, m := range r.Status().Members {
+			if m.Role == role {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// votes reports whether a VM is a voter, as it sees it.
+func (c *Control) votes() bool {
+	r := c.replica.Load()
+	return r != nil && slices.ContainsFunc(r.Status().Members, func(m raft.MemberStatus) bool {
+		return m.ID == r.ID() && m.Role == raft.Voter
+	})
+}
+
+// Guards against the end of control when two of three voters are gone right after each other:
+// the first as planned and for good, beside a standby that could have replaced it.
+func TestStoppedVMHandsOverItsVote(t *testing.T) {
+	vms, stops := startEach(t, t.TempDir(), 60, 4, nil)
+	eventually(t, func() error {
+		for _, c := range vms {
+			if v, s := c.countRole(raft.Voter), c.countRole(raft.Standby); v != 3 || s != 1 {
+				return fmt.Errorf("%d voters, %d standbys", v, s)
+			}
+		}
+		return vms[0].Put(t.Context(), definition(5))
+	})
+	var stopped int
+	var left *Control
+	for i, c := range vms {
+		if c.votes() && stopped < 2 {
+			stops[i]()
+			stopped++
+		} else {
+			left = c
+		}
+	}
+	eventually(t, func() error { return left.Put(t.Context(), definition(7)) })
+}
+
 // Guards against a VM that can't rejoin because it kept the folder of a removed replica.
 // After any other failure the folder must be kept.
 func TestFolderOfRemovedReplicaIsMovedAside(t *testing.T) {
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -28,6 +28,8 @@
 	timestamp time.Duration
 	startID   uint64
 	snapshot  *outgoingSnapshot
+	// stoppingUntil is set if the replica has given up its vote because it is about to stop.
+	stoppingUntil time.Duration
 }
 
 type sentRound struct {
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -22,6 +22,7 @@
 	ErrLastVoter           = errors.New("raft: the last voter can't be removed")
 	ErrNameInUse           = errors.New("raft: name is used by another member")
 	ErrTooManyVoterChanges = errors.New("raft: change affects more than one voter")
+	ErrNoStandby           = errors.New("raft: no standby has caught up")
 	ErrBadMembership       = errors.New("raft: membership entry can't be decoded")
 )
 
@@ -258,6 +259,7 @@
 func (c *Core) withoutReplaced(x Member) (Membership, bool) {
 	old, _ := c.members.Find(x.Replaces)
 	if c.cfg.Voters > 0 && old.Name != x.Name {
+		c.markStopping(old.ID)
 		next, err := c.members.withStandby(old.ID)
 		return next, err == nil
 	}
--- a/internal/raft/simulation_test.go
+++ b/internal/raft/simulation_test.go
@@ -464,6 +464,8 @@
 	switch x := members[w.rng.IntN(len(members))]; {
 	case w.lostDiskID != 0:
 		w.replaceLostDisk(l)
+	case w.size.standbys && w.rng.IntN(3) == 0:
+		_, _ = l.core.ReplaceByStandby(x.ID)
 	case w.rng.IntN(2) == 0:
 		if x.Role != Voter || len(l.core.Members().Voters()) > max(3, w.size.limit()) {
 			_, _ = l.core.RemoveMember(x.ID)
--- a/internal/raft/standby_test.go
+++ b/internal/raft/standby_test.go
@@ -74,6 +74,28 @@
 	is.Equal(s.nextVoters(), []ID{1, 2, 4}) // a voter is missing
 }
 
+// Guards against a vote that goes back to a VM that gave it up to stop.
+func TestStoppingMemberGetsNoVoteBack(t *testing.T) {
+	is := is.New(t)
+	s := newStandbyTest(t, member(1, Voter, "a"), member(2, Voter, "b"), member(3, Voter, "c"), member(4, Standby, "a"))
+	_, err := s.ReplaceByStandby(2)
+	is.NoErr(err)
+	is.Equal(len(s.members.Voters()), 4)
+	for range 2 { // the promotion of 4 and the step down of 2
+		processReady(s.Core)
+		for _, id := range []ID{2, 3, 4} {
+			s.hear(id)
+		}
+		s.advanceMembership()
+	}
+	is.Equal(s.members.Voters(), []ID{1, 3, 4})
+	for _, id := range []ID{2, 3, 4} {
+		s.hear(id)
+	}
+	_, err = s.ReplaceByStandby(3)
+	is.Equal(err, ErrNoStandby)
+}
+
 // Guards against a leader that gives up its own vote while another could lead, so that
 // commands wait for an election.
 func TestLeaderHandsOverBeforeItBecomesStandby(t *testing.T) {
--- a/internal/replica/errors.go
+++ b/internal/replica/errors.go
@@ -63,7 +63,7 @@
 	errOther, ErrBusy, ErrClosed, ErrFailed, ErrNoLeader, ErrLostLeader, ErrOverwritten, ErrNoReplacement, ErrTimeout,
 	raft.ErrNotLeader, raft.ErrNoLeader, raft.ErrBusy, raft.ErrChangePending, raft.ErrUnknownMember,
 	raft.ErrAlreadyMember, raft.ErrRemoved, raft.ErrTooManyMembers, raft.ErrLastVoter, raft.ErrNameInUse,
-	raft.ErrTooManyVoterChanges, ErrTooLarge,
+	raft.ErrTooManyVoterChanges, ErrTooLarge, raft.ErrNoStandby,
 }
 
 func reasonCodeOf(err error) reasonCode {
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
 	"bergamotstall/internal/events"
@@ -50,6 +52,34 @@
 	return err
 }
 
+// HandOver has a standby take over this replica's vote before a planned stop, which may be for
+// good. It returns nil once this replica is no voter any more, or if it isn't one. It returns
+// ErrNoStandby if no member is a standby.
+func (r *Replica) HandOver(ctx context.Context) error {
+	isSelf := func(id raft.ID) bool { return id == r.ID() }
+	if r.countVoters(isSelf) == 0 {
+		return nil
+	}
+	isStandby := func(m raft.MemberStatus) bool { return m.Role == raft.Standby }
+	if !slices.ContainsFunc(r.Status().Members, isStandby) {
+		return raft.ErrNoStandby
+	}
+	for r.countVoters(isSelf) > 0 {
+		_, err := r.submit(ctx, forward{Op: opHandOver, MemberID: r.ID()})
+		if errors.Is(err, raft.ErrNoStandby) {
+			return raft.ErrNoStandby
+		}
+		select {
+		case <-time.After(r.cfg.Heartbeat): // the next step follows with a heartbeat
+		case <-ctx.Done():
+			return outcomeUnknown(ErrTimeout)
+		case <-r.ended:
+			return outcomeUnknown(r.stopReason())
+		}
+	}
+	return nil
+}
+
 func (r *Replica) replace(old raft.ID) (raft.Position, error) {
 	member, ok := r.core.Members().Find(old)
 	if !ok {
--- a/internal/replica/membership_policy_test.go
+++ b/internal/replica/membership_policy_test.go
@@ -265,6 +265,25 @@
 	requireCommands(t, left[1:], []string{"before", "after"})
 }
 
+// Guards against a window after a planned stop in which one lost disk ends control: the VM
+// that stopped, leader or not, still counts towards the quorum.
+func TestStoppingVoterHandsOver(t *testing.T) {
+	is := is.New(t)
+	members := startThree(t, tolerate(1))
+	mustPropose(t, members[0], "before")
+	is.Equal(leaderOf(t, members).HandOver(withTimeout(t, waitTimeout)), raft.ErrNoStandby)
+	all := append(members, startNewcomers(t, members, tolerate(1), "d", "e")...)
+	waitVotersAre(t, all[2:])
+	stops := leaderOf(t, all[2:])
+	is.NoErr(stops.HandOver(withTimeout(t, waitTimeout)))
+	is.NoErr(stops.HandOver(withTimeout(t, waitTimeout))) // no voter any more
+	left := slices.DeleteFunc(others(all, stops), func(m *member) bool { return !allSeeVoter(others(all, stops), m.ID()) })
+	is.Equal(len(left), 3)
+	kill(t, all, stops, left[0])
+	mustPropose(t, left[1], "after")
+	requireCommands(t, left[1:], []string{"before", "after"})
+}
+
 // Guards against evicting below three voters: with two, one more loss stops all commands.
 func TestEvictionKeepsThreeVoters(t *testing.T) {
 	is := is.New(t)
--- a/internal/replica/messages.go
+++ b/internal/replica/messages.go
@@ -40,6 +40,7 @@
 	opAdd
 	opRemove
 	opReplace
+	opHandOver
 )
 
 // forward sends a request to the leader.
@@ -50,7 +51,8 @@
 	Command []byte    `msg:"c"`
 	// Member is the replica that opAdd adds.
 	Member raft.Member `msg:"m"`
-	// MemberID is the member that opRemove and opReplace remove.
+	// MemberID is the member that opRemove and opReplace remove, or that opHandOver makes a
+	// standby.
 	MemberID raft.ID `msg:"t"`
 }
 
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -197,6 +197,8 @@
 		return r.core.RemoveMember(q.MemberID)
 	case opReplace:
 		return r.replace(q.MemberID)
+	case opHandOver:
+		return r.core.ReplaceByStandby(q.MemberID)
 	}
 	return raft.Position{}, errOther
 }
