Tests: a drain is obeyed after restarts in any order

After four heartbeats of calm, the living target's drain must be accepted and in force.

No fault was found, and no product code changes.

--- a/internal/passthrough/flowtable/incarnation_test.go
+++ b/internal/passthrough/flowtable/incarnation_test.go
@@ -1,6 +1,9 @@
 package flowtable
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -109,3 +112,42 @@
 		})
 	}
 }
+
+// Guards against a drain that isn't obeyed after crashes and restarts in any order, with stated
+// starts that go back and forth and late announcements of targets that have ended.
+func TestDrainIsObeyedAfterAnyRestarts(t *testing.T) {
+	const calm = 4 // heartbeats
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		r := newRig(t)
+		type run struct {
+			id     string
+			born   int64
+			number uint64
+		}
+		announce := func(x *run, draining bool) AnnouncementResult {
+			x.number++
+			return r.announceState(x.id, x.born, x.number, draining)
+		}
+		runs := []*run{{id: "i-1", number: 1}}
+		for n := range 1 + rng.IntN(5) {
+			for range rng.IntN(4) {
+				r.now += time.Duration(rng.Int64N(int64(2 * heartbeat)))
+				announce(runs[rng.IntN(len(runs))], false) // the living one's, or a late one
+			}
+			r.engine.Probed(r.now, rng.IntN(2) == 0)
+			runs = append(runs, &run{id: fmt.Sprint("i-", rng.IntN(3)), born: rng.Int64N(10_000) - 5_000 + int64(n)})
+		}
+		living := runs[len(runs)-1]
+		for range calm {
+			announce(living, false)
+			r.advance(heartbeat)
+			r.engine.Probed(r.now, true)
+		}
+		result := announce(living, true)
+		r.syn(10)
+		if result != AnnouncementAccepted || !slices.Equal(r.refused, []refusal{{10, peer.Draining}}) {
+			t.Fatalf("seed %d: result %d, refused %v", seed, result, r.refused)
+		}
+	}
+}
