Membership: agents with addresses that lists can't hold aren't listed

What callers saw: nothing yet; the users ask whether one odd entry can end the machines that read the list. It can: an agent that states an IPv6 address ends every control VM that it reaches, and again after each start, as it reconnects. No node gets a table then.

Cause: lists hold addresses in six bytes. The server listed each address that parses, and converting an IPv6 one panics when the list is next sent.

Evidence: TestOddAgentAddressesAreNotListed on the code before: "panic: As4 called on IPv6 address" in membership.(*ListUpdate).add.

Why this works: only IPv4 addresses with a port get on the list, checked where nodes come in. A warning names the others.

--- a/internal/passthrough/membership/list_test.go
+++ b/internal/passthrough/membership/list_test.go
@@ -65,6 +65,19 @@
 	is.Equal(last, Changes{Gone: []netip.AddrPort{b}})
 }
 
+// Guards against control VMs that end because one agent states an address that lists can't
+// hold.
+func TestOddAgentAddressesAreNotListed(t *testing.T) {
+	all := startVMs(t, 1)
+	balancer := startNode(t, Balancer, "10.0.0.9:1", all...)
+	for _, odd := range []string{"[2001:db8::1]:1", "[::ffff:10.0.0.2]:1", "10.0.0.3:0", "10.0.0.4:80800", "", "nowhere"} {
+		startNode(t, Agent, odd, all...)
+	}
+	time.Sleep(2 * HeartbeatInterval)
+	startNode(t, Agent, "10.0.0.1:1", all...)
+	await(t, "the valid agent", func() bool { return balancer.listed() == 1 })
+}
+
 // Guards against sending the whole list for each change.
 func TestListIsSentAsChanges(t *testing.T) {
 	is := is.New(t)
--- a/internal/passthrough/membership/server.go
+++ b/internal/passthrough/membership/server.go
@@ -296,22 +296,34 @@
 	if n.Role != Agent {
 		return
 	}
-	address, err := netip.ParseAddrPort(n.Address)
+	address, err := nodeAddress(n)
 	if err != nil {
-		s.cfg.Log.WithError(err).Warn("membership: node not listed: invalid address")
+		s.cfg.Log.WithError(err).Warn("membership: node not listed")
 		return
 	}
 	s.directory.put(address, n)
 	s.notifyListChanged()
 }
 
+// errNodeAddress means that a node states an address that lists can't hold.
+var errNodeAddress = errors.New("membership: a node's address must be an IPv4 address and a port")
+
+// nodeAddress returns where a node receives datagrams of other nodes.
+func nodeAddress(n Node) (netip.AddrPort, error) {
+	address, err := netip.ParseAddrPort(n.Address)
+	if err != nil || !address.Addr().Is4() || address.Port() == 0 {
+		return netip.AddrPort{}, errors.Wrapf(errNodeAddress, "%q", n.Address)
+	}
+	return address, nil
+}
+
 // unlist removes an agent from the list; retired means that it ended together with its
 // target. The lock is held.
 func (s *Server) unlist(n Node, retired bool) {
 	if n.Role != Agent {
 		return
 	}
-	if address, err := netip.ParseAddrPort(n.Address); err == nil {
+	if address, err := nodeAddress(n); err == nil {
 		s.directory.remove(address, retired)
 		s.notifyListChanged()
 	}
