Framing: sizes that a message states are checked before it is decoded

What callers saw: nothing yet; the users ask whether an odd entry with a number too large can end the machines that read it. It can, on the connections between nodes: 25 bytes that state 4,294,967,295 flows end a control VM at once.

Cause: generated decoders allocate arrays by the size that a message states. Only the length of a whole frame was bounded.

Evidence: a trial that decodes such a flow report: "fatal error: out of memory: cannot allocate-byte block" in flowlog.(*Update).UnmarshalMsg. TestStatedSizesAreChecked fails on the code before (no error).

Why this works: a body is walked once before it is decoded. An array or map that states more elements than the body has bytes for, or than a bound far above what a large fleet sends, or that is nested too deeply, makes the frame invalid, and the connection ends with an error, as for other malformed frames. Tables inside updates are checked in the same way.

--- a/internal/distribution/body.go
+++ b/internal/distribution/body.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"bergamotstall/internal/framing"
 	"bergamotstall/internal/table"
 )
 
@@ -325,7 +326,7 @@
 		}
 	}
 	var b columnarUpdate
-	if _, err := b.UnmarshalMsg(raw); err != nil {
+	if err := framing.Decode(raw, &b); err != nil {
 		return nil, errors.Wrap(errMalformedUpdate, err.Error())
 	}
 	u := &update{
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -42,12 +42,21 @@
 
 // Decode decodes the frame's body into m.
 func (f Frame) Decode(m msgp.Unmarshaler) error {
-	if _, err := m.UnmarshalMsg(f.Body); err != nil {
+	if err := Decode(f.Body, m); err != nil {
 		return errors.Wrapf(err, "framing: decode frame of kind %d", f.Kind)
 	}
 	return nil
 }
 
+// Decode decodes a body that another process encoded into m.
+func Decode(body []byte, m msgp.Unmarshaler) error {
+	if err := checkSizes(body); err != nil {
+		return err
+	}
+	_, err := m.UnmarshalMsg(body)
+	return err
+}
+
 // Conn sends and receives frames. Write and Receiving are safe for concurrent use; only
 // one goroutine may call Read.
 type Conn struct {
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -1,6 +1,8 @@
 package framing
 
 import (
+	"bytes"
+	"math"
 	"net"
 	"os"
 	"testing"
@@ -110,3 +112,22 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against processes that end because a few bytes state a large array, or nest deeply.
+func TestStatedSizesAreChecked(t *testing.T) {
+	is := is.New(t)
+	decode := func(body []byte) error {
+		var v msgp.Raw
+		return Frame{Kind: 1, Body: body}.Decode(&v)
+	}
+	inMap := func(value []byte) []byte {
+		return append(msgp.AppendString(msgp.AppendMapHeader(nil, 1), "k"), value...)
+	}
+	is.True(errors.Is(decode(inMap(msgp.AppendArrayHeader(nil, math.MaxUint32))), ErrTooManyElements))
+	is.True(errors.Is(decode(inMap(msgp.AppendMapHeader(nil, math.MaxUint32))), ErrTooManyElements))
+	is.True(errors.Is(decode(inMap(msgp.AppendArrayHeader(nil, 3))), ErrTooManyElements)) // more than the body holds
+	full := append(msgp.AppendArrayHeader(nil, maxElements+1), bytes.Repeat([]byte{1}, maxElements+1)...)
+	is.True(errors.Is(decode(full), ErrTooManyElements))
+	is.True(errors.Is(decode(bytes.Repeat([]byte{0x91}, 1<<20)), ErrTooDeep))
+	is.NoErr(decode(inMap(msgp.AppendInt(msgp.AppendArrayHeader(nil, 1), 7))))
+}
--- a/internal/passthrough/membership/client_update.go
+++ b/internal/passthrough/membership/client_update.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bergamotstall/internal/events"
+	"bergamotstall/internal/framing"
 	"bergamotstall/internal/passthrough/route"
 )
 
@@ -140,7 +141,7 @@
 		return
 	}
 	var update route.TableUpdate
-	if _, err := update.UnmarshalMsg(u.Table); err != nil {
+	if err := framing.Decode(u.Table, &update); err != nil {
 		c.cfg.Log.WithError(err).Error("membership: malformed table update ignored")
 		return
 	}
