Balancer: many slots don't overflow

What callers saw: nothing yet; found by reading, when the users asked about numbers too large. The reports of a target with more than 2^31 slots are taken for those of a build that states no wait, so that its wait counts as unknown.

Cause: twice the slots were computed in 32 bits.

Evidence: TestDoorCountsManySlots fails on the code before.

Why this works: 64 bits hold twice any number of 32.

Result: tests of forward pass.

--- a/internal/passthrough/forward/door.go
+++ b/internal/passthrough/forward/door.go
@@ -232,7 +232,7 @@
 	switch {
 	case a.reportedAt == 0 || now-a.reportedAt >= shortageKnownFor || !a.hasFreshReport(now) && all == 0:
 		return 0, false
-	case r.WaitMS == 0 && (all > 0 || r.Running > 2*r.Slots):
+	case r.WaitMS == 0 && (all > 0 || uint64(r.Running) > 2*uint64(r.Slots)):
 		return 0, false // from a build that doesn't state the wait
 	}
 	turn := time.Duration(r.WaitMS) * time.Millisecond / time.Duration(all+1)
--- a/internal/passthrough/forward/door_test.go
+++ b/internal/passthrough/forward/door_test.go
@@ -173,6 +173,16 @@
 	is.New(t).True(known && wait > 0)
 }
 
+// Guards against a target with many slots that is taken for one with few.
+func TestDoorCountsManySlots(t *testing.T) {
+	r := newDoorEngine(t)
+	at := r.waitingAgent(1, 0, 0, 0)
+	a := &r.engine.agents.list[r.engine.agents.number(at)]
+	a.report.Slots = 1 << 31
+	_, known := a.expectedWait(r.now, 0)
+	is.New(t).True(known)
+}
+
 // Guards against garbage for each packet of a known flow where copies are remembered.
 func TestKnownFlowsDoNotAllocate(t *testing.T) {
 	r := newDoorEngine(t)
