Agent: numbers that begin anew don't reset the flows of the same incarnation

What callers saw: nothing yet; the users ask whether an odd entry can make the system stop following a host. If another writer announces a target under its ID, start and address with a number far ahead, the target's own announcements are refused for four intervals, and then its open flows are reset.

Cause: numbers that begin anew were taken for a restart, and the flows of the run before for lost, even if the stated start is the same to the millisecond.

Evidence: TestNumberFarAheadResetsNoFlows on the code before: one reset.

Why this works: an ID with the same start is almost surely the same process. Its flows are kept, and packets of flows that the agent doesn't know are shown to it. If it did restart, it returns the packets of the flows that it lost, and their callers are told then. A restart with another start is as before.

--- a/internal/passthrough/flowtable/incarnation.go
+++ b/internal/passthrough/flowtable/incarnation.go
@@ -75,9 +75,9 @@
 // are gone.
 func (e *Engine) startIncarnation(now time.Duration, a Announcement) {
 	before := e.target
-	resumed := !before.known && before.incarnation == a.incarnation() || slices.Contains(e.replaced, a.incarnation())
+	resumed := before.incarnation == a.incarnation() || slices.Contains(e.replaced, a.incarnation())
 	if resumed {
-		e.forgetFlows(now) // it was taken for dead, and its flows with it
+		e.forgetFlows(now) // it was taken for dead or for restarted, and may have its flows
 	}
 	if before.known {
 		e.countLost(now)
--- a/internal/passthrough/flowtable/incarnation_test.go
+++ b/internal/passthrough/flowtable/incarnation_test.go
@@ -45,6 +45,24 @@
 	is.Equal(r.report().AcceptsFlows, false)
 }
 
+// Guards against resets of a living target's flows after another writer announced it with a
+// number far ahead, so that its own announcements seem to be those of a restart.
+func TestNumberFarAheadResetsNoFlows(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.open(9, 1000)
+	r.now += heartbeat
+	is.Equal(r.announce("i-1", 0, 1<<50), AnnouncementAccepted)
+	accepted := false
+	for number := uint64(2); number < 8; number++ {
+		r.now += heartbeat
+		accepted = r.announce("i-1", 0, number) == AnnouncementAccepted
+	}
+	is.True(accepted)
+	is.Equal(len(r.resets), 0)
+	is.Equal(r.verdictOn(9, 1001), peer.Holds)
+}
+
 // Guards against resets of a living target's flows because its announcements overtook each
 // other: late ones don't make it a restarted target.
 func TestAnnouncementsThatOvertakeEachOtherChangeNothing(t *testing.T) {
