Raft: overwritten entries aren't counted as acknowledged and committed

A restarted replica may take its whole disk for an old copy and set it aside, so that one disk less holds what was accepted than the others count on.

Cause: a peer told it that it must hold min(last index acknowledged, commit index). If a later leader overwrote the entry that was acknowledged, the one that is committed at that index is another, which the replica may never have had.

Evidence: TestOverwrittenEntriesAreNotMissed on the code before: 5 in place of 0.

Why this works: the leader records what is both acknowledged and committed while it leads in the term of the acknowledgement, when both name the same entry. A quorum that committed an entry has a voter among those that a restarted replica asks, and the leader that counted its acknowledgement recorded it.

--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -170,6 +170,7 @@
 		return
 	}
 	c.log.commit = n
+	c.recordCommits()
 	c.assignReadIndexes()
 	if !c.members.isVoter(c.cfg.ID) && c.membersIndex <= n {
 		c.becomeFollower(c.term, 0) // the entry that removed this replica is now committed
--- a/internal/raft/recovery.go
+++ b/internal/raft/recovery.go
@@ -76,7 +76,6 @@
 // handleHello replies with what this replica remembers of the sender.
 func (c *Core) handleHello(m Message) {
 	k := c.peerRecords[m.From]
-	k.Committed = min(k.Match, c.log.commit)
 	k.Members, k.MembersIndex = c.members.clone(), c.membersIndex
 	if c.inLease() {
 		k.Leader = c.leader
@@ -236,7 +235,25 @@
 			k.Match = max(k.Match, m.Index)
 		}
 	}
-	c.peerRecords[m.From] = k
+	c.peerRecords[m.From] = c.withCommitted(k)
+}
+
+// recordCommits updates what is known of all peers after the leader's commit index has risen.
+func (c *Core) recordCommits() {
+	for id, k := range c.peerRecords {
+		c.peerRecords[id] = c.withCommitted(k)
+	}
+}
+
+// withCommitted returns the record with the last committed entry that the peer acknowledged.
+// Only in the term of that acknowledgement, which this replica leads, are the entry that was
+// acknowledged and the one that is committed surely the same: a later leader may have
+// overwritten the first.
+func (c *Core) withCommitted(k PeerRecord) PeerRecord {
+	if c.state == Leader && k.AckTerm == c.term {
+		k.Committed = max(k.Committed, min(k.Match, c.log.commit))
+	}
+	return k
 }
 
 // isRemoved reports whether a replica's removal is committed; such a replica is told so.
--- a/internal/raft/restart_test.go
+++ b/internal/raft/restart_test.go
@@ -118,3 +118,27 @@
 	reply(2)
 	is.Equal(c.recovering, false)
 }
+
+// Guards against a replica that takes its whole disk for an old copy, and gives it up: it had
+// acknowledged entries that a later leader overwrote.
+func TestOverwrittenEntriesAreNotMissed(t *testing.T) {
+	is := is.New(t)
+	c := newCore(Config{ID: 1}, storedMembers(t, 5, HardState{Term: 1}), time.Hour, faults{noRecovery: true})
+	electLeader(c, 2, 3)
+	for range 3 {
+		_, err := c.Propose([]byte("never committed"))
+		is.NoErr(err)
+	}
+	c.Step(c.now, Message{Kind: MsgAppendReply, From: 2, To: 1, Term: c.term, Index: c.log.last()})
+	processReady(c)
+	const nextTerm = 9
+	var committed []Entry
+	for i := Index(2); i <= 5; i++ {
+		committed = append(committed, Entry{Index: i, Term: nextTerm, Kind: EntryCommand})
+	}
+	c.Step(c.now, Message{Kind: MsgAppend, From: 3, To: 1, Term: nextTerm, Index: 1, LogTerm: 1, Entries: committed, Commit: 5})
+	processReady(c)
+	is.Equal(c.log.commit, Index(5))
+	c.Step(c.now, Message{Kind: MsgHello, From: 2, To: 1, Term: nextTerm, Index: 2, LogTerm: nextTerm, Context: 7})
+	is.Equal(processReady(c)[0].Record.Committed, Index(0)) // 2 has acknowledged none of them to 1
+}
