Membership: an agent is listed while both of its control VMs restart

Cause: an agent has streams to two control VMs, and counted a VM as heard for two seconds after its last message even if the stream had ended. While both restart, no VM that runs lists the agent; a balancer that starts asks all agents that it knows, each lacks the flow, and the flow is reset. Also, an agent left a VM for a preferred one before that one listed it.

Why this works: the end of a stream is known at once. An agent without a VM that serves it attaches to the next ones then, not two seconds later; with one that serves it, it waits as before, so that the restart of a single VM moves no agents. It keeps an old stream until enough preferred VMs have answered, so that some VM that runs lists it all the time.

--- a/internal/passthrough/membership/choice_test.go
+++ b/internal/passthrough/membership/choice_test.go
@@ -27,7 +27,7 @@
 			for n, healthy := range c.healthy {
 				ordered = append(ordered, candidate{ip: fmt.Sprint(n), healthy: healthy})
 			}
-			if got := chooseControls(ordered, agentStreamCount); len(got) != c.want {
+			if got := chooseControls(ordered, agentStreamCount, candidate.isHealthy); len(got) != c.want {
 				t.Errorf("streams to %v, want the first %d", got, c.want)
 			}
 		})
@@ -90,6 +90,55 @@
 	is.Equal(balancer.listed(), 1)
 }
 
+// preferred returns the VMs that an agent prefers, and the others.
+func preferred(agent string, all []*vm) (first, others []*vm) {
+	order := rankControls(agent, all[0].controls)
+	for _, v := range all {
+		if slices.Index(order, v.ip) < agentStreamCount {
+			first = append(first, v)
+		} else {
+			others = append(others, v)
+		}
+	}
+	return first, others
+}
+
+// Guards against an agent that no control VM lists while both of its VMs restart: a balancer
+// that starts meanwhile would reset the agent's open flows.
+func TestAgentIsListedWhileItsControlVMsRestart(t *testing.T) {
+	all := startVMs(t, 5)
+	for _, v := range all {
+		v.put(t, 1)
+	}
+	const address = "10.0.0.1:1"
+	agent := startNode(t, Agent, address, all...)
+	await(t, "two streams", func() bool { return agent.client.LiveControls() == agentStreamCount })
+	first, others := preferred(address, all)
+	listed := func(some []*vm) bool {
+		return slices.ContainsFunc(some, func(v *vm) bool {
+			_, attached := v.lists(address)
+			return attached
+		})
+	}
+	for _, v := range first {
+		v.stop()
+	}
+	stoppedAt := time.Now()
+	await(t, "the agent on the list of another VM", func() bool { return listed(others) })
+	if took := time.Since(stoppedAt); took > streamTimeout/4 {
+		t.Errorf("listed by another VM after %v", took)
+	}
+	for _, v := range first {
+		v.start(t)
+	}
+	for movedBack := false; !movedBack; time.Sleep(time.Millisecond) {
+		movedBack = !listed(others)
+		if !listed(all) {
+			t.Fatal("no VM lists the agent")
+		}
+	}
+}
+
 // Guards against control VMs that still list an agent long after it moved to others. Once
 // it has ended, balancers would take it for silent, and callers would wait for flows that
 // are lost.
@@ -103,10 +152,8 @@
 	order := rankControls(address, all[0].controls)
 	last := all[slices.IndexFunc(all, func(v *vm) bool { return v.ip == order[len(order)-1] })]
 	listed := func(v *vm) bool {
-		v.server.mu.Lock()
-		defer v.server.mu.Unlock()
-		l := v.server.nodes[address]
-		return l != nil && !l.retired
+		listed, _ := v.lists(address)
+		return listed
 	}
 	began := time.Now()
 	startNode(t, Agent, address, last)
--- a/internal/passthrough/membership/client.go
+++ b/internal/passthrough/membership/client.go
@@ -66,6 +66,8 @@
 	cfg ClientConfig
 	// startedAt is the time of the call of Run.
 	startedAt time.Time
+	// streamEnded tells Run that a stream has ended and others may be needed.
+	streamEnded chan struct{}
 
 	mu            sync.Mutex
 	streams       map[string]*clientStream
@@ -119,7 +121,7 @@
 
 // NewClient returns a client; Run starts its streams.
 func NewClient(cfg ClientConfig) *Client {
-	return &Client{cfg: cfg, streams: map[string]*clientStream{}}
+	return &Client{cfg: cfg, streams: map[string]*clientStream{}, streamEnded: make(chan struct{}, 1)}
 }
 
 // Version returns the version of the node's table, 0 for none.
@@ -179,8 +181,8 @@
 	defer ticker.Stop()
 	for {
 		now := time.Now()
-		wanted := c.choose(now, c.addresses(), started)
-		for _, ip := range wanted {
+		start, keep := c.choose(now, c.addresses(), started)
+		for _, ip := range start {
 			if _, ok := started[ip]; ok {
 				continue
 			}
@@ -193,7 +195,7 @@
 			}()
 		}
 		for ip, kept := range started {
-			if !slices.Contains(wanted, ip) {
+			if !slices.Contains(keep, ip) {
 				kept.stop(errMoved)
 				delete(started, ip)
 			}
@@ -202,6 +204,7 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-c.streamEnded:
 		case <-ticker.C:
 		}
 	}
--- a/internal/passthrough/membership/client_stream.go
+++ b/internal/passthrough/membership/client_stream.go
@@ -134,6 +134,10 @@
 	defer c.mu.Unlock()
 	s.open = false
 	s.conn = nil
+	select {
+	case c.streamEnded <- struct{}{}:
+	default:
+	}
 }
 
 // nextUpdate waits for an update. Flow records that arrive first go to OnFlowRecords.
--- a/internal/passthrough/membership/membership_test.go
+++ b/internal/passthrough/membership/membership_test.go
@@ -124,6 +124,15 @@
 	})
 }
 
+// lists reports whether a VM lists a node, and whether the node has a stream to it.
+func (v *vm) lists(address string) (listed, attached bool) {
+	v.server.mu.Lock()
+	defer v.server.mu.Unlock()
+	l := v.server.nodes[address]
+	listed = l != nil && !l.retired
+	return listed, listed && l.streams > 0
+}
+
 // put commits a version at a VM.
 func (v *vm) put(t *testing.T, version route.Version) {
 	t.Helper()
