Agent: control's record answers questions before the target's first announcement

Cause: a restarted agent left questions unanswered until its target announced itself, up to one heartbeat later, though control's record of the target's flows was there within 20 ms.

TestRecordAnswersBeforeTheFirstAnnouncement fails without the answer.

Why this works: a flow in the record is most likely still open at the target beside the agent. The agent already sends packets of flows that it doesn't know to the target, which returns those of flows that it lacks; so a wrong answer costs one packet there and back, and the search goes on. Flows that the record doesn't name stay unanswered.

--- a/internal/passthrough/flowtable/ask.go
+++ b/internal/passthrough/flowtable/ask.go
@@ -9,9 +9,13 @@
 
 // Ask answers a balancer's question whether this agent's target holds a flow. As long as
 // there may be a target that hasn't announced itself to this process, it sends no answer:
-// the flow may be open here, whatever other agents answer.
+// the flow may be open here, whatever other agents answer. If control's record says that it
+// is, the target most likely still holds it, and returns its packets otherwise.
 func (e *Engine) Ask(now time.Duration, from netip.AddrPort, q peer.Question) {
 	if !e.target.known && !e.empty(now) {
+		if _, recorded := e.recordedFlows[q.Flow]; recorded {
+			e.cfg.Out.Answer(from, peer.Answer{Question: q, Status: peer.Holds})
+		}
 		return
 	}
 	e.cfg.Out.Answer(from, peer.Answer{Question: q, Status: e.verdict(now, q)})
--- a/internal/passthrough/flowtable/flowtable.go
+++ b/internal/passthrough/flowtable/flowtable.go
@@ -162,6 +162,8 @@
 	// recorded flows that control has yet to be told are over.
 	recalls []flowlog.Update
 	ended   []packet.Flow
+	// recordedFlows are the flows of recalls while the target isn't known.
+	recordedFlows map[packet.Flow]struct{}
 	// startedAt is when the agent began to listen for announcements.
 	startedAt time.Duration
 	// foundNoTarget is set once a probe has found nobody at the target's address;
--- a/internal/passthrough/flowtable/recall.go
+++ b/internal/passthrough/flowtable/recall.go
@@ -29,6 +29,12 @@
 		return
 	}
 	e.recalls = append(e.recalls, u)
+	if e.recordedFlows == nil {
+		e.recordedFlows = map[packet.Flow]struct{}{}
+	}
+	for _, r := range u.Opened {
+		e.recordedFlows[r.Flow()] = struct{}{}
+	}
 	e.applyRecalls(now)
 }
 
@@ -43,6 +49,7 @@
 	if len(e.recalls) == 0 || !t.known && !e.empty(now) {
 		return
 	}
+	e.recordedFlows = nil
 	var doubtful []flowlog.Update
 	for _, u := range e.recalls {
 		t.recalled = t.recalled || t.known && t.incarnation == recordedIncarnation(u)
--- a/internal/passthrough/flowtable/recall_test.go
+++ b/internal/passthrough/flowtable/recall_test.go
@@ -55,6 +55,21 @@
 	is.Equal(r.verdictOn(10, 1), peer.Unsure)
 }
 
+// Guards against packets that miss their target while a restarted agent waits for the target's
+// next announcement: control's record names the flow.
+func TestRecordAnswersBeforeTheFirstAnnouncement(t *testing.T) {
+	is := is.New(t)
+	r := restartedAgent(t)
+	r.engine.HandleRecall(r.now, recordedFlows("i-1", -60_000, 9))
+	is.Equal(r.verdictOn(9, 1), peer.Holds)
+	r.engine.Ask(r.now, balancer, peer.Question{Flow: flowOf(10), Ack: 5})
+	is.Equal(len(r.answers), 1) // no answer: it may be open here
+	r.fromClient(9, packet.ACK, 11, 5, 10)
+	is.Equal(r.toTarget, []uint16{9})
+	r.bounce(9, packet.ACK, 1) // another target, which lacks the flow
+	is.Equal(r.refused, []refusal{{9, peer.NotHeld}})
+}
+
 // Guards against flows that an agent's next process doesn't know because they had just begun
 // when the agent was stopped, also soon after its start.
 func TestStoppingAgentRecordsYoungFlows(t *testing.T) {
