Raft: a replacement of a member that is gone ends

What callers saw: nothing; found when the change was read again. If a voter names a member to replace that isn't one any more, the leader would append the same membership at each heartbeat.

Cause: the step that ends a replacement cleared the reference to the member that it found, not to the one that was named. Removals clear such references, so that no such membership is known.

Evidence: TestReplacementOfUnknownMemberEnds fails without the fix.

Why this works: the reference is cleared by the ID that it names.

--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -129,5 +129,6 @@
 	full := append(msgp.AppendArrayHeader(nil, maxElements+1), bytes.Repeat([]byte{1}, maxElements+1)...)
 	is.True(errors.Is(decode(full), ErrTooManyElements))
 	is.True(errors.Is(decode(bytes.Repeat([]byte{0x91}, 1<<20)), ErrTooDeep))
+	is.True(decode(msgp.AppendString(msgp.AppendArrayHeader(nil, 2), "x")) != nil) // the second element is missing
 	is.NoErr(decode(inMap(msgp.AppendInt(msgp.AppendArrayHeader(nil, 1), 7))))
 }
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -259,8 +259,8 @@
 func (c *Core) withoutReplaced(x Member) (Membership, bool) {
 	old, _ := c.members.Find(x.Replaces)
 	if c.cfg.Voters > 0 && old.Name != x.Name {
-		c.markStopping(old.ID)
-		next, err := c.members.withStandby(old.ID)
+		c.markStopping(x.Replaces)
+		next, err := c.members.withStandby(x.Replaces)
 		return next, err == nil
 	}
 	next, err := c.members.without(x.Replaces)
--- a/internal/raft/standby_test.go
+++ b/internal/raft/standby_test.go
@@ -74,6 +74,17 @@
 	is.Equal(s.nextVoters(), []ID{1, 2, 4}) // a voter is missing
 }
 
+// Guards against a step that is repeated without end because the member to replace is gone.
+func TestReplacementOfUnknownMemberEnds(t *testing.T) {
+	is := is.New(t)
+	x := Member{ID: 3, Name: "vm3", Role: Voter, Zone: "c"}
+	x.Replaces = 9
+	s := newStandbyTest(t, member(1, Voter, "a"), member(2, Voter, "b"), x)
+	next, ok := s.nextMembership()
+	is.True(ok)
+	is.Equal(next.Members[2].Replaces, ID(0))
+}
+
 // Guards against a vote that goes back to a VM that gave it up to stop.
 func TestStoppingMemberGetsNoVoteBack(t *testing.T) {
 	is := is.New(t)
