Flow: a stopped endpoint has freed its address

In production each endpoint has a process of its own, whose end frees the address.

Cause: Run returned as soon as the socket refused to be read, while another goroutine was still closing it.

Evidence: TestStoppedEndpointFreesItsAddress on the code before, six processes at once: 6 of 6 fail, 173 failed binds. Alone on an idle machine it passes; that is why it was rare.

Why this works: Run calls close, which waits for the lock that the closing goroutine holds until the socket is closed.

Result: the same six processes: 0 of 6 fail.

--- a/internal/flow/agents_test.go
+++ b/internal/flow/agents_test.go
@@ -261,3 +261,14 @@
 	r.is.True(r.agents[1].metrics.Value("flow_answers_direct") > 1000)
 	r.is.Equal(b.metrics.Value("balancer_return_packets"), int64(0))
 }
+
+// Guards against an agent that can't start at the address of one that has just stopped.
+func TestStoppedEndpointFreesItsAddress(t *testing.T) {
+	r := standardRig(t, 1, targetHandler)
+	tunnel := r.agents[1].Tunnel().String()
+	for range 200 {
+		r.agents[1].stop()
+		r.table.Targets = nil
+		r.addAgent(1, defaultService, tunnel, targetHandler(1)) // fails if the address is in use
+	}
+}
--- a/internal/flow/endpoint.go
+++ b/internal/flow/endpoint.go
@@ -261,6 +261,7 @@
 	for {
 		n, from, err := e.socket.ReadFromUDPAddrPort(packet)
 		if errors.Is(err, net.ErrClosed) {
+			e.close() // waits until the address is free again
 			return nil
 		}
 		if err != nil {
