--- a/internal/passthrough/flowtable/flowtable.go
+++ b/internal/passthrough/flowtable/flowtable.go
@@ -160,10 +160,9 @@
 	shares        shares
 	// recalls are control's records of earlier flows until they are applied; ended are the
 	// recorded flows that control has yet to be told are over.
-	recalls []flowlog.Update
-	ended   []packet.Flow
-	// recordedFlows are the flows of recalls while the target isn't known.
-	recordedFlows map[packet.Flow]struct{}
+	recalls       []flowlog.Update
+	ended         []packet.Flow
+	recordedFlows map[packet.Flow]struct{} // flows of recalls while the target isn't known
 	// startedAt is when the agent began to listen for announcements.
 	startedAt time.Duration
 	// foundNoTarget is set once a probe has found nobody at the target's address;
