balancer: reset no flow before all control VMs' lists came

Cause: a balancer counted its agents as complete 150 ms after its first table, whichever control VMs had answered by then. It learns most VMs' addresses from the first update and connects to them afterwards, so that their lists come one after the other, up to 300 ms later. An agent is on the lists of two VMs only. A flow whose agent was on lists that were still missing was searched at all others and reset. Nothing compared the lists that had come with the VMs that there are.

The client of the streams now knows of each control VM whether it lists agents, refuses connections or is silent, and since when, and from that whether an agent can be missing: each VM must have listed its agents and have been serving for long enough that its agents could return to it, or have refused connections for long enough that its agents could attach to others, or have been silent for longer than agents stay with a silent VM. As many silent VMs as an agent has streams may hide an agent for good, so that no flow is reset then. VMs state how long they have been serving; those of the build before don't, and count from the first answer on. Until the lists are complete, a flow that all known agents lack waits while the balancer starts, and its packets are dropped after that. The start ends with complete lists, 150 to 400 ms after the table; readiness goes by the same rule.

--- a/internal/passthrough/balancer/balancer.go
+++ b/internal/passthrough/balancer/balancer.go
@@ -29,10 +29,6 @@
 const (
 	// tickInterval is how often unanswered questions are checked.
 	tickInterval = 20 * time.Millisecond
-	// readyDelay is how long a balancer waits after its first table before it is ready.
-	// In this time control lists the agents, which attach one after the other if they
-	// restart with the balancer.
-	readyDelay = 150 * time.Millisecond
 	// Linger is how long a stopping balancer continues to forward packets after it
 	// reports that it isn't ready. Fabrics check readiness twice a second and need two
 	// failures.
@@ -85,12 +81,10 @@
 	sendTimer                *time.Timer
 	sendPending, sendStopped bool
 
-	// tableSince is when the first table arrived, on the clock of now; 0 if none has.
-	tableSince atomic.Int64
-	stopping   atomic.Bool
-	wasReady   atomic.Bool
-	verdicts   []counter
-	waitTimes  map[forward.Verdict]*metrics.Histogram
+	stopping  atomic.Bool
+	wasReady  atomic.Bool
+	verdicts  []counter
+	waitTimes map[forward.Verdict]*metrics.Histogram
 }
 
 // New opens the balancer's sockets.
@@ -153,18 +147,18 @@
 }
 
 // Ready reports whether the fabric should send packets to this balancer. It is ready once
-// a control VM in contact with a quorum has sent the table in force and every agent has
-// had time to be listed. It isn't ready while it hears no agent, or while its table may
+// a control VM in contact with a quorum has sent the table in force and control has listed
+// the agents, or has had time to. It isn't ready while it hears no agent, or while its table may
 // be out of date: flows would follow a definition that was replaced long ago.
 func (b *Balancer) Ready() bool {
-	tableSince := time.Duration(b.tableSince.Load())
-	isolated, agents := b.agentStatus()
-	inTouch := b.client.TableCurrent(time.Now())
-	ready := !b.stopping.Load() && tableSince > 0 && b.now()-tableSince > readyDelay && !isolated && inTouch
+	status := b.engineStatus()
+	now := time.Now()
+	inTouch := b.client.TableCurrent(now)
+	ready := !b.stopping.Load() && !status.startingUp && !status.isolated && inTouch
 	if b.wasReady.Swap(ready) != ready {
 		events.Log(b.cfg.Log, events.ReadinessChanged, logrus.Fields{
 			"ready": ready, "stopping": b.stopping.Load(), "version": uint64(b.client.Version()), "controls": b.client.LiveControls(),
-			"isolated": isolated, "agents": agents, "in_touch": inTouch,
+			"isolated": status.isolated, "agents": status.agents, "in_touch": inTouch, "starting_up": status.startingUp, "lists_complete": b.client.ListsComplete(now),
 		})
 	}
 	return ready
@@ -172,9 +166,8 @@
 
 func (b *Balancer) setTable(t *route.Table) {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.engine.SetTable(b.now(), t)
-	b.mu.Unlock()
-	b.tableSince.CompareAndSwap(0, int64(b.now()))
 }
 
 // setEvacuated tells the engine which data centres take no new flows.
@@ -184,12 +177,20 @@
 	b.engine.SetEvacuated(zones)
 }
 
-// agentStatus reports whether the balancer hears none of the agents, and how many it
-// knows.
-func (b *Balancer) agentStatus() (isolated bool, agents int) {
+// engineStatus is what readiness depends on.
+type engineStatus struct {
+	// startingUp is forward.Engine.StartingUp.
+	startingUp bool
+	// isolated means that the balancer hears none of the agents that it knows.
+	isolated bool
+	agents   int
+}
+
+func (b *Balancer) engineStatus() engineStatus {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.engine.Isolated(b.now()), b.engine.AgentCount()
+	now := b.now()
+	return engineStatus{startingUp: b.engine.StartingUp(now), isolated: b.engine.Isolated(now), agents: b.engine.AgentCount()}
 }
 
 // setAgents passes changes of the membership to the engine.
@@ -260,10 +261,17 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			b.mu.Lock()
-			b.engine.Tick(b.now())
-			b.sendQueued()
-			b.mu.Unlock()
+			b.handleTick()
 		}
 	}
 }
+
+func (b *Balancer) handleTick() {
+	// The client calls the balancer with its own lock held, so it is asked first.
+	complete := b.client.ListsComplete(time.Now())
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.engine.SetListsComplete(complete)
+	b.engine.Tick(b.now())
+	b.sendQueued()
+}
--- a/internal/passthrough/balancer/output.go
+++ b/internal/passthrough/balancer/output.go
@@ -136,5 +136,8 @@
 		fields["asked"] = d.Asked
 		fields["silent"] = d.Silent
 	}
+	if d.ListsIncomplete {
+		fields["lists_complete"] = false
+	}
 	events.Log(b.cfg.Log, events.PassBalancerDecided, fields)
 }
--- a/internal/passthrough/fairshare/fleet_test.go
+++ b/internal/passthrough/fairshare/fleet_test.go
@@ -159,6 +159,7 @@
 	for _, a := range b.f.agents {
 		b.engine.ListAgent(b.f.now, forward.AgentInfo{Address: a.address, Zone: "a", Service: route.IDOf("desk"), Process: a.process})
 	}
+	b.engine.SetListsComplete(true)
 }
 
 func (b *balancer) Deliver(to netip.AddrPort, s route.ServiceID, age time.Duration, usage fairshare.Stamp, raw []byte) {
--- a/internal/passthrough/forward/bulk_test.go
+++ b/internal/passthrough/forward/bulk_test.go
@@ -31,6 +31,7 @@
 		Zone: zone, Rand: rand.New(rand.NewPCG(1, 2)), Policy: DefaultPolicy(), LinkRate: oneFlowRate,
 		Overload: overload.Settings{LinkQueues: true, BulkAdmission: true}, Out: r,
 	})
+	r.engine.SetListsComplete(true)
 	r.bulkTable(1, route.Upload)
 	r.advance(DefaultPolicy().Youth)
 	r.reportBoth()
--- a/internal/passthrough/forward/decision.go
+++ b/internal/passthrough/forward/decision.go
@@ -96,4 +96,7 @@
 	// Asked is the number of agents asked (of attempts, with RefusedNoTarget), Silent the
 	// number that didn't answer.
 	Asked, Silent int
+	// ListsIncomplete says that a search ended without a holder while control's lists of
+	// agents weren't complete.
+	ListsIncomplete bool
 }
--- a/internal/passthrough/forward/early.go
+++ b/internal/passthrough/forward/early.go
@@ -19,6 +19,8 @@
 	earlyPacketTTL = packet.HandshakeTimeout
 	// maxEarlyPackets bounds the packets held, 1.3 kB each.
 	maxEarlyPackets = 4_096
+	// maxStartUp bounds the start-up time, counted from the first table.
+	maxStartUp = 400 * time.Millisecond
 )
 
 // earlyPacket is the newest packet of a flow that arrived before the engine could handle
@@ -30,9 +32,24 @@
 	searchFailed bool
 }
 
-// startingUp tells whether agents may still be missing because the balancer has just
-// started.
-func (e *Engine) startingUp(now time.Duration) bool { return now-e.firstTableAt < e.cfg.Policy.Youth }
+// StartingUp reports whether agents may still be missing because the balancer has just
+// started: until Policy.Youth after the first table, and longer if control's lists aren't
+// complete by then, but no longer than maxStartUp. New flows can't wait for a control VM
+// that doesn't answer.
+func (e *Engine) StartingUp(now time.Duration) bool {
+	if e.table == nil {
+		return true
+	}
+	age := now - e.firstTableAt
+	return age < e.cfg.Policy.Youth || !e.listsWereComplete && age < maxStartUp
+}
+
+// SetListsComplete tells whether the lists of all control VMs have arrived, so that every
+// agent is known. While they haven't, no flow is taken for one without a holder.
+func (e *Engine) SetListsComplete(complete bool) {
+	e.listsComplete = complete
+	e.listsWereComplete = e.listsWereComplete || complete
+}
 
 // holdUntilReady holds a packet that arrived before the engine could handle it, in place of
 // any older one of its flow.
@@ -97,5 +114,5 @@
 	if e.table == nil {
 		return false
 	}
-	return !e.startingUp(now) || !x.searchFailed && e.AgentCount() > 0
+	return !e.StartingUp(now) || !x.searchFailed && e.AgentCount() > 0
 }
--- a/internal/passthrough/forward/early_test.go
+++ b/internal/passthrough/forward/early_test.go
@@ -50,6 +50,7 @@
 func TestNoResetBeforeAllAgentsHadTimeToReport(t *testing.T) {
 	is := is.New(t)
 	r := newStartingTestEngine(t)
+	r.engine.SetListsComplete(true)
 	r.table(1, caseworkService)
 	a := r.agentAt(1, caseworkService)
 	r.send(data(9, 77))
@@ -64,6 +65,50 @@
 	is.Equal(r.delivered[0].to, late)
 }
 
+// Guards against the reset of an open flow after a balancer restarts, when its holder's
+// control VM answers after the start-up time.
+func TestNoResetBeforeAllListsCame(t *testing.T) {
+	is := is.New(t)
+	r := newStartingTestEngine(t)
+	r.table(1, caseworkService)
+	a := r.agentAt(1, caseworkService)
+	r.send(data(9, 77))
+	r.answerAs(a, peer.Lacks)
+	r.advance(DefaultPolicy().Youth + 50*time.Millisecond)
+	is.True(r.engine.StartingUp(r.now))
+	is.Equal(r.questionsTo(a), 1)
+	late := r.agentAt(2, caseworkService)
+	r.engine.SetListsComplete(true)
+	is.True(!r.engine.StartingUp(r.now))
+	r.advance(20 * time.Millisecond)
+	r.answerAs(late, peer.Holds)
+	is.Equal(len(r.resets), 0)
+	is.Equal(len(r.delivered), 1)
+	is.Equal(r.delivered[0].to, late)
+}
+
+// Guards against a balancer that serves nothing because a control VM doesn't answer, and
+// against resets of flows whose agents it may not know.
+func TestIncompleteListsEndTheStartButPreventResets(t *testing.T) {
+	is := is.New(t)
+	r := newStartingTestEngine(t)
+	r.table(1, caseworkService)
+	a := r.agentAt(1, caseworkService)
+	r.advance(maxStartUp)
+	is.True(!r.engine.StartingUp(r.now))
+	r.send(data(9, 77))
+	r.answerAs(a, peer.Lacks)
+	is.Equal(len(r.resets), 0)
+	is.Equal(r.lastDecision().Verdict, DroppedNotFound)
+	is.True(r.lastDecision().ListsIncomplete)
+	r.engine.SetListsComplete(true)
+	r.advance(wideBackoffMin)
+	r.asked = nil
+	r.send(data(9, 77))
+	r.answerAs(a, peer.Lacks)
+	is.Equal(r.lastDecision().Verdict, ResetNoHolder)
+}
+
 // Guards against flows that nobody wants any more: packets held for longer than callers
 // wait, because no table came, must not reach a target.
 func TestEarlyPacketsExpire(t *testing.T) {
--- a/internal/passthrough/forward/explain.go
+++ b/internal/passthrough/forward/explain.go
@@ -97,7 +97,7 @@
 		}
 	case chosen.agent != noAgent:
 		x.Verdict, x.Agent, x.Service = Placed, e.agents.list[chosen.agent].address, chosen.service
-	case e.startingUp(now):
+	case e.StartingUp(now):
 		x.Verdict = HeldEarly
 	default:
 		x.Verdict = RefusedNoTarget
--- a/internal/passthrough/forward/fleet_test.go
+++ b/internal/passthrough/forward/fleet_test.go
@@ -150,6 +150,7 @@
 	for n, a := range b.f.agents {
 		b.engine.ListAgent(b.f.now, AgentInfo{Address: a.address, Zone: fleetZones[n%len(fleetZones)], Service: route.IDOf(caseworkService)})
 	}
+	b.engine.SetListsComplete(true)
 	b.tick(b.process)
 }
 
--- a/internal/passthrough/forward/forward.go
+++ b/internal/passthrough/forward/forward.go
@@ -161,6 +161,9 @@
 	// until the engine can handle them.
 	firstTableAt time.Duration
 	earlyPackets map[packet.Flow]earlyPacket
+	// listsComplete is the last value of SetListsComplete; listsWereComplete is set once it
+	// was true.
+	listsComplete, listsWereComplete bool
 	// droppedOpenings is what is known of the first packets of flows that weren't reset, as
 	// they may be open.
 	droppedOpenings map[packet.Flow]*bulk.First
--- a/internal/passthrough/forward/learned_test.go
+++ b/internal/passthrough/forward/learned_test.go
@@ -19,6 +19,7 @@
 	r.engine = New(Config{
 		Zone: zone, Rand: rand.New(rand.NewPCG(1, 2)), Policy: DefaultPolicy(), Out: r, Overload: overload.Settings{LearnedCapacity: learned},
 	})
+	r.engine.SetListsComplete(true)
 	r.table(1, caseworkService)
 	r.advance(DefaultPolicy().Youth)
 	n := 0
@@ -67,6 +68,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			r := &testEngine{t: t, now: 1}
 			r.engine = New(Config{Zone: zone, Rand: rand.New(rand.NewPCG(1, 2)), Policy: DefaultPolicy(), Out: r, Overload: c.settings})
+			r.engine.SetListsComplete(true)
 			at := route.Route{Name: "r", IP: service.IP, Port: service.Port, TimeoutMS: 1000, Kind: c.kind, Backends: []route.Backend{{Service: caseworkService, Weight: 1}}}
 			d := &route.Definition{Version: 1, Routes: []route.Route{at}}
 			if c.upload {
--- a/internal/passthrough/forward/placement.go
+++ b/internal/passthrough/forward/placement.go
@@ -90,7 +90,7 @@
 		if chosen, ok := e.atDoor(now, f, p, chosen); ok {
 			e.placeAt(now, f, p, chosen)
 		}
-	case p.entry.attempts == 0 && e.startingUp(now):
+	case p.entry.attempts == 0 && e.StartingUp(now):
 		e.holdUntilReady(f, p.arrival, false)
 	default:
 		e.rejectFlow(now, f, p.entry, p.reason)
--- a/internal/passthrough/forward/ranking_test.go
+++ b/internal/passthrough/forward/ranking_test.go
@@ -28,6 +28,7 @@
 	r := &testEngine{now: time.Hour}
 	r.t, _ = t.(*testing.T)
 	r.engine = New(Config{Zone: balancerZone, Rand: rand.New(rand.NewPCG(1, 2)), Policy: DefaultPolicy(), QuestionBudget: questionBudget, Out: r})
+	r.engine.SetListsComplete(true)
 	r.table(1, caseworkService)
 	r.advance(DefaultPolicy().Youth)
 	r.reportFleet(agentCount)
--- a/internal/passthrough/forward/rig_test.go
+++ b/internal/passthrough/forward/rig_test.go
@@ -76,6 +76,7 @@
 // newTestEngine returns an engine with a table that is past its start-up time.
 func newTestEngine(t *testing.T) *testEngine {
 	r := newStartingTestEngine(t)
+	r.engine.SetListsComplete(true)
 	r.table(1, caseworkService)
 	r.advance(DefaultPolicy().Youth)
 	return r
--- a/internal/passthrough/forward/search.go
+++ b/internal/passthrough/forward/search.go
@@ -294,10 +294,10 @@
 
 // giveUp ends a search without a holder. If every agent answered that it lacks the flow,
 // its target is gone, and a reset spares the caller from waiting until its deadline. If
-// any agent didn't answer, is unsure and wasn't tried, or was added after all were asked,
-// the flow may be open there, so no reset is sent.
+// any agent wasn't asked, didn't answer, or is unsure and wasn't tried, the flow may be open
+// there, so no reset is sent.
 func (e *Engine) giveUp(now time.Duration, f packet.Flow, s *search) {
-	if e.startingUp(now) && len(s.held) > 0 {
+	if e.StartingUp(now) && len(s.held) > 0 {
 		newest := s.held[len(s.held)-1].raw
 		p := packet.Packet{Src: f.Client, Dst: f.Service, Flags: s.flags, Ack: s.ack}
 		e.holdUntilReady(f, arrival{arrivedAt: now, p: p, raw: newest}, true)
@@ -306,14 +306,21 @@
 	}
 	silent := len(s.unanswered) + len(s.unsure) + len(s.untried)
 	verdict := DroppedNotFound
-	if silent == 0 && e.agents.addedAt <= s.allListedAt && !s.skippedAll && len(s.pending) == 0 && len(s.asked) > 0 && !s.clientReset {
+	if silent == 0 && e.allAsked(s) && !s.clientReset {
 		verdict = ResetNoHolder
 		e.cfg.Out.Reset(f, s.ack)
 	}
-	e.logDecision(Decision{Flow: f, Verdict: verdict, Asked: len(s.asked), Silent: silent})
+	e.logDecision(Decision{Flow: f, Verdict: verdict, Asked: len(s.asked), Silent: silent, ListsIncomplete: !e.listsComplete})
 	e.dropSearch(f)
 }
 
+// allAsked reports whether the search has asked every agent. It hasn't if agents were added
+// after the last stage began, or if control's lists aren't complete: the flow may be open at
+// an agent that isn't listed yet.
+func (e *Engine) allAsked(s *search) bool {
+	return e.listsComplete && e.agents.addedAt <= s.allListedAt && !s.skippedAll && len(s.pending) == 0 && len(s.asked) > 0
+}
+
 func (e *Engine) dropSearch(f packet.Flow) {
 	if s := e.searches[f]; s != nil {
 		e.heldPackets -= len(s.held)
--- a/internal/passthrough/membership/client.go
+++ b/internal/passthrough/membership/client.go
@@ -69,8 +69,10 @@
 	// streamEnded tells Run that a stream has ended and others may be needed.
 	streamEnded chan struct{}
 
-	mu            sync.Mutex
-	streams       map[string]*clientStream
+	mu      sync.Mutex
+	streams map[string]*clientStream
+	// sources are the control VMs that streams are kept to, connected or not.
+	sources       map[string]*listSource
 	knownControls []string
 	version       route.Version
 	table         *route.Table
@@ -121,7 +123,7 @@
 
 // NewClient returns a client; Run starts its streams.
 func NewClient(cfg ClientConfig) *Client {
-	return &Client{cfg: cfg, streams: map[string]*clientStream{}, streamEnded: make(chan struct{}, 1)}
+	return &Client{cfg: cfg, streams: map[string]*clientStream{}, sources: map[string]*listSource{}, streamEnded: make(chan struct{}, 1)}
 }
 
 // Version returns the version of the node's table, 0 for none.
--- a/internal/passthrough/membership/client_stream.go
+++ b/internal/passthrough/membership/client_stream.go
@@ -23,6 +23,10 @@
 // keepStream runs the stream to one control VM and reopens it whenever it ends.
 func (c *Client) keepStream(ctx context.Context, ip string) {
 	s := newClientStream(ip)
+	source := newListSource(time.Now())
+	c.mu.Lock()
+	c.sources[ip] = source
+	c.mu.Unlock()
 	logged := false
 	for ctx.Err() == nil {
 		err := c.runStream(ctx, s)
@@ -43,6 +47,9 @@
 	if c.streams[ip] == s {
 		delete(c.streams, ip)
 	}
+	if c.sources[ip] == source {
+		delete(c.sources, ip)
+	}
 }
 
 // runStream connects to a control VM and runs the stream until it fails.
@@ -50,6 +57,9 @@
 	dialer := net.Dialer{Timeout: dialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", net.JoinHostPort(s.ip, strconv.Itoa(int(c.cfg.Port))))
 	if err != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.noteContact(s.ip, func(x *listSource) { x.dialFailed(time.Now(), err) })
 		return errors.Wrap(err, "membership: dial")
 	}
 	return c.serveStream(ctx, s, raw)
@@ -134,6 +144,7 @@
 	defer c.mu.Unlock()
 	s.open = false
 	s.conn = nil
+	c.noteContact(s.ip, func(x *listSource) { x.ended(time.Now()) })
 	select {
 	case c.streamEnded <- struct{}{}:
 	default:
--- a/internal/passthrough/membership/client_update.go
+++ b/internal/passthrough/membership/client_update.go
@@ -121,6 +121,8 @@
 	if u.List != nil {
 		c.applyList(s, u.List)
 	}
+	serving := time.Duration(u.ServingMS) * time.Millisecond
+	c.noteContact(s.ip, func(x *listSource) { x.heard(s.heardAt, serving) })
 	// Evacuations are applied before the table, so that a node that gets its first table
 	// doesn't place flows in an evacuated data centre.
 	if u.Evacuated != nil {
--- a/internal/passthrough/membership/membership_test.go
+++ b/internal/passthrough/membership/membership_test.go
@@ -48,6 +48,10 @@
 	flows    *flowlog.Store
 	// sendBufferBytes is the size of the streams' send buffers; 0 means the system's.
 	sendBufferBytes int
+	// wrap, if set, wraps the listener of the streams; ended is closed when the server has
+	// ended.
+	wrap  func(net.Listener) net.Listener
+	ended chan struct{}
 }
 
 // sendBufferListener sets the send buffers of the connections that it accepts.
@@ -108,10 +112,14 @@
 	if v.sendBufferBytes > 0 {
 		ln = sendBufferListener{ln, v.sendBufferBytes}
 	}
+	if v.wrap != nil {
+		ln = v.wrap(ln)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	v.stop = cancel
 	v.server = NewServer(ServerConfig{Store: v.store, Source: v, Flows: v.flows, Log: discardLog(), Metrics: metrics.New()})
 	ended := make(chan struct{})
+	v.ended = ended
 	go func() {
 		defer close(ended)
 		if err := v.server.Serve(ctx, ln); err != nil {
--- a/internal/passthrough/membership/messages.go
+++ b/internal/passthrough/membership/messages.go
@@ -135,4 +135,7 @@
 	// ContactAgeMS is the time since the VM's last contact with a quorum, in
 	// milliseconds.
 	ContactAgeMS int64 `msg:"a"`
+	// ServingMS is how long the VM's process has been serving streams, in milliseconds. A
+	// VM that has just started lists few agents.
+	ServingMS int64 `msg:"s"`
 }
--- a/internal/passthrough/membership/messages_gen.go
+++ b/internal/passthrough/membership/messages_gen.go
@@ -694,8 +694,8 @@
 func (z *Update) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
 	_ = zb0001Mask
 	if z.Number == 0 {
 		zb0001Len--
@@ -756,6 +756,9 @@
 		// string "a"
 		o = append(o, 0xa1, 0x61)
 		o = msgp.AppendInt64(o, z.ContactAgeMS)
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendInt64(o, z.ServingMS)
 	}
 	return
 }
@@ -903,6 +906,12 @@
 				err = msgp.WrapError(err, "ContactAgeMS")
 				return
 			}
+		case "s":
+			z.ServingMS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ServingMS")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -936,6 +945,6 @@
 	for za0002 := range z.Controls {
 		s += msgp.StringPrefixSize + len(z.Controls[za0002])
 	}
-	s += 2 + msgp.Int64Size
+	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size
 	return
 }
--- a/internal/passthrough/membership/server.go
+++ b/internal/passthrough/membership/server.go
@@ -78,6 +78,8 @@
 // Server serves the nodes' streams.
 type Server struct {
 	cfg ServerConfig
+	// startedAt is when the server was made, shortly before it accepts streams.
+	startedAt time.Time
 
 	mu        sync.Mutex
 	nodes     map[string]*member
@@ -98,7 +100,7 @@
 
 // NewServer returns a server without nodes.
 func NewServer(cfg ServerConfig) *Server {
-	s := &Server{cfg: cfg, nodes: map[string]*member{}, directory: newDirectory(), changed: make(chan struct{})}
+	s := &Server{cfg: cfg, startedAt: time.Now(), nodes: map[string]*member{}, directory: newDirectory(), changed: make(chan struct{})}
 	cfg.Metrics.Gauge("nodes_listed", func() int64 {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/internal/passthrough/simulation/node.go
+++ b/internal/passthrough/simulation/node.go
@@ -45,6 +45,7 @@
 				b.engine.ListAgent(w.clock(), a.agentInfo())
 			}
 		}
+		b.engine.SetListsComplete(true)
 	})
 	b.tick()
 }
