membership: keep an agent listed that has left and returned

Cause: an agent that leaves a control VM for another one says so over the stream that it ends. If it returns meanwhile over a new stream, the VM may read the new stream's hello before the old stream's last message. It then took the agent off its list although the new stream was open, and didn't list it again for as long as that lasted. The agent stayed known by its second VM only; once that one restarted, no VM listed it. In its first second an agent keeps one stream, then two, so that it leaves and returns within milliseconds if a VM answers late just then.

The two balancers had the lists of the three control VMs that ran since 8.14 s, asked 44 of 45 agents, and got no silence. The agent's stream to one of the three had ended 12.797 s before the traffic began and was open again from 12.787 s before it; it attached to its other VM, which stopped at 8.00 s, again at 8.87 s. The new test fails 3 of 3 on the code before, with and without numbered streams.

Agents now number their streams in the hello. Their word that they move concerns the streams up to the one that carries it, and a hello of a stream that is older than the newest lists nobody who has left. Builds that number no streams send 0; then the order of arrival counts, which mends the case that was seen.

Measured: TestReturnedAgentStaysListed and TestLateHelloListsNobody pass 20 of 20 with the race detector; all tests of membership and balancer pass.

--- a/internal/passthrough/membership/client.go
+++ b/internal/passthrough/membership/client.go
@@ -74,6 +74,8 @@
 	// sources are the control VMs that streams are kept to, connected or not.
 	sources       map[string]*listSource
 	knownControls []string
+	// streamsOpened counts the hellos.
+	streamsOpened uint64
 	version       route.Version
 	table         *route.Table
 	// evacuations is the revision of the evacuations in force at this node.
--- a/internal/passthrough/membership/client_stream.go
+++ b/internal/passthrough/membership/client_stream.go
@@ -127,7 +127,8 @@
 	s.open = true
 	s.answered = false
 	s.received = 0
-	return Hello{Node: c.cfg.Node, Heartbeat: c.heartbeatLocked(s), Acknowledges: true}
+	c.streamsOpened++
+	return Hello{Node: c.cfg.Node, Heartbeat: c.heartbeatLocked(s), Acknowledges: true, Stream: c.streamsOpened}
 }
 
 // setConn makes the connection available to other messages, which must follow the hello.
--- a/internal/passthrough/membership/messages.go
+++ b/internal/passthrough/membership/messages.go
@@ -55,6 +55,9 @@
 	Heartbeat Heartbeat `msg:"b"`
 	// Acknowledges means that the node sets Heartbeat.Received.
 	Acknowledges bool `msg:"k"`
+	// Stream counts the streams that the node's process has opened, to any VM, from 1 on.
+	// Builds that don't count them send 0.
+	Stream uint64 `msg:"t"`
 }
 
 // Heartbeat reports that a node is alive, and its state.
@@ -76,7 +79,8 @@
 
 // Retire announces that an agent ends together with its target.
 type Retire struct {
-	// Moved means that the agent keeps running and that other control VMs list it.
+	// Moved means that the agent keeps running and that other control VMs list it. It
+	// doesn't concern streams that the agent has opened later.
 	Moved bool `msg:"m"`
 }
 
--- a/internal/passthrough/membership/messages_gen.go
+++ b/internal/passthrough/membership/messages_gen.go
@@ -246,9 +246,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Hello) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "n"
-	o = append(o, 0x83, 0xa1, 0x6e)
+	o = append(o, 0x84, 0xa1, 0x6e)
 	o, err = z.Node.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Node")
@@ -264,6 +264,9 @@
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
 	o = msgp.AppendBool(o, z.Acknowledges)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendUint64(o, z.Stream)
 	return
 }
 
@@ -303,6 +306,12 @@
 				err = msgp.WrapError(err, "Acknowledges")
 				return
 			}
+		case "t":
+			z.Stream, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stream")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -317,7 +326,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Hello) Msgsize() (s int) {
-	s = 1 + 2 + z.Node.Msgsize() + 2 + z.Heartbeat.Msgsize() + 2 + msgp.BoolSize
+	s = 1 + 2 + z.Node.Msgsize() + 2 + z.Heartbeat.Msgsize() + 2 + msgp.BoolSize + 2 + msgp.Uint64Size
 	return
 }
 
--- a/internal/passthrough/membership/server.go
+++ b/internal/passthrough/membership/server.go
@@ -92,12 +92,20 @@
 type member struct {
 	node    Node
 	streams int
+	// newest is the stream that the node opened last.
+	newest *nodeStream
 	// lastStreamEnd is when a stream last ended.
 	lastStreamEnd time.Time
 	// retired means that the node ended together with its target, or moved to other VMs.
 	retired bool
 }
 
+// nodeStream is a stream of a node, numbered as in its hello.
+type nodeStream struct {
+	node   Node
+	number uint64
+}
+
 // NewServer returns a server without nodes.
 func NewServer(cfg ServerConfig) *Server {
 	s := &Server{cfg: cfg, startedAt: time.Now(), nodes: map[string]*member{}, directory: newDirectory(), changed: make(chan struct{})}
@@ -149,11 +157,12 @@
 		s.cfg.Log.WithError(err).WithField("address", raw.RemoteAddr().String()).Debug("membership: stream closed: no valid hello")
 		return
 	}
-	if !s.streamStarted(hello.Node) {
+	opened := &nodeStream{node: hello.Node, number: hello.Stream}
+	if !s.streamStarted(opened) {
 		s.cfg.Metrics.Counter("streams_refused").Add(1)
 		return
 	}
-	defer s.streamEnded(hello.Node)
+	defer s.streamEnded(opened)
 	if err := s.recall(conn, hello.Node); err != nil {
 		return
 	}
@@ -162,7 +171,7 @@
 	defer cancel()
 	go p.run(ctx, raw)
 	for {
-		heartbeat, err := s.nextHeartbeat(conn, hello.Node)
+		heartbeat, err := s.nextHeartbeat(conn, opened)
 		if err != nil {
 			return
 		}
@@ -190,7 +199,7 @@
 
 // nextHeartbeat waits for a heartbeat. Flow reports and retirements that arrive first are
 // processed.
-func (s *Server) nextHeartbeat(conn *framing.Conn, n Node) (Heartbeat, error) {
+func (s *Server) nextHeartbeat(conn *framing.Conn, x *nodeStream) (Heartbeat, error) {
 	for {
 		f, err := conn.Read()
 		if err != nil {
@@ -205,14 +214,14 @@
 			if err := f.Decode(&u); err != nil {
 				return Heartbeat{}, err
 			}
-			u.Agent = n.Address // an agent reports only its own flows
+			u.Agent = x.node.Address // an agent reports only its own flows
 			s.cfg.Flows.Apply(u)
 		case kindRetire:
-			var x Retire
-			if err := f.Decode(&x); err != nil {
+			var r Retire
+			if err := f.Decode(&r); err != nil {
 				return Heartbeat{}, err
 			}
-			s.retire(n, x.Moved)
+			s.retire(x, r.Moved)
 		default:
 			return Heartbeat{}, errors.Errorf("membership: unexpected frame kind %d", f.Kind)
 		}
@@ -233,7 +242,8 @@
 
 // streamStarted registers a stream and lists its node. It returns false if the limit on
 // streams is reached.
-func (s *Server) streamStarted(n Node) bool {
+func (s *Server) streamStarted(x *nodeStream) bool {
+	n := x.node
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.streams >= maxStreams {
@@ -246,7 +256,11 @@
 		s.nodes[n.Address] = l
 	}
 	l.streams++
-	if l.node != n || l.retired {
+	newest := l.newest == nil || l.node != n || x.number >= l.newest.number
+	if newest {
+		l.newest = x
+	}
+	if l.node != n || l.retired && newest {
 		l.node = n
 		l.retired = false
 		s.list(n)
@@ -255,11 +269,11 @@
 	return true
 }
 
-func (s *Server) streamEnded(n Node) {
+func (s *Server) streamEnded(x *nodeStream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.streams--
-	if l := s.nodes[n.Address]; l != nil {
+	if l := s.nodes[x.node.Address]; l != nil {
 		l.streams--
 		l.lastStreamEnd = time.Now()
 	}
@@ -332,12 +346,14 @@
 }
 
 // retire removes an agent from the list before its stream ends, because it ends together
-// with its target or moves to other control VMs.
-func (s *Server) retire(n Node, moved bool) {
+// with its target or moves to other control VMs. An agent that has moved away over one
+// stream may have returned over a newer one before this VM learns of either.
+func (s *Server) retire(x *nodeStream, moved bool) {
+	n := x.node
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.nodes[n.Address]
-	if l == nil || l.node != n || l.retired {
+	if l == nil || l.node != n || l.retired || moved && l.newest != x {
 		return
 	}
 	l.retired = true
