membership: log an agent that leaves a list when it leaves

Whether an agent had been taken off a control VM's list could be told only from the agents' own logs: a VM logged it when the last stream had ended, which didn't come while the agent had another stream open. The entry is now written when the list changes, and says whether the agent has moved.

--- a/internal/passthrough/membership/server.go
+++ b/internal/passthrough/membership/server.go
@@ -299,9 +299,10 @@
 	for address, l := range s.nodes {
 		if l.streams == 0 && (l.retired || time.Since(l.lastStreamEnd) > delistDelay) {
 			delete(s.nodes, address)
-			if !l.retired {
-				s.unlist(l.node, false)
+			if l.retired {
+				continue // it was taken off the list when it said so
 			}
+			s.unlist(l.node, false)
 			events.Log(s.cfg.Log, events.NodeDelisted, logrus.Fields{"node": address, "role": l.node.Role.String(), "silent": time.Since(l.lastStreamEnd).String()})
 		}
 	}
@@ -358,6 +359,7 @@
 	}
 	l.retired = true
 	s.unlist(n, !moved)
+	events.Log(s.cfg.Log, events.NodeDelisted, logrus.Fields{"node": n.Address, "role": n.Role.String(), "moved": moved})
 }
 
 // notifyListChanged notifies the balancers' streams; the lock is held.
