membership: send balancers the lists of agents sooner

A balancer that starts holds the packets of open flows until the lists of all control VMs have come, so callers wait for the last one. It connected to VMs that it had learned of with its next tick, up to 100 ms later, and each VM held its first update back for up to 100 ms until a quorum had confirmed its table, which the list doesn't need.

The client now chooses its streams at once when other VMs are named, and a balancer gets a first update at once; the table follows when it is confirmed.

--- a/internal/passthrough/membership/client.go
+++ b/internal/passthrough/membership/client.go
@@ -66,8 +66,9 @@
 	cfg ClientConfig
 	// startedAt is the time of the call of Run.
 	startedAt time.Time
-	// streamEnded tells Run that a stream has ended and others may be needed.
-	streamEnded chan struct{}
+	// choiceDue tells Run that other streams may be needed: one has ended, or other control
+	// VMs were named.
+	choiceDue chan struct{}
 
 	mu      sync.Mutex
 	streams map[string]*clientStream
@@ -125,7 +126,7 @@
 
 // NewClient returns a client; Run starts its streams.
 func NewClient(cfg ClientConfig) *Client {
-	return &Client{cfg: cfg, streams: map[string]*clientStream{}, sources: map[string]*listSource{}, streamEnded: make(chan struct{}, 1)}
+	return &Client{cfg: cfg, streams: map[string]*clientStream{}, sources: map[string]*listSource{}, choiceDue: make(chan struct{}, 1)}
 }
 
 // Version returns the version of the node's table, 0 for none.
@@ -208,12 +209,20 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-c.streamEnded:
+		case <-c.choiceDue:
 		case <-ticker.C:
 		}
 	}
 }
 
+// chooseSoon has Run choose the streams again at once.
+func (c *Client) chooseSoon() {
+	select {
+	case c.choiceDue <- struct{}{}:
+	default:
+	}
+}
+
 // addresses returns the seeds and the control VMs named in updates.
 func (c *Client) addresses() []string {
 	seeds := c.cfg.Seeds()
--- a/internal/passthrough/membership/client_stream.go
+++ b/internal/passthrough/membership/client_stream.go
@@ -146,10 +146,7 @@
 	s.open = false
 	s.conn = nil
 	c.noteContact(s.ip, func(x *listSource) { x.ended(time.Now()) })
-	select {
-	case c.streamEnded <- struct{}{}:
-	default:
-	}
+	c.chooseSoon()
 }
 
 // nextUpdate waits for an update. Flow records that arrive first go to OnFlowRecords.
--- a/internal/passthrough/membership/client_update.go
+++ b/internal/passthrough/membership/client_update.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/maphash"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -111,8 +112,9 @@
 	s.answered = true
 	s.received = max(s.received, u.Number)
 	s.contactAge = time.Duration(u.ContactAgeMS) * time.Millisecond
-	if len(u.Controls) > 0 {
+	if len(u.Controls) > 0 && !slices.Equal(u.Controls, c.knownControls) {
 		c.knownControls = u.Controls
+		c.chooseSoon()
 	}
 	if version := route.Version(u.Version); version > s.version {
 		s.version = version
--- a/internal/passthrough/membership/update_sender.go
+++ b/internal/passthrough/membership/update_sender.go
@@ -33,12 +33,17 @@
 	confirmed := make(chan struct{})
 	go p.server.confirm(ctx, confirmed)
 	// A VM in contact with a quorum is confirmed within a round trip, so that its first
-	// update contains the table.
+	// update contains the table. A balancer needs all VMs' lists, which need no quorum, and
+	// doesn't wait.
+	wait := pushInterval
+	if p.nodeRole == Balancer {
+		wait = 0
+	}
 	select {
 	case <-confirmed:
 		p.confirmed = true
 		confirmed = nil
-	case <-time.After(pushInterval):
+	case <-time.After(wait):
 	case <-ctx.Done():
 		return
 	}
