membership: test the lists of VMs that don't state how long they serve

Control VMs of the build before send no serving time. The client counts it from their first answer, so that their lists become complete after the delay of a VM that has just started; nothing tested it.

--- a/internal/passthrough/membership/completeness_test.go
+++ b/internal/passthrough/membership/completeness_test.go
@@ -28,6 +28,13 @@
 		}
 		return s
 	}
+	statesNothing := func(from, to int) *listSource {
+		s := newListSource(at(0))
+		for ms := from; ms <= to; ms += 100 {
+			s.heard(at(ms), 0)
+		}
+		return s
+	}
 	refuses := func(from, to int) *listSource {
 		s := newListSource(at(0))
 		for ms := from; ms <= to; ms += 100 {
@@ -55,6 +62,8 @@
 		{"the last VM has answered", []*listSource{lists(100, 600, long), lists(400, 600, long)}, 600, true},
 		{"a VM has just started", []*listSource{lists(100, 300, long), lists(100, 300, 0)}, 300, false},
 		{"a VM started a while ago", []*listSource{lists(100, 500, long), lists(100, 500, 0)}, 500, true},
+		{"a build that doesn't state how long it has been serving", []*listSource{statesNothing(100, 300)}, 300, false},
+		{"the same build a while later", []*listSource{statesNothing(100, 500)}, 500, true},
 		{"a VM has stopped", []*listSource{lists(100, 300, long), refuses(100, 300)}, 300, true},
 		{"a VM stopped just now", []*listSource{lists(100, 300, long), refuses(200, 300)}, 300, false},
 		{"a VM may have started since it refused", []*listSource{lists(300, 500, long), refuses(100, 300)}, 500, false},
