--- a/internal/passthrough/membership/completeness_test.go
+++ b/internal/passthrough/membership/completeness_test.go
@@ -1,11 +1,10 @@
 package membership
 
 import (
-	"errors"
 	"fmt"
 	"net"
 	"os"
-	"sync/atomic"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -108,25 +107,17 @@
 	is.True(!listsComplete(now, sources, []string{"a", "b", "c"}))
 }
 
-// heldListener holds connections back until release is closed.
-type heldListener struct {
+// gate is a listener that accepts no connections while it is closed.
+type gate struct {
 	net.Listener
-	release chan struct{}
-	waiting atomic.Int32
+	closed *sync.Mutex
 }
 
-func (l *heldListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	l.waiting.Add(1)
-	select {
-	case <-l.release:
-		return conn, nil
-	case <-time.After(testTimeout):
-		return nil, errors.Join(conn.Close(), os.ErrDeadlineExceeded)
-	}
+func (g gate) Accept() (net.Conn, error) {
+	conn, err := g.Listener.Accept()
+	g.closed.Lock()
+	defer g.closed.Unlock()
+	return conn, err
 }
 
 // Guards against a balancer that takes the lists of some control VMs for those of all: it
@@ -137,8 +128,11 @@
 	last := all[2]
 	last.stop()
 	<-last.ended
-	release := make(chan struct{})
-	last.wrap = func(ln net.Listener) net.Listener { return &heldListener{Listener: ln, release: release} }
+	var closed sync.Mutex
+	last.wrap = func(ln net.Listener) net.Listener { return gate{ln, &closed} }
+	closed.Lock()
+	release := sync.OnceFunc(closed.Unlock)
+	defer release()
 	last.start(t)
 	for _, v := range all {
 		v.put(t, 1)
@@ -149,10 +143,27 @@
 	for end := time.Now().Add(2 * returnDelay); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		is.True(!complete())
 	}
-	close(release)
+	release()
 	await(t, "complete lists", complete)
 	is.Equal(balancer.client.LiveControls(), 3)
 	last.stop()
 	await(t, "the end of a stream", func() bool { return !complete() })
 	await(t, "complete lists without the VM that has stopped", complete)
 }
+
+// Guards against lists that count as complete too soon because a control VM counts the time
+// in which it waited for a quorum and served nobody.
+func TestServingTimeBeginsWithServe(t *testing.T) {
+	is := is.New(t)
+	v := startVMs(t, 1)[0]
+	v.stop()
+	<-v.ended
+	v.serveDelay = returnDelay
+	began := time.Now()
+	v.start(t)
+	balancer := startNode(t, Balancer, "10.0.0.9:1", v)
+	await(t, "an update", func() bool { return balancer.client.LiveControls() == 1 })
+	balancer.client.mu.Lock()
+	defer balancer.client.mu.Unlock()
+	is.True(!balancer.client.sources[v.ip].servingSince.Before(began.Add(v.serveDelay)))
+}
--- a/internal/passthrough/membership/membership_test.go
+++ b/internal/passthrough/membership/membership_test.go
@@ -52,6 +52,8 @@
 	// ended.
 	wrap  func(net.Listener) net.Listener
 	ended chan struct{}
+	// serveDelay is how long the server exists before it serves.
+	serveDelay time.Duration
 }
 
 // sendBufferListener sets the send buffers of the connections that it accepts.
@@ -118,6 +120,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	v.stop = cancel
 	v.server = NewServer(ServerConfig{Store: v.store, Source: v, Flows: v.flows, Log: discardLog(), Metrics: metrics.New()})
+	time.Sleep(v.serveDelay)
 	ended := make(chan struct{})
 	v.ended = ended
 	go func() {
--- a/internal/passthrough/membership/server.go
+++ b/internal/passthrough/membership/server.go
@@ -78,8 +78,8 @@
 // Server serves the nodes' streams.
 type Server struct {
 	cfg ServerConfig
-	// startedAt is when the server was made, shortly before it accepts streams.
-	startedAt time.Time
+	// servingSince is when Serve was called.
+	servingSince time.Time
 
 	mu        sync.Mutex
 	nodes     map[string]*member
@@ -108,7 +108,7 @@
 
 // NewServer returns a server without nodes.
 func NewServer(cfg ServerConfig) *Server {
-	s := &Server{cfg: cfg, startedAt: time.Now(), nodes: map[string]*member{}, directory: newDirectory(), changed: make(chan struct{})}
+	s := &Server{cfg: cfg, nodes: map[string]*member{}, directory: newDirectory(), changed: make(chan struct{})}
 	cfg.Metrics.Gauge("nodes_listed", func() int64 {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -121,6 +121,7 @@
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
+	s.servingSince = time.Now()
 	go s.expireNodes(ctx)
 	var streams sync.WaitGroup
 	defer streams.Wait()
--- a/internal/passthrough/membership/update_sender.go
+++ b/internal/passthrough/membership/update_sender.go
@@ -88,7 +88,7 @@
 	u := Update{
 		Confirmed: p.confirmed, Controls: p.server.cfg.Source.Controls(),
 		ContactAgeMS: p.server.cfg.Source.ContactAge().Milliseconds(),
-		ServingMS:    time.Since(p.server.startedAt).Milliseconds(),
+		ServingMS:    time.Since(p.server.servingSince).Milliseconds(),
 	}
 	if p.nodeRole == Balancer {
 		u.List = p.server.listUpdate(p.held.Heartbeat)
