--- a/internal/passthrough/balancer/start_test.go
+++ b/internal/passthrough/balancer/start_test.go
@@ -157,6 +157,8 @@
 	}()
 
 	lateGate.closed.Lock()
+	release := sync.OnceFunc(lateGate.closed.Unlock)
+	defer release()
 	fabric := netip.MustParseAddrPort("127.141.3.1:7942")
 	b, err := New(Config{
 		Zone: "a", Fabric: fabric, Nodes: netip.AddrPortFrom(fabric.Addr(), nodePort), Seeds: func() []string { return []string{early.ip, late.ip} },
@@ -164,14 +166,6 @@
 	})
 	is.NoErr(err)
 	run(t, func(ctx context.Context) { _ = b.Run(ctx) })
-	released := false
-	release := func() {
-		if !released {
-			released = true
-			lateGate.closed.Unlock()
-		}
-	}
-	defer release()
 	for sent := time.Now(); ; {
 		_, err := client.WriteToUDPAddrPort(binary.BigEndian.AppendUint16(nil, 4000), fabric)
 		is.NoErr(err)
--- a/internal/passthrough/forward/early.go
+++ b/internal/passthrough/forward/early.go
@@ -19,7 +19,7 @@
 	earlyPacketTTL = packet.HandshakeTimeout
 	// maxEarlyPackets bounds the packets held, 1.3 kB each.
 	maxEarlyPackets = 4_096
-	// maxStartUp bounds the start-up time, counted from the first table.
+	// maxStartUp is the longest start-up time, counted from the first table.
 	maxStartUp = 400 * time.Millisecond
 )
 
@@ -33,9 +33,9 @@
 }
 
 // StartingUp reports whether agents may still be missing because the balancer has just
-// started: until Policy.Youth after the first table, and longer if control's lists aren't
-// complete by then, but no longer than maxStartUp. New flows can't wait for a control VM
-// that doesn't answer.
+// started: in the time of Policy.Youth after the first table, and then until control's lists
+// are complete. It ends after maxStartUp in any case, since callers don't wait for a control
+// VM that doesn't answer.
 func (e *Engine) StartingUp(now time.Duration) bool {
 	if e.table == nil {
 		return true
--- a/internal/passthrough/forward/forward.go
+++ b/internal/passthrough/forward/forward.go
@@ -73,8 +73,8 @@
 // Policy holds the settings that affect what callers get the most.
 type Policy struct {
 	Place placement.Policy
-	// Youth is how long after the first table control may take to list all agents: agents
-	// that restart together with it reconnect one after the other.
+	// Youth is the shortest start-up time, counted from the first table: agents report one
+	// after the other.
 	Youth time.Duration
 	// DropEarly drops packets that arrive before the table instead of holding them.
 	DropEarly bool
