--- a/internal/passthrough/membership/completeness.go
+++ b/internal/passthrough/membership/completeness.go
@@ -53,7 +53,7 @@
 
 func newListSource(now time.Time) *listSource { return &listSource{since: now} }
 
-func (s *listSource) become(now time.Time, c contact) {
+func (s *listSource) setContact(now time.Time, c contact) {
 	if s.contact != c {
 		s.contact = c
 		s.since = now
@@ -67,25 +67,25 @@
 	if s.contact != listing || started.Before(s.servingSince) {
 		s.servingSince = started
 	}
-	s.become(now, listing)
+	s.setContact(now, listing)
 	s.heardAt = now
 }
 
 // dialFailed records a failed attempt to connect.
 func (s *listSource) dialFailed(now time.Time, err error) {
 	if !errors.Is(err, syscall.ECONNREFUSED) {
-		s.become(now, silent)
+		s.setContact(now, silent)
 		return
 	}
-	s.become(now, refusing)
+	s.setContact(now, refusing)
 	s.refusedAt = now
 }
 
 // ended records the end of a stream. The next attempt to connect tells why it ended.
-func (s *listSource) ended(now time.Time) { s.become(now, silent) }
+func (s *listSource) ended(now time.Time) { s.setContact(now, silent) }
 
-// at returns the contact at the given time and since when it is so.
-func (s *listSource) at(now time.Time) (contact, time.Time) {
+// contactAt returns the contact at the given time and since when it is so.
+func (s *listSource) contactAt(now time.Time) (contact, time.Time) {
 	if s.contact == listing && now.Sub(s.heardAt) > silenceLimit {
 		return silent, s.heardAt
 	}
@@ -101,7 +101,7 @@
 		if s == nil {
 			return false
 		}
-		if c, _ := s.at(now); c == silent {
+		if c, _ := s.contactAt(now); c == silent {
 			silentMembers++
 		}
 	}
@@ -110,7 +110,7 @@
 	if silentMembers >= agentStreamCount {
 		return false
 	}
-	newestList, anySilent := summarize(now, sources)
+	newestList, anySilent := listsAndSilence(now, sources)
 	for _, s := range sources {
 		if !s.settled(now, anySilent, newestList) {
 			return false
@@ -119,11 +119,11 @@
 	return !newestList.IsZero()
 }
 
-// summarize returns when the newest first list of a stream came, 0 if there is none, and
-// whether any VM is silent.
-func summarize(now time.Time, sources map[string]*listSource) (newestList time.Time, anySilent bool) {
+// listsAndSilence returns when the newest first list of a stream came, the zero time if
+// none has, and whether any VM is silent.
+func listsAndSilence(now time.Time, sources map[string]*listSource) (newestList time.Time, anySilent bool) {
 	for _, s := range sources {
-		c, since := s.at(now)
+		c, since := s.contactAt(now)
 		anySilent = anySilent || c == silent
 		if c == listing && since.After(newestList) {
 			newestList = since
@@ -136,15 +136,18 @@
 // have arrived, the newest at newestList. anySilent means that some VM is silent: an agent
 // that hears one VM waits for as long as that may be silent before it replaces another.
 func (s *listSource) settled(now time.Time, anySilent bool, newestList time.Time) bool {
-	switch c, since := s.at(now); {
-	case c == listing:
+	c, since := s.contactAt(now)
+	switch c {
+	case listing:
 		return now.Sub(since) >= listDelay && now.Sub(s.servingSince) >= returnDelay
-	case c == refusing && !anySilent:
+	case refusing:
+		delay := listDelay
+		if anySilent {
+			delay = departureDelay
+		}
 		// The VM may have started since it refused, and have taken agents from a VM whose
 		// list came later.
-		return now.Sub(since) >= listDelay && s.refusedAt.After(newestList)
-	case c == refusing:
-		return now.Sub(since) >= departureDelay && s.refusedAt.After(newestList)
+		return now.Sub(since) >= delay && s.refusedAt.After(newestList)
 	default:
 		return now.Sub(since) >= departureDelay
 	}
