membership: test that a refused connection isn't taken for silence

A control VM that has stopped refuses connections, and lists are complete without it within a fraction of a second; behind a silent one a balancer resets nothing for 2.15 s, and callers of lost flows wait as long.

--- a/internal/passthrough/membership/completeness_test.go
+++ b/internal/passthrough/membership/completeness_test.go
@@ -149,6 +149,9 @@
 	last.stop()
 	await(t, "the end of a stream", func() bool { return !complete() })
 	await(t, "complete lists without the VM that has stopped", complete)
+	balancer.client.mu.Lock()
+	defer balancer.client.mu.Unlock()
+	is.Equal(balancer.client.sources[last.ip].contact, refusing) // a silent VM delays them for seconds
 }
 
 // Guards against lists that count as complete too soon because a control VM counts the time
