flowtable: count a target's silence only while the agent runs

An agent that was paused for some 2 s, alone or with its VM, reset open flows of its living target the moment it resumed; callers lost the requests on them.

Cause: an agent that resumes runs its timers before it reads its sockets. A first packet that it had sent to the target just before the pause counted as unanswered, and the announcements as overdue, though answer and announcements waited to be read. A target that is silent in both ways counts as crashed.

Silence now counts from when the agent last resumed, which is the first tick after a gap of 200 ms. So what waits is read before a timeout ends, and a target that did die in the pause is still found dead by the same timeouts, later by the pause.

--- a/internal/passthrough/flowtable/flowtable.go
+++ b/internal/passthrough/flowtable/flowtable.go
@@ -165,6 +165,7 @@
 	recordedFlows map[packet.Flow]struct{} // flows of recalls while the target isn't known
 	// startedAt is when the agent began to listen for announcements.
 	startedAt time.Duration
+	pauses    pauses
 	// foundNoTarget is set once a probe has found nobody at the target's address;
 	// learningSince is since when the agent has seen all new flows. See knowsAllFlows.
 	foundNoTarget bool
@@ -175,7 +176,7 @@
 func New(cfg Config) *Engine {
 	return &Engine{
 		cfg: cfg, flows: map[packet.Flow]flow{}, unanswered: map[packet.Flow]unansweredFirst{},
-		tags: balancerTags{byAddress: map[netip.AddrPort]uint16{}}, startedAt: cfg.StartedAt, learningSince: cfg.StartedAt, load: load{meanUpdatedAt: cfg.StartedAt},
+		tags: balancerTags{byAddress: map[netip.AddrPort]uint16{}}, startedAt: cfg.StartedAt, pauses: pauses{lastTickAt: cfg.StartedAt}, learningSince: cfg.StartedAt, load: load{meanUpdatedAt: cfg.StartedAt},
 		shares: shares{usage: fairshare.NewUsage()},
 	}
 }
--- a/internal/passthrough/flowtable/report.go
+++ b/internal/passthrough/flowtable/report.go
@@ -11,7 +11,7 @@
 
 // empty reports whether there is certainly no target that could hold flows.
 func (e *Engine) empty(now time.Duration) bool {
-	return !e.target.known && (e.target.notListening || now-max(e.target.leftAt, e.startedAt) >= e.absenceTimeout())
+	return !e.target.known && (e.target.notListening || e.silentFor(now, max(e.target.leftAt, e.startedAt)) >= e.absenceTimeout())
 }
 
 // absenceTimeout is how long an agent without a target waits before it reports that there
--- a/internal/passthrough/flowtable/target.go
+++ b/internal/passthrough/flowtable/target.go
@@ -183,7 +183,7 @@
 // says nothing and must not be passed to Probed.
 func (e *Engine) Probed(now time.Duration, listening bool) {
 	t := &e.target
-	if !listening && t.known && t.draining && now-t.announcedAt <= e.announcementTimeout() {
+	if !listening && t.known && t.draining && !e.announcementsOverdue(now) {
 		return
 	}
 	t.notListening = !listening
--- a/internal/passthrough/flowtable/tick.go
+++ b/internal/passthrough/flowtable/tick.go
@@ -9,13 +9,16 @@
 
 // Tick runs the engine's timers. It must be called regularly, see NextTick.
 func (e *Engine) Tick(now time.Duration) {
+	if e.pauses.tick(now) {
+		e.sweepAt = now + sweepInterval // packets of old flows may wait to be read
+	}
 	e.load.updateMean(now)
 	e.expireUnanswered(now)
 	e.tickAdmission(now)
 	e.tickShares(now)
 	e.applyRecalls(now)
 	t := &e.target
-	if t.known && t.leftAt > 0 && now-t.leftAt > exitGrace {
+	if t.known && t.leftAt > 0 && e.silentFor(now, t.leftAt) > exitGrace {
 		e.resetAll(now)
 		t.known = false
 		e.cfg.Out.Report()
@@ -25,7 +28,7 @@
 		e.resetAll(now)
 	}
 	if now >= e.sweepAt {
-		e.sweepAt = now + time.Second
+		e.sweepAt = now + sweepInterval
 		e.sweep(now)
 	}
 }
@@ -33,14 +36,14 @@
 // dead reports whether a target that owes an answer is certainly gone: its announcements
 // have stopped too. A target that is only slow still announces itself.
 func (e *Engine) dead(now time.Duration) bool {
-	return len(e.flows) > 0 && now-e.target.announcedAt > e.announcementTimeout() && now-e.target.lastSeenAt > minCrashTimeout
+	return len(e.flows) > 0 && e.announcementsOverdue(now) && e.silentFor(now, e.target.lastSeenAt) > minCrashTimeout
 }
 
 // expireUnanswered returns the first packets that the target hasn't answered in time, so
 // that another target can answer well before the caller gives up.
 func (e *Engine) expireUnanswered(now time.Duration) {
 	for f, w := range e.unanswered {
-		if now-w.since < firstPacketTimeout {
+		if e.silentFor(now, w.since) < firstPacketTimeout {
 			continue
 		}
 		delete(e.unanswered, f)
@@ -83,6 +86,9 @@
 	}
 }
 
+// sweepInterval is the time between two sweeps.
+const sweepInterval = time.Second
+
 const (
 	// defaultRequestTimeout is used for a route that the agent doesn't know yet.
 	defaultRequestTimeout = 10 * time.Second
