forward: reset no flow by lists that wait to be read after a pause

A balancer that resumes after a pause could reset an open flow whose agent was listed while it was paused.

Cause: the balancer handles packets before it has read control's updates, and whether its lists are complete is what the last tick before the pause said. All agents that it knows then answer that they lack the flow.

The engine already notes a stall in which packets waited in the sockets, and refuses no first packet for a second after it. In that second a flow that no agent holds isn't reset either; the packet is dropped, and its caller sends it again.

TestPausedBalancerDoesNotResetByOldLists fails before. The tests of forward, balancer and simulation pass.

--- a/internal/passthrough/forward/bulk.go
+++ b/internal/passthrough/forward/bulk.go
@@ -166,7 +166,7 @@
 // onlyHere tells whether all copies of a first packet came here. After a stall that isn't
 // known, as packets have waited in the socket, and are older than they seem.
 func (e *Engine) onlyHere(now time.Duration, x *bulk.First) bool {
-	return now >= e.link.oldPacketsUntil && x.OnlyHere(now)
+	return !e.link.hasOldPackets(now) && x.OnlyHere(now)
 }
 
 // newFirst describes a first packet of a flow of which no other copy is known.
--- a/internal/passthrough/forward/linkqueue.go
+++ b/internal/passthrough/forward/linkqueue.go
@@ -67,6 +67,9 @@
 	l.lookedAt = max(l.lookedAt, now)
 }
 
+// hasOldPackets reports whether packets that arrived during a long stall may be unread.
+func (l *linkQueues) hasOldPackets(now time.Duration) bool { return now < l.oldPacketsUntil }
+
 // extend returns a timeout for an answer that passes the link's queues.
 func (l *linkQueues) extend(timeout time.Duration) time.Duration { return timeout + l.delay }
 
--- a/internal/passthrough/forward/search.go
+++ b/internal/passthrough/forward/search.go
@@ -306,19 +306,24 @@
 	}
 	silent := len(s.unanswered) + len(s.unsure) + len(s.untried)
 	verdict := DroppedNotFound
-	if silent == 0 && e.allAsked(s) && !s.clientReset {
+	if silent == 0 && e.allAsked(now, s) && !s.clientReset {
 		verdict = ResetNoHolder
 		e.cfg.Out.Reset(f, s.ack)
 	}
-	e.logDecision(Decision{Flow: f, Verdict: verdict, Asked: len(s.asked), Silent: silent, ListsIncomplete: !e.listsComplete})
+	e.logDecision(Decision{Flow: f, Verdict: verdict, Asked: len(s.asked), Silent: silent, ListsIncomplete: !e.knowsAllAgents(now)})
 	e.dropSearch(f)
 }
 
 // allAsked reports whether the search has asked every agent. It hasn't if agents were added
-// after the last stage began, or if control's lists aren't complete: the flow may be open at
-// an agent that isn't listed yet.
-func (e *Engine) allAsked(s *search) bool {
-	return e.listsComplete && e.agents.addedAt <= s.allListedAt && !s.skippedAll && len(s.pending) == 0 && len(s.asked) > 0
+// after the last stage began, or if there may be agents that aren't known.
+func (e *Engine) allAsked(now time.Duration, s *search) bool {
+	return e.knowsAllAgents(now) && e.agents.addedAt <= s.allListedAt && !s.skippedAll && len(s.pending) == 0 && len(s.asked) > 0
+}
+
+// knowsAllAgents reports whether every agent is known. None may be missing from control's lists,
+// and after a pause they must have been read.
+func (e *Engine) knowsAllAgents(now time.Duration) bool {
+	return e.listsComplete && !e.link.hasOldPackets(now)
 }
 
 func (e *Engine) dropSearch(f packet.Flow) {
--- a/internal/passthrough/forward/search_test.go
+++ b/internal/passthrough/forward/search_test.go
@@ -338,3 +338,22 @@
 	r.send(data(10, 77))
 	is.Equal(r.questionsTo(b), 1)
 }
+
+// Guards against a balancer that resumes after a pause and resets a flow of an agent that was
+// listed meanwhile, before it has read that list.
+func TestPausedBalancerDoesNotResetByOldLists(t *testing.T) {
+	is := is.New(t)
+	r := newTestEngine(t)
+	r.table(1, caseworkService)
+	at := r.agentAt(1, caseworkService)
+	r.advance(time.Second)
+	r.now += 3 * time.Second
+	r.send(data(7, 500))
+	r.answerAs(at, peer.Lacks)
+	is.Equal(len(r.resets), 0)
+	is.Equal(r.lastDecision().Verdict, DroppedNotFound)
+	r.advance(oldPacketsFor)
+	r.send(data(7, 500))
+	r.answerAs(at, peer.Lacks)
+	is.Equal(len(r.resets), 1)
+}
