replica: expect the voters by the order in which they joined

Cause: the test. Of three voters, the two that joined first must give way to two newcomers. startThree starts b and c at the same time, and the test expected that b joins first. In all ten failed runs c's request to join came first: the leader added c, then b, so that b was the youngest and kept its vote, as surplusVoter says. All replicas agreed on these voters, and the test waited for others.

The test now takes the one that joined last from the leader's members, and expects exactly that one and the newcomers: as strict as before, for either order. No product code is concerned.

--- a/internal/replica/membership_policy_test.go
+++ b/internal/replica/membership_policy_test.go
@@ -176,6 +176,13 @@
 	})
 }
 
+// lastJoined returns the replica that joined last. startThree starts two at the same time,
+// which join in any order.
+func lastJoined(members []*member) *member {
+	joined := members[0].Status().Members
+	return members[slices.IndexFunc(members, func(m *member) bool { return m.ID() == joined[len(joined)-1].ID })]
+}
+
 // kill ends replicas all at once, without a last message to the others.
 func kill(t *testing.T, all []*member, killed ...*member) {
 	t.Helper()
@@ -272,9 +279,11 @@
 	members := startThree(t, tolerate(1))
 	mustPropose(t, members[0], "before")
 	is.Equal(leaderOf(t, members).HandOver(withTimeout(t, waitTimeout)), raft.ErrNoStandby)
-	all := append(members, startNewcomers(t, members, tolerate(1), "d", "e")...)
-	waitVotersAre(t, all[2:])
-	stops := leaderOf(t, all[2:])
+	last := lastJoined(members)
+	newcomers := startNewcomers(t, members, tolerate(1), "d", "e")
+	all := append(members, newcomers...)
+	waitVotersAre(t, append(newcomers, last))
+	stops := leaderOf(t, append(newcomers, last))
 	is.NoErr(stops.HandOver(withTimeout(t, waitTimeout)))
 	is.NoErr(stops.HandOver(withTimeout(t, waitTimeout))) // no voter any more
 	left := slices.DeleteFunc(others(all, stops), func(m *member) bool { return !allSeeVoter(others(all, stops), m.ID()) })
