replica: a voter that stops waits for a standby that is catching up

A control VM that stops as planned could keep its vote although a standby runs, so that the loss of one more VM in the next half second stopped all commands. Seen in a test only: TestStoppingVoterHandsOver, 4 of 240 runs, "no standby has caught up".

Cause: the leader gives a vote only to a standby that holds all committed entries and was heard from lately. For a round trip after each entry a standby doesn't hold it, and HandOver took the refusal for "there is no standby", against its own doc.

It now asks again for half an election timeout, in which a standby that runs catches up; the caller's deadline still bounds the whole. If all standbys are down, a planned stop takes that much longer (0.5 s as control sets it, within the second that it allows).

--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -27,6 +27,9 @@
 	maxReplacements = 16
 	// replacementTTLIntervals is how long a replacement is remembered, in join intervals.
 	replacementTTLIntervals = 10
+	// standbyWaitHeartbeats is how long a replica that stops waits for a standby that lacks the
+	// newest entries. One that runs gets them within a heartbeat.
+	standbyWaitHeartbeats = 5
 )
 
 // AddMember adds a replica as a learner and returns nil once that is committed. The
@@ -54,7 +57,7 @@
 
 // HandOver has a standby take over this replica's vote before a planned stop, which may be for
 // good. It returns nil once this replica is no voter any more, or if it isn't one. It returns
-// ErrNoStandby if no member is a standby.
+// ErrNoStandby if no member is a standby, or if none catches up within some heartbeats.
 func (r *Replica) HandOver(ctx context.Context) error {
 	isSelf := func(id raft.ID) bool { return id == r.ID() }
 	if r.countVoters(isSelf) == 0 {
@@ -64,9 +67,10 @@
 	if !slices.ContainsFunc(r.Status().Members, isStandby) {
 		return raft.ErrNoStandby
 	}
+	waitUntil := time.Now().Add(standbyWaitHeartbeats * r.cfg.Heartbeat)
 	for r.countVoters(isSelf) > 0 {
 		_, err := r.submit(ctx, forward{Op: opHandOver, MemberID: r.ID()})
-		if errors.Is(err, raft.ErrNoStandby) {
+		if errors.Is(err, raft.ErrNoStandby) && time.Now().After(waitUntil) {
 			return raft.ErrNoStandby
 		}
 		select {
--- a/internal/replica/membership_policy_test.go
+++ b/internal/replica/membership_policy_test.go
@@ -293,6 +293,28 @@
 	requireCommands(t, left[1:], []string{"before", "after"})
 }
 
+// Guards against a voter that stops without handing over, because its standby lacks the newest
+// entries for a moment.
+func TestStoppingVoterWaitsForItsStandby(t *testing.T) {
+	is := is.New(t)
+	slowly := func(c *Config) {
+		tolerate(1)(c)
+		c.Heartbeat = 200 * time.Millisecond // time for the standby to connect again
+	}
+	members := startThree(t, slowly)
+	all := append(members, startNewcomers(t, members, slowly, "d")...)
+	waitFor(t, "a standby", func() bool { return allSeeVoter(all, all[3].ID()) && voters(all[0].Status()) == 3 })
+	standby := all[slices.IndexFunc(all, func(m *member) bool { return !allSeeVoter(all, m.ID()) })]
+	standby.net.isolate(standby, all, true)
+	stops := others(all, standby)[0]
+	mustPropose(t, stops, "newest")
+	handedOver := make(chan error, 1)
+	go func() { handedOver <- stops.HandOver(withTimeout(t, waitTimeout)) }()
+	time.Sleep(50 * time.Millisecond)
+	standby.net.isolate(standby, all, false)
+	is.NoErr(<-handedOver)
+}
+
 // Guards against evicting below three voters: with two, one more loss stops all commands.
 func TestEvictionKeepsThreeVoters(t *testing.T) {
 	is := is.New(t)
