integration: wait for a stopping agent as long as its grace allows

No flow was broken and no request cut.

Cause: gave the test fleet's agents a stop grace of 60 s, which is what callers wait for large downloads, and left the harness waiting for 40 s, which its comment calls longer than the agent's grace. The agent had a large download in progress, of at most 42.8 s in that run, and was right to wait.

An agent now has its grace and 20 s more to end, as it had when the grace was 20 s; the bound for control VMs and balancers stays at 40 s. The downloads themselves are slow because callers, targets and fabric share one test process: with 9 MB/s for all flows of the run, a large one gets its share.

--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -18,8 +18,12 @@
 	"bergamotstall/internal/scenario"
 )
 
-// stopTimeout bounds a graceful stop. It is longer than an agent's own stop grace.
-const stopTimeout = 40 * time.Second
+const (
+	// stopTimeout bounds a graceful stop.
+	stopTimeout = 40 * time.Second
+	// agentStopTimeout bounds that of an agent: it is longer than the agent's own stop grace.
+	agentStopTimeout = scenario.AgentStopGrace + 20*time.Second
+)
 
 // processes implements scenario.Launcher: it starts the built binary with a settings
 // file for each role.
@@ -47,18 +51,18 @@
 }
 
 func (l *processes) Control(s control.Settings) (scenario.Process, error) {
-	return l.start("control", s.Name, s)
+	return l.start("control", s.Name, s, stopTimeout)
 }
 
 func (l *processes) Balancer(s balancer.Settings) (scenario.Process, error) {
-	return l.start("balancer", s.Name, s)
+	return l.start("balancer", s.Name, s, stopTimeout)
 }
 
 func (l *processes) Agent(s agent.Settings) (scenario.Process, error) {
-	return l.start("agent", s.Host, s)
+	return l.start("agent", s.Host, s, agentStopTimeout)
 }
 
-func (l *processes) start(role, name string, settings any) (scenario.Process, error) {
+func (l *processes) start(role, name string, settings any, stopTimeout time.Duration) (scenario.Process, error) {
 	data, err := yaml.Marshal(settings)
 	if err != nil {
 		return nil, errors.Wrap(err, "settings")
@@ -79,7 +83,7 @@
 	if err := cmd.Start(); err != nil {
 		return nil, errors.Wrap(err, "start")
 	}
-	p := &process{name: role + " " + name, cmd: cmd, ended: make(chan struct{})}
+	p := &process{name: role + " " + name, cmd: cmd, ended: make(chan struct{}), stopTimeout: stopTimeout}
 	go func() {
 		p.err = cmd.Wait()
 		close(p.ended)
@@ -96,6 +100,8 @@
 	cmd   *exec.Cmd
 	ended chan struct{}
 	err   error
+	// stopTimeout bounds the process's graceful stop.
+	stopTimeout time.Duration
 }
 
 // Stop sends SIGTERM and waits for a clean exit.
@@ -105,8 +111,8 @@
 	}
 	select {
 	case <-p.ended:
-	case <-time.After(stopTimeout):
-		return errors.Errorf("%s: still running %v after SIGTERM", p.name, stopTimeout)
+	case <-time.After(p.stopTimeout):
+		return errors.Errorf("%s: still running %v after SIGTERM", p.name, p.stopTimeout)
 	}
 	if p.err != nil {
 		return errors.Wrap(p.err, p.name)
--- a/internal/scenario/fleet.go
+++ b/internal/scenario/fleet.go
@@ -45,12 +45,13 @@
 	firstHostOctet     = 31
 )
 
+// AgentStopGrace bounds the graceful stop of an agent, which cuts requests that run longer: it
+// must be no shorter than callers wait for the longest ones.
+const AgentStopGrace = largeDownloadTimeout
+
 const (
 	controlCount  = 3
 	balancerCount = 3
-	// agentStopGrace bounds the graceful stop of an agent, which cuts requests that run
-	// longer: it must be no shorter than callers wait for the longest ones.
-	agentStopGrace = largeDownloadTimeout
 	// balancerStopGrace lets packets in flight arrive; on loopback this is long enough.
 	balancerStopGrace = 200 * time.Millisecond
 	folderMode        = 0o700
@@ -345,7 +346,7 @@
 		Target: f.Net.Address(h.octet, targetPort), Tunnel: f.Net.Address(h.octet, agentTunnelPort), Peer: f.Net.Address(h.octet, agentPeerPort),
 		Slots: f.Layout.Slots, FlowLimit: f.Layout.Connections, Controls: f.subscriberAddresses(),
 		CallerTLS: agent.CallerTLS{Certificate: f.CallerCertificateFile(), Key: f.path("callers-key.pem")},
-		TLS:       certificate, Metrics: f.Net.Address(h.octet, agentMetricsPort), State: f.path(h.Name + ".table"), StopGrace: agentStopGrace,
+		TLS:       certificate, Metrics: f.Net.Address(h.octet, agentMetricsPort), State: f.path(h.Name + ".table"), StopGrace: AgentStopGrace,
 	})
 	return err
 }
