raft: a leader that stops asks one voter after the other to lead

Cause: a leader that stops asks one voter to lead and waits for half a second. If that one is stopping too, nobody starts an election until its timeout has passed since the last heartbeat.

If the voter that was asked doesn't lead after a heartbeat, the next one that has the whole log is asked, in turn. Within a heartbeat the same one is asked, so that no two voters are made to run against each other. The same holds for a leader that gives up its own vote, which asked the same voter for ever.

--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -159,6 +159,9 @@
 	// votes holds the replies of the current election.
 	votes    map[ID]bool
 	transfer bool
+	// transferTo is the voter that this leader asked to lead at transferAt; 0 if none.
+	transferTo ID
+	transferAt time.Duration
 	// hasNewerLog is set when this replica refuses a vote because its own log is newer
 	// than the candidate's. A learner may then have to lead itself.
 	hasNewerLog   bool
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"slices"
 	"time"
 )
 
@@ -237,24 +238,30 @@
 }
 
 // TransferLeadership asks a voter that has the whole log to start an election at once, so
-// that commands don't wait for an election timeout on a planned stop. It returns false if
-// there is no such voter.
+// that commands don't wait for an election timeout on a planned stop. One that doesn't lead
+// after a heartbeat may be about to stop as well, so the next call asks another one. It returns
+// false if there is no such voter.
 func (c *Core) TransferLeadership() bool {
 	if c.state != Leader {
 		return false
 	}
-	var best ID
+	var ready []ID
 	for _, id := range c.members.Voters() {
 		if id == c.cfg.ID || c.now-c.progress[id].heardAt > c.cfg.ElectionTimeout {
 			continue
 		}
 		if c.progress[id].match == c.log.last() {
-			best = id
+			ready = append(ready, id)
 		}
 	}
-	if best == 0 {
+	if len(ready) == 0 {
 		return false
 	}
-	c.send(Message{Kind: MsgTimeoutNow, To: best})
+	asked := slices.Index(ready, c.transferTo)
+	if asked < 0 || c.now-c.transferAt >= c.cfg.Heartbeat {
+		c.transferTo = ready[(max(asked, 0)+len(ready)-1)%len(ready)]
+		c.transferAt = c.now
+	}
+	c.send(Message{Kind: MsgTimeoutNow, To: c.transferTo})
 	return true
 }
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -43,6 +43,7 @@
 	c.leaderlessRestart = false
 	c.votes = nil
 	c.transfer = false
+	c.transferTo = 0
 	c.round = 0
 	c.rounds = nil
 	c.reads = nil
--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -121,3 +121,22 @@
 	is.Equal(len(r.forwards), 1)
 	is.Equal(r.forwards[1].request, open)
 }
+
+// Guards against commands that wait for an election timeout because the voter that a stopping
+// leader asks to lead stops at the same time.
+func TestStoppingLeaderAsksAnotherVoter(t *testing.T) {
+	is := is.New(t)
+	noElections := func(c *Config) {
+		tolerate(2)(c)
+		c.ElectionTimeout = 2 * waitTimeout
+	}
+	members := startThree(t, noElections)
+	members = append(members, startNewcomers(t, members, noElections, "d", "e")...)
+	waitVoters(t, members, 5)
+	stopping := []*member{lastJoined(members), leaderOf(t, members)}
+	rest := others(others(members, stopping[0]), stopping[1])
+	for _, m := range stopping {
+		is.NoErr(m.Close())
+	}
+	mustPropose(t, leaderOf(t, rest), "after")
+}
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -249,6 +249,7 @@
 			r.handleFrame(m)
 		case <-tick:
 			r.core.Tick(r.now())
+			r.core.TransferLeadership()
 		}
 	}
 	_ = r.processReady() // commands committed by the last messages are answered
