--- a/internal/passthrough/flowtable/decision.go
+++ b/internal/passthrough/flowtable/decision.go
@@ -117,3 +117,12 @@
 	// Waiting is the number of callers that wait for a slot.
 	Waiting int
 }
+
+func (e *Engine) noteDecision(now time.Duration, d Decision) {
+	d.Target = e.target.id
+	d.Born = e.target.born
+	if e.target.lastSeenAt > 0 {
+		d.Age = now - e.target.lastSeenAt
+	}
+	e.cfg.Out.LogDecision(d)
+}
--- a/internal/passthrough/flowtable/flowtable.go
+++ b/internal/passthrough/flowtable/flowtable.go
@@ -490,12 +490,3 @@
 	e.cfg.Codec.SetTag(raw, 0)
 	e.refuse(now, to, f, p, reason, sentAt, raw)
 }
-
-func (e *Engine) noteDecision(now time.Duration, d Decision) {
-	d.Target = e.target.id
-	d.Born = e.target.born
-	if e.target.lastSeenAt > 0 {
-		d.Age = now - e.target.lastSeenAt
-	}
-	e.cfg.Out.LogDecision(d)
-}
